--- /dev/null
+++ b/stackpitch/benchlink/settings.py
@@ -0,0 +1,108 @@
+"""Reads an instance's settings into the module's plain types and arguments."""
+
+from typing import Any
+
+from stackpitch.interface import Customer, Effect, Product, Role
+
+EFFECTS: dict[str, Effect] = {"free": "idempotent", "guarded": "deduplicated", "single_shot": "side-effecting"}
+ROLES: dict[str, Role] = {"read": "reader", "write": "writer", "both": "mixed"}
+
+
+class Missing(Exception):
+    """A setting that is absent or of the wrong kind; its text is the setting's path."""
+
+
+class Tree:
+    """A part of the settings object that names what it lacks. Unknown keys are left alone."""
+
+    def __init__(self, values: Any, path: str = "config") -> None:
+        if not isinstance(values, dict):
+            raise Missing(path)
+        self.values, self.path = values, path
+
+    def get(self, key: str, kind: type | tuple[type, ...], default: Any = None) -> Any:
+        value = self.values.get(key, default)
+        if isinstance(value, bool) and kind is not bool or not isinstance(value, kind):
+            raise Missing(f"{self.path}.{key}")
+        return value
+
+    def number(self, key: str, default: float | None = None) -> float:
+        return float(self.get(key, (int, float), default))
+
+    def ticks(self, key: str, default: float | None = None) -> int:
+        return int(self.number(key, default) * 10 + 1e-6)
+
+    def tree(self, key: str) -> "Tree":
+        return Tree(self.values.get(key), f"{self.path}.{key}")
+
+    def trees(self, key: str) -> list["Tree"]:
+        return [Tree(item, f"{self.path}.{key}[{i}]") for i, item in enumerate(self.get(key, list, []))]
+
+
+def products(config: Tree) -> dict[str, Product]:
+    extra = config.tree("extra")
+    per_ktok = extra.get("aimUsPer1000PromptTokens", list, [])
+    gaps = extra.get("tokenAimMs", list, [])
+    found = {}
+    for i, one in enumerate(config.trees("classes")):
+        effect = EFFECTS.get(one.get("effect", str))
+        if effect is None:
+            raise Missing(f"{one.path}.effect")
+        name = one.get("name", str)
+        found[name] = Product(
+            name=name,
+            effect=effect,
+            scope=one.get("dedupScope", str, "all"),
+            memory=one.ticks("keyTtlMs", 0),
+            slo_time=one.ticks("aimMs"),
+            slo_per_ktok=int(per_ktok[i] / 100) if i < len(per_ktok) else 0,
+            token_gap=int(gaps[i] * 10) if i < len(gaps) else 0,
+            time_limit=one.ticks("deadlineMs"),
+            revenue=one.number("worth", 1),
+            late_revenue=one.number("lateWorth", 0),
+        )
+    return found
+
+
+def customers(config: Tree) -> dict[str, Customer]:
+    return {
+        one.get("name", str): Customer(one.get("name", str), one.number("share", 0), one.number("quotaPerS", 0))
+        for one in config.trees("tenants")
+    }
+
+
+def kinds(config: Tree) -> dict[str, tuple[Role, int]]:
+    """Each kind of machine: its role and its memory in tokens."""
+    extra = config.tree("extra")
+    names = config.get("models", list)
+    duties, memory = extra.get("dutyByKind", list), extra.get("kvTokens", list, [])
+    if len(duties) != len(names) or any(duty not in ROLES for duty in duties):
+        raise Missing("config.extra.dutyByKind")
+    return {
+        name: (ROLES[duties[i]], int(memory[i]) if i < len(memory) else 0) for i, name in enumerate(names)
+    }
+
+
+def arguments(config: Tree) -> dict[str, Any]:
+    """The keyword arguments with which the module is made."""
+    bounds, rules, extra = config.tree("bounds"), config.tree("guarantees"), config.tree("extra")
+    return {
+        "gateways": max(1, int(config.number("balancers", 1))),
+        "zone": config.get("zone", str, ""),
+        "max_legs": int(bounds.number("maxAttempts", 1)),
+        "may_cancel": bounds.get("cancel", bool, False),
+        "may_probe": bounds.get("probes", bool, False),
+        "second_legs": bounds.get("secondCopies", bool, False),
+        "max_retry_after": bounds.ticks("maxRetryAfterMs", 0) if bounds.get("retryAfter", bool, False) else 0,
+        "may_hold": extra.get("earlyPairing", bool, False),
+        "local_reads": extra.get("localRead", bool, False),
+        "resume": extra.get("resume", bool, False),
+        "must_ask": config.get("discovery", str, "pushed") == "on_request",
+        "answer_slack": rules.ticks("answerSlackMs", 0),
+        "release_time": extra.ticks("releaseMs", 0),
+        "cold_from": rules.number("coldFrom", 1),
+        "warm_up": rules.ticks("warmUpMs", 0),
+        "fall_multiple": rules.number("fallMultiple", 1),
+        "fall_window": rules.ticks("fallMs", 0),
+        "over_share_revenue": config.number("overShareWorth", 1),
+    }
--- /dev/null
+++ b/stackpitch/brain.py
@@ -0,0 +1,451 @@
+"""All decisions of a gateway, and every table and tuned value behind them.
+
+How it is called: a gateway makes one `Brain`, calls `begin` once and then the methods named in
+`interface.Module`; each returns after asking the gateway (`interface.Gateway`) for what it decided.
+A generation passes Guard, Admission, Owner, Reader and Writer; a stage passes it on, keeps it (a leg is
+out) or ends it. What comes back runs the same chain from Writer to Guard. Fleet knows the servers.
+Times are whole tenths of a millisecond.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from zlib import crc32
+
+from stackpitch.interface import NEVER_RAN, Gateway, Generation, Leg, Report, Role, Server, Time
+
+MS: Time = 10
+SECOND: Time = 1000 * MS
+
+
+class Seat:
+    """What this gateway knows of one server. Bounded by the roster and the legs that are out."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.waiting: dict[Leg, Time] = {}  # legs with no word yet; emptied by stream start or outcome
+        self.tok: dict[Generation, int] = {}  # tokens our legs bring here; emptied by outcomes
+        self.own = 0  # their sum
+        self.others = 0.0  # tokens that others held by the last report
+        self.strikes = 0
+        self.shunned_until: Time = 0
+        self.recent = 0.0  # own sends, decaying over RATE_SPAN
+        self.recent_at: Time = 0
+        self.burst: deque[Time] = deque()  # own sends while cold; emptied by age
+
+    def put(self, gen: Generation, tok: int) -> None:
+        self.drop(gen)
+        self.tok[gen] = tok
+        self.own += tok
+
+    def drop(self, gen: Generation) -> None:
+        self.own -= self.tok.pop(gen, 0)
+
+
+class Fleet:
+    """Which servers exist, which are well, and what a cold one may be sent."""
+
+    RATE_SPAN = 4 * SECOND  # sends to warm peers are averaged over about this long
+    COLD_CARE = 0.6  # part of our share of a cold server's budget that we use
+    SHUN = SECOND // 2  # first time out after a strike; doubles with each further one
+    SILENT_FLOOR = 250 * MS  # a leg without word is no symptom before this
+    SILENT_TIMES = 5  # nor before this multiple of what the role usually takes
+
+    def __init__(self, gateway: Gateway, cold_from: float, warm_up: Time, fall_multiple: float,
+                 fall_window: Time, gateways: int, zone: str) -> None:
+        self.gateway, self.gateways, self.zone = gateway, gateways, zone
+        self.cold_from, self.warm_up = cold_from, max(1, warm_up)
+        self.fall_multiple, self.fall_window = fall_multiple, fall_window
+        self.seats: dict[Server, Seat] = {}  # a seat goes once its server is gone and its last leg is back
+        self.usual: dict[Role, float] = {"reader": 100.0 * MS, "writer": 50.0 * MS, "mixed": 200.0 * MS}
+
+    def update(self, servers: list[Server], complete: bool) -> None:
+        if complete:
+            named = dict.fromkeys(servers)
+            for server in self.seats:
+                if server not in named:
+                    server.state = "gone"
+        for server in servers:
+            if server.state != "gone" and server not in self.seats:
+                self.seats[server] = Seat(server)
+        for seat in [one for one in self.seats.values() if one.server.state == "gone" and not one.tok]:
+            del self.seats[seat.server]
+
+    def silent(self, seat: Seat, now: Time) -> bool:
+        """A leg has been out without word far longer than the role takes: hung, cut off or very slow."""
+        first = next(iter(seat.waiting.values()), now)
+        return now - first > max(self.SILENT_FLOOR, self.SILENT_TIMES * self.usual[seat.server.role])
+
+    def unwell(self, seat: Seat, now: Time) -> bool:
+        return now < seat.shunned_until or self.silent(seat, now)
+
+    def strike(self, seat: Seat, now: Time, why: str) -> None:
+        if now < seat.shunned_until:
+            return
+        seat.shunned_until = now + (self.SHUN << min(seat.strikes, 4))
+        seat.strikes += 1
+        self.gateway.log(f"shun {seat.server.name} {why} strikes={seat.strikes} waiting={len(seat.waiting)}")
+
+    def word(self, seat: Seat, wait: Time) -> None:
+        """A leg did what its role does after this wait."""
+        role = seat.server.role
+        self.usual[role] += 0.05 * (wait - self.usual[role])
+        if seat.strikes:
+            self.gateway.log(f"trust {seat.server.name} wait={wait // MS}ms strikes={seat.strikes}")
+            seat.strikes, seat.shunned_until = 0, 0
+
+    def cold(self, seat: Seat, now: Time) -> bool:
+        return seat.server.started is not None and now - seat.server.started < self.warm_up
+
+    def rate(self, seat: Seat, now: Time) -> float:
+        return seat.recent * max(0.0, 1 - (now - seat.recent_at) / self.RATE_SPAN)
+
+    def room(self, seat: Seat, now: Time) -> bool:
+        """Whether a cold server's budget has room, judged by what its warm peers get from us."""
+        if not self.cold(seat, now):
+            return True
+        while seat.burst and now - seat.burst[0] > self.fall_window:
+            seat.burst.popleft()
+        role = seat.server.role
+        warm = [self.rate(one, now) for one in self.seats.values()
+                if one.server.role == role and one.server.state == "ready" and not self.cold(one, now)]
+        age = (now - (seat.server.started or 0)) / self.warm_up
+        part = self.cold_from + (1 - self.cold_from) * age * age
+        usual = sum(warm) / len(warm) * self.fall_window / self.RATE_SPAN if warm else 0.0
+        return len(seat.burst) < max(1, int(self.COLD_CARE * self.fall_multiple * part * usual))
+
+    def usable(self, role: Role, now: Time) -> list[Seat]:
+        """Servers of a role that may be sent to. If most look unwell, the cause is not the servers."""
+        ready = [one for one in self.seats.values() if one.server.role == role and one.server.state == "ready"]
+        well = [one for one in ready if not self.unwell(one, now)]
+        return [one for one in (well if 2 * len(well) >= len(ready) else ready) if self.room(one, now)]
+
+    def sent(self, seat: Seat, now: Time) -> None:
+        seat.recent, seat.recent_at = self.rate(seat, now) + 1, now
+        if self.cold(seat, now):
+            seat.burst.append(now)
+
+    def held_share(self, seat: Seat) -> float:
+        """Projected share of memory: own legs grown by their answers, and what reports say of others."""
+        return (seat.own + seat.others) / max(1, seat.server.memory_tok)
+
+    def reported(self, seat: Seat, report: Report | None) -> None:
+        if report is not None and report.held_share is not None:
+            seat.others = max(0.0, report.held_share * seat.server.memory_tok - seat.own)
+
+
+class Stage:
+    """One link of the chain. `take` is called downwards; `back` upwards, and says whether it was kept."""
+
+    below: "Stage"
+
+    def take(self, now: Time, gen: Generation) -> None:
+        self.below.take(now, gen)
+
+    def back(self, now: Time, leg: Leg, kept_tok: int, no_state: bool) -> bool:
+        return False
+
+
+class Guard(Stage):
+    """The one place that sends, answers and releases; keeps the rules on effects, answers and pins."""
+
+    def __init__(self, gateway: Gateway, fleet: Fleet, max_legs: int, second_legs: bool,
+                 max_retry_after: Time) -> None:
+        self.gateway, self.fleet = gateway, fleet
+        self.max_legs, self.second_legs, self.max_retry_after = max_legs, second_legs, max_retry_after
+        self.pinned: dict[Generation, bool] = {}  # may hold a state or place; emptied by start or release
+
+    @staticmethod
+    def ran(gen: Generation) -> list[Leg]:
+        """Legs that may have had, or may yet have, their effect."""
+        return [leg for leg in gen.legs if leg.outcome not in NEVER_RAN
+                and not (leg.server.role == "reader" and leg.outcome is not None)]
+
+    def may_send(self, now: Time, gen: Generation, server: Server) -> bool:
+        if gen.over or len(gen.legs) >= self.max_legs or server.state != "ready" or now >= gen.gives_up:
+            return False
+        if not self.second_legs and gen.out():
+            return False
+        ran, product = self.ran(gen), gen.product
+        if not ran or product.effect == "idempotent":
+            return True
+        if product.effect == "side-effecting":
+            return False
+        same = all(product.scope == "all" or leg.server.zone == server.zone
+                   and (product.scope == "zone" or leg.server.cell == server.cell) for leg in ran)
+        return same and now - ran[0].sent < product.memory * 9 // 10
+
+    def send(self, now: Time, gen: Generation, seat: Seat, limit: Time) -> Leg:
+        leg = self.gateway.send(gen, seat.server, max(MS, min(limit, gen.gives_up - now)))
+        seat.waiting[leg] = now
+        self.fleet.sent(seat, now)
+        return leg
+
+    def answer(self, gen: Generation) -> None:
+        """Gives up: throttled where the client may try again without harm, else terminated."""
+        if gen.over:
+            return
+        ran, product = self.ran(gen), gen.product
+        if not ran or product.effect == "idempotent" or product.effect == "deduplicated" and product.scope == "all":
+            self.gateway.throttle(gen, self.max_retry_after // 2)
+        else:
+            self.gateway.terminate(gen)
+        self.let_go(gen)
+
+    def let_go(self, gen: Generation) -> None:
+        if self.pinned.pop(gen, False):
+            self.gateway.release(gen)
+
+    def take(self, now: Time, gen: Generation) -> None:
+        self.below.take(now, gen)
+
+    def back(self, now: Time, leg: Leg, kept_tok: int, no_state: bool) -> bool:
+        gen = leg.gen
+        if not gen.out():
+            self.answer(gen)
+            self.let_go(gen)
+        return True
+
+
+class Admission(Stage):
+    """Throttles early, before work is spent, what a full fleet could not answer in time."""
+
+    OVER_QUOTA_AT = 0.85  # held share of the emptiest writer from which over-quota customers are throttled
+    LOW_REVENUE_AT = 0.97  # and from which the product of lowest revenue is
+
+    def __init__(self, guard: Guard, fleet: Fleet, over_share_revenue: float) -> None:
+        self.guard, self.fleet, self.over_share_revenue = guard, fleet, over_share_revenue
+
+
+class Owner(Stage):
+    """A later turn is read by the server that wrote the session's earlier turns."""
+
+    AGE = 60 * SECOND
+    NEW_TOK = 1500
+    HELD_SHARE = 0.8
+    SIZE = 20_000  # sessions
+
+    def __init__(self, guard: Guard, fleet: Fleet, writer: "Writer", local_reads: bool) -> None:
+        self.guard, self.fleet, self.writer, self.local_reads = guard, fleet, writer, local_reads
+        # session -> owner, its start, when, prompt and answer tokens; emptied by age, size and evidence of loss
+        self.table: dict[str, tuple[Server, Time | None, Time, int, int]] = {}
+
+    def take(self, now: Time, gen: Generation) -> None:
+        seat = self.find(now, gen)
+        if seat is None:
+            self.below.take(now, gen)
+        else:
+            self.writer.send(now, gen, seat)
+
+    def find(self, now: Time, gen: Generation) -> Seat | None:
+        if gen.session is None or gen.session not in self.table or gen.legs:
+            return None
+        server, started, at, prompt_tok, answer_tok = self.table[gen.session]
+        seat = self.fleet.seats.get(server)
+        if seat is None or server.state != "ready" or server.started != started or now - at > self.AGE:
+            del self.table[gen.session]
+            return None
+        well = not self.fleet.unwell(seat, now) and self.fleet.room(seat, now)
+        few = gen.prompt_tok - prompt_tok - answer_tok <= self.NEW_TOK
+        fits = self.fleet.held_share(seat) < self.HELD_SHARE
+        return seat if well and few and fits and self.guard.may_send(now, gen, server) else None
+
+    def started(self, now: Time, leg: Leg) -> None:
+        if leg.gen.session is None or leg.server.role == "writer" and not self.local_reads:
+            return
+        self.table.pop(leg.gen.session, None)
+        self.table[leg.gen.session] = (leg.server, leg.server.started, now, leg.gen.prompt_tok, 0)
+        oldest = next(iter(self.table))
+        if len(self.table) > self.SIZE or now - self.table[oldest][2] > self.AGE:
+            del self.table[oldest]
+
+    def back(self, now: Time, leg: Leg, kept_tok: int, no_state: bool) -> bool:
+        gen = leg.gen
+        entry = self.table.get(gen.session or "")
+        if leg.outcome == "streamed" and entry is not None and entry[0] is leg.server:
+            local = leg.server.role != "reader" and not any(one.server.role == "reader" for one in gen.legs)
+            if local and gen.resumed is False and 0 < kept_tok < gen.prompt_tok // 4:
+                del self.table[gen.session or ""]
+        return False
+
+
+class Reader(Stage):
+    """Picks the writer, then a reader near it by a hash of the shared beginning; reads again on failure."""
+
+    SPILL = 2  # own reads beyond the idlest reader's before the next by hash is taken
+    LIMIT_FLOOR = 400 * MS
+    LIMIT_TIMES = 6  # a read may take this multiple of the usual before another reader is tried
+
+    def __init__(self, guard: Guard, fleet: Fleet, writer: "Writer", local_reads: bool) -> None:
+        self.guard, self.fleet, self.writer, self.local_reads = guard, fleet, writer, local_reads
+
+    def take(self, now: Time, gen: Generation) -> None:
+        goal = self.writer.pick(now, gen, None)
+        if goal is None:
+            self.guard.answer(gen)
+            return
+        if goal.server.role == "mixed":
+            self.writer.send(now, gen, goal)
+            return
+        seat = self.pick(now, gen, goal.server)
+        if seat is not None:
+            self.writer.plan[gen] = goal
+            goal.put(gen, self.writer.projected(gen))
+            seat.put(gen, gen.prompt_tok)
+            more = len(gen.legs) + 2 < self.guard.max_legs
+            patience = max(self.LIMIT_FLOOR, int(self.LIMIT_TIMES * self.fleet.usual["reader"]))
+            self.guard.send(now, gen, seat, patience if more else gen.gives_up)
+        elif self.local_reads:
+            self.writer.send(now, gen, goal)
+        else:
+            self.guard.answer(gen)
+
+    def pick(self, now: Time, gen: Generation, goal: Server) -> Seat | None:
+        tried = [leg.server for leg in gen.legs]
+        seats = [one for one in self.fleet.usable("reader", now) if self.guard.may_send(now, gen, one.server)]
+        seats = [one for one in seats if one.server not in tried] or seats
+        seats = ([one for one in seats if one.server.cell == goal.cell]
+                 or [one for one in seats if one.server.zone == goal.zone] or seats)
+        if not seats:
+            return None
+        fewest = min(len(one.waiting) for one in seats)
+        if gen.shared is None:
+            return min(seats, key=lambda one: (one.own, one.server.name))
+        near = [one for one in seats if len(one.waiting) <= fewest + self.SPILL]
+        return max(near, key=lambda one: crc32(f"{gen.shared} {one.server.name}".encode()))
+
+    def back(self, now: Time, leg: Leg, kept_tok: int, no_state: bool) -> bool:
+        gen = leg.gen
+        if gen.over or gen.out():
+            return False
+        if leg.server.role == "reader":
+            if leg.outcome == "read":
+                self.writer.take(now, gen)
+                return gen.out()
+        elif leg.outcome != "full":
+            return False
+        if now + 50 * MS < gen.gives_up and len(gen.legs) + 2 <= self.guard.max_legs:
+            self.take(now, gen)
+        return gen.out()
+
+
+class Writer(Stage):
+    """Sends to the writer with the lowest projected memory; on failure before output to the next."""
+
+    GROWTH = 0.4  # of the output limit that answers are taken to reach
+    FAR = 0.1  # of memory that a writer in another zone must be emptier
+    LIMIT_FLOOR = 800 * MS
+    LIMIT_TIMES = 10
+
+    def __init__(self, guard: Guard, fleet: Fleet) -> None:
+        self.guard, self.fleet = guard, fleet
+        self.plan: dict[Generation, Seat] = {}  # chosen before the read; emptied when the last leg is back
+
+    def projected(self, gen: Generation) -> int:
+        grown = gen.limit_tok * self.GROWTH
+        if gen.hint is not None and gen.product.token_gap:
+            grown = min(gen.limit_tok, gen.hint / gen.product.token_gap)
+        return gen.prompt_tok + int(grown)
+
+    def pick(self, now: Time, gen: Generation, cell: int | None) -> Seat | None:
+        tried = [leg.server for leg in gen.legs]
+        seats = [one for one in self.fleet.usable("writer", now) + self.fleet.usable("mixed", now)
+                 if one.server not in tried and self.guard.may_send(now, gen, one.server)]
+        if cell is not None:
+            seats = [one for one in seats if one.server.cell == cell] or seats
+        return min(seats, default=None, key=lambda one: (
+            self.fleet.held_share(one) + self.FAR * (one.server.zone != self.fleet.zone), one.server.name))
+
+    def take(self, now: Time, gen: Generation) -> None:
+        seat = self.plan.get(gen)
+        if (seat is None or self.fleet.unwell(seat, now) or not self.guard.may_send(now, gen, seat.server)
+                or seat.server in [leg.server for leg in gen.legs]):
+            seat = self.pick(now, gen, gen.legs[-1].server.cell if gen.legs else None)
+        if seat is not None:
+            self.send(now, gen, seat)
+
+    def send(self, now: Time, gen: Generation, seat: Seat) -> None:
+        old = self.plan.get(gen)
+        if old is not None and old is not seat:
+            old.drop(gen)
+        self.plan[gen] = seat
+        seat.put(gen, self.projected(gen))
+        again = gen.product.effect == "idempotent" and len(gen.legs) + 1 < self.guard.max_legs
+        patience = max(self.LIMIT_FLOOR, int(self.LIMIT_TIMES * self.fleet.usual[seat.server.role]))
+        self.guard.send(now, gen, seat, patience if again else gen.gives_up)
+
+    def back(self, now: Time, leg: Leg, kept_tok: int, no_state: bool) -> bool:
+        gen = leg.gen
+        if gen.over or leg.server.role == "reader" or no_state or leg.outcome == "streamed" or gen.out():
+            return False
+        if any(one.outcome == "read" for one in gen.legs):
+            self.take(now, gen)
+        return gen.out()
+
+
+class Brain:
+    """Ties the chain together; see the head of this file."""
+
+    def __init__(self, gateway: Gateway, seed: int, *, gateways: int, zone: str, max_legs: int, may_cancel: bool,
+                 may_probe: bool, second_legs: bool, max_retry_after: Time, may_hold: bool, local_reads: bool,
+                 resume: bool, must_ask: bool, answer_slack: Time, release_time: Time, cold_from: float,
+                 warm_up: Time, fall_multiple: float, fall_window: Time, over_share_revenue: float) -> None:
+        self.gateway, self.must_ask = gateway, must_ask
+        self.fleet = Fleet(gateway, cold_from, warm_up, fall_multiple, fall_window, gateways, zone)
+        self.guard = Guard(gateway, self.fleet, max_legs, second_legs, max_retry_after)
+        self.admission = Admission(self.guard, self.fleet, over_share_revenue)
+        self.writer = Writer(self.guard, self.fleet)
+        self.owner = Owner(self.guard, self.fleet, self.writer, local_reads)
+        self.reader = Reader(self.guard, self.fleet, self.writer, local_reads)
+        self.chain: list[Stage] = [self.guard, self.admission, self.owner, self.reader, self.writer]
+        for stage, below in zip(self.chain, self.chain[1:]):
+            stage.below = below
+
+    def begin(self, now: Time) -> None:
+        if self.must_ask:
+            self.gateway.subscribe()
+
+    def roster(self, now: Time, servers: list[Server], complete: bool) -> None:
+        self.fleet.update(servers, complete)
+
+    def roster_failed(self, now: Time) -> None:
+        if self.must_ask:
+            again: Callable[[Time], None] = lambda _: self.gateway.subscribe()
+            self.gateway.wake(2 * SECOND, again)
+
+    def arrived(self, now: Time, gen: Generation) -> None:
+        self.guard.take(now, gen)
+
+    def started(self, now: Time, leg: Leg) -> None:
+        seat = self.fleet.seats[leg.server]
+        seat.waiting.pop(leg, None)
+        self.fleet.word(seat, now - leg.sent)
+        self.guard.pinned.pop(leg.gen, None)
+        self.owner.started(now, leg)
+
+    def ended(self, now: Time, leg: Leg, kept_tok: int, no_state: bool, report: Report | None) -> None:
+        seat, gen = self.fleet.seats[leg.server], leg.gen
+        seat.waiting.pop(leg, None)
+        seat.drop(gen)
+        self.fleet.reported(seat, report)
+        if leg.outcome == "read":
+            self.guard.pinned[gen] = True
+            self.fleet.word(seat, now - leg.sent)
+        elif leg.outcome in ("time-out", "unreachable", "reset"):
+            self.fleet.strike(seat, now, leg.outcome)
+        for stage in reversed(self.chain):
+            if stage.back(now, leg, kept_tok, no_state):
+                break
+        if not gen.out():
+            plan = self.writer.plan.pop(gen, None)
+            if plan is not None:
+                plan.drop(gen)
+
+    def departed(self, now: Time, gen: Generation) -> None:
+        if not gen.out():
+            self.guard.let_go(gen)
+
+    def held(self, now: Time, gen: Generation, server: Server, granted: bool) -> None:
+        pass
+
+    def probed(self, now: Time, server: Server, well: bool, report: Report | None) -> None:
+        self.fleet.reported(self.fleet.seats[server], report)
--- /dev/null
+++ b/stackpitch/interface.py
@@ -0,0 +1,123 @@
+"""The plain types that the decision module works on, and what it may ask of a gateway.
+
+Times and durations are whole tenths of a millisecond. The gateway makes these objects and keeps
+their facts up to date; the module reads them. Objects point to each other; `name` is for the door.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Literal, Protocol
+
+Time = int
+Effect = Literal["idempotent", "deduplicated", "side-effecting"]
+Scope = Literal["all", "zone", "cell"]
+Role = Literal["reader", "writer", "mixed"]
+State = Literal["ready", "draining", "gone"]
+Outcome = Literal[
+    "streamed", "read", "error", "full", "time-out", "unreachable", "reset", "cancelled", "not-sent"
+]
+NEVER_RAN: frozenset[Outcome] = frozenset({"read", "full", "unreachable", "not-sent"})
+
+
+@dataclass(slots=True, eq=False)
+class Product:
+    name: str
+    effect: Effect
+    scope: Scope  # deduplicated only: the servers that drop repeats
+    memory: Time  # deduplicated only: how long they remember, from the first leg that may have run
+    slo_time: Time
+    slo_per_ktok: Time  # added to slo_time for each 1,000 prompt tokens
+    token_gap: Time  # SLO for the mean gap between tokens
+    time_limit: Time
+    revenue: float
+    late_revenue: float
+
+
+@dataclass(slots=True, eq=False)
+class Customer:
+    name: str
+    share: float
+    quota_per_s: float  # over all gateways
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    name: str
+    zone: str
+    kind: str
+    cell: int
+    role: Role
+    memory_tok: int
+    state: State = "ready"
+    weight: float = 1.0
+    started: Time | None = None  # None: long ago
+
+
+@dataclass(slots=True, eq=False)
+class Leg:
+    gen: "Generation"
+    number: int
+    server: Server
+    sent: Time
+    streaming: bool = False
+    outcome: Outcome | None = None  # None: still out
+
+
+@dataclass(slots=True, eq=False)
+class Generation:
+    name: str
+    product: Product
+    customer: Customer | None
+    session: str | None
+    shared: str | None  # the beginning that it shares with other sessions
+    shared_tok: int
+    prompt_tok: int
+    limit_tok: int  # the most that the answer may hold
+    hint: Time | None  # rough length of the answer as time at the product's token gap
+    arrived: Time
+    gives_up: Time  # the client's time limit for this try
+    repeat: bool  # the client says that it asks again
+    resumed: bool  # comes back after a broken or moved stream
+    over: bool = False  # has its final answer, or its client has left
+    legs: list[Leg] = field(default_factory=list)
+
+    def out(self) -> bool:
+        return any(leg.outcome is None for leg in self.legs)
+
+
+@dataclass(slots=True)
+class Report:
+    """A server's load report; None where it does not say."""
+
+    held_share: float | None = None
+    slots_share: float | None = None
+    queued: float | None = None
+
+
+class Gateway(Protocol):
+    """What the module may ask for. `limit` and `delay` run from now."""
+
+    def send(self, gen: Generation, server: Server, limit: Time) -> Leg: ...
+    def hold(self, gen: Generation, server: Server) -> None: ...
+    def release(self, gen: Generation) -> None: ...
+    def throttle(self, gen: Generation, retry_after: Time) -> None: ...
+    def terminate(self, gen: Generation) -> None: ...
+    def cancel(self, leg: Leg) -> None: ...
+    def probe(self, server: Server) -> None: ...
+    def move(self, gen: Generation) -> None: ...
+    def wake(self, delay: Time, call: Callable[[Time], None]) -> None: ...
+    def subscribe(self) -> None: ...
+    def log(self, text: str) -> None: ...
+
+
+class Module(Protocol):
+    """What a gateway tells the module; `now` never goes back."""
+
+    def roster(self, now: Time, servers: list[Server], complete: bool) -> None: ...
+    def roster_failed(self, now: Time) -> None: ...
+    def arrived(self, now: Time, gen: Generation) -> None: ...
+    def started(self, now: Time, leg: Leg) -> None: ...
+    def ended(self, now: Time, leg: Leg, kept_tok: int, no_state: bool, report: Report | None) -> None: ...
+    def departed(self, now: Time, gen: Generation) -> None: ...
+    def held(self, now: Time, gen: Generation, server: Server, granted: bool) -> None: ...
+    def probed(self, now: Time, server: Server, well: bool, report: Report | None) -> None: ...
--- /dev/null
+++ b/tests/play.py
@@ -0,0 +1,149 @@
+"""Plays scenarios: small texts in the project's own notation, each line an input or an expectation.
+
+    with gateways=2 may_hold=1            arguments of the module, before anything else
+    product chat idempotent slo=1000 limit=4000        (ms)
+    server r1 reader cell=1 [zone=a] [started=MS]      joins the list
+    list r1 draining | gone | ready [started=MS]       the list changes
+    at 120                                the clock, in ms
+    gen g1 chat session=s shared=p prompt=2000 limit=200 gives_up=4000
+    start g1 | end g1 streamed kept=0 | end g1#0 read | depart g1 | granted g1 w1
+    wait                                  plays the next timers due by the clock
+    > send g1 r1                          the next thing asked for (logs, wakes aside)
+    > nothing                             nothing more was asked for
+"""
+
+from pathlib import Path
+from typing import Any
+
+from stackpitch.brain import Brain
+from stackpitch.interface import Customer, Generation, Leg, Product, Report, Server
+
+ARGUMENTS: dict[str, Any] = {
+    "gateways": 1, "zone": "a", "max_legs": 4, "may_cancel": True, "may_probe": False, "second_legs": True,
+    "max_retry_after": 0, "may_hold": False, "local_reads": True, "resume": False, "must_ask": False,
+    "answer_slack": 80, "release_time": 3000, "cold_from": 0.3, "warm_up": 130_000, "fall_multiple": 2.5,
+    "fall_window": 15_000, "over_share_revenue": 0.1,
+}
+
+
+class Play:
+    """A gateway that only notes what it is asked for."""
+
+    def __init__(self) -> None:
+        self.now, self.asked, self.arguments = 0, [], dict(ARGUMENTS)
+        self.products: dict[str, Product] = {}
+        self.customers: dict[str, Customer] = {}
+        self.servers: dict[str, Server] = {}
+        self.gens: dict[str, Generation] = {}
+        self.timers: list[tuple[int, Any]] = []
+        self.made: Brain | None = None
+
+    @property
+    def brain(self) -> Brain:
+        if self.made is None:
+            self.made = Brain(self, 7, **self.arguments)
+            self.made.begin(self.now)
+            self.made.roster(self.now, list(self.servers.values()), True)
+        return self.made
+
+    def send(self, gen, server, limit):
+        leg = Leg(gen, len(gen.legs), server, self.now)
+        gen.legs.append(leg)
+        self.asked.append(f"send {gen.name} {server.name}")
+        return leg
+
+    def hold(self, gen, server): self.asked.append(f"hold {gen.name} {server.name}")
+    def release(self, gen): self.asked.append(f"release {gen.name}")
+    def cancel(self, leg): self.asked.append(f"cancel {leg.gen.name}#{leg.number}")
+    def probe(self, server): self.asked.append(f"probe {server.name}")
+    def subscribe(self): self.asked.append("subscribe")
+    def wake(self, delay, call): self.timers.append((self.now + delay, call))
+    def log(self, text): pass
+
+    def _final(self, word, gen):
+        gen.over = True
+        self.asked.append(f"{word} {gen.name}")
+
+    def throttle(self, gen, retry_after): self._final("throttle", gen)
+    def terminate(self, gen): self._final("terminate", gen)
+    def move(self, gen): self._final("move", gen)
+
+    def line(self, text: str) -> None:
+        words = [word for word in text.split() if "=" not in word]
+        given = dict(word.split("=") for word in text.split() if "=" in word)
+        getattr(self, "do_" + words[0].replace(">", "expect"))(*words[1:], **given)
+
+    def do_with(self, **given):
+        for name, value in given.items():
+            self.arguments[name] = type(ARGUMENTS[name])(float(value)) if name != "zone" else value
+
+    def do_product(self, name, effect, slo="1000", limit="4000", scope="all", memory="5000", revenue="1"):
+        self.products[name] = Product(name, effect, scope, int(memory) * 10, int(slo) * 10, 400, 600,
+                                      int(limit) * 10, float(revenue), 0.1)
+
+    def do_customer(self, name, quota): self.customers[name] = Customer(name, 1.0, float(quota))
+
+    def do_server(self, name, role, cell="1", zone="a", memory="100000", started=None):
+        self.servers[name] = Server(name, zone, role, int(cell), role, int(memory), "ready", 1.0,
+                                    None if started is None else int(started) * 10)
+        if self.made is not None:
+            self.brain.roster(self.now, [self.servers[name]], False)
+
+    def do_list(self, name, state, started=None):
+        self.servers[name].state = state
+        if started is not None:
+            self.servers[name].started = int(started) * 10
+        self.brain.roster(self.now, [self.servers[name]], False)
+
+    def do_at(self, ms): self.now = int(float(ms) * 10)
+
+    def do_gen(self, name, product, session=None, shared=None, prompt="1000", limit="100", gives_up="4000",
+               customer=None):
+        self.gens[name] = Generation(
+            name, self.products[product], self.customers.get(customer), session, shared, 500 if shared else 0,
+            int(prompt), int(limit), None, self.now, int(gives_up) * 10, False, False)
+        self.brain.arrived(self.now, self.gens[name])
+
+    def leg(self, name) -> Leg:
+        gen, _, number = name.partition("#")
+        return self.gens[gen].legs[int(number or -1)]
+
+    def do_start(self, name):
+        self.leg(name).streaming = True
+        self.brain.started(self.now, self.leg(name))
+
+    def do_end(self, name, outcome, kept="0", no_state="0", held=None, over=None):
+        leg = self.leg(name)
+        leg.outcome = outcome
+        leg.gen.over = leg.gen.over or outcome == "streamed" or over == "1"
+        self.brain.ended(self.now, leg, int(kept), no_state == "1", Report(float(held)) if held else None)
+
+    def do_depart(self, name):
+        self.gens[name].over = True
+        self.brain.departed(self.now, self.gens[name])
+
+    def do_granted(self, name, server): self.brain.held(self.now, self.gens[name], self.servers[server], True)
+
+    def do_wait(self):
+        due = sorted((one for one in self.timers if one[0] <= self.now), key=lambda one: one[0])
+        self.timers = [one for one in self.timers if one[0] > self.now]
+        for _, call in due:
+            call(self.now)
+
+    def do_expect(self, *words):
+        wanted = " ".join(words)
+        found = self.asked.pop(0) if self.asked else "nothing"
+        assert found == wanted, f"expected {wanted!r}, was asked {found!r}, then {self.asked}"
+
+
+def scenarios(folder: Path) -> list[tuple[str, list[str]]]:
+    """Every scenario of a folder: a line `= title`, then its lines; '#' starts a comment."""
+    found: list[tuple[str, list[str]]] = []
+    for path in sorted(folder.glob("*.txt")):
+        for line in path.read_text().splitlines():
+            line = line.partition("#  ")[0].strip()
+            if line.startswith("= "):
+                found.append((f"{path.stem}: {line[2:]}", []))
+            elif line:
+                found[-1][1].append(line)
+    return found
