Reader by least queued tokens plus unread shared text; longer read time-outs

Cause: reads timed out at 400 ms were read anew while the first went on, which jammed the readers; one reader of a cell drew all of a popular text.

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -271,9 +271,11 @@
 class Reader(Stage):
     """Picks the writer, then a reader near it by a hash of the shared beginning; reads again on failure."""
 
-    SPILL = 2  # own reads beyond the idlest reader's before the next by hash is taken
-    LIMIT_FLOOR = 400 * MS
-    LIMIT_TIMES = 6  # a read may take this multiple of the usual before another reader is tried
+    FAR_CELL = 0.5  # of the prompt: what the way through a cell's shared link counts as, in queued tokens
+    FAR_ZONE = 1.0
+    LIMIT_FLOOR = 600 * MS
+    LIMIT_TIMES = 8  # a read may take this multiple of the usual before another reader is tried
+    LIMIT_PER_TOK: Time = 2  # and this much more for each prompt token
 
     def __init__(self, guard: Guard, fleet: Fleet, writer: "Writer", local_reads: bool) -> None:
         self.guard, self.fleet, self.writer, self.local_reads = guard, fleet, writer, local_reads
@@ -290,9 +292,10 @@
         if seat is not None:
             self.writer.plan[gen] = goal
             goal.put(gen, self.writer.projected(gen))
-            seat.put(gen, gen.prompt_tok)
+            seat.put(gen, gen.prompt_tok - (gen.shared_tok if gen.shared is not None else 0))
             more = len(gen.legs) + 2 < self.guard.max_legs
             patience = max(self.LIMIT_FLOOR, int(self.LIMIT_TIMES * self.fleet.usual["reader"]))
+            patience += self.LIMIT_PER_TOK * gen.prompt_tok
             self.guard.send(now, gen, seat, patience if more else gen.gives_up)
         elif self.local_reads:
             self.writer.send(now, gen, goal)
@@ -300,18 +303,18 @@
             self.guard.answer(gen)
 
     def pick(self, now: Time, gen: Generation, goal: Server) -> Seat | None:
+        """The least to wait for: reads queued there, the shared text if not kept there, the way to the writer."""
         tried = [leg.server for leg in gen.legs]
         seats = [one for one in self.fleet.usable("reader", now) if self.guard.may_send(now, gen, one.server)]
         seats = [one for one in seats if one.server not in tried] or seats
-        seats = ([one for one in seats if one.server.cell == goal.cell]
-                 or [one for one in seats if one.server.zone == goal.zone] or seats)
-        if not seats:
-            return None
-        fewest = min(len(one.waiting) for one in seats)
-        if gen.shared is None:
-            return min(seats, key=lambda one: (one.own, one.server.name))
-        near = [one for one in seats if len(one.waiting) <= fewest + self.SPILL]
-        return max(near, key=lambda one: crc32(f"{gen.shared} {one.server.name}".encode()))
+        text = gen.shared or gen.session or ""
+        seats.sort(key=lambda one: crc32(f"{text} {one.server.name}".encode()), reverse=True)
+        shared = gen.shared_tok if gen.shared is not None else 0
+        cost = {one: self.fleet.gateways * one.own + (shared * min(rank, 2)) // 2
+                + int(gen.prompt_tok * self.FAR_CELL * (one.server.cell != goal.cell))
+                + int(gen.prompt_tok * self.FAR_ZONE * (one.server.zone != goal.zone))
+                for rank, one in enumerate(seats)}
+        return min(seats, default=None, key=lambda one: cost[one])
 
     def back(self, now: Time, leg: Leg, kept_tok: int, no_state: bool) -> bool:
         gen = leg.gen
@@ -431,6 +434,7 @@
             self.guard.pinned[gen] = True
             self.fleet.word(seat, now - leg.sent)
         elif leg.outcome in ("time-out", "unreachable", "reset"):
+            self.fleet.usual[seat.server.role] += 0.05 * (now - leg.sent - self.fleet.usual[seat.server.role])
             self.fleet.strike(seat, now, leg.outcome)
         for stage in reversed(self.chain):
             if stage.back(now, leg, kept_tok, no_state):
