Count other gateways' streams as like ours where no report says otherwise

Cause: with no load reports the held share saw only our part of a writer's memory, so later turns were read by owners whose history had long been evicted.

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -26,6 +26,7 @@
         self.tok: dict[Generation, int] = {}  # tokens our legs bring here; emptied by outcomes
         self.own = 0  # their sum
         self.others = 0.0  # tokens that others held by the last report
+        self.reported_at: Time = 0
         self.strikes = 0
         self.shunned_until: Time = 0
         self.recent = 0.0  # own sends, decaying over RATE_SPAN
@@ -47,6 +48,7 @@
     RATE_SPAN = 4 * SECOND  # sends to warm peers are averaged over about this long
     COLD_CARE = 0.6  # part of our share of a cold server's budget that we use
     SHUN = SECOND // 2  # first time out after a strike; doubles with each further one
+    REPORT_AGE = 2 * SECOND  # over which a report loses its say
     SILENT_FLOOR = 250 * MS  # a leg without word is no symptom before this
     SILENT_TIMES = 5  # nor before this multiple of what the role usually takes
 
@@ -124,13 +126,17 @@
         if self.cold(seat, now):
             seat.burst.append(now)
 
-    def held_share(self, seat: Seat) -> float:
-        """Projected share of memory: own legs grown by their answers, and what reports say of others."""
-        return (seat.own + seat.others) / max(1, seat.server.memory_tok)
+    def held_share(self, seat: Seat, now: Time) -> float:
+        """Projected share of memory: own legs grown by their answers, and those of the other gateways, which
+        are as the last report had them; as it ages, or with none, they are taken to do as we do."""
+        alike = seat.own * (self.gateways - 1)
+        young = max(0.0, 1 - (now - seat.reported_at) / self.REPORT_AGE) if seat.reported_at else 0.0
+        return (seat.own + alike + young * (seat.others - alike)) / max(1, seat.server.memory_tok)
 
-    def reported(self, seat: Seat, report: Report | None) -> None:
+    def reported(self, seat: Seat, now: Time, report: Report | None) -> None:
         if report is not None and report.held_share is not None:
             seat.others = max(0.0, report.held_share * seat.server.memory_tok - seat.own)
+            seat.reported_at = now
 
 
 class Stage:
@@ -246,7 +252,7 @@
             return None
         well = not self.fleet.unwell(seat, now) and self.fleet.room(seat, now)
         few = gen.prompt_tok - prompt_tok - answer_tok <= self.NEW_TOK
-        fits = self.fleet.held_share(seat) < self.HELD_SHARE
+        fits = self.fleet.held_share(seat, now) < self.HELD_SHARE
         return seat if well and few and fits and self.guard.may_send(now, gen, server) else None
 
     def started(self, now: Time, leg: Leg) -> None:
@@ -356,7 +362,7 @@
         if cell is not None:
             seats = [one for one in seats if one.server.cell == cell] or seats
         return min(seats, default=None, key=lambda one: (
-            self.fleet.held_share(one) + self.FAR * (one.server.zone != self.fleet.zone), one.server.name))
+            self.fleet.held_share(one, now) + self.FAR * (one.server.zone != self.fleet.zone), one.server.name))
 
     def take(self, now: Time, gen: Generation) -> None:
         seat = self.plan.get(gen)
@@ -429,7 +435,7 @@
         seat, gen = self.fleet.seats[leg.server], leg.gen
         seat.waiting.pop(leg, None)
         seat.drop(gen)
-        self.fleet.reported(seat, report)
+        self.fleet.reported(seat, now, report)
         if leg.outcome == "read":
             self.guard.pinned[gen] = True
             self.fleet.word(seat, now - leg.sent)
@@ -452,4 +458,4 @@
         pass
 
     def probed(self, now: Time, server: Server, well: bool, report: Report | None) -> None:
-        self.fleet.reported(self.fleet.seats[server], report)
+        self.fleet.reported(self.fleet.seats[server], now, report)
