--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from zlib import crc32
 
-from stackpitch.interface import NEVER_RAN, Gateway, Generation, Leg, Report, Role, Server, Time
+from stackpitch.interface import NEVER_RAN, Customer, Gateway, Generation, Leg, Report, Role, Server, Time
 
 MS: Time = 10
 SECOND: Time = 1000 * MS
@@ -48,6 +48,8 @@
     RATE_SPAN = 4 * SECOND  # sends to warm peers are averaged over about this long
     COLD_CARE = 0.6  # part of our share of a cold server's budget that we use
     SHUN = SECOND // 2  # first time out after a strike; doubles with each further one
+    FADE = SECOND // 2
+    LEARN = 0.1  # weight of the newest wait
     REPORT_AGE = 2 * SECOND  # over which a report loses its say
     SILENT_FLOOR = 250 * MS  # a leg without word is no symptom before this
     SILENT_TIMES = 5  # nor before this multiple of what the role usually takes
@@ -58,6 +60,8 @@
         self.cold_from, self.warm_up = cold_from, max(1, warm_up)
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.seats: dict[Server, Seat] = {}  # a seat goes once its server is gone and its last leg is back
+        self.brisk: dict[Role, float] = dict.fromkeys(("reader", "writer", "mixed"), 0.0)
+        self.brisk_at: dict[Role, Time] = dict.fromkeys(("reader", "writer", "mixed"), 0)
         self.usual: dict[Role, float] = {"reader": 100.0 * MS, "writer": 50.0 * MS, "mixed": 200.0 * MS}
 
     def update(self, servers: list[Server], complete: bool) -> None:
@@ -87,10 +91,20 @@
         seat.strikes += 1
         self.gateway.log(f"shun {seat.server.name} {why} strikes={seat.strikes} waiting={len(seat.waiting)}")
 
-    def word(self, seat: Seat, wait: Time) -> None:
-        """A leg did what its role does after this wait."""
+    def brisk_wait(self, role: Role, now: Time) -> float:
+        """A low quantile of recent waits; fades without news, so that throttling cannot latch."""
+        return self.brisk[role] * 0.5 ** ((now - self.brisk_at[role]) / self.FADE)
+
+    def waited(self, seat: Seat, now: Time, wait: Time) -> None:
         role = seat.server.role
-        self.usual[role] += 0.05 * (wait - self.usual[role])
+        self.usual[role] += self.LEARN * (wait - self.usual[role])
+        brisk = self.brisk_wait(role, now)
+        self.brisk[role] = brisk + (self.LEARN / 2 if wait > brisk else self.LEARN * 3) * (wait - brisk)
+        self.brisk_at[role] = now
+
+    def word(self, seat: Seat, now: Time, wait: Time) -> None:
+        """A leg did what its role does after this wait."""
+        self.waited(seat, now, wait)
         if seat.strikes:
             self.gateway.log(f"trust {seat.server.name} wait={wait // MS}ms strikes={seat.strikes}")
             seat.strikes, seat.shunned_until = 0, 0
@@ -213,13 +227,51 @@
 
 
 class Admission(Stage):
-    """Throttles early, before work is spent, what a full fleet could not answer in time."""
+    """Throttles early, before work is spent, what would likely get its first token after its SLO time.
+
+    Answers any overload whatever its cause (bursts, lost servers, retries): a queue that makes everything
+    late is cut at its end. It may hurt where a few slow legs are taken for a queue of all.
+    """
+
+    START = 0.3  # brisk wait for a first token, as part of the SLO time, from which throttling begins
+    LOW_REVENUE = 0.8  # of that for products below the highest revenue
+    OVER_QUOTA = 0.5  # of that for customers beyond our part of their quota
+    SPAN = 0.4  # and how much more until everything is throttled
+    BURST = 2  # seconds of quota that a customer may use at once
 
-    OVER_QUOTA_AT = 0.85  # held share of the emptiest writer from which over-quota customers are throttled
-    LOW_REVENUE_AT = 0.97  # and from which the product of lowest revenue is
+    def __init__(self, guard: Guard, fleet: Fleet, seed: int, gateways: int) -> None:
+        self.guard, self.fleet, self.seed, self.gateways = guard, fleet, seed, gateways
+        self.count, self.highest, self.shedding = 0, 0.0, False
+        self.spent: dict[Customer, tuple[float, Time]] = {}  # quota used and when; as many as the customers
 
-    def __init__(self, guard: Guard, fleet: Fleet, over_share_revenue: float) -> None:
-        self.guard, self.fleet, self.over_share_revenue = guard, fleet, over_share_revenue
+    def over_quota(self, now: Time, customer: Customer | None) -> bool:
+        if customer is None:
+            return False
+        used, at = self.spent.get(customer, (0.0, now))
+        rate = customer.quota_per_s / self.gateways
+        used = max(0.0, used - rate * (now - at) / SECOND) + 1
+        over = used > max(1.0, rate * self.BURST)
+        self.spent[customer] = (used - over, now)
+        return over
+
+    def take(self, now: Time, gen: Generation) -> None:
+        product = gen.product
+        over = self.over_quota(now, gen.customer)
+        self.highest = max(self.highest, product.revenue)
+        wait = self.fleet.brisk_wait("reader", now) + self.fleet.brisk_wait("writer", now)
+        part = wait / max(1, product.slo_time + product.slo_per_ktok * gen.prompt_tok // 1000)
+        start = self.START * (self.OVER_QUOTA if over else 1.0) * (
+            self.LOW_REVENUE if product.revenue < self.highest else 1.0)
+        self.count += 1
+        chance = crc32(f"{self.seed} {self.count}".encode()) / 2**32
+        shed = part - start > chance * self.SPAN
+        if shed != self.shedding and (shed or part < start * self.OVER_QUOTA):
+            self.shedding = shed
+            self.fleet.gateway.log(f"throttling {'begins' if shed else 'ends'} usual wait={int(wait) // MS}ms")
+        if shed:
+            self.guard.answer(gen)
+        else:
+            self.below.take(now, gen)
 
 
 class Owner(Stage):
@@ -401,7 +453,7 @@
         self.gateway, self.must_ask = gateway, must_ask
         self.fleet = Fleet(gateway, cold_from, warm_up, fall_multiple, fall_window, gateways, zone)
         self.guard = Guard(gateway, self.fleet, max_legs, second_legs, max_retry_after)
-        self.admission = Admission(self.guard, self.fleet, over_share_revenue)
+        self.admission = Admission(self.guard, self.fleet, seed, gateways)
         self.writer = Writer(self.guard, self.fleet)
         self.owner = Owner(self.guard, self.fleet, self.writer, local_reads)
         self.reader = Reader(self.guard, self.fleet, self.writer, local_reads)
@@ -427,7 +479,7 @@
     def started(self, now: Time, leg: Leg) -> None:
         seat = self.fleet.seats[leg.server]
         seat.waiting.pop(leg, None)
-        self.fleet.word(seat, now - leg.sent)
+        self.fleet.word(seat, now, now - leg.sent)
         self.guard.pinned.pop(leg.gen, None)
         self.owner.started(now, leg)
 
@@ -438,9 +490,9 @@
         self.fleet.reported(seat, now, report)
         if leg.outcome == "read":
             self.guard.pinned[gen] = True
-            self.fleet.word(seat, now - leg.sent)
+            self.fleet.word(seat, now, now - leg.sent)
         elif leg.outcome in ("time-out", "unreachable", "reset"):
-            self.fleet.usual[seat.server.role] += 0.05 * (now - leg.sent - self.fleet.usual[seat.server.role])
+            self.fleet.waited(seat, now, now - leg.sent)
             self.fleet.strike(seat, now, leg.outcome)
         for stage in reversed(self.chain):
             if stage.back(now, leg, kept_tok, no_state):
