Cold budget in units of work, checked where every leg is sent

Cause: a writer planned before the read was sent to without asking its cold budget, and legs were counted alike though products differ fourfold in work.

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -29,9 +29,9 @@
         self.reported_at: Time = 0
         self.strikes = 0
         self.shunned_until: Time = 0
-        self.recent = 0.0  # own sends, decaying over RATE_SPAN
+        self.recent = 0.0  # work of own sends, decaying over RATE_SPAN
         self.recent_at: Time = 0
-        self.burst: deque[Time] = deque()  # own sends while cold; emptied by age
+        self.burst: deque[tuple[Time, int]] = deque()  # own sends while cold and their work; emptied by age
 
     def put(self, gen: Generation, tok: int) -> None:
         self.drop(gen)
@@ -115,11 +115,18 @@
     def rate(self, seat: Seat, now: Time) -> float:
         return seat.recent * max(0.0, 1 - (now - seat.recent_at) / self.RATE_SPAN)
 
-    def room(self, seat: Seat, now: Time) -> bool:
-        """Whether a cold server's budget has room, judged by what its warm peers get from us."""
+    @staticmethod
+    def work(gen: Generation, role: Role) -> int:
+        """What a generation weighs at a server: readers work by the prompt, writers by the answer."""
+        return 1 + (gen.prompt_tok if role == "reader" else gen.limit_tok)
+
+    def room(self, seat: Seat, now: Time, gen: Generation) -> bool:
+        """Whether a cold server's budget has room. What a warm peer gets from us is at most our share of what it
+        bears, so a part of that by the assumed warmth keeps to our share without knowing capacities. Also
+        holds right after our own restart: with no peer's rate known, one send a window."""
         if not self.cold(seat, now):
             return True
-        while seat.burst and now - seat.burst[0] > self.fall_window:
+        while seat.burst and now - seat.burst[0][0] > self.fall_window:
             seat.burst.popleft()
         role = seat.server.role
         warm = [self.rate(one, now) for one in self.seats.values()
@@ -127,18 +134,20 @@
         age = (now - (seat.server.started or 0)) / self.warm_up
         part = self.cold_from + (1 - self.cold_from) * age * age
         usual = sum(warm) / len(warm) * self.fall_window / self.RATE_SPAN if warm else 0.0
-        return len(seat.burst) < max(1, int(self.COLD_CARE * self.fall_multiple * part * usual))
+        budget = self.COLD_CARE * self.fall_multiple * part * usual
+        return not seat.burst or sum(work for _, work in seat.burst) + self.work(gen, role) <= budget
 
-    def usable(self, role: Role, now: Time) -> list[Seat]:
+    def usable(self, role: Role, now: Time, gen: Generation) -> list[Seat]:
         """Servers of a role that may be sent to. If most look unwell, the cause is not the servers."""
         ready = [one for one in self.seats.values() if one.server.role == role and one.server.state == "ready"]
         well = [one for one in ready if not self.unwell(one, now)]
-        return [one for one in (well if 2 * len(well) >= len(ready) else ready) if self.room(one, now)]
+        return [one for one in (well if 2 * len(well) >= len(ready) else ready) if self.room(one, now, gen)]
 
-    def sent(self, seat: Seat, now: Time) -> None:
-        seat.recent, seat.recent_at = self.rate(seat, now) + 1, now
+    def sent(self, seat: Seat, now: Time, gen: Generation) -> None:
+        work = self.work(gen, seat.server.role)
+        seat.recent, seat.recent_at = self.rate(seat, now) + work, now
         if self.cold(seat, now):
-            seat.burst.append(now)
+            seat.burst.append((now, work))
 
     def held_share(self, seat: Seat, now: Time) -> float:
         """Projected share of memory: own legs grown by their answers, and those of the other gateways, which
@@ -183,7 +192,7 @@
     def may_send(self, now: Time, gen: Generation, server: Server) -> bool:
         if gen.over or len(gen.legs) >= self.max_legs or server.state != "ready" or now >= gen.gives_up:
             return False
-        if not self.second_legs and gen.out():
+        if not self.second_legs and gen.out() or not self.fleet.room(self.fleet.seats[server], now, gen):
             return False
         ran, product = self.ran(gen), gen.product
         if not ran or product.effect == "idempotent":
@@ -197,7 +206,7 @@
     def send(self, now: Time, gen: Generation, seat: Seat, limit: Time) -> Leg:
         leg = self.gateway.send(gen, seat.server, max(MS, min(limit, gen.gives_up - now)))
         seat.waiting[leg] = now
-        self.fleet.sent(seat, now)
+        self.fleet.sent(seat, now, gen)
         return leg
 
     def answer(self, gen: Generation) -> None:
@@ -302,7 +311,7 @@
         if seat is None or server.state != "ready" or server.started != started or now - at > self.AGE:
             del self.table[gen.session]
             return None
-        well = not self.fleet.unwell(seat, now) and self.fleet.room(seat, now)
+        well = not self.fleet.unwell(seat, now)
         few = gen.prompt_tok - prompt_tok - answer_tok <= self.NEW_TOK
         fits = self.fleet.held_share(seat, now) < self.HELD_SHARE
         return seat if well and few and fits and self.guard.may_send(now, gen, server) else None
@@ -363,7 +372,7 @@
     def pick(self, now: Time, gen: Generation, goal: Server) -> Seat | None:
         """The least to wait for: reads queued there, the shared text if not kept there, the way to the writer."""
         tried = [leg.server for leg in gen.legs]
-        seats = [one for one in self.fleet.usable("reader", now) if self.guard.may_send(now, gen, one.server)]
+        seats = [one for one in self.fleet.usable("reader", now, gen) if self.guard.may_send(now, gen, one.server)]
         seats = [one for one in seats if one.server not in tried] or seats
         text = gen.shared or gen.session or ""
         seats.sort(key=lambda one: crc32(f"{text} {one.server.name}".encode()), reverse=True)
@@ -409,7 +418,7 @@
 
     def pick(self, now: Time, gen: Generation, cell: int | None) -> Seat | None:
         tried = [leg.server for leg in gen.legs]
-        seats = [one for one in self.fleet.usable("writer", now) + self.fleet.usable("mixed", now)
+        seats = [one for one in self.fleet.usable("writer", now, gen) + self.fleet.usable("mixed", now, gen)
                  if one.server not in tried and self.guard.may_send(now, gen, one.server)]
         if cell is not None:
             seats = [one for one in seats if one.server.cell == cell] or seats
