--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -29,7 +29,8 @@
         self.reported_at: Time = 0
         self.strikes = 0
         self.shunned_until: Time = 0
-        self.recent = 0.0  # work of own sends, decaying over RATE_SPAN
+        self.down = False  # the last word was that no connection holds
+        self.recent = 0.0  # work that our legs got done, decaying over RATE_SPAN
         self.recent_at: Time = 0
         self.burst: deque[tuple[Time, int]] = deque()  # own sends while cold and their work; emptied by age
 
@@ -89,6 +90,7 @@
             return
         seat.shunned_until = now + (self.SHUN << min(seat.strikes, 4))
         seat.strikes += 1
+        seat.down = why != "time-out"
         self.gateway.log(f"shun {seat.server.name} {why} strikes={seat.strikes} waiting={len(seat.waiting)}")
 
     def brisk_wait(self, role: Role, now: Time) -> float:
@@ -102,9 +104,12 @@
         self.brisk[role] = brisk + (self.LEARN / 2 if wait > brisk else self.LEARN * 3) * (wait - brisk)
         self.brisk_at[role] = now
 
-    def word(self, seat: Seat, now: Time, wait: Time) -> None:
-        """A leg did what its role does after this wait."""
+    def word(self, seat: Seat, now: Time, leg: Leg) -> None:
+        """A leg did what its role does. Only such legs tell what a server bears; refused ones do not."""
+        wait = now - leg.sent
         self.waited(seat, now, wait)
+        seat.recent, seat.recent_at = self.rate(seat, now) + self.work(leg.gen, seat.server.role), now
+        seat.down = False
         if seat.strikes:
             self.gateway.log(f"trust {seat.server.name} wait={wait // MS}ms strikes={seat.strikes}")
             seat.strikes, seat.shunned_until = 0, 0
@@ -138,16 +143,16 @@
         return not seat.burst or sum(work for _, work in seat.burst) + self.work(gen, role) <= budget
 
     def usable(self, role: Role, now: Time, gen: Generation) -> list[Seat]:
-        """Servers of a role that may be sent to. If most look unwell, the cause is not the servers."""
-        ready = [one for one in self.seats.values() if one.server.role == role and one.server.state == "ready"]
+        """Servers of a role that may be sent to. If most look unwell, the cause is not the servers; but none is
+        sent to while connections to it fail, or refused legs would chase each other through the fleet."""
+        ready = [one for one in self.seats.values() if one.server.role == role and one.server.state == "ready"
+                 and not (one.down and now < one.shunned_until)]
         well = [one for one in ready if not self.unwell(one, now)]
         return [one for one in (well if 2 * len(well) >= len(ready) else ready) if self.room(one, now, gen)]
 
     def sent(self, seat: Seat, now: Time, gen: Generation) -> None:
-        work = self.work(gen, seat.server.role)
-        seat.recent, seat.recent_at = self.rate(seat, now) + work, now
         if self.cold(seat, now):
-            seat.burst.append((now, work))
+            seat.burst.append((now, self.work(gen, seat.server.role)))
 
     def held_share(self, seat: Seat, now: Time) -> float:
         """Projected share of memory: own legs grown by their answers, and those of the other gateways, which
@@ -245,6 +250,7 @@
     START = 0.3  # brisk wait for a first token, as part of the SLO time, from which throttling begins
     LOW_REVENUE = 0.8  # of that for products below the highest revenue
     OVER_QUOTA = 0.5  # of that for customers beyond our part of their quota
+    HELD_SHARE = 0.6  # of the emptiest writer's memory, held beyond this counts like a wait
     SPAN = 0.4  # and how much more until everything is throttled
     BURST = 2  # seconds of quota that a customer may use at once
 
@@ -269,6 +275,8 @@
         self.highest = max(self.highest, product.revenue)
         wait = self.fleet.brisk_wait("reader", now) + self.fleet.brisk_wait("writer", now)
         part = wait / max(1, product.slo_time + product.slo_per_ktok * gen.prompt_tok // 1000)
+        held = min((self.fleet.held_share(one, now) for one in self.fleet.usable("writer", now, gen)), default=0.0)
+        part = max(part, held - self.HELD_SHARE)
         start = self.START * (self.OVER_QUOTA if over else 1.0) * (
             self.LOW_REVENUE if product.revenue < self.highest else 1.0)
         self.count += 1
@@ -373,7 +381,7 @@
         """The least to wait for: reads queued there, the shared text if not kept there, the way to the writer."""
         tried = [leg.server for leg in gen.legs]
         seats = [one for one in self.fleet.usable("reader", now, gen) if self.guard.may_send(now, gen, one.server)]
-        seats = [one for one in seats if one.server not in tried] or seats
+        seats = [one for one in seats if one.server not in tried]
         text = gen.shared or gen.session or ""
         seats.sort(key=lambda one: crc32(f"{text} {one.server.name}".encode()), reverse=True)
         shared = gen.shared_tok if gen.shared is not None else 0
@@ -488,7 +496,7 @@
     def started(self, now: Time, leg: Leg) -> None:
         seat = self.fleet.seats[leg.server]
         seat.waiting.pop(leg, None)
-        self.fleet.word(seat, now, now - leg.sent)
+        self.fleet.word(seat, now, leg)
         self.guard.pinned.pop(leg.gen, None)
         self.owner.started(now, leg)
 
@@ -499,7 +507,7 @@
         self.fleet.reported(seat, now, report)
         if leg.outcome == "read":
             self.guard.pinned[gen] = True
-            self.fleet.word(seat, now, now - leg.sent)
+            self.fleet.word(seat, now, leg)
         elif leg.outcome in ("time-out", "unreachable", "reset"):
             self.fleet.waited(seat, now, now - leg.sent)
             self.fleet.strike(seat, now, leg.outcome)
