Owner turns only while what came in since leaves the history likely kept

Each such turn read a whole prompt among streams. Now the tokens brought since (ours, times the gateways) must be under 0.6 of the memory not held.

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -25,6 +25,7 @@
         self.waiting: dict[Leg, Time] = {}  # legs with no word yet; emptied by stream start or outcome
         self.tok: dict[Generation, int] = {}  # tokens our legs bring here; emptied by outcomes
         self.own = 0  # their sum
+        self.poured = 0  # tokens that our legs ever brought here
         self.others = 0.0  # tokens that others held by the last report
         self.reported_at: Time = 0
         self.strikes = 0
@@ -291,18 +292,26 @@
             self.below.take(now, gen)
 
 
+class Kept:
+    """What a session is taken to have left at its owner."""
+
+    def __init__(self, seat: Seat, now: Time, gen: Generation, earlier: int) -> None:
+        self.seat, self.started, self.at, self.earlier = seat, seat.server.started, now, earlier
+        self.tok, self.poured = gen.prompt_tok, seat.poured
+
+
 class Owner(Stage):
     """A later turn is read by the server that wrote the session's earlier turns."""
 
     AGE = 60 * SECOND
     NEW_TOK = 1500
     HELD_SHARE = 0.8
+    REACH = 0.6  # of the memory not held: a history is likely kept until this much has come in after it
     SIZE = 20_000  # sessions
 
     def __init__(self, guard: Guard, fleet: Fleet, writer: "Writer", local_reads: bool) -> None:
         self.guard, self.fleet, self.writer, self.local_reads = guard, fleet, writer, local_reads
-        # session -> owner, its start, when, prompt and answer tokens; emptied by age, size and evidence of loss
-        self.table: dict[str, tuple[Server, Time | None, Time, int, int]] = {}
+        self.table: dict[str, Kept] = {}  # by session; emptied by age, size and evidence of loss
 
     def take(self, now: Time, gen: Generation) -> None:
         seat = self.find(now, gen)
@@ -312,34 +321,40 @@
             self.writer.send(now, gen, seat)
 
     def find(self, now: Time, gen: Generation) -> Seat | None:
-        if gen.session is None or gen.session not in self.table or gen.legs:
+        kept = self.table.get(gen.session or "")
+        if kept is None or gen.legs:
+            return None
+        seat, server = kept.seat, kept.seat.server
+        held = self.fleet.held_share(seat, now)
+        pushed_out = (seat.poured - kept.poured) * self.fleet.gateways > self.REACH * (1 - held) * server.memory_tok
+        if server.state != "ready" or server.started != kept.started or now - kept.at > self.AGE or pushed_out:
+            del self.table[gen.session or ""]
             return None
-        server, started, at, prompt_tok, answer_tok = self.table[gen.session]
-        seat = self.fleet.seats.get(server)
-        if seat is None or server.state != "ready" or server.started != started or now - at > self.AGE:
-            del self.table[gen.session]
+        if self.fleet.unwell(seat, now) or held >= self.HELD_SHARE or gen.prompt_tok - kept.tok > self.NEW_TOK:
             return None
-        well = not self.fleet.unwell(seat, now)
-        few = gen.prompt_tok - prompt_tok - answer_tok <= self.NEW_TOK
-        fits = self.fleet.held_share(seat, now) < self.HELD_SHARE
-        return seat if well and few and fits and self.guard.may_send(now, gen, server) else None
+        return seat if self.guard.may_send(now, gen, server) else None
 
     def started(self, now: Time, leg: Leg) -> None:
-        if leg.gen.session is None or leg.server.role == "writer" and not self.local_reads:
+        gen = leg.gen
+        if gen.session is None or leg.server.role == "writer" and not self.local_reads:
             return
-        self.table.pop(leg.gen.session, None)
-        self.table[leg.gen.session] = (leg.server, leg.server.started, now, leg.gen.prompt_tok, 0)
+        old = self.table.pop(gen.session, None)
+        self.table[gen.session] = Kept(self.fleet.seats[leg.server], now, gen, old.tok if old else 0)
         oldest = next(iter(self.table))
-        if len(self.table) > self.SIZE or now - self.table[oldest][2] > self.AGE:
+        if len(self.table) > self.SIZE or now - self.table[oldest].at > self.AGE:
             del self.table[oldest]
 
     def back(self, now: Time, leg: Leg, kept_tok: int, no_state: bool) -> bool:
         gen = leg.gen
-        entry = self.table.get(gen.session or "")
-        if leg.outcome == "streamed" and entry is not None and entry[0] is leg.server:
-            local = leg.server.role != "reader" and not any(one.server.role == "reader" for one in gen.legs)
-            if local and gen.resumed is False and 0 < kept_tok < gen.prompt_tok // 4:
-                del self.table[gen.session or ""]
+        kept = self.table.get(gen.session or "")
+        if leg.outcome != "streamed" or kept is None or kept.seat.server is not leg.server:
+            return False
+        local = not any(one.server.role == "reader" for one in gen.legs)
+        if local and 2 * kept_tok < kept.earlier:
+            del self.table[gen.session or ""]
+        else:
+            answer = (now - leg.sent) // max(1, gen.product.token_gap)
+            kept.at, kept.tok, kept.poured = now, gen.prompt_tok + min(gen.limit_tok, answer), kept.seat.poured
         return False
 
 
@@ -447,6 +462,7 @@
             old.drop(gen)
         self.plan[gen] = seat
         seat.put(gen, self.projected(gen))
+        seat.poured += self.projected(gen)
         again = gen.product.effect == "idempotent" and len(gen.legs) + 1 < self.guard.max_legs
         patience = max(self.LIMIT_FLOOR, int(self.LIMIT_TIMES * self.fleet.usual[seat.server.role]))
         self.guard.send(now, gen, seat, patience if again else gen.gives_up)
