--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -306,7 +306,7 @@
     AGE = 60 * SECOND
     NEW_TOK = 1500
     HELD_SHARE = 0.8
-    REACH = 0.6  # of the memory not held: a history is likely kept until this much has come in after it
+    REACH = 0.9  # of the memory not held: a history is likely kept until this much has come in after it
     SIZE = 20_000  # sessions
 
     def __init__(self, guard: Guard, fleet: Fleet, writer: "Writer", local_reads: bool) -> None:
