--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -32,6 +32,7 @@
         self.shunned_until: Time = 0
         self.down = False  # the last word was that no connection holds
         self.recent = 0.0  # work that our legs got done, decaying over RATE_SPAN
+        self.done = 0.0  # and how many legs that were
         self.recent_at: Time = 0
         self.burst: deque[tuple[Time, int]] = deque()  # own sends while cold and their work; emptied by age
 
@@ -52,6 +53,7 @@
     SHUN = SECOND // 2  # first time out after a strike; doubles with each further one
     FADE = SECOND // 2
     LEARN = 0.1  # weight of the newest wait
+    QUEUED_AFTER = 200 * MS  # a leg without word for this long waits in a queue
     REPORT_AGE = 2 * SECOND  # over which a report loses its say
     SILENT_FLOOR = 250 * MS  # a leg without word is no symptom before this
     SILENT_TIMES = 5  # nor before this multiple of what the role usually takes
@@ -61,6 +63,7 @@
         self.gateway, self.gateways, self.zone = gateway, gateways, zone
         self.cold_from, self.warm_up = cold_from, max(1, warm_up)
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
+        self.born: Time = 0  # when this gateway began; no pace is known before
         self.seats: dict[Server, Seat] = {}  # a seat goes once its server is gone and its last leg is back
         self.brisk: dict[Role, float] = dict.fromkeys(("reader", "writer", "mixed"), 0.0)
         self.brisk_at: dict[Role, Time] = dict.fromkeys(("reader", "writer", "mixed"), 0)
@@ -109,7 +112,9 @@
         """A leg did what its role does. Only such legs tell what a server bears; refused ones do not."""
         wait = now - leg.sent
         self.waited(seat, now, wait)
-        seat.recent, seat.recent_at = self.rate(seat, now) + self.work(leg.gen, seat.server.role), now
+        left = self.fading(seat, now)
+        seat.recent = seat.recent * left + self.work(leg.gen, seat.server.role)
+        seat.done, seat.recent_at = seat.done * left + 1, now
         seat.down = False
         if seat.strikes:
             self.gateway.log(f"trust {seat.server.name} wait={wait // MS}ms strikes={seat.strikes}")
@@ -118,8 +123,16 @@
     def cold(self, seat: Seat, now: Time) -> bool:
         return seat.server.started is not None and now - seat.server.started < self.warm_up
 
-    def rate(self, seat: Seat, now: Time) -> float:
-        return seat.recent * max(0.0, 1 - (now - seat.recent_at) / self.RATE_SPAN)
+    def fading(self, seat: Seat, now: Time) -> float:
+        return max(0.0, 1 - (now - seat.recent_at) / self.RATE_SPAN)
+
+    def queue_wait(self, seats: list[Seat], now: Time) -> float:
+        """How long our legs that have waited a while will take at the pace at which these servers get ours done.
+        Sees a jam before its first leg is back, and its end as soon as it drains; a burst that is just
+        being sent, as when clients of a stopped gateway come back, is none yet."""
+        queued = sum(now - sent > self.QUEUED_AFTER for one in seats for sent in one.waiting.values())
+        done = sum(one.done * self.fading(one, now) for one in seats)
+        return queued * min(self.RATE_SPAN, now - self.born) / max(1.0, done)
 
     @staticmethod
     def work(gen: Generation, role: Role) -> int:
@@ -135,7 +148,7 @@
         while seat.burst and now - seat.burst[0][0] > self.fall_window:
             seat.burst.popleft()
         role = seat.server.role
-        warm = [self.rate(one, now) for one in self.seats.values()
+        warm = [one.recent * self.fading(one, now) for one in self.seats.values()
                 if one.server.role == role and one.server.state == "ready" and not self.cold(one, now)]
         age = (now - (seat.server.started or 0)) / self.warm_up
         part = self.cold_from + (1 - self.cold_from) * age * age
@@ -274,9 +287,11 @@
         product = gen.product
         over = self.over_quota(now, gen.customer)
         self.highest = max(self.highest, product.revenue)
-        wait = self.fleet.brisk_wait("reader", now) + self.fleet.brisk_wait("writer", now)
+        readers, writers = (self.fleet.usable(role, now, gen) for role in ("reader", "writer"))
+        wait = max(self.fleet.brisk_wait("reader", now) + self.fleet.brisk_wait("writer", now),
+                   self.fleet.queue_wait(readers, now) + self.fleet.queue_wait(writers, now))
         part = wait / max(1, product.slo_time + product.slo_per_ktok * gen.prompt_tok // 1000)
-        held = min((self.fleet.held_share(one, now) for one in self.fleet.usable("writer", now, gen)), default=0.0)
+        held = min((self.fleet.held_share(one, now) for one in writers), default=0.0)
         part = max(part, held - self.HELD_SHARE)
         start = self.START * (self.OVER_QUOTA if over else 1.0) * (
             self.LOW_REVENUE if product.revenue < self.highest else 1.0)
@@ -495,6 +510,7 @@
             stage.below = below
 
     def begin(self, now: Time) -> None:
+        self.fleet.born = now
         if self.must_ask:
             self.gateway.subscribe()
 
