--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -53,7 +53,7 @@
     SHUN = SECOND // 2  # first time out after a strike; doubles with each further one
     FADE = SECOND // 2
     LEARN = 0.1  # weight of the newest wait
-    QUEUED_AFTER = 200 * MS  # a leg without word for this long waits in a queue
+    QUEUED_AFTER = 0.25  # of its SLO time: a leg without word for this long waits in a queue
     REPORT_AGE = 2 * SECOND  # over which a report loses its say
     SILENT_FLOOR = 250 * MS  # a leg without word is no symptom before this
     SILENT_TIMES = 5  # nor before this multiple of what the role usually takes
@@ -130,9 +130,10 @@
         """How long our legs that have waited a while will take at the pace at which these servers get ours done.
         Sees a jam before its first leg is back, and its end as soon as it drains; a burst that is just
         being sent, as when clients of a stopped gateway come back, is none yet."""
-        queued = sum(now - sent > self.QUEUED_AFTER for one in seats for sent in one.waiting.values())
+        queued = sum(now - sent > self.QUEUED_AFTER * leg.gen.product.slo_time
+                     for one in seats for leg, sent in one.waiting.items()) - len(seats) // 2
         done = sum(one.done * self.fading(one, now) for one in seats)
-        return queued * min(self.RATE_SPAN, now - self.born) / max(1.0, done)
+        return max(0, queued) * min(self.RATE_SPAN, now - self.born) / max(1.0, done)
 
     @staticmethod
     def work(gen: Generation, role: Role) -> int:
