Read time-outs allow for the tokens queued before

Cause: after a gateway roll the broken streams come back at once; reads behind that burst timed out and were read twice, which kept the queue up. The limit now grows with what we have queued at that reader. Should also hold in any burst; it may hurt where a reader hangs with a long queue of ours: the silence check then shuns it, but legs there wait longer.

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -381,7 +381,7 @@
     FAR_ZONE = 1.0
     LIMIT_FLOOR = 600 * MS
     LIMIT_TIMES = 8  # a read may take this multiple of the usual before another reader is tried
-    LIMIT_PER_TOK: Time = 2  # and this much more for each prompt token
+    LIMIT_PER_TOK: Time = 2  # and this much more for each prompt token, its own and those queued before it
 
     def __init__(self, guard: Guard, fleet: Fleet, writer: "Writer", local_reads: bool) -> None:
         self.guard, self.fleet, self.writer, self.local_reads = guard, fleet, writer, local_reads
@@ -398,10 +398,10 @@
         if seat is not None:
             self.writer.plan[gen] = goal
             goal.put(gen, self.writer.projected(gen))
-            seat.put(gen, gen.prompt_tok - (gen.shared_tok if gen.shared is not None else 0))
             more = len(gen.legs) + 2 < self.guard.max_legs
             patience = max(self.LIMIT_FLOOR, int(self.LIMIT_TIMES * self.fleet.usual["reader"]))
-            patience += self.LIMIT_PER_TOK * gen.prompt_tok
+            patience += self.LIMIT_PER_TOK * (gen.prompt_tok + self.fleet.gateways * seat.own)
+            seat.put(gen, gen.prompt_tok - (gen.shared_tok if gen.shared is not None else 0))
             self.guard.send(now, gen, seat, patience if more else gen.gives_up)
         elif self.local_reads:
             self.writer.send(now, gen, goal)
