--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -430,8 +430,6 @@
             if leg.outcome == "read":
                 self.writer.take(now, gen)
                 return gen.out()
-        elif leg.outcome != "full":
-            return False
         if now + 50 * MS < gen.gives_up and len(gen.legs) + 2 <= self.guard.max_legs:
             self.take(now, gen)
         return gen.out()
