--- a/tests/play.py
+++ b/tests/play.py
@@ -1,15 +1,15 @@
 """Plays scenarios: small texts in the project's own notation, each line an input or an expectation.
 
-    with gateways=2 may_hold=1            arguments of the module, before anything else
-    product chat idempotent slo=1000 limit=4000        (ms)
-    server r1 reader cell=1 [zone=a] [started=MS]      joins the list
-    list r1 draining | gone | ready [started=MS]       the list changes
+    with max_legs=2 local_reads=0         arguments of the module, before anything else
+    fleet r1 r2 w1 m1                     readers, writers and mixed servers in one cell
+    server w2 cell=2 zone=b memory=TOK started=MS      one with facts of its own, now or later
+    list w1 draining | gone | ready started=MS         the list changes
     at 120                                the clock, in ms
-    gen g1 chat session=s shared=p prompt=2000 limit=200 gives_up=4000
-    start g1 | end g1 streamed kept=0 | end g1#0 read | depart g1 | granted g1 w1
-    wait                                  plays the next timers due by the clock
-    > send g1 r1                          the next thing asked for (logs, wakes aside)
-    > nothing                             nothing more was asked for
+    gen a chat session=s shared=p prompt=2000 limit=200 gives_up=4000      chat, book or order, see PRODUCTS
+    start a | end a full no_state=1 | end a#0 read | end a streamed kept=9 | depart a | fail | wait
+    > send a r1                           the next thing asked for; a scenario ends with nothing left
+    read a chat r1 w1 prompt=2000         gen, read by r1, sent to w1
+    turn a chat r1 w1 session=s           the same, started and streamed; with one server, by that alone
 """
 
 from pathlib import Path
@@ -26,14 +26,22 @@
 }
 
 
+PRODUCTS = {
+    name: Product(name, effect, scope, 20_000, 10_000, 400, 600, 40_000, revenue, 0.1)
+    for name, effect, scope, revenue in [
+        ("chat", "idempotent", "all", 1.0), ("order", "side-effecting", "all", 1.0),
+        ("book", "deduplicated", "cell", 1.0), ("note", "deduplicated", "all", 1.0), ("cheap", "idempotent", "all", 0.5)]
+}
+ROLES = {"r": "reader", "w": "writer", "m": "mixed"}
+
+
 class Play:
     """A gateway that only notes what it is asked for."""
 
     def __init__(self) -> None:
         self.now, self.asked, self.arguments = 0, [], dict(ARGUMENTS)
-        self.products: dict[str, Product] = {}
-        self.customers: dict[str, Customer] = {}
         self.servers: dict[str, Server] = {}
+        self.customers: dict[str | None, Customer | None] = {None: None}
         self.gens: dict[str, Generation] = {}
         self.timers: list[tuple[int, Any]] = []
         self.made: Brain | None = None
@@ -77,18 +85,29 @@
         for name, value in given.items():
             self.arguments[name] = type(ARGUMENTS[name])(float(value)) if name != "zone" else value
 
-    def do_product(self, name, effect, slo="1000", limit="4000", scope="all", memory="5000", revenue="1"):
-        self.products[name] = Product(name, effect, scope, int(memory) * 10, int(slo) * 10, 400, 600,
-                                      int(limit) * 10, float(revenue), 0.1)
-
-    def do_customer(self, name, quota): self.customers[name] = Customer(name, 1.0, float(quota))
+    def do_fleet(self, *names):
+        for name in names:
+            self.do_server(name)
 
-    def do_server(self, name, role, cell="1", zone="a", memory="100000", started=None):
+    def do_server(self, name, cell="1", zone="a", memory="100000", started=None):
+        role = ROLES[name[0]]
         self.servers[name] = Server(name, zone, role, int(cell), role, int(memory), "ready", 1.0,
                                     None if started is None else int(started) * 10)
         if self.made is not None:
             self.brain.roster(self.now, [self.servers[name]], False)
 
+    def do_read(self, name, product, *path, **given):
+        self.do_gen(name, product, **given)
+        for server in path:
+            self.do_expect("send", name, server)
+            if server != path[-1]:
+                self.do_end(name, "read")
+
+    def do_turn(self, name, product, *path, kept="9999", **given):
+        self.do_read(name, product, *path, **given)
+        self.do_start(name)
+        self.do_end(name, "streamed", kept=kept)
+
     def do_list(self, name, state, started=None):
         self.servers[name].state = state
         if started is not None:
@@ -97,10 +116,10 @@
 
     def do_at(self, ms): self.now = int(float(ms) * 10)
 
-    def do_gen(self, name, product, session=None, shared=None, prompt="1000", limit="100", gives_up="4000",
+    def do_gen(self, name, product, session=None, shared=None, prompt="1000", limit="100", gives_up="9000",
                customer=None):
         self.gens[name] = Generation(
-            name, self.products[product], self.customers.get(customer), session, shared, 500 if shared else 0,
+            name, PRODUCTS[product], self.customers.setdefault(customer, Customer(customer, 1.0, 1.0)), session, shared, 500 if shared else 0,
             int(prompt), int(limit), None, self.now, int(gives_up) * 10, False, False)
         self.brain.arrived(self.now, self.gens[name])
 
@@ -124,6 +143,8 @@
 
     def do_granted(self, name, server): self.brain.held(self.now, self.gens[name], self.servers[server], True)
 
+    def do_fail(self): self.brain.roster_failed(self.now)
+
     def do_wait(self):
         due = sorted((one for one in self.timers if one[0] <= self.now), key=lambda one: one[0])
         self.timers = [one for one in self.timers if one[0] > self.now]
