--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -127,9 +127,9 @@
         return max(0.0, 1 - (now - seat.recent_at) / self.RATE_SPAN)
 
     def queue_wait(self, seats: list[Seat], now: Time) -> float:
-        """How long our legs that have waited a while will take at the pace at which these servers get ours done.
-        Sees a jam before its first leg is back, and its end as soon as it drains; a burst that is just
-        being sent, as when clients of a stopped gateway come back, is none yet."""
+        """How long our legs that have waited a while will take at the pace at which these servers work. Sees
+        a jam before its first leg is back, and its end as soon as it drains; a burst that is just being
+        sent, as when clients of a stopped gateway come back, is none yet."""
         queued = sum(now - sent > self.QUEUED_AFTER * leg.gen.product.slo_time
                      for one in seats for leg, sent in one.waiting.items()) - len(seats) // 2
         done = sum(one.done * self.fading(one, now) for one in seats)
@@ -141,9 +141,9 @@
         return 1 + (gen.prompt_tok if role == "reader" else gen.limit_tok)
 
     def room(self, seat: Seat, now: Time, gen: Generation) -> bool:
-        """Whether a cold server's budget has room. What a warm peer gets from us is at most our share of what it
-        bears, so a part of that by the assumed warmth keeps to our share without knowing capacities. Also
-        holds right after our own restart: with no peer's rate known, one send a window."""
+        """Whether a cold server's budget has room. What a warm peer gets done for us is at most our share of
+        what it bears, so a part of that by the assumed warmth keeps to our share, whatever the capacity.
+        Also holds right after our own restart: with no peer's rate known, one send a window."""
         if not self.cold(seat, now):
             return True
         while seat.burst and now - seat.burst[0][0] > self.fall_window:
@@ -158,8 +158,8 @@
         return not seat.burst or sum(work for _, work in seat.burst) + self.work(gen, role) <= budget
 
     def usable(self, role: Role, now: Time, gen: Generation) -> list[Seat]:
-        """Servers of a role that may be sent to. If most look unwell, the cause is not the servers; but none is
-        sent to while connections to it fail, or refused legs would chase each other through the fleet."""
+        """Servers of a role that may be sent to. If most look unwell, the cause is not the servers; but none
+        is sent to while connections to it fail, or refused legs chase each other through the fleet."""
         ready = [one for one in self.seats.values() if one.server.role == role and one.server.state == "ready"
                  and not (one.down and now < one.shunned_until)]
         well = [one for one in ready if not self.unwell(one, now)]
@@ -233,8 +233,9 @@
         """Gives up: throttled where the client may try again without harm, else terminated."""
         if gen.over:
             return
-        ran, product = self.ran(gen), gen.product
-        if not ran or product.effect == "idempotent" or product.effect == "deduplicated" and product.scope == "all":
+        product = gen.product
+        marked = product.effect == "deduplicated" and product.scope == "all"
+        if marked or product.effect == "idempotent" or not self.ran(gen):
             self.gateway.throttle(gen, self.max_retry_after // 2)
         else:
             self.gateway.terminate(gen)
@@ -265,7 +266,7 @@
     START = 0.3  # brisk wait for a first token, as part of the SLO time, from which throttling begins
     LOW_REVENUE = 0.8  # of that for products below the highest revenue
     OVER_QUOTA = 0.5  # of that for customers beyond our part of their quota
-    HELD_SHARE = 0.6  # of the emptiest writer's memory, held beyond this counts like a wait
+    HELD_SHARE = 0.55  # of the writers' memory (mean, as reports are noisy); more counts like a wait
     SPAN = 0.4  # and how much more until everything is throttled
     BURST = 2  # seconds of quota that a customer may use at once
 
@@ -292,7 +293,7 @@
         wait = max(self.fleet.brisk_wait("reader", now) + self.fleet.brisk_wait("writer", now),
                    self.fleet.queue_wait(readers, now) + self.fleet.queue_wait(writers, now))
         part = wait / max(1, product.slo_time + product.slo_per_ktok * gen.prompt_tok // 1000)
-        held = min((self.fleet.held_share(one, now) for one in writers), default=0.0)
+        held = sum(self.fleet.held_share(one, now) for one in writers) / max(1, len(writers))
         part = max(part, held - self.HELD_SHARE)
         start = self.START * (self.OVER_QUOTA if over else 1.0) * (
             self.LOW_REVENUE if product.revenue < self.highest else 1.0)
@@ -301,7 +302,8 @@
         shed = part - start > chance * self.SPAN
         if shed != self.shedding and (shed or part < start * self.OVER_QUOTA):
             self.shedding = shed
-            self.fleet.gateway.log(f"throttling {'begins' if shed else 'ends'} usual wait={int(wait) // MS}ms")
+            turn = "begins" if shed else "ends"
+            self.fleet.gateway.log(f"throttling {turn} wait={int(wait) // MS}ms held={held:.2f}")
         if shed:
             self.guard.answer(gen)
         else:
@@ -342,11 +344,14 @@
             return None
         seat, server = kept.seat, kept.seat.server
         held = self.fleet.held_share(seat, now)
-        pushed_out = (seat.poured - kept.poured) * self.fleet.gateways > self.REACH * (1 - held) * server.memory_tok
-        if server.state != "ready" or server.started != kept.started or now - kept.at > self.AGE or pushed_out:
+        since = (seat.poured - kept.poured) * self.fleet.gateways
+        pushed_out = since > self.REACH * (1 - held) * server.memory_tok
+        anew = server.state != "ready" or server.started != kept.started
+        if anew or pushed_out or now - kept.at > self.AGE:
             del self.table[gen.session or ""]
             return None
-        if self.fleet.unwell(seat, now) or held >= self.HELD_SHARE or gen.prompt_tok - kept.tok > self.NEW_TOK:
+        new = gen.prompt_tok - kept.tok
+        if self.fleet.unwell(seat, now) or held >= self.HELD_SHARE or new > self.NEW_TOK:
             return None
         return seat if self.guard.may_send(now, gen, server) else None
 
@@ -370,7 +375,8 @@
             del self.table[gen.session or ""]
         else:
             answer = (now - leg.sent) // max(1, gen.product.token_gap)
-            kept.at, kept.tok, kept.poured = now, gen.prompt_tok + min(gen.limit_tok, answer), kept.seat.poured
+            kept.at, kept.poured = now, kept.seat.poured
+            kept.tok = gen.prompt_tok + min(gen.limit_tok, answer)
         return False
 
 
@@ -409,10 +415,10 @@
             self.guard.answer(gen)
 
     def pick(self, now: Time, gen: Generation, goal: Server) -> Seat | None:
-        """The least to wait for: reads queued there, the shared text if not kept there, the way to the writer."""
+        """The least to wait for: reads queued, the shared text if not kept there, the way to the writer."""
         tried = [leg.server for leg in gen.legs]
-        seats = [one for one in self.fleet.usable("reader", now, gen) if self.guard.may_send(now, gen, one.server)]
-        seats = [one for one in seats if one.server not in tried]
+        seats = [one for one in self.fleet.usable("reader", now, gen)
+                 if one.server not in tried and self.guard.may_send(now, gen, one.server)]
         text = gen.shared or gen.session or ""
         seats.sort(key=lambda one: crc32(f"{text} {one.server.name}".encode()), reverse=True)
         shared = gen.shared_tok if gen.shared is not None else 0
@@ -459,8 +465,9 @@
                  if one.server not in tried and self.guard.may_send(now, gen, one.server)]
         if cell is not None:
             seats = [one for one in seats if one.server.cell == cell] or seats
+        far = {one: self.FAR * (one.server.zone != self.fleet.zone) for one in seats}
         return min(seats, default=None, key=lambda one: (
-            self.fleet.held_share(one, now) + self.FAR * (one.server.zone != self.fleet.zone), one.server.name))
+            self.fleet.held_share(one, now) + far[one], one.server.name))
 
     def take(self, now: Time, gen: Generation) -> None:
         seat = self.plan.get(gen)
@@ -493,10 +500,9 @@
 class Brain:
     """Ties the chain together; see the head of this file."""
 
-    def __init__(self, gateway: Gateway, seed: int, *, gateways: int, zone: str, max_legs: int, may_cancel: bool,
-                 may_probe: bool, second_legs: bool, max_retry_after: Time, may_hold: bool, local_reads: bool,
-                 resume: bool, must_ask: bool, answer_slack: Time, release_time: Time, cold_from: float,
-                 warm_up: Time, fall_multiple: float, fall_window: Time, over_share_revenue: float) -> None:
+    def __init__(self, gateway: Gateway, seed: int, *, gateways: int, zone: str, max_legs: int,
+                 second_legs: bool, max_retry_after: Time, local_reads: bool, must_ask: bool,
+                 cold_from: float, warm_up: Time, fall_multiple: float, fall_window: Time) -> None:
         self.gateway, self.must_ask = gateway, must_ask
         self.fleet = Fleet(gateway, cold_from, warm_up, fall_multiple, fall_window, gateways, zone)
         self.guard = Guard(gateway, self.fleet, max_legs, second_legs, max_retry_after)
