--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -266,7 +266,8 @@
     START = 0.3  # brisk wait for a first token, as part of the SLO time, from which throttling begins
     LOW_REVENUE = 0.8  # of that for products below the highest revenue
     OVER_QUOTA = 0.5  # of that for customers beyond our part of their quota
-    HELD_SHARE = 0.55  # of the writers' memory (mean, as reports are noisy); more counts like a wait
+    HELD_SHARE = 0.72  # of the writers' memory (mean, as reports are noisy); more counts like a wait
+    HELD_SAY = 2.0  # so many times as much, since a writer past its memory reads answers anew
     SPAN = 0.4  # and how much more until everything is throttled
     BURST = 2  # seconds of quota that a customer may use at once
 
@@ -294,7 +295,7 @@
                    self.fleet.queue_wait(readers, now) + self.fleet.queue_wait(writers, now))
         part = wait / max(1, product.slo_time + product.slo_per_ktok * gen.prompt_tok // 1000)
         held = sum(self.fleet.held_share(one, now) for one in writers) / max(1, len(writers))
-        part = max(part, held - self.HELD_SHARE)
+        part = max(part, self.HELD_SAY * (held - self.HELD_SHARE))
         start = self.START * (self.OVER_QUOTA if over else 1.0) * (
             self.LOW_REVENUE if product.revenue < self.highest else 1.0)
         self.count += 1
