Waits are learnt from time-outs and done legs only; stale seats forgotten

Cause: a stream that broke after seconds counted as a wait of seconds, and a refusal as a wait of none. A session's entry also goes when its server left the list and came back.

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -245,9 +245,6 @@
         if self.pinned.pop(gen, False):
             self.gateway.release(gen)
 
-    def take(self, now: Time, gen: Generation) -> None:
-        self.below.take(now, gen)
-
     def back(self, now: Time, leg: Leg, kept_tok: int, no_state: bool) -> bool:
         gen = leg.gen
         if not gen.out():
@@ -347,7 +344,8 @@
         held = self.fleet.held_share(seat, now)
         since = (seat.poured - kept.poured) * self.fleet.gateways
         pushed_out = since > self.REACH * (1 - held) * server.memory_tok
-        anew = server.state != "ready" or server.started != kept.started
+        anew = self.fleet.seats.get(server) is not seat or server.started != kept.started
+        anew = anew or server.state != "ready"
         if anew or pushed_out or now - kept.at > self.AGE:
             del self.table[gen.session or ""]
             return None
@@ -547,7 +545,8 @@
             self.guard.pinned[gen] = True
             self.fleet.word(seat, now, leg)
         elif leg.outcome in ("time-out", "unreachable", "reset"):
-            self.fleet.waited(seat, now, now - leg.sent)
+            if leg.outcome == "time-out":  # a stream that broke or a refusal tells nothing of waits
+                self.fleet.waited(seat, now, now - leg.sent)
             self.fleet.strike(seat, now, leg.outcome)
         for stage in reversed(self.chain):
             if stage.back(now, leg, kept_tok, no_state):
@@ -565,4 +564,5 @@
         pass
 
     def probed(self, now: Time, server: Server, well: bool, report: Report | None) -> None:
-        self.fleet.reported(self.fleet.seats[server], now, report)
+        if server in self.fleet.seats:
+            self.fleet.reported(self.fleet.seats[server], now, report)
