What would be throttled is read whole by an idle writer where there is one

It should also hold when readers are lost or links to them fail; it may hurt where a prompt is very long.

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -8,7 +8,6 @@
 """
 
 from collections import deque
-from collections.abc import Callable
 from zlib import crc32
 
 from stackpitch.interface import NEVER_RAN, Customer, Gateway, Generation, Leg, Report, Role, Server, Time
@@ -24,12 +23,11 @@
         self.server = server
         self.waiting: dict[Leg, Time] = {}  # legs with no word yet; emptied by stream start or outcome
         self.tok: dict[Generation, int] = {}  # tokens our legs bring here; emptied by outcomes
-        self.own = 0  # their sum
+        self.own = 0  # the sum of these
         self.poured = 0  # tokens that our legs ever brought here
         self.others = 0.0  # tokens that others held by the last report
         self.reported_at: Time = 0
-        self.strikes = 0
-        self.shunned_until: Time = 0
+        self.strikes, self.shunned_until = 0, 0
         self.down = False  # the last word was that no connection holds
         self.recent = 0.0  # work that our legs got done, decaying over RATE_SPAN
         self.done = 0.0  # and how many legs that were
@@ -149,19 +147,20 @@
         while seat.burst and now - seat.burst[0][0] > self.fall_window:
             seat.burst.popleft()
         role = seat.server.role
-        warm = [one.recent * self.fading(one, now) for one in self.seats.values()
-                if one.server.role == role and one.server.state == "ready" and not self.cold(one, now)]
+        warm = [one.recent * self.fading(one, now) for one in self.ready(role) if not self.cold(one, now)]
         age = (now - (seat.server.started or 0)) / self.warm_up
         part = self.cold_from + (1 - self.cold_from) * age * age
         usual = sum(warm) / len(warm) * self.fall_window / self.RATE_SPAN if warm else 0.0
         budget = self.COLD_CARE * self.fall_multiple * part * usual
         return not seat.burst or sum(work for _, work in seat.burst) + self.work(gen, role) <= budget
 
+    def ready(self, role: Role) -> list[Seat]:
+        return [one for one in self.seats.values() if one.server.role == role and one.server.state == "ready"]
+
     def usable(self, role: Role, now: Time, gen: Generation) -> list[Seat]:
         """Servers of a role that may be sent to. If most look unwell, the cause is not the servers; but none
         is sent to while connections to it fail, or refused legs chase each other through the fleet."""
-        ready = [one for one in self.seats.values() if one.server.role == role and one.server.state == "ready"
-                 and not (one.down and now < one.shunned_until)]
+        ready = [one for one in self.ready(role) if not (one.down and now < one.shunned_until)]
         well = [one for one in ready if not self.unwell(one, now)]
         return [one for one in (well if 2 * len(well) >= len(ready) else ready) if self.room(one, now, gen)]
 
@@ -205,9 +204,9 @@
 
     @staticmethod
     def ran(gen: Generation) -> list[Leg]:
-        """Legs that may have had, or may yet have, their effect."""
+        """Legs that may have had, or may yet have, their effect; at readers only those still out."""
         return [leg for leg in gen.legs if leg.outcome not in NEVER_RAN
-                and not (leg.server.role == "reader" and leg.outcome is not None)]
+                and (leg.server.role != "reader" or leg.outcome is None)]
 
     def may_send(self, now: Time, gen: Generation, server: Server) -> bool:
         if gen.over or len(gen.legs) >= self.max_legs or server.state != "ready" or now >= gen.gives_up:
@@ -256,8 +255,8 @@
 class Admission(Stage):
     """Throttles early, before work is spent, what would likely get its first token after its SLO time.
 
-    Answers any overload whatever its cause (bursts, lost servers, retries): a queue that makes everything
-    late is cut at its end. It may hurt where a few slow legs are taken for a queue of all.
+    Answers any overload whatever its cause (bursts, lost servers, retries). What the readers alone could not
+    do in time is read whole by a writer with time to spare. May hurt where few slow legs pass for a jam.
     """
 
     START = 0.3  # brisk wait for a first token, as part of the SLO time, from which throttling begins
@@ -268,8 +267,9 @@
     SPAN = 0.4  # and how much more until everything is throttled
     BURST = 2  # seconds of quota that a customer may use at once
 
-    def __init__(self, guard: Guard, fleet: Fleet, seed: int, gateways: int) -> None:
-        self.guard, self.fleet, self.seed, self.gateways = guard, fleet, seed, gateways
+    def __init__(self, guard: Guard, fleet: Fleet, writer: "Writer", seed: int, gateways: int) -> None:
+        self.guard, self.fleet, self.writer = guard, fleet, writer
+        self.seed, self.gateways = seed, gateways
         self.count, self.highest, self.shedding = 0, 0.0, False
         self.spent: dict[Customer, tuple[float, Time]] = {}  # quota used and when; as many as the customers
 
@@ -302,10 +302,12 @@
             self.shedding = shed
             turn = "begins" if shed else "ends"
             self.fleet.gateway.log(f"throttling {turn} wait={int(wait) // MS}ms held={held:.2f}")
-        if shed:
-            self.guard.answer(gen)
-        else:
+        if not shed:
             self.below.take(now, gen)
+        elif (idle := self.writer.idle(now, gen)) is not None:
+            self.writer.send(now, gen, idle)
+        else:
+            self.guard.answer(gen)
 
 
 class Kept:
@@ -330,11 +332,10 @@
         self.table: dict[str, Kept] = {}  # by session; emptied by age, size and evidence of loss
 
     def take(self, now: Time, gen: Generation) -> None:
-        seat = self.find(now, gen)
-        if seat is None:
-            self.below.take(now, gen)
-        else:
+        if (seat := self.find(now, gen)) is not None:
             self.writer.send(now, gen, seat)
+        else:
+            self.below.take(now, gen)
 
     def find(self, now: Time, gen: Generation) -> Seat | None:
         kept = self.table.get(gen.session or "")
@@ -344,9 +345,8 @@
         held = self.fleet.held_share(seat, now)
         since = (seat.poured - kept.poured) * self.fleet.gateways
         pushed_out = since > self.REACH * (1 - held) * server.memory_tok
-        anew = self.fleet.seats.get(server) is not seat or server.started != kept.started
-        anew = anew or server.state != "ready"
-        if anew or pushed_out or now - kept.at > self.AGE:
+        same = self.fleet.seats.get(server) is seat and server.started == kept.started
+        if not same or server.state != "ready" or pushed_out or now - kept.at > self.AGE:
             del self.table[gen.session or ""]
             return None
         new = gen.prompt_tok - kept.tok
@@ -444,19 +444,19 @@
     """Sends to the writer with the lowest projected memory; on failure before output to the next."""
 
     GROWTH = 0.4  # of the output limit that answers are taken to reach
+    IDLE_SHARE = 0.5  # of memory held, under which a writer reads what would be throttled
     FAR = 0.1  # of memory that a writer in another zone must be emptier
     LIMIT_FLOOR = 800 * MS
     LIMIT_TIMES = 10
 
-    def __init__(self, guard: Guard, fleet: Fleet) -> None:
-        self.guard, self.fleet = guard, fleet
+    def __init__(self, guard: Guard, fleet: Fleet, local_reads: bool) -> None:
+        self.guard, self.fleet, self.local_reads = guard, fleet, local_reads
         self.plan: dict[Generation, Seat] = {}  # chosen before the read; emptied when the last leg is back
 
     def projected(self, gen: Generation) -> int:
-        grown = gen.limit_tok * self.GROWTH
         if gen.hint is not None and gen.product.token_gap:
-            grown = min(gen.limit_tok, gen.hint / gen.product.token_gap)
-        return gen.prompt_tok + int(grown)
+            return gen.prompt_tok + min(gen.limit_tok, gen.hint // gen.product.token_gap)
+        return gen.prompt_tok + int(gen.limit_tok * self.GROWTH)
 
     def pick(self, now: Time, gen: Generation, cell: int | None) -> Seat | None:
         tried = [leg.server for leg in gen.legs]
@@ -464,9 +464,14 @@
                  if one.server not in tried and self.guard.may_send(now, gen, one.server)]
         if cell is not None:
             seats = [one for one in seats if one.server.cell == cell] or seats
-        far = {one: self.FAR * (one.server.zone != self.fleet.zone) for one in seats}
-        return min(seats, default=None, key=lambda one: (
-            self.fleet.held_share(one, now) + far[one], one.server.name))
+        return min(seats, default=None, key=lambda one: (self.fleet.held_share(one, now) + self.FAR * (
+            one.server.zone != self.fleet.zone), one.server.name))
+
+    def idle(self, now: Time, gen: Generation) -> Seat | None:
+        """A writer with time to read a whole prompt that the readers could not read in time."""
+        seat = self.pick(now, gen, None) if self.local_reads else None
+        busy = seat is None or seat.waiting or self.fleet.held_share(seat, now) >= self.IDLE_SHARE
+        return None if busy else seat
 
     def take(self, now: Time, gen: Generation) -> None:
         seat = self.plan.get(gen)
@@ -477,9 +482,7 @@
             self.send(now, gen, seat)
 
     def send(self, now: Time, gen: Generation, seat: Seat) -> None:
-        old = self.plan.get(gen)
-        if old is not None and old is not seat:
-            old.drop(gen)
+        self.plan.setdefault(gen, seat).drop(gen)
         self.plan[gen] = seat
         seat.put(gen, self.projected(gen))
         seat.poured += self.projected(gen)
@@ -499,14 +502,16 @@
 class Brain:
     """Ties the chain together; see the head of this file."""
 
+    ASK_AGAIN = 2 * SECOND  # after a failed call to a discovery that must be asked
+
     def __init__(self, gateway: Gateway, seed: int, *, gateways: int, zone: str, max_legs: int,
                  second_legs: bool, max_retry_after: Time, local_reads: bool, must_ask: bool,
                  cold_from: float, warm_up: Time, fall_multiple: float, fall_window: Time) -> None:
         self.gateway, self.must_ask = gateway, must_ask
         self.fleet = Fleet(gateway, cold_from, warm_up, fall_multiple, fall_window, gateways, zone)
         self.guard = Guard(gateway, self.fleet, max_legs, second_legs, max_retry_after)
-        self.admission = Admission(self.guard, self.fleet, seed, gateways)
-        self.writer = Writer(self.guard, self.fleet)
+        self.writer = Writer(self.guard, self.fleet, local_reads)
+        self.admission = Admission(self.guard, self.fleet, self.writer, seed, gateways)
         self.owner = Owner(self.guard, self.fleet, self.writer, local_reads)
         self.reader = Reader(self.guard, self.fleet, self.writer, local_reads)
         self.chain: list[Stage] = [self.guard, self.admission, self.owner, self.reader, self.writer]
@@ -523,8 +528,7 @@
 
     def roster_failed(self, now: Time) -> None:
         if self.must_ask:
-            again: Callable[[Time], None] = lambda _: self.gateway.subscribe()
-            self.gateway.wake(2 * SECOND, again)
+            self.gateway.wake(self.ASK_AGAIN, lambda _: self.gateway.subscribe())
 
     def arrived(self, now: Time, gen: Generation) -> None:
         self.guard.take(now, gen)
@@ -533,7 +537,7 @@
         seat = self.fleet.seats[leg.server]
         seat.waiting.pop(leg, None)
         self.fleet.word(seat, now, leg)
-        self.guard.pinned.pop(leg.gen, None)
+        self.guard.pinned.pop(leg.gen, None)  # the start lets go of all else by itself
         self.owner.started(now, leg)
 
     def ended(self, now: Time, leg: Leg, kept_tok: int, no_state: bool, report: Report | None) -> None:
@@ -552,8 +556,7 @@
             if stage.back(now, leg, kept_tok, no_state):
                 break
         if not gen.out():
-            plan = self.writer.plan.pop(gen, None)
-            if plan is not None:
+            if (plan := self.writer.plan.pop(gen, None)) is not None:
                 plan.drop(gen)
 
     def departed(self, now: Time, gen: Generation) -> None:
