--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -49,7 +49,6 @@
     RATE_SPAN = 4 * SECOND  # sends to warm peers are averaged over about this long
     COLD_CARE = 0.6  # part of our share of a cold server's budget that we use
     SHUN = SECOND // 2  # first time out after a strike; doubles with each further one
-    FADE = SECOND // 2
     LEARN = 0.1  # weight of the newest wait
     QUEUED_AFTER = 0.25  # of its SLO time: a leg without word for this long waits in a queue
     REPORT_AGE = 2 * SECOND  # over which a report loses its say
@@ -63,8 +62,6 @@
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.born: Time = 0  # when this gateway began; no pace is known before
         self.seats: dict[Server, Seat] = {}  # a seat goes once its server is gone and its last leg is back
-        self.brisk: dict[Role, float] = dict.fromkeys(("reader", "writer", "mixed"), 0.0)
-        self.brisk_at: dict[Role, Time] = dict.fromkeys(("reader", "writer", "mixed"), 0)
         self.usual: dict[Role, float] = {"reader": 100.0 * MS, "writer": 50.0 * MS, "mixed": 200.0 * MS}
 
     def update(self, servers: list[Server], complete: bool) -> None:
@@ -95,21 +92,13 @@
         seat.down = why != "time-out"
         self.gateway.log(f"shun {seat.server.name} {why} strikes={seat.strikes} waiting={len(seat.waiting)}")
 
-    def brisk_wait(self, role: Role, now: Time) -> float:
-        """A low quantile of recent waits; fades without news, so that throttling cannot latch."""
-        return self.brisk[role] * 0.5 ** ((now - self.brisk_at[role]) / self.FADE)
-
-    def waited(self, seat: Seat, now: Time, wait: Time) -> None:
-        role = seat.server.role
+    def waited(self, role: Role, wait: Time) -> None:
         self.usual[role] += self.LEARN * (wait - self.usual[role])
-        brisk = self.brisk_wait(role, now)
-        self.brisk[role] = brisk + (self.LEARN / 2 if wait > brisk else self.LEARN * 3) * (wait - brisk)
-        self.brisk_at[role] = now
 
     def word(self, seat: Seat, now: Time, leg: Leg) -> None:
         """A leg did what its role does. Only such legs tell what a server bears; refused ones do not."""
         wait = now - leg.sent
-        self.waited(seat, now, wait)
+        self.waited(seat.server.role, wait)
         left = self.fading(seat, now)
         seat.recent = seat.recent * left + self.work(leg.gen, seat.server.role)
         seat.done, seat.recent_at = seat.done * left + 1, now
@@ -259,7 +248,7 @@
     do in time is read whole by a writer with time to spare. May hurt where few slow legs pass for a jam.
     """
 
-    START = 0.3  # brisk wait for a first token, as part of the SLO time, from which throttling begins
+    START = 0.3  # expected wait as part of the SLO time from which throttling begins
     LOW_REVENUE = 0.8  # of that for products below the highest revenue
     OVER_QUOTA = 0.5  # of that for customers beyond our part of their quota
     HELD_SHARE = 0.72  # of the writers' memory (mean, as reports are noisy); more counts like a wait
@@ -288,8 +277,7 @@
         over = self.over_quota(now, gen.customer)
         self.highest = max(self.highest, product.revenue)
         readers, writers = (self.fleet.usable(role, now, gen) for role in ("reader", "writer"))
-        wait = max(self.fleet.brisk_wait("reader", now) + self.fleet.brisk_wait("writer", now),
-                   self.fleet.queue_wait(readers, now) + self.fleet.queue_wait(writers, now))
+        wait = self.fleet.queue_wait(readers, now) + self.fleet.queue_wait(writers, now)
         part = wait / max(1, product.slo_time + product.slo_per_ktok * gen.prompt_tok // 1000)
         held = sum(self.fleet.held_share(one, now) for one in writers) / max(1, len(writers))
         part = max(part, self.HELD_SAY * (held - self.HELD_SHARE))
@@ -550,7 +538,7 @@
             self.fleet.word(seat, now, leg)
         elif leg.outcome in ("time-out", "unreachable", "reset"):
             if leg.outcome == "time-out":  # a stream that broke or a refusal tells nothing of waits
-                self.fleet.waited(seat, now, now - leg.sent)
+                self.fleet.waited(seat.server.role, now - leg.sent)
             self.fleet.strike(seat, now, leg.outcome)
         for stage in reversed(self.chain):
             if stage.back(now, leg, kept_tok, no_state):
