--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -89,7 +89,7 @@
             return
         seat.shunned_until = now + (self.SHUN << min(seat.strikes, 4))
         seat.strikes += 1
-        seat.down = why != "time-out"
+        seat.down = why in ("unreachable", "reset")
         self.gateway.log(f"shun {seat.server.name} {why} strikes={seat.strikes} waiting={len(seat.waiting)}")
 
     def waited(self, role: Role, wait: Time) -> None:
@@ -536,7 +536,7 @@
         if leg.outcome == "read":
             self.guard.pinned[gen] = True
             self.fleet.word(seat, now, leg)
-        elif leg.outcome in ("time-out", "unreachable", "reset"):
+        elif leg.outcome in ("error", "time-out", "unreachable", "reset"):
             if leg.outcome == "time-out":  # a stream that broke or a refusal tells nothing of waits
                 self.fleet.waited(seat.server.role, now - leg.sent)
             self.fleet.strike(seat, now, leg.outcome)
