--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -278,7 +278,8 @@
         self.highest = max(self.highest, product.revenue)
         readers, writers = (self.fleet.usable(role, now, gen) for role in ("reader", "writer"))
         wait = self.fleet.queue_wait(readers, now) + self.fleet.queue_wait(writers, now)
-        part = wait / max(1, product.slo_time + product.slo_per_ktok * gen.prompt_tok // 1000)
+        slo = product.slo_time + product.slo_per_ktok * gen.prompt_tok // 1000
+        part = wait / max(1, min(slo, gen.gives_up - now))
         held = sum(self.fleet.held_share(one, now) for one in writers) / max(1, len(writers))
         part = max(part, self.HELD_SAY * (held - self.HELD_SHARE))
         start = self.START * (self.OVER_QUOTA if over else 1.0) * (
@@ -490,6 +491,7 @@
 class Brain:
     """Ties the chain together; see the head of this file."""
 
+    IMPATIENT = SECOND  # a time limit reached sooner than this is the client's affair
     ASK_AGAIN = 2 * SECOND  # after a failed call to a discovery that must be asked
 
     def __init__(self, gateway: Gateway, seed: int, *, gateways: int, zone: str, max_legs: int,
@@ -536,6 +538,8 @@
         if leg.outcome == "read":
             self.guard.pinned[gen] = True
             self.fleet.word(seat, now, leg)
+        elif leg.outcome == "time-out" and now >= gen.gives_up and now - leg.sent < self.IMPATIENT:
+            pass  # a client that gave up early says nothing of the server
         elif leg.outcome in ("error", "time-out", "unreachable", "reset"):
             if leg.outcome == "time-out":  # a stream that broke or a refusal tells nothing of waits
                 self.fleet.waited(seat.server.role, now - leg.sent)
