--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -52,7 +52,7 @@
     LEARN = 0.1  # weight of the newest wait
     QUEUED_AFTER = 0.25  # of its SLO time: a leg without word for this long waits in a queue
     REPORT_AGE = 2 * SECOND  # over which a report loses its say
-    SILENT_FLOOR = 250 * MS  # a leg without word is no symptom before this
+    SILENT_FLOOR = 500 * MS  # a leg without word is no symptom before this
     SILENT_TIMES = 5  # nor before this multiple of what the role usually takes
 
     def __init__(self, gateway: Gateway, cold_from: float, warm_up: Time, fall_multiple: float,
