Rehearsals count a server as told ready from before the call, not after its answer

A gateway that applied a list with a server back in it sent there at once, before the note, and the checker counted from the note of "gone" some 4.6 s earlier.

Ready now counts from before the call, draining and gone from its answer. Calls to one gateway no longer overlap, and its list's file is replaced whole.

--- a/stackpitch/rehearse/director.py
+++ b/stackpitch/rehearse/director.py
@@ -22,6 +22,7 @@
 
 FIRST_PORT, LAST_PORT = 18000, 31000
 HOST = "127.0.0.1"
+TELL_TRIES = 40
 
 
 @dataclass(slots=True)
@@ -51,6 +52,8 @@
     admin: int
     child: Child | None = None
     listed: dict[str, str] = field(default_factory=dict)  # states in its list
+    telling: bool = False
+    news: int = 0  # calls that were to be made
 
 
 @dataclass(slots=True)
@@ -167,6 +170,7 @@
         path.write_bytes(msgspec.json.encode(self.gateway_settings(post)))
         if not list_path.exists():
             self.write_list(post)
+        self.note_told(post, "ready")
         words = ["serve", "-c", str(path)]
         if self.broken is not None:
             words = ["broken", self.broken, "-c", str(path)]
@@ -174,11 +178,15 @@
         self.recorder.note("started", name=post.name)
 
     def write_list(self, post: Post) -> None:
-        (self.folder / f"{post.name}.fleet").write_bytes(msgspec.json.encode(self.fleet()))
+        """Whole or not at all, as a gateway that starts just now may read it."""
+        beside = self.folder / f"{post.name}.fleet.new"
+        beside.write_bytes(msgspec.json.encode(self.fleet()))
+        os.replace(beside, self.folder / f"{post.name}.fleet")
         post.listed = {one.name: one.state for one in self.seats.values()}
 
-    def note_told(self, post: Post) -> None:
-        self.recorder.note("told", gateway=post.name, version=self.version, states=post.listed)
+    def note_told(self, post: Post, only: str | None = None) -> None:
+        states = {name: state for name, state in post.listed.items() if only in (None, state)}
+        self.recorder.note("told", gateway=post.name, version=self.version, states=states)
 
     def tell(self, group: Group) -> None:
         """The list has changed: each gateway is told after its own delay."""
@@ -187,16 +195,35 @@
             group.spawn(self.tell_one(post), f"tell {post.name}")
 
     def tell_one(self, post: Post) -> Coro[None]:
-        """A gateway that is down hears nothing, and is told anew some time after its restart."""
+        """A gateway that is down hears nothing, and is told anew some time after its restart.
+
+        What is ready counts as told from before the call: the gateway may use it before its answer is here. What
+        drains or is gone counts from the answer on. Calls to one gateway don't overlap: each stands for its own list.
+        """
         yield from self.world.sleep(int(self.day.notice_s * self.random.uniform(0.6, 1.4) * SECOND))
-        if post.child is None or post.child.code() is not None:
+        child = post.child
+        post.news += 1
+        news = post.news
+        while post.telling:
+            yield from self.world.sleep(5 * MS)
+        if post.news != news:  # a later call, which waited as well, tells all that this one would
             return
-        self.write_list(post)
-        states = dict(post.listed)
-        answer = yield from self.call((HOST, post.admin), "/roster/reload", b"")
-        if answer is None or answer.status != 200:  # it may or may not know: not held to what is gone or drains
-            states = {name: state for name, state in states.items() if state == "ready"}
-        self.recorder.note("told", gateway=post.name, version=self.version, states=states)
+        post.telling = True
+        try:
+            for _ in range(TELL_TRIES):
+                if child is None or child is not post.child or child.code() is not None:
+                    return
+                self.write_list(post)
+                self.note_told(post, "ready")
+                answer = yield from self.call((HOST, post.admin), "/roster/reload", b"")
+                if answer is not None and answer.status == 200:
+                    self.note_told(post)
+                    return
+                self.recorder.note("untold", gateway=post.name, status=None if answer is None else answer.status)
+                yield from self.world.sleep(250 * MS)
+            raise RuntimeError(f"{post.name} did not take list {self.version} in {TELL_TRIES} calls")
+        finally:
+            post.telling = False
 
     def call(self, address: tuple[str, int], target: str, body: bytes) -> Coro[http.ResponseReader | None]:
         try:
