--- a/stackpitch/gateway/host.py
+++ b/stackpitch/gateway/host.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from stackpitch.brain import Brain
 from stackpitch.gateway.ask import Ask, Waiting
 from stackpitch.gateway.leg import Bounds, End, LegRun
 from stackpitch.gateway.logs import Log
@@ -21,6 +20,7 @@
 from stackpitch.gateway.roster import Roster, keep, kept, load
 from stackpitch.interface import Generation, Leg, Report, Server, Time
 from stackpitch.loop import ConnectFailed, Coro, Group, Lost, Stream, World
+from stackpitch.preferences import Preferences, RuledBrain
 from stackpitch.settings import BadSettings, Fleet
 from stackpitch.wire import http, orca
 from stackpitch.wire.engine import HEALTH, STATE_HOLD, STATE_RELEASE, HoldAnswer, StateCall
@@ -31,7 +31,7 @@
 
     def __init__(self, world: World, group: Group, log: Log, metrics: Metrics, name: str, roster: Roster,
                  roster_file: Path, kept_file: Path | None, bounds: Bounds, load_fields: tuple[str, str, str],
-                 seed: int, arguments: Mapping[str, Any]) -> None:
+                 seed: int, preferences: Preferences, arguments: Mapping[str, Any]) -> None:
         self.world, self.group, self.logger, self.metrics, self.name = world, group, log, metrics, name
         self.roster, self.roster_file, self.kept_file, self.bounds = roster, roster_file, kept_file, bounds
         self.load_fields = load_fields
@@ -40,7 +40,7 @@
         self.calls = 0  # small calls under way
         self.relayed = 0
         self.emptied: Callable[[], None] | None = None
-        self.brain = Brain(self, seed, **arguments)  # type: ignore[abstract]
+        self.brain = RuledBrain(self, seed, preferences, **arguments)  # type: ignore[abstract]
 
     def begin(self) -> None:
         """Starts with the fleet's file, or with the list kept from before if that can't be read."""
--- a/stackpitch/gateway/serve.py
+++ b/stackpitch/gateway/serve.py
@@ -14,28 +14,17 @@
 from stackpitch.gateway.leg import Bounds
 from stackpitch.gateway.metrics import Metrics
 from stackpitch.gateway.roster import Roster
-from stackpitch.interface import Customer, Product, Role, Time
+from stackpitch.interface import Time
 from stackpitch.loop import SECOND, Coro, Group, World
 from stackpitch.settings import Settings
-
-
-def ticks(ms: float) -> Time:
-    return int(ms * 10)
-
-
-def products(settings: Settings) -> dict[str, Product]:
-    return {
-        name: Product(name, one.effect, one.scope, ticks(one.memory_ms), ticks(one.slo_ms),
-                      ticks(one.slo_ms_per_ktok), ticks(one.token_gap_ms), ticks(one.time_limit_ms), one.revenue,
-                      one.late_revenue)
-        for name, one in settings.products.items()}
+from stackpitch.settings.made import customers, kinds, module_arguments, preferences, products, ticks
 
 
 def reading(settings: Settings) -> Reading:
     made = products(settings)
     models = {model: made[name] for name, one in settings.products.items() for model in one.models}
-    keys = {key: Customer(name, one.share, one.quota_per_s)
-            for name, one in settings.customers.items() for key in one.keys}
+    known = customers(settings)
+    keys = {key: known[name] for name, one in settings.customers.items() for key in one.keys}
     return Reading(made, models, keys, settings.door.bytes_per_tok, settings.door.default_limit_tok)
 
 
@@ -49,16 +38,11 @@
 
 
 def host(world: World, group: Group, settings: Settings, log: logs.Log, metrics: Metrics) -> Host:
-    module, load = settings.module, settings.load
-    kinds: dict[str, tuple[Role, int]] = {name: (one.role, one.memory_tok) for name, one in settings.kinds.items()}
-    arguments = {
-        "number": module.number, "gateways": module.gateways, "zone": module.zone, "max_legs": module.max_legs,
-        "max_retry_after": ticks(module.max_retry_after_ms), "local_reads": module.local_reads, "must_ask": False,
-        "cold_from": module.cold_from, "warm_up": ticks(module.warm_up_ms), "fall_multiple": module.fall_multiple,
-    }
-    return Host(world, group, log, metrics, settings.name, Roster(world, kinds), Path(settings.roster),
+    load = settings.load
+    return Host(world, group, log, metrics, settings.name, Roster(world, kinds(settings)), Path(settings.roster),
                 Path(settings.kept) if settings.kept else None, bounds(settings),
-                (load.held_share, load.slots_share, load.queued), settings.seed, arguments)
+                (load.held_share, load.slots_share, load.queued), settings.seed,
+                preferences(settings, world.wall_ms() * 10 - world.now()), module_arguments(settings))
 
 
 def serve(world: World, settings: Settings, ready: Callable[[int, int], None] | None = None) -> Coro[None]:
--- /dev/null
+++ b/stackpitch/preferences.py
@@ -0,0 +1,155 @@
+"""Operators' own rules on where work goes, around the chain of `Brain`. Pure; only the standard library.
+
+A rule names products, customers and hours, and servers that such work goes to only, rather, rather not or never. It
+can only narrow what the chain would choose from: no rule adds a server, a leg or an answer, so the five rules hold
+with any of them. "only" and "never" bind every leg, also that of a session's later turn; "prefer", "avoid" and
+weights give way where they would leave nothing, and never move a later turn from its writer.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any, Literal
+from zlib import crc32
+
+from stackpitch.brain import Brain, Fleet, Guard, Seat, mix
+from stackpitch.interface import Gateway, Generation, Role, Server, Time
+
+MINUTE, DAY_MINUTES = 600_000, 1440
+DAYS = ("mon", "tue", "wed", "thu", "fri", "sat", "sun")
+FIRST_DAY = 3  # the first day of Unix time was a Thursday
+
+
+@dataclass(frozen=True, slots=True)
+class Hours:
+    """Minutes of the day from `begin` up to `end`; past midnight if `end` is not later. The day is that of `begin`."""
+
+    begin: int
+    end: int
+    days: frozenset[int] = frozenset(range(7))
+
+    def at(self, day: int, minute: int) -> bool:
+        if self.begin < self.end:
+            return day in self.days and self.begin <= minute < self.end
+        return (day in self.days and minute >= self.begin) or ((day - 1) % 7 in self.days and minute < self.end)
+
+
+@dataclass(frozen=True, slots=True)
+class Servers:
+    """Servers that are named in each way that says something; empty ways say nothing."""
+
+    names: frozenset[str] = frozenset()
+    cells: frozenset[int] = frozenset()
+    zones: frozenset[str] = frozenset()
+    kinds: frozenset[str] = frozenset()
+    roles: frozenset[str] = frozenset()
+
+    def __contains__(self, server: Server) -> bool:
+        return all(not wanted or found in wanted for wanted, found in (
+            (self.names, server.name), (self.cells, server.cell), (self.zones, server.zone), (self.kinds, server.kind),
+            (self.roles, server.role)))
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """`how` work of these products and customers (empty: all) goes to `where` in these hours (empty: always).
+
+    A rule says nothing of a role that none of the servers of `where` ever had: "only in rack 1" leaves readers as
+    they are if rack 1 has writers alone.
+    """
+
+    name: str
+    how: Literal["only", "prefer", "avoid", "never"]
+    where: Servers
+    products: frozenset[str] = frozenset()
+    customers: frozenset[str] = frozenset()
+    hours: tuple[Hours, ...] = ()
+    roles: frozenset[Role] = frozenset()  # that it is known to speak of, whatever the list holds
+
+    def meets(self, gen: Generation, day: int, minute: int) -> bool:
+        customer = gen.customer.name if gen.customer is not None else None
+        return ((not self.products or gen.product.name in self.products)
+                and (not self.customers or customer in self.customers)
+                and (not self.hours or any(one.at(day, minute) for one in self.hours)))
+
+
+@dataclass(slots=True)
+class Preferences:
+    """The rules in force. `epoch` is Unix time, in tenths of a millisecond, at which the gateway's clock was 0; both
+    offsets in minutes."""
+
+    rules: tuple[Rule, ...] = ()
+    epoch: Time = 0
+    utc_offset: int = 0
+    roles: dict[str, frozenset[Role]] = field(default_factory=dict)  # that a rule speaks of, also once all there are lost
+    heaviest: dict[Role, float] = field(default_factory=dict)  # weight by role; empty while all weigh the same
+
+    def listed(self, servers: Iterable[Server]) -> None:
+        """Takes the present list."""
+        known = [one for one in servers if one.state != "gone"]
+        for rule in self.rules:
+            spoken = self.roles.get(rule.name, rule.roles)
+            self.roles[rule.name] = spoken.union(one.role for one in known if one in rule.where)
+        weights: dict[Role, set[float]] = {}
+        for one in known:
+            weights.setdefault(one.role, set()).add(one.weight)
+        self.heaviest = {role: max(found) for role, found in weights.items() if len(found) > 1}
+
+    def clock(self, now: Time) -> tuple[int, int]:
+        """Day of the week, from Monday, and minute of the day."""
+        minutes = (now + self.epoch) // MINUTE + self.utc_offset
+        return (minutes // DAY_MINUTES + FIRST_DAY) % 7, minutes % DAY_MINUTES
+
+    def meeting(self, now: Time, gen: Generation, hard: bool) -> list[Rule]:
+        if not self.rules:
+            return []
+        day, minute = self.clock(now)
+        hows = ("only", "never") if hard else ("prefer", "avoid")
+        return [one for one in self.rules if one.how in hows and one.meets(gen, day, minute)]
+
+    def may(self, now: Time, gen: Generation, server: Server) -> bool:
+        """Whether "only" and "never" leave it open."""
+        return all((server in rule.where) is (rule.how == "only") for rule in self.meeting(now, gen, hard=True)
+                   if rule.how == "never" or server.role in self.roles.get(rule.name, ()))
+
+    def narrow(self, now: Time, gen: Generation, role: Role, seats: list[Seat]) -> list[Seat]:
+        """What "prefer", "avoid" and weights leave, each as far as it leaves anything."""
+        for rule in self.meeting(now, gen, hard=False):
+            if role in self.roles.get(rule.name, ()):
+                seats = [one for one in seats if (one.server in rule.where) is (rule.how == "prefer")] or seats
+        heaviest = self.heaviest.get(role)
+        if heaviest is not None:
+            mark = crc32((gen.session or gen.name).encode())
+            seats = [one for one in seats if mix(one.hash, mark) < one.server.weight / heaviest * 2**32] or seats
+        return seats
+
+
+class RuledGuard(Guard):
+    """The guard of the chain, with fewer servers to choose from."""
+
+    def __init__(self, gateway: Gateway, fleet: Fleet, max_legs: int, max_retry_after: Time,
+                 preferences: Preferences) -> None:
+        super().__init__(gateway, fleet, max_legs, max_retry_after)
+        self.preferences = preferences
+
+    def may_send(self, now: Time, gen: Generation, server: Server) -> bool:
+        return super().may_send(now, gen, server) and self.preferences.may(now, gen, server)
+
+    def open(self, role: Role, now: Time, gen: Generation) -> list[Seat]:
+        return self.preferences.narrow(now, gen, role, super().open(role, now, gen))
+
+
+class RuledBrain(Brain):
+    """`Brain` with the guard above in its chain; without rules and with equal weights it does just what `Brain` does."""
+
+    def __init__(self, gateway: Gateway, seed: int, preferences: Preferences, **arguments: Any) -> None:
+        super().__init__(gateway, seed, **arguments)
+        self.preferences = preferences
+        plain = self.guard
+        self.guard = RuledGuard(gateway, self.fleet, plain.max_legs, plain.max_retry_after, preferences)
+        self.guard.below, self.chain[0] = plain.below, self.guard
+        for stage in (self.admission, self.owner, self.reader, self.writer):
+            stage.guard = self.guard
+
+    def roster(self, now: Time, servers: list[Server], complete: bool) -> None:
+        super().roster(now, servers, complete)
+        self.preferences.listed(self.fleet.seats)
--- a/stackpitch/settings/model.py
+++ b/stackpitch/settings/model.py
@@ -2,7 +2,7 @@
 
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 Port = Annotated[int, Field(ge=0, le=65535)]
 Milliseconds = Annotated[float, Field(ge=0)]
@@ -90,6 +90,37 @@
     fall_multiple: Some = 2.5
 
 
+Clock = Annotated[str, Field(pattern=r"^([01]\d|2[0-3]):[0-5]\d-([01]\d|2[0-3]):[0-5]\d$")]
+
+
+class Hours(Part):
+    """`clock` from and to, as 22:00-06:00; the days are those on which it begins."""
+
+    clock: Clock
+    days: list[Literal["mon", "tue", "wed", "thu", "fri", "sat", "sun"]] = []  # empty: every day
+
+
+class Where(Part):
+    """Servers that are meant in each of the ways that say something."""
+
+    servers: list[Name] = []
+    cells: list[int] = []
+    zones: list[str] = []
+    kinds: list[Name] = []
+    roles: list[Literal["reader", "writer", "mixed"]] = []
+
+
+class Rule(Part):
+    """An operators' rule on where work goes. It only narrows: none of the five rules can be overridden by it."""
+
+    name: Annotated[str, Field(min_length=1, max_length=80)]
+    how: Literal["only", "prefer", "avoid", "never"]
+    where: Where
+    products: list[Name] = []  # empty: all
+    customers: list[Name] = []  # empty: all, also none
+    hours: list[Hours] = []  # empty: always
+
+
 class Load(Part):
     """Which fields of a load report mean what; empty: not told."""
 
@@ -120,10 +151,27 @@
     products: dict[Name, Product] = Field(min_length=1)
     customers: dict[Name, Customer] = {}
     kinds: dict[Name, Kind] = Field(min_length=1)
+    rules: list[Rule] = []
+    utc_offset_min: Annotated[int, Field(ge=-1440, le=1440)] = 0  # of the clock that the rules' hours go by
     load: Load = Load()
     stop: Stop = Stop()
     logs: Logs = Logs()
 
+    @model_validator(mode="after")
+    def rules_name_what_is_there(self) -> "Settings":
+        seen = set[str]()
+        for number, rule in enumerate(self.rules):
+            if rule.name in seen:
+                raise ValueError(f"rules.{number}.name: {rule.name!r} stands there twice")
+            seen.add(rule.name)
+            for field, named, known in (("products", rule.products, list(self.products)),
+                                        ("customers", rule.customers, list(self.customers)),
+                                        ("where.kinds", rule.where.kinds, list(self.kinds))):
+                for one in named:
+                    if one not in known:
+                        raise ValueError(f"rules.{number}.{field}: found {one!r}; allowed: {', '.join(known) or 'none'}")
+        return self
+
 
 class Listed(Part):
     """One server of the fleet's file."""
