--- a/benchmarks/bed.py
+++ b/benchmarks/bed.py
@@ -76,10 +76,13 @@
             "kinds": {role: {"role": role, "memory_tok": 1 << 40} for role in ("reader", "writer", "mixed")}}))
         return self.start(port, "stackpitch", "serve", "-c", str(path), first=first), port
 
-    def clients(self, port: int, **plan: float) -> dict:
-        done = subprocess.run([sys.executable, "-m", "benchmarks.peers", "clients", str(port), json.dumps(plan)],
-                              capture_output=True, check=True)
-        return json.loads(done.stdout)
+    def clients(self, port: int, processes: int = 1, **plan: float) -> dict:
+        """What `processes` processes of clients measure together; rates add up, delays are the first one's."""
+        command = [sys.executable, "-m", "benchmarks.peers", "clients", str(port), json.dumps(plan)]
+        running = [subprocess.Popen(command, stdout=subprocess.PIPE) for _ in range(processes)]
+        found = [json.loads(one.communicate()[0]) for one in running]
+        return found[0] | {name: sum(one[name] for one in found) for name in ("chunks", "refused", "asks")} | {
+            "took_s": max(one["took_s"] for one in found)}
 
 
 def cpu(process: "subprocess.Popen[bytes]") -> float:
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -1,8 +1,8 @@
 """The other ends of a measurement, each a process: a source of streams, bare relays, counting clients.
 
     python -m benchmarks.peers source PORT              answers every leg at once, at the pace that the body asks for
-    python -m benchmarks.peers bare PORT TO             a relay on our loop that decides nothing
-    python -m benchmarks.peers asyncio PORT TO          the same on the standard library's asyncio streams
+    python -m benchmarks.peers bare PORT TO...          a relay on our loop that decides nothing
+    python -m benchmarks.peers asyncio PORT TO...       the same on the standard library's asyncio streams
     python -m benchmarks.peers clients PORT FILE        asks as FILE (JSON) says, prints what it measured as JSON
 """
 
@@ -10,6 +10,7 @@
 import json
 import sys
 import time
+from itertools import cycle
 
 import msgspec
 
@@ -69,7 +70,9 @@
     yield from world.group(body)
 
 
-def bare(world: RealWorld, port: int, to: int) -> Coro[None]:
+def bare(world: RealWorld, port: int, to: list[int]) -> Coro[None]:
+    turn = cycle(to)
+
     def pump(here: Stream, there: Stream) -> Coro[None]:
         try:
             while data := (yield from here.recv()):
@@ -85,14 +88,16 @@
         listener = world.listen((HOST, port))
         while True:
             near = yield from listener.accept()
-            far = yield from world.connect((HOST, to), SECOND)
+            far = yield from world.connect((HOST, next(turn)), SECOND)
             group.spawn(pump(near, far), "up")
             group.spawn(pump(far, near), "down")
 
     yield from world.group(body)
 
 
-async def standard(port: int, to: int) -> None:
+async def standard(port: int, to: list[int]) -> None:
+    turn = cycle(to)
+
     async def pump(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while data := await reader.read(65536):
@@ -104,7 +109,7 @@
             writer.close()
 
     async def one(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        far_reader, far_writer = await asyncio.open_connection(HOST, to)
+        far_reader, far_writer = await asyncio.open_connection(HOST, next(turn))
         await asyncio.gather(pump(reader, far_writer), pump(far_reader, writer))
 
     server = await asyncio.start_server(one, HOST, port)
@@ -168,13 +173,13 @@
 def main() -> None:
     what, port = sys.argv[1], int(sys.argv[2])
     if what == "asyncio":
-        asyncio.run(standard(port, int(sys.argv[3])))
+        asyncio.run(standard(port, [int(one) for one in sys.argv[3:]]))
         return
     world = RealWorld()
     if what == "source":
         world.run(source(world, port))
     elif what == "bare":
-        world.run(bare(world, port, int(sys.argv[3])))
+        world.run(bare(world, port, [int(one) for one in sys.argv[3:]]))
     else:
         print(json.dumps(world.run(clients(world, port, json.loads(sys.argv[3])))))
 
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -4,7 +4,8 @@
 
 In each round every relay gets the same load from the same source, one after the other: `paced`, where each chunk
 comes alone as tokens do, and the figure is what a chunk costs the relay in CPU; and `flood`, where chunks come as
-fast as they are taken. Medians over the rounds.
+fast as they are taken, from three sources to three processes of clients, so that the relay is what is short. Medians over
+the rounds.
 """
 
 import argparse
@@ -17,7 +18,7 @@
 from benchmarks.bed import Bed, cpu, free_port
 
 PACED = {"streams": 100, "asks": 1, "count": 300, "gap_ms": 20, "prompt": 400, "spread_ms": 0.2}
-FLOOD = {"streams": 32, "asks": 1, "count": 8000, "gap_ms": 0, "prompt": 400}
+FLOOD = {"processes": 3, "streams": 12, "asks": 1, "count": 8000, "gap_ms": 0, "prompt": 400}
 FIRST = {"streams": 4, "asks": 150, "count": 3, "gap_ms": 5, "prompt": 4000}
 RELAYS = ("direct", "bare relay, same loop", "asyncio streams", "gateway, one leg", "gateway, two legs")
 
@@ -25,13 +26,14 @@
 def measure(rounds: int) -> dict[str, dict[str, list[float]]]:
     found: dict[str, dict[str, list[float]]] = {name: {} for name in RELAYS}
     with Bed() as bed:
-        at = bed.source()
-        ports: dict[str, tuple[subprocess.Popen[bytes] | None, int]] = {"direct": (None, at)}
+        sources = [bed.source() for _ in range(3)]
+        at = [str(one) for one in sources]
+        ports: dict[str, tuple[subprocess.Popen[bytes] | None, int]] = {"direct": (None, sources[0])}
         for name, word in ((RELAYS[1], "bare"), (RELAYS[2], "asyncio")):
             port = free_port()
-            ports[name] = bed.start(port, "benchmarks.peers", word, str(port), str(at)), port
-        ports[RELAYS[3]] = bed.gateway([("m1", "mixed", at)])
-        ports[RELAYS[4]] = bed.gateway([("r1", "reader", at), ("w1", "writer", at)])
+            ports[name] = bed.start(port, "benchmarks.peers", word, str(port), *at), port
+        ports[RELAYS[3]] = bed.gateway([(f"m{one}", "mixed", one) for one in sources])
+        ports[RELAYS[4]] = bed.gateway([("r1", "reader", sources[0]), *((f"w{one}", "writer", one) for one in sources)])
         for number in range(rounds):
             names = RELAYS[number % len(RELAYS):] + RELAYS[:number % len(RELAYS)]
             for name in names:
@@ -58,7 +60,7 @@
     console, direct, own = Console(width=150), found["direct"], found[RELAYS[1]]
     table = Table(title="Chunks through one process (simulated engines on one machine)", title_justify="left")
     for column in ("relay", "CPU us a chunk, paced", "chunks a CPU second", "of bare", "of asyncio", "flood, chunks a s",
-                   "of bare", "of asyncio"):
+                   "of bare", "of asyncio", "CPU us a chunk, flood"):
         table.add_column(column, justify="left" if column == "relay" else "right")
     other = found[RELAYS[2]]
     for name in RELAYS[1:]:
@@ -66,7 +68,7 @@
         table.add_row(name, f"{one['paced us']:.1f}", f"{1e6 / one['paced us']:.0f}",
                       f"{own['paced us'] / one['paced us']:.2f}", f"{other['paced us'] / one['paced us']:.2f}",
                       f"{one['flood per s']:.0f}", f"{one['flood per s'] / own['flood per s']:.2f}",
-                      f"{one['flood per s'] / other['flood per s']:.2f}")
+                      f"{one['flood per s'] / other['flood per s']:.2f}", f"{one['flood us']:.1f}")
     console.print(table)
     table = Table(title="Added to what the engine asked directly takes, ms", title_justify="left")
     for column in ("relay", "first token p50", "p99", "a chunk p50", "p99"):
--- a/stackpitch/preferences.py
+++ b/stackpitch/preferences.py
@@ -82,6 +82,7 @@
     utc_offset: int = 0
     roles: dict[str, frozenset[Role]] = field(default_factory=dict)  # that a rule speaks of, also once all there are lost
     heaviest: dict[Role, float] = field(default_factory=dict)  # weight by role; empty while all weigh the same
+    last: tuple[Generation, Time, list[Rule]] | None = None
 
     def listed(self, servers: Iterable[Server]) -> None:
         """Takes the present list."""
@@ -99,6 +100,10 @@
         minutes = (now + self.epoch) // MINUTE + self.utc_offset
         return (minutes // DAY_MINUTES + FIRST_DAY) % 7, minutes % DAY_MINUTES
 
+    @property
+    def hard(self) -> bool:
+        return any(one.how in ("only", "never") for one in self.rules)
+
     def meeting(self, now: Time, gen: Generation, hard: bool) -> list[Rule]:
         if not self.rules:
             return []
@@ -107,8 +112,10 @@
         return [one for one in self.rules if one.how in hows and one.meets(gen, day, minute)]
 
     def may(self, now: Time, gen: Generation, server: Server) -> bool:
-        """Whether "only" and "never" leave it open."""
-        return all((server in rule.where) is (rule.how == "only") for rule in self.meeting(now, gen, hard=True)
+        """Whether "only" and "never" leave it open. Asked for server after server: the last rules are kept."""
+        if self.last is None or self.last[:2] != (gen, now):
+            self.last = gen, now, self.meeting(now, gen, hard=True)
+        return all((server in rule.where) is (rule.how == "only") for rule in self.last[2]
                    if rule.how == "never" or server.role in self.roles.get(rule.name, ()))
 
     def narrow(self, now: Time, gen: Generation, role: Role, seats: list[Seat]) -> list[Seat]:
@@ -123,29 +130,34 @@
         return seats
 
 
-class RuledGuard(Guard):
-    """The guard of the chain, with fewer servers to choose from."""
+class WeighingGuard(Guard):
+    """The guard of the chain, with fewer servers to choose from where that leaves any."""
 
     def __init__(self, gateway: Gateway, fleet: Fleet, max_legs: int, max_retry_after: Time,
                  preferences: Preferences) -> None:
         super().__init__(gateway, fleet, max_legs, max_retry_after)
         self.preferences = preferences
 
-    def may_send(self, now: Time, gen: Generation, server: Server) -> bool:
-        return super().may_send(now, gen, server) and self.preferences.may(now, gen, server)
-
     def open(self, role: Role, now: Time, gen: Generation) -> list[Seat]:
         return self.preferences.narrow(now, gen, role, super().open(role, now, gen))
 
 
+class RuledGuard(WeighingGuard):
+    """With "only" and "never" as well, which bind every leg."""
+
+    def may_send(self, now: Time, gen: Generation, server: Server) -> bool:
+        return super().may_send(now, gen, server) and self.preferences.may(now, gen, server)
+
+
 class RuledBrain(Brain):
-    """`Brain` with the guard above in its chain; without rules and with equal weights it does just what `Brain` does."""
+    """`Brain` with one of the guards above in its chain; without rules and with equal weights it does just what `Brain` does."""
 
     def __init__(self, gateway: Gateway, seed: int, preferences: Preferences, **arguments: Any) -> None:
         super().__init__(gateway, seed, **arguments)
         self.preferences = preferences
         plain = self.guard
-        self.guard = RuledGuard(gateway, self.fleet, plain.max_legs, plain.max_retry_after, preferences)
+        kind = RuledGuard if preferences.hard else WeighingGuard
+        self.guard = kind(gateway, self.fleet, plain.max_legs, plain.max_retry_after, preferences)
         self.guard.below, self.chain[0] = plain.below, self.guard
         for stage in (self.admission, self.owner, self.reader, self.writer):
             stage.guard = self.guard
