--- a/stackpitch/preferences.py
+++ b/stackpitch/preferences.py
@@ -150,7 +150,7 @@
 
 
 class RuledBrain(Brain):
-    """`Brain` with one of the guards above in its chain; without rules and with equal weights it does just what `Brain` does."""
+    """`Brain` with one of the guards above; without rules and with equal weights it does just what `Brain` does."""
 
     def __init__(self, gateway: Gateway, seed: int, preferences: Preferences, **arguments: Any) -> None:
         super().__init__(gateway, seed, **arguments)
