--- a/stackpitch/loop/__init__.py
+++ b/stackpitch/loop/__init__.py
@@ -6,14 +6,15 @@
 
 from random import Random
 
+from stackpitch.loop.files import Files, RealFiles
 from stackpitch.loop.real import RealWorld
 from stackpitch.loop.task import Cancelled, Coro, Group, Scope, Task
 from stackpitch.loop.timers import Time, Timer, Timers
-from stackpitch.loop.world import Child, ConnectFailed, Listener, Lost, Stream, World
+from stackpitch.loop.world import Child, ConnectFailed, Listener, Lost, Stream, Watch, World
 
 MS, SECOND = 10, 10_000
 
 __all__ = [
-    "MS", "SECOND", "Cancelled", "Child", "ConnectFailed", "Coro", "Group", "Listener", "Lost", "Random", "RealWorld",
-    "Scope", "Stream", "Task", "Time", "Timer", "Timers", "World",
+    "MS", "SECOND", "Cancelled", "Child", "ConnectFailed", "Coro", "Files", "Group", "Listener", "Lost", "Random", "RealFiles",
+    "RealWorld", "Scope", "Stream", "Task", "Time", "Timer", "Timers", "Watch", "World",
 ]
--- a/stackpitch/loop/world.py
+++ b/stackpitch/loop/world.py
@@ -56,6 +56,14 @@
     def code(self) -> int | None: ...  # as `wait` gives it; None while it runs
 
 
+class Watch(Protocol):
+    """Hints that something happened in folders. They may come for nothing and some may be lost: look as well."""
+
+    def aim(self, folders: Sequence[str]) -> None: ...  # these from now on; those that are not there are left out
+    def happened(self) -> Coro[None]: ...  # waits for a hint since the last call; one is enough for any number
+    def close(self) -> None: ...
+
+
 class World(ABC):
     """Runs tasks. One at a time is current; `run` ends when the first task has."""
 
@@ -87,6 +95,15 @@
     @abstractmethod
     def spawn_child(self, command: Sequence[str], *, output: str | None = None) -> Child: ...
     @abstractmethod
+    def spawn_piped(self, command: Sequence[str], *, errors: str | None = None) -> tuple[Child, Stream]:
+        """A child whose standard input and output are a stream's other end."""
+    @abstractmethod
+    def aside(self, call: Callable[[], T]) -> Coro[T]:
+        """Runs a call that blocks (files, no more) where it holds up nobody; one at a time, in order."""
+    @abstractmethod
+    def watch(self) -> Watch | None:
+        """None if this machine has none to give; then looking must do."""
+    @abstractmethod
     def signals(self, *numbers: int) -> Callable[[], Coro[int]]:
         """Catches these from now on; what is returned waits for the next one and gives its number."""
 
--- /dev/null
+++ b/stackpitch/membership/bundle.py
@@ -0,0 +1,128 @@
+"""All files of one configuration as one set: read together, checked together, whole or not at all.
+
+Runs in a process of its own (`stackpitch checker`), so that neither size nor malice of a file holds up the gateway.
+"""
+
+from collections.abc import Mapping
+from hashlib import sha256
+from pathlib import Path
+
+import msgspec
+
+from stackpitch.expect.book import Book
+from stackpitch.expect.deployment import deployment
+from stackpitch.expect.judge import Judge
+from stackpitch.expect.parse import BadStatement, read_page
+from stackpitch.membership.entries import Entry, digest
+from stackpitch.settings import BadSettings, Fleet, Listed, Settings, Weights, read
+from stackpitch.settings.load import check
+
+
+class Bundle(msgspec.Struct):
+    """What was read. With `problems` nothing else counts; `unsettled`: files changed while they were read."""
+
+    seen: dict[str, str]  # digest of each file's bytes, "" where it can't be read
+    problems: list[str] = []
+    unsettled: bool = False
+    settings: msgspec.Raw = msgspec.Raw(b"{}")
+    version: int = 0
+    digest: str = ""
+    entries: tuple[Entry, ...] = ()
+    guards: int = 0
+
+
+def files_of(config: Path, settings: Settings) -> list[Path]:
+    """All that are read for these settings."""
+    found = [config, Path(settings.roster)]
+    if settings.weights:
+        found.append(Path(settings.weights))
+    for one in settings.statements:
+        path = Path(one)
+        found += sorted(path.rglob("*.expect")) if path.is_dir() else [path]
+    return found
+
+
+def fingerprints(paths: list[Path]) -> dict[str, str]:
+    found = {}
+    for path in paths:
+        try:
+            found[str(path)] = sha256(path.read_bytes()).hexdigest()[:32]
+        except OSError:
+            found[str(path)] = ""
+    return found
+
+
+def entries_of(fleet: Fleet, weights: Mapping[str, float], path: str) -> tuple[Entry, ...]:
+    """Raises BadSettings on weights of servers that are not listed."""
+    names = {one.name for one in fleet.servers}
+    unknown = [name for name in weights if name not in names]
+    if unknown:
+        raise BadSettings(f"{path}: {', '.join(unknown[:5])}: not in the fleet's file")
+    return tuple(Entry(**(one.model_dump() | {"weight": weights.get(one.name, one.weight)})) for one in fleet.servers)
+
+
+def meaning(fleet: Fleet, settings: Settings) -> list[str]:
+    """What is wrong with a list beyond its form."""
+    wrong, names, addresses = [], dict[str, int](), dict[tuple[str, int], str]()
+    for number, one in enumerate(fleet.servers):
+        field = f"servers.{number}"
+        if one.name in names:
+            wrong.append(f"{field}.name: {one.name!r} stands in servers.{names[one.name]} already")
+        names.setdefault(one.name, number)
+        if one.kind not in settings.kinds:
+            wrong.append(f"{field}.kind: found {one.kind!r}; allowed: {', '.join(settings.kinds)}")
+        other = addresses.setdefault((one.host, one.port), one.name)
+        if other != one.name:
+            wrong.append(f"{field}: {one.host}:{one.port} is the address of {other!r} already")
+    if not fleet.servers:
+        wrong.append("servers: found none; at least one is wanted")
+    elif not any(settings.kinds[one.kind].role in ("writer", "mixed") for one in fleet.servers if one.kind in settings.kinds):
+        wrong.append("servers: none that writes; at least one is wanted")
+    return wrong
+
+
+def read_set(config: Path, given: Mapping[str, str]) -> Bundle:
+    """Never raises for what stands in the files."""
+    paths, problems = [config], list[str]()
+    bundle = Bundle({})
+    try:
+        settings = read(Settings, config, given)
+        paths = files_of(config, settings)
+        before = fingerprints(paths)
+        fleet = read(Fleet, Path(settings.roster))
+        weights = read(Weights, Path(settings.weights)).root if settings.weights else {}
+        problems += [f"{settings.roster}: {one}" for one in meaning(fleet, settings)]
+        entries = entries_of(fleet, weights, settings.weights)
+        told = digest(entries)
+        if fleet.digest and fleet.digest != (plain := digest(entries_of(fleet, {}, ""))):
+            problems.append(f"{settings.roster}: digest: found {fleet.digest!r}; that of these servers is {plain!r}")
+        if not problems:
+            wrong, bundle.guards = guards(settings, fleet, entries)
+            problems += wrong
+        bundle.settings = msgspec.Raw(settings.model_dump_json().encode())
+        bundle.version, bundle.digest, bundle.entries = fleet.version, told, entries
+        bundle.unsettled = fingerprints(paths) != before
+    except (BadSettings, BadStatement) as wrong_file:
+        problems += str(wrong_file).split("\n")
+    bundle.seen, bundle.problems = fingerprints(paths), problems
+    return bundle
+
+
+def guards(settings: Settings, fleet: Fleet, entries: tuple[Entry, ...]) -> tuple[list[str], int]:
+    """Statements marked as guards that do not hold, and how many there are."""
+    if not settings.statements:
+        return [], 0
+    book = Book([read_page(path) for path in files_of(Path("."), settings)[2 if not settings.weights else 3:]])
+    weighed = check(Fleet, {"version": fleet.version, "servers": [
+        Listed(**{name: getattr(one, name) for name in Entry.__struct_fields__}).model_dump() for one in entries]}, "list")
+    judge = Judge(book, deployment(settings, weighed))
+    names = [name for name, (_, one) in book.statements.items() if one.guard]
+    return [f'{one.file}:{one.statement.line}: guard "{one.statement.name}" {one.word()}: {one.why()}'
+            for one in judge.all(names) if not one.passed], len(names)
+
+
+class Asked(msgspec.Struct):
+    """A line that the checker is sent."""
+
+    config: str
+    given: dict[str, str] = {}
--- /dev/null
+++ b/stackpitch/membership/entries.py
@@ -0,0 +1,71 @@
+"""What a list says of each server, as plain values. Pure."""
+
+from collections.abc import Iterable, Mapping
+from hashlib import sha256
+from typing import Literal
+
+import msgspec
+
+State = Literal["ready", "draining"]
+
+
+class Entry(msgspec.Struct, frozen=True, kw_only=True):
+    """One server as listed. `started_unix_ms`: of its latest start; None: long ago."""
+
+    name: str
+    host: str
+    port: int
+    kind: str
+    zone: str = ""
+    cell: int = 0
+    state: State = "ready"
+    weight: float = 1.0
+    started_unix_ms: int | None = None
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.host, self.port
+
+
+class Proposal(msgspec.Struct, frozen=True):
+    """A source's complete list. `digest` is that of its content."""
+
+    source: str
+    version: int
+    digest: str
+    entries: tuple[Entry, ...]
+
+
+def digest(entries: Iterable[Entry]) -> str:
+    """Of what the entries say, whatever the order or the form that they were written in."""
+    told = sha256()
+    for one in sorted(entries, key=lambda one: one.name):
+        told.update(msgspec.json.encode(one))
+    return told.hexdigest()[:32]
+
+
+class Change(msgspec.Struct, frozen=True):
+    """How one list differs from another."""
+
+    added: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+    changed: tuple[tuple[str, str], ...] = ()  # name, and fields as "weight 1 -> 0.5"
+
+    def __bool__(self) -> bool:
+        return bool(self.added or self.removed or self.changed)
+
+    def text(self) -> str:
+        parts = [f"{len(names)} {word}" for word, names in (("added", self.added), ("removed", self.removed)) if names]
+        parts += [f"{len(self.changed)} changed"] if self.changed else []
+        return ", ".join(parts) or "nothing"
+
+
+def change(old: Mapping[str, Entry], new: Mapping[str, Entry]) -> Change:
+    changed = []
+    for name in sorted(old.keys() & new.keys()):
+        one, other = old[name], new[name]
+        if one != other:
+            fields = [f"{field} {getattr(one, field)} -> {getattr(other, field)}" for field in Entry.__struct_fields__
+                      if getattr(one, field) != getattr(other, field)]
+            changed.append((name, ", ".join(fields)))
+    return Change(tuple(sorted(new.keys() - old.keys())), tuple(sorted(old.keys() - new.keys())), tuple(changed))
--- a/stackpitch/preferences.py
+++ b/stackpitch/preferences.py
@@ -154,13 +154,17 @@
 
     def __init__(self, gateway: Gateway, seed: int, preferences: Preferences, **arguments: Any) -> None:
         super().__init__(gateway, seed, **arguments)
-        self.preferences = preferences
-        plain = self.guard
+        self.prefer(preferences)
+
+    def prefer(self, preferences: Preferences) -> None:
+        """Takes other rules, from the next decision on. What is under way stays as it is."""
+        self.preferences, old = preferences, self.guard
         kind = RuledGuard if preferences.hard else WeighingGuard
-        self.guard = kind(gateway, self.fleet, plain.max_legs, plain.max_retry_after, preferences)
-        self.guard.below, self.chain[0] = plain.below, self.guard
+        self.guard = kind(self.gateway, self.fleet, old.max_legs, old.max_retry_after, preferences)
+        self.guard.pinned, self.guard.below, self.chain[0] = old.pinned, old.below, self.guard
         for stage in (self.admission, self.owner, self.reader, self.writer):
             stage.guard = self.guard
+        preferences.listed(self.fleet.seats)
 
     def roster(self, now: Time, servers: list[Server], complete: bool) -> None:
         super().roster(now, servers, complete)
--- a/stackpitch/settings/__init__.py
+++ b/stackpitch/settings/__init__.py
@@ -1,6 +1,6 @@
 """The settings of all parts: Jsonnet templates, one schema, complaints that name file, field and what is allowed."""
 
 from stackpitch.settings.load import BadSettings, evaluate, read, schema
-from stackpitch.settings.model import Fleet, Listed, Settings
+from stackpitch.settings.model import LIVE, Fleet, Listed, Settings, Weights
 
-__all__ = ["BadSettings", "Fleet", "Listed", "Settings", "evaluate", "read", "schema"]
+__all__ = ["LIVE", "BadSettings", "Fleet", "Listed", "Settings", "Weights", "evaluate", "read", "schema"]
--- a/stackpitch/settings/model.py
+++ b/stackpitch/settings/model.py
@@ -2,7 +2,7 @@
 
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import BaseModel, ConfigDict, Field, RootModel, model_validator
 
 Port = Annotated[int, Field(ge=0, le=65535)]
 Milliseconds = Annotated[float, Field(ge=0)]
@@ -129,6 +129,22 @@
     queued: str = "named_metrics.num_requests_waiting"
 
 
+class Membership(Part):
+    """How lists of servers come in and into force."""
+
+    watch: bool = True  # the files, and look at them each poll_ms as well; else they are read at start and when asked
+    settle_ms: Milliseconds = 100  # without a change, before files are read
+    settle_most_ms: Milliseconds = 3000  # after which they are read though they still change
+    poll_ms: Some = 1000
+    check_ms: Some = 10000  # for a check, after which it is given up
+    step_share: Annotated[float, Field(gt=0, le=1)] = 0.34  # of a role's ready servers that may be missing at once
+    step_ms: Milliseconds = 2000
+    persist_ms: Milliseconds = 15000  # a list held back is taken once it has stood so long
+    flap_count: Annotated[int, Field(ge=3)] = 6  # comings and goings of a server in flap_window_ms that keep it out
+    flap_window_ms: Some = 30000
+    flap_calm_ms: Milliseconds = 20000  # without one, before it is taken back
+
+
 class Stop(Part):
     finish_ms: Milliseconds = 30000  # what is held after this is answered at once
 
@@ -139,11 +155,18 @@
     form: Literal["json", "console"] = "json"
 
 
+# Settings that a running gateway takes over; all others need a restart, and are told as such.
+LIVE = frozenset({"products", "customers", "rules", "utc_offset_min", "logs", "weights", "statements", "membership"})
+
+
 class Settings(Part):
     name: Name = "gateway"
     seed: int = 1
     roster: str = Field(min_length=1)  # file of the fleet
-    kept: str = ""  # where the last good list is kept for a restart; empty: nowhere
+    weights: str = ""  # file of weights by server name, over those of the fleet's file; empty: none
+    statements: list[str] = []  # files or folders of routing statements; those marked as guards must hold
+    kept: str = ""  # file where the last good lists and their history are kept for a restart; empty: nowhere
+    membership: Membership = Membership()
     door: Door = Door()
     admin: Admin = Admin()
     engines: Engines = Engines()
@@ -188,5 +211,13 @@
 
 
 class Fleet(Part):
+    """`digest`, if it is there, is that of the servers, as `stackpitch fleet check` prints it: a list is then taken only
+    when it is whole."""
+
     version: Annotated[int, Field(ge=0)]
+    digest: str = ""
     servers: list[Listed]
+
+
+class Weights(RootModel[dict[Name, Some]]):
+    """Weight by server name."""
