Gateways watch their files; lists are checked apart, doubted, kept with their history

A keeper watches files (inotify on the loop's epoll, and looks as well), waits until they are at rest, has them read and checked in a process of its own, asks the registrar, applies, and keeps lists and rejections in the store. Statements marked as guards are asked first.

--- a/stackpitch/cli/expect.py
+++ b/stackpitch/cli/expect.py
@@ -21,10 +21,9 @@
 from stackpitch.expect.judge import Judge, Touched, Verdict
 from stackpitch.expect.layout import layout
 from stackpitch.expect.parse import BadStatement, read_page
-from stackpitch.gateway.roster import Roster, load
 from stackpitch.loop import MS, Coro, RealWorld
+from stackpitch.membership.bundle import meaning
 from stackpitch.settings import Fleet, Settings
-from stackpitch.settings.made import kinds
 
 SAMPLED = 24  # servers of which a change is tried, unless told otherwise
 WORTH_SHARING = 2000  # statements times servers from which further processes are worth their start
@@ -48,7 +47,10 @@
     path = fleet if fleet is not None else Path(settings.roster)
     if fleet is None and not path.is_absolute() and not path.exists():
         path = config.parent / path
-    return Given(settings, load(path, Roster(RealWorld(), kinds(settings))))
+    listed = settings_package.read(Fleet, path)
+    if wrong := meaning(listed, settings):
+        raise settings_package.BadSettings("\n".join(f"{path}: {one}" for one in wrong))
+    return Given(settings, listed)
 
 
 def books(files: tuple[Path, ...]) -> Book:
--- a/stackpitch/expect/judge.py
+++ b/stackpitch/expect/judge.py
@@ -181,7 +181,7 @@
         for one in self.plan.circumstances:
             self._circumstance(one)
         shares = [then for then in self.plan.statement.thens if isinstance(then.claim, s.Share)]
-        only_shares = len(shares) == len(self.plan.statement.thens)
+        only_shares = 0 < len(shares) == len(self.plan.statement.thens)
         gap = round(SECOND / self.asking.rate) if self.asking.rate else 50 * MS
         if self.deploy is not None and not self.asking.rate:
             begin, end = self.deploy
--- a/stackpitch/gateway/admin.py
+++ b/stackpitch/gateway/admin.py
@@ -1,19 +1,22 @@
 """The admin port: metrics, the list in force, and the call to read the list anew. Loopback by default."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from urllib.parse import parse_qsl
 
 import msgspec
 
 from stackpitch.loop import SECOND, Coro, Group, Listener, Lost, Stream, World
 from stackpitch.wire import http
 
+Route = Callable[[Mapping[str, str]], Coro[tuple[int, bytes]]]  # what stood after the ?, to status and body
+
 
 class Admin:
-    """A few small answers, one connection each. `routes` give status and body."""
+    """A few small answers, one connection each."""
 
     LIMIT = 5 * SECOND
 
-    def __init__(self, world: World, routes: dict[tuple[str, str], Callable[[], tuple[int, bytes]]]) -> None:
+    def __init__(self, world: World, routes: dict[tuple[str, str], Route]) -> None:
         self.world, self.routes = world, routes
 
     def serve(self, group: Group, listener: Listener) -> Coro[None]:
@@ -38,7 +41,7 @@
                     known = ", ".join(f"{method} {path}" for method, path in self.routes)
                     status, body = 404, msgspec.json.encode({"error": f"allowed: {known}"})
                 else:
-                    status, body = route()
+                    status, body = yield from route(dict(parse_qsl(reader.query)))
                 kind = "text/plain; version=0.0.4" if reader.path == "/metrics" else "application/json"
                 stream.write(http.response(status, body, [("connection", "close")], kind))
                 yield from stream.drain()
--- a/stackpitch/gateway/host.py
+++ b/stackpitch/gateway/host.py
@@ -5,8 +5,7 @@
 nothing taken is lost by it.
 """
 
-from collections.abc import Callable, Mapping
-from pathlib import Path
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import msgspec
@@ -17,11 +16,11 @@
 from stackpitch.gateway.metrics import Metrics
 from stackpitch.gateway.outcomes import Phase
 from stackpitch.gateway.pool import NoneFree, Pool
-from stackpitch.gateway.roster import Roster, keep, kept, load
+from stackpitch.gateway.roster import Roster
 from stackpitch.interface import Generation, Leg, Report, Server, Time
 from stackpitch.loop import ConnectFailed, Coro, Group, Lost, Stream, World
+from stackpitch.membership.entries import Entry
 from stackpitch.preferences import Preferences, RuledBrain
-from stackpitch.settings import BadSettings, Fleet
 from stackpitch.wire import http, orca
 from stackpitch.wire.engine import HEALTH, STATE_HOLD, STATE_RELEASE, HoldAnswer, StateCall
 
@@ -30,59 +29,39 @@
     """`interface.Gateway` in full. All tables are bounded by what is under way and by the roster."""
 
     def __init__(self, world: World, group: Group, log: Log, metrics: Metrics, name: str, roster: Roster,
-                 roster_file: Path, kept_file: Path | None, bounds: Bounds, load_fields: tuple[str, str, str],
+                 bounds: Bounds, load_fields: tuple[str, str, str],
                  seed: int, preferences: Preferences, arguments: Mapping[str, Any]) -> None:
         self.world, self.group, self.logger, self.metrics, self.name = world, group, log, metrics, name
-        self.roster, self.roster_file, self.kept_file, self.bounds = roster, roster_file, kept_file, bounds
+        self.roster, self.bounds = roster, bounds
         self.load_fields = load_fields
         self.asks: dict[Generation, Ask] = {}  # emptied once a generation is over and its last leg is back
         self.pools: dict[Server, Pool] = {}  # emptied when a server is gone and its last leg is back
         self.calls = 0  # small calls under way
         self.relayed = 0
         self.emptied: Callable[[], None] | None = None
+        self.list_wanted: Callable[[], None] | None = None  # the module asks to hear the list
         self.brain = RuledBrain(self, seed, preferences, **arguments)  # type: ignore[abstract]
 
     def begin(self) -> None:
-        """Starts with the fleet's file, or with the list kept from before if that can't be read."""
         self.brain.begin(self.world.now())
-        if self.reload() is None:
-            return
-        if self.kept_file is not None:
-            fleet = kept(self.kept_file, self.roster)
-            self.logger.warning("roster_kept", file=str(self.kept_file), version=fleet.version)
-            self._apply(fleet)
-            return
-        raise BadSettings(f"{self.roster_file}: no list to start with")
-
-    def reload(self) -> str | None:
-        """Reads the fleet's file and applies it whole, or not at all; gives what is wrong with it."""
-        try:
-            fleet = load(self.roster_file, self.roster)
-        except BadSettings as wrong:
-            self.metrics.rejected.inc()
-            self.logger.error("roster_rejected", why=str(wrong), in_force=self.roster.version)
-            self._tell(None, lambda now: self.brain.roster_failed(now))
-            return str(wrong)
-        self._apply(fleet)
-        if self.kept_file is not None:
-            try:
-                keep(self.kept_file, fleet)
-            except OSError as wrong:
-                self.logger.error("roster_not_kept", file=str(self.kept_file), why=wrong.strerror)
-        return None
 
-    def _apply(self, fleet: Fleet) -> None:
+    def take(self, version: int, entries: Sequence[Entry]) -> None:
+        """The complete list from now on. A server that is left out and has legs out stays until they have ended."""
         before = {server: self.roster.addresses[server] for server in self.pools if server in self.roster.addresses}
-        servers = self.roster.apply(fleet)
+        servers = self.roster.apply(version, entries)
         for server, address in before.items():
             if self.roster.addresses.get(server) != address and (pool := self.pools.pop(server, None)) is not None:
                 pool.close()
         self._tell(None, lambda now: self.brain.roster(now, servers, True))
         self._forget_servers()
-        self.metrics.roster_version.set(fleet.version)
-        self.logger.info("roster", version=fleet.version, servers=len(servers),
+        self.metrics.roster_version.set(version)
+        self.logger.info("roster", version=version, servers=len(servers),
                          draining=sum(one.state == "draining" for one in servers))
 
+    def list_failed(self) -> None:
+        """A list could not be used; the one in force stays."""
+        self._tell(None, lambda now: self.brain.roster_failed(now))
+
     def _forget_servers(self) -> None:
         busy = {leg.server for ask in self.asks.values() for leg in ask.gen.legs if leg.outcome is None}
         for server in [one for one in self.roster.addresses if one.state == "gone" and one not in busy]:
@@ -283,7 +262,8 @@
         self.world.at(self.world.now() + delay, lambda: self._tell(None, call))
 
     def subscribe(self) -> None:
-        self.world.at(self.world.now(), lambda: (self.reload(), None)[1])
+        if self.list_wanted is not None:
+            self.world.at(self.world.now(), self.list_wanted)
 
     def log(self, text: str) -> None:
         mode, _, rest = text.partition(" ")
--- a/stackpitch/gateway/metrics.py
+++ b/stackpitch/gateway/metrics.py
@@ -22,6 +22,8 @@
         self.held = Gauge("stackpitch_generations_held", "Taken and not over, or with a leg out", registry=registry)
         self.connections = Gauge("stackpitch_connections", "Open connections", ["side"], registry=registry)
         self.roster_version = Gauge("stackpitch_roster_version", "Version of the list in force", registry=registry)
+        self.lists = Counter("stackpitch_lists", "Lists by what became of them", ["word"], registry=registry)
+        self.store_trouble = Gauge("stackpitch_store_trouble", "1 while lists can't be kept", registry=registry)
         self.rejected = Counter("stackpitch_rosters_rejected", "Lists that were not applied", registry=registry)
 
     def text(self) -> bytes:
--- a/stackpitch/gateway/serve.py
+++ b/stackpitch/gateway/serve.py
@@ -1,16 +1,17 @@
 """Puts a gateway together from its settings and runs it until it is told to stop."""
 
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 
 import msgspec
 
 from stackpitch.gateway import logs
-from stackpitch.gateway.admin import Admin
+from stackpitch.gateway.admin import Admin, Route
 from stackpitch.gateway.door import Door
 from stackpitch.gateway.facts import Reading
 from stackpitch.gateway.host import Host
+from stackpitch.gateway.keeper import Keeper
 from stackpitch.gateway.leg import Bounds
 from stackpitch.gateway.metrics import Metrics
 from stackpitch.gateway.roster import Roster
@@ -39,17 +40,17 @@
 
 def host(world: World, group: Group, settings: Settings, log: logs.Log, metrics: Metrics) -> Host:
     load = settings.load
-    return Host(world, group, log, metrics, settings.name, Roster(world, kinds(settings)), Path(settings.roster),
-                Path(settings.kept) if settings.kept else None, bounds(settings),
+    return Host(world, group, log, metrics, settings.name, Roster(world, kinds(settings)), bounds(settings),
                 (load.held_share, load.slots_share, load.queued), settings.seed,
                 preferences(settings, world.wall_ms() * 10 - world.now()), module_arguments(settings))
 
 
-def serve(world: World, settings: Settings, ready: Callable[[int, int], None] | None = None) -> Coro[None]:
+def serve(world: World, settings: Settings, ready: Callable[[int, int], None] | None = None, config: Path | None = None,
+          given: Mapping[str, str] | None = None) -> Coro[None]:
     """Runs a gateway. Raises BadSettings without a list to start with, OSError on a port that is taken.
 
-    SIGTERM and SIGINT: no new work; what is held is finished, and answered after `stop.finish_ms`. SIGHUP: the
-    fleet's file is read anew. `ready` is told the ports of door and admin.
+    SIGTERM and SIGINT: no new work; what is held is finished, and answered after `stop.finish_ms`. SIGHUP: the files
+    are read anew. `ready` is told the ports of door and admin. `config` and `given`: where the settings come from.
     """
     log = logs.make(settings.name, settings.logs.level, settings.logs.form)
     metrics = Metrics()
@@ -69,19 +70,27 @@
             max_bodies=door_settings.max_bodies, max_body=door_settings.max_body, max_head=door_settings.max_head,
             head=ticks(door_settings.head_ms), body=ticks(door_settings.body_ms), idle=ticks(door_settings.idle_ms),
             stall=ticks(door_settings.stall_ms), margin=ticks(door_settings.answer_margin_ms))
-        carrier.begin()
+        keeper = Keeper(world, group, log, metrics, carrier, settings, config, given)
+
+        def take(new: Settings) -> None:
+            door.reading = reading(new)
+            carrier.brain.prefer(preferences(new, carrier.brain.preferences.epoch))
+
+        keeper.new_settings = take
+        keeper.begin()
         listener = world.listen((door_settings.host, door_settings.port))
         admin_listener = world.listen((settings.admin.host, settings.admin.port))
         group.spawn(door.serve(group, listener), "door")
-        admin = Admin(world, _routes(carrier, metrics))
+        admin = Admin(world, _routes(carrier, keeper, metrics))
         group.spawn(admin.serve(group, admin_listener), "admin")
         group.spawn(_sweep(world, carrier), "sweep")
+        group.spawn(keeper.run(), "keeper")
         log.info("serving", door=listener.address[1], admin=admin_listener.address[1],
                  version=carrier.roster.version)
         if ready is not None:
             ready(listener.address[1], admin_listener.address[1])
         while (number := (yield from caught())) == signal.SIGHUP:
-            carrier.reload()
+            group.spawn(_told(keeper), "reload")
         log.info("stopping", signal=number, held=len(carrier.asks))
         listener.close()
         door.close_idle()
@@ -102,23 +111,49 @@
     yield from world.group(body)
 
 
-def _routes(carrier: Host, metrics: Metrics) -> dict[tuple[str, str], Callable[[], tuple[int, bytes]]]:
-    def text() -> tuple[int, bytes]:
+def _told(keeper: Keeper) -> Coro[None]:
+    yield from keeper.reload()
+
+
+def _routes(carrier: Host, keeper: Keeper, metrics: Metrics) -> dict[tuple[str, str], Route]:
+    def answered(wrong: str | None) -> tuple[int, bytes]:
+        body = {"version": carrier.roster.version, "rejected": wrong} | keeper.status()
+        return (200 if wrong is None else 422), msgspec.json.encode(body)
+
+    def text(asked: Mapping[str, str]) -> Coro[tuple[int, bytes]]:
+        yield from ()
         metrics.relayed.set(carrier.relayed)
         metrics.connections.labels("engines").set(sum(one.open for one in carrier.pools.values()))
         return 200, metrics.text()
 
-    def roster() -> tuple[int, bytes]:
+    def roster(asked: Mapping[str, str]) -> Coro[tuple[int, bytes]]:
+        yield from ()
         servers = [{"name": one.name, "kind": one.kind, "zone": one.zone, "cell": one.cell, "state": one.state,
                     "address": list(carrier.roster.addresses[one])} for one in carrier.roster.addresses]
         return 200, msgspec.json.encode({"version": carrier.roster.version, "servers": servers})
 
-    def reload() -> tuple[int, bytes]:
-        wrong = carrier.reload()
-        body = {"version": carrier.roster.version, "rejected": wrong}
-        return (200 if wrong is None else 422), msgspec.json.encode(body)
+    def status(asked: Mapping[str, str]) -> Coro[tuple[int, bytes]]:
+        yield from ()
+        return 200, msgspec.json.encode(keeper.status())
+
+    def history(asked: Mapping[str, str]) -> Coro[tuple[int, bytes]]:
+        yield from ()
+        return 200, msgspec.json.encode(keeper.history())
+
+    def reload(asked: Mapping[str, str]) -> Coro[tuple[int, bytes]]:
+        return answered((yield from keeper.reload(force=asked.get("force") == "1")))
+
+    def confirm(asked: Mapping[str, str]) -> Coro[tuple[int, bytes]]:
+        yield from ()
+        return answered(keeper.confirm(asked.get("digest", "")))
+
+    def rollback(asked: Mapping[str, str]) -> Coro[tuple[int, bytes]]:
+        yield from ()
+        return answered(keeper.rollback(asked.get("digest", "")))
 
-    return {("GET", "/metrics"): text, ("GET", "/roster"): roster, ("POST", "/roster/reload"): reload}
+    return {("GET", "/metrics"): text, ("GET", "/roster"): roster, ("POST", "/roster/reload"): reload,
+            ("GET", "/fleet"): status, ("GET", "/fleet/history"): history, ("POST", "/fleet/confirm"): confirm,
+            ("POST", "/fleet/rollback"): rollback}
 
 
 def _sweep(world: World, carrier: Host) -> Coro[None]:
--- a/stackpitch/membership/bundle.py
+++ b/stackpitch/membership/bundle.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from hashlib import sha256
 from pathlib import Path
+from typing import BinaryIO
 
 import msgspec
 
@@ -31,11 +32,17 @@
     guards: int = 0
 
 
-def files_of(config: Path, settings: Settings) -> list[Path]:
+def files_of(config: Path | None, settings: Settings) -> list[Path]:
     """All that are read for these settings."""
-    found = [config, Path(settings.roster)]
+    found = [config] if config is not None else []
+    found.append(Path(settings.roster))
     if settings.weights:
         found.append(Path(settings.weights))
+    return found + statements_of(settings)
+
+
+def statements_of(settings: Settings) -> list[Path]:
+    found: list[Path] = []
     for one in settings.statements:
         path = Path(one)
         found += sorted(path.rglob("*.expect")) if path.is_dir() else [path]
@@ -76,17 +83,15 @@
             wrong.append(f"{field}: {one.host}:{one.port} is the address of {other!r} already")
     if not fleet.servers:
         wrong.append("servers: found none; at least one is wanted")
-    elif not any(settings.kinds[one.kind].role in ("writer", "mixed") for one in fleet.servers if one.kind in settings.kinds):
-        wrong.append("servers: none that writes; at least one is wanted")
     return wrong
 
 
-def read_set(config: Path, given: Mapping[str, str]) -> Bundle:
-    """Never raises for what stands in the files."""
-    paths, problems = [config], list[str]()
+def read_set(config: Path | None, given: Mapping[str, str], known: Settings | None = None) -> Bundle:
+    """Never raises for what stands in the files. Without a `config`, with the settings that are known."""
+    paths, problems = [config] if config is not None else [], list[str]()
     bundle = Bundle({})
     try:
-        settings = read(Settings, config, given)
+        settings = known if config is None and known is not None else read(Settings, config or Path(), given)
         paths = files_of(config, settings)
         before = fingerprints(paths)
         fleet = read(Fleet, Path(settings.roster))
@@ -112,7 +117,7 @@
     """Statements marked as guards that do not hold, and how many there are."""
     if not settings.statements:
         return [], 0
-    book = Book([read_page(path) for path in files_of(Path("."), settings)[2 if not settings.weights else 3:]])
+    book = Book([read_page(path) for path in statements_of(settings)])
     weighed = check(Fleet, {"version": fleet.version, "servers": [
         Listed(**{name: getattr(one, name) for name in Entry.__struct_fields__}).model_dump() for one in entries]}, "list")
     judge = Judge(book, deployment(settings, weighed))
@@ -122,7 +127,15 @@
 
 
 class Asked(msgspec.Struct):
-    """A line that the checker is sent."""
+    """A line that the checker is sent. Its answer is a bundle as JSON, in one line."""
 
     config: str
     given: dict[str, str] = {}
+
+
+def serve_lines(source: BinaryIO, sink: BinaryIO) -> None:
+    """The checker's whole life: until its gateway closes the other end."""
+    for line in source:
+        asked = msgspec.json.decode(line, type=Asked)
+        sink.write(msgspec.json.encode(read_set(Path(asked.config), asked.given)) + b"\n")
+        sink.flush()
--- a/stackpitch/membership/registrar.py
+++ b/stackpitch/membership/registrar.py
@@ -97,7 +97,7 @@
         reasons = [] if proposal.version != source.version or force else [
             f"version {proposal.version} again, with other content"]
         source.held = None
-        wrong = self._meaning(proposal)
+        wrong = self._meaning(proposal, force)
         if wrong:
             return Verdict("rejected", tuple(wrong))
         self._note_flaps(now, source, proposal)
@@ -145,7 +145,7 @@
 
     # What is doubted.
 
-    def _meaning(self, proposal: Proposal) -> list[str]:
+    def _meaning(self, proposal: Proposal, force: bool) -> list[str]:
         wrong, names, addresses = [], Counter[str](), dict[tuple[str, int], str]()
         for one in proposal.entries:
             names[one.name] += 1
@@ -158,11 +158,8 @@
         wrong += [f"{name}: listed {count} times" for name, count in names.items() if count > 1]
         if not proposal.entries:
             wrong.append("no server is listed")
-        else:
-            listed = {self.roles.get(one.kind) for one in proposal.entries}
-            for role, partner in (("writer", "mixed"), ("reader", "mixed")):
-                if role not in listed and partner not in listed and role == "writer":
-                    wrong.append("no server that writes is listed")
+        elif not (self.in_force or force or {"writer", "mixed"} & {self.roles.get(one.kind) for one in proposal.entries}):
+            wrong.append("no server that writes is listed")  # later lists without one are doubted, not wrong
         return wrong
 
     def _merged(self, source: Source, entries: Mapping[str, Entry]) -> dict[str, Entry]:
--- a/stackpitch/rehearse/broken.py
+++ b/stackpitch/rehearse/broken.py
@@ -11,7 +11,7 @@
 from stackpitch.gateway.roster import Roster
 from stackpitch.interface import Generation, Leg, Server
 from stackpitch.loop import Time
-from stackpitch.settings import Listed
+from stackpitch.membership.entries import Entry
 
 
 def answered() -> None:
@@ -46,7 +46,7 @@
     """Servers that drain or are gone stay ready in the module's eyes."""
     make = Roster._server
 
-    def ready(self: Roster, one: Listed) -> Server:
+    def ready(self: Roster, one: Entry) -> Server:
         server = make(self, one)
         server.state = "ready"
         return server
--- a/stackpitch/rehearse/day.py
+++ b/stackpitch/rehearse/day.py
@@ -4,14 +4,14 @@
 
 from pydantic import Field
 
-from stackpitch.settings.model import Customer, Engines, Kind, Load, Milliseconds, Module, Name, Part, Product, Some
+from stackpitch.settings.model import Customer, Engines, Kind, Load, Membership, Milliseconds, Module, Name, Part, Product, Some
 
 Share = Annotated[float, Field(ge=0, le=1)]
 Seconds = Annotated[float, Field(ge=0)]
 
 ENGINE_TROUBLES = ("hang", "silent", "slow", "slow-by-turns", "vanish", "deploy", "drain", "lose-answer", "refuse",
                    "cut", "garble", "tail", "slow-handshake", "slow-link", "fail-at-once")
-GATEWAY_TROUBLES = ("gateway-kill", "gateway-roll")
+GATEWAY_TROUBLES = ("gateway-kill", "gateway-roll", "edits")
 TRAFFIC_TROUBLES = ("burst", "heavy-tail", "hot-text")
 
 
@@ -67,7 +67,7 @@
     """`part` of those it may strike, or `cell` alone, or `names`; `strength` is what the kind takes it for."""
 
     kind: Literal["hang", "silent", "slow", "slow-by-turns", "vanish", "deploy", "drain", "lose-answer", "refuse", "cut",
-                  "garble", "tail", "slow-handshake", "slow-link", "fail-at-once", "gateway-kill", "gateway-roll",
+                  "garble", "tail", "slow-handshake", "slow-link", "fail-at-once", "gateway-kill", "gateway-roll", "edits",
                   "burst", "heavy-tail", "hot-text"]
     at_s: Seconds
     for_s: Seconds = 5.0
@@ -97,6 +97,8 @@
     fleet: list[Group] = Field(min_length=1)
     module: Module = Module()
     engines: Engines = Engines()
+    # Without `edits` gateways are told of each list, and doubt none.
+    membership: Membership = Membership(watch=False, step_share=1.0, persist_ms=0)
     load: Load = Load()
     reports: bool = True
     products: dict[Name, Product] = Field(min_length=1)
--- a/stackpitch/rehearse/rules.py
+++ b/stackpitch/rehearse/rules.py
@@ -191,6 +191,9 @@
         return zone == other_zone and (scope == "zone" or cell == other_cell)
 
     def drains(self) -> Iterable[Breach]:
+        for leg in self.legs:
+            if leg.engine == "trap":
+                yield Breach(3, leg.key, f"{leg.gateway} sent to {leg.engine}, which only broken lists name")
         came = [(leg.gateway, leg.engine, leg.at, leg.key) for leg in self.legs]
         came += [(one["gateway"], one["who"], one["at"], one["state"]) for one, _, _ in self.held if one["kind"] == "place"]
         for gateway, engine, at, key in came:
--- a/stackpitch/settings/model.py
+++ b/stackpitch/settings/model.py
@@ -156,7 +156,7 @@
 
 
 # Settings that a running gateway takes over; all others need a restart, and are told as such.
-LIVE = frozenset({"products", "customers", "rules", "utc_offset_min", "logs", "weights", "statements", "membership"})
+LIVE = frozenset({"products", "customers", "rules", "utc_offset_min", "weights", "statements", "membership"})
 
 
 class Settings(Part):
--- a/stackpitch/wire/http.py
+++ b/stackpitch/wire/http.py
@@ -122,6 +122,10 @@
     def path(self) -> str:
         return self.url.partition(b"?")[0].decode("latin-1")
 
+    @property
+    def query(self) -> str:
+        return self.url.partition(b"?")[2].decode("latin-1")
+
     def body(self) -> bytes:
         return self.pieces[0] if len(self.pieces) == 1 else b"".join(self.pieces)
 
