--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -279,7 +279,7 @@
     assert "No such file" in store.trouble and not store.add(kept(1)) and store.last() == kept(1)
 
 
-WRITER = '''
+WRITER = r'''
 import os, sys
 sys.path.insert(0, sys.argv[2])
 from test_membership import kept
@@ -302,7 +302,7 @@
     script = tmp_path / "writer.py"
     script.write_text(WRITER)
     environment = os.environ | {"PYTHONPATH": str(ROOT)}
-    for _ in range(50):  # four lives side by side are no use: it is one file; so each life is short
+    for _ in range(10):  # twenty lives in a row from each process, which spares their starts
         child = subprocess.Popen([sys.executable, "-c", FORKS, str(script), str(path), str(ROOT / "tests"), str(chance.random())],
                                  stdout=subprocess.PIPE, env=environment, text=True)
         for line in child.stdout:
@@ -326,11 +326,11 @@
 code = compile(source, "writer", "exec")
 sys.path.insert(0, sys.argv[2])
 import test_membership
-for _ in range(4):
+for _ in range(20):
     child = os.fork()
     if not child:
         exec(code)
-    time.sleep(0.004 + 0.06 * chance.random())
+    time.sleep(0.004 + 0.03 * chance.random())
     os.kill(child, signal.SIGKILL)
     os.waitpid(child, 0)
 '''
