--- a/Makefile
+++ b/Makefile
@@ -20,5 +20,7 @@
 	.venv/bin/python -m benchmarks.relay
 	.venv/bin/python -m benchmarks.cost
 	.venv/bin/python -m benchmarks.timers
+	.venv/bin/python -m benchmarks.expect
+	.venv/bin/python -m benchmarks.membership
 
 .PHONY: demo test measure
