--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -90,7 +90,8 @@
     own = Store(RealFiles(), str(folder / f"own{size}"))
     own.open()
     base = sqlite3.connect(folder / f"sqlite{size}", isolation_level=None)
-    base.executescript("pragma journal_mode=wal; pragma synchronous=full; create table kept (id integer primary key, raw blob)")
+    base.executescript("pragma journal_mode=wal; pragma synchronous=full; "
+                       "create table kept (id integer primary key, raw blob)")
     environment = lmdb.open(str(folder / f"lmdb{size}"), map_size=1 << 30)
 
     def in_lmdb(number: int) -> None:
@@ -98,7 +99,8 @@
             transaction.put(number.to_bytes(8, "big"), msgspec.msgpack.encode(record))
 
     return {"own log": timed(lambda number: own.add(record)),
-            "sqlite3, wal": timed(lambda number: base.execute("insert into kept (raw) values (?)", (msgspec.msgpack.encode(record),))),
+            "sqlite3, wal": timed(lambda number: base.execute(
+                "insert into kept (raw) values (?)", (msgspec.msgpack.encode(record),))),
             "lmdb": timed(in_lmdb)}
 
 
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -33,7 +33,7 @@
             port = free_port()
             ports[name] = bed.start(port, "benchmarks.peers", word, str(port), *at), port
         ports[RELAYS[3]] = bed.gateway([(f"m{one}", "mixed", one) for one in sources])
-        ports[RELAYS[4]] = bed.gateway([("r1", "reader", sources[0]), *((f"w{one}", "writer", one) for one in sources)])
+        ports[RELAYS[4]] = bed.gateway([("r1", "reader", bed.source()), *((f"w{one}", "writer", one) for one in sources)])
         for number in range(rounds):
             names = RELAYS[number % len(RELAYS):] + RELAYS[:number % len(RELAYS)]
             for name in names:
--- a/stackpitch/rehearse/clients.py
+++ b/stackpitch/rehearse/clients.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import msgspec
+import xxhash
 
 from stackpitch.loop import MS, SECOND, ConnectFailed, Coro, Group, Lost, Random, Stream, Time, World
 from stackpitch.rehearse.records import Recorder
@@ -47,6 +48,7 @@
     start: int  # on the machine's monotonic clock, tenths of a millisecond
     length_s: float
     gateways: dict[str, tuple[str, int]]
+    sticky: bool
     products: list[ProductTraffic]
     customers: dict[str, float]  # name (also the API key) to share
     rate_per_s: float
@@ -137,11 +139,14 @@
             if self.world.now() > self.set.start + self.set.length_s * SECOND:
                 return
 
-    def pick(self, random: Random, last: str | None) -> str:
+    def pick(self, random: Random, last: str | None, session: str) -> str:
         now, notice = self.world.now(), self.set.front_notice_s * SECOND
         names = list(self.set.gateways)
         alive = [one for one in names if now - self.dead.get(one, -SECOND * 3600) > notice] or names
-        return random.choice([one for one in alive if one != last] or alive)
+        able = [one for one in alive if one != last] or alive
+        if self.set.sticky and last is None:
+            return min(able, key=lambda one: xxhash.xxh32_intdigest(f"{session} {one}".encode()))
+        return random.choice(able)
 
     def turn(self, turn: Turn, random: Random) -> Coro[bool]:
         """Asks until answered or given up; whether the whole answer came."""
@@ -149,7 +154,7 @@
         impatient, departs = random.random() < self.set.impatient, random.random() < self.set.departs
         begun = self.world.now()
         for number in range(self.set.retries + 1):
-            gateway = self.pick(random, last)
+            gateway = self.pick(random, last, turn.session)
             left = turn.limit_ms - (self.world.now() - begun) / 10
             limit = min(left, turn.limit_ms * random.uniform(self.set.try_share, 1.0))
             if limit < 50:
--- a/stackpitch/rehearse/day.py
+++ b/stackpitch/rehearse/day.py
@@ -59,6 +59,7 @@
     backoff_ms: Milliseconds = 150.0
     try_share: Share = 0.8  # a try is given up after this part of the product's time limit at the earliest
     impatient: Share = 0.01  # departs before the first token
+    sticky: bool = False  # a session stays with its gateway while that answers
     departs: Share = 0.02  # departs mid-stream
     front_notice_s: Seconds = 1.5  # a gateway that refused is left out for this long
 
--- a/stackpitch/settings/load.py
+++ b/stackpitch/settings/load.py
@@ -8,6 +8,8 @@
 import rjsonnet
 from pydantic import BaseModel, ValidationError
 
+from stackpitch.settings.model import LIVE, Settings
+
 M = TypeVar("M", bound=BaseModel)
 
 
@@ -64,4 +66,9 @@
 
 
 def schema(model: type[BaseModel]) -> dict[str, Any]:
-    return model.model_json_schema()
+    """JSON Schema. `x-live` marks settings that a running gateway takes over; all others need a restart."""
+    tree = model.model_json_schema()
+    if model is Settings:
+        for name, field in tree["properties"].items():
+            field["x-live"] = name in LIVE
+    return tree
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -287,3 +287,25 @@
     gateway.rejects("No such file")
     assert gateway.status()["servers"] == 5000
     gateway.end()
+
+
+def test_where_there_is_no_inotify_files_are_looked_at(tmp_path):
+    """The same process, in which no inotify descriptor can be had."""
+    hook = tmp_path / "hook"
+    hook.mkdir()
+    (hook / "sitecustomize.py").write_text(
+        "import inotify_simple\ndef none(*a, **k): raise OSError(24, 'too many')\ninotify_simple.INotify = none\n")
+    before = os.environ.get("PYTHONPATH")
+    os.environ["PYTHONPATH"] = str(hook)
+    try:
+        gateway = Gateway(tmp_path)
+    finally:
+        os.environ.pop("PYTHONPATH")
+        if before is not None:
+            os.environ["PYTHONPATH"] = before
+    assert gateway.events("no_watch")
+    gateway.path.write_text(gateway.next())
+    gateway.takes()
+    gateway.path.write_text(gateway.next()[:-9])
+    gateway.rejects("fleet.json")
+    gateway.end()
