--- a/stackpitch/gateway/keeper.py
+++ b/stackpitch/gateway/keeper.py
@@ -19,8 +19,7 @@
 from stackpitch.membership.bundle import Asked, Bundle, files_of, read_set
 from stackpitch.membership.entries import Change, Entry, Proposal, change
 from stackpitch.membership.registrar import Figures, Registrar, Verdict
-from stackpitch.membership.store import Kept, Noted, State, Store
-from stackpitch.membership.warmstart import Snapshot, capture, restore
+from stackpitch.membership.store import Kept, Noted, Store
 from stackpitch.settings import LIVE, BadSettings, Settings
 from stackpitch.settings.load import check
 from stackpitch.settings.made import kinds, ticks
@@ -153,8 +152,6 @@
         wrong = at_once(self._settle(bundle, force=False, slices=False))
         if last is None and wrong is not None:
             raise BadSettings(f"{wrong}\n{self.settings.roster}: no list to start with")
-        if self.settings.membership.snapshot_ms:
-            self._restore()
         if wrong is not None:
             self.log.warning("roster_kept", file=self.settings.kept, version=self.version)
 
@@ -163,27 +160,6 @@
         bundle = read_set(self.config, self.given, self.settings)
         return at_once(self._settle(bundle, force, slices=False))
 
-    def _restore(self) -> None:
-        state = self.store.state if self.store is not None else None
-        if state is None:
-            return
-        try:
-            snapshot = msgspec.msgpack.decode(state.data, type=Snapshot)
-        except msgspec.DecodeError as wrong:
-            self.log.warning("snapshot_not_used", why=str(wrong))
-            return
-        elapsed = (self.world.wall_ms() - state.at_unix_ms) * 10
-        found = restore(self.host.brain, snapshot, self.world.now(), self.host.roster.epoch, elapsed)
-        self.log.info("snapshot", age_ms=elapsed / 10, **found)
-
-    def snapshots(self) -> Coro[None]:
-        """Notes down, every so often, what a restart may use."""
-        while self.store is not None and self.settings.membership.snapshot_ms:
-            yield from self.world.sleep(ticks(self.settings.membership.snapshot_ms))
-            data = msgspec.msgpack.encode(capture(self.host.brain, self.world.now(), self.host.roster.epoch))
-            state, store = State(self.world.wall_ms(), data), self.store
-            yield from self.world.aside(lambda: store.add(state, sync=False))  # noqa: B023
-
     # While serving.
 
     def ask(self) -> None:
--- a/stackpitch/gateway/serve.py
+++ b/stackpitch/gateway/serve.py
@@ -85,7 +85,6 @@
         group.spawn(admin.serve(group, admin_listener), "admin")
         group.spawn(_sweep(world, carrier), "sweep")
         group.spawn(keeper.run(), "keeper")
-        group.spawn(keeper.snapshots(), "snapshots")
         log.info("serving", door=listener.address[1], admin=admin_listener.address[1],
                  version=carrier.roster.version)
         if ready is not None:
--- a/stackpitch/settings/model.py
+++ b/stackpitch/settings/model.py
@@ -143,7 +143,6 @@
     flap_count: Annotated[int, Field(ge=3)] = 6  # comings and goings of a server in flap_window_ms that keep it out
     flap_window_ms: Some = 30000
     flap_calm_ms: Milliseconds = 20000  # without one, before it is taken back
-    snapshot_ms: Milliseconds = 0  # how often sessions, paces and health are noted down for a restart; 0: never
 
 
 class Stop(Part):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,13 +10,12 @@
 from pathlib import Path
 
 import pytest
-from play import Play, scenarios
+from play import scenarios
 
 from stackpitch.loop import MS, SECOND, RealFiles, RealWorld
 from stackpitch.membership.entries import Entry, Proposal, change, digest
 from stackpitch.membership.registrar import Figures, Registrar
 from stackpitch.membership.store import FORMAT, Kept, Noted, Store, framed, header
-from stackpitch.membership.warmstart import capture, restore
 
 ROOT = Path(__file__).parent.parent
 ROLES = {"r": "reader", "w": "writer", "m": "mixed"}
@@ -338,53 +337,6 @@
 '''
 
 
-# What a restarted gateway may use.
-
-
-def before_and_after(*lines):
-    """A gateway that has served a session's first turn at w1, and one that has just started with a list."""
-    old, new = Play(), Play()
-    for line in ("fleet r1 w1 w2", "at 1000", "turn a chat r1 w1 session=s prompt=1000", *lines):
-        old.line(line)
-    new.line("fleet r1 w1 w2")
-    new.line("at 3000")
-    return old, new
-
-
-@pytest.mark.parametrize("change,elapsed_s,goes", [
-    (None, 2, "w1"), (None, 19, "w1"), (None, 21, "r1"), (None, -1, "r1"),
-    ("list w1 draining", 2, "r1"), ("list w1 ready started=2500", 2, "r1")])
-def test_a_session_is_found_again_while_that_may_be_trusted(change, elapsed_s, goes):
-    old, new = before_and_after()
-    if change:
-        new.line(change)
-    found = restore(new.brain, capture(old.brain, old.now, 0), new.now, 0, elapsed_s * SECOND)
-    assert found["owners"] == (goes == "w1")
-    new.line("gen b chat session=s prompt=1200")
-    new.line(f"> send b {goes}")
-
-
-def test_a_session_that_grew_old_meanwhile_is_not_used():
-    old, new = before_and_after("at 50000")
-    restore(new.brain, capture(old.brain, old.now, 0), new.now, 0, 15 * SECOND)
-    new.line("gen b chat session=s prompt=1200")
-    new.line("> send b r1")
-
-
-def test_what_the_new_gateway_knows_itself_goes_before():
-    old, new = before_and_after()
-    new.line("turn c chat r1 w1 session=s prompt=1100")
-    assert restore(new.brain, capture(old.brain, old.now, 0), new.now, 0, SECOND)["owners"] == 0
-
-
-def test_shunned_servers_and_paces():
-    old, new = before_and_after("gen x chat", "> send x r1", "end x unreachable")
-    snapshot = capture(old.brain, old.now, 0)
-    assert restore(new.brain, snapshot, new.now, 0, 1000) == {"owners": 1, "paces": 3, "shunned": 1}
-    assert new.brain.fleet.usual == old.brain.fleet.usual
-    assert restore(before_and_after()[1].brain, snapshot, 30_000, 0, 6 * SECOND)["shunned"] == 0
-
-
 # Watching, in this process: the keeper with real files.
 
 
