--- a/stackpitch/rehearse/clients.py
+++ b/stackpitch/rehearse/clients.py
@@ -135,9 +135,10 @@
             if not (yield from self.turn(turn, random)):
                 return
             messages = [*messages, {"role": "assistant", "content": turn.answer}]
-            yield from self.world.sleep(int(random.expovariate(1 / max(0.01, self.set.think_s)) * SECOND))
-            if self.world.now() > self.set.start + self.set.length_s * SECOND:
-                return
+            think = int(random.expovariate(1 / max(0.01, self.set.think_s)) * SECOND)
+            if self.world.now() + think > self.set.start + self.set.length_s * SECOND:
+                return  # the next turn would come after the day's end
+            yield from self.world.sleep(think)
 
     def pick(self, random: Random, last: str | None, session: str) -> str:
         now, notice = self.world.now(), self.set.front_notice_s * SECOND
