--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -56,6 +56,12 @@
         self.version += 1
         return self.text(count=6 + self.version % 3, **more)
 
+    def put(self, text):
+        """Whole at once, whatever else the machine does: what is counted afterwards is what was meant."""
+        beside = self.folder / "beside"
+        beside.write_text(text)
+        os.replace(beside, self.path)
+
     def status(self):
         return json.load(urllib.request.urlopen(f"http://127.0.0.1:{self.admin}/fleet", timeout=5))
 
@@ -163,7 +169,6 @@
 
 
 def test_what_is_broken_is_reported_once_and_changes_nothing(gateway):
-    path = gateway.path
     for text, words in [
         ("{", "fleet.json"), (gateway.text()[:-40], "fleet.json"), (gateway.text(version=5).replace('"r2"', '"r1"'), "stands in servers.0 already"),
         (json.dumps({"version": 5, "servers": []}), "found none"), (gateway.text(count=7, version=0), "older than 1"),
@@ -173,23 +178,23 @@
         ("import 'fleet.json'", "fleet.json"), ("local f(x) = f(x + 1) + 1; f(1)", "fleet.json"),
     ]:
         before = len(gateway.events("roster_rejected"))
-        path.write_text(text)
+        gateway.put(text)
         gateway.rejects(words)
         time.sleep(0.1)
-        path.write_text(text)  # the same again is no news
+        gateway.put(text)  # the same again is no news
         time.sleep(0.5)
         told = gateway.status()
         assert (told["version"], told["servers"]) == (1, 12), text[:60]
         assert len(gateway.events("roster_rejected")) == before + 1, text[:60]
-    path.write_text(gateway.next())
+    gateway.put(gateway.next())
     gateway.takes()
 
 
 def test_a_template_that_never_ends_is_given_up(tmp_path):
     gateway = Gateway(tmp_path, membership={"check_ms": 1500})
-    gateway.path.write_text("std.foldl(function(a, b) a + b, std.range(1, 300000000), 0)")
+    gateway.put("std.foldl(function(a, b) a + b, std.range(1, 300000000), 0)")
     gateway.rejects("the check ")
-    gateway.path.write_text(gateway.next())
+    gateway.put(gateway.next())
     gateway.takes()
     gateway.end()
 
@@ -204,7 +209,7 @@
     gateway.version = 2
     text = json.loads(gateway.text())
     only_writers = json.dumps({"version": 2, "servers": [one for one in text["servers"] if one["kind"] == "w"]})
-    gateway.path.write_text(only_writers)
+    gateway.put(only_writers)
     told = gateway.comes_to(lambda told: told["held"])
     assert told["version"] == 1 and "role 'reader' would have no server: all 6 are missing" in told["held"][0]["reasons"]
     seen = fleet("status")
@@ -214,7 +219,7 @@
     assert fleet("rollback").returncode == 0 and gateway.status()["servers"] == 12
     history = json.loads(fleet("history", "--json").stdout)
     assert [one["word"] for one in history] == ["in force", "held back", "in force", "in force"]
-    gateway.path.write_text(only_writers.replace('"version": 2', '"version": 3'))
+    gateway.put(only_writers.replace('"version": 2', '"version": 3'))
     gateway.comes_to(lambda told: told["held"])
     gateway.comes_to(lambda told: not told["held"] and told["servers"] == 6, within=9)  # it has stood
     assert fleet("status").returncode == 0
@@ -227,13 +232,13 @@
     weights.write_text('{"w1": 0.5}')
     gateway = Gateway(tmp_path, statements=[str(statements)], weights=str(weights))
     gateway.version += 1
-    gateway.path.write_text(gateway.text(count=5))
+    gateway.put(gateway.text(count=5))
     gateway.rejects('guard "six readers" fails: there are at least 6 readers: there are 5')
     weights.write_text('{"w99": 0.5}')
     gateway.rejects("w99: not in the fleet's file")
     weights.write_text('{"w1": 0.25}')
     gateway.version += 1
-    gateway.path.write_text(gateway.text(count=7))
+    gateway.put(gateway.text(count=7))
     gateway.takes()
     tree = gateway.tree | {"rules": [{"name": "a", "how": "prefer", "where": {"kinds": ["w"]}}], "seed": 9}
     gateway.config.write_text(json.dumps(tree))
@@ -245,25 +250,25 @@
 
 
 def test_a_restart_goes_on_from_what_was_kept(gateway):
-    gateway.path.write_text(gateway.next())
+    gateway.put(gateway.next())
     gateway.takes()
     time.sleep(0.2)
     gateway.process.send_signal(signal.SIGKILL)
     gateway.process.wait()
-    gateway.path.write_text(gateway.text(version=9)[:-30])
+    gateway.put(gateway.text(version=9)[:-30])
     gateway.begin()
     told = gateway.status()
     assert told["version"] == 2 and told["last"] == "rejected"
     gateway.process.kill()
     gateway.process.wait()
-    gateway.path.write_text(gateway.text(count=4, version=1))
+    gateway.put(gateway.text(count=4, version=1))
     gateway.begin()
     assert "older than 2" in gateway.rejects("older")["reasons"][0]
     gateway.process.kill()
     gateway.process.wait()
     raw = (gateway.folder / "kept").read_bytes()
     (gateway.folder / "kept").write_bytes(b"damaged" + raw)
-    gateway.path.write_text(gateway.text(version=3))
+    gateway.put(gateway.text(version=3))
     gateway.begin()
     assert gateway.status()["version"] == 3 and "no store" in gateway.events("store_found")[-1]["what"]
 
@@ -304,8 +309,8 @@
         if before is not None:
             os.environ["PYTHONPATH"] = before
     assert gateway.events("no_watch")
-    gateway.path.write_text(gateway.next())
+    gateway.put(gateway.next())
     gateway.takes()
-    gateway.path.write_text(gateway.next()[:-9])
+    gateway.put(gateway.next()[:-9])
     gateway.rejects("fleet.json")
     gateway.end()
