A rollback between the parts of a reload is not undone by it

Cause: a list is proposed and applied in separate steps of the loop, and an admin call between them was overwritten. What is applied is now what the registrar has in force at that moment. Checked by linter and types.

--- a/stackpitch/gateway/keeper.py
+++ b/stackpitch/gateway/keeper.py
@@ -305,6 +305,8 @@
         changed = self._changed(verdict)
         if slices:
             yield from self.world.pause()
+        if verdict.entries is not None:  # a confirmation, rollback or step may have come between the parts
+            verdict = Verdict(verdict.word, verdict.reasons, tuple(self.registrar.in_force.values()))
         self._take(verdict, bundle.version, bundle.digest, changed=changed)
         return None
 
