--- a/stackpitch/benchlink/host.py
+++ b/stackpitch/benchlink/host.py
@@ -1,6 +1,7 @@
 """Hosts instances of the decision module: wire lines become calls, and what it asks becomes lines."""
 
 import os
+from base64 import b64encode
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
@@ -79,6 +80,9 @@
         self.calls[self.next_call] = call
         self.lines.append(f"TIMER {delay / 10} {self.next_call}")
 
+    def tell(self, peer: int, octets: bytes) -> None:
+        self.lines.append(f"WRITE_PEER {peer} {b64encode(octets).decode()}")
+
     def subscribe(self) -> None:
         self.lines.append("KEEP_INFORMED 1")
 
@@ -179,6 +183,9 @@
         if server in self.servers:
             self.brain.probed(self.now, self.servers[server], disposition == "pass", _report(usage))
 
+    def on_heard(self, peer: int, octets: bytes | None) -> None:
+        self.brain.heard(self.now, peer, octets or b"")
+
     def on_reminder(self, key: int) -> None:
         call = self.calls.pop(key, None)
         if call is not None:
@@ -188,7 +195,7 @@
 HANDLERS: dict[str, Callable[..., None]] = {
     "INGRESS": Instance.on_ingress, "COMPLETED": Instance.on_completed, "UNDER_WAY": Instance.on_started,
     "LEFT": Instance.on_left, "SEAT_NEWS": Instance.on_held, "CHECK_RESULT": Instance.on_probed,
-    "REMINDER": Instance.on_reminder,
+    "REMINDER": Instance.on_reminder, "HEARD": Instance.on_heard,
 }
 
 
@@ -261,7 +268,7 @@
                 instance.on_roster(values[0], rows)
             elif word in HANDLERS:
                 HANDLERS[word](instance, *values)
-            elif word != "HEARD":
+            else:
                 raise WireError(f"line {number}: {word} is out of place")
         except WireError:
             raise
--- a/stackpitch/benchlink/settings.py
+++ b/stackpitch/benchlink/settings.py
@@ -93,6 +93,7 @@
         "max_legs": int(bounds.number("maxAttempts", 1)),
         "max_retry_after": bounds.ticks("maxRetryAfterMs", 0) if bounds.get("retryAfter", bool, False) else 0,
         "local_reads": extra.get("localRead", bool, False),
+        "peers": bounds.get("peers", bool, False),
         "must_ask": config.get("discovery", str, "pushed") == "on_request",
         "cold_from": rules.number("coldFrom", 1),
         "warm_up": rules.ticks("warmUpMs", 0),
--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -7,7 +7,9 @@
 """
 
 from collections import Counter
+from hashlib import blake2b
 from math import ceil, log
+from struct import Struct
 from zlib import crc32
 
 from stackpitch.interface import NEVER_RAN, Gateway, Generation, Leg, Module, Report, Role, Server, Time
@@ -31,6 +33,7 @@
         self.tok: dict[Generation, int] = {}  # tokens our legs bring here; emptied by outcomes
         self.own = 0  # the sum of these
         self.poured = 0  # tokens that our legs ever brought here
+        self.mean = 0.0  # share of its memory that a gateway holds on average, by peers' words
         self.others, self.reported_at = 0.0, -SECOND * 60  # share that others held by the last report; when
         self.strikes, self.shunned_until = 0, 0
         self.down = False  # the last word was that no connection holds
@@ -54,29 +57,39 @@
     SHUN = SECOND // 2  # first time out after a strike; doubles with each further one
     LEARN, LATE_LEARN = 0.1, 0.2  # weight of the newest wait, and of its part of the SLO time
     QUEUED_AFTER = 0.25  # of its SLO time: a leg without word for this long waits in a queue
-    READ_ROOM, ZONES_ROOM = 1.25, 1.8  # even parts that a cell's readers bear, in one zone and among several
+    READ_ROOM, ZONES_ROOM = 1.25, 1.25  # even parts that a cell's readers bear, in one zone and among several
+    SLOW_HELD, SLOWED = 0.5, 2.0  # share of memory from which a mixed server is late, SLO times for a whole one
+    FOLLOW = 3 * SECOND // 2  # means by server follow what we hold over this time
+    SCALE, SPOKEN = 100, 200  # a share of memory in peers' words; servers in a word at most
     REPORT_AGE, REPORT_SAY = 6 * SECOND, 0.15  # it loses its say to its role's mean; its weight there
+    WHOLE = 0.8  # generations that a mixed server reads and answers while a writer answers one
     ALIKE = 3  # gateways at most that are taken to do at a reader just what we do now
     SILENT_FLOOR, SILENT_TIMES = 500 * MS, 5  # no word is no symptom before this, nor so many usual waits
 
     def __init__(self, gateway: Gateway, seed: int, cold_from: float, warm_up: Time, fall_multiple: float,
-                 number: int, gateways: int, zone: str) -> None:
-        self.gateway, self.seed, self.number, self.gateways, self.zone = gateway, seed, number, gateways, zone
+                 number: int, gateways: int, zone: str, peers: bool) -> None:
+        self.peers, self.gateway, self.seed, self.zone = peers, gateway, seed, zone
+        self.number, self.gateways = number, gateways
         self.cold_from, self.warm_up = cold_from, max(1, warm_up)
         self.cold_load = self.COLD_CARE * fall_multiple
         self.weight: dict[int, float] = {}  # by cell: what its readers are given, 1 for an even part
         self.near: dict[int, float] = {}  # by cell: part of what its readers read that its writers can take
         self.wanting: dict[int, float] = {}  # by cell: writers that others' reads must feed
-        self.stay = 1.0  # part of our sessions that this zone's readers can take
+        self.stay = 1.0  # part of our sessions that this zone's readers and mixed servers can take
+        self.whole = 0.0  # weight of a mixed server beside that of a reader with an even part
         self.alike, self.count, self.born, self.planned = min(gateways, self.ALIKE), 0, 0, 0
+        self.by_hash: dict[int, Seat] = {}  # as peers name servers; only those on our own list
         self.seats: dict[Server, Seat] = {}  # a seat goes once its server is gone and its last leg is back
         self.roles: dict[Role, list[Seat]] = {"reader": [], "writer": [], "mixed": []}  # the ready ones
         self.size: dict[Role, float] = dict.fromkeys(self.roles, 1.0)  # servers there lately were
         self.others: dict[Role, float] = {}  # mean share that others hold, by reports
+        self.order: list[Seat] = []  # the servers in peers' words
+        self.mark, self.followed, self.reach = b"", 0, 1.0  # of that order; when means moved; part of peers that answer
         self.mean: dict[Role, float] = dict.fromkeys(self.roles, 0.0)  # tokens our legs brought to a server
         self.done: dict[Role, tuple[float, Time]] = dict.fromkeys(self.roles, (0.0, 0))  # legs; and when
         self.late = dict(self.done)  # mean wait of done legs, over their SLO time; lost legs are no queue
         self.drawn = dict(self.done)  # generations that servers were looked up for
+        self.ahead = 5000.0  # mean of the tokens at a reader, while legs of ours were read there
         self.usual: dict[Role, float] = {"reader": 100.0 * MS, "writer": 50.0 * MS, "mixed": 200.0 * MS}
 
     def chance(self) -> float:
@@ -91,6 +104,9 @@
                 self.seats[server] = Seat(server)
         for seat in [one for one in self.seats.values() if one.server.state == "gone" and not one.tok]:
             del self.seats[seat.server]
+        self.by_hash = {one.hash: one for one in self.seats.values()}
+        self.order = sorted(self.seats.values(), key=lambda one: one.server.name)[:self.SPOKEN]
+        self.mark = crc32(" ".join(one.server.name for one in self.order).encode()).to_bytes(4, "little")
         ready = [one for one in self.seats.values() if one.server.state == "ready"]
         for role in self.roles:
             self.roles[role] = [one for one in ready if one.server.role == role]
@@ -117,7 +133,11 @@
         wanting = {cell: of - part.get(cell, 0.0) for cell, of in writes.items()}
         self.wanting = {cell: of for cell, of in wanting.items() if of > 0}
         here = {one.server.cell for one in self.roles["reader"] if one.server.zone == self.zone}
-        self.stay = len(zones) * sum(part[cell] for cell in here)
+        mixed, pairs = len(self.roles["mixed"]), len(self.roles["writer"])
+        taken = self.WHOLE * mixed / max(1e-9, self.WHOLE * mixed + pairs)
+        self.whole = self.WHOLE * max(1, len(self.roles["reader"])) / max(1, pairs)
+        near = sum(one.server.zone == self.zone for one in self.roles["mixed"]) / max(1, mixed)
+        self.stay = len(zones) * ((1 - taken) * sum(part[cell] for cell in here) + taken * near)
 
     def writer_cell(self, cell: int) -> int:
         """Where to write what was read in this cell, as planned."""
@@ -148,6 +168,8 @@
         """A leg did what its role does."""
         wait, role = now - leg.sent, seat.server.role
         self.usual[role] += self.LEARN * (wait - self.usual[role])
+        if role == "reader":
+            self.ahead += self.LEARN * (self.queue(seat) - self.ahead)
         late = self.late[role][0]
         self.late[role] = late + self.LATE_LEARN * (min(1.0, wait / leg.gen.slo()) - late), now
         self.done[role] = self.lately(self.done, role, now) + 1, now
@@ -212,6 +234,43 @@
         share = sum(one.own for one in seats) / max(1, sum(one.server.memory_tok for one in seats))
         return share * (self.gateways - 1)
 
+    def follow(self, now: Time) -> None:
+        """Moves the means by server towards what we hold ourselves, which all gateways do."""
+        part = min(1.0, (now - self.followed) / self.FOLLOW)
+        self.followed = now
+        for one in self.order:
+            one.mean += part * (one.own / max(1, one.server.memory_tok) - one.mean)
+
+    def speak(self, now: Time) -> bytes:
+        """What a gateway holds of each server on average, as we take it: the mark of our list, then a byte a server."""
+        self.follow(now)
+        return self.mark + bytes(min(255, round(self.SCALE * self.gateways * one.mean)) for one in self.order)
+
+    def hear(self, now: Time, word: bytes) -> None:
+        """A peer's means: meeting half-way again and again spreads the mean over all. A new start takes them as they
+        are. They stand in for reports, as far as peers are heard at all."""
+        if word[:len(self.mark)] != self.mark or len(word) != len(self.mark) + len(self.order):
+            return  # another list than ours
+        self.follow(now)
+        part = 0.5 if self.others else 1.0
+        total: Counter[Role] = Counter()
+        for one, said in zip(self.order, word[len(self.mark):]):
+            one.mean += part * (said / self.SCALE / self.gateways - one.mean)
+            one.others, one.reported_at = one.mean * (self.gateways * self.reach - 1), now
+            total[one.server.role] += one.others if one.server.state == "ready" else 0
+        self.others = {role: total[role] / len(seats) for role, seats in self.roles.items() if seats}
+
+    def queue(self, seat: Seat) -> float:
+        """Tokens to be read at a reader, by peers' words, else as if a few gateways did what we do."""
+        if not self.peers:
+            return self.alike * seat.own
+        return seat.own + max(0.0, seat.others) * seat.server.memory_tok
+
+    def busy(self, seat: Seat, now: Time, gen: Generation) -> float:
+        """What a mixed server's streams would slow this one, as tokens that a reader would read meanwhile."""
+        held = self.held_share(seat, now, self.other_share("mixed", now))
+        return self.SLOWED * max(0.0, held - self.SLOW_HELD) * gen.slo() * self.ahead / self.usual["reader"]
+
     def held_share(self, seat: Seat, now: Time, usual: float) -> float:
         """Projected share of memory: own legs grown by their answers, others' as reported or usual."""
         young = max(0.0, 1 - (now - seat.reported_at) / self.REPORT_AGE)
@@ -305,12 +364,15 @@
     LATE, LATE_SPAN = 0.35, 10 * SECOND  # part of its SLO time that a leg may well wait; forgotten over this
     HELD_SHARE, HELD_SAY = 0.72, 2.0  # of the writers' memory; more counts so many times as a wait does
 
-    def __init__(self, guard: Guard, fleet: Fleet, writer: "Writer") -> None:
-        self.guard, self.fleet, self.writer, self.shedding = guard, fleet, writer, False
+    def __init__(self, guard: Guard, fleet: Fleet, reader: "Reader", writer: "Writer") -> None:
+        self.guard, self.fleet, self.reader, self.writer, self.shedding = guard, fleet, reader, writer, False
 
     def take(self, now: Time, gen: Generation) -> None:
         readers, writers = (self.fleet.healthy(role, now) for role in ("reader", "writer"))
+        seat, cost = self.reader.pick(now, gen)
         wait = self.fleet.queue_wait("reader", readers, now) + self.fleet.queue_wait("writer", writers, now)
+        if self.fleet.peers:
+            wait = max(wait, cost * self.fleet.usual["reader"] / max(1.0, self.fleet.ahead))
         part = wait / max(1, min(gen.slo(), gen.gives_up - now))
         usual = self.fleet.other_share("writer", now)
         late = sum(self.fleet.lately(self.fleet.late, role, now, self.LATE_SPAN) for role in self.fleet.late)
@@ -320,9 +382,9 @@
         if shed != self.shedding and (shed or part < self.START / 2):
             self.shedding = shed
             turn = "begins" if shed else "ends"
-            self.fleet.gateway.log(f"throttling {turn} wait={wait / MS:.0f}ms held={held:.2f}")
+            self.fleet.gateway.log(f"throttling {turn} wait={wait / MS:.0f}ms late={late:.2f} held={held:.2f}")
         if not shed:
-            self.below.take(now, gen)
+            self.reader.go(now, gen, seat)
         elif (idle := self.writer.idle(now, gen)) is not None:
             self.writer.send(now, gen, idle)
         else:
@@ -332,9 +394,9 @@
 class Kept:
     """What a session is taken to have left at its owner."""
 
-    def __init__(self, seat: Seat, now: Time, gen: Generation, earlier: int, flow: float) -> None:
-        self.seat, self.started, self.at, self.earlier = seat, seat.server.started, now, earlier
-        self.tok, self.flow = gen.prompt_tok, flow
+    def __init__(self, seat: Seat, at: Time, tok: int, earlier: int, flow: float) -> None:
+        self.seat, self.started, self.at, self.earlier = seat, seat.server.started, at, earlier
+        self.tok, self.flow = tok, flow
 
 
 class Owner(Stage):
@@ -346,44 +408,60 @@
 
     def __init__(self, guard: Guard, fleet: Fleet, writer: "Writer", local_reads: bool) -> None:
         self.guard, self.fleet, self.writer, self.local_reads = guard, fleet, writer, local_reads
-        self.table: dict[str, Kept] = {}  # by session; emptied by age, size and evidence of loss
+        self.table: dict[bytes, Kept] = {}  # by session; emptied by age, size and evidence of loss
+
+    @staticmethod
+    def key(gen: Generation) -> bytes:
+        return blake2b((gen.session or "").encode(), digest_size=8).digest() if gen.session else b""
 
     def take(self, now: Time, gen: Generation) -> None:
-        seat = self.find(now, gen)
-        self.below.take(now, gen) if seat is None else self.writer.send(now, gen, seat)
+        kept = None if gen.legs else self.valid(now, self.key(gen))
+        if kept is not None and self.may(now, gen, kept):
+            self.writer.send(now, gen, kept.seat)
+        else:
+            self.below.take(now, gen)
 
-    def find(self, now: Time, gen: Generation) -> Seat | None:
-        kept = self.table.get(gen.session or "")
-        if kept is None or gen.legs:
+    def valid(self, now: Time, key: bytes) -> Kept | None:
+        """The session's entry, if its owner is there and likely still keeps the history."""
+        kept = self.table.get(key)
+        if kept is None:
             return None
         seat, server = kept.seat, kept.seat.server
         held = self.fleet.held_share(seat, now, self.fleet.other_share(server.role, now))
         pushed_out = self.fleet.flow(seat) - kept.flow > self.REACH * (1 - held) * server.memory_tok
         same = self.fleet.seats.get(server) is seat and server.started == kept.started
         if not same or server.state != "ready" or pushed_out or now - kept.at > self.AGE:
-            del self.table[gen.session or ""]
+            del self.table[key]
             return None
-        may = held < self.HELD_SHARE and gen.prompt_tok - kept.tok <= self.NEW_TOK and self.guard.may_send(
-            now, gen, server)
-        return seat if may and not self.fleet.unwell(seat, now) else None
+        return kept
 
-    def started(self, now: Time, leg: Leg) -> None:
-        gen = leg.gen
-        if gen.session is None or leg.server.role == "writer" and not self.local_reads:
-            return
-        old, seat = self.table.pop(gen.session, None), self.fleet.seats[leg.server]
-        self.table[gen.session] = Kept(seat, now, gen, old.tok if old else 0, self.fleet.flow(seat))
+    def may(self, now: Time, gen: Generation, kept: Kept) -> bool:
+        seat = kept.seat
+        held = self.fleet.held_share(seat, now, self.fleet.other_share(seat.server.role, now))
+        return (held < self.HELD_SHARE and gen.prompt_tok - kept.tok <= self.NEW_TOK
+                and self.guard.may_send(now, gen, seat.server) and not self.fleet.unwell(seat, now))
+
+    def put(self, now: Time, key: bytes, kept: Kept) -> None:
+        self.table.pop(key, None)
+        self.table[key] = kept
         if len(self.table) > self.SIZE or now - next(iter(self.table.values())).at > self.AGE:
             del self.table[next(iter(self.table))]
 
+    def started(self, now: Time, leg: Leg) -> None:
+        gen, key = leg.gen, self.key(leg.gen)
+        if not key or leg.server.role == "writer" and not self.local_reads:
+            return
+        old, seat = self.table.get(key), self.fleet.seats[leg.server]
+        self.put(now, key, Kept(seat, now, gen.prompt_tok, old.tok if old else 0, self.fleet.flow(seat)))
+
     def back(self, now: Time, leg: Leg, kept_tok: int, no_state: bool) -> bool:
-        gen = leg.gen
-        kept = self.table.get(gen.session or "")
+        gen, key = leg.gen, self.key(leg.gen)
+        kept = self.table.get(key)
         if leg.outcome != "streamed" or kept is None or kept.seat.server is not leg.server:
             return False
         local = not any(one.server.role == "reader" for one in gen.legs)
         if local and 2 * kept_tok < kept.earlier:
-            del self.table[gen.session or ""]
+            del self.table[key]
         else:
             answer = (now - leg.sent) // max(1, gen.product.token_gap)
             kept.at, kept.flow = now, self.fleet.flow(kept.seat)
@@ -391,6 +469,87 @@
         return False
 
 
+class Home(Stage):
+    """Finds the owner of a session whose earlier turns came to other gateways. The session's hash names one
+    gateway, its home, which is told the owner at each turn's end and asked at the next one's arrival."""
+
+    WAIT, PART = 100 * MS, 0.1  # for the answer at most; and of the time that is left
+    QUIET = 5 * SECOND  # a home that did not answer is not asked for so long: it is down, or cut off
+    HEAD, ENTRY = Struct("<c8s"), Struct("<IIH")  # kind and session; server, tokens kept, age in ms
+    REACH_SAY = 0.1  # weight of the newest question
+    ASK, TELL, KNOWN, UNKNOWN = b"?", b"!", b"=", b"-"
+
+    def __init__(self, gateway: Gateway, fleet: Fleet, owner: Owner, peers: bool) -> None:
+        self.gateway, self.fleet, self.owner, self.peers = gateway, fleet, owner, peers
+        self.asked: dict[bytes, Generation] = {}  # emptied by the answer, or once it has taken too long
+        self.quiet: dict[int, Time] = {}  # by gateway: not asked until then; as many as there are
+
+    def home(self, key: bytes) -> int:
+        return int.from_bytes(key[:4], "little") % self.fleet.gateways
+
+    def take(self, now: Time, gen: Generation) -> None:
+        key = self.owner.key(gen)
+        home = self.home(key)
+        if not self.peers or not key or home == self.fleet.number or key in self.asked:
+            self.below.take(now, gen)
+        elif now < self.quiet.get(home, 0):
+            self.answered(False)
+            self.below.take(now, gen)
+        else:
+            self.asked[key] = gen
+            self.tell(now, home, self.ASK, key, None)
+            wait = min(self.WAIT, int(self.PART * (gen.gives_up - now)))
+            self.gateway.wake(max(MS, wait), lambda then: self.late(then, key, gen))
+
+    def answered(self, well: bool) -> None:
+        self.fleet.reach += self.REACH_SAY * (well - self.fleet.reach)
+
+    def late(self, now: Time, key: bytes, gen: Generation) -> None:
+        if self.asked.get(key) is gen:
+            self.quiet[self.home(key)] = now + self.QUIET
+            self.answered(False)
+            self.go_on(now, key)
+
+    def go_on(self, now: Time, key: bytes) -> None:
+        gen = self.asked.pop(key, None)
+        if gen is not None and not gen.over:
+            self.below.take(now, gen)
+
+    def tell(self, now: Time, peer: int, kind: bytes, key: bytes, kept: Kept | None) -> None:
+        entry = b"" if kept is None else self.ENTRY.pack(kept.seat.hash, kept.tok, min(65_535, (now - kept.at) // MS))
+        self.gateway.tell(peer, self.HEAD.pack(kind, key) + entry + self.fleet.speak(now))
+
+    def back(self, now: Time, leg: Leg, kept_tok: int, no_state: bool) -> bool:
+        key = self.owner.key(leg.gen)
+        if self.peers and key and leg.outcome == "streamed" and self.home(key) != self.fleet.number:
+            kept = self.owner.valid(now, key)
+            if kept is not None:
+                self.tell(now, self.home(key), self.TELL, key, kept)
+        return False
+
+    def heard(self, now: Time, peer: int, octets: bytes) -> None:
+        """A peer's word. One that is malformed, late or names a server that our list does not hold says nothing."""
+        kind, key, rest = octets[:1], octets[1:9], octets[9:]
+        if kind in (self.TELL, self.KNOWN) and len(rest) >= self.ENTRY.size:
+            server, tok, age = self.ENTRY.unpack_from(rest)
+            rest, seat = rest[self.ENTRY.size:], self.fleet.by_hash.get(server)
+            if seat is not None:
+                self.owner.put(now, key, Kept(seat, now - age * MS, tok, 0, self.fleet.flow(seat)))
+        elif kind == self.UNKNOWN:
+            self.owner.table.pop(key, None)
+        elif kind != self.ASK:
+            return
+        if kind == self.ASK:
+            kept = self.owner.valid(now, key)
+            self.tell(now, peer, self.KNOWN if kept is not None else self.UNKNOWN, key, kept)
+        self.fleet.hear(now, rest)
+        self.quiet.pop(peer, None)
+        if kind in (self.KNOWN, self.UNKNOWN):
+            if key in self.asked:
+                self.answered(True)
+            self.go_on(now, key)
+
+
 class Reader(Stage):
     """Picks a reader by a hash of the session, then a writer, near it if it can; reads again on failure."""
 
@@ -403,11 +562,16 @@
         self.texts: dict[str, int] = {}  # how often each shared text came lately; halved at TEXTS
 
     def take(self, now: Time, gen: Generation) -> None:
-        seat = self.pick(now, gen)
+        self.go(now, gen, self.pick(now, gen)[0])
+
+    def go(self, now: Time, gen: Generation, seat: Seat | None) -> None:
+        if seat is not None and seat.server.role == "mixed":
+            self.writer.send(now, gen, seat)
+            return
         goal = self.writer.pick(now, gen, seat and self.fleet.writer_cell(seat.server.cell))
         if goal is None or seat is None and goal.server.role == "writer" and not self.local_reads:
             self.guard.answer(gen)
-        elif seat is None or goal.server.role == "mixed":
+        elif seat is None:
             self.writer.send(now, gen, goal)
         else:
             self.writer.plan[gen] = goal
@@ -417,20 +581,24 @@
             limit = patience if len(gen.legs) + 2 < self.guard.max_legs else gen.gives_up
             self.guard.send(now, gen, seat, limit)
 
-    def pick(self, now: Time, gen: Generation) -> Seat | None:
-        """Least to wait for: reads queued, and what is read anew down an order that all gateways share."""
-        seats = self.guard.open("reader", now, gen)
+    def pick(self, now: Time, gen: Generation) -> tuple[Seat | None, float]:
+        """Least to wait for, and the tokens of that: reads queued, and what is read anew down an order that all
+        gateways share."""
+        seats = self.guard.open("reader", now, gen) + self.guard.open("mixed", now, gen)
+        seats = [one for one in seats if one.drawn is gen] or seats
         text = crc32((gen.shared or gen.session or gen.name).encode())
         session = crc32((gen.session or gen.name).encode())
-        weight = {one: self.fleet.weight[one.server.cell] for one in seats}
+        weight = {one: self.fleet.whole if one.server.role == "mixed" else self.fleet.weight[one.server.cell]
+                  for one in seats}
         here = mix(text, session) / 2**32 < self.fleet.stay
         other = {one: (one.server.zone == self.fleet.zone) != here for one in seats}
         seats.sort(key=lambda one: (other[one], -log((mix(one.hash, text) + 1) / 2**32) / weight[one]))
         few = ceil(self.SPREAD * self.popular(gen.shared) * (len(seats) - sum(other.values())))
         seats[:few] = sorted(seats[:few], key=lambda one: mix(one.hash, session))
-        cost = {one: self.fleet.alike * one.own + gen.prompt_tok * (min(rank, 2) / 2 + other[one])
-                for rank, one in enumerate(seats)}
-        return min(seats, default=None, key=lambda one: cost[one])
+        cost = {one: (self.fleet.queue(one) if one.server.role == "reader" else self.fleet.busy(one, now, gen))
+                + gen.prompt_tok * (min(rank, 2) / 2 + other[one]) for rank, one in enumerate(seats)}
+        best = min(seats, default=None, key=lambda one: cost[one])
+        return best, cost[best] if best is not None else 0.0
 
     def popular(self, text: str | None) -> float:
         """The part of recent generations that began with this text; high until it is shown to be low."""
@@ -471,7 +639,7 @@
         return gen.prompt_tok + int(gen.limit_tok * self.GROWTH)
 
     def pick(self, now: Time, gen: Generation, cell: int | None) -> Seat | None:
-        seats = self.guard.open("writer", now, gen) + self.guard.open("mixed", now, gen)
+        seats = self.guard.open("writer", now, gen) or self.guard.open("mixed", now, gen)
         mark = crc32(f"{self.fleet.seed} {gen.name}".encode())  # equal servers: not the same for all gateways
         usual = {role: self.fleet.other_share(role, now) for role in ("writer", "mixed")}
 
@@ -521,15 +689,16 @@
 
     def __init__(self, gateway: Gateway, seed: int, *, number: int, gateways: int, zone: str, max_legs: int,
                  max_retry_after: Time, local_reads: bool, must_ask: bool, cold_from: float, warm_up: Time,
-                 fall_multiple: float) -> None:
+                 fall_multiple: float, peers: bool = False) -> None:
         self.gateway, self.must_ask = gateway, must_ask
-        self.fleet = Fleet(gateway, seed, cold_from, warm_up, fall_multiple, number, gateways, zone)
+        self.fleet = Fleet(gateway, seed, cold_from, warm_up, fall_multiple, number, gateways, zone, peers)
         self.guard = Guard(gateway, self.fleet, max_legs, max_retry_after)
         self.writer = Writer(self.guard, self.fleet, local_reads)
-        self.admission = Admission(self.guard, self.fleet, self.writer)
         self.owner = Owner(self.guard, self.fleet, self.writer, local_reads)
+        self.home = Home(gateway, self.fleet, self.owner, peers)
         self.reader = Reader(self.guard, self.fleet, self.writer, local_reads)
-        self.chain: list[Stage] = [self.guard, self.admission, self.owner, self.reader, self.writer]
+        self.admission = Admission(self.guard, self.fleet, self.reader, self.writer)
+        self.chain: list[Stage] = [self.guard, self.home, self.owner, self.admission, self.reader, self.writer]
         for stage, below in zip(self.chain, self.chain[1:]):
             stage.below = below
 
@@ -571,6 +740,9 @@
         if not gen.out() and (plan := self.writer.plan.pop(gen, None)) is not None:
             plan.drop(gen)
 
+    def heard(self, now: Time, peer: int, octets: bytes) -> None:
+        self.home.heard(now, peer, octets)
+
     def departed(self, now: Time, gen: Generation) -> None:
         if not gen.out():
             self.guard.let_go(gen)
--- a/stackpitch/gateway/host.py
+++ b/stackpitch/gateway/host.py
@@ -266,6 +266,9 @@
         if self.list_wanted is not None:
             self.world.at(self.world.now(), self.list_wanted)
 
+    def tell(self, peer: int, octets: bytes) -> None:
+        """Not offered: no setting lets the module ask for it yet."""
+
     def log(self, text: str) -> None:
         mode, _, rest = text.partition(" ")
         self.metrics.modes.labels(mode).inc()
