--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -57,7 +57,7 @@
     SHUN = SECOND // 2  # first time out after a strike; doubles with each further one
     LEARN, LATE_LEARN = 0.1, 0.2  # weight of the newest wait, and of its part of the SLO time
     QUEUED_AFTER = 0.25  # of its SLO time: a leg without word for this long waits in a queue
-    READ_ROOM, ZONES_ROOM = 1.25, 1.25  # even parts that a cell's readers bear, in one zone and among several
+    READ_ROOM, ZONES_ROOM = 1.25, 1.8  # even parts that a cell's readers bear, in one zone and among several
     SLOW_HELD, SLOWED = 0.5, 2.0  # share of memory from which a mixed server is late, SLO times for a whole one
     FOLLOW = 3 * SECOND // 2  # means by server follow what we hold over this time
     SCALE, SPOKEN = 100, 200  # a share of memory in peers' words; servers in a word at most
@@ -357,19 +357,19 @@
         return True
 
 
-class Admission(Stage):
+class Admission:
     """Throttles early what would likely come late, whatever the cause; few slow legs may pass for a jam."""
 
     START, SPAN = 0.3, 0.4  # wait as part of the SLO time from which some, and how much more until all goes
     LATE, LATE_SPAN = 0.35, 10 * SECOND  # part of its SLO time that a leg may well wait; forgotten over this
     HELD_SHARE, HELD_SAY = 0.72, 2.0  # of the writers' memory; more counts so many times as a wait does
 
-    def __init__(self, guard: Guard, fleet: Fleet, reader: "Reader", writer: "Writer") -> None:
-        self.guard, self.fleet, self.reader, self.writer, self.shedding = guard, fleet, reader, writer, False
+    def __init__(self, guard: Guard, fleet: Fleet, writer: "Writer") -> None:
+        self.guard, self.fleet, self.writer, self.shedding = guard, fleet, writer, False
 
-    def take(self, now: Time, gen: Generation) -> None:
+    def sheds(self, now: Time, gen: Generation, cost: float) -> bool:
+        """Whether this generation has been throttled. `cost`: tokens to be read before it, and for it alone."""
         readers, writers = (self.fleet.healthy(role, now) for role in ("reader", "writer"))
-        seat, cost = self.reader.pick(now, gen)
         wait = self.fleet.queue_wait("reader", readers, now) + self.fleet.queue_wait("writer", writers, now)
         if self.fleet.peers:
             wait = max(wait, cost * self.fleet.usual["reader"] / max(1.0, self.fleet.ahead))
@@ -383,12 +383,11 @@
             self.shedding = shed
             turn = "begins" if shed else "ends"
             self.fleet.gateway.log(f"throttling {turn} wait={wait / MS:.0f}ms late={late:.2f} held={held:.2f}")
-        if not shed:
-            self.reader.go(now, gen, seat)
-        elif (idle := self.writer.idle(now, gen)) is not None:
+        if shed and (idle := self.writer.idle(now, gen)) is not None:
             self.writer.send(now, gen, idle)
-        else:
+        elif shed:
             self.guard.answer(gen)
+        return shed
 
 
 class Kept:
@@ -406,8 +405,10 @@
     NEW_TOK, HELD_SHARE = 1500, 0.8  # bounds for a turn to be read by its owner
     REACH = 0.9  # of the memory not held: a history is likely kept until this much has come in after it
 
-    def __init__(self, guard: Guard, fleet: Fleet, writer: "Writer", local_reads: bool) -> None:
+    def __init__(self, guard: Guard, fleet: Fleet, admission: Admission, writer: "Writer",
+                 local_reads: bool) -> None:
         self.guard, self.fleet, self.writer, self.local_reads = guard, fleet, writer, local_reads
+        self.admission = admission
         self.table: dict[bytes, Kept] = {}  # by session; emptied by age, size and evidence of loss
 
     @staticmethod
@@ -416,10 +417,10 @@
 
     def take(self, now: Time, gen: Generation) -> None:
         kept = None if gen.legs else self.valid(now, self.key(gen))
-        if kept is not None and self.may(now, gen, kept):
-            self.writer.send(now, gen, kept.seat)
-        else:
+        if kept is None or not self.may(now, gen, kept):
             self.below.take(now, gen)
+        elif not self.admission.sheds(now, gen, 0.0):
+            self.writer.send(now, gen, kept.seat)
 
     def valid(self, now: Time, key: bytes) -> Kept | None:
         """The session's entry, if its owner is there and likely still keeps the history."""
@@ -557,14 +558,16 @@
     TEXTS = 64  # counted over so many generations
     LIMIT_FLOOR, LIMIT_TIMES = 600 * MS, 16  # and so many usual waits: before another reader is tried
 
-    def __init__(self, guard: Guard, fleet: Fleet, writer: "Writer", local_reads: bool) -> None:
+    def __init__(self, guard: Guard, fleet: Fleet, admission: Admission, writer: "Writer",
+                 local_reads: bool) -> None:
         self.guard, self.fleet, self.writer, self.local_reads = guard, fleet, writer, local_reads
+        self.admission = admission
         self.texts: dict[str, int] = {}  # how often each shared text came lately; halved at TEXTS
 
     def take(self, now: Time, gen: Generation) -> None:
-        self.go(now, gen, self.pick(now, gen)[0])
-
-    def go(self, now: Time, gen: Generation, seat: Seat | None) -> None:
+        seat, cost = self.pick(now, gen)
+        if not gen.legs and self.admission.sheds(now, gen, cost):
+            return
         if seat is not None and seat.server.role == "mixed":
             self.writer.send(now, gen, seat)
             return
@@ -596,8 +599,8 @@
         few = ceil(self.SPREAD * self.popular(gen.shared) * (len(seats) - sum(other.values())))
         seats[:few] = sorted(seats[:few], key=lambda one: mix(one.hash, session))
         cost = {one: (self.fleet.queue(one) if one.server.role == "reader" else self.fleet.busy(one, now, gen))
-                + gen.prompt_tok * (min(rank, 2) / 2 + other[one]) for rank, one in enumerate(seats)}
-        best = min(seats, default=None, key=lambda one: cost[one])
+                + gen.prompt_tok * (min(rank, 2) / 2 + other[one]) for rank, one in enumerate(seats[:2] if self.fleet.peers else seats)}
+        best = min(cost, default=None, key=lambda one: cost[one])
         return best, cost[best] if best is not None else 0.0
 
     def popular(self, text: str | None) -> float:
@@ -653,7 +656,8 @@
     def idle(self, now: Time, gen: Generation) -> Seat | None:
         """A writer with time to read a whole prompt that the readers could not read in time."""
         seat, usual = self.pick(now, gen, None), self.fleet.other_share("writer", now)
-        busy = seat is None or seat.waiting or self.fleet.held_share(seat, now, usual) >= self.IDLE_SHARE
+        busy = (seat is None or seat.waiting or self.fleet.peers
+                or self.fleet.held_share(seat, now, usual) >= self.IDLE_SHARE)
         return None if busy or not self.local_reads else seat
 
     def take(self, now: Time, gen: Generation) -> None:
@@ -694,11 +698,11 @@
         self.fleet = Fleet(gateway, seed, cold_from, warm_up, fall_multiple, number, gateways, zone, peers)
         self.guard = Guard(gateway, self.fleet, max_legs, max_retry_after)
         self.writer = Writer(self.guard, self.fleet, local_reads)
-        self.owner = Owner(self.guard, self.fleet, self.writer, local_reads)
+        self.admission = Admission(self.guard, self.fleet, self.writer)
+        self.owner = Owner(self.guard, self.fleet, self.admission, self.writer, local_reads)
         self.home = Home(gateway, self.fleet, self.owner, peers)
-        self.reader = Reader(self.guard, self.fleet, self.writer, local_reads)
-        self.admission = Admission(self.guard, self.fleet, self.reader, self.writer)
-        self.chain: list[Stage] = [self.guard, self.home, self.owner, self.admission, self.reader, self.writer]
+        self.reader = Reader(self.guard, self.fleet, self.admission, self.writer, local_reads)
+        self.chain: list[Stage] = [self.guard, self.home, self.owner, self.reader, self.writer]
         for stage, below in zip(self.chain, self.chain[1:]):
             stage.below = below
 
