--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -568,6 +568,7 @@
         seat, cost = self.pick(now, gen)
         if not gen.legs and self.admission.sheds(now, gen, cost):
             return
+        self.count(gen.shared)
         if seat is not None and seat.server.role == "mixed":
             self.writer.send(now, gen, seat)
             return
@@ -607,11 +608,15 @@
         """The part of recent generations that began with this text; high until it is shown to be low."""
         if text is None:
             return 0.0
-        self.texts[text] = self.texts.get(text, 0) + 1
-        total = sum(self.texts.values())
-        if total > self.TEXTS:
-            self.texts = {one: count // 2 for one, count in self.texts.items() if count > 1}
-        return self.texts.get(text, 1) / total
+        count = self.texts.get(text, 0) + 1
+        return count / (sum(self.texts.values()) + 1)
+
+    def count(self, text: str | None) -> None:
+        """Only what is read counts: clients that ask again would make what is throttled popular."""
+        if text is not None:
+            self.texts[text] = self.texts.get(text, 0) + 1
+            if sum(self.texts.values()) > self.TEXTS:
+                self.texts = {one: count // 2 for one, count in self.texts.items() if count > 1}
 
     def back(self, now: Time, leg: Leg, kept_tok: int, no_state: bool) -> bool:
         gen = leg.gen
