--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -33,6 +33,7 @@
         self.tok: dict[Generation, int] = {}  # tokens our legs bring here; emptied by outcomes
         self.own = 0  # the sum of these
         self.poured = 0  # tokens that our legs ever brought here
+        self.asked: Time = -1  # when it was last probed
         self.mean = 0.0  # share of its memory that a gateway holds on average, by peers' words
         self.others, self.reported_at = 0.0, -SECOND * 60  # share that others held by the last report; when
         self.strikes, self.shunned_until = 0, 0
@@ -283,6 +284,35 @@
             self.others[seat.server.role] = mean + self.REPORT_SAY * (seat.others - mean)
 
 
+class Probing:
+    """Asks servers for their load where reports come no other way: so many with each generation, so that what it
+    costs stays in proportion to traffic; those asked longest ago first."""
+
+    EACH, BLANK = 1.0, 12  # probes a generation; answers in a row without a report, after which it ends
+
+    def __init__(self, gateway: Gateway, fleet: Fleet, probes: bool) -> None:
+        self.gateway, self.fleet, self.left, self.due = gateway, fleet, self.BLANK if probes else 0, 0.0
+
+    def arrived(self, now: Time) -> None:
+        if self.left <= 0:
+            return
+        self.due += self.EACH
+        ready = [one for one in self.fleet.seats.values() if one.server.state == "ready"]
+        for one in sorted(ready, key=lambda one: (one.asked, one.hash))[:int(self.due)]:
+            self.gateway.probe(one.server)
+            one.asked = now
+        self.due %= 1
+
+    def answered(self, now: Time, server: Server, well: bool, report: Report | None) -> None:
+        if report is not None and server in self.fleet.seats:
+            self.left = self.BLANK
+            self.fleet.reported(self.fleet.seats[server], now, report)
+        elif well and self.left > 0:
+            self.left -= 1
+            if not self.left:
+                self.gateway.log("probes end, they tell no load")
+
+
 class Stage:
     """One link of the chain. `take` is called downwards; `back` upwards, and says whether it was kept."""
 
@@ -634,7 +664,8 @@
 
     GROWTH = 0.4  # of the output limit that answers are taken to reach
     IDLE_SHARE = 0.45  # of memory held, under which a writer reads what would be throttled
-    FAR, BLIND = 0.2, 0.04  # memory that a writer elsewhere than planned must be emptier; without reports
+    FAR, AWAY, BLIND = 0.2, 0.3, 0.04  # memory that a writer must be emptier: elsewhere than planned; in another
+    # zone as well; and elsewhere where there are no reports
     LIMIT_FLOOR, LIMIT_TIMES = 400 * MS, 10  # and so many usual waits: before another writer is tried
 
     def __init__(self, guard: Guard, fleet: Fleet, local_reads: bool) -> None:
@@ -652,9 +683,11 @@
         usual = {role: self.fleet.other_share(role, now) for role in ("writer", "mixed")}
 
         def order(one: Seat) -> tuple[float, int]:
-            far = one.server.zone != self.fleet.zone if cell is None else one.server.cell != cell
+            away = one.server.zone != self.fleet.zone
+            far = away if cell is None else one.server.cell != cell
             held = self.fleet.held_share(one, now, usual[one.server.role])
-            return held + (self.FAR if self.fleet.others else self.BLIND) * far, mix(one.hash, mark)
+            slower = self.FAR * far + self.AWAY * away if self.fleet.others else self.BLIND * far
+            return held + slower, mix(one.hash, mark)
 
         return min(seats, default=None, key=order)
 
@@ -698,9 +731,10 @@
 
     def __init__(self, gateway: Gateway, seed: int, *, number: int, gateways: int, zone: str, max_legs: int,
                  max_retry_after: Time, local_reads: bool, must_ask: bool, cold_from: float, warm_up: Time,
-                 fall_multiple: float, peers: bool = False) -> None:
+                 fall_multiple: float, peers: bool = False, probes: bool = False) -> None:
         self.gateway, self.must_ask = gateway, must_ask
         self.fleet = Fleet(gateway, seed, cold_from, warm_up, fall_multiple, number, gateways, zone, peers)
+        self.probing = Probing(gateway, self.fleet, probes)
         self.guard = Guard(gateway, self.fleet, max_legs, max_retry_after)
         self.writer = Writer(self.guard, self.fleet, local_reads)
         self.admission = Admission(self.guard, self.fleet, self.writer)
@@ -724,6 +758,7 @@
             self.gateway.wake(self.ASK_AGAIN, lambda _: self.gateway.subscribe())
 
     def arrived(self, now: Time, gen: Generation) -> None:
+        self.probing.arrived(now)
         self.guard.take(now, gen)
 
     def started(self, now: Time, leg: Leg) -> None:
@@ -749,6 +784,9 @@
         if not gen.out() and (plan := self.writer.plan.pop(gen, None)) is not None:
             plan.drop(gen)
 
+    def probed(self, now: Time, server: Server, well: bool, report: Report | None) -> None:
+        self.probing.answered(now, server, well, report)
+
     def heard(self, now: Time, peer: int, octets: bytes) -> None:
         self.home.heard(now, peer, octets)
 
