--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -585,6 +585,7 @@
     """Picks a reader by a hash of the session, then a writer, near it if it can; reads again on failure."""
 
     SPREAD = 2.0  # readers that share a popular text, over those that its part of the traffic needs,
+    SPILL = 2.0  # what is read anew counts so many times: it also pushes out what others need
     TEXTS = 64  # counted over so many generations
     LIMIT_FLOOR, LIMIT_TIMES = 600 * MS, 16  # and so many usual waits: before another reader is tried
 
@@ -629,8 +630,13 @@
         seats.sort(key=lambda one: (other[one], -log((mix(one.hash, text) + 1) / 2**32) / weight[one]))
         few = ceil(self.SPREAD * self.popular(gen.shared) * (len(seats) - sum(other.values())))
         seats[:few] = sorted(seats[:few], key=lambda one: mix(one.hash, session))
+
+        def anew(rank: int) -> int:
+            """Tokens that servers down the order must read, as they keep no history, or not even the shared text."""
+            return 0 if rank == 0 else gen.prompt_tok - (gen.shared_tok if rank < few else 0)
+
         cost = {one: (self.fleet.queue(one) if one.server.role == "reader" else self.fleet.busy(one, now, gen))
-                + gen.prompt_tok * (min(rank, 2) / 2 + other[one]) for rank, one in enumerate(seats[:2] if self.fleet.peers else seats)}
+                + self.SPILL * anew(rank) + gen.prompt_tok * other[one] for rank, one in enumerate(seats[:2] if self.fleet.peers else seats)}
         best = min(cost, default=None, key=lambda one: cost[one])
         return best, cost[best] if best is not None else 0.0
 
