--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -390,7 +390,7 @@
 class Admission:
     """Throttles early what would likely come late, whatever the cause; few slow legs may pass for a jam."""
 
-    START, SPAN = 0.3, 0.4  # wait as part of the SLO time from which some, and how much more until all goes
+    START, SPAN = 0.2, 0.3  # wait as part of the SLO time from which some, and how much more until all goes
     LATE, LATE_SPAN = 0.35, 10 * SECOND  # part of its SLO time that a leg may well wait; forgotten over this
     HELD_SHARE, HELD_SAY = 0.72, 2.0  # of the writers' memory; more counts so many times as a wait does
 
@@ -405,7 +405,8 @@
             wait = max(wait, cost * self.fleet.usual["reader"] / max(1.0, self.fleet.ahead))
         part = wait / max(1, min(gen.slo(), gen.gives_up - now))
         usual = self.fleet.other_share("writer", now)
-        late = sum(self.fleet.lately(self.fleet.late, role, now, self.LATE_SPAN) for role in self.fleet.late)
+        by_role = {role: self.fleet.lately(self.fleet.late, role, now, self.LATE_SPAN) for role in self.fleet.late}
+        late = max(by_role["reader"] + by_role["writer"], by_role["mixed"])  # a generation meets one of the two
         held = sum(self.fleet.held_share(one, now, usual) for one in writers) / max(1, len(writers))
         part = max(part, late - self.LATE, self.HELD_SAY * (held - self.HELD_SHARE))
         shed = part - self.START > self.SPAN * self.fleet.chance()
@@ -633,7 +634,7 @@
 
         def anew(rank: int) -> int:
             """Tokens that servers down the order must read, as they keep no history, or not even the shared text."""
-            return 0 if rank == 0 else gen.prompt_tok - (gen.shared_tok if rank < few else 0)
+            return (gen.prompt_tok - gen.shared_tok) // 4 if rank == 0 else gen.prompt_tok - (gen.shared_tok if rank < few else 0)
 
         cost = {one: (self.fleet.queue(one) if one.server.role == "reader" else self.fleet.busy(one, now, gen))
                 + self.SPILL * anew(rank) + gen.prompt_tok * other[one] for rank, one in enumerate(seats[:2] if self.fleet.peers else seats)}
