Real gateways write to their peers, and take words at the admin port; probes are a setting

What the module newly asks for is carried out by the program: peers.admin lists every gateway's admin port, words of 256 bytes at most go there as POST /peer, may be lost, and are never repeated; unknown, oversized or malformed ones are dropped and counted (stackpitch_peer_words). module.probes lets the module probe. Defaults leave the present behaviour: no peers, no probes. A bad value stops serve with exit 2, field, value and what is allowed. Host.arrived lets a generation wait without a leg only while its home is asked.

--- a/stackpitch/expect/dry.py
+++ b/stackpitch/expect/dry.py
@@ -100,7 +100,7 @@
 
     def _wake(self) -> None:
         self.brain.begin(self.now)
-        self.tell()
+        self.list_servers()
 
     # Time.
 
@@ -124,7 +124,7 @@
 
     # Circumstances.
 
-    def tell(self) -> None:
+    def list_servers(self) -> None:
         self.brain.roster(self.now, [one for one in self.servers.values() if one.state != "gone"], True)
 
     def restart(self) -> None:
@@ -156,7 +156,7 @@
             else:
                 self.conditions[server].state = state
         if listed:
-            self.tell()
+            self.list_servers()
 
     def _past_leg(self, server: Server, outcome: Outcome, report: Report | None) -> None:
         """The end of a leg whose client has left: what it tells of its server is all that it does."""
@@ -292,8 +292,11 @@
     def wake(self, delay: Time, call: Callable[[Time], None]) -> None:
         self.at(self.now + delay, lambda: call(self.now))
 
+    def tell(self, peer: int, octets: bytes) -> None:
+        """No other gateway is here: words are lost."""
+
     def subscribe(self) -> None:
-        self.at(self.now, self.tell)
+        self.at(self.now, self.list_servers)
 
     def log(self, text: str) -> None:
         self.modes.append((self.now, text))
--- a/stackpitch/gateway/host.py
+++ b/stackpitch/gateway/host.py
@@ -6,7 +6,9 @@
 """
 
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 from typing import Any
+from urllib.parse import urlencode
 
 import msgspec
 
@@ -24,16 +26,29 @@
 from stackpitch.wire import http, orca
 from stackpitch.wire.engine import HEALTH, STATE_HOLD, STATE_RELEASE, HoldAnswer, StateCall
 
+PEER_WORD = 256  # bytes, at most
+
+
+@dataclass(frozen=True, slots=True)
+class Peers:
+    """The other gateways' admin ports by number, our own too; empty: none. `limit`: for a word, in ticks."""
+
+    admin: Sequence[str] = ()
+    number: int = 0
+    limit: Time = 0
+    max_words: int = 0
+
 
 class Host:
     """`interface.Gateway` in full. All tables are bounded by what is under way and by the roster."""
 
     def __init__(self, world: World, group: Group, log: Log, metrics: Metrics, name: str, roster: Roster,
                  bounds: Bounds, load_fields: tuple[str, str, str],
-                 seed: int, preferences: Preferences, arguments: Mapping[str, Any]) -> None:
+                 seed: int, preferences: Preferences, arguments: Mapping[str, Any], peers: Peers = Peers()) -> None:
         self.world, self.group, self.logger, self.metrics, self.name = world, group, log, metrics, name
         self.roster, self.bounds = roster, bounds
         self.load_fields = load_fields
+        self.peers, self.words = peers, 0  # and words to them under way
         self.asks: dict[Generation, Ask] = {}  # emptied once a generation is over and its last leg is back
         self.pools: dict[Server, Pool] = {}  # emptied when a server is gone and its last leg is back
         self.calls = 0  # small calls under way
@@ -78,7 +93,7 @@
         self.metrics.held.set(len(self.asks))
         ask.watch = self.world.at(gen.gives_up + self.bounds.watch, lambda: self._overdue(ask))
         self._tell(ask, lambda now: self.brain.arrived(now, gen))
-        if not gen.over and not gen.out():
+        if not gen.over and not gen.out() and not self.brain.keeps(gen):
             self.logger.error("module_kept_without_leg", generation=gen.name)
             self.terminate(gen)
 
@@ -267,7 +282,45 @@
             self.world.at(self.world.now(), self.list_wanted)
 
     def tell(self, peer: int, octets: bytes) -> None:
-        """Not offered: no setting lets the module ask for it yet."""
+        """One word to another gateway. None is repeated; one that can't leave now is dropped and counted."""
+        if len(octets) > PEER_WORD or not 0 <= peer < len(self.peers.admin) or self.words >= self.peers.max_words:
+            self.metrics.words.labels("not-sent").inc()
+            return
+        host, _, port = self.peers.admin[peer].rpartition(":")
+        query = urlencode({"from": self.peers.number, "word": octets.hex()})
+
+        def call() -> Coro[None]:
+            end = "lost"
+            try:
+                with self.world.limit(self.peers.limit):
+                    stream = yield from self.world.connect((host, int(port)), self.peers.limit)
+                    try:
+                        answer = yield from self._exchange(stream, "POST", f"/peer?{query}", host, b"", last=True)
+                        end = "sent" if answer is not None and answer.status == 200 else "lost"
+                    finally:
+                        stream.close()
+            except (Lost, ConnectFailed, http.BadMessage):
+                pass
+            finally:
+                self.words -= 1
+                self.metrics.words.labels(end).inc()
+
+        self.words += 1
+        self.group.spawn(call(), f"word to {peer}")
+
+    def heard(self, peer: str, word: str) -> bool:
+        """A word that came in. What is unknown, oversized or malformed is dropped and counted, and False."""
+        try:
+            number, octets = int(peer), bytes.fromhex(word)
+        except ValueError:
+            number, octets = -1, b""
+        others = 0 <= number < len(self.peers.admin) and number != self.peers.number
+        if not others or not octets or len(octets) > PEER_WORD:
+            self.metrics.words.labels("dropped").inc()
+            return False
+        self.metrics.words.labels("heard").inc()
+        self._tell(None, lambda now: self.brain.heard(now, number, octets))
+        return True
 
     def log(self, text: str) -> None:
         mode, _, rest = text.partition(" ")
@@ -320,8 +373,9 @@
                 waiting.pool.drop(waiting.stream)
 
     def _exchange(self, stream: Stream, method: str, target: str, name: str,
-                  body: bytes) -> Coro[http.ResponseReader | None]:
-        """One request and its whole answer, the body in `pieces`; None if it can't be followed by another."""
+                  body: bytes, last: bool = False) -> Coro[http.ResponseReader | None]:
+        """One request and its whole answer, the body in `pieces`; None if it can't be followed by another, unless it is
+        the `last`."""
         reader = http.ResponseReader(self.bounds.max_head, 1 << 16)
         stream.write(http.request(method, target, name, body, [("x-gateway", self.name)]))
         pieces: list[bytes] = []
@@ -332,7 +386,7 @@
             reader.feed(data)
             pieces += reader.pieces
         reader.pieces = pieces
-        return reader if reader.keep_alive and not reader.extra else None
+        return reader if last or (reader.keep_alive and not reader.extra) else None
 
     def _release(self, server: Server, state: str) -> None:
         def call() -> Coro[None]:
--- a/stackpitch/gateway/metrics.py
+++ b/stackpitch/gateway/metrics.py
@@ -17,6 +17,8 @@
         self.refused = Counter("stackpitch_refused", "What was not taken at the door", ["why"], registry=registry)
         self.releases = Counter("stackpitch_releases", "States and places let go", ["end"], registry=registry)
         self.modes = Counter("stackpitch_log_lines", "Mode changes that the module logged", ["mode"], registry=registry)
+        self.words = Counter("stackpitch_peer_words", "Words between gateways by what became of them", ["end"],
+                             registry=registry)
         self.hogs = Counter("stackpitch_hogs", "Steps of one task over the limit", registry=registry)
         self.relayed = Gauge("stackpitch_relayed_bytes", "Bytes of streams passed on", registry=registry)
         self.held = Gauge("stackpitch_generations_held", "Taken and not over, or with a leg out", registry=registry)
--- a/stackpitch/gateway/serve.py
+++ b/stackpitch/gateway/serve.py
@@ -10,7 +10,7 @@
 from stackpitch.gateway.admin import Admin, Route
 from stackpitch.gateway.door import Door
 from stackpitch.gateway.facts import Reading
-from stackpitch.gateway.host import Host
+from stackpitch.gateway.host import Host, Peers
 from stackpitch.gateway.keeper import Keeper
 from stackpitch.gateway.leg import Bounds
 from stackpitch.gateway.metrics import Metrics
@@ -42,7 +42,9 @@
     load = settings.load
     return Host(world, group, log, metrics, settings.name, Roster(world, kinds(settings)), bounds(settings),
                 (load.held_share, load.slots_share, load.queued), settings.seed,
-                preferences(settings, world.wall_ms() * 10 - world.now()), module_arguments(settings))
+                preferences(settings, world.wall_ms() * 10 - world.now()), module_arguments(settings),
+                Peers(settings.peers.admin, settings.module.number, ticks(settings.peers.word_ms),
+                      settings.peers.max_words))
 
 
 def serve(world: World, settings: Settings, ready: Callable[[int, int], None] | None = None, config: Path | None = None,
@@ -143,6 +145,10 @@
     def reload(asked: Mapping[str, str]) -> Coro[tuple[int, bytes]]:
         return answered((yield from keeper.reload(force=asked.get("force") == "1")))
 
+    def peer(asked: Mapping[str, str]) -> Coro[tuple[int, bytes]]:
+        yield from ()
+        return (200 if carrier.heard(asked.get("from", ""), asked.get("word", "")) else 400), b"{}"
+
     def confirm(asked: Mapping[str, str]) -> Coro[tuple[int, bytes]]:
         yield from ()
         return answered(keeper.confirm(asked.get("digest", "")))
@@ -153,7 +159,7 @@
 
     return {("GET", "/metrics"): text, ("GET", "/roster"): roster, ("POST", "/roster/reload"): reload,
             ("GET", "/fleet"): status, ("GET", "/fleet/history"): history, ("POST", "/fleet/confirm"): confirm,
-            ("POST", "/fleet/rollback"): rollback}
+            ("POST", "/fleet/rollback"): rollback, ("POST", "/peer"): peer}
 
 
 def _sweep(world: World, carrier: Host) -> Coro[None]:
--- a/stackpitch/settings/model.py
+++ b/stackpitch/settings/model.py
@@ -88,6 +88,7 @@
     cold_from: Annotated[float, Field(gt=0, le=1)] = 0.3
     warm_up_ms: Milliseconds = 13000
     fall_multiple: Some = 2.5
+    probes: bool = False  # engines tell their load only when asked: one probe with each generation
 
 
 Clock = Annotated[str, Field(pattern=r"^([01]\d|2[0-3]):[0-5]\d-([01]\d|2[0-3]):[0-5]\d$")]
@@ -145,6 +146,17 @@
     flap_calm_ms: Milliseconds = 20000  # without one, before it is taken back
 
 
+HostPort = Annotated[str, Field(pattern=r"^[^\s:]+:[1-9]\d{0,4}$")]
+
+
+class Peers(Part):
+    """The other gateways. Words between them are small, may be lost, and come in at each gateway's admin port."""
+
+    admin: list[HostPort] = []  # host:port of each gateway's admin port, by `module.number`, our own too; empty: none
+    word_ms: Some = 50  # for a word, connecting included, after which it is lost
+    max_words: Count = 64  # under way at once; more are dropped
+
+
 class Stop(Part):
     finish_ms: Milliseconds = 30000  # what is held after this is answered at once
 
@@ -172,6 +184,7 @@
     admin: Admin = Admin()
     engines: Engines = Engines()
     module: Module = Module()
+    peers: Peers = Peers()
     products: dict[Name, Product] = Field(min_length=1)
     customers: dict[Name, Customer] = {}
     kinds: dict[Name, Kind] = Field(min_length=1)
@@ -183,6 +196,10 @@
 
     @model_validator(mode="after")
     def rules_name_what_is_there(self) -> "Settings":
+        listed = len(self.peers.admin)
+        if listed and (listed != self.module.gateways or self.module.number >= listed):
+            raise ValueError(f"peers.admin: found {listed} entries; allowed: none, or one for each of module.gateways "
+                             f"({self.module.gateways}), with module.number ({self.module.number}) among them")
         seen = set[str]()
         for number, rule in enumerate(self.rules):
             if rule.name in seen:
--- a/tests/play.py
+++ b/tests/play.py
@@ -6,6 +6,8 @@
     list w1 draining | gone | ready started=MS         the list changes
     at 120                                the clock, in ms
     gen a chat session=s shared=p prompt=2000 limit=200 gives_up=4000      chat, book or order, see PRODUCTS
+    heard 1 knows a w2 tok=900 age=50      a peer's word on a's session, with its means; or asks, tells, unknown, junk
+    probed w1 held=0.9 | probed w1          the answer to a probe, with a report or without
     start a | end a full no_state=1 | end a#0 read | end a streamed kept=9 | depart a | fail | wait
     > send a r1                           the next thing asked for; a scenario ends with nothing left
     read a chat r1 w1 prompt=2000         gen, read by r1, sent to w1
@@ -20,7 +22,7 @@
 
 ARGUMENTS: dict[str, Any] = {
     "number": 0, "gateways": 1, "zone": "a", "max_legs": 4, "max_retry_after": 0, "local_reads": True,
-    "must_ask": False, "cold_from": 0.3, "warm_up": 130_000, "fall_multiple": 2.5,
+    "must_ask": False, "peers": False, "probes": False, "cold_from": 0.3, "warm_up": 130_000, "fall_multiple": 2.5,
 }
 
 
@@ -30,6 +32,7 @@
         ("chat", "idempotent", "all", 1.0), ("order", "side-effecting", "all", 1.0),
         ("book", "deduplicated", "cell", 1.0), ("note", "deduplicated", "all", 1.0), ("cheap", "idempotent", "all", 0.5)]
 }
+WORDS = {b"?": "asks", b"!": "tells", b"=": "knows", b"-": "unknown"}
 ROLES = {"r": "reader", "w": "writer", "m": "mixed"}
 
 
@@ -37,7 +40,7 @@
     """A gateway that only notes what it is asked for."""
 
     def __init__(self) -> None:
-        self.now, self.asked, self.arguments = 0, [], dict(ARGUMENTS)
+        self.now, self.asked, self.arguments, self.words = 0, [], dict(ARGUMENTS), []
         self.servers: dict[str, Server] = {}
         self.customers: dict[str | None, Customer | None] = {None: None}
         self.gens: dict[str, Generation] = {}
@@ -62,6 +65,10 @@
     def release(self, gen): self.asked.append(f"release {gen.name}")
     def cancel(self, leg): self.asked.append(f"cancel {leg.gen.name}#{leg.number}")
     def probe(self, server): self.asked.append(f"probe {server.name}")
+    def tell(self, peer, octets):
+        self.words.append(octets)
+        self.asked.append(f"tell {peer} {WORDS[octets[:1]]}")
+
     def subscribe(self): self.asked.append("subscribe")
     def wake(self, delay, call): self.timers.append((self.now + delay, call))
     def log(self, text): pass
@@ -135,6 +142,16 @@
         leg.gen.over = leg.gen.over or outcome == "streamed" or over == "1"
         self.brain.ended(self.now, leg, int(kept), no_state == "1", Report(float(held)) if held else None)
 
+    def do_heard(self, peer, what, name="", server=None, tok="1000", age="0", held="0"):
+        brain, kind = self.brain, next((one for one, word in WORDS.items() if word == what), b"~")
+        entry = brain.home.ENTRY.pack(brain.fleet.seats[self.servers[server]].hash, int(tok), int(age)) if server else b""
+        means = brain.fleet.mark + bytes([int(float(held) * 100)] * len(brain.fleet.order))
+        key = brain.owner.key(self.gens[name]) if name else b""
+        brain.heard(self.now, int(peer), kind + key + entry + means)
+
+    def do_probed(self, server, held=None):
+        self.brain.probed(self.now, self.servers[server], True, Report(float(held)) if held else None)
+
     def do_depart(self, name):
         self.gens[name].over = True
         self.brain.departed(self.now, self.gens[name])
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -20,6 +20,10 @@
     > freed r1 400                  no state waits at r1 within so many ms
     > nothing-after a               no byte came after its final answer
     > buffered 300000               bytes that wait for clients, at most
+    peer silent | knows w2 | unknown        a second gateway, the home of s0 and s1: before anything else
+    word 1 a1b2 times=1             a word from gateway 1 comes in at the admin port; in hex, so often over
+    > words-dropped 2 | words-lost 1        words that were not used, or did not arrive
+    > asked 1                       how often the peer was asked for an owner
     > roster 1 | servers r1 w1      version in force; servers in the list
     > idle                          no generation, call or client's task is left
 """
@@ -27,14 +31,17 @@
 import json
 from pathlib import Path
 from typing import Any
+from zlib import crc32
 
 import msgspec
 
+from stackpitch.brain import Home
 from stackpitch.gateway import logs
+from stackpitch.gateway.admin import Admin
 from stackpitch.gateway.door import Door
 from stackpitch.gateway.keeper import Keeper
 from stackpitch.gateway.metrics import Metrics
-from stackpitch.gateway.serve import host, reading, ticks
+from stackpitch.gateway.serve import _routes, host, reading, ticks
 from stackpitch.loop import MS, SECOND, ConnectFailed, Coro, Group, Lost, RealWorld, Stream
 from stackpitch.settings import Settings
 from stackpitch.settings.load import check
@@ -45,7 +52,8 @@
     "name": "g0", "products": {
         "chat": {"effect": "idempotent", **PRODUCT}, "order": {"effect": "side-effecting", **PRODUCT},
         "note": {"effect": "deduplicated", "scope": "cell", "memory_ms": 5000, **PRODUCT}},
-    "kinds": {"r": {"role": "reader", "memory_tok": 100000}, "w": {"role": "writer", "memory_tok": 100000}},
+    "kinds": {"r": {"role": "reader", "memory_tok": 100000}, "w": {"role": "writer", "memory_tok": 100000},
+              "m": {"role": "mixed", "memory_tok": 100000}},
     "door": {"stall_ms": 400, "head_ms": 300, "body_ms": 300}, "engines": {"gap_ms": 400}, "logs": {"level": "error"},
     "module": {"max_legs": 4},
 }
@@ -229,6 +237,48 @@
             if result is not None:
                 yield from result
 
+    def do_peer(self, how: str, server: str = "") -> None:
+        """Both gateways' admin ports; what the second does when it is asked."""
+        self.admin, self.peer = self.world.listen(("127.0.0.1", 0)), self.world.listen(("127.0.0.1", 0))
+        self.over["peers"] = {"admin": [f"127.0.0.1:{one.address[1]}" for one in (self.admin, self.peer)]}
+        self.over["module"] = {"gateways": 2, "max_legs": 4}
+        self.asked = 0
+
+        def heard(asked: Any) -> Coro[tuple[int, bytes]]:
+            yield from ()
+            word = bytes.fromhex(asked["word"])
+            if word[:1] == Home.ASK and how != "silent":
+                self.asked += 1
+                entry = Home.ENTRY.pack(crc32(server.encode()), 10, 0) if server else b""
+                kind = Home.KNOWN if server else Home.UNKNOWN
+                self.group.spawn(self.do_word("1", (kind + word[1:9] + entry).hex()), "answer")
+            return 200, b"{}"
+
+        if how != "silent":
+            self.group.spawn(Admin(self.world, {("POST", "/peer"): heard}).serve(self.group, self.peer), "peer")
+
+    def do_word(self, number: str, word: str, times: str = "1") -> Coro[None]:
+        stream = yield from self.world.connect(self.admin.address, SECOND)
+        stream.write(http.request("POST", f"/peer?from={number}&word={word * int(times)}", "g", b"", []))
+        yield from stream.recv()
+        stream.close()
+
+    def expect_asked(self, count: str) -> None:
+        assert self.asked == int(count), f"asked {self.asked} times"
+
+    def expect_words_dropped(self, count: str) -> None:
+        self.counted("dropped", count)
+
+    def expect_words_lost(self, count: str) -> Coro[None]:
+        yield from self.until(500, lambda: self.words("lost") == int(count), lambda: f"{self.words('lost')} lost")
+
+    def counted(self, end: str, count: str) -> None:
+        assert self.words(end) == int(count), f"{self.words(end)} {end}"
+
+    def words(self, end: str) -> float:
+        found = self.gateway.metrics.registry.get_sample_value("stackpitch_peer_words_total", {"end": end})
+        return found or 0
+
     def do_settings(self, **given: str) -> None:
         for name, value in given.items():
             part, _, key = name.partition(".")
@@ -254,6 +304,9 @@
             margin=ticks(door.answer_margin_ms))
         self.keeper = Keeper(self.world, self.group, log, metrics, self.gateway, settings)
         self.keeper.begin()
+        if "peers" in self.over:
+            routes = _routes(self.gateway, self.keeper, metrics)
+            self.group.spawn(Admin(self.world, routes).serve(self.group, self.admin), "admin")
         self.listener = self.world.listen(("127.0.0.1", 0))
         self.group.spawn(self.door.serve(self.group, self.listener), "door")
         yield from self.world.pause()
