--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -534,8 +534,7 @@
             self.go_on(now, key)
 
     def go_on(self, now: Time, key: bytes) -> None:
-        gen = self.asked.pop(key)
-        if not gen.over:
+        if not (gen := self.asked.pop(key)).over:
             self.below.take(now, gen)
 
     def tell(self, now: Time, peer: int, kind: bytes, key: bytes, kept: Kept | None) -> None:
@@ -616,7 +615,8 @@
         here = mix(text, session) / 2**32 < self.fleet.stay
         other = {one: (one.server.zone == self.fleet.zone) != here for one in seats}
         seats.sort(key=lambda one: (other[one], -log((mix(one.hash, text) + 1) / 2**32) / weight[one]))
-        few = ceil(self.SPREAD * self.popular(gen.shared) * (len(seats) - sum(other.values())))
+        room = sum(weight[one] for one in seats if not other[one])
+        few = ceil(self.SPREAD * self.popular(gen.shared) * room)
         seats[:few] = sorted(seats[:few], key=lambda one: mix(one.hash, session))
         fresh, cost = gen.prompt_tok - gen.shared_tok, dict[Seat, float]()
         # Where peers tell all of a queue, all would leave it at once, and read anew elsewhere what it keeps.
