--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -43,8 +43,8 @@
 
     def put(self, gen: Generation, tok: int) -> None:
         self.drop(gen)
-        self.tok[gen] = tok
-        self.own += tok
+        self.tok[gen] = max(0, tok)  # a shared text longer than its prompt is odd, but may be told
+        self.own += self.tok[gen]
 
     def drop(self, gen: Generation) -> None:
         self.own -= self.tok.pop(gen, 0)
@@ -390,8 +390,8 @@
     LATE, LATE_SPAN = 0.35, 10 * SECOND  # part of its SLO time that a leg may well wait; forgotten over this
     HELD_SHARE, HELD_SAY = 0.72, 2.0  # of the writers' memory; more counts so many times as a wait does
 
-    def __init__(self, guard: Guard, fleet: Fleet, writer: "Writer") -> None:
-        self.guard, self.fleet, self.writer, self.shedding = guard, fleet, writer, False
+    def __init__(self, guard: Guard, fleet: Fleet) -> None:
+        self.guard, self.fleet, self.shedding = guard, fleet, False
 
     def sheds(self, now: Time, gen: Generation, cost: float) -> bool:
         """Whether this one has been throttled. `cost`: tokens to be read before it, and for it alone."""
@@ -411,9 +411,8 @@
             self.shedding = shed
             said = f"{'begins' if shed else 'ends'} wait={wait / MS:.0f}ms late={late:.2f} held={held:.2f}"
             self.fleet.gateway.log(f"throttling {said}")
-        idle = self.writer.idle(now, gen) if shed else None
         if shed:
-            self.writer.send(now, gen, idle) if idle is not None else self.guard.answer(gen)
+            self.guard.answer(gen)
         return shed
 
 
@@ -652,7 +651,6 @@
     """Sends to the writer with the lowest projected memory; on failure before output to the next."""
 
     GROWTH = 0.4  # of the output limit that answers are taken to reach
-    IDLE_SHARE = 0.45  # of memory held, under which a writer reads what would be throttled
     FAR, AWAY, BLIND = 0.2, 0.3, 0.04  # held share by which those not planned, in other zones, unseen lose
     LIMIT_FLOOR, LIMIT_TIMES = 400 * MS, 10  # and so many usual waits: before another writer is tried
 
@@ -678,12 +676,6 @@
 
         return min(seats, default=None, key=order)
 
-    def idle(self, now: Time, gen: Generation) -> Seat | None:
-        """A writer with time to read a whole prompt that the readers could not read in time."""
-        seat = self.pick(now, gen, None)
-        busy = seat is None or seat.waiting or self.fleet.full(seat, now) >= self.IDLE_SHARE
-        return None if busy or self.fleet.peers or not self.local_reads else seat
-
     def take(self, now: Time, gen: Generation) -> None:
         seat = self.plan.get(gen)
         if seat is None or self.fleet.unwell(seat, now) or not self.guard.may_send(now, gen, seat.server):
@@ -723,7 +715,7 @@
         self.probing = Probing(gateway, self.fleet, probes)
         self.guard = Guard(gateway, self.fleet, max_legs, max_retry_after)
         self.writer = Writer(self.guard, self.fleet, local_reads)
-        self.admission = Admission(self.guard, self.fleet, self.writer)
+        self.admission = Admission(self.guard, self.fleet)
         self.owner = Owner(self.guard, self.fleet, self.admission, self.writer, local_reads)
         self.home = Home(gateway, self.fleet, self.owner, peers)
         self.reader = Reader(self.guard, self.fleet, self.admission, self.writer, local_reads)
