--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -671,7 +671,7 @@
         def order(one: Seat) -> tuple[float, int]:
             away = one.server.zone != self.fleet.zone
             far = away if cell is None else one.server.cell != cell
-            slower = self.FAR * far + self.AWAY * away if self.fleet.others else self.BLIND * far
+            slower = (self.FAR + self.AWAY * away) * far if self.fleet.others else self.BLIND * far
             return self.fleet.held_share(one, now, usual[one.server.role]) + slower, mix(one.hash, mark)
 
         return min(seats, default=None, key=order)
