An idle gateway with peers throttles nothing: what a read itself had to read counts in learnt waits

Found with peers on and nobody to answer (stackpitch expect, and a gateway with one generation a second): 39 of 60 generations were throttled, the first after 16. Fleet.word learnt the tokens ahead of a read after its leg's own had been dropped, so that the mean went to 0 on an idle gateway and the predicted wait (Admission.sheds) without bound. Now its own tokens count: 0 of 60.

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -170,7 +170,8 @@
         wait, role = now - leg.sent, seat.server.role
         self.usual[role] += self.LEARN * (wait - self.usual[role])
         if role == "reader":
-            self.ahead += self.LEARN * (self.wait_tok(seat, now, leg.gen) - self.ahead)
+            own = leg.gen.prompt_tok - leg.gen.shared_tok  # its leg is back, what it read counts
+            self.ahead += self.LEARN * (self.wait_tok(seat, now, leg.gen) + own - self.ahead)
         late = self.late[role][0]
         self.late[role] = late + self.LATE_LEARN * (min(1.0, wait / leg.gen.slo()) - late), now
         self.done[role] = self.lately(self.done, role, now) + 1, now
--- a/tests/play.py
+++ b/tests/play.py
@@ -11,6 +11,7 @@
     start a | end a full no_state=1 | end a#0 read | end a streamed kept=9 | depart a | fail | wait
     > send a r1                           the next thing asked for; a scenario ends with nothing left
     read a chat r1 w1 prompt=2000         gen, read by r1, sent to w1
+    each-second 30 chat r1 w1             so many, one a second, each read in 90 ms and streamed after 900
     turn a chat r1 w1 session=s           the same, started and streamed; with one server, by that alone
 """
 
@@ -84,7 +85,7 @@
     def line(self, text: str) -> None:
         words = [word for word in text.split() if "=" not in word]
         given = dict(word.split("=") for word in text.split() if "=" in word)
-        getattr(self, "do_" + words[0].replace(">", "expect"))(*words[1:], **given)
+        getattr(self, "do_" + words[0].replace(">", "expect").replace("-", "_"))(*words[1:], **given)
 
     def do_with(self, **given):
         for name, value in given.items():
@@ -113,6 +114,18 @@
         self.do_start(name)
         self.do_end(name, "streamed", kept=kept)
 
+    def do_each_second(self, count, product, reader, writer, **given):
+        for number in range(int(count)):
+            self.do_at(number * 1000)
+            self.do_gen(str(number), product, gives_up=str(number * 1000 + 9000), **given)
+            self.do_expect("send", str(number), reader)
+            self.do_at(number * 1000 + 90)
+            self.do_end(str(number), "read")
+            self.do_expect("send", str(number), writer)
+            self.do_start(str(number))
+            self.do_at(number * 1000 + 900)
+            self.do_end(str(number), "streamed")
+
     def do_list(self, name, state, started=None):
         self.servers[name].state = state
         if started is not None:
