No home is asked where nobody could answer: the client is told at once

The guard statement 'without writers nothing is kept waiting' failed with peers on: the answer came 100 ms late, after a home's silence (Home.take). Now Home passes such a generation on.

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -514,7 +514,8 @@
     def take(self, now: Time, gen: Generation) -> None:
         key = self.owner.key(gen)
         home = self.home(key)
-        ask = self.peers and key and home != self.fleet.number and key not in self.asked
+        some = self.fleet.roles["writer"] or self.fleet.roles["mixed"]  # else no owner could be used
+        ask = self.peers and some and key and home != self.fleet.number and key not in self.asked
         if ask and now >= self.quiet.get(home, 0):
             self.asked[key] = gen
             self.tell(now, home, self.ASK, key, None)
