--- a/stackpitch/settings/model.py
+++ b/stackpitch/settings/model.py
@@ -1,8 +1,9 @@
 """The schema. Times are milliseconds here and whole tenths of one everywhere else; sizes are bytes or tokens."""
 
+from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, RootModel, model_validator
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, RootModel, model_validator
 
 Port = Annotated[int, Field(ge=0, le=65535)]
 Milliseconds = Annotated[float, Field(ge=0)]
@@ -146,13 +147,25 @@
     flap_calm_ms: Milliseconds = 20000  # without one, before it is taken back
 
 
-HostPort = Annotated[str, Field(pattern=r"^[^\s:]+:[1-9]\d{0,4}$")]
+def _address(text: str) -> str:
+    """No names: looking one up would hold up the loop, and one that can't be found would end the gateway."""
+    host, _, port = text.rpartition(":")
+    try:
+        IPv4Address(host)
+        if port.isdecimal() and 0 < int(port) < 65536:
+            return text
+    except AddressValueError:
+        pass
+    raise ValueError("allowed: an IPv4 address, a colon and a port from 1 to 65535")
+
+
+HostPort = Annotated[str, AfterValidator(_address)]
 
 
 class Peers(Part):
     """The other gateways. Words between them are small, may be lost, and come in at each gateway's admin port."""
 
-    admin: list[HostPort] = []  # host:port of each gateway's admin port, by `module.number`, our own too; empty: none
+    admin: list[HostPort] = []  # address:port of each gateway's admin port, by `module.number`, our own too; empty: none
     word_ms: Some = 50  # for a word, connecting included, after which it is lost
     max_words: Count = 64  # under way at once; more are dropped
 
