--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -128,7 +128,8 @@
     ("{ peers: { admin: ['gw1.example:80'] } }", "peers.admin.0: Value error, allowed: an IPv4 address, a colon and a port"),
     ("{ peers: { admin: ['10.0.0.1:99999'] } }", "peers.admin.0: Value error, allowed: an IPv4 address, a colon and a port"),
     ("{ roster: 'f', kinds: { w: { role: 'writer', memory_tok: 9 } }, products: { a: { effect: 'idempotent', slo_ms: 9, "
-     "time_limit_ms: 9 } }, peers: { admin: ['10.0.0.1:1', '10.0.0.2:2'] } }", "peers.admin: found 2 entries; allowed: none, or one for"),
+     "time_limit_ms: 9 } }, peers: { admin: ['10.0.0.1:1', '10.0.0.2:2'] } }",
+     "peers.admin: found 2 entries; allowed: none, or one for"),
     ("{ peers: { word_ms: 0 } }", "peers.word_ms: Input should be greater than 0"),
     ("{ module: { probes: 'yes' } }", "module.probes: Input should be a valid boolean; found 'yes'"),
 ])
