--- a/stackpitch/gateway/ask.py
+++ b/stackpitch/gateway/ask.py
@@ -25,18 +25,13 @@
 class Ask:
     """A taken generation with its client. Kept by the host until it is over and its last leg is back.
 
-    `begin`, `pass_on`, `end`, `refuse` and `break_off` write to the client; `end`, `refuse` and `break_off` are
-    final answers, and after the first of them nothing is written.
+    `begin`, `pass_on`, `finish`, `refuse` and `break_off` write to the client, each front in its own way; the last
+    three are final answers, and after the first of them nothing is written.
     """
 
-    def __init__(self, gen: Generation, client: Stream, target: str, fields: dict[str, msgspec.Raw],
-                 request_id: str, streamed: bool) -> None:
-        self.gen, self.target, self.fields, self.request_id = gen, target, fields, request_id
+    def __init__(self, gen: Generation, client: Stream, target: str) -> None:
+        self.gen, self.target = gen, target
         self.client: Stream | None = client
-        self.collector = None if streamed else Collector(target.endswith("chat/completions"))
-        self.states: dict[Leg, Waiting] = {}  # reads whose state waits; emptied by start or release
-        self.place: Server | None = None  # held ahead; emptied by start or release
-        self.placed: Leg | None = None
         self.serving: Leg | None = None  # the leg whose stream the client gets
         self.tasks: dict[Leg, Task] = {}  # legs out
         self.begun = self.answered = False
@@ -46,8 +41,25 @@
         self.watch: Timer | None = None
         self.first_token: Time | None = None
 
-    def _headers(self) -> list[tuple[str, str]]:
-        return [("x-request-id", self.request_id)]
+    def begin(self, now: Time) -> None:
+        """The first token is here."""
+        raise NotImplementedError
+
+    def pass_on(self, pieces: Sequence[bytes]) -> bool:
+        """Part of a stream's body, framed anew; False if the client is not there any more."""
+        raise NotImplementedError
+
+    def finish(self) -> None:
+        """The whole answer has been passed on."""
+        raise NotImplementedError
+
+    def refuse(self, status: int, code: str, message: str, again: bool, retry_after: Time = 0) -> None:
+        """A final answer before any output; `again`: whether the client may ask again without harm."""
+        raise NotImplementedError
+
+    def break_off(self, code: str, message: str) -> None:
+        """A final answer to a stream that had begun."""
+        raise NotImplementedError
 
     def _put(self, data: bytes) -> bool:
         """False if the client is not there any more."""
@@ -59,6 +71,33 @@
             return False
         return True
 
+    def leave(self) -> None:
+        """The client has departed: nothing more is written."""
+        self.client = None
+        if not self.answered:
+            self._final("departed")
+
+    def _final(self, how: str) -> None:
+        self.answered, self.end = True, how
+        if self.waiter is not None:
+            self.waiter.wake()
+
+
+class OpenAsk(Ask):
+    """An ask at the OpenAI-style door, whose legs go to engines."""
+
+    def __init__(self, gen: Generation, client: Stream, target: str, fields: dict[str, msgspec.Raw],
+                 request_id: str, streamed: bool) -> None:
+        super().__init__(gen, client, target)
+        self.fields, self.request_id = fields, request_id
+        self.collector = None if streamed else Collector(target.endswith("chat/completions"))
+        self.states: dict[Leg, Waiting] = {}  # reads whose state waits; emptied by start or release
+        self.place: Server | None = None  # held ahead; emptied by start or release
+        self.placed: Leg | None = None
+
+    def _headers(self) -> list[tuple[str, str]]:
+        return [("x-request-id", self.request_id)]
+
     def begin(self, now: Time) -> None:
         """The first token is here."""
         self.begun, self.first_token = True, now
@@ -103,14 +142,3 @@
             return
         self._put(http.chunk(sse.event(error_body(message, code, "server_error"))) + http.LAST_CHUNK)
         self._final(code)
-
-    def leave(self) -> None:
-        """The client has departed: nothing more is written."""
-        self.client = None
-        if not self.answered:
-            self._final("departed")
-
-    def _final(self, how: str) -> None:
-        self.answered, self.end = True, how
-        if self.waiter is not None:
-            self.waiter.wake()
--- a/stackpitch/gateway/door.py
+++ b/stackpitch/gateway/door.py
@@ -3,33 +3,43 @@
 What can't be taken is refused at once with a clear answer; what is taken is the host's until its final answer.
 """
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
-from stackpitch.gateway.ask import Ask
+from stackpitch.gateway.ask import Ask, OpenAsk
 from stackpitch.gateway.facts import BadRequest, Reading
 from stackpitch.gateway.host import Host
-from stackpitch.gateway.logs import Log
-from stackpitch.gateway.metrics import Metrics
 from stackpitch.interface import Generation, Time
 from stackpitch.loop import SECOND, Coro, Group, Listener, Lost, Stream, World
 from stackpitch.wire import http
 from stackpitch.wire.engine import GENERATE, error_body
 
+if TYPE_CHECKING:
+    from stackpitch.gateway.logs import Log
+    from stackpitch.gateway.metrics import Metrics
+
+TURNED = 16  # connections that are told why, at a time, while all are taken; others are closed without a word
 FAREWELL = SECOND // 2  # for a client to take the last answer before the connection is closed
 
 
 class Door:
     """Accepts clients. Tables: none beyond the connections that are open."""
 
-    def __init__(self, world: World, host: Host, log: Log, metrics: Metrics, reading: Reading, *,
+    takes_to_the_end = False  # whether what still comes while the gateway stops is served
+
+    def __init__(self, world: World, host: Host, log: "Log", metrics: "Metrics", reading: Reading | None, *,
                  max_connections: int, max_bodies: int, max_body: int, max_head: int, head: Time, body: Time,
-                 idle: Time, stall: Time, margin: Time) -> None:
+                 idle: Time, stall: Time, margin: Time, fresh: Time | None = None) -> None:
         self.world, self.host, self.log, self.metrics, self.reading = world, host, log, metrics, reading
         self.max_connections, self.max_bodies, self.max_body = max_connections, max_bodies, max_body
         self.max_head, self.head, self.body, self.idle, self.stall = max_head, head, body, idle, stall
         self.margin = margin
+        self.fresh = idle if fresh is None else fresh  # for a connection's first byte
         self.connections = self.bodies = self.count = 0
-        self.waiting: dict[Stream, None] = {}  # kept connections without a request; emptied by one, or by ending
+        self.turned = 0  # connections that are being turned away
+        self.waiting: dict[Stream, bool] = {}  # connections without a request, and whether they had one before;
+        # emptied by one, or by ending
         self.stopping = False
         self.mark = f"{host.name}.{world.wall_ms() % 0x100000000:x}"
 
@@ -39,22 +49,36 @@
                 stream = yield from listener.accept()
             except Lost:
                 return  # the listener is closed: the gateway stops
-            if self.connections >= self.max_connections:
+            if self.connections >= self.max_connections and not self._make_room():
                 group.spawn(self._turn_away(stream), "turn away")
                 continue
             self.connections += 1
             self.metrics.connections.labels("clients").set(self.connections)
             group.spawn(self._connection(stream), "client")
 
+    def _make_room(self) -> bool:
+        """Ends the kept connection that has been without a request for the longest time; False if all have one."""
+        stream = next(iter(self.waiting), None)
+        if stream is not None:
+            del self.waiting[stream]
+            stream.close()
+        return stream is not None
+
     def close_idle(self) -> None:
         """On stopping: kept connections with no request go at once."""
         self.stopping = True
-        for stream in list(self.waiting):
+        for stream in [one for one, kept in self.waiting.items() if kept]:  # others may have a request on its way
             stream.close()
 
     def _turn_away(self, stream: Stream) -> Coro[None]:
         self.metrics.refused.labels("connections").inc()
-        yield from self._error(stream, 503, "overfull", "no connection is free here; try again", again=True)
+        self.turned += 1
+        try:
+            if self.turned <= TURNED:
+                yield from self._error(stream, 503, "overfull", "no connection is free here; try again", again=True)
+        finally:
+            self.turned -= 1
+            stream.close()
 
     def _error(self, stream: Stream, status: int, code: str, text: str, again: bool) -> Coro[None]:
         """Answers what is not taken, then closes so that the answer is not lost to a reset."""
@@ -76,9 +100,10 @@
                 pass  # a close with bytes unread would be a reset, and could lose the answer
 
     def _connection(self, stream: Stream) -> Coro[None]:
+        kept = False
         try:
-            while (yield from self._request(stream)):
-                pass
+            while (yield from self._request(stream, kept)):
+                kept = True
         except Lost:
             pass  # the client broke it; what it had asked for was told as departed
         except Exception as wrong:  # one connection's fault ends that connection alone
@@ -88,34 +113,33 @@
             self.connections -= 1
             self.metrics.connections.labels("clients").set(self.connections)
 
-    def _request(self, stream: Stream) -> Coro[bool]:
+    def _request(self, stream: Stream, kept: bool) -> Coro[bool]:
         """Reads and answers one request; whether the connection serves another."""
         reader, held = http.RequestReader(self.max_head, self.max_body), 0
         try:
-            try:
-                first = yield from self._first(stream)
-                if not first:
-                    return False
-                reader.feed(first)
-                held = yield from self._rest(stream, reader, 0)
-            except http.BadMessage as wrong:
-                self.metrics.refused.labels(f"status {wrong.status}").inc()
-                yield from self._error(stream, wrong.status, "bad_message", str(wrong),
-                                       again=wrong.status in (408, 503))
+            first = yield from self._first(stream, kept)
+            if not first:
                 return False
+            began = self.world.now()
+            reader.feed(first)
+            held = yield from self._rest(stream, reader, 0)
             if not reader.complete:
                 return False  # the client left before its request was whole
-            return (yield from self._answer(stream, reader))
+            return (yield from self._answer(stream, reader, began))
+        except http.BadMessage as wrong:
+            self.metrics.refused.labels(f"status {wrong.status}").inc()
+            yield from self._error(stream, wrong.status, "bad_message", str(wrong), again=wrong.status in (408, 503))
+            return False
         finally:
             self.bodies -= held
 
-    def _first(self, stream: Stream) -> Coro[bytes]:
-        self.waiting[stream] = None
+    def _first(self, stream: Stream, kept: bool) -> Coro[bytes]:
+        self.waiting[stream] = kept
         try:
-            with self.world.limit(self.idle):
+            with self.world.limit(self.idle if kept else self.fresh):
                 return (yield from stream.recv())
         finally:
-            del self.waiting[stream]
+            self.waiting.pop(stream, None)
         return b""
 
     def _rest(self, stream: Stream, reader: http.RequestReader, held: int) -> Coro[int]:
@@ -145,11 +169,13 @@
             raise
         return held
 
-    def _answer(self, stream: Stream, reader: http.RequestReader) -> Coro[bool]:
+    def _answer(self, stream: Stream, reader: http.RequestReader, began: Time) -> Coro[bool]:
+        """`began`: when its first byte came."""
         path, method = reader.path, reader.method
         if path in GENERATE and method == "POST":
-            return (yield from self._generation(stream, reader))
+            return (yield from self._generation(stream, reader, began))
         if path == "/v1/models" and method == "GET":
+            assert self.reading is not None
             models = [{"id": name, "object": "model", "created": 0, "owned_by": "stackpitch"}
                       for name in self.reading.models]
             stream.write(http.response(200, msgspec.json.encode({"object": "list", "data": models})))
@@ -165,26 +191,34 @@
         yield from stream.drain()
         return reader.keep_alive and not reader.extra and not self.stopping
 
-    def _generation(self, stream: Stream, reader: http.RequestReader) -> Coro[bool]:
-        if self.stopping:
+    def _generation(self, stream: Stream, reader: http.RequestReader, began: Time) -> Coro[bool]:
+        if self.stopping and not self.takes_to_the_end:
             yield from self._error(stream, 503, "stopping", "the gateway stops; try another", again=True)
             return False
-        self.count += 1
-        name = f"{self.mark}.{self.count}"
         try:
-            facts = self.reading.read(reader.path, reader.headers, reader.body(), name)
+            ask = self._ask(stream, reader, began)
         except BadRequest as wrong:
             self.metrics.refused.labels("request").inc()
             body = error_body(str(wrong), "bad_request", "invalid_request_error")
             stream.write(http.response(400, body, [("x-should-retry", "false")]))
             yield from stream.drain()
             return reader.keep_alive and not reader.extra
-        now = self.world.now()
-        gen = Generation(name, facts.product, facts.customer, facts.session, facts.shared, facts.shared_tok,
-                         facts.prompt_tok, facts.limit_tok, None, now, now + max(1, facts.time_limit - self.margin),
-                         facts.repeat, False)
-        ask = Ask(gen, stream, reader.path, facts.fields, facts.request_id, facts.streamed)
         reader.pieces = []
+        return (yield from self._carry(stream, reader, ask))
+
+    def _ask(self, stream: Stream, reader: http.RequestReader, began: Time) -> Ask:
+        """What a whole request asks for. Raises BadRequest, or BadMessage which ends the connection as well."""
+        self.count += 1
+        assert self.reading is not None
+        facts = self.reading.read(reader.path, reader.headers, reader.body(), f"{self.mark}.{self.count}")
+        now = self.world.now()
+        gen = Generation(f"{self.mark}.{self.count}", facts.product, facts.customer, facts.session, facts.shared,
+                         facts.shared_tok, facts.prompt_tok, facts.limit_tok, None, now,
+                         now + max(1, facts.time_limit - self.margin), facts.repeat, False)
+        return OpenAsk(gen, stream, reader.path, facts.fields, facts.request_id, facts.streamed)
+
+    def _carry(self, stream: Stream, reader: http.RequestReader, ask: Ask) -> Coro[bool]:
+        """From a taken generation to its final answer; whether the connection serves another."""
         self.host.arrived(ask)
         more = reader.extra
         try:
--- /dev/null
+++ b/stackpitch/gateway/engines.py
@@ -0,0 +1,240 @@
+"""The front towards engines that speak the OpenAI-style API with transfers of state (`docs/engine-protocol.md`)."""
+
+from collections import deque
+
+import msgspec
+
+from stackpitch.gateway.ask import Ask, OpenAsk, Waiting
+from stackpitch.gateway.host import Host
+from stackpitch.gateway.leg import End, LegRun
+from stackpitch.gateway.outcomes import Phase, answered
+from stackpitch.gateway.pool import Pool
+from stackpitch.interface import Leg, Report, Server, Time
+from stackpitch.loop import Coro, Lost, Scope, Stream
+from stackpitch.wire import engine, http, orca, sse
+from stackpitch.wire.engine import HEALTH, STATE_HOLD, STATE_RELEASE, HoldAnswer, StateCall
+
+
+class EngineLeg(LegRun):
+    """A read, a write that fetches a state, or a writer's own read and answer."""
+
+    TAIL = 16  # last pieces of a stream's body, in which its usage and its last event are
+
+    def __init__(self, front: "Engines", ask: OpenAsk, leg: Leg, limit: Time) -> None:
+        super().__init__(front.host, ask, leg, limit)
+        self.front, self.ask = front, ask
+        self.part: engine.Part = "read" if leg.server.role == "reader" else "whole"
+
+    def _load(self) -> str | None:
+        return self.reader.trailers.get(orca.HEADER) or self.reader.headers.get(orca.HEADER)
+
+    def _leave(self, pool: Pool, stream: Stream, end: End | None) -> None:
+        """The connection of a read stays with its state: closing it lets go of the state, whatever else fails."""
+        if end is not None and end.outcome == "read":
+            self.ask.states[self.leg] = Waiting(self.leg.server, pool, stream)
+        else:
+            super()._leave(pool, stream, end)
+
+    def _request(self) -> bytes:
+        gen, host, address = self.leg.gen, self.host, self.host.roster.addresses[self.leg.server]
+        source = self.front.source(self.ask)
+        transfer = engine.Transfer(self.front.state_id(self.leg))
+        if self.part == "read":
+            transfer.do_remote_decode = True
+        elif source is not None:
+            self.part = "write"
+            transfer.do_remote_prefill, transfer.state_id = True, self.front.state_id(source)
+            transfer.remote_host, transfer.remote_port = self.ask.states[source].pool.address
+            transfer.remote_cell = source.server.cell
+        headers = [("x-request-id", http.one_line(self.ask.request_id)), ("x-leg", str(self.leg.number)),
+                   ("x-gateway", host.name), ("x-product", gen.product.name),
+                   ("x-prompt-tokens", str(gen.prompt_tok))]
+        if gen.session is not None:
+            headers.append(("x-session-id", http.one_line(gen.session)))
+        return engine.leg_request(self.ask.target, f"{address[0]}:{address[1]}", self.ask.fields, transfer,
+                                  self.part != "read", headers)
+
+    def _exchange(self, stream: Stream, scope: Scope) -> Coro[End]:
+        yield from self._write(stream, self._request())
+        reader = self.reader
+        while not reader.head_done:
+            yield from self._more(stream)
+        self.phase[0] = Phase.HEAD
+        if self.part == "read" or reader.status != 200:
+            return (yield from self._whole(stream))
+        if not reader.headers.get("content-type", "").startswith("text/event-stream"):
+            found = reader.headers.get("content-type")
+            raise http.BadMessage(502, f"content-type: found {found!r}; text/event-stream is allowed")
+        while not reader.pieces:
+            if reader.complete:
+                return self._broken("garbled", "a stream without any event")
+            yield from self._more(stream)
+        fetched = reader.headers.get(engine.STATE_HEADER) == "fetched"
+        if not self.host.leg_started(self.ask, self.leg, fetched):
+            return self._broken("cancelled", "nobody wants it")
+        self.phase[0] = Phase.STREAMING
+        scope.relax()
+        return (yield from self._relay(stream))
+
+    def _whole(self, stream: Stream) -> Coro[End]:
+        """An answer that is no stream: a read, a refusal or an error."""
+        pieces = self.reader.pieces
+        while not self.reader.complete:
+            yield from self._more(stream)
+            pieces = pieces + self.reader.pieces
+        body = b"".join(pieces)
+        kept, whole, why = 0, False, f"status {self.reader.status}"
+        if self.part == "read" and self.reader.status == 200:
+            try:
+                kept, whole = engine.read_answer(body).usage.kept, True
+            except ValueError as wrong:
+                why = f"a reader's answer is wanted: {wrong}"  # an error by the rule of outcomes
+        outcome, no_state = answered(self.part, self.reader.status, engine.refusal(self.reader.status, body), whole)
+        return End(outcome, self.phase[0], kept, no_state, self._load(), why)
+
+    def _relay(self, stream: Stream) -> Coro[End]:
+        """Passes the stream on as it comes; a client that is slow holds up its engine, not the memory.
+
+        Every token passes here, so the way of most is kept short: one read, one parse, one write.
+        """
+        reader, ask, host = self.reader, self.ask, self.host
+        feed, recv, buffer, row = reader.feed, stream.recv_now, host.bounds.buffer, 0
+        pieces, tail = reader.pieces, deque(reader.pieces, maxlen=self.TAIL)
+        gone = not ask.pass_on(pieces)  # the first feed held the head, so it is framed anew
+        self._watch_gap(stream)
+        stream.attend(host.world.current)
+        try:
+            while not (reader.complete or gone):
+                raw = recv()
+                if raw is None:
+                    row = 0
+                    yield
+                    continue
+                if not raw:
+                    raise Lost("closed by the engine")
+                aligned = reader.aligned
+                feed(raw)
+                pieces = reader.pieces
+                tail.extend(pieces)
+                self.moved += len(raw)
+                client = ask.client
+                if client is None or reader.complete or not (aligned and reader.aligned) or ask.collector is not None:
+                    gone = not ask.pass_on(pieces)
+                else:
+                    try:
+                        client.write(raw)  # whole chunks, as they came
+                    except Lost:
+                        gone = True
+                if gone or client is None:
+                    continue
+                if client.buffered > buffer:
+                    yield from self._patience(client)
+                row += 1
+                if row > self.ROW:
+                    row = 0
+                    yield from host.world.pause()
+        finally:
+            stream.attend(None)
+            host.relayed += self.moved
+            if self.gap_timer is not None:
+                self.gap_timer.cancel()
+        if gone:
+            host.departed(ask)
+            return self._broken("cancelled", "the client has left")
+        body = b"".join(tail)
+        if not body.endswith(sse.DONE):
+            return self._broken("garbled", "the stream ended without [DONE]")
+        usage = engine.last_usage(body[:-len(sse.DONE)])
+        return End("streamed", Phase.STREAMING, usage.kept if usage else 0, report=self._load())
+
+
+class Engines:
+    """States wait at readers on the connection that read them; places are held at writers."""
+
+    host: Host
+
+    def __init__(self, load_fields: tuple[str, str, str]) -> None:
+        self.load_fields = load_fields
+
+    def leg(self, ask: Ask, leg: Leg, limit: Time) -> Coro[None]:
+        assert isinstance(ask, OpenAsk)
+        return EngineLeg(self, ask, leg, limit).run()
+
+    def hold(self, ask: Ask, leg: Leg, server: Server) -> Coro[bool]:
+        assert isinstance(ask, OpenAsk)
+        ask.place, ask.placed = server, leg
+        body = msgspec.json.encode(StateCall(self.state_id(leg), ask.gen.prompt_tok))
+        answer = yield from self.host.call(server, "POST", STATE_HOLD, body)
+        granted = False
+        if answer is not None and answer.status == 200:
+            try:
+                granted = msgspec.json.decode(b"".join(answer.pieces), type=HoldAnswer).held
+            except msgspec.DecodeError:
+                pass  # not granted
+        if granted and (ask.gen.over or ask.place is not server):
+            self._release(server, self.state_id(leg))
+        return granted
+
+    def probe(self, server: Server) -> Coro[tuple[bool, str | None]]:
+        answer = yield from self.host.call(server, "GET", HEALTH, b"")
+        return answer is not None and answer.status == 200, answer.headers.get(orca.HEADER) if answer else None
+
+    def report(self, text: str) -> Report | None:
+        fields = orca.parse(text)
+        return Report(*(fields.get(name) for name in self.load_fields))
+
+    def started(self, ask: Ask, leg: Leg, fetched: bool) -> None:
+        assert isinstance(ask, OpenAsk)
+        if leg.server is ask.place:
+            ask.place = None
+        self.let_go(ask, taken=self.source(ask) if fetched else None)
+
+    def state_id(self, leg: Leg) -> str:
+        return f"{leg.gen.name}-{leg.number}"
+
+    def source(self, ask: OpenAsk) -> Leg | None:
+        """The read whose state a writer is to fetch: the newest that waits."""
+        return next(reversed(ask.states), None)
+
+    def let_go(self, ask: Ask, taken: Leg | None = None) -> None:
+        assert isinstance(ask, OpenAsk)
+        for leg, waiting in list(ask.states.items()):
+            del ask.states[leg]
+            if leg is taken:
+                waiting.pool.give(waiting.stream)
+            else:
+                self.host.group.spawn(self.host.counted(self._free(waiting, self.state_id(leg))), f"free {leg.gen.name}")
+        if ask.place is not None and ask.placed is not None:
+            self._release(ask.place, self.state_id(ask.placed))
+            ask.place = None
+
+    def _free(self, waiting: Waiting, state: str) -> Coro[None]:
+        """Lets go of a state over the connection that read it; without a good answer that connection is closed."""
+        done = False
+        try:
+            with self.host.world.limit(self.host.bounds.call):
+                body = msgspec.json.encode(StateCall(state))
+                reader = yield from self.host.exchange(waiting.stream, "POST", STATE_RELEASE, waiting.server.name, body)
+                done = reader is not None and reader.status in (200, 404)
+        except (Lost, http.BadMessage):
+            pass  # the engine sees the connection end, which frees the state as well
+        finally:
+            self.host.metrics.releases.labels("done" if done else "closed").inc()
+            if done:
+                waiting.pool.give(waiting.stream)
+            else:
+                waiting.pool.drop(waiting.stream)
+
+    def _release(self, server: Server, state: str) -> None:
+        def call() -> Coro[None]:
+            body = msgspec.json.encode(StateCall(state))
+            for _ in range(self.host.bounds.release_tries):
+                answer = yield from self.host.call(server, "POST", STATE_RELEASE, body)
+                if answer is not None and answer.status in (200, 404):
+                    self.host.metrics.releases.labels("done").inc()
+                    return
+            self.host.metrics.releases.labels("failed").inc()
+            self.host.logger.warning("release_failed", server=server.name, state=state)
+
+        if server in self.host.roster.addresses:
+            self.host.group.spawn(self.host.counted(call()), f"release {state}")
--- a/stackpitch/gateway/host.py
+++ b/stackpitch/gateway/host.py
@@ -7,24 +7,23 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any, Protocol
 from urllib.parse import urlencode
 
-import msgspec
-
-from stackpitch.gateway.ask import Ask, Waiting
-from stackpitch.gateway.leg import Bounds, End, LegRun
-from stackpitch.gateway.logs import Log
-from stackpitch.gateway.metrics import Metrics
+from stackpitch.gateway.ask import Ask
+from stackpitch.gateway.leg import Bounds, End
 from stackpitch.gateway.outcomes import Phase
-from stackpitch.gateway.pool import NoneFree, Pool
+from stackpitch.gateway.pool import Budget, NoneFree, Pool
 from stackpitch.gateway.roster import Roster
 from stackpitch.interface import Generation, Leg, Report, Server, Time
 from stackpitch.loop import ConnectFailed, Coro, Group, Lost, Stream, World
 from stackpitch.membership.entries import Entry
 from stackpitch.preferences import Preferences, RuledBrain
-from stackpitch.wire import http, orca
-from stackpitch.wire.engine import HEALTH, STATE_HOLD, STATE_RELEASE, HoldAnswer, StateCall
+from stackpitch.wire import http
+
+if TYPE_CHECKING:
+    from stackpitch.gateway.logs import Log
+    from stackpitch.gateway.metrics import Metrics
 
 PEER_WORD = 256  # bytes, at most
 
@@ -39,15 +38,28 @@
     max_words: int = 0
 
 
+class Front(Protocol):
+    """What differs between protocols towards engines and model servers; `Ask` is its side towards clients."""
+
+    host: "Host"
+
+    def leg(self, ask: Ask, leg: Leg, limit: Time) -> Coro[None]: ...  # tells the host its start and its end
+    def hold(self, ask: Ask, leg: Leg, server: Server) -> Coro[bool]: ...  # whether the place is held
+    def started(self, ask: Ask, leg: Leg, fetched: bool) -> None: ...  # what else is held is let go
+    def let_go(self, ask: Ask) -> None: ...  # whatever is or may be held
+    def probe(self, server: Server) -> Coro[tuple[bool, str | None]]: ...  # whether it is well; its report
+    def report(self, text: str) -> Report | None: ...  # raises ValueError
+
+
 class Host:
     """`interface.Gateway` in full. All tables are bounded by what is under way and by the roster."""
 
-    def __init__(self, world: World, group: Group, log: Log, metrics: Metrics, name: str, roster: Roster,
-                 bounds: Bounds, load_fields: tuple[str, str, str],
-                 seed: int, preferences: Preferences, arguments: Mapping[str, Any], peers: Peers = Peers()) -> None:
+    def __init__(self, world: World, group: Group, log: "Log", metrics: "Metrics", name: str,
+                 roster: Roster, bounds: Bounds, front: Front, seed: int, preferences: Preferences,
+                 arguments: Mapping[str, Any], peers: Peers = Peers(), budget: Budget | None = None) -> None:
         self.world, self.group, self.logger, self.metrics, self.name = world, group, log, metrics, name
         self.roster, self.bounds = roster, bounds
-        self.load_fields = load_fields
+        self.front, front.host, self.budget = front, self, budget
         self.peers, self.words = peers, 0  # and words to them under way
         self.asks: dict[Generation, Ask] = {}  # emptied once a generation is over and its last leg is back
         self.pools: dict[Server, Pool] = {}  # emptied when a server is gone and its last leg is back
@@ -125,7 +137,7 @@
                     ask.refuse(503, "stopping", "the gateway stops", again=False)
             for task in list(ask.tasks.values()):
                 task.cancel()
-            self._let_go(ask)
+            self.front.let_go(ask)
 
     # What the legs tell.
 
@@ -135,9 +147,7 @@
             return False
         leg.streaming, ask.serving = True, leg
         ask.begin(self.world.now())
-        if leg.server is ask.place:
-            ask.place = None
-        self._let_go(ask, taken=self.source(ask) if fetched else None)
+        self.front.started(ask, leg, fetched)
         self._tell(ask, lambda now: self.brain.started(now, leg))
         self.metrics.first_token.labels(ask.gen.product.name).observe((self.world.now() - ask.gen.arrived) / 10_000)
         return True
@@ -147,8 +157,6 @@
         leg.outcome = end.outcome
         ask.tasks.pop(leg, None)
         self.metrics.legs.labels(leg.server.role, end.outcome).inc()
-        if end.waiting is not None:
-            ask.states[leg] = end.waiting
         if end.outcome not in ("read", "streamed"):
             ask.whys[leg.number] = end.why
         if end.outcome == "error":
@@ -171,11 +179,10 @@
         if end.report is None:
             return None
         try:
-            fields = orca.parse(end.report)
-        except orca.BadReport as wrong:
+            return self.front.report(end.report)
+        except ValueError as wrong:
             self.logger.debug("bad_report", why=str(wrong))
             return None
-        return Report(*(fields.get(name) for name in self.load_fields))
 
     def _tell(self, ask: Ask | None, call: Callable[[Time], None]) -> None:
         try:
@@ -188,7 +195,7 @@
     def _settle(self, ask: Ask) -> None:
         """Forgets a generation that is over with no leg out. Rule 5's last net: what still waits is let go."""
         if ask.gen.over and not ask.gen.out() and self.asks.pop(ask.gen, None) is not None:
-            self._let_go(ask)
+            self.front.let_go(ask)
             if ask.watch is not None:
                 ask.watch.cancel()
             self.metrics.generations.labels(ask.gen.product.name, ask.end).inc()
@@ -208,34 +215,22 @@
         ask = self.asks[gen]
         leg = Leg(gen, len(gen.legs), server, self.world.now())
         gen.legs.append(leg)
-        run = LegRun(self, ask, leg, limit)
-        ask.tasks[leg] = self.group.spawn(run.run(), f"leg {gen.name}#{leg.number}")
+        ask.tasks[leg] = self.group.spawn(self.front.leg(ask, leg, limit), f"leg {gen.name}#{leg.number}")
         return leg
 
     def hold(self, gen: Generation, server: Server) -> None:
         ask = self.asks[gen]
-        leg = gen.legs[-1]
-        ask.place, ask.placed = server, leg
 
         def call() -> Coro[None]:
-            body = msgspec.json.encode(StateCall(self.state_id(leg), gen.prompt_tok))
-            answer = yield from self._call(server, "POST", STATE_HOLD, body)
-            granted = False
-            if answer is not None and answer.status == 200:
-                try:
-                    granted = msgspec.json.decode(b"".join(answer.pieces), type=HoldAnswer).held
-                except msgspec.DecodeError:
-                    pass  # not granted
-            if granted and (gen.over or ask.place is not server):
-                self._release(server, self.state_id(leg))
+            granted = yield from self.front.hold(ask, gen.legs[-1], server)
             self._tell(ask, lambda now: self.brain.held(now, gen, server, granted))
 
-        self.group.spawn(self._counted(call()), f"hold {gen.name}")
+        self.group.spawn(self.counted(call()), f"hold {gen.name}")
 
     def release(self, gen: Generation) -> None:
         ask = self.asks.get(gen)
         if ask is not None:
-            self._let_go(ask)
+            self.front.let_go(ask)
 
     def throttle(self, gen: Generation, retry_after: Time) -> None:
         gen.over = True
@@ -259,12 +254,11 @@
 
     def probe(self, server: Server) -> None:
         def call() -> Coro[None]:
-            answer = yield from self._call(server, "GET", HEALTH, b"")
-            well = answer is not None and answer.status == 200
-            end = End("streamed", Phase.HEAD, report=answer.headers.get(orca.HEADER) if answer else None)
-            self._tell(None, lambda now: self.brain.probed(now, server, well, self._report(end)))
+            well, report = yield from self.front.probe(server)
+            self._tell(None, lambda now: self.brain.probed(now, server, well, self._report(
+                End("streamed", Phase.HEAD, report=report))))
 
-        self.group.spawn(self._counted(call()), f"probe {server.name}")
+        self.group.spawn(self.counted(call()), f"probe {server.name}")
 
     def move(self, gen: Generation) -> None:
         ask = self.asks[gen]
@@ -295,7 +289,7 @@
                 with self.world.limit(self.peers.limit):
                     stream = yield from self.world.connect((host, int(port)), self.peers.limit)
                     try:
-                        answer = yield from self._exchange(stream, "POST", f"/peer?{query}", host, b"", last=True)
+                        answer = yield from self.exchange(stream, "POST", f"/peer?{query}", host, b"", last=True)
                         end = "sent" if answer is not None and answer.status == 200 else "lost"
                     finally:
                         stream.close()
@@ -327,52 +321,17 @@
         self.metrics.modes.labels(mode).inc()
         self.logger.info("mode", mode=mode, text=rest)
 
-    # States, places and small calls.
+    # Connections and small calls.
 
     def pool(self, server: Server) -> Pool:
         pool = self.pools.get(server)
         if pool is None:
             bounds = self.bounds
             pool = self.pools[server] = Pool(self.world, self.roster.addresses[server], bounds.pool, bounds.connect,
-                                             bounds.idle)
+                                             bounds.idle, bounds.rest, self.budget)
         return pool
 
-    def state_id(self, leg: Leg) -> str:
-        return f"{leg.gen.name}-{leg.number}"
-
-    def source(self, ask: Ask) -> Leg | None:
-        """The read whose state a writer is to fetch: the newest that waits."""
-        return next(reversed(ask.states), None)
-
-    def _let_go(self, ask: Ask, taken: Leg | None = None) -> None:
-        for leg, waiting in list(ask.states.items()):
-            del ask.states[leg]
-            if leg is taken:
-                waiting.pool.give(waiting.stream)
-            else:
-                self.group.spawn(self._counted(self._free(waiting, self.state_id(leg))), f"free {leg.gen.name}")
-        if ask.place is not None and ask.placed is not None:
-            self._release(ask.place, self.state_id(ask.placed))
-            ask.place = None
-
-    def _free(self, waiting: Waiting, state: str) -> Coro[None]:
-        """Lets go of a state over the connection that read it; without a good answer that connection is closed."""
-        done = False
-        try:
-            with self.world.limit(self.bounds.call):
-                body = msgspec.json.encode(StateCall(state))
-                reader = yield from self._exchange(waiting.stream, "POST", STATE_RELEASE, waiting.server.name, body)
-                done = reader is not None and reader.status in (200, 404)
-        except (Lost, http.BadMessage):
-            pass  # the engine sees the connection end, which frees the state as well
-        finally:
-            self.metrics.releases.labels("done" if done else "closed").inc()
-            if done:
-                waiting.pool.give(waiting.stream)
-            else:
-                waiting.pool.drop(waiting.stream)
-
-    def _exchange(self, stream: Stream, method: str, target: str, name: str,
+    def exchange(self, stream: Stream, method: str, target: str, name: str,
                   body: bytes, last: bool = False) -> Coro[http.ResponseReader | None]:
         """One request and its whole answer, the body in `pieces`; None if it can't be followed by another, unless it is
         the `last`."""
@@ -388,21 +347,7 @@
         reader.pieces = pieces
         return reader if last or (reader.keep_alive and not reader.extra) else None
 
-    def _release(self, server: Server, state: str) -> None:
-        def call() -> Coro[None]:
-            body = msgspec.json.encode(StateCall(state))
-            for _ in range(self.bounds.release_tries):
-                answer = yield from self._call(server, "POST", STATE_RELEASE, body)
-                if answer is not None and answer.status in (200, 404):
-                    self.metrics.releases.labels("done").inc()
-                    return
-            self.metrics.releases.labels("failed").inc()
-            self.logger.warning("release_failed", server=server.name, state=state)
-
-        if server in self.roster.addresses:
-            self.group.spawn(self._counted(call()), f"release {state}")
-
-    def _counted(self, call: Coro[None]) -> Coro[None]:
+    def counted(self, call: Coro[None]) -> Coro[None]:
         self.calls += 1
         try:
             yield from call
@@ -411,7 +356,7 @@
         finally:
             self.calls -= 1
 
-    def _call(self, server: Server, method: str, target: str, body: bytes) -> Coro[http.ResponseReader | None]:
+    def call(self, server: Server, method: str, target: str, body: bytes) -> Coro[http.ResponseReader | None]:
         """One small call; None if no whole answer came in time."""
         if server not in self.roster.addresses:
             return None
@@ -420,7 +365,7 @@
         try:
             with self.world.limit(self.bounds.call):
                 stream = yield from pool.take(phase)
-                reader = yield from self._exchange(stream, method, target, server.name, body)
+                reader = yield from self.exchange(stream, method, target, server.name, body)
                 if reader is not None:
                     pool.give(stream)
                     stream = None
--- a/stackpitch/gateway/pool.py
+++ b/stackpitch/gateway/pool.py
@@ -11,6 +11,23 @@
     """The pool's bound is reached and nothing came free in time."""
 
 
+class Budget:
+    """What all pools of a gateway may have open together. At the bound the connection idle longest is closed."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.open = most, 0
+        self.pools: list[Pool] = []  # those that are not closed, or still have connections open
+
+    def room(self) -> bool:
+        while self.open >= self.most:
+            idle = [one for one in self.pools if one.idle]
+            if not idle:
+                return False
+            oldest = min(idle, key=lambda one: one.idle[0][1])
+            oldest.drop(oldest.idle.popleft()[0])
+        return True
+
+
 class Pool:
     """Connections to one engine. `idle` holds the newest last; emptied by use, by age and when the other side ends.
 
@@ -18,7 +35,11 @@
     comes back.
     """
 
-    def __init__(self, world: World, address: Address, most: int, connect: Time, idle: Time) -> None:
+    def __init__(self, world: World, address: Address, most: int, connect: Time, idle: Time, rest: Time = 0,
+                 budget: Budget | None = None) -> None:
+        self.rest, self.budget = rest, budget
+        if budget is not None:
+            budget.pools.append(self)
         self.world, self.address, self.most, self.connect, self.idle_time = world, address, most, connect, idle
         self.idle: deque[tuple[Stream, Time]] = deque()
         self.open = self.made = self.reused = 0
@@ -35,7 +56,7 @@
                     self.reused += 1
                     return stream
                 self.drop(stream)
-            if self.open < self.most:
+            if self.open < self.most and (self.budget is None or self.budget.room()):
                 break
             task = self.world.current
             self.waiters.append(task)
@@ -51,6 +72,8 @@
             if scope.cancelled:
                 raise NoneFree
         self.open += 1
+        if self.budget is not None:
+            self.budget.open += 1
         phase[0] = Phase.CONNECTING
         try:
             stream = yield from self.world.connect(self.address, self.connect)
@@ -69,6 +92,19 @@
             return False
 
     def give(self, stream: Stream) -> None:
+        """Takes a connection back; after a rest, in which what comes unasked for shows."""
+        if self.rest and not self.closed:
+            self.world.at(self.world.now() + self.rest, lambda: self._rested(stream))
+        else:
+            self._take_back(stream)
+
+    def _rested(self, stream: Stream) -> None:
+        if self._silent(stream):
+            self._take_back(stream)
+        else:
+            self.drop(stream)
+
+    def _take_back(self, stream: Stream) -> None:
         if self.closed:
             self.drop(stream)
             return
@@ -81,6 +117,10 @@
 
     def _left(self) -> None:
         self.open -= 1
+        if self.budget is not None:
+            self.budget.open -= 1
+            if self.closed and not self.open and self in self.budget.pools:
+                self.budget.pools.remove(self)
         self._next()
 
     def _next(self) -> None:
@@ -98,3 +138,5 @@
         self.closed = True
         while self.idle:
             self.drop(self.idle.pop()[0])
+        if self.budget is not None and not self.open and self in self.budget.pools:
+            self.budget.pools.remove(self)
--- a/stackpitch/gateway/serve.py
+++ b/stackpitch/gateway/serve.py
@@ -9,6 +9,7 @@
 from stackpitch.gateway import logs
 from stackpitch.gateway.admin import Admin, Route
 from stackpitch.gateway.door import Door
+from stackpitch.gateway.engines import Engines
 from stackpitch.gateway.facts import Reading
 from stackpitch.gateway.host import Host, Peers
 from stackpitch.gateway.keeper import Keeper
@@ -41,7 +42,7 @@
 def host(world: World, group: Group, settings: Settings, log: logs.Log, metrics: Metrics) -> Host:
     load = settings.load
     return Host(world, group, log, metrics, settings.name, Roster(world, kinds(settings)), bounds(settings),
-                (load.held_share, load.slots_share, load.queued), settings.seed,
+                Engines((load.held_share, load.slots_share, load.queued)), settings.seed,
                 preferences(settings, world.wall_ms() * 10 - world.now()), module_arguments(settings),
                 Peers(settings.peers.admin, settings.module.number, ticks(settings.peers.word_ms),
                       settings.peers.max_words))
--- a/stackpitch/loop/real.py
+++ b/stackpitch/loop/real.py
@@ -384,7 +384,10 @@
                 handler(events)
 
     def connect(self, address: Address, limit: Time) -> Coro[RealStream]:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError as wrong:  # out of descriptors
+            raise ConnectFailed(os.strerror(wrong.errno or 0)) from None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         code = sock.connect_ex(address)
         if code not in (0, errno.EINPROGRESS):
--- /dev/null
+++ b/stackpitch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's protocol: a front beside the OpenAI-style one, on the same loop, codec, pools and host."""
--- /dev/null
+++ b/stackpitch/platform/__main__.py
@@ -0,0 +1,16 @@
+"""`python -m stackpitch.platform`: one gateway, in the foreground, from what its environment names."""
+
+import os
+import sys
+
+from stackpitch.loop import RealWorld
+from stackpitch.platform.config import BadConfig
+from stackpitch.platform.serve import serve
+
+if __name__ == "__main__":
+    world = RealWorld()
+    try:
+        world.run(serve(world, os.environ))
+    except BadConfig as wrong:
+        sys.stderr.write(f"stackpitch: {wrong}\n")
+        sys.exit(2)
--- /dev/null
+++ b/stackpitch/platform/ask.py
@@ -0,0 +1,43 @@
+"""A client's request on its way: what its legs pass on, what may be held for it, and how it is answered."""
+
+from collections.abc import Sequence
+
+from stackpitch.gateway.ask import Ask
+from stackpitch.interface import Generation, Time
+from stackpitch.loop import Stream
+from stackpitch.wire import http
+
+
+class PlatformAsk(Ask):
+    def __init__(self, gen: Generation, client: Stream, method: str, target: str, body: bytes) -> None:
+        super().__init__(gen, client, target)
+        self.method, self.body = method, body
+        self.held = False  # a state or place may be held; a started stream lets go of it
+        self.doubt = False  # a read may have ended well unseen: what it left is held, whatever started since
+
+    def begin(self, now: Time) -> None:
+        self.begun, self.first_token = True, now
+        self._put(http.head(200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked")]))
+
+    def pass_on(self, pieces: Sequence[bytes]) -> bool:
+        return self._put(b"".join(http.chunk(one) for one in pieces if one))
+
+    def finish(self) -> None:
+        if not self.answered:
+            self._put(http.LAST_CHUNK)
+            self._final("streamed")
+
+    def refuse(self, status: int, code: str, message: str, again: bool, retry_after: Time = 0) -> None:
+        """429 promises that another try does no harm; anything that can't promise it must not be 429 or 503."""
+        if self.answered:
+            return
+        headers = [("retry-after", f"{retry_after / 10_000:.3f}")] if again and retry_after else []
+        self._put(http.response(429 if again else 502, b"%b\n" % code.encode(), headers, "text/plain"))
+        self._final(code)
+
+    def break_off(self, code: str, message: str) -> None:
+        """The connection ends without the last chunk: there is no event of our own."""
+        if not self.answered:
+            if self.client is not None:
+                self.client.close()
+            self._final(code)
--- /dev/null
+++ b/stackpitch/platform/config.py
@@ -0,0 +1,71 @@
+"""What the platform tells a gateway at its start, and again with SIGHUP."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from stackpitch.benchlink.settings import Missing, Tree
+from stackpitch.loop.world import Address
+from stackpitch.wire.platform import Listed
+
+
+class BadConfig(Exception):
+    """A configuration that can't be used; its text names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int  # descriptors that the process may hold
+    memory_mb: int
+    known: Listed
+    settings: Tree
+
+
+def address(text: str, field: str) -> Address:
+    host, _, port = text.rpartition(":")
+    parts = host.split(".")
+    numeric = len(parts) == 4 and all(one.isascii() and one.isdigit() and int(one) < 256 for one in parts)
+    if not numeric or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65_536:
+        raise BadConfig(f"{field}: found {text[:60]!r}; an IPv4 address with a port is wanted")
+    return host, int(port)
+
+
+def read(given: Mapping[str, str]) -> Config:
+    """`given`: the process's environment. Raises BadConfig."""
+    path = given.get("RELAY_CONFIG")
+    if not path:
+        raise BadConfig("RELAY_CONFIG: missing")
+    try:
+        tree = msgspec.json.decode(Path(path).read_bytes())
+    except (OSError, msgspec.DecodeError) as wrong:
+        raise BadConfig(f"RELAY_CONFIG: {wrong}") from None
+    try:
+        top = Tree(tree)
+        limits = top.tree("limits")
+        name = top.get("name", str, given.get("RELAY_NAME", "gateway"))
+        seed = top.get("seed", (str, int), "0")
+        return Config(
+            name, address(top.get("listen", str, given.get("RELAY_LISTEN")), "listen"),
+            address(top.get("discovery", str, given.get("RELAY_DISCOVERY")), "discovery"),
+            int(seed, 16) if isinstance(seed, str) else seed, int(limits.number("sockets", 1024)),
+            int(limits.number("memory_mb", 128)), msgspec.convert(top.values.get("known", {}), Listed),
+            top.tree("settings"))
+    except Missing as lack:
+        raise BadConfig(f"{lack}: missing or of the wrong kind") from None
+    except (ValueError, msgspec.ValidationError) as wrong:
+        raise BadConfig(str(wrong)) from None
+
+
+def parts(settings: Tree, take: Any) -> Any:
+    """One of the readers of `benchlink.settings`, its complaint as a BadConfig."""
+    try:
+        return take(settings)
+    except Missing as lack:
+        raise BadConfig(f"{lack}: missing or of the wrong kind") from None
--- /dev/null
+++ b/stackpitch/platform/door.py
@@ -0,0 +1,44 @@
+"""Where the platform's clients come in: facts from heads alone, the body passed on as it came."""
+
+from collections.abc import Mapping
+
+from stackpitch.gateway.ask import Ask
+from stackpitch.gateway.door import Door
+from stackpitch.interface import Customer, Generation, Product, Time
+from stackpitch.loop import Coro, Stream
+from stackpitch.platform.ask import PlatformAsk
+from stackpitch.wire import http, platform
+from stackpitch.wire.engine import GENERATE
+
+
+class PlatformDoor(Door):
+    """`products` and `customers` by name. `ready` tells the front that clients may come."""
+
+    takes_to_the_end = True
+    products: Mapping[str, Product] = {}
+    customers: Mapping[str, Customer] = {}
+    ready = False
+
+    def _answer(self, stream: Stream, reader: http.RequestReader, began: Time) -> Coro[bool]:
+        if reader.path in GENERATE and reader.method == "POST":
+            return (yield from self._generation(stream, reader, began))
+        if reader.path in (platform.READY, platform.WELL) and reader.method == "GET":
+            well = reader.path == platform.WELL or (self.ready and not self.stopping)
+            stream.write(http.response(200 if well else 503, b"{}"))
+            yield from stream.drain()
+            return reader.keep_alive and not reader.extra and not self.stopping
+        raise http.BadMessage(404, f"found {reader.method} {reader.path[:80]!r}")
+
+    def _ask(self, stream: Stream, reader: http.RequestReader, began: Time) -> Ask:
+        facts = platform.facts(reader.headers)
+        product = self.products.get(facts.product)
+        if product is None:
+            raise http.BadMessage(400, f"req-kind: found {facts.product[:30]!r}; allowed: {', '.join(self.products)}")
+        if any(gen.name == facts.name for gen in self.host.asks):
+            raise http.BadMessage(409, "req-id: it is that of a request still open here")
+        now = self.world.now()
+        gives_up = max(now + 1, began + facts.time_limit_ms * 10 - self.margin)
+        gen = Generation(facts.name, product, self.customers.get(facts.customer or ""), facts.session, facts.shared,
+                         facts.shared_tok, facts.prompt_tok, facts.limit_tok, None, now, gives_up, facts.repeat,
+                         facts.resumed)
+        return PlatformAsk(gen, stream, reader.method, reader.url.decode("latin-1"), reader.body())
--- /dev/null
+++ b/stackpitch/platform/leg.py
@@ -0,0 +1,100 @@
+"""One leg to a model server: the client's request as it came, and the answer's events as they come."""
+
+from typing import TYPE_CHECKING
+
+from stackpitch.gateway.leg import End, LegRun
+from stackpitch.gateway.outcomes import Phase
+from stackpitch.gateway.pool import Pool
+from stackpitch.interface import Leg, Time
+from stackpitch.loop import Coro, Scope, Stream
+from stackpitch.platform.ask import PlatformAsk
+from stackpitch.wire import engine, http, platform
+
+if TYPE_CHECKING:
+    from stackpitch.gateway.host import Host
+
+SMALL = 1 << 16  # bytes of an answer that is no stream
+
+
+class PlatformLeg(LegRun):
+    """A stream begins for the client with its first whole event; until then a spoilt answer is a failed leg."""
+
+    def __init__(self, host: "Host", ask: PlatformAsk, leg: Leg, limit: Time) -> None:
+        super().__init__(host, ask, leg, limit)
+        self.ask, self.events = ask, platform.Events()
+
+    def _load(self) -> str | None:
+        return self.events.load or self.reader.headers.get("srv-load")
+
+    def _leave(self, pool: Pool, stream: Stream, end: End | None) -> None:
+        """Notes what the leg may have left behind: a read that was seen to end, or may have ended unseen."""
+        if self.leg.server.role != "writer" and self.phase[0] >= Phase.SENT:
+            if end is not None and end.outcome == "read":
+                self.ask.held = True
+            elif end is None or end.outcome not in ("streamed", "full"):
+                self.ask.doubt = True
+        super()._leave(pool, stream, end)
+
+    def _request(self) -> bytes:
+        ask, host, port = self.ask, *self.host.roster.addresses[self.leg.server]
+        return http.request(ask.method, ask.target, f"{host}:{port}", ask.body, [
+            ("req-id", ask.gen.name), ("req-deadline-ms", str(max(1, self.limit // 10)))])
+
+    def _exchange(self, stream: Stream, scope: Scope) -> Coro[End]:
+        yield from self._write(stream, self._request())
+        reader = self.reader
+        while not reader.head_done:
+            yield from self._more(stream)
+        self.phase[0] = Phase.HEAD
+        kind = reader.headers.get("content-type", "")
+        if self.leg.server.role == "reader" or reader.status != 200 or not kind.startswith("text/event-stream"):
+            return (yield from self._whole(stream))
+        whole = self.events.feed(reader.pieces)
+        while not self.events.events:
+            if reader.complete:
+                return self._broken("garbled", "a stream without any event")
+            yield from self._more(stream)
+            whole += self.events.feed(reader.pieces)
+        if not self.host.leg_started(self.ask, self.leg, True):
+            return self._broken("cancelled", "nobody wants it")
+        self.phase[0] = Phase.STREAMING
+        scope.relax()
+        return (yield from self._relay(stream, whole))
+
+    def _whole(self, stream: Stream) -> Coro[End]:
+        """An answer that is no stream: a read, a refusal or an error."""
+        reader = self.reader
+        body = b"".join(reader.pieces)
+        while not reader.complete:
+            yield from self._more(stream)
+            body += b"".join(reader.pieces)
+            if len(body) > SMALL:
+                raise http.BadMessage(502, f"answer is over {SMALL} bytes")
+        kept = platform.read_kept(body) if reader.status == 202 else None
+        declined = reader.headers.get("srv-declined") == "1"
+        outcome, no_state = platform.answered(self.leg.server.role, reader.status, declined, kept is not None)
+        return End(outcome, self.phase[0], kept or 0, no_state, self._load(), f"status {reader.status}")
+
+    def _relay(self, stream: Stream, whole: bytes) -> Coro[End]:
+        """Passes whole events on as they come; a client that is slow holds up its stream, not the memory."""
+        reader, ask, host, events = self.reader, self.ask, self.host, self.events
+        self._watch_gap(stream)
+        try:
+            while True:
+                if whole and not ask.pass_on([whole]):
+                    host.departed(ask)
+                    return self._broken("cancelled", "the client has left")
+                if ask.client is not None and ask.client.buffered > host.bounds.buffer:
+                    yield from self._patience(ask.client)
+                if reader.complete:
+                    break
+                self.moved += len((yield from self._more(stream)))
+                whole = events.feed(reader.pieces)
+        finally:
+            host.relayed += self.moved
+            if self.gap_timer is not None:
+                self.gap_timer.cancel()
+        if not events.done or events.rest:
+            return self._broken("garbled", "the stream ended without [DONE]")
+        usage = engine.last_usage(events.usage + b"\n\n")
+        return End("streamed", Phase.STREAMING, usage.kept if usage else 0, report=self._load())
--- /dev/null
+++ b/stackpitch/platform/serve.py
@@ -0,0 +1,103 @@
+"""Puts a gateway of the platform together from its configuration and runs it until it is told to stop."""
+
+import signal
+from collections.abc import Mapping
+from typing import Any
+
+from stackpitch.benchlink import settings as reading
+from stackpitch.gateway.host import Host
+from stackpitch.gateway.leg import Bounds
+from stackpitch.gateway.pool import Budget
+from stackpitch.gateway.roster import Roster
+from stackpitch.loop import MS, SECOND, Coro, Group, World
+from stackpitch.platform import config
+from stackpitch.platform.discovery import Discovery
+from stackpitch.platform.door import PlatformDoor
+from stackpitch.platform.leases import Servers
+from stackpitch.platform.lines import Lines, NoCounts
+from stackpitch.preferences import Preferences
+
+RESERVE = 24  # descriptors for standard streams, epoll, signals, listener, discovery and those being turned away
+CLIENTS = 0.42  # of the rest: the platform's clients hold a third at most for requests
+MAX_BODY, MAX_HEAD = 256 << 10, 16 << 10  # bytes; the protocol's bound, and what no head of it reaches
+GAP = 4 * SECOND  # a client is kept waiting 5 s at most after a server's last event
+STILL_COMING = 7 * SECOND // 10  # after SIGTERM connections still come
+
+
+def bounds(settings: reading.Tree, engines: int) -> Bounds:
+    """`engines`: connections to servers. Times from the settings' own bounds."""
+    allowed, extra = settings.tree("bounds"), settings.tree("extra")
+    connect = allowed.ticks("connectTimeoutMs", 250)
+    return Bounds(
+        pool=engines, connect=connect, idle=allowed.ticks("connIdleMs", 30_000) * 7 // 10, gap=GAP,
+        call=min(connect, extra.ticks("releaseMs", 500) // 4), release_tries=12, max_head=MAX_HEAD, max_answer=4 << 20,
+        buffer=MAX_BODY, stall=GAP, watch=20 * MS, request_level=0, rest=10 * MS)
+
+
+def serve(world: World, given: Mapping[str, str]) -> Coro[None]:
+    """Runs a gateway. Raises BadConfig, and OSError on an address that is taken.
+
+    SIGTERM: not ready any more; what comes within 0.7 s is taken, what is taken is answered. SIGHUP: the configuration
+    is read anew, and discovery watched at its address.
+    """
+    caught = world.signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    conf = config.read(given)
+    log: Any = Lines(conf.name)
+    counts: Any = NoCounts()
+    clients = int((conf.sockets - RESERVE) * CLIENTS)
+    engines = conf.sockets - RESERVE - clients
+    arguments = config.parts(conf.settings, reading.arguments)
+    products = config.parts(conf.settings, reading.products)
+    customers = config.parts(conf.settings, reading.customers)
+    kinds = config.parts(conf.settings, reading.kinds)
+    limits = config.parts(conf.settings, lambda tree: bounds(tree, engines))
+
+    def body(group: Group) -> Coro[None]:
+        host = Host(world, group, log, counts, conf.name, Roster(world, kinds), limits, Servers(), conf.seed,
+                    Preferences(), arguments, budget=Budget(engines))
+        door = PlatformDoor(
+            world, host, log, counts, None, max_connections=clients, max_bodies=conf.memory_mb << 17, max_body=MAX_BODY,
+            max_head=MAX_HEAD, head=SECOND * 7 // 10, body=SECOND * 7 // 10, idle=10 * SECOND, stall=GAP,
+            margin=10 * MS, fresh=SECOND * 12 // 10)
+        door.products, door.customers = products, customers
+        discovery = Discovery(world, host, log, conf.discovery, conf.known, 5 * SECOND, SECOND, 50 * MS)
+        host.begin()
+        listener = world.listen(conf.listen)
+        group.spawn(door.serve(group, listener), "door")
+        group.spawn(discovery.run(), "discovery")
+        group.spawn(_sweep(world, host), "sweep")
+        group.spawn(_ready(world, door, discovery), "ready")
+        log.info("serving", clients=clients, engines=engines, servers=len(discovery.entries),
+                 report=conf.settings.values.get("report"))
+        while (yield from caught()) == signal.SIGHUP:
+            try:
+                discovery.aim(config.read(given).discovery)
+                log.info("reloaded", discovery=discovery.target)
+            except config.BadConfig as wrong:
+                log.error("reload_failed", why=str(wrong))
+        log.info("stopping", held=len(host.asks), connections=door.connections)
+        door.close_idle()
+        yield from world.sleep(STILL_COMING)
+        listener.close()
+        while host.asks or host.calls or door.connections:
+            door.close_idle()
+            yield from world.sleep(20 * MS)
+        log.info("stopped")
+        group.cancel()
+
+    yield from world.group(body)
+
+
+def _ready(world: World, door: PlatformDoor, discovery: Discovery) -> Coro[None]:
+    """Ready with a fresh list; with the known one alone if discovery is silent."""
+    with world.limit(SECOND // 2):
+        while not discovery.fresh:
+            yield from world.sleep(5 * MS)
+    door.ready = True
+
+
+def _sweep(world: World, host: Host) -> Coro[None]:
+    while True:
+        yield from world.sleep(SECOND)
+        for pool in host.pools.values():
+            pool.sweep()
--- a/stackpitch/rehearse/broken.py
+++ b/stackpitch/rehearse/broken.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 from stackpitch.brain import Fleet, Guard
-from stackpitch.gateway.ask import Ask
-from stackpitch.gateway.host import Host
+from stackpitch.gateway.ask import Ask, OpenAsk
+from stackpitch.gateway.engines import Engines
 from stackpitch.gateway.roster import Roster
 from stackpitch.interface import Generation, Leg, Server
 from stackpitch.loop import Time
@@ -62,10 +62,11 @@
 def pinned() -> None:
     """Nothing is let go: connections of states that were not taken stay open."""
 
-    def keep(self: Host, ask: Ask, taken: Leg | None = None) -> None:
+    def keep(self: Engines, ask: Ask, taken: Leg | None = None) -> None:
+        assert isinstance(ask, OpenAsk)
         KEPT.extend(ask.states.pop(leg) for leg in list(ask.states) if leg is not taken)
 
-    Host._let_go = keep  # type: ignore[method-assign]
+    Engines.let_go = keep  # type: ignore[method-assign]
 
 
 KEPT: list[object] = []
--- a/stackpitch/wire/http.py
+++ b/stackpitch/wire/http.py
@@ -142,11 +142,20 @@
         self.aligned = False  # the last feed ended between two chunks
         self.parser = httptools.HttpResponseParser(self)
 
+    def on_message_complete(self) -> None:
+        if self.begun and not self.head_done and not self.extra:  # a 1xx: the answer itself is still to come
+            self.begun = False
+            self.headers.clear()
+        else:
+            super().on_message_complete()
+
     def on_headers_complete(self) -> None:
         if self.extra:
             return
-        self.head_done = True
         self.status = self.parser.get_status_code()
+        if self.status // 100 == 1:
+            return
+        self.head_done = True
         self.keep_alive = self.parser.should_keep_alive()
         self._declared()
         if "content-length" not in self.headers and not self.chunked and self.status != 204:
