--- a/stackpitch/rehearse/broken.py
+++ b/stackpitch/rehearse/broken.py
@@ -16,21 +16,21 @@
 
 def answered() -> None:
     """Every fifth refusal or end of a stream is never written."""
-    finish, refuse, count = Ask.finish, Ask.refuse, [0]
+    finish, refuse, count = OpenAsk.finish, OpenAsk.refuse, [0]
 
     def lost() -> bool:
         count[0] += 1
         return count[0] % 5 == 0
 
-    def finish_some(self: Ask) -> None:
+    def finish_some(self: OpenAsk) -> None:
         if not lost():
             finish(self)
 
-    def refuse_some(self: Ask, status: int, code: str, message: str, again: bool, retry_after: Time = 0) -> None:
+    def refuse_some(self: OpenAsk, status: int, code: str, message: str, again: bool, retry_after: Time = 0) -> None:
         if not lost():
             refuse(self, status, code, message, again, retry_after)
 
-    Ask.finish, Ask.refuse = finish_some, refuse_some  # type: ignore[method-assign]
+    OpenAsk.finish, OpenAsk.refuse = finish_some, refuse_some  # type: ignore[method-assign]
 
 
 def effects() -> None:
