--- a/stackpitch/platform/ask.py
+++ b/stackpitch/platform/ask.py
@@ -15,6 +15,10 @@
         self.held = False  # a state or place may be held; a started stream lets go of it
         self.doubt = False  # a read may have ended well unseen: what it left is held, whatever started since
 
+    def _final(self, how: str) -> None:
+        super()._final(how)
+        self.body = b""  # nothing more is sent
+
     def begin(self, now: Time) -> None:
         self.begun, self.first_token = True, now
         self._put(http.head(200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked")]))
--- a/stackpitch/platform/leg.py
+++ b/stackpitch/platform/leg.py
@@ -33,7 +33,10 @@
                 self.ask.held = True
             elif end is None or end.outcome not in ("streamed", "full"):
                 self.ask.doubt = True
-        super()._leave(pool, stream, end)
+        if end is not None and end.outcome == "not-sent":
+            pool.give(stream)
+        else:
+            super()._leave(pool, stream, end)
 
     def _request(self) -> bytes:
         ask, host, port = self.ask, *self.host.roster.addresses[self.leg.server]
@@ -41,6 +44,8 @@
             ("req-id", ask.gen.name), ("req-deadline-ms", str(max(1, self.limit // 10)))])
 
     def _exchange(self, stream: Stream, scope: Scope) -> Coro[End]:
+        if self.leg.gen.over:  # its client left while the leg waited for a connection
+            return End("not-sent", Phase.QUEUED)
         yield from self._write(stream, self._request())
         reader = self.reader
         while not reader.head_done:
--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -1,5 +1,6 @@
 """Puts a gateway of the platform together from its configuration and runs it until it is told to stop."""
 
+import gc
 import signal
 from collections.abc import Mapping
 from typing import Any
@@ -68,7 +69,12 @@
         group.spawn(_sweep(world, host), "sweep")
         group.spawn(_ready(world, door, discovery), "ready")
         log.info("serving", clients=clients, engines=engines, servers=len(discovery.entries),
-                 report=conf.settings.values.get("report"))
+                 **{part: conf.settings.values.get(part) for part in ("report", "bounds", "guarantees")})
+        # Tasks and generations point at each other: what is done goes only when the collector looks. It looks often once
+        # it need not look at what the program itself consists of.
+        gc.collect()
+        gc.freeze()
+        gc.collect()
         while (yield from caught()) == signal.SIGHUP:
             try:
                 discovery.aim(config.read(given).discovery)
