--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -70,11 +70,8 @@
         group.spawn(_ready(world, door, discovery), "ready")
         log.info("serving", clients=clients, engines=engines, servers=len(discovery.entries),
                  **{part: conf.settings.values.get(part) for part in ("report", "bounds", "guarantees")})
-        # Tasks and generations point at each other: what is done goes only when the collector looks. It looks often once
-        # it need not look at what the program itself consists of.
-        gc.collect()
-        gc.freeze()
         gc.collect()
+        gc.freeze()  # what the program itself consists of need not be looked at each second
         while (yield from caught()) == signal.SIGHUP:
             try:
                 discovery.aim(config.read(given).discovery)
@@ -103,7 +100,10 @@
 
 
 def _sweep(world: World, host: Host) -> Coro[None]:
+    """Each second. Tasks, generations and readers point at each other, and by itself the collector would let a good
+    thousand that are done lie around, with their bodies, before it looks at those that lived for a second."""
     while True:
         yield from world.sleep(SECOND)
+        gc.collect()
         for pool in host.pools.values():
             pool.sweep()
