--- a/stackpitch/benchlink/settings.py
+++ b/stackpitch/benchlink/settings.py
@@ -95,6 +95,7 @@
         "max_retry_after": bounds.ticks("maxRetryAfterMs", 0) if bounds.get("retryAfter", bool, False) else 0,
         "local_reads": extra.get("localRead", bool, False),
         "peers": bounds.get("peers", bool, False),
+        "cancels": bounds.get("cancel", bool, False),
         "probes": bounds.get("probes", bool, False) and via == "pull",
         "must_ask": config.get("discovery", str, "pushed") == "on_request",
         "cold_from": rules.number("coldFrom", 1),
--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -31,8 +31,7 @@
         self.hash = crc32(server.name.encode())
         self.waiting: dict[Leg, Time] = {}  # legs with no word yet; emptied by stream start or outcome
         self.tok: dict[Generation, int] = {}  # tokens our legs bring here; emptied by outcomes
-        self.own = 0  # the sum of these
-        self.poured = 0  # tokens that our legs ever brought here
+        self.own, self.poured = 0, 0  # the sum of these; tokens that our legs ever brought here
         self.asked: Time = -1  # when it was last probed
         self.mean = 0.0  # share of its memory that a gateway holds on average, by peers' words
         self.others, self.reported_at = 0.0, -SECOND * 60  # share that others held by the last report; when
@@ -161,8 +160,7 @@
             self.usual[seat.server.role] += self.LEARN * (now - leg.sent - self.usual[seat.server.role])
         if now >= seat.shunned_until:
             seat.shunned_until = now + (self.SHUN << min(seat.strikes, 4))
-            seat.strikes += 1
-            seat.down = leg.outcome in ("unreachable", "reset")
+            seat.strikes, seat.down = seat.strikes + 1, leg.outcome in ("unreachable", "reset")
             self.gateway.log(f"shun {seat.server.name} {leg.outcome} strikes={seat.strikes}")
 
     def word(self, seat: Seat, now: Time, leg: Leg) -> None:
@@ -238,8 +236,7 @@
 
     def follow(self, now: Time) -> None:
         """Moves the means by server towards what we hold ourselves, which all gateways do."""
-        part = min(1.0, (now - self.followed) / self.FOLLOW)
-        self.followed = now
+        part, self.followed = min(1.0, (now - self.followed) / self.FOLLOW), now
         for one in self.order:
             one.mean += part * (one.own / max(1, one.server.memory_tok) - one.mean)
 
@@ -344,10 +341,8 @@
         if cold or any(leg.server is server for leg in gen.legs):
             return False  # not drawn or chosen before; or tried already
         ran, product = self.ran(gen), gen.product
-        if not ran or product.effect == "idempotent":
-            return True
-        if product.effect == "side-effecting":
-            return False
+        if not ran or product.effect != "deduplicated":
+            return not ran or product.effect == "idempotent"
         same = all(product.scope == "all" or leg.server.zone == server.zone
                    and (product.scope == "zone" or leg.server.cell == server.cell) for leg in ran)
         return same and now - ran[0].sent < product.memory * 9 // 10
@@ -578,11 +573,12 @@
     SPILL = 2.0  # what is read anew counts so many times: it also pushes out what others need
     TEXTS, LEAST = 64, 2  # counted over so many generations; servers weighed where peers tell of queues
     LIMIT_FLOOR, LIMIT_TIMES = 600 * MS, 16  # and so many usual waits: before another reader is tried
+    LOST_FLOOR, LOST_TIMES = 250 * MS, 3  # and so many waits of a later read: its answer will not come
 
     def __init__(self, guard: Guard, fleet: Fleet, admission: Admission, writer: "Writer",
-                 local_reads: bool) -> None:
+                 local_reads: bool, cancels: bool) -> None:
         self.guard, self.fleet, self.writer, self.local_reads = guard, fleet, writer, local_reads
-        self.admission = admission
+        self.admission, self.cancels = admission, cancels
         self.texts: dict[str, int] = {}  # how often each shared text came lately; halved at TEXTS
 
     def take(self, now: Time, gen: Generation) -> None:
@@ -627,6 +623,14 @@
         best = min(cost, default=None, key=lambda one: cost[one])
         return best, cost[best] if best is not None else 0.0
 
+    def overtaken(self, now: Time, seat: Seat, leg: Leg) -> None:
+        """Cancels earlier reads there that wait far longer, token for token: their answers will not come."""
+        for one in list(seat.waiting) if self.cancels else ():
+            took = (now - leg.sent) * max(1.0, one.gen.prompt_tok / max(1, leg.gen.prompt_tok))
+            lost = one.sent < leg.sent and now - one.sent > max(self.LOST_FLOOR, self.LOST_TIMES * took)
+            if lost and len(one.gen.legs) + 2 <= self.guard.max_legs:
+                self.guard.gateway.cancel(one)
+
     def popular(self, text: str | None) -> float:
         """The part of recent generations that began with this text; high until it is shown to be low."""
         return (self.texts.get(text, 0) + 1) / (sum(self.texts.values()) + 1) if text is not None else 0.0
@@ -710,8 +714,8 @@
     ASK_AGAIN = 2 * SECOND  # after a failed call to a discovery that must be asked
 
     def __init__(self, gateway: Gateway, seed: int, *, number: int, gateways: int, zone: str, max_legs: int,
-                 max_retry_after: Time, local_reads: bool, must_ask: bool, cold_from: float, warm_up: Time,
-                 fall_multiple: float, peers: bool = False, probes: bool = False) -> None:
+                 max_retry_after: Time, fall_multiple: float, must_ask: bool, cold_from: float, warm_up: Time,
+                 local_reads: bool, peers: bool = False, probes: bool = False, cancels: bool = False) -> None:
         self.gateway, self.must_ask = gateway, must_ask
         self.fleet = Fleet(gateway, seed, cold_from, warm_up, fall_multiple, number, gateways, zone, peers)
         self.probing = Probing(gateway, self.fleet, probes)
@@ -720,7 +724,7 @@
         self.admission = Admission(self.guard, self.fleet)
         self.owner = Owner(self.guard, self.fleet, self.admission, self.writer, local_reads)
         self.home = Home(gateway, self.fleet, self.owner, peers)
-        self.reader = Reader(self.guard, self.fleet, self.admission, self.writer, local_reads)
+        self.reader = Reader(self.guard, self.fleet, self.admission, self.writer, local_reads, cancels)
         self.chain: list[Stage] = [self.guard, self.home, self.owner, self.reader, self.writer]
         for stage, below in zip(self.chain, self.chain[1:]):
             stage.below = below
@@ -756,13 +760,14 @@
         if leg.outcome == "read":
             self.guard.pinned[gen] = True
             self.fleet.word(seat, now, leg)
+            self.reader.overtaken(now, seat, leg)
         elif leg.outcome in ("error", "time-out", "unreachable", "reset", "full") and not no_state:
             self.fleet.strike(seat, now, leg)
         for stage in reversed(self.chain):
             if stage.back(now, leg, kept_tok, no_state):
                 break
-        if not gen.out() and (plan := self.writer.plan.pop(gen, None)) is not None:
-            plan.drop(gen)
+        if not gen.out():
+            self.writer.plan.pop(gen, seat).drop(gen)
 
     def probed(self, now: Time, server: Server, well: bool, report: Report | None) -> None:
         self.probing.answered(now, server, well, report)
--- a/stackpitch/gateway/leg.py
+++ b/stackpitch/gateway/leg.py
@@ -89,7 +89,10 @@
         end: End | None = None
         with world.limit(self.limit) as scope:
             try:
-                stream = yield from pool.take(self.phase)
+                # The other side may have closed a kept connection as the request is written to it; nothing then tells
+                # whether it ran, and a side-effecting generation could not be sent again.
+                alone = self.leg.gen.product.effect == "side-effecting" and server.role != "reader"
+                stream = yield from pool.take(self.phase, fresh=alone)
                 end = yield from self._exchange(stream, scope)
             except NoneFree:
                 end = self._broken("lost", "no connection free")
--- a/stackpitch/gateway/pool.py
+++ b/stackpitch/gateway/pool.py
@@ -46,11 +46,11 @@
         self.closed = False
         self.waiters: deque[Task] = deque()
 
-    def take(self, phase: list[Phase]) -> Coro[Stream]:
-        """A connection, kept or new; `phase[0]` follows how far it is. Raises NoneFree, ConnectFailed."""
+    def take(self, phase: list[Phase], fresh: bool = False) -> Coro[Stream]:
+        """A connection, kept or, if `fresh`, new; `phase[0]` follows how far it is. Raises NoneFree, ConnectFailed."""
         phase[0] = Phase.QUEUED
         while True:
-            while self.idle:
+            while self.idle and (not fresh or self.open >= self.most):
                 stream, _ = self.idle.pop()
                 if not stream.eof and self._silent(stream):
                     self.reused += 1
--- a/stackpitch/settings/made.py
+++ b/stackpitch/settings/made.py
@@ -57,6 +57,6 @@
     return {
         "number": module.number, "gateways": module.gateways, "zone": module.zone, "max_legs": module.max_legs,
         "max_retry_after": ticks(module.max_retry_after_ms), "local_reads": module.local_reads, "must_ask": False,
-        "peers": bool(settings.peers.admin), "probes": module.probes,
+        "peers": bool(settings.peers.admin), "probes": module.probes, "cancels": True,
         "cold_from": module.cold_from, "warm_up": ticks(module.warm_up_ms), "fall_multiple": module.fall_multiple,
     }
--- a/tests/play.py
+++ b/tests/play.py
@@ -23,7 +23,7 @@
 
 ARGUMENTS: dict[str, Any] = {
     "number": 0, "gateways": 1, "zone": "a", "max_legs": 4, "max_retry_after": 0, "local_reads": True,
-    "must_ask": False, "peers": False, "probes": False, "cold_from": 0.3, "warm_up": 130_000, "fall_multiple": 2.5,
+    "must_ask": False, "peers": False, "probes": False, "cancels": True, "cold_from": 0.3, "warm_up": 130_000, "fall_multiple": 2.5,
 }
 
 
