--- a/stackpitch/gateway/door.py
+++ b/stackpitch/gateway/door.py
@@ -93,11 +93,12 @@
             stream.close()
 
     def _farewell(self, stream: Stream) -> Coro[None]:
+        left = self.max_body  # bytes: what a stranger sends at full speed must not take the time of others
         with self.world.limit(FAREWELL):
             yield from stream.drain()
             stream.finish()
-            while (yield from stream.recv()):
-                pass  # a close with bytes unread would be a reset, and could lose the answer
+            while left > 0 and (data := (yield from stream.recv())):
+                left -= len(data)  # a close with bytes unread would be a reset, and could lose the answer
 
     def _connection(self, stream: Stream) -> Coro[None]:
         kept = False
--- a/stackpitch/platform/ask.py
+++ b/stackpitch/platform/ask.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from stackpitch.gateway.ask import Ask
-from stackpitch.interface import Generation, Time
+from stackpitch.interface import Generation, Leg, Time
 from stackpitch.loop import Stream
 from stackpitch.wire import http
 
@@ -12,6 +12,7 @@
     def __init__(self, gen: Generation, client: Stream, method: str, target: str, body: bytes) -> None:
         super().__init__(gen, client, target)
         self.method, self.body = method, body
+        self.written: Leg | None = None  # the newest leg whose request has been handed over whole
         self.held = False  # a state or place may be held; a started stream lets go of it
         self.doubt = False  # a read may have ended well unseen: what it left is held, whatever started since
 
--- a/stackpitch/platform/leases.py
+++ b/stackpitch/platform/leases.py
@@ -3,7 +3,7 @@
 from stackpitch.gateway.ask import Ask
 from stackpitch.gateway.host import Host
 from stackpitch.interface import Generation, Leg, Report, Server, Time
-from stackpitch.loop import Coro
+from stackpitch.loop import MS, Coro
 from stackpitch.platform.ask import PlatformAsk
 from stackpitch.platform.leg import PlatformLeg
 from stackpitch.wire import platform
@@ -21,6 +21,10 @@
     def hold(self, ask: Ask, leg: Leg, server: Server) -> Coro[bool]:
         """Asks once the read's last byte is written; only then is a read out that the server may know of."""
         assert isinstance(ask, PlatformAsk)
+        while ask.written is not leg:
+            if leg.outcome is not None:
+                return False
+            yield from self.host.world.sleep(MS)
         answer = yield from self.host.call(server, "POST", platform.LEASES + ask.gen.name, b"")
         if answer is None or answer.status in (200, 204):  # unknown is perhaps held
             ask.held = True
--- a/stackpitch/platform/leg.py
+++ b/stackpitch/platform/leg.py
@@ -47,6 +47,7 @@
         if self.leg.gen.over:  # its client left while the leg waited for a connection
             return End("not-sent", Phase.QUEUED)
         yield from self._write(stream, self._request())
+        self.ask.written = self.leg
         reader = self.reader
         while not reader.head_done:
             yield from self._more(stream)
