--- a/stackpitch/platform/__main__.py
+++ b/stackpitch/platform/__main__.py
@@ -14,3 +14,5 @@
     except BadConfig as wrong:
         sys.stderr.write(f"stackpitch: {wrong}\n")
         sys.exit(2)
+    except OSError as wrong:
+        sys.exit(f"stackpitch: {wrong}")
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -87,6 +87,7 @@
             self.stage.group.spawn(self.connection(stream), self.name)
 
     def connection(self, stream: Stream) -> Coro[None]:
+        stale = False
         try:
             while True:
                 reader = http.RequestReader(65536, 1 << 20)
@@ -103,6 +104,10 @@
                     continue
                 assert reader.headers["req-deadline-ms"].isdigit() and reader.body() == b'{"stream":true}', "not as it came"
                 act, _, number = (self.acts.pop(0) if len(self.acts) > 1 else self.acts[0]).partition(":")
+                if stale:
+                    stream.abort()
+                    return
+                stale = act == "stale"
                 yield from self.act(stream, act, int(number or 0))
                 if act in ("reset", "cut"):
                     return
@@ -113,7 +118,8 @@
             stream.close()
 
     def act(self, stream: Stream, act: str, number: int) -> Coro[None]:
-        """`late:MS`, `words:COUNT`, `cut` or `silence` after two words, `reset`, `silent`, or bytes."""
+        """`late:MS`, `words:COUNT`, `cut` or `silence` after two words, `reset`, `silent`, or bytes. `stale`: good,
+        but the connection is reset at its next request."""
         if act in WHOLE:
             for part in WHOLE[act].split(b"|"):
                 stream.write(part)
