After a writer that may have had the state, an idempotent generation is read again

A trace of what had come of legs that timed out shows nothing at all, each at the second writer after a spoilt answer of the first: the state had gone with the first (a writer takes it when the leg arrives), so the second read the whole prompt itself, at a third of a reader's pace, past its patience of 400 ms (Writer.back went straight to Writer.take). Ruled out: heads that trickle, slow connections.

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -69,9 +69,8 @@
     def __init__(self, gateway: Gateway, seed: int, cold_from: float, warm_up: Time, fall_multiple: float,
                  number: int, gateways: int, zone: str, peers: bool) -> None:
         self.peers, self.gateway, self.seed, self.zone = peers, gateway, seed, zone
-        self.number, self.gateways = number, gateways
+        self.number, self.gateways, self.warm_up = number, gateways, max(1, warm_up)
         self.cold_load, self.cold_from = self.COLD_CARE * fall_multiple, cold_from
-        self.warm_up = max(1, warm_up)
         self.weight: dict[int, float] = {}  # by cell: what its readers are given, 1 for an even part
         self.near: dict[int, float] = {}  # by cell: part of what its readers read that its writers can take
         self.wanting: dict[int, float] = {}  # by cell: writers that others' reads must feed
@@ -338,8 +337,8 @@
             return False
         seat = self.fleet.seats[server]
         cold = self.fleet.cold(seat, now) and seat.drawn is not gen and gen not in seat.tok
-        if cold or any(leg.server is server for leg in gen.legs):
-            return False  # not drawn or chosen before; or tried already
+        if cold or any(leg.server is server and leg.outcome != "read" for leg in gen.legs):
+            return False  # not drawn or chosen before; or tried in vain
         ran, product = self.ran(gen), gen.product
         if not ran or product.effect != "deduplicated":
             return not ran or product.effect == "idempotent"
@@ -702,7 +701,9 @@
 
     def back(self, now: Time, leg: Leg, kept_tok: int, no_state: bool) -> bool:
         gen = leg.gen
-        lost = gen.over or leg.server.role == "reader" or no_state or gen.out()
+        again = gen.product.effect == "idempotent" and len(gen.legs) + 2 <= self.guard.max_legs
+        spent = again and leg.outcome not in NEVER_RAN  # the state went with it: better read anew by a reader
+        lost = gen.over or leg.server.role == "reader" or no_state or spent or gen.out()
         if not lost and any(one.outcome == "read" for one in gen.legs):
             self.take(now, gen)
         return not lost and gen.out()
