A time limit that comes up behind the first token no longer cuts the stream off

Cause: loop/task.py Scope.relax took away the timer alone. When the data and the timer come up in one turn of the loop, the wake is first, the cancellation stays pending, and strikes at the next wait, after the start of the stream. Relaxing now takes back a limit that has come up and not struck; a cancellation of its own stays, and a leg that was cancelled in that turn starts nothing (Host.leg_started). Likewise a request whole in the turn of its limit is no 408 (door).

--- a/stackpitch/gateway/door.py
+++ b/stackpitch/gateway/door.py
@@ -161,7 +161,7 @@
                         held = reader.body_size
                         if self.bodies > self.max_bodies:
                             raise http.BadMessage(503, "too much is held here; try again")
-                if scope.expired:
+                if scope.expired and not (reader.complete or (what == "head" and reader.head_done)):
                     raise http.BadMessage(408, f"{what} was not whole after {limit // 10} ms")
                 self.bodies += reader.body_size - held
                 held = reader.body_size
--- a/stackpitch/gateway/engines.py
+++ b/stackpitch/gateway/engines.py
@@ -70,10 +70,10 @@
                 return self._broken("garbled", "a stream without any event")
             yield from self._more(stream)
         fetched = reader.headers.get(engine.STATE_HEADER) == "fetched"
+        scope.relax()
         if not self.host.leg_started(self.ask, self.leg, fetched):
             return self._broken("cancelled", "nobody wants it")
         self.phase[0] = Phase.STREAMING
-        scope.relax()
         return (yield from self._relay(stream))
 
     def _whole(self, stream: Stream) -> Coro[End]:
--- a/stackpitch/gateway/host.py
+++ b/stackpitch/gateway/host.py
@@ -143,8 +143,9 @@
 
     def leg_started(self, ask: Ask, leg: Leg, fetched: bool) -> bool:
         """The first token is here; False if nobody wants it. `fetched`: the writer took the state that it was sent to."""
-        if ask.gen.over or ask.serving is not None:
-            return False
+        task = ask.tasks.get(leg)
+        if ask.gen.over or ask.serving is not None or (task is not None and task.struck() is not None):
+            return False  # the last: cancelled in the very turn in which the token came
         leg.streaming, ask.serving = True, leg
         ask.begin(self.world.now())
         self.front.started(ask, leg, fetched)
--- a/stackpitch/loop/task.py
+++ b/stackpitch/loop/task.py
@@ -30,11 +30,12 @@
 class Scope:
     """A stretch of one task that can be cancelled: `with world.limit(delay) as scope`, then `scope.expired`."""
 
-    __slots__ = ("cancelled", "expired", "limit", "shield", "task", "timer", "world")
+    __slots__ = ("cancelled", "expired", "limit", "shield", "task", "timer", "told", "world")
 
     def __init__(self, world: "World", limit: Time | None = None, shield: bool = False) -> None:
         self.world, self.limit, self.shield = world, limit, shield
         self.cancelled = self.expired = False
+        self.told = False  # by a call of `cancel`, whatever the time limit
         self.task: Task | None = None
         self.timer: Timer | None = None
 
@@ -52,21 +53,33 @@
         self.task.scopes.pop()
         if self.cancelled:
             self.task.alert = any(scope.cancelled for scope in self.task.scopes)
-        self.relax()
+        self._disarm()
         self.task = None
         return isinstance(error, Cancelled) and error.scope is self
 
     def relax(self) -> None:
-        """Takes the time limit away, as when the first token has come."""
+        """Takes the time limit away, as when the first token has come. Also one that came up in the same turn, after
+        that token and before the task went on: it must not strike what has begun."""
+        self._disarm()
+        if self.expired:
+            assert self.task is not None
+            self.expired, self.cancelled = False, self.told
+            self.task.alert = any(scope.cancelled for scope in self.task.scopes)
+
+    def _disarm(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
 
     def _expire(self) -> None:
         self.expired = True
-        self.cancel()
+        self._strike()
 
     def cancel(self) -> None:
+        self.told = True
+        self._strike()
+
+    def _strike(self) -> None:
         self.cancelled = True
         if self.task is not None:
             self.task.alert = True
--- a/stackpitch/platform/leg.py
+++ b/stackpitch/platform/leg.py
@@ -61,10 +61,10 @@
                 return self._broken("garbled", "a stream without any event")
             yield from self._more(stream)
             whole += self.events.feed(reader.pieces)
+        scope.relax()
         if not self.host.leg_started(self.ask, self.leg, True):
             return self._broken("cancelled", "nobody wants it")
         self.phase[0] = Phase.STREAMING
-        scope.relax()
         return (yield from self._relay(stream, whole))
 
     def _whole(self, stream: Stream) -> Coro[End]:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -29,6 +29,26 @@
     assert run(main) == []
 
 
+@pytest.mark.parametrize("cancels", [False, True])
+def test_a_limit_that_came_up_behind_the_token_does_not_strike_what_began(cancels: bool) -> None:
+    def main(world: RealWorld) -> Coro[bool]:
+        world.at(world.now() + MS, world.current.wake)  # the token, first in the turn
+        with world.limit(MS) as scope:
+            if cancels:
+                world.at(world.now() + MS, scope.cancel)  # this one stays in force
+            until = world.now() + 3 * MS
+            while world.now() < until:
+                pass  # both come due, so one turn brings both
+            yield
+            assert scope.expired
+            scope.relax()
+            yield from world.sleep(2 * MS)
+            return True
+        return False
+
+    assert run(main) is not cancels
+
+
 def test_every_wait_in_a_cancelled_scope_ends_at_once() -> None:
     def main(world: RealWorld) -> Coro[int]:
         tries = 0
