Tries that end before first tokens come are throttled unsent; lost legs count as waits

Each generation was logged with its legs, warm or cold, and added up by second.

Causes, each checked on its own: - Clients with a limit of 350 ms that come again: 95 to 115 of 200 to 250 legs a second at seconds 9 to 11, 3 to 8 of them read in time. Admission saw nothing: only done legs counted as waits, and a gateway has a leg every 2 s. Now lost legs count as twice their wait, each tells more where few come, and a try whose time left is under half of what first tokens take is throttled unsent (Admission.sheds, Fleet.met, Fleet.expected).

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -1,10 +1,8 @@
 """All decisions of a gateway, and every table and tuned value behind them.
 
-How it is called: a gateway makes one `Brain`, calls `begin` once, then the methods of `interface.Module`;
-each asks the gateway (`interface.Gateway`) for what it decided. A generation passes Guard, Home, Owner,
-Reader and Writer; a stage passes it on, keeps it (a leg is out, a peer is asked) or ends it; Owner and Reader
-ask Admission first. What comes back runs from Writer to Guard. Fleet knows the servers. Times: tenths of ms.
-"""
+A gateway makes one `Brain`, calls `begin`, then the methods of `interface.Module`; each asks it for what it
+decided (`interface.Gateway`). A generation passes Guard, Home, Owner, Reader and Writer; each passes it on,
+keeps it or ends it; Owner and Reader ask Admission first. What comes back runs from Writer to Guard."""
 
 from collections import Counter
 from hashlib import blake2b
@@ -27,16 +25,13 @@
     """What this gateway knows of one server. Bounded by the roster and the legs that are out."""
 
     def __init__(self, server: Server) -> None:
-        self.server = server
-        self.hash = crc32(server.name.encode())
+        self.server, self.hash = server, crc32(server.name.encode())
         self.waiting: dict[Leg, Time] = {}  # legs with no word yet; emptied by stream start or outcome
         self.tok: dict[Generation, int] = {}  # tokens our legs bring here; emptied by outcomes
         self.own, self.poured = 0, 0  # the sum of these; tokens that our legs ever brought here
-        self.asked: Time = -1  # when it was last probed
-        self.mean = 0.0  # share of its memory that a gateway holds on average, by peers' words
+        self.asked, self.mean = -1, 0.0  # when last probed; share of it that a gateway holds, by peers' words
         self.others, self.reported_at = 0.0, -SECOND * 60  # share that others held by the last report; when
-        self.strikes, self.shunned_until = 0, 0
-        self.down = False  # the last word was that no connection holds
+        self.strikes, self.shunned_until, self.down = 0, 0, False  # down: no connection held last
         self.turn: tuple[Time | None, float] = None, 0.0  # start of the server, and how near its next turn is
         self.drawn: Generation | None = None  # the one that may go there while it is cold
 
@@ -52,18 +47,17 @@
 class Fleet:
     """Which servers exist, which are well, and what a cold one may be sent."""
 
-    PACE = 4 * SECOND  # the pace of done legs is averaged over about this long
+    PACE, LATE_SPAN = 4 * SECOND, 10 * SECOND  # the pace of done legs is averaged; mean waits fade
     COLD_CARE, SHRINK = 0.6, 0.99  # part of a cold server's budget that is used; a change of list forgets
     SHUN = SECOND // 2  # first time out after a strike; doubles with each further one
-    LEARN, LATE_LEARN = 0.1, 0.2  # weight of the newest wait, and of its part of the SLO time
+    LEARN, LATE_LEARN, RARE = 0.1, 0.2, 0.5  # least weight of a wait, of one up to its SLO time; most of both
     QUEUED_AFTER = 0.25  # of its SLO time: a leg without word for this long waits in a queue
     READ_ROOM, ZONES_ROOM = 1.25, 1.8  # even parts that a cell's readers bear, in one zone and among several
     SLOW_HELD, SLOWED = 0.5, 2.0  # held share past which a mixed server slows; SLO times for a whole one
-    FOLLOW = 3 * SECOND // 2  # means by server follow what we hold over this time
-    SCALE, SPOKEN = 100, 200  # a share of memory in peers' words; servers in a word at most
+    FOLLOW, SCALE = 3 * SECOND // 2, 100  # means by server follow what we hold; a share of it in peers' words
+    SPOKEN = 200  # servers in a word at most
     REPORT_AGE, REPORT_SAY = 6 * SECOND, 0.15  # it loses its say to its role's mean; its weight there
-    WHOLE = 0.8  # generations that a mixed server reads and answers while a writer answers one
-    ALIKE = 3  # gateways at most that are taken to do at a reader just what we do now
+    WHOLE, ALIKE = 0.8, 3  # answers of a mixed server to one of a writer; gateways taken to do as we do now
     SILENT_FLOOR, SILENT_TIMES = 500 * MS, 5  # no word is no symptom before this, nor so many usual waits
 
     def __init__(self, gateway: Gateway, seed: int, cold_from: float, warm_up: Time, fall_multiple: float,
@@ -72,10 +66,8 @@
         self.number, self.gateways, self.warm_up = number, gateways, max(1, warm_up)
         self.cold_load, self.cold_from = self.COLD_CARE * fall_multiple, cold_from
         self.weight: dict[int, float] = {}  # by cell: what its readers are given, 1 for an even part
-        self.near: dict[int, float] = {}  # by cell: part of what its readers read that its writers can take
-        self.wanting: dict[int, float] = {}  # by cell: writers that others' reads must feed
-        self.stay = 1.0  # part of our sessions that this zone's readers and mixed servers can take
-        self.whole = 0.0  # weight of a mixed server beside that of a reader with an even part
+        self.near, self.wanting = dict[int, float](), dict[int, float]()  # part written there; others to feed
+        self.stay, self.whole = 1.0, 0.0  # part of our sessions for this zone; a mixed server's weight
         self.alike, self.count, self.born, self.planned = min(gateways, self.ALIKE), 0, 0, 0
         self.by_hash: dict[int, Seat] = {}  # as peers name servers; only those on our own list
         self.seats: dict[Server, Seat] = {}  # a seat goes once its server is gone and its last leg is back
@@ -86,7 +78,7 @@
         self.mark, self.followed, self.reach = b"", 0, 1.0  # its mark; when means moved; peers that answer
         self.mean: dict[Role, float] = dict.fromkeys(self.roles, 0.0)  # tokens our legs brought to a server
         self.done: dict[Role, tuple[float, Time]] = dict.fromkeys(self.roles, (0.0, 0))  # legs; and when
-        self.late = dict(self.done)  # mean wait of done legs, over their SLO time; lost legs are no queue
+        self.late = dict(self.done)  # mean wait of legs, up to their SLO time
         self.drawn = dict(self.done)  # generations that servers were looked up for
         self.ahead = 5000.0  # mean of the tokens at a reader, while legs of ours were read there
         self.usual: dict[Role, float] = {"reader": 100.0 * MS, "writer": 50.0 * MS, "mixed": 200.0 * MS}
@@ -106,11 +98,10 @@
         self.by_hash = {one.hash: one for one in self.seats.values()}
         self.order = sorted(self.seats.values(), key=lambda one: one.server.name)[:self.SPOKEN]
         self.mark = crc32(" ".join(one.server.name for one in self.order).encode()).to_bytes(4, "little")
-        ready = [one for one in self.seats.values() if one.server.state == "ready"]
         for role in self.roles:
-            self.roles[role] = [one for one in ready if one.server.role == role]
-            here = sum(one.role == role and one.state != "gone" for one in self.seats)
-            self.size[role] = max(1.0, here, self.SHRINK * self.size[role])
+            self.roles[role] = [one for one in self.seats.values()
+                                if one.server.state == "ready" and one.server.role == role]
+            self.size[role] = max(1.0, len(self.roles[role]), self.SHRINK * self.size[role])
         self.plan(now)
 
     def plan(self, now: Time) -> None:
@@ -155,9 +146,11 @@
             self.SILENT_FLOOR, self.SILENT_TIMES * self.usual[seat.server.role])
 
     def strike(self, seat: Seat, now: Time, leg: Leg) -> None:
-        if leg.outcome == "time-out":  # a stream that broke or a refusal tells nothing of waits
-            self.usual[seat.server.role] += self.LEARN * (now - leg.sent - self.usual[seat.server.role])
-        if now >= seat.shunned_until:
+        wait = now - leg.sent
+        if leg.outcome in ("time-out", "full"):  # it would have taken longer; others tell no wait
+            self.met(leg, now, 2 * wait if leg.outcome == "time-out" else leg.gen.slo())
+        hasty = leg.outcome == "time-out" and now >= leg.gen.gives_up and wait < self.SILENT_FLOOR
+        if now >= seat.shunned_until and not hasty:  # a client that hardly waits tells nothing of a server
             seat.shunned_until = now + (self.SHUN << min(seat.strikes, 4))
             seat.strikes, seat.down = seat.strikes + 1, leg.outcome in ("unreachable", "reset")
             self.gateway.log(f"shun {seat.server.name} {leg.outcome} strikes={seat.strikes}")
@@ -165,18 +158,28 @@
     def word(self, seat: Seat, now: Time, leg: Leg) -> None:
         """A leg did what its role does."""
         wait, role = now - leg.sent, seat.server.role
-        self.usual[role] += self.LEARN * (wait - self.usual[role])
         if role == "reader":
             own = leg.gen.prompt_tok - leg.gen.shared_tok  # its leg is back, what it read counts
             self.ahead += self.LEARN * (self.wait_tok(seat, now, leg.gen) + own - self.ahead)
-        late = self.late[role][0]
-        self.late[role] = late + self.LATE_LEARN * (min(1.0, wait / leg.gen.slo()) - late), now
+        self.met(leg, now, wait)
         self.done[role] = self.lately(self.done, role, now) + 1, now
         seat.down = False
         if seat.strikes:
             self.gateway.log(f"trust {seat.server.name} wait={wait // MS}ms strikes={seat.strikes}")
             seat.strikes, seat.shunned_until = 0, 0
 
+    def met(self, leg: Leg, now: Time, wait: Time) -> None:
+        """A leg waited so long. Where few come, each tells more."""
+        role, part = leg.server.role, min(wait, leg.gen.slo())
+        late, fresh = self.late[role][0], min(self.RARE, (now - self.late[role][1]) / self.PACE)
+        self.usual[role] += max(self.LEARN, fresh) * (wait - self.usual[role])
+        self.late[role] = late + max(self.LATE_LEARN, fresh) * (part - late), now
+
+    def expected(self, now: Time) -> float:
+        """How long a first token takes, by what our legs met lately; a generation meets one of the two."""
+        reads, writes, both = (self.lately(self.late, role, now, self.LATE_SPAN) for role in self.late)
+        return max(reads + writes, both)
+
     def cold(self, seat: Seat, now: Time) -> bool:
         return seat.server.started is not None and now - seat.server.started < self.warm_up
 
@@ -200,8 +203,8 @@
         are. Each starts to count at its own place, and turns not used are lost, so nothing piles up."""
         server, role = seat.server, seat.server.role
         if seat.turn[0] != server.started:
-            place = self.number / self.gateways + mix(seat.hash, server.started or 0) / 2**32
-            seat.turn = server.started, place % 1
+            place = mix(seat.hash, server.started or 0) / 2**32
+            seat.turn = server.started, (self.number / self.gateways + place) % 1
         done, drawn = self.lately(self.done, role, now) + 1, self.lately(self.drawn, role, now) + 1
         part = self.cold_load * min(1.0, done / drawn) * self.warmth(seat, now) / self.size[role]
         seat.turn = server.started, (seat.turn[1] + part) % 1
@@ -245,8 +248,7 @@
         return self.mark + bytes(min(255, round(self.SCALE * self.gateways * one.mean)) for one in self.order)
 
     def hear(self, now: Time, word: bytes) -> None:
-        """A peer's means stand in for reports: meeting half-way again and again makes them those of all that
-        answer. A new start takes them as they are. Another list than ours says nothing."""
+        """A peer's means stand in for reports: meeting half-way again and again makes them those of all."""
         if word[:len(self.mark)] != self.mark or len(word) != len(self.mark) + len(self.order):
             return
         self.follow(now)
@@ -282,10 +284,9 @@
 
 
 class Probing:
-    """Asks for load where reports come no other way: one server with each generation, so that it costs by the
-    traffic, the one asked longest ago. Ends where answers tell nothing but that they come."""
+    """Asks for load where reports come no other way: with each generation the server asked longest ago."""
 
-    BLANK = 12  # answers in a row without a report, after which it ends
+    BLANK = 12  # answers in a row that tell nothing but that they come, after which it ends
 
     def __init__(self, gateway: Gateway, fleet: Fleet, probes: bool) -> None:
         self.gateway, self.fleet, self.left = gateway, fleet, self.BLANK if probes else 0
@@ -359,9 +360,8 @@
         """Gives up: throttled where the client may try again without harm, else terminated."""
         if gen.over:
             return
-        product = gen.product
-        marked = product.effect == "deduplicated" and product.scope == "all"
-        if marked or product.effect == "idempotent" or not self.ran(gen):
+        of = gen.product
+        if of.effect == "idempotent" or (of.effect, of.scope) == ("deduplicated", "all") or not self.ran(gen):
             self.gateway.throttle(gen, self.max_retry_after // 2)
         else:
             self.gateway.terminate(gen)
@@ -382,7 +382,7 @@
     """Throttles early what would likely come late, whatever the cause; few slow legs may pass for a jam."""
 
     START, SPAN = 0.2, 0.3  # wait as part of the SLO time from which some, and how much more until all goes
-    LATE, LATE_SPAN = 0.35, 10 * SECOND  # part of its SLO time that a leg may well wait; forgotten over this
+    LATE = 0.35  # part of its SLO time that a generation may well wait
     HELD_SHARE, HELD_SAY = 0.72, 2.0  # of the writers' memory; more counts so many times as a wait does
 
     def __init__(self, guard: Guard, fleet: Fleet) -> None:
@@ -390,22 +390,21 @@
 
     def sheds(self, now: Time, gen: Generation, cost: float) -> bool:
         """Whether this one has been throttled. `cost`: tokens to be read before it, and for it alone."""
+        left, late = gen.gives_up - now, self.fleet.expected(now)
         readers, writers = (self.fleet.healthy(role, now) for role in ("reader", "writer"))
         wait = self.fleet.queue_wait("reader", readers, now) + self.fleet.queue_wait("writer", writers, now)
         if self.fleet.peers:
             wait = max(wait, cost * self.fleet.usual["reader"] / max(1.0, self.fleet.ahead))
-        part = wait / max(1, min(gen.slo(), gen.gives_up - now))
-        usual = self.fleet.other_share("writer", now)
-        reads, writes, both = (self.fleet.lately(self.fleet.late, role, now, self.LATE_SPAN)
-                               for role in ("reader", "writer", "mixed"))
-        late = max(reads + writes, both)  # a generation meets one of the two
-        held = sum(self.fleet.held_share(one, now, usual) for one in writers) / max(1, len(writers))
-        part = max(part, late - self.LATE, self.HELD_SAY * (held - self.HELD_SHARE))
-        shed = part - self.START > self.SPAN * self.fleet.chance()
+        part = wait / max(1, min(gen.slo(), left))
+        others = self.fleet.other_share("writer", now)
+        held = sum(self.fleet.held_share(one, now, others) for one in writers) / max(1, len(writers))
+        part = max(part, late / max(1, gen.slo()) - self.LATE, self.HELD_SAY * (held - self.HELD_SHARE))
+        vain = 2 * left < late  # its client will most likely have left: its legs would only hold up others
+        shed = vain or part - self.START > self.SPAN * self.fleet.chance()
         if shed != self.shedding and (shed or part < self.START / 2):
             self.shedding = shed
-            said = f"{'begins' if shed else 'ends'} wait={wait / MS:.0f}ms late={late:.2f} held={held:.2f}"
-            self.fleet.gateway.log(f"throttling {said}")
+            self.fleet.gateway.log(f"throttling {'begins' if shed else 'ends'} "
+                                   f"wait={wait / MS:.0f}ms late={late / MS:.0f}ms held={held:.2f}")
         if shed:
             self.guard.answer(gen)
         return shed
@@ -489,8 +488,8 @@
 
 
 class Home(Stage):
-    """Finds the owner of a session whose earlier turns came to other gateways. The session's hash names one
-    gateway, its home, which is told the owner at each turn's end and asked at the next one's arrival."""
+    """Finds the owner of a session whose earlier turns came to other gateways: the session's hash names one,
+    its home, which is told the owner at each turn's end and asked at the next one's arrival."""
 
     WAIT, PART = 100 * MS, 0.1  # for the answer at most; and of the time that is left
     QUIET, REACH_SAY = 5 * SECOND, 0.1  # a home without an answer rests so long; weight of one
@@ -568,8 +567,7 @@
 class Reader(Stage):
     """Picks a reader by a hash of the session, then a writer, near it if it can; reads again on failure."""
 
-    SPREAD = 2.0  # readers that share a popular text, over those that its part of the traffic needs,
-    SPILL = 2.0  # what is read anew counts so many times: it also pushes out what others need
+    SPREAD, SPILL = 2.0, 2.0  # readers that share a text, over those it needs; weight of what is read anew
     TEXTS, LEAST = 64, 2  # counted over so many generations; servers weighed where peers tell of queues
     LIMIT_FLOOR, LIMIT_TIMES = 600 * MS, 16  # and so many usual waits: before another reader is tried
     LOST_FLOOR, LOST_TIMES = 250 * MS, 3  # and so many waits of a later read: its answer will not come
@@ -581,9 +579,11 @@
         self.texts: dict[str, int] = {}  # how often each shared text came lately; halved at TEXTS
 
     def take(self, now: Time, gen: Generation) -> None:
-        seat, cost = self.pick(now, gen)
+        told = self.fleet.peers  # else the cost says little, and who is throttled takes no cold server's turn
+        seat, cost = self.pick(now, gen) if told else (None, 1.0)
         if not gen.legs and self.admission.sheds(now, gen, cost):
             return
+        seat = seat if told else self.pick(now, gen)[0]
         self.count(gen.shared)
         whole = seat is None or seat.server.role == "mixed"  # no reader: who answers reads as well
         goal = seat if seat and whole else self.writer.pick(
@@ -631,8 +631,9 @@
                 self.guard.gateway.cancel(one)
 
     def popular(self, text: str | None) -> float:
-        """The part of recent generations that began with this text; high until it is shown to be low."""
-        return (self.texts.get(text, 0) + 1) / (sum(self.texts.values()) + 1) if text is not None else 0.0
+        """The part of recent generations that began so; low until many are seen, or all would spread all."""
+        seen = max(self.TEXTS // 2, sum(self.texts.values()))
+        return (self.texts.get(text, 0) + 1) / (seen + 1) if text is not None else 0.0
 
     def count(self, text: str | None) -> None:
         """Only what is read counts: clients that ask again would make what is throttled popular."""
@@ -647,7 +648,8 @@
             return False
         if leg.outcome == "read":
             self.writer.take(now, gen)
-        elif now + 50 * MS < gen.gives_up and len(gen.legs) + 2 <= self.guard.max_legs:
+        elif (now + max(50 * MS, self.fleet.expected(now) / 2) < gen.gives_up
+              and len(gen.legs) + 2 <= self.guard.max_legs):
             self.take(now, gen)
         return gen.out()
 
--- a/stackpitch/platform/door.py
+++ b/stackpitch/platform/door.py
@@ -36,6 +36,8 @@
             raise http.BadMessage(400, f"req-kind: found {facts.product[:30]!r}; allowed: {', '.join(self.products)}")
         if any(gen.name == facts.name for gen in self.host.asks):
             raise http.BadMessage(409, "req-id: it is that of a request still open here")
+        if not reader.body_size:
+            raise http.BadMessage(400, "a body is wanted")  # servers turn it down, each of them
         now = self.world.now()
         gives_up = max(now + 1, began + facts.time_limit_ms * 10 - self.margin)
         gen = Generation(facts.name, product, self.customers.get(facts.customer or ""), facts.session, facts.shared,
