Clients that come again are throttled first, and told to come back as late as allowed

Admission.sheds makes no allowance for waits to those (LATE); a try whose time left is under the expected wait is thrown by chance, under half of it always; Guard.answer names the whole maxRetryAfterMs, half of it brought clients back into the jam.

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -50,12 +50,11 @@
     PACE, LATE_SPAN = 4 * SECOND, 10 * SECOND  # the pace of done legs is averaged; mean waits fade
     COLD_CARE, SHRINK = 0.6, 0.99  # part of a cold server's budget that is used; a change of list forgets
     SHUN = SECOND // 2  # first time out after a strike; doubles with each further one
-    LEARN, LATE_LEARN, RARE = 0.1, 0.2, 0.5  # least weight of a wait, of one up to its SLO time; most of both
+    LEARN, LATE_LEARN, RARE = 0.1, 0.2, 0.25  # least weight of a wait, and up to its SLO time; most of both
     QUEUED_AFTER = 0.25  # of its SLO time: a leg without word for this long waits in a queue
     READ_ROOM, ZONES_ROOM = 1.25, 1.8  # even parts that a cell's readers bear, in one zone and among several
     SLOW_HELD, SLOWED = 0.5, 2.0  # held share past which a mixed server slows; SLO times for a whole one
-    FOLLOW, SCALE = 3 * SECOND // 2, 100  # means by server follow what we hold; a share of it in peers' words
-    SPOKEN = 200  # servers in a word at most
+    FOLLOW, SCALE, SPOKEN = 3 * SECOND // 2, 100, 200  # means follow what we hold; in words: scale, servers
     REPORT_AGE, REPORT_SAY = 6 * SECOND, 0.15  # it loses its say to its role's mean; its weight there
     WHOLE, ALIKE = 0.8, 3  # answers of a mixed server to one of a writer; gateways taken to do as we do now
     SILENT_FLOOR, SILENT_TIMES = 500 * MS, 5  # no word is no symptom before this, nor so many usual waits
@@ -362,7 +361,7 @@
             return
         of = gen.product
         if of.effect == "idempotent" or (of.effect, of.scope) == ("deduplicated", "all") or not self.ran(gen):
-            self.gateway.throttle(gen, self.max_retry_after // 2)
+            self.gateway.throttle(gen, self.max_retry_after)
         else:
             self.gateway.terminate(gen)
         self.let_go(gen)
@@ -398,8 +397,9 @@
         part = wait / max(1, min(gen.slo(), left))
         others = self.fleet.other_share("writer", now)
         held = sum(self.fleet.held_share(one, now, others) for one in writers) / max(1, len(writers))
-        part = max(part, late / max(1, gen.slo()) - self.LATE, self.HELD_SAY * (held - self.HELD_SHARE))
-        vain = 2 * left < late  # its client will most likely have left: its legs would only hold up others
+        first = self.LATE * (not gen.repeat)  # who comes again has waited already, and is worth less
+        part = max(part, late / max(1, gen.slo()) - first, self.HELD_SAY * (held - self.HELD_SHARE))
+        vain = left < late and 2 * left < late * (1 + self.fleet.chance())  # its client will leave
         shed = vain or part - self.START > self.SPAN * self.fleet.chance()
         if shed != self.shedding and (shed or part < self.START / 2):
             self.shedding = shed
@@ -580,7 +580,7 @@
 
     def take(self, now: Time, gen: Generation) -> None:
         told = self.fleet.peers  # else the cost says little, and who is throttled takes no cold server's turn
-        seat, cost = self.pick(now, gen) if told else (None, 1.0)
+        seat, cost = self.pick(now, gen) if told else (None, 0.0)
         if not gen.legs and self.admission.sheds(now, gen, cost):
             return
         seat = seat if told else self.pick(now, gen)[0]
