Words between gateways tell of any number of servers; one bad member costs itself alone

Discovery's list is read member by member: one that can't be read, or of an unknown flavor, costs itself and one bad_member line, and keeps its entry if it is known (it made the whole list unreadable). Limits that leave no room end the program with the field. A line 'classes' says every 30 s what became of each product and why. 1,024 connections may wait to be accepted.

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -64,21 +64,19 @@
         self.peers, self.gateway, self.seed, self.zone = peers, gateway, seed, zone
         self.number, self.gateways, self.warm_up = number, gateways, max(1, warm_up)
         self.cold_load, self.cold_from = self.COLD_CARE * fall_multiple, cold_from
-        self.weight: dict[int, float] = {}  # by cell: what its readers are given, 1 for an even part
         self.near, self.wanting = dict[int, float](), dict[int, float]()  # part written there; others to feed
         self.stay, self.whole = 1.0, 0.0  # part of our sessions for this zone; a mixed server's weight
         self.alike, self.count, self.born, self.planned = min(gateways, self.ALIKE), 0, 0, 0
-        self.by_hash: dict[int, Seat] = {}  # as peers name servers; only those on our own list
+        self.by_hash, self.weight = dict[int, Seat](), dict[int, float]()  # by peers' names; readers' by cell
         self.seats: dict[Server, Seat] = {}  # a seat goes once its server is gone and its last leg is back
         self.roles: dict[Role, list[Seat]] = {"reader": [], "writer": [], "mixed": []}  # the ready ones
         self.size: dict[Role, float] = dict.fromkeys(self.roles, 1.0)  # servers there lately were
         self.others: dict[Role, float] = {}  # mean share that others hold, by reports
-        self.order: list[Seat] = []  # the servers in peers' words,
-        self.mark, self.followed, self.reach = b"", 0, 1.0  # its mark; when means moved; peers that answer
+        self.order, self.mark = list[Seat](), b""  # the servers as peers' words name them, and its mark
+        self.said, self.followed, self.reach = 0, 0, 1.0  # place said up to; means moved; peers that answer
         self.mean: dict[Role, float] = dict.fromkeys(self.roles, 0.0)  # tokens our legs brought to a server
         self.done: dict[Role, tuple[float, Time]] = dict.fromkeys(self.roles, (0.0, 0))  # legs; and when
-        self.late = dict(self.done)  # mean wait of legs, up to their SLO time
-        self.drawn = dict(self.done)  # generations that servers were looked up for
+        self.late, self.drawn = dict(self.done), dict(self.done)  # mean wait, up to SLO time; looked up for
         self.ahead = 5000.0  # mean of the tokens at a reader, while legs of ours were read there
         self.usual: dict[Role, float] = {"reader": 100.0 * MS, "writer": 50.0 * MS, "mixed": 200.0 * MS}
 
@@ -95,7 +93,7 @@
         for seat in [one for one in self.seats.values() if one.server.state == "gone" and not one.tok]:
             del self.seats[seat.server]
         self.by_hash = {one.hash: one for one in self.seats.values()}
-        self.order = sorted(self.seats.values(), key=lambda one: one.server.name)[:self.SPOKEN]
+        self.order = sorted(self.seats.values(), key=lambda one: one.server.name)
         self.mark = crc32(" ".join(one.server.name for one in self.order).encode()).to_bytes(4, "little")
         for role in self.roles:
             self.roles[role] = [one for one in self.seats.values()
@@ -242,21 +240,24 @@
             one.mean += part * (one.own / max(1, one.server.memory_tok) - one.mean)
 
     def speak(self, now: Time) -> bytes:
-        """Our list's mark, then a byte a server: what a gateway holds of it on average, as we take it."""
+        """Our list's mark, a place in it, from there a byte a server: what a gateway holds of it, by us."""
         self.follow(now)
-        return self.mark + bytes(min(255, round(self.SCALE * self.gateways * one.mean)) for one in self.order)
+        start = self.said if self.said < len(self.order) else 0
+        part = self.order[start:start + self.SPOKEN]
+        self.said, head = start + len(part), self.mark + start.to_bytes(2, "little")  # the next goes on there
+        return head + bytes(min(255, round(self.SCALE * self.gateways * one.mean)) for one in part)
 
     def hear(self, now: Time, word: bytes) -> None:
         """A peer's means stand in for reports: meeting half-way again and again makes them those of all."""
-        if word[:len(self.mark)] != self.mark or len(word) != len(self.mark) + len(self.order):
+        part = self.order[(start := int.from_bytes(word[4:6], "little")):start + self.SPOKEN]
+        if word[:4] != self.mark or len(word) != 6 + len(part):
             return
         self.follow(now)
-        part = 0.5 if self.others else 1.0
-        for one, said in zip(self.order, word[len(self.mark):]):
-            one.mean += part * (said / self.SCALE / self.gateways - one.mean)
+        for one, said in zip(part, word[6:]):
+            one.mean += (1 if one.reported_at < 0 else 0.5) * (said / self.SCALE / self.gateways - one.mean)
             one.others, one.reported_at = one.mean * (self.gateways * self.reach - 1), now
-        self.others = {role: sum(one.others for one in seats) / len(seats)
-                       for role, seats in self.roles.items() if seats}
+        told = {role: [one.others for one in of if one.reported_at >= 0] for role, of in self.roles.items()}
+        self.others = {role: sum(of) / len(of) for role, of in told.items() if of}
 
     def wait_tok(self, seat: Seat, now: Time, gen: Generation) -> float:
         """Tokens before this one's at a reader, by peers' words, else as if a few gateways did as we; at a
@@ -361,7 +362,7 @@
             return
         of = gen.product
         if of.effect == "idempotent" or (of.effect, of.scope) == ("deduplicated", "all") or not self.ran(gen):
-            self.gateway.throttle(gen, self.max_retry_after)
+            self.gateway.throttle(gen, self.max_retry_after // 2)
         else:
             self.gateway.terminate(gen)
         self.let_go(gen)
@@ -380,8 +381,7 @@
 class Admission:
     """Throttles early what would likely come late, whatever the cause; few slow legs may pass for a jam."""
 
-    START, SPAN = 0.2, 0.3  # wait as part of the SLO time from which some, and how much more until all goes
-    LATE = 0.35  # part of its SLO time that a generation may well wait
+    START, SPAN, LATE = 0.2, 0.3, 0.35  # of the SLO time: from there some go, then all; what may be waited
     HELD_SHARE, HELD_SAY = 0.72, 2.0  # of the writers' memory; more counts so many times as a wait does
 
     def __init__(self, guard: Guard, fleet: Fleet) -> None:
@@ -422,8 +422,8 @@
     """A later turn is read by the server that wrote the session's earlier turns."""
 
     AGE, SIZE = 60 * SECOND, 20_000  # of an entry, and sessions at most
-    NEW_TOK, HELD_SHARE = 1500, 0.8  # bounds for a turn to be read by its owner
-    REACH = 0.9  # of the memory not held: a history is likely kept until this much has come in after it
+    NEW_TOK, HELD_SHARE = 1500, 0.8  # bounds for a turn to be read by its owner; a history is likely kept
+    REACH = 0.9  # until so much of the memory not held has come in after it
 
     def __init__(self, guard: Guard, fleet: Fleet, admission: Admission, writer: "Writer",
                  local_reads: bool) -> None:
--- a/stackpitch/loop/real.py
+++ b/stackpitch/loop/real.py
@@ -412,7 +412,7 @@
                                 else os.strerror(code))
         return RealStream(self, sock, address)
 
-    def listen(self, address: Address, backlog: int = 512) -> RealListener:
+    def listen(self, address: Address, backlog: int = 1024) -> RealListener:
         return RealListener(self, address, backlog)
 
     def spawn_child(self, command: Sequence[str], *, output: str | None = None) -> RealChild:
--- a/stackpitch/loop/virtual.py
+++ b/stackpitch/loop/virtual.py
@@ -330,7 +330,7 @@
         yield from self.sleep(latency)
         return here
 
-    def listen(self, address: Address, backlog: int = 512) -> VirtualListener:
+    def listen(self, address: Address, backlog: int = 1024) -> VirtualListener:
         if not address[1]:
             self.next_port += 1
             address = address[0], self.next_port
--- a/stackpitch/platform/config.py
+++ b/stackpitch/platform/config.py
@@ -9,7 +9,9 @@
 
 from stackpitch.benchlink.settings import Missing, Tree
 from stackpitch.loop.world import Address
-from stackpitch.wire.platform import Listed
+from stackpitch.wire.platform import Listed, listed
+
+LEAST = {"sockets": 32, "memory_mb": 24}  # under these there is no room to work
 
 
 class BadConfig(Exception):
@@ -51,15 +53,18 @@
         limits = top.tree("limits")
         name = top.get("name", str, given.get("RELAY_NAME", "gateway"))
         seed = top.get("seed", (str, int), "0")
+        for field, least in LEAST.items():
+            if (found := limits.number(field, least)) < least:
+                raise BadConfig(f"limits.{field}: found {found}; {least} at least are wanted")
         return Config(
             name, address(top.get("listen", str, given.get("RELAY_LISTEN")), "listen"),
             address(top.get("discovery", str, given.get("RELAY_DISCOVERY")), "discovery"),
             int(seed, 16) if isinstance(seed, str) else seed, int(limits.number("sockets", 1024)),
-            int(limits.number("memory_mb", 128)), msgspec.convert(top.values.get("known", {}), Listed),
+            int(limits.number("memory_mb", 128)), listed(msgspec.json.encode(top.values.get("known", {}))),
             top.tree("settings"))
     except Missing as lack:
         raise BadConfig(f"{lack}: missing or of the wrong kind") from None
-    except (ValueError, msgspec.ValidationError) as wrong:
+    except ValueError as wrong:
         raise BadConfig(str(wrong)) from None
 
 
--- a/stackpitch/platform/discovery.py
+++ b/stackpitch/platform/discovery.py
@@ -39,23 +39,30 @@
                 self.scope.cancel()
 
     def take(self, told: platform.Listed) -> None:
+        """A member that can't be used is left out; one that is known keeps the entry it had, as nothing is told of it."""
         before = dict(self.entries)
         if told.complete:
             self.entries = {}
+        for name, why in told.bad:
+            self.log.warning("bad_member", server=name, why=why)
+            if name in before:
+                self.entries[name] = before[name]
         for one in told.members:
             if one.phase not in ("up", "draining"):
                 self.entries.pop(one.id, None)
-            elif (entry := self._entry(one)) is not None:
+            elif (entry := self._entry(one, before)) is not None:
                 self.entries[one.id] = entry
+        if told.complete and before and not self.entries:
+            self.log.warning("empty_list", revision=told.revision, before=len(before), bad=len(told.bad))
         if self.entries != before:
             self.host.take(told.revision, list(self.entries.values()))
 
-    def _entry(self, one: platform.Member) -> Entry | None:
+    def _entry(self, one: platform.Member, before: dict[str, Entry]) -> Entry | None:
         try:
             host, port = address(one.host_port, one.id)
         except BadConfig as wrong:
             self.log.warning("bad_member", why=str(wrong))
-            return self.entries.get(one.id)
+            return before.get(one.id)
         if one.flavor not in self.host.roster.kinds:
             self.log.warning("bad_member", server=one.id, flavor=one.flavor)
             return None
--- a/stackpitch/platform/lines.py
+++ b/stackpitch/platform/lines.py
@@ -8,10 +8,13 @@
 
 
 class Lines:
-    """JSON lines on standard error, with the methods of the gateway's log. `debug` and `log` are off."""
+    """JSON lines on standard error, with the methods of the gateway's log. `debug` is off. Of `log`, generations are
+    counted by product and by how they ended, with the outcome of the last leg where that is the reason."""
 
     def __init__(self, gateway: str) -> None:
         self.gateway = gateway
+        self.ends: dict[str, dict[str, int]] = {}  # since the start; as many as products and kinds of ends
+        self.said = 0
 
     def _write(self, level: str, event: str, fields: dict[str, Any]) -> None:
         line = {"level": level, "gateway": self.gateway, "event": event, **fields}
@@ -20,7 +23,20 @@
 
     def debug(self, event: str, **fields: Any) -> None: ...
 
-    def log(self, level: int, event: str, **fields: Any) -> None: ...
+    def log(self, level: int, event: str, **fields: Any) -> None:
+        if event == "generation":
+            end, legs = fields["end"], fields["legs"]
+            if end != "streamed":
+                end += f" after {legs[-1].split()[1]}" if legs else " unsent"
+            of = self.ends.setdefault(fields["product"], {})
+            of[end] = of.get(end, 0) + 1
+
+    def classes(self) -> None:
+        """One line on what came of each product, if anything came since the last."""
+        came = {product: sum(of.values()) for product, of in self.ends.items()}
+        if sum(came.values()) != self.said:
+            self.said = sum(came.values())
+            self.info("classes", **{product: {"came": came[product], **of} for product, of in self.ends.items()})
 
     def info(self, event: str, **fields: Any) -> None:
         self._write("info", event, fields)
--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -22,6 +22,7 @@
 CLIENTS = 0.42  # of the rest: the platform's clients hold a third at most for requests
 MAX_BODY, MAX_HEAD = 256 << 10, 16 << 10  # bytes; the protocol's bound, and what no head of it reaches
 GAP = SECOND * 35 // 10  # a client is kept waiting 5 s at most after a server's last event; seen a quarter later
+SAY = 30 * SECOND  # between two lines that tell what became of each product
 STILL_COMING = 7 * SECOND // 10  # after SIGTERM connections still come
 
 
@@ -68,6 +69,7 @@
         group.spawn(door.serve(group, listener), "door")
         group.spawn(discovery.run(), "discovery")
         group.spawn(_sweep(world, host), "sweep")
+        group.spawn(_classes(world, log), "classes")
         group.spawn(_ready(world, door, discovery), "ready")
         log.info("serving", clients=clients, engines=engines, servers=len(discovery.entries),
                  **{part: conf.settings.values.get(part) for part in ("report", "bounds", "guarantees")})
@@ -88,6 +90,7 @@
         while host.asks or host.calls or door.connections:
             door.close_idle()
             yield from world.sleep(20 * MS)
+        log.classes()
         log.info("stopped")
         group.cancel()
 
@@ -102,6 +105,12 @@
     door.ready = True
 
 
+def _classes(world: World, log: Lines) -> Coro[None]:
+    while True:
+        yield from world.sleep(SAY)
+        log.classes()
+
+
 def _sweep(world: World, host: Host) -> Coro[None]:
     """Each second. Tasks, generations and readers point at each other, and by itself the collector would let a good
     thousand that are done lie around, with their bodies, before it looks at those that lived for a second."""
--- a/stackpitch/wire/platform.py
+++ b/stackpitch/wire/platform.py
@@ -168,16 +168,38 @@
 
 
 class Listed(msgspec.Struct):
-    """A list, whole or of what changed."""
+    """A list, whole or of what changed. `bad`: members that can't be read, by id as far as it can, and why."""
 
     revision: int = 0
     complete: bool = False
     members: list[Member] = []
+    bad: list[tuple[str, str]] = []
+
+
+class _Unread(msgspec.Struct):
+    revision: int = 0
+    complete: bool = False
+    members: list[msgspec.Raw] = []
+
+
+class _Named(msgspec.Struct):
+    id: str = ""
 
 
 def listed(body: bytes) -> Listed:
-    """Raises ValueError."""
+    """One member that can't be read costs that member alone. Raises ValueError where the list itself can't be."""
     try:
-        return msgspec.json.decode(body, type=Listed)
+        unread = msgspec.json.decode(body, type=_Unread)
     except msgspec.DecodeError as wrong:
         raise ValueError(str(wrong)) from None
+    found = Listed(unread.revision, unread.complete)
+    for raw in unread.members:
+        try:
+            found.members.append(msgspec.json.decode(raw, type=Member))
+        except msgspec.DecodeError as wrong:
+            try:
+                name = msgspec.json.decode(raw, type=_Named).id
+            except msgspec.DecodeError:
+                name = ""
+            found.bad.append((name[:100], str(wrong)))
+    return found
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -261,7 +261,7 @@
             self.group.spawn(self.discovery(self.world.listen(("127.0.0.1", self.port))), "discovery")
             self.file.write_text(json.dumps(self.configured()))
 
-    def do_list(self, name: str, phase: str = "up", started: str | None = None) -> Coro[None]:
+    def do_list(self, name: str, phase: str = "up", started: str | None = None, **odd: str) -> Coro[None]:
         if name == "whole":
             self.revision, self.news = self.revision - 5, []
             yield from self.world.sleep(20 * MS)
@@ -269,7 +269,7 @@
         if name not in self.members:
             self.servers[name] = self.servers.get(name) or ScriptedServer(self, name, 6000 + len(self.servers))
             self.members[name] = self.member(name)
-        self.members[name] |= {"phase": phase, "up_since_ms": EPOCH_MS + self.world.time // 10 - int(started) if started else 0}
+        self.members[name] |= odd | {"phase": phase, "up_since_ms": EPOCH_MS + self.world.time // 10 - int(started) if started else 0}
         self.revision += 1
         self.news.append((self.revision, dict(self.members[name])))
         if phase == "removed":
--- a/tests/play.py
+++ b/tests/play.py
@@ -158,7 +158,7 @@
     def do_heard(self, peer, what, name="", server=None, tok="1000", age="0", held="0"):
         brain, kind = self.brain, next((one for one, word in WORDS.items() if word == what), b"~")
         entry = brain.home.ENTRY.pack(brain.fleet.seats[self.servers[server]].hash, int(tok), int(age)) if server else b""
-        means = brain.fleet.mark + bytes([int(float(held) * 100)] * len(brain.fleet.order))
+        means = brain.fleet.mark + bytes(2) + bytes([int(float(held) * 100)] * len(brain.fleet.order))
         key = brain.owner.key(self.gens[name]) if name else b""
         brain.heard(self.now, int(peer), kind + key + entry + means)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,6 +9,7 @@
 
 from stackpitch.gateway.outcomes import Phase, broken
 from stackpitch.platform import config
+from stackpitch.platform.lines import Lines
 from stackpitch.wire import http, platform
 
 ALL = scenarios(Path(__file__).parent / "scenarios_platform")
@@ -78,6 +79,7 @@
 @pytest.mark.parametrize("part, value, named", [
     ("listen", "x:1", "listen"), ("discovery", 7, "discovery"), ("seed", "xyz", "xyz"), ("limits", None, "limits"),
     ("known", {"members": 3}, "members"), ("settings", None, "settings"),
+    ("limits", {"sockets": 30}, "limits.sockets: found 30"), ("limits", {"memory_mb": 8}, "limits.memory_mb: found 8"),
 ])
 def test_a_configuration_that_cannot_be_used(tmp_path: Path, part: str, value: object, named: str) -> None:
     good = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1f", "limits": {"sockets": 64},
@@ -87,3 +89,14 @@
     (tmp_path / "c").write_text(json.dumps(good | {part: value}))
     with pytest.raises(config.BadConfig, match=named):
         config.read({"RELAY_CONFIG": str(tmp_path / "c")})
+
+
+def test_what_became_of_each_product_is_told(capsys: pytest.CaptureFixture[str]) -> None:
+    lines = Lines("n0")
+    for end, legs in (("streamed", ["r1 read", "w1 streamed"]), ("throttled", ["r1 time-out no word in time"]), ("throttled", [])):
+        lines.log(0, "generation", product="chat", end=end, legs=legs)
+    lines.classes()
+    lines.classes()  # nothing came since
+    told = [json.loads(line) for line in capsys.readouterr().err.splitlines()]
+    assert [one["chat"] for one in told] == [
+        {"came": 3, "streamed": 1, "throttled after time-out": 1, "throttled unsent": 1}]
