A member told to drain in an entry that can't be used keeps no entry

It is kept only where its phase reads up; else left out, which breaks no rule. Scene in scenarios_platform/process.txt, fails without it.

--- a/stackpitch/platform/discovery.py
+++ b/stackpitch/platform/discovery.py
@@ -62,7 +62,7 @@
             host, port = address(one.host_port, one.id)
         except BadConfig as wrong:
             self.log.warning("bad_member", why=str(wrong))
-            return before.get(one.id)
+            return before.get(one.id) if one.phase == "up" else None
         if one.flavor not in self.host.roster.kinds:
             self.log.warning("bad_member", server=one.id, flavor=one.flavor)
             return None
--- a/stackpitch/wire/platform.py
+++ b/stackpitch/wire/platform.py
@@ -184,6 +184,7 @@
 
 class _Named(msgspec.Struct):
     id: str = ""
+    phase: str = ""
 
 
 def listed(body: bytes) -> Listed:
@@ -198,7 +199,8 @@
             found.members.append(msgspec.json.decode(raw, type=Member))
         except msgspec.DecodeError as wrong:
             try:
-                name = msgspec.json.decode(raw, type=_Named).id
+                named = msgspec.json.decode(raw, type=_Named)
+                name = named.id if named.phase == "up" else ""  # what drains or is gone keeps no entry
             except msgspec.DecodeError:
                 name = ""
             found.bad.append((name[:100], str(wrong)))
