--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -398,7 +398,7 @@
         part = wait / max(1, min(gen.slo(), left))
         others = self.fleet.other_share("writer", now)
         held = sum(self.fleet.held_share(one, now, others) for one in writers) / max(1, len(writers))
-        first = -self.START if gen.repeat else self.LATE  # who comes again has used up its SLO time already
+        first = self.LATE if not gen.repeat else 0 if self.fleet.peers else -self.START  # tells of a loss
         part = max(part, late / max(1, gen.slo()) - first, self.HELD_SAY * (held - self.HELD_SHARE))
         vain = left < late and 2 * left < late * (1 + self.fleet.chance())  # its client will leave
         shed = vain or part - self.START > self.SPAN * self.fleet.chance()
