Readers remember a long wait, and short tries bear less of one

The shared text ..84cf sends 18 legs a second to s-, which reads none of 85, while others that rank behind it read all: after a time-out a gateway shuns a reader for half a second and sees a leg in two (Fleet.strike), so the next goes there again. How long the last leg waited is now kept for ten seconds (Seat.late, Fleet.wait_tok) and costs two prompts for each SLO time.

All rules kept.

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -21,6 +21,11 @@
     return (mixed ^ mixed >> 15) * 0x85EBCA6B & 0xFFFFFFFF
 
 
+def faded(of: tuple[float, Time], now: Time, span: Time) -> float:
+    """What is left of a figure noted at a time, if it is forgotten over this span."""
+    return of[0] * max(0.0, 1 - (now - of[1]) / span)
+
+
 class Seat:
     """What this gateway knows of one server. Bounded by the roster and the legs that are out."""
 
@@ -33,6 +38,7 @@
         self.others, self.reported_at = 0.0, -SECOND * 60  # share that others held by the last report; when
         self.strikes, self.shunned_until, self.down = 0, 0, False  # down: no connection held last
         self.turn: tuple[Time | None, float] = None, 0.0  # start of the server, and how near its next turn is
+        self.late = 0.0, 0  # how long the last leg of ours waited here; and when
         self.drawn: Generation | None = None  # the one that may go there while it is cold
 
     def put(self, gen: Generation, tok: int) -> None:
@@ -55,6 +61,7 @@
     READ_ROOM, ZONES_ROOM = 1.25, 1.8  # even parts that a cell's readers bear, in one zone and among several
     SLOW_HELD, SLOWED = 0.5, 2.0  # held share past which a mixed server slows; SLO times for a whole one
     FOLLOW, SCALE, SPOKEN = 3 * SECOND // 2, 100, 200  # means follow what we hold; in words: scale, servers
+    BEHIND = 2.0  # prompts that a reader is taken to be behind by, for an SLO time that our last leg waited
     REPORT_AGE, REPORT_SAY = 6 * SECOND, 0.15  # it loses its say to its role's mean; its weight there
     WHOLE, ALIKE = 0.8, 3  # answers of a mixed server to one of a writer; gateways taken to do as we do now
     SILENT_FLOOR, SILENT_TIMES = 500 * MS, 5  # no word is no symptom before this, nor so many usual waits
@@ -101,7 +108,7 @@
     def there(self, role: Role, now: Time) -> float:
         """Servers of a role by their warmth; those that left fade no faster than their done legs."""
         warm = sum(self.warmth(one, now) for one in self.roles[role])
-        return max(1.0, warm, self.lately(self.size, role, now, self.LATE_SPAN))
+        return max(1.0, warm, faded(self.size[role], now, self.LATE_SPAN))
 
     def plan(self, now: Time) -> None:
         """What part of all reads each cell does and where it is written, so that least leaves its cell."""
@@ -161,7 +168,7 @@
             own = leg.gen.prompt_tok - leg.gen.shared_tok  # its leg is back, what it read counts
             self.ahead += self.LEARN * (self.wait_tok(seat, now, leg.gen) + own - self.ahead)
         self.met(leg, now, wait)
-        self.done[role] = self.lately(self.done, role, now) + 1, now
+        self.done[role] = faded(self.done[role], now, self.PACE) + 1, now
         seat.down = False
         if seat.strikes:
             self.gateway.log(f"trust {seat.server.name} wait={wait // MS}ms strikes={seat.strikes}")
@@ -172,11 +179,12 @@
         role, part = leg.server.role, min(wait, leg.gen.slo())
         late, fresh = self.late[role][0], min(self.RARE, (now - self.late[role][1]) / self.PACE)
         self.usual[role] += max(self.LEARN, fresh) * (wait - self.usual[role])
+        self.seats[leg.server].late = wait, now
         self.late[role] = late + max(self.LATE_LEARN, fresh) * (part - late), now
 
     def expected(self, now: Time) -> float:
         """How long a first token takes, by what our legs met lately; a generation meets one of the two."""
-        reads, writes, both = (self.lately(self.late, role, now, self.LATE_SPAN) for role in self.late)
+        reads, writes, both = (faded(self.late[role], now, self.LATE_SPAN) for role in self.late)
         return max(reads + writes, both)
 
     def cold(self, seat: Seat, now: Time) -> bool:
@@ -187,37 +195,31 @@
         age = (now - (seat.server.started or 0)) / self.warm_up
         return self.cold_from + (1 - self.cold_from) * age * age if self.cold(seat, now) else 1.0
 
-    def lately(self, of: dict[Role, tuple[float, Time]], role: Role, now: Time, span: Time = PACE) -> float:
-        count, at = of[role]
-        return count * max(0.0, 1 - (now - at) / span)
-
     def queue_wait(self, role: Role, seats: list[Seat], now: Time) -> float:
         """How long our legs that have waited a while will take at the pace at which legs get done."""
-        queued = sum(now - sent > self.QUEUED_AFTER * leg.gen.product.slo_time
-                     for one in seats for leg, sent in one.waiting.items()) - len(seats) // 2
-        return max(0, queued) * min(self.PACE, now - self.born) / max(1.0, self.lately(self.done, role, now))
+        old = sum(now - sent > self.QUEUED_AFTER * leg.gen.product.slo_time
+                  for one in seats for leg, sent in one.waiting.items()) - len(seats) // 2
+        return max(0, old) * min(self.PACE, now - self.born) / max(1.0, faded(self.done[role], now, self.PACE))
 
     def draw(self, seat: Seat, now: Time, gen: Generation) -> bool:
-        """Whether this generation goes to a cold server: every so-manieth of each gateway, however many they
-        are. Each starts to count at its own place, and turns not used are lost, so nothing piles up."""
+        """Whether it goes to a cold server: every so-manieth of each gateway, from a place of its own."""
         server, role = seat.server, seat.server.role
         place = self.number / self.gateways + mix(seat.hash, server.started or 0) / 2**32
         turn = seat.turn[1] if seat.turn[0] == server.started else place
-        done, drawn = self.lately(self.done, role, now) + 1, self.lately(self.drawn, role, now) + 1
+        done, drawn = faded(self.done[role], now, self.PACE) + 1, faded(self.drawn[role], now, self.PACE) + 1
         part = self.cold_load * min(1.0, done / drawn) * self.warmth(seat, now) / self.there(role, now)
         seat.turn = server.started, (turn + part) % 1
         seat.drawn = gen if seat.turn[1] < part else seat.drawn
         return seat.drawn is gen
 
     def healthy(self, role: Role, now: Time) -> list[Seat]:
-        """Servers that look well. If most of a role do not, the cause is not the servers; but none is sent
-        to while connections to it fail, or refused legs chase each other through the fleet."""
+        """Those that look well. If most do not, it is not they, but none is sent to that can't be reached."""
         ready = [one for one in self.roles[role] if not (one.down and now < one.shunned_until)]
         well = [one for one in ready if not self.unwell(one, now)]
         return well if 2 * len(well) >= len(ready) else ready
 
     def usable(self, role: Role, now: Time, gen: Generation) -> list[Seat]:
-        self.drawn[role] = self.lately(self.drawn, role, now) + 1, now
+        self.drawn[role] = faded(self.drawn[role], now, self.PACE) + 1, now
         if now - self.planned > SECOND and any(one.down or self.cold(one, now) for one in self.roles[role]):
             self.plan(now)
         return [one for one in self.healthy(role, now) if not self.cold(one, now) or self.draw(one, now, gen)]
@@ -261,13 +263,15 @@
         self.others = {role: sum(of) / len(of) for role, of in told.items() if of}
 
     def wait_tok(self, seat: Seat, now: Time, gen: Generation) -> float:
-        """Tokens before this one's at a reader, by peers' words, else as if a few gateways did as we; at a
-        mixed server, as many as a reader reads in the time by which its streams would slow this one."""
+        """Tokens before this one's at a reader, by peers' words, else as if a few gateways did as we, and by
+        the last wait there; at a mixed server, as many as are read while its streams would slow this one."""
         if seat.server.role == "mixed":
             slow = self.SLOWED * max(0.0, self.full(seat, now) - self.SLOW_HELD)
             return slow * gen.slo() * self.ahead / self.usual["reader"]
-        others = seat.others * seat.server.memory_tok if self.peers else (self.alike - 1) * seat.own
-        return seat.own + max(0.0, others)
+        if self.peers:
+            return seat.own + max(0.0, seat.others * seat.server.memory_tok)
+        behind = self.BEHIND * gen.prompt_tok * faded(seat.late, now, self.LATE_SPAN) / max(1, gen.slo())
+        return self.alike * seat.own + behind
 
     def held_share(self, seat: Seat, now: Time, usual: float) -> float:
         """Projected share of memory: own legs grown by their answers, others' as reported or usual."""
@@ -359,12 +363,11 @@
 
     def answer(self, gen: Generation) -> None:
         """Gives up: throttled where the client may try again without harm, else terminated."""
-        if gen.over:
-            return
         of = gen.product
-        if of.effect == "idempotent" or (of.effect, of.scope) == ("deduplicated", "all") or not self.ran(gen):
+        safe = of.effect == "idempotent" or (of.effect, of.scope) == ("deduplicated", "all")
+        if not gen.over and (safe or not self.ran(gen)):
             self.gateway.throttle(gen, self.max_retry_after // 2)
-        else:
+        elif not gen.over:
             self.gateway.terminate(gen)
         self.let_go(gen)
 
@@ -375,7 +378,6 @@
     def back(self, now: Time, leg: Leg, kept_tok: int, no_state: bool) -> bool:
         if not leg.gen.out():
             self.answer(leg.gen)
-            self.let_go(leg.gen)
         return True
 
 
@@ -399,7 +401,8 @@
         others = self.fleet.other_share("writer", now)
         held = sum(self.fleet.held_share(one, now, others) for one in writers) / max(1, len(writers))
         first = self.LATE if not gen.repeat else 0 if self.fleet.peers else -self.START  # tells of a loss
-        part = max(part, late / max(1, gen.slo()) - first, self.HELD_SAY * (held - self.HELD_SHARE))
+        aim = gen.slo() if self.fleet.peers else min(gen.slo(), left)  # where no one tells of queues
+        part = max(part, late / max(1, aim) - first, self.HELD_SAY * (held - self.HELD_SHARE))
         vain = left < late and 2 * left < late * (1 + self.fleet.chance())  # its client will leave
         shed = vain or part - self.START > self.SPAN * self.fleet.chance()
         if shed != self.shedding and (shed or part < self.START / 2):
@@ -448,8 +451,7 @@
 
     def valid(self, now: Time, key: bytes) -> Kept | None:
         """The session's entry, if its owner is there and likely still keeps the history."""
-        kept = self.table.get(key)
-        if kept is None:
+        if (kept := self.table.get(key)) is None:
             return None
         seat, server = kept.seat, kept.seat.server
         room = self.REACH * (1 - self.fleet.full(seat, now)) * server.memory_tok
@@ -506,8 +508,7 @@
         return int.from_bytes(key[:4], "little") % self.fleet.gateways
 
     def take(self, now: Time, gen: Generation) -> None:
-        key = self.owner.key(gen)
-        home = self.home(key)
+        home = self.home(key := self.owner.key(gen))
         some = self.fleet.roles["writer"] or self.fleet.roles["mixed"]  # else no owner could be used
         ask = self.peers and some and key and home != self.fleet.number and key not in self.asked
         if ask and now >= self.quiet.get(home, 0):
