Servers are counted by warmth once a plan, not once for each cold server of each generation

Fleet.draw asked Fleet.there for each cold server, and that summed the warmth of all: with 150 cold of 300 servers 45,000 additions a generation.

--- a/stackpitch/brain.py
+++ b/stackpitch/brain.py
@@ -1,8 +1,7 @@
 """All decisions of a gateway, and every table and tuned value behind them.
 
-A gateway makes one `Brain`, calls `begin`, then the methods of `interface.Module`; each asks it for what it
-decided (`interface.Gateway`). A generation passes Guard, Home, Owner, Reader and Writer; each passes it on,
-keeps it or ends it; Owner and Reader ask Admission first. What comes back runs from Writer to Guard."""
+A gateway makes one `Brain` and calls `interface.Module`; it asks `interface.Gateway`. A generation passes
+Guard, Home, Owner, Reader (both ask Admission) and Writer; what comes back runs from Writer to Guard."""
 
 from collections import Counter
 from hashlib import blake2b
@@ -54,10 +53,9 @@
     """Which servers exist, which are well, and what a cold one may be sent."""
 
     PACE, LATE_SPAN = 4 * SECOND, 10 * SECOND  # the pace of done legs is averaged; mean waits fade
-    COLD_CARE = 0.6  # part of a cold server's budget that is used
+    COLD_CARE, QUEUED_AFTER = 0.6, 0.25  # part of a cold budget that is used; of an SLO time: a leg queues
     SHUN = SECOND // 2  # first time out after a strike; doubles with each further one
     LEARN, LATE_LEARN, RARE = 0.1, 0.2, 0.25  # least weight of a wait, and up to its SLO time; most of both
-    QUEUED_AFTER = 0.25  # of its SLO time: a leg without word for this long waits in a queue
     READ_ROOM, ZONES_ROOM = 1.25, 1.8  # even parts that a cell's readers bear, in one zone and among several
     SLOW_HELD, SLOWED = 0.5, 2.0  # held share past which a mixed server slows; SLO times for a whole one
     FOLLOW, SCALE, SPOKEN = 3 * SECOND // 2, 100, 200  # means follow what we hold; in words: scale, servers
@@ -77,7 +75,7 @@
         self.by_hash, self.weight = dict[int, Seat](), dict[int, float]()  # by peers' names; readers' by cell
         self.seats: dict[Server, Seat] = {}  # a seat goes once its server is gone and its last leg is back
         self.roles: dict[Role, list[Seat]] = {"reader": [], "writer": [], "mixed": []}  # the ready ones
-        self.size = dict.fromkeys(self.roles, (1.0, 0))  # servers by warmth when the list changed; and when
+        self.size, self.warm = dict.fromkeys(self.roles, (1.0, 0)), dict.fromkeys(self.roles, 0.0)  # warmth
         self.others: dict[Role, float] = {}  # mean share that others hold, by reports
         self.order, self.mark = list[Seat](), b""  # the servers as peers' words name them, and its mark
         self.said, self.followed, self.reach = 0, 0, 1.0  # place said up to; means moved; peers that answer
@@ -107,12 +105,12 @@
 
     def there(self, role: Role, now: Time) -> float:
         """Servers of a role by their warmth; those that left fade no faster than their done legs."""
-        warm = sum(self.warmth(one, now) for one in self.roles[role])
-        return max(1.0, warm, faded(self.size[role], now, self.LATE_SPAN))
+        return max(1.0, self.warm[role], faded(self.size[role], now, self.LATE_SPAN))
 
     def plan(self, now: Time) -> None:
         """What part of all reads each cell does and where it is written, so that least leaves its cell."""
         reads, writes, self.planned = Counter(), Counter(), now
+        self.warm = {role: sum(self.warmth(one, now) for one in of) for role, of in self.roles.items()}
         for role, count in (("reader", reads), ("writer", writes)):
             able = {one: self.warmth(one, now) * (0.1 if one.down else 1) for one in self.roles[role]}
             whole = sum(able.values())
@@ -197,9 +195,9 @@
 
     def queue_wait(self, role: Role, seats: list[Seat], now: Time) -> float:
         """How long our legs that have waited a while will take at the pace at which legs get done."""
-        old = sum(now - sent > self.QUEUED_AFTER * leg.gen.product.slo_time
-                  for one in seats for leg, sent in one.waiting.items()) - len(seats) // 2
-        return max(0, old) * min(self.PACE, now - self.born) / max(1.0, faded(self.done[role], now, self.PACE))
+        old = max(0, sum(now - sent > self.QUEUED_AFTER * leg.gen.product.slo_time
+                         for one in seats for leg, sent in one.waiting.items()) - len(seats) // 2)
+        return old * min(self.PACE, now - self.born) / max(1.0, faded(self.done[role], now, self.PACE))
 
     def draw(self, seat: Seat, now: Time, gen: Generation) -> bool:
         """Whether it goes to a cold server: every so-manieth of each gateway, from a place of its own."""
