Weights: what is wanted, links, and the plan that deals them out in short grants

A wanted file is checked whole; the planner deals the links' capacity in strict order by class, time wanted by and revenue, prefers neighbours that hold a piece, and gives grants that run out. A lane's newer grant takes the older one's place, so it counts for the largest of the two and a takeover takes one answer. Grants end by a mark of the receiver's own clock, so late and repeated calls can't prolong them.

--- /dev/null
+++ b/stackpitch/duties/weights/links.py
@@ -0,0 +1,38 @@
+"""Which links a transfer crosses, each in one direction, and what it costs there. Pure.
+
+A shared link lies between the sites behind it and everything else: a transfer crosses it if just one of its two ends is
+behind it. The origin is behind none. A site's own link is crossed by all that comes to it or leaves it.
+"""
+
+from stackpitch.duties.weights.wanted import ORIGIN, Wanted
+
+Key = tuple[str, str]  # a link and a direction, "down" to the sites or "up" from them; a site's own link is "@site"
+
+
+class Links:
+    def __init__(self, wanted: Wanted) -> None:
+        self.capacity: dict[Key, int] = {}  # bytes a second
+        self.behind: dict[str, tuple[str, ...]] = {ORIGIN: ()}  # the shared links of each site
+        self.paths: dict[tuple[str, str], tuple[Key, ...]] = {}  # filled as they are asked for; goes with this object
+        for name, link in wanted.links.items():
+            self.capacity[name, "down"] = self.capacity[name, "up"] = link.bytes_per_s
+        for name, site in wanted.sites.items():
+            self.capacity[f"@{name}", "down"] = self.capacity[f"@{name}", "up"] = site.bytes_per_s
+            self.behind[name] = tuple(link for link, one in wanted.links.items() if name in one.sites)
+
+    def path(self, source: str, site: str) -> tuple[Key, ...]:
+        found = self.paths.get((source, site))
+        if found is None:
+            mine, other = self.behind[site], self.behind[source]
+            links = [(f"@{source}", "up")] if source != ORIGIN else []
+            links += [(name, "up") for name in other if name not in mine]
+            links += [(name, "down") for name in mine if name not in other]
+            found = self.paths[source, site] = (*links, (f"@{site}", "down"))
+        return found
+
+    def cost(self, source: str, site: str) -> float:
+        """Seconds of shared links that a byte takes: 0 between neighbours."""
+        return sum(1 / self.capacity[key] for key in self.path(source, site) if not key[0].startswith("@"))
+
+    def narrowest(self, source: str, site: str) -> int:
+        return min(self.capacity[key] for key in self.path(source, site))
--- /dev/null
+++ b/stackpitch/duties/weights/plan/planner.py
@@ -0,0 +1,139 @@
+"""The owner's decisions: from what is wanted and what was heard to new grants. Pure; one object for each term.
+
+The sum of what may run on a link never exceeds its capacity: a grant is given only what all that still counts leaves. A
+lane that should run slower, or something else, gets a newer grant at once, so a higher need waits for one answer, and
+for one grant's time if none comes.
+
+After a change of owner the old one's grants may still run. They end by themselves: none was planned after its lease, so
+all are over `longest` of its grants' time after this owner began. If every gateway that either owner could have granted
+to has heard this term before, it has dropped them, and nothing need be waited for.
+"""
+
+from collections.abc import Callable
+
+from stackpitch.duties.weights.forms import Report
+from stackpitch.duties.weights.grants.grant import Grant, Lane, longest
+from stackpitch.duties.weights.links import Key, Links
+from stackpitch.duties.weights.plan.allocate import LEAST, Deal, Wish
+from stackpitch.duties.weights.plan.lanes import Lanes, Sent
+from stackpitch.duties.weights.plan.needs import needs
+from stackpitch.duties.weights.plan.sites import Sites
+from stackpitch.duties.weights.wanted import ORIGIN, Wanted
+from stackpitch.loop import MS, SECOND, Time
+
+TAIL: Time = 100 * MS  # beyond what the last bytes take: ways, and the pace's first slice; freed as soon as it is done
+JUDGED: Time = 300 * MS  # a grant that ran for less says nothing about its source's speed
+
+
+class Planner:
+    """`before`: the longest grant of the owner before and the gateways that it may have granted to."""
+
+    def __init__(self, wanted: Wanted, now: Time, address: Callable[[int], str], before: tuple[Time, frozenset[int]]) -> None:
+        self.wanted, self.address = wanted, address
+        self.links, self.sites, self.lanes = Links(wanted), Sites(wanted), Lanes()
+        self.serial = 0
+        self.silent = set(before[1]) | set(self.sites.home)  # gateways that have not heard this term yet
+        self.waits = now + longest(max(before[0], self.lasts))
+
+    @property
+    def lasts(self) -> Time:
+        return round(self.wanted.grant_ms * MS)
+
+    def renew(self, wanted: Wanted) -> None:
+        """Another wanted set. What has been granted goes on counting on the links that it was granted on."""
+        self.wanted, self.links = wanted, Links(wanted)
+        self.sites.renew(wanted)
+
+    def confirmed(self, gateway: int) -> None:
+        """It has heard this term: whatever an older one granted to it is over."""
+        self.silent.discard(gateway)
+
+    def ready(self, now: Time) -> bool:
+        return not self.silent or now >= self.waits
+
+    def report(self, now: Time, report: Report) -> bool:
+        if not self.sites.report(now, report):
+            return False
+        for ran in report.ran:
+            newest = self.lanes.newest(ran.lane)
+            if newest is None or newest.grant.serial != ran.serial:
+                continue
+            if ran.done:
+                self.lanes.over(ran.lane, ran.serial)
+            elif ran.lasted >= min(JUDGED, newest.grant.lasts // 2):
+                self.sites.judge(self.links, ran.lane, ran.serial, newest.grant.rate, ran.took, ran.lasted)
+        return True
+
+    def taken(self, grant: Grant) -> None:
+        self.lanes.taken(grant)
+        self.sites.answered(grant.lane.gateway)
+
+    def missed(self, now: Time, grant: Grant) -> None:
+        self.lanes.missed(grant)
+        self.sites.missed(grant.lane.gateway, now)
+
+    def plan(self, now: Time) -> list[Grant]:
+        """The grants to be sent now, each to its lane's gateway. They count from here on."""
+        self.lanes.expire(now)
+        self.sites.forget(set(self.lanes.sent))
+        if not self.ready(now):
+            return []
+        waiting = [one for one in needs(self.wanted, self.sites, now) if one.receiver.report.gateway not in self.silent]
+        wishes = Deal(self.links, self.sites, self.lanes, now, self.lasts).all(waiting, self.wanted.least_share)
+        found, load = [], self.lanes.load()
+        for wish in wishes:
+            if (grant := self._granted(now, wish, load)) is not None:
+                found.append(grant)
+        wished = {wish.lane for wish in wishes}
+        for lane in sorted(self.lanes.sent):
+            newest = self.lanes.newest(lane)
+            if lane not in wished and newest is not None and newest.grant.rate:
+                if (stop := self._stop(now, lane)) is not None:
+                    found.append(stop)
+        return found
+
+    def _granted(self, now: Time, wish: Wish, load: dict[Key, int]) -> Grant | None:
+        lane, need, newest = wish.lane, wish.need, self.lanes.newest(wish.lane)
+        path, own = self.links.path(lane.source, lane.site), self.lanes.counts(lane)
+        room = min(self.links.capacity[key] - load.get(key, 0) + own.get(key, 0) for key in path)
+        rate, least = min(wish.rate, room), self.links.narrowest(lane.source, lane.site) // LEAST
+        if rate <= least:
+            return self._stop(now, lane) if newest is not None and newest.grant.rate > max(rate, 0) else None
+        if newest is not None and not self._due(now, newest, wish, rate, least):
+            return None
+        lasts = min(self.lasts, TAIL - (-wish.bytes * SECOND // rate))
+        grant = self._made(now, lane, rate, lasts, need.version, wish.pieces)
+        if grant is not None:
+            for key in path:
+                load[key] = load.get(key, 0) + max(0, rate - own.get(key, 0))
+        return grant
+
+    def _due(self, now: Time, newest: Sent, wish: Wish, rate: int, least: int) -> bool:
+        grant = newest.grant
+        left = any(wish.need.missing >> piece & 1 for piece in grant.pieces)
+        return (newest.lost or not left or (grant.model, grant.version) != wish.need.version or rate < grant.rate
+                or rate > grant.rate + max(least, grant.rate // 16) or newest.until - now < grant.lasts * 2 // 5)
+
+    def _stop(self, now: Time, lane: Lane) -> Grant | None:
+        return self._made(now, lane, 0, 0, ("", ""), ())
+
+    def _made(self, now: Time, lane: Lane, rate: int, lasts: Time, version: tuple[str, str],
+              pieces: tuple[int, ...]) -> Grant | None:
+        """None if the lane's process is not heard any more."""
+        heard = self.sites.fresh(lane.gateway, now)
+        if heard is None or heard.mark.start != lane.start:
+            return None
+        address, path = "", ""
+        if rate and lane.source == ORIGIN:
+            model = self.wanted.models[version[0]]
+            address, path = model.origin, model.path
+        elif rate:
+            source = self.sites.receiver(lane.source, now)
+            if source is None:
+                return None
+            address, path = self.address(source.report.gateway), f"/weights/{version[0]}/{version[1]}"
+        self.serial += 1
+        grant = Grant(lane, self.serial, heard.mark, now - heard.at, lasts, rate, *version, pieces, address, path)
+        route = self.links.path(lane.source, lane.site) if rate else ()
+        self.lanes.add(now, grant, route)
+        return grant
--- /dev/null
+++ b/stackpitch/duties/weights/plan/sites.py
@@ -0,0 +1,123 @@
+"""What was last heard from the gateways of each site: soft, asked anew after a change of owner. Pure."""
+
+from dataclasses import dataclass, field
+
+from stackpitch.duties.weights import forms
+from stackpitch.duties.weights.forms import Report
+from stackpitch.duties.weights.grants.grant import MOST_AGE, Lane, Mark
+from stackpitch.duties.weights.links import Links
+from stackpitch.duties.weights.wanted import Wanted
+from stackpitch.loop import SECOND, Time
+
+FIRST_WAIT, LONGEST_WAIT = SECOND // 2, 30 * SECOND
+Version = tuple[str, str]  # model and version
+
+
+@dataclass(slots=True)
+class Heard:
+    """One gateway. Replaced by its next report."""
+
+    report: Report
+    at: Time
+    have: dict[Version, int] = field(default_factory=dict)
+    placed: set[Version] = field(default_factory=set)
+    known: set[Version] = field(default_factory=set)
+
+    @property
+    def mark(self) -> Mark:
+        return self.report.mark
+
+    def spoilt(self, source: str, version: Version) -> bool:
+        return any(one.source == source and (not one.model or (one.model, one.version) == version)
+                   for one in self.report.spoilt)
+
+
+class Sites:
+    """`heard` has at most one entry for each gateway that the wanted file names; `limits` one for each lane's pair of
+    site and source that was slow, emptied as it is not slow any more, or by `forget`."""
+
+    def __init__(self, wanted: Wanted) -> None:
+        self.wanted = wanted
+        self.home = {number: name for name, site in wanted.sites.items() for number in site.gateways}
+        self.heard: dict[int, Heard] = {}
+        self.chosen: dict[str, int] = {}  # the receiver of each site
+        self.limits: dict[tuple[str, str], int] = {}  # bytes a second that a slow pair is trusted with
+        self.misses: dict[int, tuple[int, Time]] = {}  # gateways that gave no answer: how often, and until when they wait
+        self.judged: dict[Lane, int] = {}  # the serial that was last judged; emptied with the report that drops the lane
+
+    def renew(self, wanted: Wanted) -> None:
+        self.wanted = wanted
+        self.home = {number: name for name, site in wanted.sites.items() for number in site.gateways}
+        heard, self.heard = self.heard, {}
+        for one in heard.values():
+            self.report(one.at, one.report)
+        self.chosen = {site: number for site, number in self.chosen.items() if self.home.get(number) == site}
+        self.limits.clear()
+        self.misses = {number: one for number, one in self.misses.items() if number in self.home}
+
+    def report(self, now: Time, one: Report) -> bool:
+        """False if it is not of these sites, or older than what is known."""
+        if self.home.get(one.gateway) != one.site:
+            return False
+        old = self.heard.get(one.gateway)
+        if old is not None and old.mark.start == one.mark.start and old.mark.at > one.mark.at:
+            return False
+        heard = Heard(one, now)
+        for have in one.have:
+            version, model = (have.model, have.version), self.wanted.models.get(have.model)
+            if model is None or have.version != model.version or have.whole != model.manifest.whole:
+                continue
+            heard.have[version] = forms.pieces(have.pieces)
+            if have.placed:
+                heard.placed.add(version)
+            if have.known:
+                heard.known.add(version)
+        self.heard[one.gateway] = heard
+        return True
+
+    def fresh(self, number: int, now: Time) -> Heard | None:
+        one = self.heard.get(number)
+        return one if one is not None and now - one.at < MOST_AGE else None
+
+    def missed(self, number: int, now: Time) -> None:
+        """No answer to a grant. It gets no other before it is heard, nor, from the second on, for a while that doubles:
+        what it is granted in vain is missing elsewhere, and one that speaks and can't hear would have it again and again."""
+        count = self.misses.get(number, (0, 0))[0] + 1
+        self.misses[number] = count, now + min(LONGEST_WAIT, FIRST_WAIT << min(count, 10))
+
+    def answered(self, number: int) -> None:
+        self.misses.pop(number, None)
+
+    def reachable(self, heard: Heard, now: Time) -> bool:
+        count, until = self.misses.get(heard.report.gateway, (0, 0))
+        return not count or (now >= until if count > 1 else heard.at > until - (FIRST_WAIT << 1))
+
+    def receiver(self, site: str, now: Time) -> Heard | None:
+        """The one chosen before while it is heard; else the one that has most, the first listed of several."""
+        number = self.chosen.get(site)
+        if number is not None and (one := self.fresh(number, now)) is not None:
+            return one
+        there = [one for number in self.wanted.sites[site].gateways if (one := self.fresh(number, now)) is not None]
+        if not there:
+            self.chosen.pop(site, None)
+            return None
+        best = max(there, key=lambda one: sum(have.bit_count() for have in one.have.values()))
+        self.chosen[site] = best.report.gateway
+        return best
+
+    def judge(self, links: Links, lane: Lane, serial: int, rate: int, took: int, lasted: Time) -> None:
+        """A grant that ran for long enough to say how fast the pair really is."""
+        if self.judged.get(lane) == serial or not {lane.source, lane.site} <= links.behind.keys():
+            return
+        self.judged[lane] = serial
+        pair, whole = (lane.site, lane.source), links.narrowest(lane.source, lane.site)
+        real = took * 10_000 // max(1, lasted)
+        if real * 2 < rate:
+            self.limits[pair] = max(2 * real, whole // 64, 1)
+        elif pair in self.limits:
+            self.limits[pair] *= 2
+            if self.limits[pair] >= whole:
+                del self.limits[pair]
+
+    def forget(self, live: set[Lane]) -> None:
+        self.judged = {lane: serial for lane, serial in self.judged.items() if lane in live}
