--- a/stackpitch/duties/weights/errors.py
+++ b/stackpitch/duties/weights/errors.py
@@ -55,6 +55,24 @@
         self.source, self.address, self.why = source, address, why
 
 
+class SourceChanged(SourceFailed):
+    """The source's file has another length than the manifest's: it was changed under the same name."""
+
+    word = "source_changed"
+    remedy = SourceSpoilt.remedy
+
+
+class VersionChanged(WeightsError):
+    """One version with two manifests: what a site has of it would be mixed from both."""
+
+    word = "version_changed"
+    remedy = "Publish the changed weights as a new version, and put the old manifest back under the old one."
+
+    def __init__(self, model: str, version: str) -> None:
+        super().__init__(f"{model} {version} is known here with another manifest")
+        self.model, self.version = model, version
+
+
 class WholeDiffers(WeightsError):
     """All pieces fit their digests and the whole doesn't fit its own: the manifest contradicts itself, or the disk lies."""
 
@@ -66,6 +84,17 @@
         self.model, self.version, self.found = model, version, found
 
 
+class Gone(WeightsError):
+    """The version was withdrawn or replaced while something was still done with it."""
+
+    word = "gone"
+    remedy = "None is needed."
+
+    def __init__(self, model: str, version: str) -> None:
+        super().__init__(f"{model} {version} is not wanted here any more")
+        self.model, self.version = model, version
+
+
 class DiskTrouble(WeightsError):
     """A call on the site's disk failed. The site waits for a while and tries again; other sites go on."""
 
--- a/stackpitch/duties/weights/forms.py
+++ b/stackpitch/duties/weights/forms.py
@@ -16,7 +16,9 @@
 
 
 class Begin(msgspec.Struct, frozen=True):
-    """A new owner is there: older grants end."""
+    """An owner asks for a report; if its term is new, older grants end. `site`: where the gateway is."""
+
+    site: str
 
 
 class Place(msgspec.Struct, frozen=True):
@@ -28,6 +30,7 @@
     piece: Annotated[int, msgspec.Meta(ge=1, le=1 << 30)]
     whole: Digest
     pieces: Annotated[tuple[Digest, ...], msgspec.Meta(max_length=4096)]
+    serial: int = 0  # rises within a term: a late copy of an earlier call changes nothing
 
 
 class Release(msgspec.Struct, frozen=True):
@@ -35,6 +38,7 @@
 
     model: Label
     version: Annotated[str, msgspec.Meta(max_length=80, pattern=r"^([A-Za-z0-9][A-Za-z0-9._-]*)?$")]
+    serial: int = 0  # as in `Place`
 
 
 class Have(msgspec.Struct, frozen=True):
@@ -47,6 +51,7 @@
     placed: bool = False
     released: bool = False
     known: bool = True
+    trouble: str = ""  # the `word` of an error that this version alone has
 
 
 class Ran(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/stackpitch/duties/weights/receiving/receiver.py
@@ -0,0 +1,254 @@
+"""What a gateway does for the owner: takes grants while they run, fetches by them, and says what it has.
+
+All state is this process's own; the disk is asked anew after a restart, the rest by the owner's next call.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import Any, Protocol
+
+from stackpitch.duties.calls import Stamp
+from stackpitch.duties.weights import forms
+from stackpitch.duties.weights.errors import DiskTrouble, Gone, VersionChanged, WeightsError, WholeDiffers
+from stackpitch.duties.weights.grants.grant import Grant, Mark
+from stackpitch.duties.weights.grants.shelf import Shelf
+from stackpitch.duties.weights.manifest import Manifest
+from stackpitch.duties.weights.placing.copy import Copy
+from stackpitch.duties.weights.placing.folder import Folder, Released
+from stackpitch.duties.weights.receiving.lanes import Entry, Lanes
+from stackpitch.duties.weights.receiving.sources import Sources
+from stackpitch.loop import SECOND, Coro, Group, Time, World
+
+MOST_COPIES = 512  # versions known at once
+WAIT: Time = 10 * SECOND  # after trouble with the disk
+CLEAR: Time = 5 * SECOND  # how often what is not needed any more is looked for
+Log = Callable[..., None]  # a word, and fields by name
+
+
+class Engines(Protocol):
+    """Those of the site."""
+
+    def used(self, model: str, version: str) -> bool: ...  # one runs on it, or may, or nobody knows
+    def released(self, model: str, version: str) -> Coro[None]: ...  # they shall load it; may be told again
+
+
+class Receiver:
+    """`entries` go when their version is replaced or withdrawn."""
+
+    def __init__(self, world: World, number: int, start: int, folder: Folder, engines: Engines,
+                 revenue: Callable[[], float], log: Log) -> None:
+        self.world, self.folder, self.engines, self.revenue, self.log = world, folder, engines, revenue, log
+        self.shelf, self.sources, self.site = Shelf(number, start), Sources(), ""
+        self.entries: dict[tuple[str, str], Entry] = {}
+        self.lying: dict[str, list[str]] = {}  # models on the disk and their placed versions
+        self.releases: dict[str, Released] = {}
+        self.placings: dict[str, tuple[Stamp, int]] = {}  # the last word on each model; emptied as its entries are
+        self.trouble: DiskTrouble | None = None
+        self.trouble_until: Time = 0
+        self.changed = True  # since the last report
+        self.group: Group | None = None
+        self.lanes = Lanes(self)
+
+    # Calls of the owner, which have passed the fence.
+
+    def place(self, stamp: Stamp, asked: forms.Place) -> str:
+        version = asked.model, asked.version
+        if not self.shelf.fence(stamp) or self.group is None:
+            return "not now"
+        entry = self.entries.get(version)
+        if entry is not None:
+            if entry.manifest.whole != asked.whole or entry.manifest.pieces != list(asked.pieces):
+                self.said(VersionChanged(*version))
+                return "differs"
+            return "yes"
+        if (stamp, asked.serial) < self.placings.get(asked.model, (stamp, 0)):
+            return "older"
+        if len(self.entries) >= MOST_COPIES:
+            return "too many versions"
+        manifest = Manifest(size=asked.size, piece=asked.piece, whole=asked.whole, pieces=list(asked.pieces))
+        self.placings[asked.model] = stamp, asked.serial
+        for other in [one for one, old in self.entries.items() if one[0] == asked.model and not old.copy.placed]:
+            self._drop(other)  # replaced before it was whole
+        self.entries[version] = entry = Entry(Copy(self.folder, *version, manifest), manifest)
+        self.group.spawn(self._open(entry), f"weights {asked.model}")
+        return "yes"
+
+    def grant(self, stamp: Stamp, grant: Grant) -> str:
+        entry = self.entries.get((grant.model, grant.version))
+        if grant.rate and (entry is None or not entry.ready):
+            return "not known"
+        if grant.rate and self.trouble is not None:
+            return "disk"
+        word = self.shelf.take(stamp, grant, self.world.now())
+        if word == "yes" and self.group is not None:
+            self.lanes.run(self.group, grant.lane)
+        return word
+
+    def release(self, stamp: Stamp, asked: forms.Release) -> Coro[str]:
+        entry, last = self.entries.get((asked.model, asked.version)), self.releases.get(asked.model, Released())
+        if not self.shelf.fence(stamp) or (stamp, asked.serial) < (last.stamp, last.serial):
+            return "older"
+        if asked.version and (entry is None or not entry.copy.placed):
+            return "not placed"
+        released = Released(asked.version, stamp, asked.serial)
+        if last.version != asked.version or last.stamp != stamp:
+            try:
+                yield from self.world.aside(lambda: self.folder.release(asked.model, released))
+            except DiskTrouble as wrong:
+                self.failed(wrong)
+                return "disk"
+        self.releases[asked.model] = released
+        if asked.version:
+            yield from self.engines.released(asked.model, asked.version)
+        for version in [one for one, old in self.entries.items() if one[0] == asked.model and one[1] != asked.version
+                        and (old.copy.placed or not asked.version)]:
+            self._drop(version)
+        if not asked.version:
+            self.placings.pop(asked.model, None)
+        yield from self._clear(asked.model)
+        return "yes"
+
+    # What it does by itself.
+
+    def serve(self) -> Coro[None]:
+        """As long as the gateway runs."""
+        def body(group: Group) -> Coro[None]:
+            yield from self._look()
+            self.group = group
+            while True:
+                yield from self.world.sleep(CLEAR)
+                if self.trouble is not None and self.world.now() >= self.trouble_until:
+                    self.trouble, self.changed = None, True
+                yield from self._look()
+                for model in list(self.lying):
+                    yield from self._clear(model)
+
+        try:
+            yield from self.world.group(body)
+        finally:
+            self.group = None
+            for entry in self.entries.values():
+                entry.copy.close()
+
+    def _look(self) -> Coro[None]:
+        """What lies on the disk."""
+        def look() -> tuple[dict[str, list[str]], dict[str, Released]]:
+            models = self.folder.models()
+            return ({model: self.folder.versions(model) for model in models},
+                    {model: self.folder.released(model) for model in models if model not in self.releases})
+
+        try:
+            self.lying, found = yield from self.world.aside(look)
+        except DiskTrouble as wrong:
+            self.failed(wrong)
+        except OSError as wrong:
+            self.log("weights_disk", path=self.folder.root, why=str(wrong))
+        else:
+            self.releases |= {model: one for model, one in found.items() if model not in self.releases}
+
+    def _steps(self, entry: Entry, steps: Iterator[None]) -> Coro[bool]:
+        """Runs blocking steps aside one by one, so that others get their turns. False after trouble, which was said."""
+        try:
+            while (yield from self.world.aside(lambda: next(steps, steps))) is not steps:
+                pass
+            return True
+        except DiskTrouble as wrong:
+            self.failed(wrong)
+        except WholeDiffers as wrong:
+            entry.trouble = wrong
+            self.said(wrong)
+        except Gone:
+            pass
+        return False
+
+    def _open(self, entry: Entry) -> Coro[None]:
+        def opened() -> Iterator[None]:
+            entry.copy.open()
+            yield
+            yield from entry.copy.recheck()
+
+        while not (yield from self._steps(entry, opened())):
+            yield from self.world.aside(entry.copy.close)
+            if self.entries.get(entry.version) is not entry:
+                return
+            yield from self.world.sleep(WAIT)
+        if self.entries.get(entry.version) is not entry:
+            yield from self.world.aside(entry.copy.close)
+            return
+        entry.pieces.have, entry.ready, self.changed = entry.copy.have, True, True
+        if entry.copy.have == entry.manifest.full and not entry.copy.placed:
+            yield from self.finish(entry)
+
+    def finish(self, entry: Entry) -> Coro[None]:
+        """All pieces are here."""
+        entry.copy.have = entry.pieces.have
+        while not entry.copy.placed and entry.trouble is None and self.entries.get(entry.version) is entry:
+            if not (yield from self._steps(entry, entry.copy.finish())) and entry.trouble is None:
+                entry.pieces.have, self.changed = entry.copy.have, True
+                if entry.pieces.have != entry.manifest.full:
+                    return  # a piece went bad: it is fetched anew
+                yield from self.world.sleep(WAIT)
+        self.changed = True
+        if entry.copy.placed:
+            self.lying.setdefault(entry.model, []).append(entry.version[1])
+            self.log("weights_placed", model=entry.model, version=entry.version[1])
+
+    def _drop(self, version: tuple[str, str]) -> None:
+        entry = self.entries.pop(version)
+        self.changed = True
+        if entry.ready and self.group is not None:
+            self.group.spawn(self.world.aside(entry.copy.close), "weights close")  # after what is under way on the disk
+
+    def _clear(self, model: str) -> Coro[None]:
+        """Removes what is neither released nor wanted nor used by an engine; partial files of this gateway's own alone."""
+        released = self.releases.get(model, Released())
+        if not released.stamp.term:
+            return  # nothing was ever decided about it here
+        wanted = {version for name, version in self.entries if name == model}
+        if released.version and not wanted:
+            return  # after a restart, before the owner has said what it wants
+        gone = [self.folder.placed(model, version) for version in self.lying.get(model, ())
+                if version != released.version and version not in wanted and not self.engines.used(model, version)]
+        kept = {f"{version}.{self.folder.number}" for version in wanted}
+
+        def clear() -> None:
+            for path in gone:
+                self.folder.remove(path)
+            for name in self.folder.disk.names(f"{self.folder.model(model)}/partial"):
+                if name.endswith(f".{self.folder.number}") and name not in kept:
+                    self.folder.remove(f"{self.folder.model(model)}/partial/{name}")
+
+        try:
+            yield from self.world.aside(clear)
+        except DiskTrouble as wrong:
+            self.failed(wrong)
+        for path in gone:
+            self.log("weights_removed", path=path)
+        self.lying[model] = [version for version in self.lying.get(model, ()) if self.folder.placed(model, version) not in gone]
+
+    # What is said.
+
+    def said(self, wrong: WeightsError, **more: Any) -> None:
+        self.log(f"weights_{wrong.word}", why=str(wrong), remedy=wrong.remedy, **more)
+
+    def failed(self, wrong: DiskTrouble) -> None:
+        """Nothing more is fetched until the disk has had time; what runs ends."""
+        self.trouble, self.trouble_until, self.changed = wrong, self.world.now() + WAIT, True
+        self.shelf.held.clear()
+        self.said(wrong)
+
+    def report(self) -> forms.Report:
+        now = self.world.now()
+        have = []
+        for entry in self.entries.values():
+            found = "" if entry.copy.placed else forms.bits(entry.pieces.have)
+            have.append(forms.Have(*entry.version, entry.manifest.whole,
+                                   forms.bits(entry.manifest.full) if entry.copy.placed else found, entry.copy.placed,
+                                   self.releases.get(entry.model, Released()).version == entry.version[1], entry.ready,
+                                   entry.trouble.word if entry.trouble is not None else ""))
+        known = {entry.model for entry in self.entries.values()}
+        have += [forms.Have(model, version, known=False) for model, versions in self.lying.items() if model not in known
+                 for version in versions]
+        trouble = None if self.trouble is None else forms.Trouble(self.trouble.word, str(self.trouble))
+        self.changed = False
+        return forms.Report(self.site, self.shelf.gateway, Mark(self.shelf.start, now), self.revenue(), tuple(have[:1024]),
+                            self.lanes.ran(now), self.sources.closed(now), trouble)
--- /dev/null
+++ b/stackpitch/duties/weights/wantedfile.py
@@ -0,0 +1,50 @@
+"""The wanted file as it changes: the last good one stays in force, also while a newer one is wrong."""
+
+from pathlib import Path
+
+from stackpitch.duties.weights.errors import VersionChanged, WantedRejected
+from stackpitch.duties.weights.wanted import Wanted, read
+from stackpitch.loop import Coro, World
+
+
+class WantedFile:
+    def __init__(self, world: World, path: Path) -> None:
+        self.world, self.path = world, path
+        self.current: Wanted | None = None
+        self.rejected: WantedRejected | None = None  # what is wrong with the file as it is now
+        self.seen: tuple[int, ...] = ()  # of the file that was read last
+
+    def look(self) -> Coro[bool]:
+        """Reads it if it has changed; whether anything is new, be it good or wrong."""
+        def looked() -> tuple[tuple[int, ...], Wanted | WantedRejected | None]:
+            try:
+                one = self.path.stat()
+                seen: tuple[int, ...] = one.st_mtime_ns, one.st_size, one.st_ino
+            except OSError:
+                seen = (0,)
+            if seen == self.seen:
+                return seen, None
+            try:
+                return seen, read(self.path)
+            except WantedRejected as wrong:
+                return seen, wrong
+
+        self.seen, found = yield from self.world.aside(looked)
+        if isinstance(found, Wanted) and (wrong := self._changed(found)) is not None:
+            found = wrong
+        if isinstance(found, Wanted):
+            self.current, self.rejected = found, None
+        elif found is not None:
+            self.rejected = found
+        return found is not None
+
+    def _changed(self, wanted: Wanted) -> WantedRejected | None:
+        """Versions that got another manifest."""
+        lines = []
+        for name, model in wanted.models.items():
+            old = self.current.models.get(name) if self.current is not None else None
+            if old is not None and old.version == model.version and old.manifest != model.manifest:
+                lines.append(f"{self.path}: models.{name}.manifest: found another one for version {model.version} "
+                             f"(whole {model.manifest.whole[:16]}); allowed: the one it had (whole {old.manifest.whole[:16]}), "
+                             f"or a new version. {VersionChanged.remedy}")
+        return WantedRejected(str(self.path), "\n".join(lines)) if lines else None
--- /dev/null
+++ b/stackpitch/duties/weights/work.py
@@ -0,0 +1,105 @@
+"""The duty `weights` as the ground asks for it: owner and receiver of one gateway."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from stackpitch.duties.calls import Answer, Stamp, raw
+from stackpitch.duties.weights import forms
+from stackpitch.duties.weights.grants.grant import Grant
+from stackpitch.duties.weights.owner import Owner
+from stackpitch.duties.weights.placing.disk import Disk, RealDisk
+from stackpitch.duties.weights.placing.folder import Folder
+from stackpitch.duties.weights.receiving.receiver import Engines, Receiver
+from stackpitch.duties.weights.settings import WeightsSettings
+from stackpitch.duties.weights.wantedfile import WantedFile
+from stackpitch.duties.work import Ground, Tenure
+from stackpitch.loop import MS, SECOND, Coro, Group, Time, World
+
+LOOK: Time = 2 * SECOND  # at the wanted file
+SOON: Time = 100 * MS  # between two reports while something changes
+STEADY: Time = SECOND // 2  # while something is fetched
+
+
+class NoEngines:
+    """Where nobody says what runs on which weights: all may be in use, so nothing is removed."""
+
+    def used(self, model: str, version: str) -> bool:
+        return True
+
+    def released(self, model: str, version: str) -> Coro[None]:
+        yield from ()
+
+
+class WeightsWork:
+    """`start`: a number of this process's own. `address`: where a gateway's pieces are served, host:port, by number.
+    `allowed`: whether a version may go into service. `revenue`: what waits at this gateway's site."""
+
+    name = "weights"
+
+    def __init__(self, world: World, ground: Ground, settings: WeightsSettings, start: int, address: Callable[[int], str],
+                 engines: Engines | None = None, allowed: Callable[[str, str], bool] = lambda model, version: True,
+                 revenue: Callable[[], float] = lambda: 0.0, log: Callable[..., None] = lambda word, **fields: None,
+                 disk: Disk | None = None) -> None:
+        self.world, self.ground, self.address, self.allowed, self.log = world, ground, address, allowed, log
+        self.file = WantedFile(world, Path(settings.wanted))
+        folder = Folder(disk if disk is not None else RealDisk(), settings.folder, ground.number)
+        self.receiver = Receiver(world, ground.number, start, folder, engines or NoEngines(), revenue, log)
+        self.owner: Owner | None = None
+        self.reported: Time = 0
+
+    def own(self, tenure: Tenure, value: bytes) -> Coro[None]:
+        owner = self.owner = Owner(self.world, tenure, self.file, self.address, self.allowed, self.log)
+        try:
+            yield from owner.run(value)
+        finally:
+            if self.owner is owner:
+                self.owner = None
+
+    def heard(self, sender: int, kind: str, stamp: Stamp, body: msgspec.Raw) -> Coro[Answer]:
+        if kind == "report":
+            word = self.owner.report(msgspec.json.decode(body, type=forms.Report)) if self.owner is not None else "not owner"
+            return Answer(word)
+        if stamp.term <= 0:
+            return Answer("a term is needed")
+        if kind == "begin":
+            begin = msgspec.json.decode(body, type=forms.Begin)
+            word = "yes" if self.receiver.shelf.fence(stamp) else "older term"
+            if word == "yes":
+                self.receiver.site = begin.site
+        elif kind == "place":
+            word = self.receiver.place(stamp, msgspec.json.decode(body, type=forms.Place))
+        elif kind == "grant":
+            word = self.receiver.grant(stamp, msgspec.json.decode(body, type=Grant))
+        elif kind == "release":
+            word = yield from self.receiver.release(stamp, msgspec.json.decode(body, type=forms.Release))
+        else:
+            return Answer("not known")
+        return Answer(word, self.receiver.shelf.stamp, raw(self.receiver.report()))
+
+    def serve(self) -> Coro[None]:
+        def body(group: Group) -> Coro[None]:
+            group.spawn(self.receiver.serve(), "weights receiver")
+            group.spawn(self._reports(), "weights reports")
+            while True:
+                if (yield from self.file.look()):
+                    if self.file.rejected is not None:
+                        wrong = self.file.rejected
+                        self.log("weights_wanted_rejected", why=wrong.complaints, remedy=wrong.remedy)
+                    elif self.owner is not None:
+                        self.owner.wake()
+                yield from self.world.sleep(LOOK)
+
+        yield from self.world.group(body)
+
+    def _reports(self) -> Coro[None]:
+        """Only while something changes or is fetched; else the owner asks if it wants to know."""
+        receiver = self.receiver
+        while True:
+            yield from self.world.sleep(SOON)
+            since, owner = self.world.now() - self.reported, self.ground.owner(self.name)
+            due = (receiver.changed and since >= SOON) or (receiver.lanes.tasks and since >= STEADY)
+            if due and owner is not None and receiver.site:
+                self.reported = self.world.now()
+                yield from self.ground.ask(owner, self.name, "report", receiver.report())
