Pure ownership and record of duties; settings' schema and the store's log become folders

Cause: one owner at a time for the fleet's work needs voters, candidates, fences and a record that don't rest on I/O (issue Duties). Change: duties/ownership (terms, lease, voter, candidate, fence, vacancy, joining) and duties/record; what the store of lists and the voters' file both need is kept/log.py; settings/model.py becomes a folder and gains duties, off by default.

--- /dev/null
+++ b/stackpitch/duties/ownership/joining.py
@@ -0,0 +1,72 @@
+"""How a voter that starts comes to vote: its file alone doesn't tell that it is whole and the newest.
+
+A voter with a file asks the others whether they have seen a later word of it than the file holds; it needs as many answers
+as would make a majority with itself, without which its vote is worth nothing anyway. One with no file, or an older one,
+learns from a majority of voters other than itself. All without a file found the fleet together, and only if every one is
+there; so does a new generation, from what the files of the one before still hold.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from stackpitch.duties.ownership.rounds import majority
+from stackpitch.duties.ownership.terms import generation_of
+from stackpitch.duties.ownership.voter import Promise
+from stackpitch.duties.record.register import newest
+
+
+class State(msgspec.Struct, frozen=True):
+    """What a voter tells one that starts. `serial`: how many times it has written. `seen`: the highest serial of the one
+    that asks that it has heard of. `promises` without values unless `whole` was asked for."""
+
+    generation: int
+    joined: bool
+    empty: bool  # it has no file of this generation
+    serial: int
+    seen: int
+    promises: dict[str, Promise] = {}
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """`word`: "vote" (with the promises to begin from), "learn" (the file is older), "lost" (an operator's word is wanted),
+    or "wait"; and why."""
+
+    word: str
+    why: str = ""
+    promises: dict[str, Promise] | None = None
+
+
+def merged(found: list[dict[str, Promise]]) -> dict[str, Promise]:
+    """Of each duty the highest promise and the newest record."""
+    duties = sorted({duty for one in found for duty in one})
+    return {duty: Promise(max((one[duty].stamp for one in found if duty in one), key=lambda stamp: (stamp.term, stamp.start)),
+                          newest([one[duty].kept for one in found if duty in one])) for duty in duties}
+
+
+def virgin(state: State) -> bool:
+    """Has voted for nobody yet in its life or generation, so that nobody can have been granted anything with its vote."""
+    return state.empty or not any(generation_of(one.stamp.term) >= state.generation for one in state.promises.values())
+
+
+def decide(voters: tuple[int, ...], me: int, generation: int, mine: State, heard: dict[int, State]) -> Decision:
+    """`heard`: the other voters' answers so far, by number; those of another generation don't count."""
+    others = {number: state for number, state in heard.items() if number != me and number in voters
+              and state.generation == generation}
+    needed = majority(len(voters))
+    if not mine.empty:
+        if (seen := max((state.seen for state in others.values()), default=0)) > mine.serial:
+            return Decision("learn", f"others heard {seen} writes of it, it holds {mine.serial}")
+        if len(others) >= needed - 1:
+            return Decision("vote", promises=mine.promises)
+        return Decision("wait", f"{len(others)} of {needed - 1} other voters answered")
+    joined = [state.promises for state in others.values() if state.joined]
+    if len(joined) >= needed:
+        return Decision("vote", promises=merged(joined))
+    if len(others) == len(voters) - 1 and all(virgin(state) for state in others.values()):
+        return Decision("vote", promises=merged([mine.promises, *(state.promises for state in others.values())]))
+    if len(others) == len(voters) - 1 and sum(one.empty for one in others.values()) + 1 >= needed:
+        return Decision("lost", f"{sum(one.empty for one in others.values()) + 1} of {len(voters)} voters have no file")
+    return Decision("wait", f"{len(joined)} of {needed} other voters that vote answered")
+
--- /dev/null
+++ b/stackpitch/kept/log.py
@@ -0,0 +1,160 @@
+"""An append-only log of records, each with its length and a checksum, in one file.
+
+What follows the first record that is cut or wrong is dropped at the next opening. When it has grown too large it is written
+anew beside itself and renamed. All trouble with the disk is met: the log says what is wrong, keeps nothing for as long, and
+writes itself anew once it can.
+"""
+
+import os
+import struct
+from collections.abc import Callable, Iterable, Iterator
+from zlib import crc32
+
+from stackpitch.loop import Files
+
+HEAD = struct.Struct("<HI")  # format, checksum of the magic and the format
+FRAME = struct.Struct("<II")  # length and checksum of what follows
+LARGEST = 64 << 20
+
+
+def header(magic: bytes, form: int) -> bytes:
+    return magic + HEAD.pack(form, crc32(magic + struct.pack("<H", form)))
+
+
+def framed(body: bytes) -> bytes:
+    return FRAME.pack(len(body), crc32(body)) + body
+
+
+def bodies(raw: bytes, at: int) -> Iterator[tuple[bytes, int]]:
+    """Whole records with the place after each; ends at the first that is not."""
+    while at + FRAME.size <= len(raw):
+        size, checksum = FRAME.unpack_from(raw, at)
+        body = raw[at + FRAME.size:at + FRAME.size + size]
+        if size > LARGEST or len(body) < size or crc32(body) != checksum:
+            return
+        at += FRAME.size + size
+        yield body, at
+
+
+class Log:
+    """One file. `trouble` says what is wrong with it now, else it is empty; `found` what was met at opening.
+
+    `whole` gives all that is to be kept, for writing the file anew once it is over `most` bytes and twice what it was
+    after the last time. `what` names the kind of file in complaints.
+    """
+
+    def __init__(self, files: Files, path: str, magic: bytes, form: int, what: str, whole: Callable[[], Iterable[bytes]],
+                 most: int = 8 << 20) -> None:
+        self.files, self.path, self.magic, self.form, self.what = files, path, magic, form, what
+        self.whole, self.most = whole, most
+        self.trouble, self.found = "", ""
+        self.descriptor: int | None = None
+        self.good = 0  # bytes that are known to be whole
+        self.rewritten = 0  # bytes right after the last rewriting
+
+    def open(self, take: Callable[[bytes], bool]) -> None:
+        """Reads what is there; `take` is given each record, and says whether it is of a known kind. What can't be read
+        is set aside under another name, never overwritten."""
+        try:
+            self._open(take)
+        except OSError as wrong:
+            self._fail(wrong)
+
+    def _open(self, take: Callable[[bytes], bool]) -> None:
+        head = header(self.magic, self.form)
+        descriptor = self.files.open(self.path, create=True)
+        try:
+            raw = self._read_all(descriptor)
+            if raw and raw != head[:len(raw)] and not raw.startswith(head):
+                self.files.close(descriptor)
+                aside = f"{self.path}.unread"
+                self.files.rename(self.path, aside)
+                known = raw.startswith(self.magic) and len(raw) >= len(self.magic) + 2
+                form = struct.unpack_from("<H", raw, len(self.magic))[0] if known else 0
+                what = (f"of format {form}, not {self.form}" if known and form != self.form
+                        else f"no {self.what}, or its head is damaged")
+                self.found = f"{self.path} was {what}; it is now {aside}"
+                descriptor, raw = self.files.open(self.path, create=True), b""
+            if len(raw) < len(head):
+                self.files.truncate(descriptor, 0)
+                self._write(descriptor, head)
+                self.files.sync(descriptor)
+                raw = head
+            self.good = len(head)
+            for body, after in bodies(raw, self.good):
+                if not take(body):
+                    break  # whole, but not of this format's kinds
+                self.good = after
+            if self.good < len(raw):
+                self.found = f"{self.path}: {len(raw) - self.good} bytes at its end were not whole and are dropped"
+                self.files.truncate(descriptor, self.good)
+            self.descriptor = descriptor
+        except BaseException:
+            if self.descriptor is None:
+                try:
+                    self.files.close(descriptor)
+                except OSError:
+                    pass
+            raise
+
+    def _read_all(self, descriptor: int) -> bytes:
+        parts, at, size = [], 0, self.files.size(descriptor)
+        while at < size:
+            part = self.files.read(descriptor, at, size - at)
+            if not part:
+                break
+            parts.append(part)
+            at += len(part)
+        return b"".join(parts)
+
+    def _write(self, descriptor: int, data: bytes) -> None:
+        while data:
+            data = data[self.files.write(descriptor, data):]
+
+    def _fail(self, wrong: OSError) -> None:
+        self.trouble = f"{self.path}: {wrong.strerror or wrong}"
+
+    def add(self, body: bytes, sync: bool = True) -> bool:
+        """Whether it is on disk now. After trouble the file is written anew from `whole`, which has to hold what could
+        not be written."""
+        try:
+            if self.descriptor is None or self.trouble:
+                self._rewrite()  # the file may hold half a record, or none of the last ones
+            elif self.good > max(self.most, 2 * self.rewritten):
+                self._rewrite()
+            else:
+                data = framed(body)
+                self._write(self.descriptor, data)
+                if sync:
+                    self.files.sync(self.descriptor)
+                self.good += len(data)
+        except OSError as wrong:
+            self._fail(wrong)
+            return False
+        self.trouble = ""
+        return True
+
+    def _rewrite(self) -> None:
+        beside = f"{self.path}.new"
+        fresh = self.files.open(beside, create=True, empty=True)
+        try:
+            parts = [header(self.magic, self.form), *map(framed, self.whole())]
+            self._write(fresh, b"".join(parts))
+            self.files.sync(fresh)
+            self.files.rename(beside, self.path)
+            self.files.sync_folder(os.path.dirname(os.path.abspath(self.path)))
+        except BaseException:
+            try:
+                self.files.close(fresh)
+            except OSError:
+                pass
+            raise
+        old, self.descriptor, self.good = self.descriptor, fresh, sum(map(len, parts))
+        self.rewritten = self.good
+        if old is not None:
+            self.files.close(old)
+
+    def close(self) -> None:
+        if self.descriptor is not None:
+            self.files.close(self.descriptor)
+            self.descriptor = None
--- a/stackpitch/loop/files.py
+++ b/stackpitch/loop/files.py
@@ -1,5 +1,6 @@
 """Files as a store needs them, a method for each system call, so that tests can cut off after any of them."""
 
+import fcntl
 import os
 from typing import Protocol
 
@@ -16,6 +17,7 @@
     def close(self, descriptor: int) -> None: ...
     def rename(self, old: str, new: str) -> None: ...
     def sync_folder(self, path: str) -> None: ...
+    def lock(self, descriptor: int) -> bool: ...  # for as long as it is open; False: another process has it
 
 
 class RealFiles:
@@ -52,3 +54,10 @@
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
+
+    def lock(self, descriptor: int) -> bool:
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            return False
+        return True
--- /dev/null
+++ b/stackpitch/settings/model/parts.py
@@ -0,0 +1,31 @@
+"""What all parts of the schema are made of."""
+
+from ipaddress import AddressValueError, IPv4Address
+from typing import Annotated
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+Port = Annotated[int, Field(ge=0, le=65535)]
+Milliseconds = Annotated[float, Field(ge=0)]
+Some = Annotated[float, Field(gt=0)]
+Count = Annotated[int, Field(ge=1)]
+Name = Annotated[str, Field(min_length=1, max_length=80, pattern=r"^[A-Za-z0-9._-]+$")]
+
+
+class Part(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True, allow_inf_nan=False)
+
+
+def _address(text: str) -> str:
+    """No names: looking one up would hold up the loop, and one that can't be found would end the gateway."""
+    host, _, port = text.rpartition(":")
+    try:
+        IPv4Address(host)
+        if port.isdecimal() and 0 < int(port) < 65536:
+            return text
+    except AddressValueError:
+        pass
+    raise ValueError("allowed: an IPv4 address, a colon and a port from 1 to 65535")
+
+
+HostPort = Annotated[str, AfterValidator(_address)]
