One owner a duty on real processes: one that is stopped and woken late does no harm

Cause: an owner can be stopped between its look at the lease and its send; a lease alone does not hold its call back. Change: duties/carrier runs voters, candidates and tenures over POST /duty on the admin port; every effect carries duty, term and start, voters and gateways turn older ones down and say what they know, which makes the sender step down. Off unless settings name voters, and then not imported either. stackpitch broken stop-at-KIND stops a gateway connected, looked, with not a byte sent.

--- a/stackpitch/cli/main.py
+++ b/stackpitch/cli/main.py
@@ -382,8 +382,9 @@
 @CONFIG
 @click.pass_context
 def broken(context: click.Context, rule: str, config: Path) -> None:
-    """Run a gateway that breaks one rule, as `rehearse --broken` starts them."""
+    """Run a gateway that breaks one rule, as `rehearse --broken` starts them, or stops itself at a bad moment."""
     from stackpitch.rehearse.broken import BREAKS
+    from stackpitch.rehearse.stopping import STOPS
 
-    BREAKS[rule]()
+    (BREAKS | STOPS)[rule]()
     context.invoke(serve, config=config, sets=())
--- /dev/null
+++ b/stackpitch/duties/ownership/ballots.py
@@ -0,0 +1,98 @@
+"""A voter's file: whose it is, and each promise, in a log that survives a crash at any byte. Calls block: run them aside.
+
+A lock beside it keeps a second process out. `serial` counts the writes of the file's life; other voters remember the highest
+they have heard of, and so know an older copy when they see one.
+"""
+
+import msgspec
+
+from stackpitch.duties.ownership.errors import FileOfAnother, FileTaken, FileUnreadable
+from stackpitch.duties.ownership.voter import Promise
+from stackpitch.kept.log import Log
+from stackpitch.loop import Files
+
+MAGIC, FORMAT = b"stackpitch voter\n", 1
+
+
+class Identity(msgspec.Struct, frozen=True, tag="voter"):
+    """`generation`: the one that its promises are good for; an older one's are kept as what was found."""
+
+    fleet: str
+    number: int
+    generation: int
+
+
+class Saved(msgspec.Struct, frozen=True, tag="saved"):
+    serial: int
+    duty: str
+    promise: Promise
+
+
+ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Identity | Saved)
+
+
+class Ballots:
+    """One file. One entry a duty that was ever named; what is on disk may be one write ahead of what was answered."""
+
+    def __init__(self, files: Files, path: str, identity: Identity, most: int = 4 << 20) -> None:
+        self.files, self.path, self.identity = files, path, identity
+        self.found: Identity | None = None  # whose file it was at opening; None: there was none
+        self.serial = 0
+        self.promises: dict[str, Promise] = {}
+        self.lock: int | None = None
+        self.log = Log(files, path, MAGIC, FORMAT, "voter's file", self._whole, most)
+
+    @property
+    def empty(self) -> bool:
+        """No file of this generation."""
+        return self.found is None or self.found.generation != self.identity.generation
+
+    def open(self) -> None:
+        """Raises FileTaken, FileOfAnother, FileUnreadable; then it is not open."""
+        try:
+            self.lock = self.files.open(f"{self.path}.lock", create=True)
+            if not self.files.lock(self.lock):
+                raise FileTaken(self.path, "another process holds its lock")
+        except OSError as wrong:
+            raise FileUnreadable(self.path, wrong.strerror or str(wrong)) from None
+        self.log.open(self._take)
+        if self.log.trouble:
+            raise FileUnreadable(self.path, self.log.trouble)
+        found = self.found
+        if found is not None and (found.fleet, found.number) != (self.identity.fleet, self.identity.number):
+            raise FileOfAnother(self.path, f"it is that of voter {found.number} of fleet {found.fleet!r}, this is voter "
+                                           f"{self.identity.number} of {self.identity.fleet!r}")
+
+    def _take(self, body: bytes) -> bool:
+        try:
+            record = DECODER.decode(body)
+        except msgspec.DecodeError:
+            return False
+        if isinstance(record, Identity):
+            self.found = record
+        else:
+            self.serial, self.promises[record.duty] = record.serial, record.promise
+        return True
+
+    def _whole(self) -> list[bytes]:
+        saved = [Saved(self.serial, duty, promise) for duty, promise in self.promises.items()]
+        return [ENCODER.encode(one) for one in [self.identity, *saved]]
+
+    def begin(self, promises: dict[str, Promise]) -> bool:
+        """Takes the file as ours from now on, with what it holds and what was learned; whether it is on disk."""
+        self.promises = promises
+        if not self.log.add(ENCODER.encode(self.identity)):
+            return False
+        return all([self.save(duty, promise) for duty, promise in promises.items()])
+
+    def save(self, duty: str, promise: Promise) -> bool:
+        """Whether it is on disk."""
+        self.serial += 1
+        self.promises[duty] = promise
+        return self.log.add(ENCODER.encode(Saved(self.serial, duty, promise)))
+
+    def close(self) -> None:
+        self.log.close()
+        if self.lock is not None:
+            self.files.close(self.lock)
+            self.lock = None
--- a/stackpitch/duties/ownership/vacancy.py
+++ b/stackpitch/duties/ownership/vacancy.py
@@ -11,6 +11,7 @@
 
 STEP: Time = 1200  # between two steps; a campaign takes two turns to the voters and back
 MOST = 16  # told in one step: with all steps together a vacancy costs the fleet some calls a gateway, spread out
+SLOWEST: Time = 20_000  # between two steps once everybody has been told in vain, and told again
 
 
 def order(duty: str, candidates: int) -> list[int]:
@@ -26,9 +27,10 @@
     at: int = 0  # place in the order
     count: int = 1  # to be told next
     due: Time = 0
+    step: Time = STEP
 
     def begin(self, now: Time, last: int | None) -> None:
-        self.last, self.at, self.count, self.due = last, 0, 1, now
+        self.last, self.at, self.count, self.due, self.step = last, 0, 1, now, STEP
 
     def next(self, now: Time) -> list[int]:
         """Who is to be told now; goes round for as long as nobody takes the duty."""
@@ -36,10 +38,15 @@
             return []
         others = [one for one in self.order if one != self.last] + ([] if self.last is None else [self.last])
         told = [others[(self.at + step) % len(others)] for step in range(min(self.count, len(others)))]
-        self.at = (self.at + len(told)) % len(others)
-        self.count, self.due = min(2 * self.count, MOST), now + STEP
+        self.at += len(told)
+        if self.at >= len(others):
+            self.at, self.step = 0, min(2 * self.step, SLOWEST)
+        self.count, self.due = min(2 * self.count, MOST), now + self.step
         return told
 
-    def hurry(self, now: Time) -> None:
-        """None of those told is there: the next ones needn't wait."""
+    def hurry(self, now: Time) -> bool:
+        """None of those told is there: the next ones needn't wait, if it is the first way round and not yet crowded."""
+        if self.count >= MOST or self.step > STEP:
+            return False
         self.due = now
+        return True
--- a/stackpitch/duties/ownership/voter.py
+++ b/stackpitch/duties/ownership/voter.py
@@ -88,6 +88,8 @@
 
     def release(self, now: Time, duty: str, stamp: Stamp) -> Answer:
         """The holder lets go. The promise stays: its term is never given again."""
+        if (refusal := self._fenced(duty, stamp)) is not None:
+            return refusal
         running = self.running.get(duty)
         if running is not None and running.stamp == stamp:
             del self.running[duty]
--- /dev/null
+++ b/stackpitch/exchange.py
@@ -0,0 +1,36 @@
+"""One small HTTP request and its whole answer over the loop: what gateways say to each other and to engines."""
+
+from stackpitch.loop import ConnectFailed, Coro, Lost, Stream, Time, World
+from stackpitch.loop.world import Address
+from stackpitch.wire import http
+
+
+def answered(stream: Stream, request: bytes, max_head: int, max_body: int) -> Coro[http.ResponseReader | None]:
+    """Writes the request and reads the answer, its body in `pieces`; None if the connection ends before. Raises Lost,
+    http.BadMessage."""
+    reader = http.ResponseReader(max_head, max_body)
+    stream.write(request)
+    pieces: list[bytes] = []
+    while not reader.complete:
+        data = yield from stream.recv()
+        if not data:
+            return None
+        reader.feed(data)
+        pieces += reader.pieces
+    reader.pieces = pieces
+    return reader
+
+
+def asked(world: World, address: Address, limit: Time, request: bytes, max_body: int = 1 << 16) -> Coro[
+        http.ResponseReader | None]:
+    """The same on a connection of its own, connecting included in the limit; None if no whole answer came."""
+    try:
+        with world.limit(limit):
+            stream = yield from world.connect(address, limit)
+            try:
+                return (yield from answered(stream, request, 1 << 15, max_body))
+            finally:
+                stream.close()
+    except (Lost, ConnectFailed, http.BadMessage):
+        pass
+    return None
--- a/stackpitch/gateway/admin.py
+++ b/stackpitch/gateway/admin.py
@@ -9,6 +9,7 @@
 from stackpitch.wire import http
 
 Route = Callable[[Mapping[str, str]], Coro[tuple[int, bytes]]]  # what stood after the ?, to status and body
+Taker = Callable[[bytes], Coro[tuple[int, bytes]]]  # the request's body, to status and body
 
 
 class Admin:
@@ -16,8 +17,10 @@
 
     LIMIT = 5 * SECOND
 
-    def __init__(self, world: World, routes: dict[tuple[str, str], Route]) -> None:
-        self.world, self.routes = world, routes
+    def __init__(self, world: World, routes: dict[tuple[str, str], Route], takers: dict[str, Taker] | None = None,
+                 max_body: int = 8192) -> None:
+        """`takers`: by path, what is posted with a body."""
+        self.world, self.routes, self.takers, self.max_body = world, routes, takers or {}, max_body
 
     def serve(self, group: Group, listener: Listener) -> Coro[None]:
         while True:
@@ -28,7 +31,7 @@
             group.spawn(self._one(stream), "admin")
 
     def _one(self, stream: Stream) -> Coro[None]:
-        reader = http.RequestReader(8192, 8192)
+        reader = http.RequestReader(8192, self.max_body)
         try:
             with self.world.limit(self.LIMIT):
                 while not reader.complete:
@@ -37,7 +40,10 @@
                         return
                     reader.feed(data)
                 route = self.routes.get((reader.method, reader.path))
-                if route is None:
+                taker = self.takers.get(reader.path) if reader.method == "POST" else None
+                if taker is not None:
+                    status, body = yield from taker(reader.body())
+                elif route is None:
                     known = ", ".join(f"{method} {path}" for method, path in self.routes)
                     status, body = 404, msgspec.json.encode({"error": f"allowed: {known}"})
                 else:
--- a/stackpitch/gateway/host.py
+++ b/stackpitch/gateway/host.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 from urllib.parse import urlencode
 
+from stackpitch.exchange import answered
 from stackpitch.gateway.ask import Ask
 from stackpitch.gateway.leg import Bounds, End
 from stackpitch.gateway.outcomes import Phase
@@ -336,16 +337,10 @@
                   body: bytes, last: bool = False) -> Coro[http.ResponseReader | None]:
         """One request and its whole answer, the body in `pieces`; None if it can't be followed by another, unless it is
         the `last`."""
-        reader = http.ResponseReader(self.bounds.max_head, 1 << 16)
-        stream.write(http.request(method, target, name, body, [("x-gateway", self.name)]))
-        pieces: list[bytes] = []
-        while not reader.complete:
-            data = yield from stream.recv()
-            if not data:
-                return None
-            reader.feed(data)
-            pieces += reader.pieces
-        reader.pieces = pieces
+        request = http.request(method, target, name, body, [("x-gateway", self.name)])
+        reader = yield from answered(stream, request, self.bounds.max_head, 1 << 16)
+        if reader is None:
+            return None
         return reader if last or (reader.keep_alive and not reader.extra) else None
 
     def counted(self, call: Coro[None]) -> Coro[None]:
--- a/stackpitch/gateway/serve.py
+++ b/stackpitch/gateway/serve.py
@@ -3,6 +3,7 @@
 import signal
 from collections.abc import Callable, Mapping
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -21,6 +22,9 @@
 from stackpitch.settings import Settings
 from stackpitch.settings.made import customers, kinds, module_arguments, preferences, products, ticks
 
+if TYPE_CHECKING:
+    from stackpitch.duties.carrier import Duties
+
 
 def reading(settings: Settings) -> Reading:
     made = products(settings)
@@ -84,7 +88,12 @@
         listener = world.listen((door_settings.host, door_settings.port))
         admin_listener = world.listen((settings.admin.host, settings.admin.port))
         group.spawn(door.serve(group, listener), "door")
-        admin = Admin(world, _routes(carrier, keeper, metrics))
+        duties = _duties(world, settings, log)
+        if duties is None:
+            admin = Admin(world, _routes(carrier, keeper, metrics))
+        else:
+            admin = Admin(world, _routes(carrier, keeper, metrics), {"/duty": duties.take}, duties.LARGEST)
+            group.spawn(duties.run(), "duties")
         group.spawn(admin.serve(group, admin_listener), "admin")
         group.spawn(_sweep(world, carrier), "sweep")
         group.spawn(keeper.run(), "keeper")
@@ -97,6 +106,8 @@
         log.info("stopping", signal=number, held=len(carrier.asks))
         listener.close()
         door.close_idle()
+        if duties is not None:
+            yield from duties.leave()  # bounded by the limit of one call between gateways
         task = world.current
         carrier.emptied = task.wake
         with world.limit(ticks(settings.stop.finish_ms)):
@@ -114,6 +125,15 @@
     yield from world.group(body)
 
 
+def _duties(world: World, settings: Settings, log: logs.Log) -> "Duties | None":
+    """None, and not even imported, unless settings name voters."""
+    if not settings.duties.voters:
+        return None
+    from stackpitch.gateway.duties import duties
+
+    return duties(world, settings, log)
+
+
 def _told(keeper: Keeper) -> Coro[None]:
     yield from keeper.reload()
 
--- a/stackpitch/loop/real.py
+++ b/stackpitch/loop/real.py
@@ -367,6 +367,9 @@
     def wall_ms(self) -> int:
         return time.time_ns() // 1_000_000
 
+    def fresh(self) -> int:
+        return int.from_bytes(os.urandom(6), "big")
+
     def forget(self, descriptor: int) -> None:
         if self.handlers.pop(descriptor, None) is not None:
             self.epoll.unregister(descriptor)
--- a/stackpitch/loop/virtual.py
+++ b/stackpitch/loop/virtual.py
@@ -255,7 +255,7 @@
         self.listeners: dict[Address, VirtualListener] = {}
         self.processes: dict[Task, Process] = {}  # emptied as tasks end
         self.left: list[Task] = []  # of killed processes; bounded by what they had under way
-        self.next_port, self.next_pid = 40_000, 100
+        self.next_port, self.next_pid, self.starts = 40_000, 100, 0
 
     def bury(self) -> None:
         """Lets go of what killed processes left, once nobody looks any more: unwinding it does harm to nobody now."""
@@ -280,6 +280,10 @@
     def wall_ms(self) -> int:
         return EPOCH_MS + self.time // 10
 
+    def fresh(self) -> int:
+        self.starts += 1
+        return self.chance(f"start {self.starts}").getrandbits(48)
+
     def poll(self, until: Time | None) -> None:
         if until is None:
             raise RuntimeError("nothing is due any more, and the main task waits")
--- a/stackpitch/loop/world.py
+++ b/stackpitch/loop/world.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol, TypeVar
 from zlib import crc32
 
+from stackpitch.loop.files import Files, RealFiles
 from stackpitch.loop.task import Coro, Group, Scope, Task, run_group
 from stackpitch.loop.timers import Time, Timer, Timers
 
@@ -108,6 +109,14 @@
     def signals(self, *numbers: int) -> Callable[[], Coro[int]]:
         """Catches these from now on; what is returned waits for the next one and gives its number."""
 
+    def files(self) -> Files:
+        """Those of this machine, or made-up ones that lose what was not synced."""
+        return RealFiles()
+
+    @abstractmethod
+    def fresh(self) -> int:
+        """48 bits that no other start of a process has: tells one start from another, decides nothing."""
+
     def chance(self, name: str) -> Random:
         """A source of its own for each name, from the world's seed."""
         return Random(crc32(f"{self.seed} {name}".encode()))
--- a/stackpitch/settings/model/whole.py
+++ b/stackpitch/settings/model/whole.py
@@ -46,7 +46,7 @@
                              f"({self.module.gateways}), with module.number ({self.module.number}) among them")
         duties = self.duties
         if duties.voters and (not listed or max(duties.voters) >= listed):
-            raise ValueError(f"duties.voters: found {duties.voters}; allowed: numbers under {listed}, the length of peers.admin")
+            raise ValueError(f"duties.voters: found {duties.voters}; allowed: under {listed}, as many as peers.admin has")
         if self.module.number in duties.voters and not duties.file:
             raise ValueError(f"duties.file: missing; gateway {self.module.number} is a voter and has to keep its word")
         seen = set[str]()
