Weights: owner, receivers and origin together on the made-up network, with the hard cases

Tests cause: a receiver killed between rename and report, an urgent model as the last piece of a large low one is under way, an origin's file that changes under its name, an owner stopped between look and send, full and failing disks, withdrawn and replaced versions. Found by them and mended: calls lost together counted as many misses, a restarted process kept the misses of the one before, a folder's own entry was not synced.

--- a/stackpitch/duties/weights/owner.py
+++ b/stackpitch/duties/weights/owner.py
@@ -174,7 +174,7 @@
         if answer is not None and answer.yes:
             planner.taken(grant)
         else:
-            planner.missed(self.world.now(), grant)
+            planner.missed(self.world.now(), grant, answer is not None)
 
     def _heard(self, number: int, answer: Answer | None) -> None:
         if answer is None or self.planner is None:
--- a/stackpitch/duties/weights/placing/copy.py
+++ b/stackpitch/duties/weights/placing/copy.py
@@ -32,8 +32,6 @@
         try:
             for path in (self.place, self.partial):
                 disk.folder(path.rpartition("/")[0])
-            for path in (self.folder.model(self.model), self.folder.root):
-                disk.sync_folder(path)
             disk.sync_folder(self.place.rpartition("/")[0])  # a process that ended after its rename may have left this undone
             try:
                 self.descriptor, self.placed = disk.open(self.place), True
--- a/stackpitch/duties/weights/placing/disk.py
+++ b/stackpitch/duties/weights/placing/disk.py
@@ -19,7 +19,7 @@
     def close(self, descriptor: int) -> None: ...
     def rename(self, old: str, new: str) -> None: ...
     def remove(self, path: str) -> None: ...
-    def folder(self, path: str) -> None: ...  # makes it and those above it, where missing
+    def folder(self, path: str) -> None: ...  # makes it and those above it, where missing, durably
     def names(self, path: str) -> list[str]: ...  # in order; none if there is no such folder
     def sync_folder(self, path: str) -> None: ...
 
@@ -55,7 +55,13 @@
         os.unlink(path)
 
     def folder(self, path: str) -> None:
+        made, here = [], os.path.abspath(path)
+        while not os.path.isdir(here):
+            made.append(here)
+            here = os.path.dirname(here)
         os.makedirs(path, exist_ok=True)
+        for one in made:
+            self.sync_folder(os.path.dirname(one))
 
     def names(self, path: str) -> list[str]:
         try:
--- a/stackpitch/duties/weights/plan/planner.py
+++ b/stackpitch/duties/weights/plan/planner.py
@@ -68,9 +68,11 @@
         self.lanes.taken(grant)
         self.sites.answered(grant.lane.gateway)
 
-    def missed(self, now: Time, grant: Grant) -> None:
+    def missed(self, now: Time, grant: Grant, answered: bool) -> None:
+        """It was not taken, as far as is known. `answered`: its gateway said so."""
         self.lanes.missed(grant)
-        self.sites.missed(grant.lane.gateway, now)
+        if not answered:
+            self.sites.missed(grant.lane.gateway, now)
 
     def plan(self, now: Time) -> list[Grant]:
         """The grants to be sent now, each to its lane's gateway. They count from here on."""
--- a/stackpitch/duties/weights/plan/sites.py
+++ b/stackpitch/duties/weights/plan/sites.py
@@ -42,7 +42,7 @@
         self.heard: dict[int, Heard] = {}
         self.chosen: dict[str, int] = {}  # the receiver of each site
         self.limits: dict[tuple[str, str], int] = {}  # bytes a second that a slow pair is trusted with
-        self.misses: dict[int, tuple[int, Time]] = {}  # gateways that gave no answer: how often, and until when they wait
+        self.misses: dict[int, tuple[int, Time]] = {}  # gateways that gave no answer: how often in a row, and when last
         self.judged: dict[Lane, int] = {}  # the serial that was last judged; emptied with the report that drops the lane
 
     def renew(self, wanted: Wanted) -> None:
@@ -62,6 +62,8 @@
         old = self.heard.get(one.gateway)
         if old is not None and old.mark.start == one.mark.start and old.mark.at > one.mark.at:
             return False
+        if old is not None and old.mark.start != one.mark.start:
+            self.misses.pop(one.gateway, None)  # another process
         heard = Heard(one, now)
         for have in one.have:
             version, model = (have.model, have.version), self.wanted.models.get(have.model)
@@ -82,15 +84,17 @@
     def missed(self, number: int, now: Time) -> None:
         """No answer to a grant. It gets no other before it is heard, nor, from the second on, for a while that doubles:
         what it is granted in vain is missing elsewhere, and one that speaks and can't hear would have it again and again."""
-        count = self.misses.get(number, (0, 0))[0] + 1
-        self.misses[number] = count, now + min(LONGEST_WAIT, FIRST_WAIT << min(count, 10))
+        count, at = self.misses.get(number, (0, now - FIRST_WAIT))
+        if now - at >= FIRST_WAIT:  # several lanes' calls that were lost together are one miss
+            self.misses[number] = count + 1, now
 
     def answered(self, number: int) -> None:
         self.misses.pop(number, None)
 
     def reachable(self, heard: Heard, now: Time) -> bool:
-        count, until = self.misses.get(heard.report.gateway, (0, 0))
-        return not count or (now >= until if count > 1 else heard.at > until - (FIRST_WAIT << 1))
+        count, at = self.misses.get(heard.report.gateway, (0, 0))
+        wait = min(LONGEST_WAIT, FIRST_WAIT << min(count, 10)) if count > 1 else 0
+        return not count or (heard.at > at and now >= at + wait)
 
     def receiver(self, site: str, now: Time) -> Heard | None:
         """The one chosen before while it is heard; else the one that has most, the first listed of several."""
--- a/stackpitch/rehearse/sites.py
+++ b/stackpitch/rehearse/sites.py
@@ -129,12 +129,12 @@
             if grant is not None and word == "yes":
                 owner.taken(grant)
             elif grant is not None:
-                owner.missed(self.now, grant)
+                owner.missed(self.now, grant, True)
 
         def missed() -> None:
             if not answered and self.owner is owner:
                 if grant is not None:
-                    owner.missed(self.now, grant)
+                    owner.missed(self.now, grant, False)
                 else:
                     self._call(gateway, owner, stamp, None)
 
--- /dev/null
+++ b/tests/test_weights_sites.py
@@ -0,0 +1,282 @@
+"""Owner, receivers, neighbours and origin together, on the made-up network: what comes into place and what does not."""
+
+import errno
+
+import msgspec
+import pytest
+from weights_stage import Stage, bytes_of, model
+
+from stackpitch.duties.calls import Stamp, raw
+from stackpitch.duties.weights import errors, forms
+from stackpitch.loop import SECOND
+
+DATA, OTHER = bytes_of(1), bytes_of(2)
+RATE = 1_000_000
+
+
+def tree(regions=1, **models):
+    """Two sites behind each shared link, with two gateways each: 0 and 1 are at s0, 2 and 3 at s1."""
+    names = [f"s{number}" for number in range(2 * regions)]
+    return {"version": 1, "models": models, "links": {
+        f"u{number}": {"bytes_per_s": RATE, "sites": names[2 * number:2 * number + 2]} for number in range(regions)}, "sites": {
+        name: {"bytes_per_s": 4 * RATE, "gateways": [2 * number, 2 * number + 1]} for number, name in enumerate(names)}}
+
+
+def played(folder, tree, files, script, seed=1):
+    stage = Stage(folder, tree, files, seed)
+    stage.run(script)
+    return stage
+
+
+def within(served, rate):
+    """Bytes in any second: at most the rate's, what the bucket holds, and one that was held back before the second."""
+    total, first = 0, 0
+    for one in served:
+        total += one.size
+        while served[first].at <= one.at - SECOND:
+            total -= served[first].size
+            first += 1
+        assert total <= 1.2 * rate, (one.at, total)
+
+
+def test_weights_come_into_place_once_over_the_shared_link(tmp_path):
+    def script(stage):
+        begun = stage.world.now()
+        stage.own(3)
+        yield from stage.until(lambda: stage.nodes[0].engines.told and stage.nodes[2].engines.told)
+        assert stage.world.now() - begun < 2.2 * SECOND
+        assert stage.placed(0, "m") == stage.placed(2, "m") == DATA
+        assert sum(one.size for one in stage.origin.served) <= 1.1 * len(DATA), "neighbours give each other what they have"
+        assert stage.served and all(path == "/weights/m/1" for _, path, _ in stage.served)
+        within(stage.origin.served, RATE)
+
+    played(tmp_path, tree(m=model(DATA, ["s0", "s1"])), {"/m": DATA}, script)
+
+
+def test_an_urgent_model_comes_as_the_last_piece_of_a_large_low_one_is_under_way(tmp_path):
+    def script(stage):
+        stage.own(1)
+        entries = stage.nodes[0].work.receiver.entries
+        yield from stage.until(lambda: entries and entries["large", "1"].pieces.have.bit_count() == 1)
+        stage.tree["models"]["urgent"] = model(OTHER, ["s0"], 0, name="urgent", piece=50_000)
+        stage.write()
+        seen = stage.world.now()
+        yield from stage.until(lambda: stage.nodes[0].engines.told)
+        assert stage.placed(0, "urgent") == OTHER and stage.placed(0, "large") is None, stage.nodes[0].log
+        assert stage.world.now() - seen < (10 + 2 + 1) * SECOND, "its bytes, the look at the file, one grant"
+        yield from stage.until(lambda: stage.placed(0, "large"))
+        within(stage.origin.served, RATE // 10)
+
+    large = tree(large=model(DATA, ["s0"], 3, name="large", piece=500_000))
+    large["links"]["u0"]["bytes_per_s"] = RATE // 10
+    played(tmp_path, large, {"/large": DATA, "/urgent": OTHER}, script)
+
+
+@pytest.mark.parametrize("when", ["rename", "half"])
+def test_a_receiver_killed_between_rename_and_report_or_halfway(tmp_path, when):
+    def script(stage):
+        node, fetched = stage.nodes[0], lambda: sum(one.size for one in stage.origin.served)
+        rename = node.disk.rename
+
+        def cut(old, new):
+            rename(old, new)
+            node.disk.cut = 0 if "/placed/" in new else None
+
+        if when == "rename":
+            node.disk.rename = cut
+        stage.own(3)
+        yield from stage.until(lambda: node.disk.cut == 0 or (when == "half" and fetched() > len(DATA) // 2))
+        yield from stage.world.sleep(SECOND // 100)
+        node.kill()
+        node.disk.rename, node.disk.cut = rename, None
+        assert not node.engines.told and (stage.placed(0, "m") == DATA) is (when == "rename")
+        stage.nodes[1].deaf = True  # the other gateway of the site has no part in this
+        node.start()
+        yield from stage.until(lambda: node.engines.told)
+        assert stage.placed(0, "m") == DATA
+        assert fetched() <= len(DATA) + (0 if when == "rename" else 2 * 100_000), "what was checked is kept"
+
+    played(tmp_path, tree(m=model(DATA, ["s0"])), {"/m": DATA}, script)
+
+
+def test_another_gateway_of_the_site_takes_over(tmp_path):
+    def script(stage):
+        stage.own(3)
+        yield from stage.until(lambda: stage.origin.served)
+        stage.nodes[0].kill()
+        yield from stage.until(lambda: stage.nodes[1].engines.told)
+        assert stage.placed(1, "m") == DATA
+        within(stage.origin.served, RATE)
+
+    played(tmp_path, tree(m=model(DATA, ["s0"])), {"/m": DATA}, script)
+
+
+def test_the_origins_file_changes_under_the_same_name(tmp_path):
+    """Its pieces are thrown away, and after two of them a neighbour is asked, though that is further away."""
+    def script(stage):
+        stage.own(3)
+        yield from stage.until(lambda: stage.placed(0, "m"))
+        stage.origin.files["/m"] = OTHER
+        stage.tree["models"]["m"]["sites"].append("s2")
+        stage.write()
+        yield from stage.until(lambda: stage.nodes[4].engines.told)
+        assert stage.placed(4, "m") == DATA
+        said = stage.nodes[4].words("weights_source_spoilt")
+        assert len(said) == 1 and said[0]["remedy"] == errors.SourceSpoilt.remedy
+        assert len(stage.nodes[4].words("weights_bad_piece")) == 2
+
+    played(tmp_path, tree(2, m=model(DATA, ["s0"])), {"/m": DATA}, script)
+
+
+@pytest.mark.parametrize("change,word", [({"files": {"/m": DATA + b"x"}}, "weights_source_changed"),
+                                         ({"refuse": 503}, "weights_source_failed"), ({"files": {}}, "weights_source_failed")])
+def test_an_origin_that_gives_something_else_is_named_and_tried_again(tmp_path, change, word):
+    def script(stage):
+        for name, value in change.items():
+            setattr(stage.origin, name, value)
+        stage.own(3)
+        yield from stage.until(lambda: stage.nodes[0].words(word))
+        assert "origin at 127.0.0.1:8000" in stage.nodes[0].words(word)[0]["why"]
+        stage.origin.files, stage.origin.refuse = {"/m": DATA}, 0
+        yield from stage.until(lambda: stage.nodes[0].engines.told, 90 * SECOND)
+        assert len(stage.nodes[0].words(word)) < 8, "it is not asked on and on"
+
+    played(tmp_path, tree(m=model(DATA, ["s0"])), {}, script)
+
+
+def test_corrupt_and_broken_answers_do_not_hold_it_up_nor_get_into_place(tmp_path):
+    def script(stage):
+        stage.origin.spoil, stage.origin.breaks = 40, 60
+        stage.own(3)
+        yield from stage.until(lambda: stage.placed(0, "m") and stage.placed(2, "m"), 300 * SECOND)
+        assert stage.placed(0, "m") == stage.placed(2, "m") == DATA
+        assert any(one.spoilt for one in stage.origin.served)
+        within(stage.origin.served, RATE)
+
+    for seed in range(4):
+        played(tmp_path, tree(m=model(DATA, ["s0", "s1"])), {"/m": DATA}, script, seed)
+
+
+@pytest.mark.parametrize("trouble,word", [
+    (("room", 500_000), "weights_disk_full"), (("fail", errno.EROFS), "weights_disk_read_only"),
+    (("fail", errno.EIO), "weights_disk_corrupt")])
+def test_a_site_with_trouble_on_its_disk_waits_and_others_go_on(tmp_path, trouble, word):
+    def script(stage):
+        disk = stage.nodes[0].disk
+        setattr(disk, *trouble)
+        stage.nodes[1].deaf = True
+        stage.own(3)
+        yield from stage.until(lambda: stage.nodes[2].engines.told)
+        assert stage.nodes[0].words(word)[0]["remedy"] and stage.placed(0, "m") is None
+        disk.room, disk.fail = None, 0
+        yield from stage.until(lambda: stage.nodes[0].engines.told)
+        assert stage.placed(0, "m") == stage.placed(2, "m") == DATA
+
+    played(tmp_path, tree(m=model(DATA, ["s0", "s1"])), {"/m": DATA}, script)
+
+
+def test_the_version_before_stays_until_the_new_one_is_released_and_nobody_uses_it(tmp_path):
+    def script(stage):
+        node = stage.nodes[0]
+        stage.own(3)
+        yield from stage.until(lambda: node.engines.told == [("m", "1")])
+        node.engines.using = {("m", "1")}
+        stage.tree["models"]["m"] = model(OTHER, ["s0"], version="2")
+        stage.origin.files = {"/m": OTHER}
+        stage.write()
+        yield from stage.until(lambda: stage.placed(0, "m", "2"))
+        yield from stage.until(lambda: node.engines.told == [("m", "1"), ("m", "2")])
+        yield from stage.world.sleep(12 * SECOND)
+        assert stage.placed(0, "m", "1") == DATA
+        node.engines.using = {("m", "2")}
+        yield from stage.until(lambda: stage.placed(0, "m", "1") is None)
+        node.kill()
+        node.start()
+        yield from stage.world.sleep(45 * SECOND)
+        assert stage.placed(0, "m", "2") == OTHER, "a restart takes nothing away"
+        del stage.tree["models"]["m"]
+        stage.write()
+        yield from stage.world.sleep(20 * SECOND)
+        assert stage.placed(0, "m", "2") == OTHER, "withdrawn, and still used"
+        node.engines.using = set()
+        yield from stage.until(lambda: stage.placed(0, "m", "2") is None, 60 * SECOND)
+
+    played(tmp_path, tree(m=model(DATA, ["s0"])), {"/m": DATA}, script)
+
+
+def test_a_withdrawn_version_stops_within_one_grant(tmp_path):
+    def script(stage):
+        stage.own(3)
+        yield from stage.until(lambda: stage.origin.served)
+        del stage.tree["models"]["m"]
+        stage.write()
+        yield from stage.world.sleep(4 * SECOND)  # 2 until the file is looked at, 1 for what was granted
+        count = len(stage.origin.served)
+        yield from stage.world.sleep(10 * SECOND)
+        assert len(stage.origin.served) == count
+        assert stage.placed(0, "m") is None and not stage.nodes[0].disk.names("weights/m/partial")
+
+    played(tmp_path, tree(m=model(bytes_of(3, 20_000_000), ["s0"])), {"/m": bytes_of(3, 20_000_000)}, script)
+
+
+def test_an_owner_stopped_between_its_look_and_its_send(tmp_path):
+    """Woken after its successor has begun: its grants and its release are turned down, and it steps down."""
+    def script(stage):
+        first = stage.own(1)
+        yield from stage.until(lambda: len(stage.origin.served) > 5)
+        first.paused = True
+        yield from stage.world.sleep(SECOND)  # what it plans now waits
+        stage.own(3)
+        yield from stage.until(lambda: stage.nodes[0].work.receiver.shelf.stamp.term == 2)
+        held = dict(stage.nodes[0].work.receiver.shelf.held)
+        first.paused = False
+        yield from stage.until(lambda: "stepped down" in first.words, 2 * SECOND)
+        assert ("grant", "older term") in first.words
+        assert all(one.stamp.term == 2 for one in stage.nodes[0].work.receiver.shelf.held.values()) and held is not None
+        yield from stage.until(lambda: stage.nodes[0].engines.told)
+        assert stage.placed(0, "m") == DATA
+        release = raw(forms.Release("m", "1", 99))
+        answer = yield from stage.nodes[0].work.heard(1, "release", Stamp(1, 1), release)
+        assert answer.word == "older" and answer.stamp.term == 2
+        stage.nodes[0].kill()
+        stage.nodes[0].start()
+        yield from stage.world.sleep(SECOND)
+        answer = yield from stage.nodes[0].work.heard(1, "release", Stamp(1, 1), release)
+        assert answer.word == "older", "also after a restart"
+        within(stage.origin.served, RATE)
+
+    played(tmp_path, tree(m=model(DATA, ["s0"])), {"/m": DATA}, script)
+
+
+def test_a_wanted_file_that_is_wrong_is_said_and_the_last_good_one_stays(tmp_path):
+    def script(stage):
+        stage.own(3)
+        yield from stage.until(lambda: stage.nodes[0].engines.told)
+        stage.tree["models"]["m"]["manifest"] = model(OTHER, [])["manifest"]
+        stage.write()
+        yield from stage.until(lambda: stage.nodes[3].words("weights_wanted_rejected"))
+        said = stage.nodes[3].words("weights_wanted_rejected")[0]
+        assert "models.m.manifest: found another one for version 1" in said["why"] and said["remedy"]
+        assert stage.nodes[3].work.file.current.models["m"].manifest.whole == model(DATA, [])["manifest"]["whole"]
+        stage.nodes[0].kill()  # and a gateway that knew only the other one is not mixed up
+        stage.nodes[0].start()
+        yield from stage.world.sleep(5 * SECOND)
+        assert stage.placed(0, "m") == DATA
+
+    played(tmp_path, tree(m=model(DATA, ["s0"])), {"/m": DATA}, script)
+
+
+def test_calls_that_are_malformed_are_dropped_and_others_answered(tmp_path):
+    def script(stage):
+        work = stage.nodes[0].work
+        for kind, body in [("place", {"model": "../x"}), ("place", {"model": "m", "version": ".."}), ("grant", 7),
+                           ("begin", {}), ("release", {"model": "m", "version": "a/b"}), ("report", [])]:
+            if kind == "report":
+                stage.own(0)
+                yield from stage.until(lambda: work.owner is not None)
+            with pytest.raises(msgspec.ValidationError):
+                yield from work.heard(3, kind, Stamp(9 if kind != "report" else 0), raw(body))
+        assert (yield from work.heard(3, "grant", Stamp(), raw({}))).word == "a term is needed"
+        assert (yield from work.heard(3, "what", Stamp(9), raw({}))).word == "not known"
+
+    played(tmp_path, tree(m=model(DATA, ["s0"])), {"/m": DATA}, script)
