--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -1,14 +1,22 @@
 """Weights to the sites: what is wanted, who may fetch what and when, and how it gets in place."""
 
 import random
+import subprocess
+import sys
 from pathlib import Path
 
+import msgspec
 import pytest
 from play import scenarios
 
+from stackpitch.duties.calls import Stamp
 from stackpitch.duties.weights import manifest as manifests
+from stackpitch.duties.weights.errors import WantedRejected
 from stackpitch.duties.weights.forms import Spoilt
-from stackpitch.duties.weights.wanted import checked
+from stackpitch.duties.weights.grants.grant import DRIFT, MOST_AGE, Grant, Lane, Mark, counted_until, longest
+from stackpitch.duties.weights.grants.pace import BURST, Pace
+from stackpitch.duties.weights.grants.shelf import Shelf
+from stackpitch.duties.weights.wanted import checked, read
 from stackpitch.loop import SECOND
 from stackpitch.rehearse.sites import Country, Gateway
 
@@ -242,3 +250,124 @@
                 if any(country.links.behind[site] == (link,) for site in model.sites):
                     sites = len(country.wanted.links[link].sites)  # each may lose its place in the middle of a piece
                     assert country.bytes_over(link, name) <= model.manifest.size * 1.03 + PIECE * sites, (seed, link, name)
+
+
+LANE = Lane("a", 3, 77, "origin")
+
+
+def given(serial, mark=1000, age=50, lasts=10_000, rate=1, lane=LANE, start=77):
+    return Grant(lane, serial, Mark(start, mark), age, lasts, rate, "m", "1", (0,))
+
+
+def test_a_grant_ends_by_the_receivers_own_mark_however_late_it_comes():
+    shelf, term = Shelf(3, 77), Stamp(2, 5)
+    assert shelf.take(term, given(1), 1100) == "yes" and [one.ends for one in shelf.running(1100)] == [11_050]
+    assert shelf.take(term, given(1), 1200) == "repeated", "a copy does not begin it anew"
+    assert shelf.take(term, given(3, lasts=5_000), 3000) == "yes" and [one.ends for one in shelf.running(3000)] == [6_050]
+    assert shelf.take(term, given(2), 3100) == "repeated" and len(shelf.running(3100)) == 1, "overtaken on its way"
+    assert shelf.running(6_049) and not shelf.running(6_050)
+    assert shelf.take(term, given(4), 11_060) == "yes" and not shelf.running(11_060), "it took longer than it lasts"
+    assert shelf.take(term, given(5, mark=9000), 11_060) == "yes" and shelf.running(11_060)
+    assert shelf.take(term, given(6, rate=0), 11_070) == "yes" and not shelf.running(11_070), "a rate of 0 stops"
+
+
+@pytest.mark.parametrize("stamp,grant,word", [
+    (Stamp(1, 9), given(9), "older term"), (Stamp(2, 4), given(9), "older term"),
+    (Stamp(2, 5), given(9, start=78), "another process"),
+    (Stamp(2, 5), given(9, lane=Lane("a", 3, 76, "origin")), "another process"),
+    (Stamp(2, 5), given(9, lane=Lane("a", 4, 77, "origin")), "another process"),
+    (Stamp(2, 5), given(9, mark=2001), "not possible"), (Stamp(2, 5), given(9, age=-1), "not possible")])
+def test_grants_that_are_not_taken(stamp, grant, word):
+    shelf = Shelf(3, 77)
+    assert shelf.take(Stamp(2, 5), given(1), 2000) == "yes"
+    assert shelf.take(stamp, grant, 2000) == word and len(shelf.running(2000)) == 1
+    assert shelf.take(Stamp(3, 1), given(1, lane=Lane("a", 3, 77, "b")), 2000) == "yes"
+    assert [one.grant.lane.source for one in shelf.running(2000)] == ["b"], "a higher term ends what the older ones granted"
+
+
+def test_the_owner_counts_longer_than_any_clock_within_the_drift_lets_a_receiver_run():
+    for seed in range(500):
+        chance = random.Random(seed)
+        age, lasts, gain = chance.randrange(MOST_AGE), chance.randrange(1, 100_000), chance.uniform(-1, 1) / DRIFT
+        heard = chance.randrange(10**6)
+        grant = given(1, age=age, lasts=lasts)
+        ends = heard + (age + lasts) / (1 + gain)  # the receiver's clock does age + lasts, as the owner's sees it
+        assert ends <= counted_until(heard + age, grant) + lasts / DRIFT**2 + 1 and counted_until(0, grant) <= longest(lasts)
+
+
+def test_the_pace_never_gives_more_than_rate_and_burst():
+    for seed in range(200):
+        chance, now = random.Random(seed), 0
+        rate, ends = chance.choice((1, 300, 50_000, 10**9)), chance.randrange(1, 60_000)
+        pace, taken = Pace(rate, 0, ends), []
+        for _ in range(300):
+            most = chance.randrange(1, 3_000_000)
+            got = pace.take(now, most)
+            taken.append((now, got))
+            assert got <= most and (not got or now < ends)
+            when = None if got else pace.when(now, most)
+            if when is not None:
+                now, got = when, pace.take(when, most)
+                assert got > 0, "it comes when it says"
+                taken.append((now, got))
+            now += chance.randrange(1, 500)
+        for place, (begun, _) in enumerate(taken):
+            total = 0
+            for at, got in taken[place:]:
+                total += got
+                assert total <= rate * (max(0, min(at, ends) - begun) + BURST) / SECOND + 1, (seed, begun, at)
+
+
+GOOD = {"version": 1, "links": {"up": {"bytes_per_s": MB, "sites": ["a", "b"]}},
+        "sites": {"a": {"bytes_per_s": MB, "gateways": [0, 1]}, "b": {"bytes_per_s": MB, "gateways": [2]}},
+        "models": {"m": {"version": "1", "priority": 0, "sites": ["a"], "origin": "127.0.0.1:80", "path": "/m",
+                         "manifest": manifest("m", 5 * MB)}}}
+
+
+@pytest.mark.parametrize("field,value,said", [
+    ("models.m.sites", ["c"], "models.m.sites: found 'c'; allowed: a, b"), ("models.m.sites", ["a", "a"], "found 'a' twice"),
+    ("links.up.sites", ["a", "x"], "links.up.sites: found 'x'; allowed: a, b"),
+    ("links.up.bytes_per_s", 0, "links.up.bytes_per_s: "),
+    ("sites.b.gateways", [1], "sites.b.gateways: found 1; allowed: gateways that no other place names (a has it)"),
+    ("sites.origin", {"bytes_per_s": 10**6, "gateways": [5]}, "sites.origin: found 'origin'; allowed: any other name"),
+    ("models.m.version", "..", "models.m.version: "), ("models.m.version", "a/b", "models.m.version: "),
+    ("models.m.path", "/a b", "models.m.path: "), ("models.m.path", "/a\r\nx: y", "models.m.path: "),
+    ("models.m.origin", "host:80", "models.m.origin: "), ("models.m.manifest.size", 9 * MB, "pieces: found 2; allowed: 3"),
+    ("models.m.manifest.whole", "ABC", "models.m.manifest.whole: "),
+    ("models.m.manifest.pieces", [], "models.m.manifest.pieces: "),
+    ("models.m.manifest.piece", 1 << 40, "models.m.manifest.piece: "),
+    ("models.m.what", 1, "unknown field; allowed beside it: "), ("grant_ms", 10, "grant_ms: "),
+    ("least_share", 0.9, "least_share: "), ("sites", {}, "sites: "), ("version", "1", "version: ")])
+def test_a_wanted_file_is_taken_whole_or_not_at_all(tmp_path, field, value, said):
+    tree = msgspec.json.decode(msgspec.json.encode(GOOD))
+    *above, last = field.split(".")
+    here = tree
+    for step in above:
+        here = here[step]
+    here[last] = value
+    path = tmp_path / "wanted.json"
+    path.write_bytes(msgspec.json.encode(tree))
+    with pytest.raises(WantedRejected) as raised:
+        read(path)
+    assert f"{path}: " in str(raised.value) and said in str(raised.value) and raised.value.remedy
+    path.write_bytes(msgspec.json.encode(GOOD))
+    assert read(path).models["m"].manifest.count == 2
+
+
+@pytest.mark.parametrize("content,said", [(b"{", "wanted.json"), (b"\xff", "not UTF-8 at byte 0"), (None, "No such file")])
+def test_a_wanted_file_that_is_none(tmp_path, content, said):
+    path = tmp_path / "wanted.json"
+    if content is not None:
+        path.write_bytes(content)
+    with pytest.raises(WantedRejected, match=said):
+        read(path)
+    with open(path, "wb") as file:
+        file.truncate(65 << 20)
+    with pytest.raises(WantedRejected, match=r"found \d+ bytes; allowed: at most"):
+        read(path)
+
+
+def test_nothing_of_it_is_imported_without_need():
+    code = ("import sys, stackpitch.platform, stackpitch.gateway.serve, stackpitch.cli.main\n"
+            "print([name for name in sys.modules if 'weights' in name or name == 'blake3'])")
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.strip() == "[]"
