--- a/stackpitch/duties/weights/links.py
+++ b/stackpitch/duties/weights/links.py
@@ -13,7 +13,11 @@
     def __init__(self, wanted: Wanted) -> None:
         self.capacity: dict[Key, int] = {}  # bytes a second
         self.behind: dict[str, tuple[str, ...]] = {ORIGIN: ()}  # the shared links of each site
-        self.paths: dict[tuple[str, str], tuple[Key, ...]] = {}  # filled as they are asked for; goes with this object
+        # By source and site, filled as they are asked for; they go with this object.
+        self.paths: dict[tuple[str, str], tuple[Key, ...]] = {}
+        self.costs: dict[tuple[str, str], float] = {}
+        self.narrow: dict[tuple[str, str], int] = {}
+        self.cheaper_ones: dict[str, frozenset[str]] = {}
         for name, link in wanted.links.items():
             self.capacity[name, "down"] = self.capacity[name, "up"] = link.bytes_per_s
         for name, site in wanted.sites.items():
@@ -32,7 +36,23 @@
 
     def cost(self, source: str, site: str) -> float:
         """Seconds of shared links that a byte takes: 0 between neighbours."""
-        return sum(1 / self.capacity[key] for key in self.path(source, site) if not key[0].startswith("@"))
+        found = self.costs.get((source, site))
+        if found is None:
+            found = self.costs[source, site] = sum(
+                1 / self.capacity[key] for key in self.path(source, site) if not key[0].startswith("@"))
+        return found
+
+    def cheaper(self, site: str) -> frozenset[str]:
+        """The sites from which a byte comes cheaper than from the origin."""
+        found = self.cheaper_ones.get(site)
+        if found is None:
+            most = self.cost(ORIGIN, site)
+            found = self.cheaper_ones[site] = frozenset(
+                other for other in self.behind if other not in (site, ORIGIN) and self.cost(other, site) < most)
+        return found
 
     def narrowest(self, source: str, site: str) -> int:
-        return min(self.capacity[key] for key in self.path(source, site))
+        found = self.narrow.get((source, site))
+        if found is None:
+            found = self.narrow[source, site] = min(self.capacity[key] for key in self.path(source, site))
+        return found
--- a/stackpitch/duties/weights/owner.py
+++ b/stackpitch/duties/weights/owner.py
@@ -116,7 +116,11 @@
     def report(self, report: forms.Report) -> str:
         if self.planner is None:
             return "not owner"
-        return "yes" if self.planner.report(self.world.now(), report) else "not known"
+        if not self.planner.report(self.world.now(), report):
+            return "not known"
+        if any(one.done for one in report.ran):
+            self.wake()
+        return "yes"
 
     def _site(self, group: Group, planner: Planner, site: str, now: Time) -> bool:
         """Asks, places and releases what is due there. Whether anything is still missing."""
--- a/stackpitch/duties/weights/plan/allocate.py
+++ b/stackpitch/duties/weights/plan/allocate.py
@@ -45,6 +45,9 @@
     wishes: dict[Lane, Wish] = field(default_factory=dict)
     holders: dict[Version, list[tuple[str, Heard]]] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.order = {site: number for number, site in enumerate(self.sites.wanted.sites)}
+
     def look(self, needs: list[Need]) -> None:
         """Who holds what, and what is on its way."""
         for site in self.sites.wanted.sites:
@@ -78,11 +81,14 @@
 
     def deal(self, need: Need, part: int) -> None:
         taken, mine = 0, (f"@{need.site}", "down")
-        if self.free[mine] <= self.links.capacity[mine] // (LEAST * LEAST):
+        few = self.links.capacity[mine] // (LEAST * LEAST)
+        if self.free[mine] <= few:
             return
         for source in self._sources(need, part):
             lane = Lane(need.site, need.receiver.report.gateway, need.receiver.mark.start, source, part)
-            if lane in self.wishes or taken >= MOST_SOURCES:
+            if self.free[mine] <= few or taken >= MOST_SOURCES:
+                return
+            if lane in self.wishes:
                 continue
             path, least = self.links.path(source, need.site), self.links.narrowest(source, need.site) // LEAST
             rate = min(self.free[key] for key in path)
@@ -104,28 +110,31 @@
             taken += 1
 
     def _sources(self, need: Need, part: int) -> list[str]:
-        """The cheapest first; of equals one that already sends, then one with much of its own link left."""
+        """Those that already send, so that lanes change seldom (what they may send never is what a cheaper one has); then
+        the cheapest; of equals one with much of its own link left."""
         receiver, found = need.receiver, []
         running = {lane.source for lane in self.lanes.sent
                    if lane.site == need.site and lane.part == part and (newest := self.lanes.newest(lane)) is not None
                    and (newest.grant.model, newest.grant.version) == need.version}
-        names = [site for site, holder in self.holders.get(need.version, ()) if site != need.site]
+        near, far = self.links.cheaper(need.site), receiver.spoilt(ORIGIN, need.version)
+        names = [site for site, _ in self.holders.get(need.version, ()) if site in near or (far and site != need.site)]
+        order = self.order
         for source in [*names, ORIGIN]:
             if not receiver.spoilt(source, need.version):
                 left = 0 if source == ORIGIN else -self.free[f"@{source}", "up"]
-                found.append((self.links.cost(source, need.site), source not in running, left, source))
+                turn = (order.get(source, -1) - order[need.site]) % len(order)  # a ring, so that neighbours don't pair off
+                found.append((source not in running, self.links.cost(source, need.site), left, turn, source))
         return [one[-1] for one in sorted(found)]
 
     def _open(self, need: Need, source: str) -> int:
         """The pieces that may come from this source: it has them, no lane here fetches them, and none cheaper will."""
         found = need.missing & ~self.assigned.get((need.site, need.version), 0)
-        cost = self.links.cost(source, need.site)
+        if source != ORIGIN:
+            return found & next(holder.have[need.version] for site, holder in self.holders[need.version] if site == source)
+        near = self.links.cheaper(need.site)
         for site, holder in self.holders.get(need.version, ()):
-            if site == source:
-                found &= holder.have[need.version]
-            elif site != need.site and self.links.cost(site, need.site) < cost and not need.receiver.spoilt(site, need.version):
-                if (need.site, site) not in self.sites.limits:
-                    found &= ~(holder.have[need.version] | self.flying.get((site, need.version), 0))
+            if site in near and (need.site, site) not in self.sites.limits and not need.receiver.spoilt(site, need.version):
+                found &= ~(holder.have[need.version] | self.flying.get((site, need.version), 0))
         return found
 
     def _choose(self, need: Need, lane: Lane, open_ones: int, rate: int) -> tuple[int, ...]:
--- a/stackpitch/duties/weights/plan/planner.py
+++ b/stackpitch/duties/weights/plan/planner.py
@@ -22,6 +22,7 @@
 from stackpitch.loop import MS, SECOND, Time
 
 TAIL: Time = 100 * MS  # beyond what the last bytes take: ways, and the pace's first slice; freed as soon as it is done
+AHEAD: Time = 150 * MS  # before its pieces run out a lane gets its next ones
 JUDGED: Time = 300 * MS  # a grant that ran for less says nothing about its source's speed
 
 
@@ -112,8 +113,12 @@
 
     def _due(self, now: Time, newest: Sent, wish: Wish, rate: int, least: int) -> bool:
         grant = newest.grant
-        left = any(wish.need.missing >> piece & 1 for piece in grant.pieces)
-        return (newest.lost or not left or (grant.model, grant.version) != wish.need.version or rate < grant.rate
+        given = sum(1 << piece for piece in grant.pieces)
+        if newest.lost or (grant.model, grant.version) != wish.need.version or not given & wish.need.missing:
+            return True
+        ahead = wish.need.manifest.bytes_of(given) - grant.rate * (now - newest.planned - AHEAD) // SECOND
+        more = any(not given >> piece & 1 for piece in wish.pieces)
+        return ((more and ahead <= 0) or rate < grant.rate
                 or rate > grant.rate + max(least, grant.rate // 16) or newest.until - now < grant.lasts * 2 // 5)
 
     def _stop(self, now: Time, lane: Lane) -> Grant | None:
