--- a/tests/test_weights_sites.py
+++ b/tests/test_weights_sites.py
@@ -53,6 +53,19 @@
     played(tmp_path, tree(m=model(DATA, ["s0", "s1"])), {"/m": DATA}, script)
 
 
+def test_the_same_on_sockets_and_this_machines_disk(tmp_path):
+    def script(stage):
+        stage.own(3)
+        yield from stage.until(lambda: stage.nodes[0].engines.told and stage.nodes[2].engines.told)
+        assert stage.placed(0, "m") == stage.placed(2, "m") == DATA and stage.served
+        assert sum(one.size for one in stage.origin.served) <= 1.1 * len(DATA)
+        within(stage.origin.served, 4 * RATE)
+
+    quick = tree(m=model(DATA, ["s0", "s1"]))
+    quick["links"]["u0"]["bytes_per_s"] = quick["sites"]["s0"]["bytes_per_s"] = 4 * RATE
+    Stage(tmp_path, quick, {"/m": DATA}, real=True).run(script)
+
+
 def test_an_urgent_model_comes_as_the_last_piece_of_a_large_low_one_is_under_way(tmp_path):
     def script(stage):
         stage.own(1)
--- a/tests/weights_stage.py
+++ b/tests/weights_stage.py
@@ -1,13 +1,15 @@
 """Owner, receivers, neighbours and origin on the made-up network, with a ground whose terms the test gives out."""
 
 import random
+from pathlib import Path
 
 from stackpitch.duties.calls import ENCODER, Answer, Stamp, raw
 from stackpitch.duties.weights import manifest as manifests
+from stackpitch.duties.weights.placing.disk import RealDisk
 from stackpitch.duties.weights.serving import answer
 from stackpitch.duties.weights.settings import WeightsSettings
 from stackpitch.duties.weights.work import WeightsWork
-from stackpitch.loop import MS, SECOND, Lost
+from stackpitch.loop import MS, SECOND, Lost, RealWorld
 from stackpitch.loop.virtual import VirtualWorld
 from stackpitch.rehearse.memorydisk import MemoryDisk
 from stackpitch.rehearse.origin import Origin
@@ -71,23 +73,30 @@
     """One gateway's part: a process of the made-up world. Its disk outlives it."""
 
     def __init__(self, stage, number):
-        self.stage, self.number, self.disk, self.engines = stage, number, MemoryDisk(), Engines()
+        self.stage, self.number, self.engines = stage, number, Engines()
+        self.disk = RealDisk() if stage.real else MemoryDisk()
+        self.folder = f"{stage.folder}/{number}" if stage.real else "weights"
         self.log, self.child, self.work, self.fence, self.deaf = [], None, None, Stamp(), False
 
     def start(self):
-        self.child = self.stage.world.spawn_child(["node", str(self.number)])
+        if self.stage.real:
+            self.stage.group.spawn(self.run(), f"node {self.number}")
+        else:
+            self.child = self.stage.world.spawn_child(["node", str(self.number)])
 
     def kill(self):
-        self.child.signal(9)
+        if self.child is not None:
+            self.child.signal(9)
+            self.disk.opened.clear()
         self.work = None
-        self.disk.opened.clear()
 
     def run(self):
         stage = self.stage
-        self.work = WeightsWork(stage.world, Ground(stage, self.number), WeightsSettings(wanted=stage.path, folder="weights"),
+        self.work = WeightsWork(stage.world, Ground(stage, self.number), WeightsSettings(wanted=stage.path, folder=self.folder),
                                 stage.world.fresh(), stage.address, self.engines, revenue=lambda: 1.0 * self.number,
                                 log=lambda word, **fields: self.log.append((word, fields)), disk=self.disk)
-        listener = stage.world.listen(("127.0.0.1", 9000 + self.number))
+        listener = stage.world.listen(("127.0.0.1", 0 if stage.real else 9000 + self.number))
+        self.port = listener.address[1]
 
         def body(group):
             group.spawn(self.work.serve(), "weights")
@@ -121,16 +130,18 @@
 class Stage:
     """`run(script)`: a generator that gets its turns on the world, with the nodes that `tree` names under way."""
 
-    def __init__(self, folder, tree, files, seed=1):
+    def __init__(self, folder, tree, files, seed=1, real=False):
+        self.folder, self.real = folder, real
         self.path, self.tree, self.served, self.record = str(folder / "wanted.json"), tree, [], b""
         self.term, self.owner_number = 0, None
-        self.world = VirtualWorld(seed, latency=5, programs=lambda command: self.nodes[int(command[1])].run())
+        self.world = RealWorld() if real else VirtualWorld(
+            seed, latency=5, programs=lambda command: self.nodes[int(command[1])].run())
         self.origin = Origin(self.world, files)
         self.nodes = {number: Node(self, number) for site in tree["sites"].values() for number in site["gateways"]}
         self.group, self.tenures = None, []
 
     def address(self, number):
-        return f"127.0.0.1:{9000 + number}"
+        return f"127.0.0.1:{self.nodes[number].port}"
 
     def call(self, number, kind, stamp, body):
         """One of a fleet's calls: 200 ms at most, dropped where nobody hears; the fence of the desk."""
@@ -174,14 +185,18 @@
             yield from self.world.sleep(20 * MS)
 
     def placed(self, number, model, version="1"):
-        return self.nodes[number].disk.look(f"weights/{model}/placed/{version}")
+        path = f"{self.nodes[number].folder}/{model}/placed/{version}"
+        if self.real:
+            return Path(path).read_bytes() if Path(path).exists() else None
+        return self.nodes[number].disk.look(path)
 
     def run(self, script):
-        self.write()
-
         def body(group):
             self.group = group
-            listener = self.world.listen(("127.0.0.1", 8000))
+            listener = self.world.listen(("127.0.0.1", 0 if self.real else 8000))
+            for one in self.tree["models"].values():
+                one["origin"] = f"127.0.0.1:{listener.address[1]}"
+            self.write()
             group.spawn(self.origin.serve(group, listener), "origin")
             for node in self.nodes.values():
                 node.start()
@@ -193,7 +208,8 @@
             group.cancel()
 
         self.world.run(self.world.group(body))
-        self.world.bury()
+        if not self.real:
+            self.world.bury()
 
 
 def raw_of(data):
