rehearse: the director is a folder of small modules, and edits know no director

One file of 553 lines laid out places, started processes, told lists, brought troubles and judged. Each is a module of its own now, over one Stage; editors of lists take the stage and the lists, so the circle between director and edits is gone.

--- /dev/null
+++ b/stackpitch/rehearse/director/calls.py
@@ -0,0 +1,45 @@
+"""Calls to control and admin ports, and the wait for a process to listen."""
+
+from stackpitch.loop import MS, SECOND, ConnectFailed, Coro, Lost, World
+from stackpitch.rehearse.director.places import HOST, Post, Seat
+from stackpitch.rehearse.director.stage import Stage
+from stackpitch.wire import http
+
+
+def call(world: World, address: tuple[str, int], target: str, body: bytes, method: str = "POST") -> Coro[
+        http.ResponseReader | None]:
+    """The whole answer, its body in `pieces`; None if none came."""
+    try:
+        with world.limit(2 * SECOND):
+            stream = yield from world.connect(address, SECOND)
+            try:
+                stream.write(http.request(method, target, "director", body, [("connection", "close")]))
+                reader, pieces = http.ResponseReader(16384, 1 << 22), list[bytes]()
+                while not reader.complete:
+                    data = yield from stream.recv()
+                    if not data:
+                        return None
+                    reader.feed(data)
+                    pieces += reader.pieces
+                reader.pieces = pieces
+                return reader
+            finally:
+                stream.close()
+    except (Lost, ConnectFailed, http.BadMessage):
+        pass
+    return None
+
+
+def reachable(stage: Stage, one: Seat | Post) -> Coro[None]:
+    """Waits until a process listens. Raises RuntimeError if it ended instead."""
+    for _ in range(600):
+        if one.child is not None and (code := one.child.code()) is not None:
+            raise RuntimeError(f"{one.name} ended with {code}: {stage.last_line(one.name)}")
+        try:
+            stream = yield from stage.world.connect((HOST, one.port), SECOND)
+        except ConnectFailed:
+            yield from stage.world.sleep(30 * MS)
+            continue
+        stream.close()
+        return
+    raise RuntimeError(f"{one.name} does not listen on port {one.port}: {stage.last_line(one.name)}")
--- /dev/null
+++ b/stackpitch/rehearse/director/settings.py
@@ -0,0 +1,53 @@
+"""What the processes of a day are told at their start."""
+
+from typing import Any
+
+from stackpitch.rehearse.day import TRAFFIC_TROUBLES
+from stackpitch.rehearse.director.places import HOST, Post, Seat
+from stackpitch.rehearse.director.stage import Stage
+
+
+def engine(stage: Stage, seat: Seat) -> dict[str, Any]:
+    day, made = stage.day, seat.made_of
+    return {
+        "name": seat.name, "port": seat.port, "control_port": seat.control, "seed": day.seed,
+        "records": str(stage.folder / f"{seat.name}.jsonl"), "role": made.role, "cell": seat.cell,
+        "memory_tok": made.memory_tok, "reports": day.reports, "local_reads": day.module.local_reads,
+        "born_cold": seat.cold, "cold_from": day.module.cold_from, "warm_up_ms": day.module.warm_up_ms,
+        "fall_multiple": day.module.fall_multiple, "fall_ms": day.rules.fall_ms,
+        **{name: getattr(made, name) for name in ("slots", "queue", "kept_tok", "chunk", "step_ms", "per_seq_ms",
+                                                  "read_per_s", "near_per_s", "far_per_s")},
+    }
+
+
+def gateway(stage: Stage, post: Post) -> dict[str, Any]:
+    day = stage.day
+    kinds = {name: {"role": one.role, "memory_tok": one.memory_tok} for name, one in day.kinds.items()}
+    module = day.module.model_dump() | {"gateways": day.gateways, "number": post.number,
+                                        "zone": day.module.zone or day.fleet[0].zone}
+    return {
+        "name": post.name, "seed": day.seed * 1000 + post.number, "roster": str(stage.folder / f"{post.name}.fleet"),
+        "kept": str(stage.folder / f"{post.name}.kept"), "membership": day.membership.model_dump(),
+        "door": {"port": post.port, "bytes_per_tok": day.bytes_per_tok},
+        "admin": {"port": post.admin}, "engines": day.engines.model_dump(), "module": module,
+        "products": {name: one.model_dump() for name, one in day.products.items()},
+        "customers": {name: one.model_dump() | {"keys": [name]} for name, one in day.customers.items()},
+        "kinds": kinds, "load": day.load.model_dump(), "stop": {"finish_ms": 5000.0},
+    }
+
+
+def clients(stage: Stage) -> dict[str, Any]:
+    day = stage.day
+    return {
+        "records": str(stage.folder / "clients.jsonl"), "seed": day.seed, "start": stage.start,
+        "length_s": day.length_s, "gateways": {one.name: (HOST, one.port) for one in stage.posts.values()},
+        "products": [
+            {"name": name, "effect": one.effect, "scope": one.scope, "slo_ms": one.slo_ms,
+             "slo_ms_per_ktok": one.slo_ms_per_ktok, "time_limit_ms": one.time_limit_ms,
+             **day.traffic[name].model_dump()}
+            for name, one in day.products.items() if name in day.traffic],
+        "customers": {name: one.share for name, one in day.customers.items()},
+        **day.clients.model_dump(),
+        "surges": [{"kind": one.kind, "at_s": one.at_s, "for_s": one.for_s, "part": one.part, "strength": one.strength}
+                   for one in day.troubles if one.kind in TRAFFIC_TROUBLES],
+    }
--- a/stackpitch/rehearse/edits.py
+++ b/stackpitch/rehearse/director/troubles/editor.py
@@ -6,16 +6,16 @@
 
 import os
 from hashlib import sha256
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 
 from stackpitch.loop import MS, SECOND, Coro, Random
+from stackpitch.rehearse.director.calls import call
+from stackpitch.rehearse.director.lists import Lists
+from stackpitch.rehearse.director.places import HOST, TRAP, Post
+from stackpitch.rehearse.director.stage import Stage
 
-if TYPE_CHECKING:
-    from stackpitch.rehearse.director import Director, Post
-
-TRAP = "trap"
 PATIENCE = 6 * SECOND  # for a gateway to have read what stands in its file
 GLANCE = 15 * MS
 BROKEN = ("half", "text", "empty", "twice", "kind", "old", "grows")
@@ -25,10 +25,10 @@
 class Editor:
     """Edits one gateway's file. `done` counts edits by kind."""
 
-    def __init__(self, director: "Director", post: "Post", gap: int) -> None:
-        self.director, self.post, self.gap, self.world = director, post, gap, director.world
-        self.random: Random = director.world.chance(f"editor {post.name}")
-        self.path = director.folder / f"{post.name}.fleet"
+    def __init__(self, stage: Stage, lists: Lists, post: Post, gap: int) -> None:
+        self.stage, self.lists, self.post, self.gap, self.world = stage, lists, post, gap, stage.world
+        self.random: Random = stage.world.chance(f"editor {post.name}")
+        self.path = stage.folder / f"{post.name}.fleet"
         self.version = 1000
         self.draining: set[str] = set()
         self.left_out: set[str] = set()
@@ -50,7 +50,7 @@
     # What is written.
 
     def listed(self) -> list[dict[str, Any]]:
-        fleet = self.director.fleet()["servers"]
+        fleet = self.lists.fleet()["servers"]
         return [one | {"state": "draining" if one["name"] in self.draining else one["state"],
                        "weight": self.weights.get(one["name"], 1.0)}
                 for one in fleet if one["name"] not in self.left_out]
@@ -84,7 +84,7 @@
     # Edits, each seen through.
 
     def good(self, calm: bool = False) -> Coro[None]:
-        names = [one["name"] for one in self.director.fleet()["servers"]]
+        names = [one["name"] for one in self.lists.fleet()["servers"]]
         kind = "same" if calm else self.random.choice(("weight", "weight", "drain", "ready", "out", "back", "same"))
         name = self.random.choice(names)
         if kind == "weight":
@@ -101,16 +101,16 @@
             self.version += 1
         states = {name: "gone" if name in self.left_out else "draining" if name in self.draining else "ready" for name in names}
         self.post.listed = states
-        self.director.note_told(self.post, "ready")  # it may be read from now on
+        self.lists.note_told(self.post, "ready")  # it may be read from now on
         yield from self.write(self.text(self.listed()), self.random.choice(WRITES))
         self.count(f"good: {kind}")
         if (yield from self.seen(lambda told: told["version"] >= self.version and not told["held"])):
-            self.director.note_told(self.post)
+            self.lists.note_told(self.post)
 
     def broken(self) -> Coro[None]:
         kind = self.random.choice(BROKEN)
-        director = self.director
-        trap = {"name": TRAP, "host": "127.0.0.1", "port": director.trap.port, "kind": director.trap.kind, "cell": 1}
+        assert self.stage.trap is not None
+        trap = {"name": TRAP, "host": HOST, "port": self.stage.trap.port, "kind": self.stage.trap.kind, "cell": 1}
         servers, version = [*self.listed(), trap], self.version + 1
         if kind == "twice":
             servers.append(servers[0])
@@ -142,7 +142,7 @@
         while self.world.now() < end:
             if child is None or child is not self.post.child or child.code() is not None:
                 return False
-            answer = yield from self.director.call(("127.0.0.1", self.post.admin), "/fleet", b"", "GET")
+            answer = yield from call(self.world, (HOST, self.post.admin), "/fleet", b"", "GET")
             if answer is not None and answer.status == 200:
                 told = msgspec.json.decode(b"".join(answer.pieces))
                 if enough(told):
