rehearse: a stand-in network between gateways' admin ports, with faults by path

Faults between processes had no place to lie in: gateways called each other directly. A process with a port for each ordered pair passes whole calls on: cut (both ways, or one path: can send and not hear), slow, hold (past a lease), repeat, reorder, half-close, laid by control calls, chance from the seed.

--- a/stackpitch/cli/main.py
+++ b/stackpitch/cli/main.py
@@ -377,6 +377,17 @@
     world.run(run_clients(world, read))
 
 
+@main.command(hidden=True)
+@click.argument("file", type=click.Path(path_type=Path))
+def network(file: Path) -> None:
+    """Run a day's stand-in network between gateways, as `rehearse` starts it."""
+    from stackpitch.rehearse.network import NetworkSettings, run_network
+
+    read = msgspec.convert(settings_package.evaluate(file), NetworkSettings)
+    world = RealWorld(read.seed)
+    world.run(run_network(world, read))
+
+
 @main.command(hidden=True)
 @click.argument("rule")
 @CONFIG
--- /dev/null
+++ b/stackpitch/rehearse/network/control.py
@@ -0,0 +1,41 @@
+"""Calls that lay faults on paths and call them off."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from stackpitch.loop import Coro, Group, Listener, Lost, Stream, World
+from stackpitch.rehearse.network.settings import Fault
+from stackpitch.wire import http
+
+
+class Control:
+    """`change` is told each fault."""
+
+    def __init__(self, world: World, change: Callable[[Fault], None]) -> None:
+        self.world, self.change = world, change
+
+    def serve(self, group: Group, listener: Listener) -> Coro[None]:
+        while True:
+            stream = yield from listener.accept()
+            group.spawn(self.one(stream), "control")
+
+    def one(self, stream: Stream) -> Coro[None]:
+        reader = http.RequestReader(8192, 1 << 20)
+        try:
+            while not reader.complete:
+                data = yield from stream.recv()
+                if not data:
+                    return
+                reader.feed(data)
+            try:
+                self.change(msgspec.json.decode(reader.body(), type=Fault))
+            except msgspec.DecodeError as wrong:
+                stream.write(http.response(422, str(wrong).encode(), [("connection", "close")], "text/plain"))
+            else:
+                stream.write(http.response(200, b"{}", [("connection", "close")]))
+            yield from stream.drain()
+        except (Lost, http.BadMessage):
+            pass
+        finally:
+            stream.close()
--- /dev/null
+++ b/stackpitch/rehearse/network/sight.py
@@ -0,0 +1,41 @@
+"""What the network makes out of a message that it passes on, for the records."""
+
+from typing import Any
+
+import msgspec
+
+from stackpitch.duties.calls import ANSWER, CALL
+
+PATH = "/duty"
+
+
+class _Lease(msgspec.Struct):
+    ms: float = 0.0
+
+
+def of_call(path: str, body: bytes) -> dict[str, Any]:
+    """Empty for anything but a duty's call; `unread` for one that is malformed."""
+    if path != PATH:
+        return {}
+    try:
+        call = CALL.decode(body)
+    except msgspec.DecodeError:
+        return {"unread": len(body)}
+    found: dict[str, Any] = {"duty": call.duty, "kind": call.kind, "stamp": [call.stamp.term, call.stamp.start],
+                             "said": [call.sender, call.to]}
+    if call.kind == "lease":
+        try:
+            found["ms"] = msgspec.json.decode(call.body, type=_Lease).ms
+        except msgspec.DecodeError:
+            pass  # its receiver will say so
+    return found
+
+
+def of_answer(path: str, status: int, body: bytes) -> dict[str, Any]:
+    if path != PATH or status != 200:
+        return {"status": status}
+    try:
+        answer = ANSWER.decode(body)
+    except msgspec.DecodeError:
+        return {"status": status, "unread": len(body)}
+    return {"status": status, "word": answer.word, "knows": [answer.stamp.term, answer.stamp.start]}
--- a/stackpitch/rehearse/virtual.py
+++ b/stackpitch/rehearse/virtual.py
@@ -15,6 +15,7 @@
 from stackpitch.rehearse.day import Day
 from stackpitch.rehearse.director import Outcome
 from stackpitch.rehearse.engine import EngineSettings, run_engine
+from stackpitch.rehearse.network import NetworkSettings, run_network
 from stackpitch.settings import Settings
 
 
@@ -23,7 +24,8 @@
 
     def programs(command: Sequence[str]) -> Coro[Any]:
         """What `Director.command` starts: the words after the interpreter, -m and the package."""
-        run: dict[str, Callable[..., Coro[Any]]] = {"serve": gateway, "engine": engine, "clients": clients}
+        run: dict[str, Callable[..., Coro[Any]]] = {"serve": gateway, "engine": engine, "clients": clients,
+                                                    "network": network}
         return run[command[3]](made[0], Path(command[-1]))
 
     made.append(VirtualWorld(seed, programs=programs))
@@ -54,3 +56,7 @@
 
 def clients(one: VirtualWorld, path: Path) -> Coro[None]:
     yield from run_clients(one, msgspec.convert(settings_package.evaluate(path), ClientSettings))
+
+
+def network(one: VirtualWorld, path: Path) -> Coro[None]:
+    yield from run_network(one, msgspec.convert(settings_package.evaluate(path), NetworkSettings))
