loop: virtual processes can be stopped and continued; files in memory that lose what was not synced

SIGSTOP of a made-up process was a kill. Now its tasks and timers wait until SIGCONT and then come up at once, timers first, as in a loop that slept too long; its kernel still takes connections and bytes; other signals wait. VirtualWorld.files() gives files in memory: a kill (as a loss of power) takes a part of what was appended and not synced, and names whose folder was not. Timers set by a timer's call belong to its process. The log of kept files syncs its folder once it has made its file: else a crash could take the file's name with it.

--- a/stackpitch/kept/log.py
+++ b/stackpitch/kept/log.py
@@ -79,6 +79,7 @@
                 self.files.truncate(descriptor, 0)
                 self._write(descriptor, head)
                 self.files.sync(descriptor)
+                self.files.sync_folder(os.path.dirname(os.path.abspath(self.path)))  # or the name may be lost
                 raw = head
             self.good = len(head)
             for body, after in bodies(raw, self.good):
--- a/stackpitch/loop/virtual.py
+++ b/stackpitch/loop/virtual.py
@@ -1,9 +1,11 @@
 """A made-up machine: simulated clock and network, processes as groups of tasks, everything from one seed.
 
 Users of a world can't tell it from the real one. Computing takes no time here; time goes from one thing that is due to
-the next, so a minute takes as long as its work does, and the same seed gives the same order of everything. Files are
-the real ones. A process that is killed leaves at once: its connections break, its timers never fire, and its tasks are
-neither resumed nor unwound, as nothing of a killed process runs.
+the next, so a minute takes as long as its work does, and the same seed gives the same order of everything. Files that a
+program opens by itself are the real ones, those of `files()` are in memory. A process that is killed leaves at once: its
+connections break, its timers never fire, and its tasks are neither resumed nor unwound, as nothing of a killed process
+runs. One that is stopped (SIGSTOP) does nothing until it is continued, then all that came up meanwhile at once; its part of
+the network goes on: connections come about, bytes arrive.
 """
 
 import signal as signals
@@ -11,6 +13,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, TypeVar
 
+from stackpitch.loop.disk import Disk, VirtualFiles
 from stackpitch.loop.task import Coro, Task
 from stackpitch.loop.timers import Time, Timer
 from stackpitch.loop.world import Address, ConnectFailed, Lost, Stream, Watch, World
@@ -33,11 +36,34 @@
         self.arrived: deque[int] = deque()
         self.waiter: Task | None = None  # in `signals`
         self.waiting: list[Task] = []  # in `wait`
+        self.files: list[VirtualFiles] = []
+        self.stopped = False
+        # While it is stopped; emptied when it goes on.
+        self.due: list[Callable[[], None]] = []
+        self.parked: list[tuple[Task, Any, BaseException | None]] = []
+        self.pending: list[int] = []
+
+    def stop(self) -> None:
+        self.stopped = True
+
+    def go_on(self) -> None:
+        """First the timers that are due, then the tasks that were woken, as a loop does that has slept too long."""
+        self.stopped = False
+        due, self.due = self.due, []
+        parked, self.parked = self.parked, []
+        for call in due:
+            self.world.acted(self, call)
+        self.world.ready.extend(parked)
 
     def end(self, code: int) -> None:
         if self.ended is not None:
             return
         self.ended = code
+        self.due.clear()
+        for task, _, _ in self.parked:
+            task.ended = True
+        for files in self.files:
+            files.end(code < 0)
         for thing in list(self.things):
             thing.abort()
         for task in self.tasks:
@@ -65,7 +91,17 @@
         process = self.process
         if process.ended is not None:
             return
-        if number in process.caught:
+        if number == signals.SIGSTOP:
+            process.stop()
+        elif number == signals.SIGCONT:
+            if process.stopped:
+                process.go_on()
+                pending, process.pending = process.pending, []
+                for one in pending:
+                    self.signal(one)
+        elif process.stopped and number != signals.SIGKILL:
+            process.pending.append(number)
+        elif number in process.caught:
             process.arrived.append(number)
             if process.waiter is not None:
                 process.waiter.wake()
@@ -73,6 +109,23 @@
             process.end(-number)
 
 
+class VirtualTask(Task):
+    """Of a process; one that is stopped takes no step."""
+
+    __slots__ = ("process",)
+
+    def __init__(self, world: "VirtualWorld", coro: Coro[Any], name: str, done: Callable[[Task], None],
+                 process: Process) -> None:
+        super().__init__(world, coro, name, done)
+        self.process = process
+
+    def step(self, value: Any, error: BaseException | None) -> None:
+        if self.process.stopped:
+            self.process.parked.append((self, value, error))
+        else:
+            super().step(value, error)
+
+
 class VirtualStream:
     """One end of a connection. What is written arrives at the other in order, `latency` later."""
 
@@ -255,6 +308,8 @@
         self.listeners: dict[Address, VirtualListener] = {}
         self.processes: dict[Task, Process] = {}  # emptied as tasks end
         self.left: list[Task] = []  # of killed processes; bounded by what they had under way
+        self.acting: Process | None = None  # whose timer comes up now
+        self.disk = Disk(self.chance("disk"))
         self.next_port, self.next_pid = 40_000, 100
 
     def bury(self) -> None:
@@ -271,6 +326,8 @@
 
     @property
     def process(self) -> Process | None:
+        if self.acting is not None:
+            return self.acting
         task = self.current_or_none
         return self.processes.get(task) if task is not None else None
 
@@ -289,7 +346,18 @@
         process = self.process
         if process is None:
             return super().at(when, call)
-        return super().at(when, lambda: call() if process.ended is None else None)
+        return super().at(when, lambda: self.acted(process, call))
+
+    def acted(self, process: Process, call: Callable[[], None]) -> None:
+        """A timer's call, as its process: nothing of it once that has ended, later while it is stopped."""
+        if process.stopped:
+            process.due.append(call)
+        elif process.ended is None:
+            self.acting = process
+            try:
+                call()
+            finally:
+                self.acting = None
 
     def network(self, delay: Time, call: Callable[[], None]) -> None:
         """Happens whatever becomes of who caused it."""
@@ -297,10 +365,15 @@
 
     def start(self, coro: Coro[Any], name: str, done: Callable[[Task], None]) -> Task:
         process = self.process
-        task = super().start(coro, name, lambda task: self._done(task, done))
-        if process is not None:
-            self.processes[task] = process
-            process.tasks[task] = None
+        if process is None:
+            return super().start(coro, name, lambda task: self._done(task, done))
+        return self._begin(process, coro, name, lambda task: self._done(task, done))
+
+    def _begin(self, process: Process, coro: Coro[Any], name: str, done: Callable[[Task], None]) -> Task:
+        task = VirtualTask(self, coro, name, done, process)
+        task.wake()
+        self.processes[task] = process
+        process.tasks[task] = None
         return task
 
     def _done(self, task: Task, done: Callable[[Task], None]) -> None:
@@ -353,14 +426,18 @@
                     sink.write(f"{type(task.error).__name__}: {task.error}\n")
             process.end(0 if task.error is None else 1)
 
-        task = super().start(coro, f"process {process.pid}", ended)
-        self.processes[task] = process
-        process.tasks[task] = None
+        self._begin(process, coro, f"process {process.pid}", ended)
         return VirtualChild(process)
 
     def spawn_piped(self, command: Sequence[str], *, errors: str | None = None) -> tuple[VirtualChild, Stream]:
         raise OSError(38, "no pipes in a made-up world")
 
+    def files(self) -> VirtualFiles:
+        made, process = VirtualFiles(self.disk), self.process
+        if process is not None:
+            process.files.append(made)
+        return made
+
     def aside(self, call: Callable[[], T]) -> Coro[T]:
         yield from ()
         return call()
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -125,7 +125,8 @@
         if line.startswith("noted"):
             _, count, what, *facts = line.split()
             wanted = dict(fact.split("=") for fact in facts)
-            same = [one for one in records if one["what"] == what and all(str(one.get(name)) == text for name, text in wanted.items())]
+            same = [one for one in records if one["what"] == what
+                    and all(str(one.get(name)) == text for name, text in wanted.items())]
             assert len(same) == int(count), [line, records]
         else:
             assert line in found, [line, found]
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -142,6 +142,106 @@
     run(body, programs)
 
 
+def test_a_stopped_process_does_nothing_until_it_is_continued_then_all_at_once():
+    seen, made = [], []
+
+    def programs(command):
+        def server():
+            world = made[0]
+            listener = world.listen(ADDRESS)
+            world.at(world.now() + SECOND, lambda: world.at(world.now() + MS, lambda: seen.append(("chain", world.now()))))
+            stream = yield from listener.accept()
+            with world.limit(2 * SECOND) as scope:
+                seen.append(((yield from stream.recv()), world.now()))
+                yield from world.sleep(10 * SECOND)
+            seen.append(("expired", scope.expired, world.now()))
+            yield from world.signals(15)()
+
+        return server()
+
+    def body(world, group):
+        made.append(world)
+        child = world.spawn_child(["server"])
+        yield from world.sleep(MS)
+        near = yield from world.connect(ADDRESS, SECOND)
+        yield from world.sleep(MS)
+        child.signal(19)
+        begun = world.now()
+        near.write(b"while it sleeps")
+        yield from world.connect(ADDRESS, SECOND)  # its kernel takes connections
+        child.signal(2)
+        yield from world.sleep(9 * SECOND)
+        assert not seen and child.code() is None
+        child.signal(18)
+        assert child.code() == -2, "what came while it was stopped strikes when it goes on"
+        again = world.spawn_child(["server"])
+        yield from world.sleep(MS)
+        near = yield from world.connect(ADDRESS, SECOND)
+        yield from world.sleep(MS)
+        again.signal(19)
+        begun = world.now()
+        near.write(b"while it sleeps")
+        yield from world.sleep(9 * SECOND)
+        again.signal(18)
+        yield from world.sleep(MS)
+        woken = begun + 9 * SECOND
+        assert seen == [(b"while it sleeps", woken), ("expired", True, woken), ("chain", woken + MS)]
+        again.signal(19)
+        again.signal(9)
+        assert (yield from again.wait()) == -9
+        yield from world.sleep(20 * SECOND)
+        assert len(seen) == 3
+
+    run(body, programs)
+
+
+def test_files_in_memory_lose_what_was_not_synced_when_their_process_is_killed():
+    """Over many kills each loss that may come does, and never one of what was synced."""
+    found = set()
+
+    def programs(command):
+        def writer():
+            files, other = made[0].files(), made[0].files()
+            one = files.open("/d/one", create=True)
+            files.write(one, b"safe")
+            files.sync(one)
+            files.sync_folder("/d")
+            files.write(one, b"lost")
+            assert files.lock(one) and not other.lock(other.open("/d/one"))
+            two = files.open("/d/two.new", create=True)
+            files.write(two, b"two")
+            files.sync(two)
+            files.rename("/d/two.new", "/d/two")
+            if command == ["ends"]:
+                return
+            yield from made[0].sleep(SECOND)
+
+        return writer()
+
+    made = []
+
+    def body(world, group):
+        made[:] = [world]
+        for _ in range(60):
+            world.disk.names.clear()
+            child = world.spawn_child(["killed"])
+            yield from world.sleep(MS)
+            assert child.code() is None
+            child.signal(9)
+            files = world.files()
+            one = files.open("/d/one")
+            assert files.lock(one), "the lock goes with its holder"
+            there = tuple(name for name in ("/d/two", "/d/two.new") if name in world.disk.names)
+            found.add((files.read(one, 0, 99), there))
+        world.disk.names.clear()
+        assert (yield from world.spawn_child(["ends"]).wait()) == 0
+        assert bytes(world.disk.names["/d/one"].data) == b"safelost" and "/d/two" in world.disk.names
+
+    run(body, programs)
+    assert {data for data, _ in found} == {b"safe", b"safel", b"safelo", b"safelos", b"safelost"}
+    assert {there for _, there in found} == {(), ("/d/two",), ("/d/two.new",)}
+
+
 def test_a_world_in_which_nothing_is_due_says_so():
     world = VirtualWorld()
 
