--- /dev/null
+++ b/stackpitch/rehearse/judging/calm.py
@@ -0,0 +1,87 @@
+"""When a majority of voters could talk with each other and with a candidate: processes there, no fault between them."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from itertools import combinations
+
+from stackpitch.loop import SECOND, Time
+from stackpitch.rehearse.judging.lives import FOREVER, Lives, Span
+from stackpitch.rehearse.records import Record
+
+HARMLESS = frozenset({"repeat"})  # every call still arrives, in time
+LEARNS: Time = 2 * SECOND  # in which a voter that lost its file learns from the others, once it can
+
+
+@dataclass(slots=True)
+class Calm:
+    """A run of time in which these voters and this candidate had no trouble with each other."""
+
+    voters: tuple[int, ...]
+    candidate: int
+    begin: Time
+    end: Time
+
+
+def faults(records: Iterable[Record]) -> dict[tuple[int, int], list[Span]]:
+    """By unordered pair: when a fault lay on either path."""
+    on: dict[str, tuple[Time, list[tuple[int, int]]]] = {}
+    found: dict[tuple[int, int], list[Span]] = defaultdict(list)
+
+    def close(name: str, until: Time) -> None:
+        since, pairs = on.pop(name)
+        for pair in pairs:
+            found[pair].append((since, until))
+
+    for one in records:
+        if one["what"] != "fault":
+            continue
+        if one["name"] in on:
+            close(one["name"], one["at"])
+        if one["on"] and one["kind"] not in HARMLESS:
+            on[one["name"]] = one["at"], sorted({(min(path), max(path)) for path in one["paths"]})
+    for name in list(on):
+        close(name, FOREVER)
+    return found
+
+
+def free(spans: Iterable[Span], last: Time) -> list[Span]:
+    """The times between spans, up to the last."""
+    found: list[Span] = []
+    at: Time = 0
+    for begin, end in sorted(spans):
+        if begin > at:
+            found.append((at, min(begin, last)))
+        at = max(at, end)
+    if at < last:
+        found.append((at, last))
+    return [one for one in found if one[0] < one[1]]
+
+
+def not_whole(lives: Lives, pairs: dict[tuple[int, int], list[Span]], voters: tuple[int, ...],
+              last: Time) -> dict[int, list[Span]]:
+    """Of each voter whose file was harmed: until it could have learnt from a majority of voters other than itself."""
+    found: dict[int, list[Span]] = {number: [] for number in voters}
+    for number in voters:
+        for begin, end in lives.hurt[number]:
+            until: Time = FOREVER
+            for others in combinations([one for one in voters if one != number], len(voters) // 2 + 1):
+                spans = [one for other in others for one in lives.away(other) + pairs[min(number, other), max(number, other)]]
+                spans += lives.down[number] + lives.stopped[number] + [(0, end)]
+                until = min([until, *(one + LEARNS for one, over in free(spans, last) if over - one >= LEARNS)])
+            found[number].append((begin, until))
+    return found
+
+
+def read(records: list[Record], lives: Lives, voters: tuple[int, ...], gateways: int, last: Time) -> list[Calm]:
+    pairs = faults(records)
+    unlearnt = not_whole(lives, pairs, voters, last)
+    found: list[Calm] = []
+    for some in combinations(sorted(voters), len(voters) // 2 + 1):
+        for candidate in range(gateways):
+            there = sorted({*some, candidate})
+            spans = [one for number in there for one in lives.down[number] + lives.stopped[number]]
+            spans += [one for number in some for one in lives.hurt[number] + unlearnt[number]]
+            spans += [one for two in combinations(there, 2) for one in pairs[two]]
+            found += [Calm(some, candidate, begin, end) for begin, end in free(spans, last)]
+    return found
