--- a/stackpitch/rehearse/judging/acts.py
+++ b/stackpitch/rehearse/judging/acts.py
@@ -48,7 +48,7 @@
         if what == "call" and "kind" in one:
             term, start = one["stamp"]
             acts[one["call"]] = Act(one["call"], one["sender"], one["to"], one["duty"], one["kind"], (term, start), at,
-                                    round(one.get("ms", 0) * 10))
+                                    one.get("ticks", 0))
             continue
         act = acts.get(one.get("call", 0))
         if act is None:
--- a/stackpitch/rehearse/network/sight.py
+++ b/stackpitch/rehearse/network/sight.py
@@ -10,7 +10,7 @@
 
 
 class _Lease(msgspec.Struct):
-    ms: float = 0.0
+    ticks: int  # what the owner will count, in tenths of a millisecond
 
 
 def of_call(path: str, body: bytes) -> dict[str, Any]:
@@ -25,7 +25,7 @@
                              "said": [call.sender, call.to]}
     if call.kind == "lease":
         try:
-            found["ms"] = msgspec.json.decode(call.body, type=_Lease).ms
+            found["ticks"] = msgspec.json.decode(call.body, type=_Lease).ticks
         except msgspec.DecodeError:
             pass  # its receiver will say so
     return found
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -25,7 +25,7 @@
     def call(self, at, sender, to, kind, stamp, rest=()):
         self.calls += 1
         term, _, start = stamp.partition(".")
-        facts = {"ms": 3000} if kind == "lease" else {}
+        facts = {"ticks": 30_000} if kind == "lease" else {}
         self.note(at, "network", "call", call=self.calls, sender=sender, to=to, duty="weights", kind=kind,
                   stamp=[int(term), int(start or 1)], **facts)
         words = list(rest) or ["yes", float(at) + 2, float(at) + 4]
