--- a/stackpitch/cli/main.py
+++ b/stackpitch/cli/main.py
@@ -138,9 +138,9 @@
     from stackpitch.rehearse.director import play
 
     progress = Console(stderr=True)
-    if seeds is not None or (virtual and broken):
+    if seeds is not None:
         if not virtual or broken:
-            raise Asked("--seeds goes with --virtual, and neither with --broken")
+            raise Asked("--seeds goes with --virtual, not with --broken")
         first, dots, last = (seeds or "").partition("..")
         if not (dots and first.isdigit() and last.isdigit() and int(first) <= int(last)):
             raise Asked(f"--seeds {seeds!r}: A..B is wanted, as 1..50")
@@ -156,7 +156,7 @@
         if virtual:
             from stackpitch.rehearse.virtual import play as play_virtual
 
-            outcome = play_virtual(read, keep, say)
+            outcome = play_virtual(read, keep, say, broken)
         else:
             outcome = play(RealWorld(read.seed), read, keep, broken, say)
     except BadSettings as wrong:
--- a/stackpitch/cli/show.py
+++ b/stackpitch/cli/show.py
@@ -4,23 +4,24 @@
 from rich.table import Table
 
 from stackpitch.rehearse.director import Outcome
-from stackpitch.rehearse.rules import NAMES
+from stackpitch.rehearse.judging import WORDS as DUTIES
 
 WORDS = {1: "exactly one final answer in time", 2: "no effect twice", 3: "nothing new to a drained server",
-         4: "no cold server pushed over", 5: "nothing left pinned"}
+         4: "no cold server pushed over", 5: "nothing left pinned", **DUTIES}
 
 
 def show(outcome: Outcome, console: Console, stories: int = 2) -> None:
-    table = Table(title=f"{outcome.day}: the five rules (simulated servers)", title_justify="left")
+    what = "the five rules" if len(outcome.names) == 5 else "the five rules, and duties"
+    table = Table(title=f"{outcome.day}: {what} (simulated servers)", title_justify="left")
     for column in ("rule", "", "breaches", "verdict"):
         table.add_column(column)
-    for rule, name in NAMES.items():
+    for rule, name in outcome.names.items():
         count = sum(one.rule == rule for one in outcome.breaches)
         table.add_row(name, WORDS[rule], str(count), "[green]kept[/]" if not count else "[red]BROKEN[/]")
     console.print(table)
-    for rule in NAMES:
+    for rule in outcome.names:
         for breach in [one for one in outcome.breaches if one.rule == rule][:stories]:
-            console.print(f"[red]{NAMES[rule]}[/] {breach.key}: {breach.text}", highlight=False)
+            console.print(f"[red]{outcome.names[rule]}[/] {breach.key}: {breach.text}", highlight=False)
             for line in breach.story[:60]:
                 console.print(f"    {line}", highlight=False, markup=False, soft_wrap=True)
     figures = Table(title="Revenue within the SLO time over revenue asked (G)", title_justify="left")
--- a/stackpitch/loop/task.py
+++ b/stackpitch/loop/task.py
@@ -204,6 +204,8 @@
         try:
             result = yield from body(group)
             yield from group.join()
+        except GeneratorExit:
+            raise  # let go of from outside, by a world that is over: nothing can be waited for
         except BaseException as wrong:
             if not isinstance(wrong, Cancelled):
                 errors.append(wrong)
--- a/stackpitch/rehearse/director/places.py
+++ b/stackpitch/rehearse/director/places.py
@@ -38,3 +38,14 @@
     listed: dict[str, str] = field(default_factory=dict)  # states in its list
     telling: bool = False
     news: int = 0  # calls that were to be made
+    votes: str = ""  # its voter's file
+
+
+@dataclass(slots=True)
+class Net:
+    """The network between gateways' admin ports; `port` is its control, `links` what each ordered pair calls."""
+
+    port: int
+    links: dict[tuple[int, int], int]
+    name: str = "network"
+    child: Child | None = None
--- a/stackpitch/rehearse/director/processes.py
+++ b/stackpitch/rehearse/director/processes.py
@@ -7,7 +7,7 @@
 from stackpitch.rehearse.director import settings
 from stackpitch.rehearse.director.calls import reachable
 from stackpitch.rehearse.director.lists import Lists
-from stackpitch.rehearse.director.places import Post, Seat
+from stackpitch.rehearse.director.places import Net, Post, Seat
 from stackpitch.rehearse.director.stage import Stage
 
 
@@ -37,6 +37,13 @@
         post.child = self.run(post.name, settings.gateway(self.stage, post), *words)
         self.stage.recorder.note("started", name=post.name)
 
+    def start_network(self, net: Net) -> None:
+        net.child = self.run(net.name, settings.network(self.stage, net), "network")
+
+    def up(self, post: Post) -> Coro[None]:
+        yield from reachable(self.stage, post)
+        self.stage.recorder.note("listens", name=post.name)
+
     def start_clients(self) -> Child:
         return self.run("clients", settings.clients(self.stage), "clients")
 
--- a/stackpitch/rehearse/director/settings.py
+++ b/stackpitch/rehearse/director/settings.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from stackpitch.rehearse.day import TRAFFIC_TROUBLES
-from stackpitch.rehearse.director.places import HOST, Post, Seat
+from stackpitch.rehearse.director.places import HOST, Net, Post, Seat
 from stackpitch.rehearse.director.stage import Stage
 
 
@@ -25,7 +25,7 @@
     kinds = {name: {"role": one.role, "memory_tok": one.memory_tok} for name, one in day.kinds.items()}
     module = day.module.model_dump() | {"gateways": day.gateways, "number": post.number,
                                         "zone": day.module.zone or day.fleet[0].zone}
-    return {
+    found = {
         "name": post.name, "seed": day.seed * 1000 + post.number, "roster": str(stage.folder / f"{post.name}.fleet"),
         "kept": str(stage.folder / f"{post.name}.kept"), "membership": day.membership.model_dump(),
         "door": {"port": post.port, "bytes_per_tok": day.bytes_per_tok},
@@ -34,6 +34,20 @@
         "customers": {name: one.model_dump() | {"keys": [name]} for name, one in day.customers.items()},
         "kinds": kinds, "load": day.load.model_dump(), "stop": {"finish_ms": 5000.0},
     }
+    if stage.net is not None:
+        found["duties"] = day.duties.model_dump() | {"file": post.votes}
+        found["peers"] = {"admin": [f"{HOST}:{stage.net.links.get((post.number, one.number), one.admin)}"
+                                    for one in stage.posts.values()]}
+    return found
+
+
+def network(stage: Stage, net: Net) -> dict[str, Any]:
+    admin = {one.number: one.admin for one in stage.posts.values()}
+    return {
+        "port": net.port, "records": str(stage.folder / "network.jsonl"), "seed": stage.day.seed,
+        "links": [{"sender": sender, "to": to, "port": port, "target": (HOST, admin[to])}
+                  for (sender, to), port in net.links.items()],
+    }
 
 
 def clients(stage: Stage) -> dict[str, Any]:
--- /dev/null
+++ b/stackpitch/rehearse/director/troubles/struck.py
@@ -0,0 +1,31 @@
+"""Which gateways a trouble strikes."""
+
+import msgspec
+
+from stackpitch.loop import Coro
+from stackpitch.rehearse.day import Trouble
+from stackpitch.rehearse.director.calls import call
+from stackpitch.rehearse.director.places import HOST, Post
+from stackpitch.rehearse.director.stage import Stage
+
+OWNER = "owner"
+
+
+def gateways(stage: Stage, trouble: Trouble) -> Coro[list[Post]]:
+    """Those named, or a part of all by chance. An owner that the network has not seen yet is g0."""
+    posts = list(stage.posts.values())
+    if not trouble.names:
+        return stage.random.sample(posts, max(1, min(len(posts), round(trouble.part * len(posts)))))
+    found: dict[str, Post] = {}
+    for name in trouble.names:
+        if name.partition(".")[0] == OWNER:
+            name = yield from owner(stage, name.partition(".")[2] or stage.day.duties.names[0])
+        found[name] = stage.posts[name]
+    return list(found.values())
+
+
+def owner(stage: Stage, duty: str) -> Coro[str]:
+    assert stage.net is not None
+    answer = yield from call(stage.world, (HOST, stage.net.port), "/owner", b"")
+    known = msgspec.json.decode(b"".join(answer.pieces)) if answer is not None and answer.status == 200 else {}
+    return f"g{known.get(duty, 0)}"
--- a/stackpitch/rehearse/network/control.py
+++ b/stackpitch/rehearse/network/control.py
@@ -10,10 +10,10 @@
 
 
 class Control:
-    """`change` is told each fault."""
+    """`change` is told each fault; `owners` gives who was last seen to act as owner, by duty."""
 
-    def __init__(self, world: World, change: Callable[[Fault], None]) -> None:
-        self.world, self.change = world, change
+    def __init__(self, world: World, change: Callable[[Fault], None], owners: Callable[[], dict[str, int]]) -> None:
+        self.world, self.change, self.owners = world, change, owners
 
     def serve(self, group: Group, listener: Listener) -> Coro[None]:
         while True:
@@ -28,6 +28,10 @@
                 if not data:
                     return
                 reader.feed(data)
+            if reader.path == "/owner":
+                stream.write(http.response(200, msgspec.json.encode(self.owners()), [("connection", "close")]))
+                yield from stream.drain()
+                return
             try:
                 self.change(msgspec.json.decode(reader.body(), type=Fault))
             except msgspec.DecodeError as wrong:
--- a/stackpitch/rehearse/network/passing.py
+++ b/stackpitch/rehearse/network/passing.py
@@ -25,6 +25,7 @@
         self.numbers = count(1)
         self.under_way = 0
         self.waiting: dict[Task, None] = {}
+        self.owners: dict[str, int] = {}  # who was last seen to act as owner; one entry a duty that gateways know
 
     def changed(self) -> None:
         """The weather has: whoever waits looks again."""
@@ -55,13 +56,16 @@
                 return
             number, path = next(self.numbers), (link.sender, link.to)
             fate = self.weather.fate(path)
+            seen = sight.of_call(reader.path, reader.body())
             self.recorder.note("call", call=number, sender=link.sender, to=link.to, path=reader.path,
-                               suffered=list(fate.suffered), **sight.of_call(reader.path, reader.body()))
+                               suffered=list(fate.suffered), **seen)
             request = http.request(reader.method, reader.url.decode("latin-1"), "network", reader.body(),
                                    [("connection", "close")])
             if fate.repeat and not fate.lost:
                 group.spawn(self.again(link, number, reader.path, request, fate), "again")
             answer = yield from self.passed(link, number, 0, reader.path, request, fate)
+            if answer is not None and seen.get("kind") in ("owner", "write") and b'"word":"yes"' in answer:
+                self.owners[seen["duty"]] = link.sender
             if answer is not None and (yield from self.back(link, number, stream, answer)):
                 return
             yield from self.silence(stream)
--- a/stackpitch/rehearse/network/run.py
+++ b/stackpitch/rehearse/network/run.py
@@ -25,11 +25,13 @@
         weather.change(fault)
         passing.changed()
 
+    control = Control(world, change, lambda: passing.owners)
+
     def body(group: Group) -> Coro[None]:
         for link in settings.links:
             listener = world.listen((settings.host, link.port))
             group.spawn(passing.serve(group, link, listener), f"link {link.sender} to {link.to}")
-        group.spawn(Control(world, change).serve(group, world.listen((settings.host, settings.port))), "control")
+        group.spawn(control.serve(group, world.listen((settings.host, settings.port))), "control")
         recorder.note("up", links=len(settings.links))
         yield from caught()
         group.cancel()
--- a/stackpitch/rehearse/rules.py
+++ b/stackpitch/rehearse/rules.py
@@ -12,6 +12,7 @@
 from stackpitch.rehearse.records import Record
 
 NAMES = {1: "answered", 2: "effects", 3: "drains", 4: "cold", 5: "pinned"}
+CATCH_UP = 10_000  # after SIGCONT: what came in meanwhile is late already
 FINAL = ("streamed", "throttled", "terminated")
 
 
@@ -67,6 +68,7 @@
         self.places = places  # engine to zone and cell
         self.last = records[-1]["at"] if records else 0
         self.down: dict[str, list[tuple[int, int]]] = defaultdict(list)  # process to when it was not there
+        self.halted: dict[str, list[tuple[int, int]]] = defaultdict(list)  # process to when it was stopped (SIGSTOP)
         self.legs: list[Leg] = []
         self.asks: dict[tuple[str, int], list[Record]] = defaultdict(list)
         self.by_key: dict[str, list[Record]] = defaultdict(list)
@@ -78,6 +80,7 @@
 
     def _read(self) -> None:
         gone: dict[str, int] = {}
+        asleep: dict[str, int] = {}
         open_legs: dict[tuple[str, str, int, str], list[Leg]] = defaultdict(list)
         open_states: dict[tuple[str, str, str], Record] = {}
         for one in self.records:
@@ -94,6 +97,10 @@
                     legs.clear()
             elif what == "started" and one["name"] in gone:
                 self.down[one["name"]].append((gone.pop(one["name"]), at))
+            elif what == "stopped":
+                asleep.setdefault(one["name"], at)
+            elif what == "continued" and one["name"] in asleep:
+                self.halted[one["name"]].append((asleep.pop(one["name"]), at + CATCH_UP))
             elif what == "told":
                 for server, state in one["states"].items():
                     self.told[one["gateway"], server].append((at, state))
@@ -122,11 +129,16 @@
                 self.asks[one["key"], one["number"]].append(one)
         for name, since in gone.items():
             self.down[name].append((since, self.last + 1))
+        for name, since in asleep.items():
+            self.halted[name].append((since, self.last + 1))
         self.held += [(begun, None, self.last) for begun in open_states.values()]
 
     def was_down(self, name: str, since: int, until: int) -> bool:
         return any(begin <= until and end >= since for begin, end in self.down.get(name, ()))
 
+    def was_halted(self, name: str, since: int, until: int) -> bool:
+        return any(begin <= until and end >= since for begin, end in self.halted.get(name, ()))
+
     def verdict(self) -> list[Breach]:
         found = [*self.answered(), *self.effects(), *self.drains(), *self.cold(), *self.pinned()]
         for breach in found:
@@ -149,6 +161,8 @@
                 yield Breach(1, key, f"{name}: something came after the final answer")
             if how == "garbled":
                 yield Breach(1, key, f"{name}: no proper answer: {end.get('why')}")
+            elif self.was_halted(ask["gateway"], ask["at"], end["at"]):
+                continue  # a stopped process can keep no time limit; what it does on waking is judged by the other rules
             elif how == "late" or (how in ("throttled", "terminated") and end.get("first") is None and late > 0):
                 yield Breach(1, key, f"{name}: no final answer within {ask['limit_ms']} ms")
             elif how == "streamed" and (end["first"] or 0) - ask["at"] > ask["limit_ms"] * 10 + self.figures.answer_slack:
@@ -218,8 +232,8 @@
             gen = begun["state"].rpartition("-")[0]
             ours = legs[gen]
             since = min([begun["at"], *(leg.at for leg in ours)])
-            if self.was_down(begun["gateway"], since, until):
-                continue  # what a killed gateway left is not its duty any more
+            if self.was_down(begun["gateway"], since, until) or self.was_halted(begun["gateway"], since, until):
+                continue  # what a killed gateway left is not its duty any more, and a stopped one can't
             # Numbers missing among the legs seen are of legs that reached no engine: each was out for a connect limit
             # at most. After the last one seen there may have been as many as were left.
             free, at, last = 0, begun["at"], -1
