Voters whose file is gone, older or given to two processes don't vote as if nothing were

Cause: hard cases of the issue Duties, caused on processes: a voter back with an empty file while another is dead (no owner until the dead one is back, then terms above all that was promised), two of three files lost (an error that asks for duties.generation; raised, terms go on above), an older copy brought back (noticed by what the others heard), two processes with one file (the second serves and does not vote), calls that are malformed, oversized, astray, of another fleet, form or start (dropped, or turned down).

--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -1,11 +1,13 @@
 """Duties on several processes of the program, with faults between and under them."""
 
 import signal
+import subprocess
+import sys
 import time
 
 import msgspec
 import pytest
-from duties_stage import LEASE_MS, Fleet, number_of, order
+from duties_stage import LEASE_MS, ROOT, Fleet, number_of, order
 
 from stackpitch.duties.ownership.voter import Promise
 
@@ -86,3 +88,113 @@
         assert down[0]["why"] == "its lease ran out"
         time.sleep(0.5)
         assert fleet.owner() == (after, later)
+
+
+def joined(fleet, number):
+    """Whether this start of it votes."""
+    lines = fleet.log(number)
+    last = max((at for at, line in enumerate(lines) if line["event"] == "serving"), default=0)
+    return any(line["event"] == "voter_joins" for line in lines[last:])
+
+
+def test_a_voter_without_its_file_does_not_vote_while_another_is_dead(tmp_path):
+    """It learns from a majority of the others first; with too few of them there is no owner, and none that does harm."""
+    with Fleet(tmp_path, 4, [0, 1, 2]) as fleet:
+        fleet.start(0, 1, 2, 3)
+        number, term = fleet.new_owner()
+        dead, empty = [one for one in (0, 1, 2) if one != number][:2]
+        fleet.signal(dead, signal.SIGKILL)
+        fleet.signal(empty, signal.SIGKILL)
+        (tmp_path / f"votes{empty}").unlink()
+        fleet.start(empty)
+        fleet.wait(lambda: any(word == "stepped down" and line["term"] == term for word, _, line in fleet.words()), 5)
+        fleet.wait(lambda: any(line["event"] == "voter_waits" for line in fleet.log(empty)), 5)
+        time.sleep(2 * LEASE_MS / 1000)
+        assert fleet.owner() is None and not joined(fleet, empty)
+        fleet.start(dead)
+        _later, its_term = fleet.new_owner(term, 8)
+        assert joined(fleet, empty) and order(its_term) > order(term)
+        assert all(one.stamp.term >= number_of(term) for one in promises(fleet).values())
+
+
+def test_a_majority_that_lost_its_files_wants_an_operators_word(tmp_path):
+    with Fleet(tmp_path, 3, [0, 1, 2]) as fleet:
+        fleet.start(0, 1, 2)
+        number, term = fleet.new_owner()
+        lost = [one for one in (0, 1, 2) if one != number]
+        for one in lost:
+            fleet.signal(one, signal.SIGKILL)
+            (tmp_path / f"votes{one}").unlink()
+        fleet.start(*lost)
+        said = fleet.wait(lambda: [line for one in lost for line in fleet.log(one) if line["event"] == "voter_waits"
+                                   and "raise duties.generation" in line["why"]], 6)
+        assert "2 of 3 voters have no file" in said[0]["why"]
+        time.sleep(LEASE_MS / 1000)
+        assert fleet.owner() is None
+        for one in (0, 1, 2):
+            fleet.signal(one, signal.SIGKILL)
+        fleet.duties["generation"] = 1
+        fleet.start(0, 1, 2)
+        _, later = fleet.new_owner(term, 8)
+        assert later.startswith("1."), "its terms go on above those of the generation before"
+
+
+def test_an_older_copy_of_its_file_and_a_second_process_with_it(tmp_path):
+    with Fleet(tmp_path, 3, [0, 1, 2]) as fleet:
+        fleet.start(0, 1, 2)
+        number, term = fleet.new_owner()
+        copied = next(one for one in (0, 1, 2) if one != number)
+        copy = (tmp_path / f"votes{copied}").read_bytes()
+        fleet.signal(number, signal.SIGTERM)
+        fleet.processes[number].wait()
+        fleet.start(number)
+        _owner, term = fleet.new_owner(term)
+        fleet.wait(lambda: joined(fleet, number))
+        time.sleep(2 * LEASE_MS / 1000)  # renewals tell the others how often it has written
+        fleet.signal(copied, signal.SIGKILL)
+        (tmp_path / f"votes{copied}").write_bytes(copy)
+        fleet.start(copied)
+        said = fleet.wait(lambda: [line for line in fleet.log(copied) if line["event"] == "voter_older"], 6)
+        assert "Don't bring voters' files back from copies" in said[0]["why"]
+        fleet.wait(lambda: joined(fleet, copied), 6)
+        fleet.wait(lambda: all(one.stamp.term >= number_of(term) for one in promises(fleet).values()), 4)
+
+        spare = Fleet(tmp_path, 3, [0, 1, 2])  # voter 0 once more, as another process that was given the same file
+        spare.ports = [port + 100 for port in fleet.ports]
+        path = tmp_path / "twin.json"
+        settings = spare.settings(0)
+        settings["peers"]["admin"][1:] = [f"127.0.0.1:{port}" for port in fleet.ports[1:]]
+        path.write_text(msgspec.json.encode(settings).decode())
+        log = tmp_path / "twin.log"
+        with open(log, "ab") as sink:
+            twin = subprocess.Popen([sys.executable, "-m", "stackpitch", "serve", "-c", str(path)], cwd=ROOT, stderr=sink)
+        try:
+            fleet.wait(lambda: b"voter_out" in log.read_bytes(), 6)
+            assert b"FileTaken" in log.read_bytes() and b"give each its own duties.file" in log.read_bytes() and twin.poll() is None
+        finally:
+            twin.kill()
+            twin.wait()
+
+
+def test_what_is_astray_malformed_or_from_another_fleet_is_dropped(tmp_path):
+    with Fleet(tmp_path, 2, [0]) as fleet:
+        fleet.start(0, 1)
+        number, term = fleet.new_owner()
+        other = 1 - number
+        known = number_of(term)
+        fleet.wait(lambda: fleet.call(other, "owner", known, 1) != "" and fleet.call(other, "owner", 1, 1).stamp.term == known, 3)
+        for said, wrong in {
+            "another fleet": {"fleet": "other"}, "update the receiver": {"form": 2}, "update the sender": {"form": -1, "fleet": "hall"},
+            "for another gateway": {"addressed": 7}, "unknown sender": {"sender": 9}, "unknown duty": {"duty": "lunch"},
+            "malformed": {"kind": "lease", "body": {"ticks": "long"}}}.items():
+            to = 0 if said == "malformed" else other
+            answer = fleet.call(to, wrong.pop("kind", "owner"), known + (1 << 10), 1, **wrong)
+            assert isinstance(answer, str) and (said in answer or (said == "update the sender" and "malformed" in answer)), (said, answer)
+        assert "malformed" in fleet.post(other, b"{") and "over" in fleet.post(other, b" " * 600_000)
+        assert fleet.call(other, "owner", known - (1 << 10), 1).word == "older term"
+        assert fleet.call(other, "owner", known, 12345).word == "older term", "the same term from another start"
+        higher = fleet.call(number, "owner", known + (5 << 10), 7)
+        assert higher.yes
+        down = fleet.wait(lambda: [line for word, _, line in fleet.words() if word == "stepped down" and line["term"] == term])
+        assert "was heard of" in down[0]["why"]
+        assert order(fleet.new_owner(term)[1]) > order(term)
