--- a/stackpitch/rehearse/judging/owners.py
+++ b/stackpitch/rehearse/judging/owners.py
@@ -31,4 +31,5 @@
     held = holds.read(calls, known, figures.voters)
     able = calm.read(records, known, figures.voters, figures.gateways, last)
     return [*fences.out_of_order(calls, known, FENCED), *holds.overlapping(held, ALONE),
+            *holds.without_a_lease(calls, held, known, ALONE),
             *manned.unmanned(figures.duties, held, able, known, last, figures.crash, figures.handover, MANNED)]
--- /dev/null
+++ b/tests/days/owners.jsonnet
@@ -0,0 +1,33 @@
+// Short days with duties for the tests; `play` names one. Leases are short, so that a day is.
+local lib = import '../../days/lib.libsonnet';
+local small = lib.day('owners', 14, 4, 1, 2, 3) + {
+  products+: { consulta+: { time_limit_ms: 6000 } },
+  rules: { answer_slack_ms: 400 },
+  notice_s: 0.3,
+  tail_s: 20,
+  duties: { fleet: 'hall', voters: [0, 1, 2], names: ['weights', 'vocabulary'], lease_ms: 1000, call_ms: 200, announce_ms: 500 },
+};
+local late = small {
+  // What the owner says is held past its lease, and arrives after its successor's.
+  troubles: [
+    { kind: 'net-hold', at_s: 4, for_s: 4, names: ['owner.weights'], way: 'out' },
+    { kind: 'net-repeat', at_s: 9, for_s: 5, names: ['owner.vocabulary'], strength: 4000 },
+    { kind: 'gateway-kill', at_s: 10, for_s: 1, names: ['owner.vocabulary'] },
+  ],
+};
+{
+  good: small {
+    troubles: [
+      { kind: 'gateway-stop', at_s: 2, for_s: 2, names: ['owner.weights'] },
+      { kind: 'net-one-way', at_s: 5, for_s: 2, names: ['owner.vocabulary'] },
+      { kind: 'gateway-term', at_s: 8, for_s: 1, names: ['owner.weights'] },
+      { kind: 'net-cut', at_s: 10, for_s: 2, names: ['owner.weights', 'g0'] },
+    ],
+  },
+  late: late,
+  fenceless: late,
+  leaseless: small { troubles: [{ kind: 'net-one-way', at_s: 4, for_s: 4, names: ['owner.weights'] }] },
+  forgetful: small { length_s: 2 },
+  hasty: small { troubles: [{ kind: 'voter-empty', at_s: at, for_s: 0.1, names: ['g0', 'g1'] } for at in [3, 5, 7, 9, 11]] },
+  ownerless: small,
+}[std.extVar('play')]
--- /dev/null
+++ b/tests/test_owner_days.py
@@ -0,0 +1,43 @@
+"""Days with duties: kept by the program as processes and in made-up time, and broken gateways that the checker catches."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+BROKEN = {"fenceless": "O1", "leaseless": "O2", "forgetful": "O2", "hasty": "O2", "ownerless": "O3"}
+
+
+def outcome(play: str, *more: str) -> dict:
+    command = [sys.executable, "-m", "stackpitch", "rehearse", "tests/days/owners.jsonnet", "--json", "--set", f"play={play}"]
+    done = subprocess.run([*command, *more], cwd=ROOT, capture_output=True, timeout=150)
+    assert done.stdout, done.stderr.decode()[-2000:]
+    return json.loads(done.stdout) | {"exit": done.returncode}
+
+
+@pytest.mark.parametrize("play", ["good", "late"])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_day_with_duties_keeps_all_rules(play: str, seed: int, tmp_path: Path) -> None:
+    found = outcome(play, "--virtual", "--set", f"seed={seed}", "--keep", str(tmp_path))
+    assert found["exit"] == 0 and not any(found["rules"].values()), found["breaches"]
+    assert set(found["rules"]) >= {"O1", "O2", "O3"}
+    records = [json.loads(line) for line in (tmp_path / "network.jsonl").read_text().splitlines()]
+    terms = {(one["duty"], one["stamp"][0]) for one in records if one["what"] == "call" and one.get("kind") == "owner"}
+    assert len(terms) >= 4, "owners of both duties had to change"
+    if play == "late":
+        down = [one for one in records if one["what"] == "answered" and one.get("word") == "older term"]
+        assert down, "what came late had to be turned down"
+
+
+def test_the_same_as_processes() -> None:
+    found = outcome("good")
+    assert found["exit"] == 0 and found["ends"]["streamed"] > 10, found["breaches"]
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_gateways_broken_on_purpose_are_caught(name: str) -> None:
+    found = outcome(name, "--virtual", "--broken", name)
+    assert found["rules"][BROKEN[name]] > 0 and found["exit"] == 1, found["rules"]
