--- a/stackpitch/duties/carrier/desk.py
+++ b/stackpitch/duties/carrier/desk.py
@@ -23,6 +23,7 @@
         self.voting: Voting | None = None
         self.ownings: dict[str, Owning] = {}
         self.owners: dict[str, int] = {}
+        self.learned = False  # what terms were in service before this start (`learning`)
         self.dropped: Counter[str] = Counter()
 
     def take(self, body: bytes) -> Coro[tuple[int, bytes]]:
@@ -71,6 +72,8 @@
         if call.kind == "vacant":
             return owning.told(call)
         if call.stamp.term:  # an effect
+            if not self.learned:
+                return Answer("not yet")  # its sender tries again; voters that are all dead have no owner either
             if not self.fence.admits(call.duty, call.stamp):
                 return Answer("older term", self.fence.known(call.duty))
             owning.outdone(call.stamp)
--- a/stackpitch/duties/carrier/duties.py
+++ b/stackpitch/duties/carrier/duties.py
@@ -7,6 +7,7 @@
 from stackpitch.duties.calls import LARGEST, Answer
 from stackpitch.duties.carrier.desk import Desk
 from stackpitch.duties.carrier.figures import Figures
+from stackpitch.duties.carrier.learning import learn
 from stackpitch.duties.carrier.owning import Owning
 from stackpitch.duties.carrier.posts import Posts
 from stackpitch.duties.carrier.voting import Voting
@@ -45,6 +46,7 @@
         if figures.number in figures.voters:
             self.desk.voting = Voting(self.world, group, self.log, figures, self.posts)
             group.spawn(self.desk.voting.run(), "voter")
+        group.spawn(learn(self.world, figures, self.posts, self.desk), "learn")
         for name, work in self.works.items():
             group.spawn(work.serve(), name)
 
--- a/stackpitch/settings/model/duties.py
+++ b/stackpitch/settings/model/duties.py
@@ -18,7 +18,7 @@
     lease_ms: Annotated[float, Field(ge=200, le=60000)] = 3000
     drift: Annotated[float, Field(ge=0, le=0.1)] = 0.01  # share that a clock may gain or lose against true time
     call_ms: Some = 250  # for a call between gateways, connecting included, after which it counts as lost
-    announce_ms: Some = 10000  # in which an owner tells each gateway once more that it is there
+    announce_ms: Some = 60000  # in which an owner tells each gateway once more that it is there
     max_calls: Count = 64  # under way at once from this gateway; others wait
 
     @model_validator(mode="after")
