Weights run on gateways: grants from the owner, pieces over the admin port, engines told what to load

Cause: the duty's parts were played on a made-up ground; on processes they need the admin port, the settings and the site's engines.

--- a/stackpitch/duties/carrier/duties.py
+++ b/stackpitch/duties/carrier/duties.py
@@ -30,6 +30,10 @@
         self.desk = Desk(log, figures, self.fence, self.works)
         self.posts = Posts(world, figures, self.desk.heard)
 
+    def add(self, work: Work) -> None:
+        """Before it runs."""
+        self.works[work.name] = work
+
     def run(self) -> Coro[None]:
         """Runs as long as the gateway does. A fault here ends the duties, never the gateway."""
         try:
--- a/stackpitch/duties/weights/work.py
+++ b/stackpitch/duties/weights/work.py
@@ -22,6 +22,11 @@
 STEADY: Time = SECOND // 2  # while something is fetched
 
 
+def numbered(gateway: int) -> str:
+    """A neighbour's address as a grant carries it."""
+    return f"#{gateway}"
+
+
 class NoEngines:
     """Where nobody says what runs on which weights: all may be in use, so nothing is removed."""
 
@@ -50,7 +55,7 @@
         self.reported: Time = 0
 
     def own(self, tenure: Tenure, value: bytes) -> Coro[None]:
-        owner = self.owner = Owner(self.world, tenure, self.file, self.address, self.allowed, self.log)
+        owner = self.owner = Owner(self.world, tenure, self.file, numbered, self.allowed, self.log)
         try:
             yield from owner.run(value)
         finally:
@@ -71,13 +76,21 @@
         elif kind == "place":
             word = self.receiver.place(stamp, msgspec.json.decode(body, type=forms.Place))
         elif kind == "grant":
-            word = self.receiver.grant(stamp, msgspec.json.decode(body, type=Grant))
+            grant = msgspec.json.decode(body, type=Grant)
+            if grant.address.startswith("#"):  # a neighbour is where this gateway reaches it, not where the owner does
+                grant = msgspec.structs.replace(grant, address=self.address(self._neighbour(grant.address)))
+            word = self.receiver.grant(stamp, grant)
         elif kind == "release":
             word = yield from self.receiver.release(stamp, msgspec.json.decode(body, type=forms.Release))
         else:
             return Answer("not known")
         return Answer(word, self.receiver.shelf.stamp, raw(self.receiver.report()))
 
+    def _neighbour(self, address: str) -> int:
+        if not address[1:].isdecimal() or int(address[1:]) >= self.ground.gateways:
+            raise msgspec.ValidationError(f"no gateway {address!r}")
+        return int(address[1:])
+
     def serve(self) -> Coro[None]:
         def body(group: Group) -> Coro[None]:
             group.spawn(self.receiver.serve(), "weights receiver")
--- a/stackpitch/gateway/admin.py
+++ b/stackpitch/gateway/admin.py
@@ -10,17 +10,19 @@
 
 Route = Callable[[Mapping[str, str]], Coro[tuple[int, bytes]]]  # what stood after the ?, to status and body
 Taker = Callable[[bytes], Coro[tuple[int, bytes]]]  # the request's body, to status and body
+Streamer = Callable[[http.RequestReader, Stream], Coro[bool]]  # writes a long answer; whether the connection is kept
 
 
 class Admin:
-    """A few small answers, one connection each."""
+    """A few small answers, one connection each; and long ones, whose `Streamer` bounds its own waits."""
 
     LIMIT = 5 * SECOND
 
     def __init__(self, world: World, routes: dict[tuple[str, str], Route], takers: dict[str, Taker] | None = None,
-                 max_body: int = 8192) -> None:
-        """`takers`: by path, what is posted with a body."""
+                 max_body: int = 8192, streams: dict[str, Streamer] | None = None) -> None:
+        """`takers`: by path, what is posted with a body. `streams`: by the beginning of the path."""
         self.world, self.routes, self.takers, self.max_body = world, routes, takers or {}, max_body
+        self.streams = streams or {}
 
     def serve(self, group: Group, listener: Listener) -> Coro[None]:
         while True:
@@ -31,26 +33,9 @@
             group.spawn(self._one(stream), "admin")
 
     def _one(self, stream: Stream) -> Coro[None]:
-        reader = http.RequestReader(8192, self.max_body)
         try:
-            with self.world.limit(self.LIMIT):
-                while not reader.complete:
-                    data = yield from stream.recv()
-                    if not data:
-                        return
-                    reader.feed(data)
-                route = self.routes.get((reader.method, reader.path))
-                taker = self.takers.get(reader.path) if reader.method == "POST" else None
-                if taker is not None:
-                    status, body = yield from taker(reader.body())
-                elif route is None:
-                    known = ", ".join(f"{method} {path}" for method, path in self.routes)
-                    status, body = 404, msgspec.json.encode({"error": f"allowed: {known}"})
-                else:
-                    status, body = yield from route(dict(parse_qsl(reader.query)))
-                kind = "text/plain; version=0.0.4" if reader.path == "/metrics" else "application/json"
-                stream.write(http.response(status, body, [("connection", "close")], kind))
-                yield from stream.drain()
+            while (yield from self._answered(stream)):
+                pass
         except Lost:
             pass
         except http.BadMessage as wrong:
@@ -60,3 +45,33 @@
                 pass
         finally:
             stream.close()
+
+    def _answered(self, stream: Stream) -> Coro[bool]:
+        """One request; whether another may follow."""
+        reader, streamer = http.RequestReader(8192, self.max_body), None
+        with self.world.limit(self.LIMIT) as scope:
+            while not reader.complete:
+                data = yield from stream.recv()
+                if not data:
+                    return False
+                reader.feed(data)
+            streamer = next((one for start, one in self.streams.items() if reader.path.startswith(start)), None)
+            if streamer is None:
+                yield from self._short(stream, reader)
+        if scope.expired or streamer is None:
+            return False
+        return (yield from streamer(reader, stream)) and not reader.extra
+
+    def _short(self, stream: Stream, reader: http.RequestReader) -> Coro[None]:
+        route = self.routes.get((reader.method, reader.path))
+        taker = self.takers.get(reader.path) if reader.method == "POST" else None
+        if taker is not None:
+            status, body = yield from taker(reader.body())
+        elif route is None:
+            known = ", ".join(f"{method} {path}" for method, path in self.routes)
+            status, body = 404, msgspec.json.encode({"error": f"allowed: {known}"})
+        else:
+            status, body = yield from route(dict(parse_qsl(reader.query)))
+        kind = "text/plain; version=0.0.4" if reader.path == "/metrics" else "application/json"
+        stream.write(http.response(status, body, [("connection", "close")], kind))
+        yield from stream.drain()
--- a/stackpitch/gateway/serve.py
+++ b/stackpitch/gateway/serve.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from stackpitch.gateway import logs
-from stackpitch.gateway.admin import Admin, Route
+from stackpitch.gateway.admin import Admin, Route, Streamer
 from stackpitch.gateway.door import Door
 from stackpitch.gateway.engines import Engines
 from stackpitch.gateway.facts import Reading
@@ -88,11 +88,11 @@
         listener = world.listen((door_settings.host, door_settings.port))
         admin_listener = world.listen((settings.admin.host, settings.admin.port))
         group.spawn(door.serve(group, listener), "door")
-        duties = _duties(world, settings, log)
+        duties, streams = _duties(world, settings, log, carrier)
         if duties is None:
             admin = Admin(world, _routes(carrier, keeper, metrics))
         else:
-            admin = Admin(world, _routes(carrier, keeper, metrics), {"/duty": duties.take}, duties.LARGEST)
+            admin = Admin(world, _routes(carrier, keeper, metrics), {"/duty": duties.take}, duties.LARGEST, streams)
             group.spawn(duties.run(), "duties")
         group.spawn(admin.serve(group, admin_listener), "admin")
         group.spawn(_sweep(world, carrier), "sweep")
@@ -125,13 +125,13 @@
     yield from world.group(body)
 
 
-def _duties(world: World, settings: Settings, log: logs.Log) -> "Duties | None":
+def _duties(world: World, settings: Settings, log: logs.Log, carrier: Host) -> "tuple[Duties | None, dict[str, Streamer]]":
     """None, and not even imported, unless settings name voters."""
     if not settings.duties.voters:
-        return None
+        return None, {}
     from stackpitch.gateway.duties import duties
 
-    return duties(world, settings, log)
+    return duties(world, settings, log, carrier)
 
 
 def _told(keeper: Keeper) -> Coro[None]:
--- a/stackpitch/rehearse/engine/door.py
+++ b/stackpitch/rehearse/engine/door.py
@@ -61,21 +61,26 @@
             return False
         if path == engine.HEALTH:
             stream.write(http.response(200, b"{}", [(orca.HEADER, machine.report())] if machine.set.reports else []))
+        elif path == engine.WEIGHTS:
+            if reader.method == "POST":
+                call = msgspec.json.decode(reader.body(), type=engine.WeightsCall)
+                machine.load(call.model, call.version)
+            stream.write(http.response(200, msgspec.json.encode(engine.WeightsAnswer(machine.weights))))
         elif path in (engine.STATE_RELEASE, engine.STATE_HOLD):
-            call = msgspec.json.decode(reader.body(), type=engine.StateCall)
+            state = msgspec.json.decode(reader.body(), type=engine.StateCall)
             if path == engine.STATE_HOLD:
                 held = (not machine.waiting and len(machine.running) + len(machine.places) < machine.set.slots
-                        and machine.memory() + call.tok <= machine.set.memory_tok)
+                        and machine.memory() + state.tok <= machine.set.memory_tok)
                 if held:
-                    machine.places[call.state_id] = (call.tok, machine.world.now())
-                    machine.recorder.note("held", state=call.state_id, kind="place",
+                    machine.places[state.state_id] = (state.tok, machine.world.now())
+                    machine.recorder.note("held", state=state.state_id, kind="place",
                                           gateway=reader.headers.get("x-gateway", ""))
                 stream.write(http.response(200, msgspec.json.encode(engine.HoldAnswer(held))))
             else:
-                known = machine.free(call.state_id, "released")
-                if machine.places.pop(call.state_id, None) is not None:
+                known = machine.free(state.state_id, "released")
+                if machine.places.pop(state.state_id, None) is not None:
                     known = True
-                    machine.recorder.note("freed", state=call.state_id, how="released", kind="place")
+                    machine.recorder.note("freed", state=state.state_id, how="released", kind="place")
                 stream.write(http.response(200 if known else 404, b"{}"))
         else:
             stream.write(http.response(404, engine.error_body("no such path", "not_found", "invalid_request_error")))
--- a/stackpitch/rehearse/engine/machine.py
+++ b/stackpitch/rehearse/engine/machine.py
@@ -33,6 +33,7 @@
         self.report_at, self.report_text = -SECOND * 10, ""
         self.listener: Listener | None = None
         self.control: Listener | None = None
+        self.weights = dict(settings.weights)  # as many as models it was ever told of
 
     def warmth(self) -> float:
         if not self.set.born_cold:
@@ -93,6 +94,16 @@
         if self.worker is not None:
             self.worker.wake()
 
+    def load(self, model: str, version: str) -> None:
+        """It runs on the version before until the new one is there."""
+        def loaded() -> None:
+            self.weights[model] = version
+            self.recorder.note("weights", model=model, version=version)
+
+        self.recorder.note("loads", model=model, version=version)
+        if self.weights.get(model) != version:
+            self.world.at(self.world.now() + int(self.set.load_ms * 10), loaded)
+
     def expire(self) -> None:
         now = self.world.now()
         for state, (_, since) in list(self.states.items()):
--- a/stackpitch/settings/model/duties.py
+++ b/stackpitch/settings/model/duties.py
@@ -7,6 +7,13 @@
 from stackpitch.settings.model.parts import Count, Name, Part, Some
 
 
+class WeightsSettings(Part):
+    """The duty `weights`: models to the sites."""
+
+    wanted: Annotated[str, Field(min_length=1)]  # the wanted file; the same at every gateway
+    folder: Annotated[str, Field(min_length=1)]  # where this gateway's site keeps its models; made if it is missing
+
+
 class Duties(Part):
     """Off while `voters` is empty. All but `file` has to be the same at all gateways of the fleet."""
 
@@ -20,6 +27,7 @@
     call_ms: Some = 250  # for a call between gateways, connecting included, after which it counts as lost
     announce_ms: Some = 60000  # in which an owner tells each gateway once more that it is there
     max_calls: Count = 64  # under way at once from this gateway; others wait
+    weights: WeightsSettings | None = None  # with `weights` among the names
 
     @model_validator(mode="after")
     def whole(self) -> "Duties":
@@ -29,6 +37,8 @@
             raise ValueError(f"voters: found {self.voters}; allowed: each number once")
         if len(set(self.names)) != len(self.names):
             raise ValueError(f"names: found {self.names}; allowed: each name once")
+        if self.weights is not None and "weights" not in self.names:
+            raise ValueError("weights: set, and no duty of that name; allowed: with 'weights' among duties.names")
         if self.voters and self.call_ms * 4 > self.lease_ms:
             raise ValueError(f"call_ms: found {self.call_ms:g}; allowed: up to a quarter of lease_ms ({self.lease_ms:g})")
         return self
--- a/stackpitch/wire/engine.py
+++ b/stackpitch/wire/engine.py
@@ -7,6 +7,7 @@
 from stackpitch.wire import http
 
 STATE_HOLD, STATE_RELEASE, HEALTH = "/v1/state/hold", "/v1/state/release", "/health"
+WEIGHTS = "/v1/weights"
 STATE_HEADER = "x-kv-state"  # of a writer's answer: "fetched" if it took the state that the leg named
 GENERATE = ("/v1/chat/completions", "/v1/completions")
 Part = Literal["read", "write", "whole"]
@@ -54,6 +55,19 @@
     error: ErrorBody
 
 
+class WeightsCall(msgspec.Struct):
+    """Load this version; answered at once, as a look is."""
+
+    model: str
+    version: str
+
+
+class WeightsAnswer(msgspec.Struct):
+    """What it runs on now: versions by model."""
+
+    weights: dict[str, str]
+
+
 class StateCall(msgspec.Struct):
     """The body of hold and release."""
 
