--- /dev/null
+++ b/stackpitch/loop/virtual/listener.py
@@ -0,0 +1,51 @@
+"""Listening ports of a made-up machine."""
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from stackpitch.loop.task import Coro, Task
+from stackpitch.loop.virtual.process import Process
+from stackpitch.loop.virtual.stream import VirtualStream
+from stackpitch.loop.world import Address, Lost, Stream
+
+if TYPE_CHECKING:
+    from stackpitch.loop.virtual.world import VirtualWorld
+
+
+class VirtualListener:
+    def __init__(self, world: "VirtualWorld", address: Address, backlog: int, process: Process | None) -> None:
+        self.world, self.address, self.backlog, self.process = world, address, backlog, process
+        self.queue: deque[VirtualStream] = deque()
+        self.waiter: Task | None = None
+        self.choked = self.closed = False
+        if process is not None:
+            process.things[self] = None
+
+    def accept(self) -> Coro[Stream]:
+        while not self.queue or self.choked:
+            if self.closed:
+                raise Lost("closed here")
+            self.waiter = self.world.current
+            try:
+                yield
+            finally:
+                self.waiter = None
+        return self.queue.popleft()
+
+    def choke(self, on: bool) -> None:
+        self.choked = on
+        if not on and self.waiter is not None:
+            self.waiter.wake()
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.world.listeners.pop(self.address, None)
+            if self.process is not None:
+                self.process.things.pop(self, None)
+            for stream in self.queue:
+                stream.abort()
+            if self.waiter is not None:
+                self.waiter.throw(Lost("closed here"))
+
+    abort = close
--- /dev/null
+++ b/stackpitch/loop/virtual/stream.py
@@ -0,0 +1,145 @@
+"""Connections of a made-up machine."""
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from stackpitch.loop.task import Coro, Task
+from stackpitch.loop.timers import Time
+from stackpitch.loop.virtual.process import Process
+from stackpitch.loop.world import Address, Lost
+
+if TYPE_CHECKING:
+    from stackpitch.loop.virtual.world import VirtualWorld
+
+WINDOW = 256 * 1024  # bytes on their way or unread, after which a writer's bytes wait with it
+
+
+class VirtualStream:
+    """One end of a connection. What is written arrives at the other in order, `latency` later."""
+
+    def __init__(self, world: "VirtualWorld", peer: Address, process: Process | None, latency: Time) -> None:
+        self.world, self.peer, self.process, self.latency = world, peer, process, latency
+        self.other: VirtualStream
+        self.eof = self.closed = self.broken = self.finished = False
+        self.inbox: deque[bytes] = deque()
+        self.held = 0  # bytes on their way to here, or unread here
+        self.out = bytearray()
+        self.reader: Task | None = None
+        self.writer: Task | None = None
+        if process is not None:
+            process.things[self] = None
+
+    @property
+    def buffered(self) -> int:
+        return len(self.out)
+
+    def attend(self, task: Task | None) -> None:
+        self.reader = task
+        if task is not None and (self.inbox or self.eof or self.broken or self.closed):
+            task.wake(True)
+
+    def recv_now(self, most: int = 65536) -> bytes | None:
+        if self.closed:
+            raise Lost("closed here")
+        if self.broken:
+            raise Lost("Connection reset by peer")
+        if not self.inbox:
+            return b"" if self.eof else None
+        data = self.inbox.popleft()
+        while self.inbox and len(data) + len(self.inbox[0]) <= most:
+            data += self.inbox.popleft()
+        if len(data) > most:
+            self.inbox.appendleft(data[most:])
+            data = data[:most]
+        self.held -= len(data)
+        self.other.push()
+        return data
+
+    def recv(self, most: int = 65536) -> Coro[bytes]:
+        while (data := self.recv_now(most)) is None:
+            self.reader = self.world.current
+            try:
+                yield
+            finally:
+                self.reader = None
+        return data
+
+    def write(self, data: bytes) -> None:
+        if self.closed:
+            raise Lost("closed here")
+        if self.broken:
+            raise Lost("Broken pipe")
+        self.out += data
+        self.push()
+
+    def push(self) -> None:
+        """Puts on its way what the other side has room for."""
+        other = self.other
+        room = WINDOW - other.held
+        if self.out and room > 0 and not self.closed:
+            data = bytes(self.out[:room])
+            del self.out[:room]
+            other.held += len(data)
+            self.world.network(self.latency, lambda: other.arrive(data))
+            if self.writer is not None:
+                self.writer.wake()
+        if self.finished and not self.out:
+            self.finished = False
+            self.world.network(self.latency, other.arrive_end)
+
+    def arrive(self, data: bytes) -> None:
+        if not self.closed and not self.broken:
+            self.inbox.append(data)
+            self.wake_reader()
+
+    def arrive_end(self) -> None:
+        if not self.closed:
+            self.eof = True
+            self.wake_reader()
+
+    def arrive_reset(self) -> None:
+        if not self.closed:
+            self.broken = self.eof = True
+            self.inbox.clear()
+            self.wake_reader()
+            if self.writer is not None:
+                self.writer.wake()
+
+    def wake_reader(self) -> None:
+        if self.reader is not None:
+            self.reader.wake(True)
+
+    def drain(self, below: int = 0) -> Coro[None]:
+        while len(self.out) > below:
+            if self.closed or self.broken:
+                raise Lost("closed here" if self.closed else "Broken pipe")
+            self.writer = self.world.current
+            try:
+                yield
+            finally:
+                self.writer = None
+
+    def finish(self) -> None:
+        if not self.closed:
+            self.finished = True
+            self.push()
+
+    def close(self) -> None:
+        """With bytes unread it is a reset, as a system does it."""
+        self._leave(bool(self.inbox))
+
+    def abort(self) -> None:
+        self._leave(True)
+
+    def _leave(self, reset: bool) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self.out.clear()
+        if self.process is not None:
+            self.process.things.pop(self, None)
+        other = self.other
+        self.world.network(self.latency, other.arrive_reset if reset else other.arrive_end)
+        for task in (self.reader, self.writer):
+            if task is not None:
+                task.wake(True)
