--- a/stackpitch/cli/main.py
+++ b/stackpitch/cli/main.py
@@ -126,7 +126,8 @@
 @click.option("--keep", type=click.Path(path_type=Path), help="Keep records and logs in this folder.")
 @click.option("--virtual", is_flag=True, help="Play it in one process and made-up time: much faster, the same every time.")
 @click.option("--seeds", metavar="A..B", help="With --virtual: play the day with each of these seeds, one line each.")
-@click.option("--broken", type=click.Choice(["answered", "effects", "drains", "cold", "pinned"]),
+@click.option("--broken", type=click.Choice(["answered", "effects", "drains", "cold", "pinned", "fenceless", "leaseless",
+                                               "forgetful", "hasty", "ownerless"]),
               help="Break the gateways on purpose, to see the checker catch it.")
 def rehearse(day: Path, sets: tuple[str, ...], as_json: bool, keep: Path | None, virtual: bool, seeds: str | None,
              broken: str | None) -> None:
@@ -138,9 +139,9 @@
     from stackpitch.rehearse.director import play
 
     progress = Console(stderr=True)
-    if seeds is not None or (virtual and broken):
+    if seeds is not None:
         if not virtual or broken:
-            raise Asked("--seeds goes with --virtual, and neither with --broken")
+            raise Asked("--seeds goes with --virtual, not with --broken")
         first, dots, last = (seeds or "").partition("..")
         if not (dots and first.isdigit() and last.isdigit() and int(first) <= int(last)):
             raise Asked(f"--seeds {seeds!r}: A..B is wanted, as 1..50")
@@ -156,7 +157,7 @@
         if virtual:
             from stackpitch.rehearse.virtual import play as play_virtual
 
-            outcome = play_virtual(read, keep, say)
+            outcome = play_virtual(read, keep, say, broken)
         else:
             outcome = play(RealWorld(read.seed), read, keep, broken, say)
     except BadSettings as wrong:
@@ -377,6 +378,17 @@
     world.run(run_clients(world, read))
 
 
+@main.command(hidden=True)
+@click.argument("file", type=click.Path(path_type=Path))
+def network(file: Path) -> None:
+    """Run a day's stand-in network between gateways, as `rehearse` starts it."""
+    from stackpitch.rehearse.network import NetworkSettings, run_network
+
+    read = msgspec.convert(settings_package.evaluate(file), NetworkSettings)
+    world = RealWorld(read.seed)
+    world.run(run_network(world, read))
+
+
 @main.command(hidden=True)
 @click.argument("rule")
 @CONFIG
