--- a/stackpitch/duties/weights/receiving/receiver.py
+++ b/stackpitch/duties/weights/receiving/receiver.py
@@ -20,6 +20,7 @@
 
 MOST_COPIES = 512  # versions known at once
 WAIT: Time = 10 * SECOND  # after trouble with the disk
+TELL: Time = 30 * SECOND  # how often engines are told again what is released: some were away, or have started since
 CLEAR: Time = 5 * SECOND  # how often what is not needed any more is looked for
 Log = Callable[..., None]  # a word, and fields by name
 
@@ -97,8 +98,8 @@
                 self.failed(wrong)
                 return "disk"
         self.releases[asked.model] = released
-        if asked.version:
-            yield from self.engines.released(asked.model, asked.version)
+        if asked.version and self.group is not None:  # not waited for: the owner's call is short, and engines may be slow
+            self.group.spawn(self.engines.released(asked.model, asked.version), "weights released")
         for version in [one for one, old in self.entries.items() if one[0] == asked.model and one[1] != asked.version
                         and (old.copy.placed or not asked.version)]:
             self._drop(version)
@@ -113,7 +114,7 @@
         """As long as the gateway runs."""
         def body(group: Group) -> Coro[None]:
             yield from self._look()
-            self.group = group
+            self.group, told = group, self.world.now()
             while True:
                 yield from self.world.sleep(CLEAR)
                 if self.trouble is not None and self.world.now() >= self.trouble_until:
@@ -121,6 +122,11 @@
                 yield from self._look()
                 for model in list(self.lying):
                     yield from self._clear(model)
+                if self.world.now() >= told + TELL:
+                    told = self.world.now()
+                    for model, released in list(self.releases.items()):
+                        if released.version in self.lying.get(model, ()):
+                            yield from self.engines.released(model, released.version)
 
         try:
             yield from self.world.group(body)
--- a/tests/test_weights_sites.py
+++ b/tests/test_weights_sites.py
@@ -204,9 +204,11 @@
         node.engines.using = {("m", "2")}
         yield from stage.until(lambda: stage.placed(0, "m", "1") is None)
         node.kill()
+        calls = node.engines.calls
         node.start()
         yield from stage.world.sleep(45 * SECOND)
         assert stage.placed(0, "m", "2") == OTHER, "a restart takes nothing away"
+        assert node.engines.calls > calls, "engines that were away are told again"
         del stage.tree["models"]["m"]
         stage.write()
         yield from stage.world.sleep(20 * SECOND)
--- a/tests/weights_stage.py
+++ b/tests/weights_stage.py
@@ -22,13 +22,15 @@
 
 class Engines:
     def __init__(self):
-        self.told, self.using = [], set()
+        self.told, self.using, self.calls = [], set(), 0
 
     def used(self, model, version):
         return (model, version) in self.using
 
     def released(self, model, version):
-        self.told.append((model, version))
+        self.calls += 1
+        if self.told[-1:] != [(model, version)]:
+            self.told.append((model, version))
         yield from ()
 
 
