Weights: files in a queue of their own, read and hashed in small parts, synced as they come

Calls aside had one queue: a last sync of a large file, or a disk that hangs, would have held up a voter's promises. Queues have names now, each with its thread. Steps on the disk are 4 MiB, whatever a piece's length, and 64 MiB are unsynced at most. What is placed is reported without its pieces, so that a report of 256 models stays within a call.

--- a/stackpitch/duties/weights/forms.py
+++ b/stackpitch/duties/weights/forms.py
@@ -47,7 +47,7 @@
     model: str
     version: str
     whole: str = ""  # the digest of what it is to become; another than the owner's: not the same version
-    pieces: Bits = ""
+    pieces: Bits = ""  # that it has; not said of one that is placed
     placed: bool = False
     released: bool = False
     known: bool = True
--- a/stackpitch/duties/weights/placing/copy.py
+++ b/stackpitch/duties/weights/placing/copy.py
@@ -1,12 +1,12 @@
 """One version's bytes on this disk: from what is left of an earlier life to the whole in its place. Each call blocks for
-one piece at most and raises DiskTrouble, or Gone once the copy was closed.
+`PART` bytes at most and raises DiskTrouble, or Gone once the copy was closed.
 
 The file is renamed into place after every piece was checked on the way in, the whole was read back and checked, and the
 file was synced; so whatever a crash leaves, what lies under `placed` is whole. It is checked again when a process starts
 all the same, since a disk may spoil it later.
 """
 
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 
 from blake3 import blake3
 
@@ -15,6 +15,9 @@
 from stackpitch.duties.weights.placing.disk import trouble
 from stackpitch.duties.weights.placing.folder import Folder, write_all
 
+PART = 4 << 20  # bytes read, written and hashed in one step
+SYNC = 64 << 20  # bytes written, after which they are synced, so that the last sync is short
+
 
 class Copy:
     """`descriptor` stays valid through the rename, for neighbours that read meanwhile."""
@@ -25,6 +28,7 @@
         self.descriptor: int | None = None
         self.placed = False
         self.have = 0  # pieces that are on the disk and checked
+        self.unsynced = 0  # bytes
 
     def open(self) -> None:
         """The file in its place, or the partial one, made if there is none."""
@@ -43,11 +47,10 @@
             raise trouble(wrong, self.partial) from None
 
     def recheck(self) -> Iterator[None]:
-        """Reads what is there, a piece each step; then what other gateways on this disk have of the rest."""
+        """Reads what is there; then what other gateways on this disk have of the rest."""
         for piece in range(self.manifest.count):
-            if self._good(self._read(piece), piece):
+            if (yield from self._right(piece)):
                 self.have |= 1 << piece
-            yield
         if self.placed and (self.have != self.manifest.full or self._size() != self.manifest.size):
             self._out_of_place()
         if not self.placed:
@@ -74,19 +77,37 @@
         try:
             for piece in range(self.manifest.count):
                 if not self.have >> piece & 1:
-                    at, size = self.manifest.span(piece)
-                    data = disk.read(descriptor, at, size)
-                    if self._good(data, piece):
+                    found = blake3()
+                    for at, size in self._parts(piece):
+                        data = disk.read(descriptor, at, size)
+                        if len(data) < size:
+                            break  # it ends here
+                        found.update(data)
                         self.write(at, data)
+                        yield
+                    if found.hexdigest() == self.manifest.pieces[piece]:
                         self.have |= 1 << piece
-                    yield
         except OSError as wrong:
             raise trouble(wrong, path) from None
         finally:
             disk.close(descriptor)
 
-    def _good(self, data: bytes, piece: int) -> bool:
-        return len(data) == self.manifest.span(piece)[1] and blake3(data).hexdigest() == self.manifest.pieces[piece]
+    def _parts(self, piece: int) -> Iterator[tuple[int, int]]:
+        begin, size = self.manifest.span(piece)
+        return ((at, min(PART, begin + size - at)) for at in range(begin, begin + size, PART))
+
+    def _right(self, piece: int, whole: blake3 | None = None) -> Generator[None, None, bool]:
+        """Whether it is as the manifest has it; adds it to the whole's digest."""
+        found = blake3()
+        for at, size in self._parts(piece):
+            data = self.read(at, size)
+            found.update(data)
+            if whole is not None:
+                whole.update(data)
+            if len(data) < size:
+                break
+            yield
+        return found.hexdigest() == self.manifest.pieces[piece]
 
     def _file(self) -> int:
         if self.descriptor is None:
@@ -100,9 +121,6 @@
         except OSError as wrong:
             raise trouble(wrong, self.partial) from None
 
-    def _read(self, piece: int) -> bytes:
-        return self.read(*self.manifest.span(piece))
-
     def read(self, at: int, size: int) -> bytes:
         """Less at the end of the file."""
         file = self._file()
@@ -119,20 +137,21 @@
         file = self._file()
         try:
             write_all(self.folder.disk, file, at, data)
+            self.unsynced += len(data)
+            if self.unsynced >= SYNC:
+                self.folder.disk.sync(file)
+                self.unsynced = 0
         except OSError as wrong:
             raise trouble(wrong, self.partial) from None
 
     def finish(self) -> Iterator[None]:
-        """Checks the whole, a piece each step, then syncs and renames. Raises WholeDiffers; DiskCorrupt if a piece that
-        was right when it came is not any more: that one is to be fetched again."""
+        """Checks the whole, then syncs and renames. Raises WholeDiffers; DiskCorrupt if a piece that was right when it
+        came is not any more: that one is to be fetched again."""
         disk, whole = self.folder.disk, blake3()
         for piece in range(self.manifest.count):
-            data = self._read(piece)
-            if not self._good(data, piece):
+            if not (yield from self._right(piece, whole)):
                 self.have &= ~(1 << piece)
                 raise DiskCorrupt(self.partial, f"piece {piece} was right when it was written and is not when it is read")
-            whole.update(data)
-            yield
         if whole.hexdigest() != self.manifest.whole:
             raise WholeDiffers(self.model, self.version, whole.hexdigest())
         try:
--- a/stackpitch/duties/weights/placing/disk.py
+++ b/stackpitch/duties/weights/placing/disk.py
@@ -6,6 +6,8 @@
 
 from stackpitch.duties.weights.errors import DiskCorrupt, DiskFull, DiskReadOnly, DiskTrouble
 
+QUEUE = "weights"  # of calls aside: a disk that hangs must not hold up a voter's promises
+
 
 class Disk(Protocol):
     """All raise OSError."""
--- a/stackpitch/duties/weights/plan/sites.py
+++ b/stackpitch/duties/weights/plan/sites.py
@@ -69,7 +69,7 @@
             version, model = (have.model, have.version), self.wanted.models.get(have.model)
             if model is None or have.version != model.version or have.whole != model.manifest.whole:
                 continue
-            heard.have[version] = forms.pieces(have.pieces)
+            heard.have[version] = model.manifest.full if have.placed else forms.pieces(have.pieces)
             if have.placed:
                 heard.placed.add(version)
             if have.known:
--- a/stackpitch/duties/weights/receiving/lanes.py
+++ b/stackpitch/duties/weights/receiving/lanes.py
@@ -1,6 +1,7 @@
 """The tasks that fetch: one for each lane with a grant. Each slice is asked for only when the grant's pace allows it."""
 
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 from stackpitch.duties.weights import errors
@@ -10,6 +11,7 @@
 from stackpitch.duties.weights.grants.pace import Pace
 from stackpitch.duties.weights.manifest import Manifest
 from stackpitch.duties.weights.placing.copy import Copy
+from stackpitch.duties.weights.placing.disk import QUEUE
 from stackpitch.duties.weights.receiving.fetch import Source
 from stackpitch.duties.weights.receiving.pieces import Pieces
 from stackpitch.loop import MS, SECOND, Coro, Group, Task, Time
@@ -132,7 +134,7 @@
                 use.took += len(data)
                 if owner.entries.get(entry.version) is not entry:
                     break  # withdrawn or replaced meanwhile
-                yield from self.world.aside(lambda entry=entry, at=at, data=data: entry.copy.write(at, data))  # type: ignore[misc]
+                yield from self.world.aside(partial(entry.copy.write, at, data), QUEUE)
                 yield from self._came(entry, piece, data, source)
         except SourceFailed as wrong:
             self._failed(wrong, grant.model, grant.version)
--- a/stackpitch/duties/weights/receiving/receiver.py
+++ b/stackpitch/duties/weights/receiving/receiver.py
@@ -13,12 +13,13 @@
 from stackpitch.duties.weights.grants.shelf import Shelf
 from stackpitch.duties.weights.manifest import Manifest
 from stackpitch.duties.weights.placing.copy import Copy
+from stackpitch.duties.weights.placing.disk import QUEUE
 from stackpitch.duties.weights.placing.folder import Folder, Released
 from stackpitch.duties.weights.receiving.lanes import Entry, Lanes
 from stackpitch.duties.weights.receiving.sources import Sources
 from stackpitch.loop import SECOND, Coro, Group, Time, World
 
-MOST_COPIES = 512  # versions known at once
+MOST_COPIES = 320  # versions known at once
 WAIT: Time = 10 * SECOND  # after trouble with the disk
 TELL: Time = 30 * SECOND  # how often engines are told again what is released: some were away, or have started since
 CLEAR: Time = 5 * SECOND  # how often what is not needed any more is looked for
@@ -93,7 +94,7 @@
         released = Released(asked.version, stamp, asked.serial)
         if last.version != asked.version or last.stamp != stamp:
             try:
-                yield from self.world.aside(lambda: self.folder.release(asked.model, released))
+                yield from self.world.aside(lambda: self.folder.release(asked.model, released), QUEUE)
             except DiskTrouble as wrong:
                 self.failed(wrong)
                 return "disk"
@@ -143,7 +144,7 @@
                     {model: self.folder.released(model) for model in models if model not in self.releases})
 
         try:
-            self.lying, found = yield from self.world.aside(look)
+            self.lying, found = yield from self.world.aside(look, QUEUE)
         except DiskTrouble as wrong:
             self.failed(wrong)
         except OSError as wrong:
@@ -154,7 +155,7 @@
     def _steps(self, entry: Entry, steps: Iterator[None]) -> Coro[bool]:
         """Runs blocking steps aside one by one, so that others get their turns. False after trouble, which was said."""
         try:
-            while (yield from self.world.aside(lambda: next(steps, steps))) is not steps:
+            while (yield from self.world.aside(lambda: next(steps, steps), QUEUE)) is not steps:
                 pass
             return True
         except DiskTrouble as wrong:
@@ -173,12 +174,12 @@
             yield from entry.copy.recheck()
 
         while not (yield from self._steps(entry, opened())):
-            yield from self.world.aside(entry.copy.close)
+            yield from self.world.aside(entry.copy.close, QUEUE)
             if self.entries.get(entry.version) is not entry:
                 return
             yield from self.world.sleep(WAIT)
         if self.entries.get(entry.version) is not entry:
-            yield from self.world.aside(entry.copy.close)
+            yield from self.world.aside(entry.copy.close, QUEUE)
             return
         entry.pieces.have, entry.ready, self.changed = entry.copy.have, True, True
         if entry.copy.have == entry.manifest.full and not entry.copy.placed:
@@ -202,7 +203,7 @@
         entry = self.entries.pop(version)
         self.changed = True
         if entry.ready and self.group is not None:
-            self.group.spawn(self.world.aside(entry.copy.close), "weights close")  # after what is under way on the disk
+            self.group.spawn(self.world.aside(entry.copy.close, QUEUE), "weights close")  # after what is under way
 
     def _clear(self, model: str) -> Coro[None]:
         """Removes what is neither released nor wanted nor used by an engine; partial files of this gateway's own alone."""
@@ -224,7 +225,7 @@
                     self.folder.remove(f"{self.folder.model(model)}/partial/{name}")
 
         try:
-            yield from self.world.aside(clear)
+            yield from self.world.aside(clear, QUEUE)
         except DiskTrouble as wrong:
             self.failed(wrong)
         for path in gone:
@@ -247,8 +248,7 @@
         have = []
         for entry in self.entries.values():
             found = "" if entry.copy.placed else forms.bits(entry.pieces.have)
-            have.append(forms.Have(*entry.version, entry.manifest.whole,
-                                   forms.bits(entry.manifest.full) if entry.copy.placed else found, entry.copy.placed,
+            have.append(forms.Have(*entry.version, entry.manifest.whole, found, entry.copy.placed,
                                    self.releases.get(entry.model, Released()).version == entry.version[1], entry.ready,
                                    entry.trouble.word if entry.trouble is not None else ""))
         known = {entry.model for entry in self.entries.values()}
--- a/stackpitch/duties/weights/serving.py
+++ b/stackpitch/duties/weights/serving.py
@@ -1,8 +1,10 @@
 """What a gateway gives its neighbours: checked pieces of what it has, by `GET /weights/MODEL/VERSION` with a Range."""
 
 import re
+from functools import partial
 
 from stackpitch.duties.weights.errors import WeightsError
+from stackpitch.duties.weights.placing.disk import QUEUE
 from stackpitch.duties.weights.receiving.receiver import Receiver
 from stackpitch.loop import SECOND, Coro, Stream, Time, World
 from stackpitch.wire import http
@@ -38,7 +40,7 @@
     for at in range(first, last + 1, PART):
         size = min(PART, last + 1 - at)
         try:
-            data = yield from world.aside(lambda at=at, size=size: entry.copy.read(at, size))  # type: ignore[misc]
+            data = yield from world.aside(partial(entry.copy.read, at, size), QUEUE)
         except WeightsError:
             data = b""
         if len(data) != size:
--- a/stackpitch/loop/real.py
+++ b/stackpitch/loop/real.py
@@ -357,7 +357,7 @@
 class RealWorld(World):
     def __init__(self, seed: int = 0) -> None:
         super().__init__(seed)
-        self.aside_or_none: Aside | None = None
+        self.asides: dict[str, Aside] = {}  # by queue; as many as the program has names for
         self.epoll = select.epoll()
         self.handlers: dict[int, Callable[[int], None]] = {}  # by descriptor; emptied by `forget`
 
@@ -439,9 +439,10 @@
         ours.setblocking(False)
         return RealChild(self, process), RealStream(self, ours, ("child", process.pid))
 
-    def aside(self, call: Callable[[], T]) -> Coro[T]:
-        if self.aside_or_none is None:
-            self.aside_or_none = Aside(self)
+    def aside(self, call: Callable[[], T], queue: str = "") -> Coro[T]:
+        aside = self.asides.get(queue)
+        if aside is None:
+            aside = self.asides[queue] = Aside(self)
         found: list[T] = []
         wrong: list[Exception] = []
         task, waits = self.current, [True]
@@ -456,7 +457,7 @@
             if waits[0]:
                 task.wake()
 
-        self.aside_or_none.submit(work, then)
+        aside.submit(work, then)
         try:
             while not found and not wrong:
                 yield
--- a/tests/test_weights_placing.py
+++ b/tests/test_weights_placing.py
@@ -2,6 +2,7 @@
 
 import errno
 import random
+import time
 
 import pytest
 
@@ -11,6 +12,7 @@
 from stackpitch.duties.weights.placing.copy import Copy
 from stackpitch.duties.weights.placing.disk import RealDisk
 from stackpitch.duties.weights.placing.folder import Folder, Released
+from stackpitch.loop import SECOND, RealWorld
 from stackpitch.rehearse.memorydisk import Cut, MemoryDisk
 
 DATA = random.Random(1).randbytes(5 * 1024 + 7)
@@ -141,3 +143,21 @@
     life(folder, [])
     with pytest.raises(errors.DiskTrouble, match="Is a directory"):
         folder.remove(str(tmp_path))
+
+
+def test_a_disk_that_hangs_holds_up_nobody_elses_files():
+    world, done = RealWorld(), []
+
+    def slow():
+        yield from world.aside(lambda: time.sleep(0.4), "weights")
+        done.append("slow")
+
+    def body(group):
+        group.spawn(slow(), "slow")
+        yield from world.pause()
+        with world.limit(SECOND // 4) as scope:
+            assert (yield from world.aside(lambda: 7)) == 7
+        assert not scope.expired and not done
+
+    world.run(world.group(body))
+    assert done == ["slow"]
