--- a/stackpitch/duties/weights/errors.py
+++ b/stackpitch/duties/weights/errors.py
@@ -21,6 +21,17 @@
         self.path, self.complaints = path, complaints
 
 
+class NoWanted(WeightsError):
+    """The owner has never seen a good wanted file: it leaves the duty to another gateway."""
+
+    word = "no_wanted"
+    remedy = "Put a right wanted file at the path in duties.weights.wanted of that gateway; others go on with theirs."
+
+    def __init__(self, path: str) -> None:
+        super().__init__(f"{path}: no good wanted file since this process started")
+        self.path = path
+
+
 class BadPiece(WeightsError):
     """A piece whose digest is not the manifest's. It was thrown away."""
 
--- a/stackpitch/duties/weights/owner.py
+++ b/stackpitch/duties/weights/owner.py
@@ -11,6 +11,7 @@
 
 from stackpitch.duties.calls import Answer
 from stackpitch.duties.weights import forms
+from stackpitch.duties.weights.errors import NoWanted
 from stackpitch.duties.weights.grants.grant import Grant
 from stackpitch.duties.weights.plan.planner import Planner
 from stackpitch.duties.weights.plan.sites import Heard
@@ -21,6 +22,7 @@
 
 TICK: Time = SECOND // 10
 IDLE: Time = SECOND // 2  # between plans when nothing is missing anywhere
+FILE = 6  # times IDLE that an owner waits for a first good file
 MOST_CALLS = 64  # under way at once, beside grants
 ASKED: Time = SECOND  # a gateway that is waited for is asked so often, if its reports don't come
 LONGEST: Time = 8 * SECOND  # and one that gives no answer, so seldom
@@ -61,8 +63,11 @@
             except msgspec.DecodeError as wrong:
                 self.log("weights_record", why=f"the record can't be read, the longest grant is waited out: {wrong}")
                 self.kept = Kept(10 * SECOND, (UNKNOWN,))
-        while self.file.current is None:
-            yield from self.world.sleep(IDLE)
+        for _ in range(FILE):
+            if self.file.current is None:
+                yield from self.world.sleep(IDLE)
+        if self.file.current is None:
+            raise NoWanted(str(self.file.path))
         wanted = self.file.current
         before = self.kept.lasts, frozenset(self.kept.gateways)
         self.planner = Planner(wanted, self.world.now(), self.address, before)
--- a/tests/test_weights_sites.py
+++ b/tests/test_weights_sites.py
@@ -1,6 +1,7 @@
 """Owner, receivers, neighbours and origin together, on the made-up network: what comes into place and what does not."""
 
 import errno
+import random
 
 import msgspec
 import pytest
@@ -295,3 +296,82 @@
         assert (yield from work.heard(3, "what", Stamp(9), raw({}))).word == "not known"
 
     played(tmp_path, tree(m=model(DATA, ["s0"])), {"/m": DATA}, script)
+
+
+def test_an_owner_without_a_good_file_leaves_the_duty(tmp_path):
+    def script(stage):
+        (tmp_path / "wanted.json").write_text("{")
+        stage.nodes[3].kill()
+        stage.nodes[3].start()
+        yield from stage.world.sleep(SECOND)
+        tenure = stage.own(3)
+        yield from stage.until(lambda: tenure.words == ["no_wanted"], 5 * SECOND)
+        stage.own(1)  # which has seen the good one
+        yield from stage.until(lambda: stage.nodes[0].engines.told)
+        assert stage.placed(0, "m") == DATA
+
+    played(tmp_path, tree(m=model(DATA, ["s0"])), {"/m": DATA}, script)
+
+
+def test_random_lives_end_with_all_in_place_and_the_link_never_over(tmp_path):
+    """Processes killed and started anew, deaf ones, owners that change while the old one still sends, an origin that spoils,
+    breaks off and refuses, disks that fill up, versions replaced: then a calm time, in which all must come right."""
+    def script(stage, chance):
+        contents, killed = {"a": bytes_of(7, 900_000), "b": bytes_of(8, 400_000)}, 0
+        stage.own(3)
+        for turn in range(14):
+            yield from stage.world.sleep(chance.randrange(200, 9_000))
+            node = stage.nodes[chance.randrange(4)]
+            match chance.randrange(8):
+                case 0 if node.number != stage.owner_number:
+                    node.kill()
+                    killed += 1
+                    yield from stage.world.sleep(chance.randrange(5_000))
+                    node.start()
+                case 1:
+                    node.deaf = not node.deaf
+                case 2:
+                    stage.tenures[-1].paused = chance.random() < 0.5
+                    stage.own(chance.choice([number for number in stage.nodes if number != stage.owner_number]))
+                    for old in stage.tenures[:-1]:
+                        old.paused = old.paused and chance.random() < 0.5
+                case 3:
+                    stage.origin.spoil, stage.origin.breaks = chance.choice((0, 100)), chance.choice((0, 100))
+                case 4:
+                    stage.origin.refuse = chance.choice((0, 0, 503))
+                case 5:
+                    node.disk.room = chance.choice((None, 300_000))
+                case 6:
+                    node.disk.fail = chance.choice((0, errno.EROFS, errno.EIO))
+                case 7:
+                    name, version = chance.choice("ab"), str(turn + 2)
+                    contents[name] = bytes_of(turn, chance.choice((50_000, 600_000)))
+                    stage.origin.files[f"/{name}{version}"] = contents[name]
+                    stage.tree["models"][name] = model(
+                        contents[name], ["s0", "s1"], chance.randrange(3), version, name + version, 37_000)
+                    stage.write()
+            for number, name in ((number, name) for number in stage.nodes for name in contents):
+                for version in stage.nodes[number].disk.names(f"weights/{name}/placed"):
+                    found = stage.placed(number, name, version)
+                    assert found == stage.origin.files.get(f"/{name}{version}", found), "whole and right, or not there"
+        stage.origin.spoil = stage.origin.breaks = stage.origin.refuse = 0
+        for node in stage.nodes.values():
+            node.deaf, node.disk.room, node.disk.fail = False, None, 0
+        for old in stage.tenures:
+            old.paused = False
+
+        def right():
+            versions = {name: one["version"] for name, one in stage.tree["models"].items()}
+            return all(any(stage.placed(number, name, versions[name]) == contents[name]
+                           and (name, versions[name]) in stage.nodes[number].engines.told for number in site)
+                       for site in ((0, 1), (2, 3)) for name in versions)
+
+        yield from stage.until(right, 150 * SECOND)
+        within(stage.origin.served, RATE // 4)
+
+    for seed in range(12):
+        chance = random.Random(seed)
+        files = {"/a1": bytes_of(7, 900_000), "/b1": bytes_of(8, 400_000)}
+        wanted = tree(a=model(files["/a1"], ["s0", "s1"], 1, "1", "a1"), b=model(files["/b1"], ["s0", "s1"], 0, "1", "b1"))
+        wanted["links"]["u0"]["bytes_per_s"] = RATE // 4
+        played(tmp_path, wanted, files, lambda stage, chance=chance: script(stage, chance), seed)
--- a/tests/weights_stage.py
+++ b/tests/weights_stage.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from stackpitch.duties.calls import ENCODER, Answer, Stamp, raw
+from stackpitch.duties.weights import errors
 from stackpitch.duties.weights import manifest as manifests
 from stackpitch.duties.weights.placing.disk import RealDisk
 from stackpitch.duties.weights.serving import answer
@@ -171,6 +172,8 @@
                 yield from self.nodes[number].work.own(tenure, self.record)
             except (SteppedDown, BaseExceptionGroup):
                 tenure.words.append("stepped down")
+            except errors.NoWanted as wrong:
+                tenure.words.append(wrong.word)
 
         self.group.spawn(owning(), f"owner {number}")
         return tenure
