--- a/stackpitch/duties/weights/plan/sites.py
+++ b/stackpitch/duties/weights/plan/sites.py
@@ -22,6 +22,7 @@
     have: dict[Version, int] = field(default_factory=dict)
     placed: set[Version] = field(default_factory=set)
     known: set[Version] = field(default_factory=set)
+    released: set[Version] = field(default_factory=set)
 
     @property
     def mark(self) -> Mark:
@@ -74,6 +75,8 @@
                 heard.placed.add(version)
             if have.known:
                 heard.known.add(version)
+            if have.released:
+                heard.released.add(version)
         self.heard[one.gateway] = heard
         return True
 
@@ -81,6 +84,11 @@
         one = self.heard.get(number)
         return one if one is not None and now - one.at < MOST_AGE else None
 
+    def last(self, site: str) -> Heard | None:
+        """The receiver that was chosen last, as it was heard last."""
+        number = self.chosen.get(site)
+        return None if number is None else self.heard.get(number)
+
     def missed(self, number: int, now: Time) -> None:
         """No answer to a grant. It gets no other before it is heard, nor, from the second on, for a while that doubles:
         what it is granted in vain is missing elsewhere, and one that speaks and can't hear would have it again and again."""
@@ -103,7 +111,6 @@
             return one
         there = [one for number in self.wanted.sites[site].gateways if (one := self.fresh(number, now)) is not None]
         if not there:
-            self.chosen.pop(site, None)
             return None
         best = max(there, key=lambda one: sum(have.bit_count() for have in one.have.values()))
         self.chosen[site] = best.report.gateway
--- a/stackpitch/rehearse/sites.py
+++ b/stackpitch/rehearse/sites.py
@@ -151,7 +151,7 @@
             self.now += STEP
             while self.mail and self.mail[0][0] <= self.now:
                 heappop(self.mail)[2]()
-            if self.owner is not None and self.now % ((2 if self.woken else 10) * STEP) == 0:
+            if self.owner is not None and self.now % ((4 if self.woken else 20) * STEP) == 0:
                 self.woken = False
                 self.send(self.owner.plan(self.now), self.owner, self.stamp)
             self._flow()
--- a/tests/test_weights_sites.py
+++ b/tests/test_weights_sites.py
@@ -298,6 +298,31 @@
     played(tmp_path, tree(m=model(DATA, ["s0"])), {"/m": DATA}, script)
 
 
+def test_an_idle_fleet_is_nearly_silent_and_what_is_lost_is_noticed(tmp_path):
+    def script(stage):
+        stage.own(3)
+        yield from stage.until(lambda: stage.nodes[0].engines.told and stage.nodes[2].engines.told)
+        yield from stage.world.sleep(10 * SECOND)
+        calls = stage.calls
+        yield from stage.world.sleep(300 * SECOND)
+        assert 15 <= stage.calls - calls <= 25, "two sites, each asked every half minute"
+        stage.nodes[0].disk.remove("weights/m/placed/1")
+        stage.nodes[0].kill()
+        stage.nodes[0].start()
+        stage.nodes[0].engines.told.clear()
+        count = len(stage.origin.served)
+        yield from stage.until(lambda: stage.nodes[0].engines.told, 60 * SECOND)
+        assert stage.placed(0, "m") == DATA and len(stage.origin.served) == count, "from its neighbour, though that was at rest"
+        for node in (stage.nodes[0], stage.nodes[1]):
+            node.kill()
+        yield from stage.world.sleep(100 * SECOND)
+        calls = stage.calls
+        yield from stage.world.sleep(300 * SECOND)
+        assert stage.calls - calls <= 110, "a site that is gone is asked every eight seconds, and keeps nobody from rest"
+
+    played(tmp_path, tree(m=model(DATA, ["s0", "s1"])), {"/m": DATA}, script)
+
+
 def test_an_owner_without_a_good_file_leaves_the_duty(tmp_path):
     def script(stage):
         (tmp_path / "wanted.json").write_text("{")
--- a/tests/weights_stage.py
+++ b/tests/weights_stage.py
@@ -136,7 +136,7 @@
     def __init__(self, folder, tree, files, seed=1, real=False):
         self.folder, self.real = folder, real
         self.path, self.tree, self.served, self.record = str(folder / "wanted.json"), tree, [], b""
-        self.term, self.owner_number = 0, None
+        self.term, self.owner_number, self.calls = 0, None, 0
         self.world = RealWorld() if real else VirtualWorld(
             seed, latency=5, programs=lambda command: self.nodes[int(command[1])].run())
         self.origin = Origin(self.world, files)
@@ -149,6 +149,7 @@
     def call(self, number, kind, stamp, body):
         """One of a fleet's calls: 200 ms at most, dropped where nobody hears; the fence of the desk."""
         data = ENCODER.encode(body)
+        self.calls += 1
         yield from self.world.sleep(5)
         node = self.nodes.get(number)
         if node is None or node.work is None or node.deaf:
