--- a/tests/duties_stage.py
+++ b/tests/duties_stage.py
@@ -61,6 +61,9 @@
         if what == signal.SIGKILL:
             self.processes[number].wait()
 
+    def stopped(self, number: int) -> bool:
+        return Path(f"/proc/{self.processes[number].pid}/stat").read_text().rpartition(")")[2].split()[0] == "T"
+
     def log(self, number: int) -> list[dict]:
         path = self.folder / f"g{number}.log"
         lines = path.read_bytes().splitlines() if path.exists() else []
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -38,7 +38,7 @@
         if kind == "release":
             fleet.new_owner()
             fleet.signal(first, signal.SIGTERM)
-        fleet.wait(lambda: stopped(fleet, first), 12, "it never stopped itself")
+        fleet.wait(lambda: fleet.stopped(first), 12, "it never stopped itself")
         later, its_term = fleet.new_owner(term)
         assert later != first and order(its_term) > order(term)
         time.sleep(0.3)
@@ -54,11 +54,6 @@
         assert promises(fleet, but=(first,)) == before and fleet.owner() == (later, its_term), "its successor was disturbed"
 
 
-def stopped(fleet, number):
-    with open(f"/proc/{fleet.processes[number].pid}/stat") as stat:
-        return stat.read().rpartition(")")[2].split()[0] == "T"
-
-
 def test_an_owner_that_ends_is_killed_or_stopped_is_followed_in_time(tmp_path):
     with Fleet(tmp_path, 4, [0, 1, 2], names=("weights", "vocabulary")) as fleet:
         fleet.start(0, 1, 2, 3)
--- a/tests/test_duties_weights.py
+++ b/tests/test_duties_weights.py
@@ -101,7 +101,7 @@
             fleet.signal(number, signal.SIGCONT)
         fleet.wait(lambda: any(word == "owner" and number == first for word, number, _ in fleet.words()), 10)
         term = next(line["term"] for word, number, line in fleet.words() if word == "owner")
-        fleet.wait(lambda: b" T " in open(f"/proc/{fleet.processes[first].pid}/stat", "rb").read(), 12, "it never stopped itself")
+        fleet.wait(lambda: fleet.stopped(first), 12, "it never stopped itself")
         later, its_term = fleet.new_owner(term)
         fleet.wait(lambda: len(fleet.given()) > 8, 8, "its successor granted nothing")
         fleet.signal(first, signal.SIGCONT)
