Voters cut into two and three, and one-way cuts of the owner, on processes behind a stand-in network

Cause: hard cases of the issue Duties that need the network between processes cut by pair and direction.

--- a/tests/duties_stage.py
+++ b/tests/duties_stage.py
@@ -26,12 +26,32 @@
         base = 20000 + os.getpid() * 97 % 9000
         self.ports = [base + 2 * number for number in range(gateways)]
         self.processes: dict[int, subprocess.Popen] = {}
+        self.paths: dict[tuple[int, int], int] = {}
         (folder / "fleet").write_text(json.dumps({"version": 1, "servers": [
             {"name": "r1", "host": "127.0.0.1", "port": 9, "kind": "r"}, {"name": "w1", "host": "127.0.0.1", "port": 10, "kind": "w"}]}))
 
     def __enter__(self):
         return self
 
+    def between(self) -> None:
+        """A stand-in network between all admin ports, a port for each pair and direction; before any gateway starts."""
+        size = len(self.ports)
+        self.paths = {(one, other): self.ports[0] + 200 + one * size + other for one in range(size) for other in range(size) if one != other}
+        self.control = self.ports[0] + 199
+        path = self.folder / "network.json"
+        path.write_text(json.dumps({"port": self.control, "records": str(self.folder / "network.jsonl"), "links": [
+            {"sender": one, "to": other, "port": port, "target": ["127.0.0.1", self.ports[other]]} for (one, other), port in self.paths.items()]}))
+        self.processes[-1] = subprocess.Popen([sys.executable, "-m", "stackpitch", "network", str(path)], cwd=ROOT)
+
+    def fault(self, name: str, paths: list[tuple[int, int]], kind: str = "cut", on: bool = True) -> None:
+        body = json.dumps({"name": name, "on": on, "kind": kind, "paths": paths}).encode()
+        urllib.request.urlopen(urllib.request.Request(f"http://127.0.0.1:{self.control}/fault", body), timeout=3).read()
+
+    def seen(self, what: str, **facts) -> list[dict]:
+        """What the network recorded."""
+        lines = [json.loads(line) for line in (self.folder / "network.jsonl").read_text().splitlines() if line.endswith("}")]
+        return [one for one in lines if one["what"] == what and all(one.get(name) == fact for name, fact in facts.items())]
+
     def __exit__(self, *_):
         for process in self.processes.values():
             process.kill()
@@ -41,7 +61,7 @@
         return {
             "name": f"g{number}", "roster": str(self.folder / "fleet"), "door": {"port": self.ports[number] + 1},
             "admin": {"port": self.ports[number]}, "module": {"gateways": len(self.ports), "number": number},
-            "peers": {"admin": [f"127.0.0.1:{port}" for port in self.ports]},
+            "peers": {"admin": [f"127.0.0.1:{self.paths.get((number, other), port)}" for other, port in enumerate(self.ports)]},
             "kinds": {"r": {"role": "reader", "memory_tok": 1000}, "w": {"role": "writer", "memory_tok": 1000}},
             "products": {"ask": {"effect": "idempotent", "slo_ms": 500, "time_limit_ms": 1000}}, "stop": {"finish_ms": 500},
             "duties": {"fleet": "hall", "voters": self.voters, "names": self.names, "lease_ms": LEASE_MS, "call_ms": 200,
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -193,3 +193,44 @@
         down = fleet.wait(lambda: [line for word, _, line in fleet.words() if word == "stepped down" and line["term"] == term])
         assert "was heard of" in down[0]["why"]
         assert order(fleet.new_owner(term)[1]) > order(term)
+
+
+def test_voters_cut_into_two_and_three_with_the_owner_on_the_small_side(tmp_path):
+    """The three elect one of theirs within a lease and 1 s; the owner of the two steps down; healed, nobody is disturbed."""
+    with Fleet(tmp_path, 5, [0, 1, 2, 3, 4]) as fleet:
+        fleet.between()
+        fleet.start(0, 1, 2, 3, 4)
+        number, term = fleet.new_owner(limit=12)
+        other = (number + 1) % 5
+        small, large = {number, other}, {0, 1, 2, 3, 4} - {number, other}
+        begun = time.monotonic()
+        fleet.fault("halves", [pair for pair in fleet.paths if (pair[0] in small) != (pair[1] in small)])
+        later, its_term = fleet.new_owner(term)
+        assert later in large and time.monotonic() - begun < LEASE_MS / 1000 + 1
+        fleet.wait(lambda: any(word == "stepped down" and line["term"] == term for word, _, line in fleet.words()), 2)
+        time.sleep(1.5)
+        campaigns = len(fleet.seen("call", kind="lease", sender=other)) + len(fleet.seen("call", kind="lease", sender=number))
+        fleet.fault("halves", [], on=False)
+        time.sleep(2 * LEASE_MS / 1000)
+        assert fleet.owner() == (later, its_term), "those that come back depose nobody"
+        assert len(fleet.seen("call", kind="lease", sender=other)) + len(fleet.seen("call", kind="lease", sender=number)) == campaigns
+        known = [one for one in fleet.seen("answered", word="yes") if one.get("knows", [0])[0] > number_of(its_term)]
+        assert not known, "no term was promised over that of an owner that is well"
+
+
+@pytest.mark.parametrize("deaf", [True, False])
+def test_a_one_way_cut_of_the_owner(tmp_path, deaf):
+    """It can send and not hear, or hear and not send: either way it steps down, and another is there in time."""
+    with Fleet(tmp_path, 4, [0, 1, 2]) as fleet:
+        fleet.between()
+        fleet.start(0, 1, 2, 3)
+        number, term = fleet.new_owner(limit=12)
+        begun = time.monotonic()
+        fleet.fault("one way", [pair for pair in fleet.paths if pair[1 if deaf else 0] == number])
+        later, _ = fleet.new_owner(term)
+        assert later != number and time.monotonic() - begun < LEASE_MS / 1000 + 1
+        down = fleet.wait(lambda: [line for word, _, line in fleet.words() if word == "stepped down" and line["term"] == term], 2)
+        assert down[0]["why"] == "its lease ran out"
+        late = [one for one in fleet.seen("call", kind="owner", sender=number) if one["stamp"][0] == number_of(term)
+                and one["at"] > fleet.seen("call", kind="owner", sender=later)[0]["at"]]
+        assert not late, "the older acted after the newer"
