Servers of several vocabularies: states and token ids go only where they mean the same

Cause: a read state or a token id means something else to a server of another vocabulary. Not used by any settings yet.

--- a/stackpitch/gateway/ask.py
+++ b/stackpitch/gateway/ask.py
@@ -94,6 +94,8 @@
         self.states: dict[Leg, Waiting] = {}  # reads whose state waits; emptied by start or release
         self.place: Server | None = None  # held ahead; emptied by start or release
         self.placed: Leg | None = None
+        # By vocabulary that it may be read and answered in, the fields that say token ids; None: it says none.
+        self.spoken: dict[str, dict[str, msgspec.Raw]] | None = None
 
     def _headers(self) -> list[tuple[str, str]]:
         return [("x-request-id", self.request_id)]
--- a/stackpitch/gateway/engines.py
+++ b/stackpitch/gateway/engines.py
@@ -38,6 +38,9 @@
     def _request(self) -> bytes:
         gen, host, address = self.leg.gen, self.host, self.host.roster.addresses[self.leg.server]
         source = self.front.source(self.ask)
+        vocabulary = host.roster.vocabularies.get(self.leg.server, "")
+        if source is not None and host.roster.vocabularies.get(source.server, "") != vocabulary:
+            source = None  # a state of another vocabulary means nothing here
         transfer = engine.Transfer(self.front.state_id(self.leg))
         if self.part == "read":
             transfer.do_remote_decode = True
@@ -51,8 +54,11 @@
                    ("x-prompt-tokens", str(gen.prompt_tok))]
         if gen.session is not None:
             headers.append(("x-session-id", http.one_line(gen.session)))
-        return engine.leg_request(self.ask.target, f"{address[0]}:{address[1]}", self.ask.fields, transfer,
-                                  self.part != "read", headers)
+        fields = self.ask.fields
+        if self.ask.spoken is not None:
+            fields = fields | self.ask.spoken[vocabulary]  # sent nowhere else (`tongues`)
+            headers.append((engine.VOCABULARY, vocabulary))
+        return engine.leg_request(self.ask.target, f"{address[0]}:{address[1]}", fields, transfer, self.part != "read", headers)
 
     def _exchange(self, stream: Stream, scope: Scope) -> Coro[End]:
         yield from self._write(stream, self._request())
--- a/stackpitch/gateway/roster.py
+++ b/stackpitch/gateway/roster.py
@@ -16,9 +16,11 @@
 
     def __init__(self, world: World, kinds: Mapping[str, tuple[Role, int]]) -> None:
         self.kinds, self.version = kinds, -1
+        self.applied = 0  # lists so far
         self.servers: dict[str, Server] = {}
         self.addresses: dict[Server, Address] = {}
         self.told: dict[str, Entry] = {}  # the list in force
+        self.vocabularies: dict[Server, str] = {}  # of those whose entry names one
         self.epoch = world.wall_ms() * 10 - world.now()  # a start is stated by the wall clock, once and for all
 
     def apply(self, version: int, entries: Sequence[Entry]) -> list[Server]:
@@ -29,16 +31,20 @@
             self.servers[name].state = "gone"
         found = [self._server(one) for name, one in told.items() if self.told.get(name) != one or name not in self.servers]
         self.told, self.version = told, version
+        self.applied += 1
         return found
 
     def _server(self, one: Entry) -> Server:
         role, memory = self.kinds[one.kind]
         server = self.servers.get(one.name)
-        if server is not None and (server.zone, server.kind, server.cell) != (one.zone, one.kind, one.cell):
-            server.state = "gone"  # another machine under the same name
+        if server is not None and (server.zone, server.kind, server.cell, self.vocabularies.get(server, "")) != (
+                one.zone, one.kind, one.cell, one.vocabulary):
+            server.state = "gone"  # another machine under the same name; or one to which nothing that it kept means anything
             server = None
         if server is None:
             server = self.servers[one.name] = Server(one.name, one.zone, one.kind, one.cell, role, memory)
+            if one.vocabulary:
+                self.vocabularies[server] = one.vocabulary
         server.state, server.weight = one.state, one.weight
         server.started = None if one.started_unix_ms is None else one.started_unix_ms * 10 - self.epoch
         self.addresses[server] = one.address
@@ -47,5 +53,6 @@
     def forget(self, server: Server) -> None:
         if server.state == "gone":
             self.addresses.pop(server, None)
+            self.vocabularies.pop(server, None)
             if self.servers.get(server.name) is server:
                 del self.servers[server.name]
--- a/stackpitch/preferences.py
+++ b/stackpitch/preferences.py
@@ -6,7 +6,7 @@
 weights give way where they would leave nothing, and never move a later turn from its writer.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, Literal
 from zlib import crc32
@@ -83,6 +83,7 @@
     roles: dict[str, frozenset[Role]] = field(default_factory=dict)  # that a rule speaks of, also once all there are lost
     heaviest: dict[Role, float] = field(default_factory=dict)  # weight by role; empty while all weigh the same
     last: tuple[Generation, Time, list[Rule]] | None = None
+    also: Callable[[Generation, Server], bool] | None = None  # binds every leg as "only" does; None: says nothing
 
     def listed(self, servers: Iterable[Server]) -> None:
         """Takes the present list."""
@@ -102,7 +103,7 @@
 
     @property
     def hard(self) -> bool:
-        return any(one.how in ("only", "never") for one in self.rules)
+        return self.also is not None or any(one.how in ("only", "never") for one in self.rules)
 
     def meeting(self, now: Time, gen: Generation, hard: bool) -> list[Rule]:
         if not self.rules:
@@ -113,6 +114,8 @@
 
     def may(self, now: Time, gen: Generation, server: Server) -> bool:
         """Whether "only" and "never" leave it open. Asked for server after server: the last rules are kept."""
+        if self.also is not None and not self.also(gen, server):
+            return False
         if self.last is None or self.last[:2] != (gen, now):
             self.last = gen, now, self.meeting(now, gen, hard=True)
         return all((server in rule.where) is (rule.how == "only") for rule in self.last[2]
--- a/stackpitch/rehearse/engine/legs.py
+++ b/stackpitch/rehearse/engine/legs.py
@@ -33,6 +33,11 @@
         work.task = machine.world.current
         machine.recorder.note("leg", key=work.key, leg=work.leg, gateway=work.gateway, part=part, state=transfer.state_id,
                             product=work.product, session=reader.headers.get("x-session-id"), tok=work.prompt_tok)
+        meant = reader.headers.get(engine.VOCABULARY)
+        if meant is not None and meant != machine.set.vocabulary:
+            self.refuse(stream, work, engine.OTHER_VOCABULARY)
+            yield from stream.drain()
+            return True
         machine.push(part, work.prompt_tok)
         outcome = "broken"
         try:
--- a/stackpitch/wire/engine.py
+++ b/stackpitch/wire/engine.py
@@ -9,6 +9,7 @@
 STATE_HOLD, STATE_RELEASE, HEALTH = "/v1/state/hold", "/v1/state/release", "/health"
 WEIGHTS = "/v1/weights"
 STATE_HEADER = "x-kv-state"  # of a writer's answer: "fetched" if it took the state that the leg named
+VOCABULARY = "x-vocabulary"  # of a leg: the digest of the one that its token ids are written for
 GENERATE = ("/v1/chat/completions", "/v1/completions")
 Part = Literal["read", "write", "whole"]
 
@@ -86,7 +87,8 @@
 
 
 FULL, NO_STATE, DRAINING = "engine_full", "no_state", "engine_draining"
-REFUSALS = {FULL, NO_STATE, DRAINING}  # codes of a 503 that prove the leg never ran
+OTHER_VOCABULARY = "other_vocabulary"  # than the leg was written for
+REFUSALS = {FULL, NO_STATE, DRAINING, OTHER_VOCABULARY}  # codes of a 503 that prove the leg never ran
 
 
 def leg_request(target: str, host: str, fields: dict[str, msgspec.Raw], transfer: Transfer, streamed: bool,
