A voter's file has a thread of its own: its word does not wait behind gigabytes of weights

Change: World.aside takes a lane. Result: a call in its own lane is back while another lane sleeps 50 ms (test).

--- a/stackpitch/duties/carrier/voting.py
+++ b/stackpitch/duties/carrier/voting.py
@@ -19,6 +19,7 @@
 from stackpitch.duties.record.register import Kept
 from stackpitch.loop import MS, SECOND, Coro, Group, Task, Time, World
 
+LANE = "votes"  # of its file: a voter must not wait while gigabytes of weights are written
 ASK_AGAIN: Time = 200 * MS  # between two rounds of a voter that starts
 KINDS = frozenset({"would", "lease", "release", "read", "write"})
 
@@ -60,7 +61,7 @@
 
     def run(self) -> Coro[None]:
         try:
-            yield from self.world.aside(self.ballots.open)
+            yield from self.world.aside(self.ballots.open, LANE)
         except VoterError as wrong:
             self.log.error("voter_out", why=str(wrong), kind=type(wrong).__name__)
             return
@@ -83,7 +84,7 @@
                 self.log.warning("voter_older", why=str(FileOlder(self.figures.file, decision.why)))
                 continue
             if decision.promises is not None:
-                if (yield from self.world.aside(partial(self.ballots.begin, dict(decision.promises)))):
+                if (yield from self.world.aside(partial(self.ballots.begin, dict(decision.promises)), LANE)):
                     break
                 decision = Decision("wait", str(DiskFailed(self.figures.file, self.ballots.log.trouble)))
             if decision.why != said and self.world.now() - begun > SECOND:
@@ -185,7 +186,7 @@
         def write() -> bool:
             return all([self.ballots.save(duty, promise) for duty, promise in wanted.items()])
 
-        done = yield from self.world.aside(write)
+        done = yield from self.world.aside(write, LANE)
         if done:
             for duty, promise in wanted.items():
                 if self.voter.promises[duty] == promise:
--- a/stackpitch/loop/real.py
+++ b/stackpitch/loop/real.py
@@ -357,7 +357,7 @@
 class RealWorld(World):
     def __init__(self, seed: int = 0) -> None:
         super().__init__(seed)
-        self.aside_or_none: Aside | None = None
+        self.asides: dict[str, Aside] = {}  # by lane
         self.epoll = select.epoll()
         self.handlers: dict[int, Callable[[int], None]] = {}  # by descriptor; emptied by `forget`
 
@@ -439,9 +439,9 @@
         ours.setblocking(False)
         return RealChild(self, process), RealStream(self, ours, ("child", process.pid))
 
-    def aside(self, call: Callable[[], T]) -> Coro[T]:
-        if self.aside_or_none is None:
-            self.aside_or_none = Aside(self)
+    def aside(self, call: Callable[[], T], lane: str = "") -> Coro[T]:
+        if lane not in self.asides:
+            self.asides[lane] = Aside(self)
         found: list[T] = []
         wrong: list[Exception] = []
         task, waits = self.current, [True]
@@ -456,7 +456,7 @@
             if waits[0]:
                 task.wake()
 
-        self.aside_or_none.submit(work, then)
+        self.asides[lane].submit(work, then)
         try:
             while not found and not wrong:
                 yield
--- a/stackpitch/loop/virtual/world.py
+++ b/stackpitch/loop/virtual/world.py
@@ -163,7 +163,7 @@
             process.files.append(made)
         return made
 
-    def aside(self, call: Callable[[], T]) -> Coro[T]:
+    def aside(self, call: Callable[[], T], lane: str = "") -> Coro[T]:
         yield from ()
         return call()
 
--- a/stackpitch/loop/world.py
+++ b/stackpitch/loop/world.py
@@ -100,8 +100,9 @@
     def spawn_piped(self, command: Sequence[str], *, errors: str | None = None) -> tuple[Child, Stream]:
         """A child whose standard input and output are a stream's other end."""
     @abstractmethod
-    def aside(self, call: Callable[[], T]) -> Coro[T]:
-        """Runs a call that blocks (files, no more) where it holds up nobody; one at a time, in order."""
+    def aside(self, call: Callable[[], T], lane: str = "") -> Coro[T]:
+        """Runs a call that blocks (files, no more) where it holds up nobody; in each lane one at a time, in order. What
+        must not wait behind long work on files has a lane of its own; lanes are few and known."""
     @abstractmethod
     def watch(self) -> Watch | None:
         """None if this machine has none to give; then looking must do."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -355,6 +355,10 @@
         assert (yield from world.aside(slow)) == 7
         with pytest.raises(ValueError, match="no"):
             yield from world.aside(lambda: int("no"))
+        begun = world.now()
+        with world.limit(20 * MS):
+            yield from world.aside(slow)
+        assert (yield from world.aside(lambda: 8, "votes")) == 8 and world.now() - begun < 45 * MS, "another lane doesn't wait"
         watch = world.watch()
         watch.aim([str(tmp_path), str(tmp_path / "none")])
         (tmp_path / "one").write_text("x")
