--- a/stackpitch/rehearse/director/places.py
+++ b/stackpitch/rehearse/director/places.py
@@ -39,6 +39,7 @@
     telling: bool = False
     news: int = 0  # calls that were to be made
     votes: str = ""  # its voter's file
+    ends: int = 0  # times that a trouble ended its process; the last of them brings it back
 
 
 @dataclass(slots=True)
