--- a/tests/days/owners.jsonnet
+++ b/tests/days/owners.jsonnet
@@ -37,6 +37,20 @@
       { kind: 'gateway-term', at_s: 19, for_s: 0.5, names: ['owner.weights'] },
     ],
   },
+  // A voter is back with an empty file while another is dead; the owner is killed meanwhile.
+  dead: small {
+    length_s: 16,
+    troubles: [
+      { kind: 'gateway-kill', at_s: 3, for_s: 7, names: ['g1'] },
+      { kind: 'voter-empty', at_s: 5, for_s: 0.2, names: ['g0'] },
+      { kind: 'gateway-kill', at_s: 6, for_s: 0.5, names: ['owner.vocabulary'] },
+    ],
+  },
+  // Voters and gateways cut into two and three, the owner on the small side.
+  parted: small {
+    gateways: 5,
+    troubles: [{ kind: 'net-cut', at_s: 3, for_s: 5, names: ['owner.weights', 'g4'] }],
+  },
   fenceless: late,
   leaseless: small { troubles: [{ kind: 'net-one-way', at_s: 4, for_s: 4, names: ['owner.weights'] }] },
   forgetful: small { length_s: 1, duties+: { names: ['weights'] } },
--- a/tests/test_owner_days.py
+++ b/tests/test_owner_days.py
@@ -32,6 +32,42 @@
         assert down, "what came late had to be turned down"
 
 
+def taken(folder: Path, kinds: tuple[str, ...]) -> list[dict]:
+    """Calls of these kinds that their receivers said yes to, each with `at` as it was answered."""
+    records = [json.loads(line) for line in (folder / "network.jsonl").read_text().splitlines()]
+    calls = {one["call"]: one for one in records if one["what"] == "call" and one.get("kind") in kinds}
+    return [calls[one["call"]] | {"at": one["at"]} for one in records
+            if one["what"] == "answered" and one.get("word") == "yes" and one["call"] in calls]
+
+
+def noted(folder: Path, what: str, name: str, last: bool = True) -> int:
+    found = [one["at"] for one in map(json.loads, (folder / "director.jsonl").read_text().splitlines())
+             if one["what"] == what and one.get("name") == name]
+    return found[-1 if last else 0]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_voter_back_with_an_empty_file_while_another_is_dead_gives_no_vote(seed: int, tmp_path: Path) -> None:
+    found = outcome("dead", "--virtual", "--set", f"seed={seed}", "--keep", str(tmp_path))
+    assert found["exit"] == 0, found["breaches"]
+    begin, end = noted(tmp_path, "file-over", "g0"), noted(tmp_path, "listens", "g1")
+    votes = [one for one in taken(tmp_path, ("would", "lease", "read", "write")) if one["to"] == 0]
+    assert end - begin > 30_000 and not [one for one in votes if begin <= one["at"] <= end]
+    assert [one for one in votes if one["at"] > end], "and gives it again once it has learnt"
+
+
+def test_an_owner_on_the_small_side_of_a_cut_is_followed_on_the_large_one(tmp_path: Path) -> None:
+    found = outcome("parted", "--virtual", "--keep", str(tmp_path))
+    assert found["exit"] == 0, found["breaches"]
+    cut = next(one for one in map(json.loads, (tmp_path / "network.jsonl").read_text().splitlines()) if one["what"] == "fault")
+    said = [one for one in taken(tmp_path, ("owner",)) if one["duty"] == "weights"]
+    before, after = [one for one in said if one["at"] < cut["at"]], [one for one in said if one["at"] > cut["at"] + 20_000]
+    assert {one["sender"] for one in before} == {cut["paths"][0][0]}, "the first of those cut off was the owner"
+    assert len({(one["sender"], one["stamp"][0]) for one in after}) == 1, "one that is well is left alone after it"
+    assert after[0]["sender"] not in {sender for sender, _ in cut["paths"][:6]}
+    assert after[0]["stamp"][0] > before[0]["stamp"][0]
+
+
 def test_voters_whose_files_were_changed_say_so(tmp_path: Path) -> None:
     """As processes, whose logs are their own."""
     found = outcome("files", "--keep", str(tmp_path))
