Calls with a term out of range are malformed: one could have shut out all that come

Cause (read): a stamp beyond the last generation would have been promised, and no later term goes over it; a lease of no length was taken. Result: both are dropped and counted; cases added to the test of calls that are astray.

--- a/stackpitch/duties/carrier/desk.py
+++ b/stackpitch/duties/carrier/desk.py
@@ -53,7 +53,8 @@
             return "unknown sender"
         if call.duty not in figures.names and (call.kind, call.duty) != ("state", ""):
             return "unknown duty"
-        if call.stamp.term < 0 or terms.owner_of(call.stamp.term) >= figures.gateways:
+        known = 0 <= terms.generation_of(call.stamp.term) < terms.GENERATIONS  # a higher one would shut out all that come
+        if not known or terms.owner_of(call.stamp.term) >= figures.gateways:
             return "malformed"
         return None
 
--- a/stackpitch/duties/carrier/voting.py
+++ b/stackpitch/duties/carrier/voting.py
@@ -1,7 +1,7 @@
 """A voter's I/O: its file, how it comes to vote, one call after the other, and telling candidates of a vacancy."""
 
 from functools import partial
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -27,7 +27,7 @@
 class Lease(msgspec.Struct, frozen=True):
     """What goes with a `would` or `lease`: ticks, and the voters' serials as the asking side has heard them."""
 
-    ticks: Time
+    ticks: Annotated[Time, msgspec.Meta(gt=0)]
     serials: dict[int, int] = {}
 
 
--- a/stackpitch/duties/ownership/terms.py
+++ b/stackpitch/duties/ownership/terms.py
@@ -2,6 +2,7 @@
 
 OWNERS = 10  # bits of `module.number`: up to 1,024 gateways
 COUNT = 38  # bits of the count within a generation
+GENERATIONS = 1 << 10
 
 
 def next_term(highest: int, generation: int, number: int) -> int:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -181,9 +181,10 @@
         for said, wrong in {
             "another fleet": {"fleet": "other"}, "update the receiver": {"form": 2}, "update the sender": {"form": -1, "fleet": "hall"},
             "for another gateway": {"addressed": 7}, "unknown sender": {"sender": 9}, "unknown duty": {"duty": "lunch"},
-            "malformed": {"kind": "lease", "body": {"ticks": "long"}}}.items():
-            to = 0 if said == "malformed" else other
-            answer = fleet.call(to, wrong.pop("kind", "owner"), known + (1 << 10), 1, **wrong)
+            "malformed": {"kind": "lease", "body": {"ticks": -1}}, "malformed ": {"kind": "lease", "body": {"ticks": "long"}},
+            " malformed": {"term": 1 << 59}, "  malformed": {"term": -1}}.items():
+            to, said = 0 if wrong.get("kind") else other, said.strip()
+            answer = fleet.call(to, wrong.pop("kind", "owner"), wrong.pop("term", known + (1 << 10)), 1, **wrong)
             assert isinstance(answer, str) and (said in answer or (said == "update the sender" and "malformed" in answer)), (said, answer)
         assert "malformed" in fleet.post(other, b"{") and "over" in fleet.post(other, b" " * 600_000)
         assert fleet.call(other, "owner", known - (1 << 10), 1).word == "older term"
