Weights: malformed grants and stray files harm nobody

A grant without an address, or with one that is none, ended the receiver; a path with a line end would have split a request; a folder that can't be read, or a marker edited by hand, kept a whole site waiting. Each is turned down or passed over now, and tested.

--- a/stackpitch/duties/weights/forms.py
+++ b/stackpitch/duties/weights/forms.py
@@ -10,9 +10,9 @@
 from stackpitch.duties.weights.grants.grant import Lane, Mark
 from stackpitch.loop import Time
 
-Label = Annotated[str, msgspec.Meta(min_length=1, max_length=80, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
-Bits = Annotated[str, msgspec.Meta(max_length=1100, pattern=r"^[0-9a-f]*$")]  # a set of pieces, as hex
-Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+Label = Annotated[str, msgspec.Meta(min_length=1, max_length=80, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*\Z")]
+Bits = Annotated[str, msgspec.Meta(max_length=1100, pattern=r"^[0-9a-f]*\Z")]  # a set of pieces, as hex
+Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
 
 
 class Begin(msgspec.Struct, frozen=True):
@@ -37,7 +37,7 @@
     """This version goes into service at the site; "": the model is withdrawn there."""
 
     model: Label
-    version: Annotated[str, msgspec.Meta(max_length=80, pattern=r"^([A-Za-z0-9][A-Za-z0-9._-]*)?$")]
+    version: Annotated[str, msgspec.Meta(max_length=80, pattern=r"^([A-Za-z0-9][A-Za-z0-9._-]*)?\Z")]
     serial: int = 0  # as in `Place`
 
 
--- a/stackpitch/duties/weights/grants/grant.py
+++ b/stackpitch/duties/weights/grants/grant.py
@@ -7,12 +7,15 @@
 and however long either side was stopped. The price is the way of one report, which is taken off the grant's life.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from stackpitch.duties.calls import Stamp
 from stackpitch.loop import SECOND, Time
 
 DRIFT = 100  # one in so many: what two clocks may differ by in rate
+MOST_LASTS: Time = 10 * SECOND
 MOST_AGE: Time = 3 * SECOND  # an older mark carries no grant: whoever sent it counts as gone
 
 
@@ -38,16 +41,16 @@
     """A rate of 0 stops the lane."""
 
     lane: Lane
-    serial: int  # rises within a term
+    serial: Annotated[int, msgspec.Meta(ge=1)]  # rises within a term
     mark: Mark
-    age: Time
-    lasts: Time
-    rate: int  # bytes a second
+    age: Annotated[Time, msgspec.Meta(ge=0, le=MOST_AGE)]
+    lasts: Annotated[Time, msgspec.Meta(ge=0, le=MOST_LASTS)]
+    rate: Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]  # bytes a second
     model: str = ""
     version: str = ""
-    pieces: tuple[int, ...] = ()  # to be fetched in this order
-    address: str = ""  # of the source, host:port
-    path: str = ""
+    pieces: Annotated[tuple[int, ...], msgspec.Meta(max_length=64)] = ()  # to be fetched in this order
+    address: Annotated[str, msgspec.Meta(pattern=r"^(#\d{1,4}|[0-9.]{7,15}:\d{1,5})?\Z")] = ""  # of the source; #: a gateway's
+    path: Annotated[str, msgspec.Meta(max_length=1024, pattern=r"^(/[!-~]*)?\Z")] = ""
 
 
 def slack(age: Time, lasts: Time) -> Time:
--- a/stackpitch/duties/weights/grants/shelf.py
+++ b/stackpitch/duties/weights/grants/shelf.py
@@ -35,6 +35,8 @@
             return "another process"
         if grant.mark.at > now or min(grant.age, grant.lasts, grant.rate) < 0:
             return "not possible"
+        if grant.rate and not (grant.address and grant.path):
+            return "not possible"
         if grant.serial <= self.serials.get(lane, 0):
             return "repeated"
         if lane not in self.serials and len(self.serials) >= MOST_LANES:
--- a/stackpitch/duties/weights/owner.py
+++ b/stackpitch/duties/weights/owner.py
@@ -12,7 +12,7 @@
 from stackpitch.duties.calls import Answer
 from stackpitch.duties.weights import forms
 from stackpitch.duties.weights.errors import NoWanted
-from stackpitch.duties.weights.grants.grant import Grant, longest
+from stackpitch.duties.weights.grants.grant import MOST_LASTS, Grant, longest
 from stackpitch.duties.weights.plan.planner import Planner
 from stackpitch.duties.weights.upkeep import Upkeep
 from stackpitch.duties.weights.wanted import Wanted
@@ -53,7 +53,7 @@
                 self.kept = msgspec.msgpack.decode(value, type=Kept)
             except msgspec.DecodeError as wrong:
                 self.log("weights_record", why=f"the record can't be read, the longest grant is waited out: {wrong}")
-                self.kept = Kept(10 * SECOND, (UNKNOWN,))
+                self.kept = Kept(MOST_LASTS, (UNKNOWN,))
         for _ in range(FILE):
             if self.file.current is None:
                 yield from self.world.sleep(IDLE)
--- a/stackpitch/duties/weights/placing/disk.py
+++ b/stackpitch/duties/weights/placing/disk.py
@@ -68,7 +68,7 @@
     def names(self, path: str) -> list[str]:
         try:
             return sorted(os.listdir(path))
-        except FileNotFoundError:
+        except (FileNotFoundError, NotADirectoryError):
             return []
 
     def sync_folder(self, path: str) -> None:
--- a/stackpitch/duties/weights/placing/folder.py
+++ b/stackpitch/duties/weights/placing/folder.py
@@ -5,6 +5,7 @@
     MODEL/released                  the version in service and under which term; written beside itself and renamed
 """
 
+import re
 from dataclasses import dataclass
 
 import msgspec
@@ -22,6 +23,7 @@
     serial: int = 0
 
 
+LABEL = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*")
 RELEASED = msgspec.json.Decoder(Released)
 
 
@@ -43,18 +45,29 @@
     def others(self, model: str, version: str) -> list[str]:
         """What other gateways on the same disk have of it, to be copied from as far as it is right."""
         found = []
-        for name in self.disk.names(f"{self.root}/{model}/partial"):
+        for name in self.partials(model):
             label, _, number = name.rpartition(".")
             if label == version and number.isdecimal() and int(number) != self.number:
                 found.append(f"{self.root}/{model}/partial/{name}")
         return found
 
     def models(self) -> list[str]:
-        return self.disk.names(self.root)
+        """Names that can be ours. Raises DiskTrouble."""
+        return [name for name in self._names(self.root) if LABEL.fullmatch(name)]
 
     def versions(self, model: str) -> list[str]:
-        """That are placed."""
-        return self.disk.names(f"{self.root}/{model}/placed")
+        """That are placed. Raises DiskTrouble."""
+        return self._names(f"{self.root}/{model}/placed")
+
+    def partials(self, model: str) -> list[str]:
+        """Of all gateways. Raises DiskTrouble."""
+        return self._names(f"{self.root}/{model}/partial")
+
+    def _names(self, path: str) -> list[str]:
+        try:
+            return self.disk.names(path)
+        except OSError as wrong:
+            raise trouble(wrong, path) from None
 
     def released(self, model: str) -> Released:
         """Raises DiskTrouble."""
--- a/stackpitch/duties/weights/receiving/fetch.py
+++ b/stackpitch/duties/weights/receiving/fetch.py
@@ -42,7 +42,7 @@
             host, _, port = self.address.rpartition(":")
             try:
                 self.stream = yield from self.world.connect((host, int(port)), CONNECT)
-            except ConnectFailed as wrong:
+            except (ConnectFailed, OSError, ValueError, OverflowError) as wrong:
                 raise SourceFailed(self.name, self.address, str(wrong)) from None
             self.used = False
         stream, whole = self.stream, False
--- a/stackpitch/duties/weights/receiving/receiver.py
+++ b/stackpitch/duties/weights/receiving/receiver.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Protocol
 
+from pydantic import ValidationError
+
 from stackpitch.duties.calls import Stamp
 from stackpitch.duties.weights import forms
 from stackpitch.duties.weights.errors import DiskTrouble, Gone, VersionChanged, WeightsError, WholeDiffers
@@ -66,7 +68,10 @@
             return "older"
         if len(self.entries) >= MOST_COPIES:
             return "too many versions"
-        manifest = Manifest(size=asked.size, piece=asked.piece, whole=asked.whole, pieces=list(asked.pieces))
+        try:
+            manifest = Manifest(size=asked.size, piece=asked.piece, whole=asked.whole, pieces=list(asked.pieces))
+        except ValidationError:
+            return "malformed"
         self.placings[asked.model] = stamp, asked.serial
         for other in [one for one, old in self.entries.items() if one[0] == asked.model and not old.copy.placed]:
             self._drop(other)  # replaced before it was whole
@@ -138,18 +143,24 @@
 
     def _look(self) -> Coro[None]:
         """What lies on the disk."""
-        def look() -> tuple[dict[str, list[str]], dict[str, Released]]:
-            models = self.folder.models()
-            return ({model: self.folder.versions(model) for model in models},
-                    {model: self.folder.released(model) for model in models if model not in self.releases})
+        def look() -> tuple[dict[str, list[str]], dict[str, Released], list[DiskTrouble]]:
+            lying, releases, wrong = dict[str, list[str]](), dict[str, Released](), list[DiskTrouble]()
+            for model in self.folder.models():
+                try:
+                    lying[model] = self.folder.versions(model)
+                    if model not in self.releases:
+                        releases[model] = self.folder.released(model)
+                except DiskTrouble as one:
+                    wrong.append(one)  # as if nothing had been released: so nothing is removed, and the next release mends it
+            return lying, releases, wrong
 
         try:
-            self.lying, found = yield from self.world.aside(look, QUEUE)
-        except DiskTrouble as wrong:
-            self.failed(wrong)
-        except OSError as wrong:
-            self.log("weights_disk", path=self.folder.root, why=str(wrong))
+            self.lying, found, wrong = yield from self.world.aside(look, QUEUE)
+        except DiskTrouble as all_of_it:
+            self.failed(all_of_it)
         else:
+            for one in wrong if self.group is None else ():  # once, at the start
+                self.said(one)
             self.releases |= {model: one for model, one in found.items() if model not in self.releases}
 
     def _steps(self, entry: Entry, steps: Iterator[None]) -> Coro[bool]:
@@ -220,7 +231,7 @@
         def clear() -> None:
             for path in gone:
                 self.folder.remove(path)
-            for name in self.folder.disk.names(f"{self.folder.model(model)}/partial"):
+            for name in self.folder.partials(model):
                 if name.endswith(f".{self.folder.number}") and name not in kept:
                     self.folder.remove(f"{self.folder.model(model)}/partial/{name}")
 
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -256,7 +256,7 @@
 
 
 def given(serial, mark=1000, age=50, lasts=10_000, rate=1, lane=LANE, start=77):
-    return Grant(lane, serial, Mark(start, mark), age, lasts, rate, "m", "1", (0,))
+    return Grant(lane, serial, Mark(start, mark), age, lasts, rate, "m", "1", (0,), "127.0.0.1:9", "/m")
 
 
 def test_a_grant_ends_by_the_receivers_own_mark_however_late_it_comes():
--- a/tests/test_weights_placing.py
+++ b/tests/test_weights_placing.py
@@ -140,7 +140,14 @@
     folder.remove(folder.placed("m", "1"))
     folder.remove(folder.placed("m", "1"))
     assert folder.versions("m") == [] and disk.names(str(tmp_path / "none")) == []
+    (tmp_path / "new" / "weights" / "lost+found").mkdir()
+    (tmp_path / "new" / "weights" / "notes.txt").write_text("by hand")
+    assert folder.models() == ["m", "notes.txt"] and folder.versions("notes.txt") == []
+    (tmp_path / "new" / "weights" / "m" / "released").write_text("by hand")
+    with pytest.raises(errors.DiskCorrupt):
+        folder.released("m")
     life(folder, [])
+    assert folder.released("m").version == "1"
     with pytest.raises(errors.DiskTrouble, match="Is a directory"):
         folder.remove(str(tmp_path))
 
--- a/tests/test_weights_sites.py
+++ b/tests/test_weights_sites.py
@@ -286,12 +286,22 @@
     def script(stage):
         work = stage.nodes[0].work
         for kind, body in [("place", {"model": "../x"}), ("place", {"model": "m", "version": ".."}), ("grant", 7),
-                           ("begin", {}), ("release", {"model": "m", "version": "a/b"}), ("report", [])]:
+                           ("begin", {}), ("release", {"model": "m", "version": "a/b"}), ("release", {"model": "m\n", "version": ""}),
+                           ("report", [])]:
             if kind == "report":
                 stage.own(0)
                 yield from stage.until(lambda: work.owner is not None)
             with pytest.raises(msgspec.ValidationError):
                 yield from work.heard(3, kind, Stamp(9 if kind != "report" else 0), raw(body))
+        good = {"lane": {"site": "s0", "gateway": 0, "start": 1, "source": "origin"}, "serial": 1,
+                "mark": {"start": 1, "at": 1}, "age": 0, "lasts": 10, "rate": 10, "address": "127.0.0.1:9", "path": "/m"}
+        for change in ({"path": "/m HTTP/1.1\r\nx: y"}, {"path": "/m\n"}, {"address": "host:80"}, {"rate": -1},
+                       {"lasts": 10**6}, {"serial": 0}, {"pieces": [1] * 65}, {"age": 10**6}):
+            with pytest.raises(msgspec.ValidationError):
+                yield from work.heard(3, "grant", Stamp(9), raw(good | change))
+        assert (yield from work.heard(3, "grant", Stamp(9), raw(good))).word == "not known"
+        place = {"model": "m", "version": "9", "size": 5000, "piece": 1024, "whole": "0" * 64, "pieces": []}
+        assert (yield from work.heard(3, "place", Stamp(9), raw(place))).word == "malformed"
         assert (yield from work.heard(3, "grant", Stamp(), raw({}))).word == "a term is needed"
         assert (yield from work.heard(3, "what", Stamp(9), raw({}))).word == "not known"
 
