--- a/tests/test_weights_sites.py
+++ b/tests/test_weights_sites.py
@@ -286,8 +286,8 @@
     def script(stage):
         work = stage.nodes[0].work
         for kind, body in [("place", {"model": "../x"}), ("place", {"model": "m", "version": ".."}), ("grant", 7),
-                           ("begin", {}), ("release", {"model": "m", "version": "a/b"}), ("release", {"model": "m\n", "version": ""}),
-                           ("report", [])]:
+                           ("begin", {}), ("release", {"model": "m", "version": "a/b"}),
+                           ("release", {"model": "m\n", "version": ""}), ("report", [])]:
             if kind == "report":
                 stage.own(0)
                 yield from stage.until(lambda: work.owner is not None)
