The stand-in origin is a process; pieces pass the stand-in network as they come

The origin runs as 'stackpitch origin', is made ill by calls on a control port, for all or for some gateways, and notes what it gave to whom: receivers now say in their user agent which gateway asks, so an origin's own log tells sites apart too. The network dropped the Range of a GET and held answers whole; now it hands pieces on and notes each part.

--- a/stackpitch/cli/main.py
+++ b/stackpitch/cli/main.py
@@ -389,6 +389,17 @@
     world.run(run_network(world, read))
 
 
+@main.command(hidden=True)
+@click.argument("file", type=click.Path(path_type=Path))
+def origin(file: Path) -> None:
+    """Run a day's stand-in origin of weights, as `rehearse` starts it."""
+    from stackpitch.rehearse.origin import OriginSettings, run_origin
+
+    read = msgspec.convert(settings_package.evaluate(file), OriginSettings)
+    world = RealWorld(read.seed)
+    world.run(run_origin(world, read))
+
+
 @main.command(hidden=True)
 @click.argument("rule")
 @CONFIG
--- a/stackpitch/duties/weights/receiving/fetch.py
+++ b/stackpitch/duties/weights/receiving/fetch.py
@@ -10,10 +10,11 @@
 
 
 class Source:
-    """One source's connection, opened when it is needed. Raises SourceFailed, SourceChanged."""
+    """One source's connection, opened when it is needed. Raises SourceFailed, SourceChanged. `gateway`: who asks, which
+    every request says, so that an origin's log tells sites apart."""
 
-    def __init__(self, world: World, name: str, address: str) -> None:
-        self.world, self.name, self.address = world, name, address
+    def __init__(self, world: World, name: str, address: str, gateway: int) -> None:
+        self.world, self.name, self.address, self.gateway = world, name, address, gateway
         self.stream: Stream | None = None
         self.used = False  # at least one answer came over it: a break may then be its keeping's end
 
@@ -47,7 +48,8 @@
             self.used = False
         stream, whole = self.stream, False
         try:
-            headers = [("range", f"bytes={at}-{at + size - 1}"), ("accept-encoding", "identity")]
+            headers = [("range", f"bytes={at}-{at + size - 1}"), ("accept-encoding", "identity"),
+                       ("user-agent", f"stackpitch gateway/{self.gateway}")]
             stream.write(http.request("GET", path, self.address, b"", headers))
             reader, parts = http.ResponseReader(MOST_HEAD, size), list[bytes]()
             while not reader.complete:
--- a/stackpitch/duties/weights/receiving/lanes.py
+++ b/stackpitch/duties/weights/receiving/lanes.py
@@ -98,7 +98,7 @@
                 if source is None or source.address != held.grant.address:
                     if source is not None:
                         source.close()
-                    source = Source(self.world, lane.source, held.grant.address)
+                    source = Source(self.world, lane.source, held.grant.address, lane.gateway)
                 yield from self._use(held, source)
         finally:
             if source is not None:
--- a/stackpitch/rehearse/network/passing.py
+++ b/stackpitch/rehearse/network/passing.py
@@ -8,6 +8,7 @@
 
 from stackpitch.loop import MS, ConnectFailed, Coro, Group, Listener, Lost, Stream, Task, World
 from stackpitch.rehearse.network import sight
+from stackpitch.rehearse.network.pieces import Pieces
 from stackpitch.rehearse.network.settings import Link, NetworkSettings
 from stackpitch.rehearse.network.weather import Fate, Weather
 from stackpitch.rehearse.records import Recorder
@@ -25,6 +26,7 @@
         self.numbers = count(1)
         self.under_way = 0
         self.waiting: dict[Task, None] = {}
+        self.pieces = Pieces(world, settings, recorder, weather, self.arrives, self.numbers)
         self.owners: dict[str, int] = {}  # who was last seen to act as owner; one entry a duty that gateways know
 
     def changed(self) -> None:
@@ -43,7 +45,7 @@
             group.spawn(self.call(group, link, stream), "call")
 
     def call(self, group: Group, link: Link, stream: Stream) -> Coro[None]:
-        """One call from a caller's connection; each connection carries one."""
+        """One call from a caller's connection; each connection carries one, but for pieces of weights."""
         try:
             with self.world.limit(self.patience) as scope:
                 reader = http.RequestReader(MAX_HEAD, MAX_BODY)
@@ -54,6 +56,9 @@
                     reader.feed(data)
             if scope.expired:
                 return
+            if reader.method == "GET":
+                yield from self.pieces.serve(link, stream, reader)
+                return
             number, path = next(self.numbers), (link.sender, link.to)
             fate = self.weather.fate(path)
             seen = sight.of_call(reader.path, reader.body())
--- a/stackpitch/rehearse/origin.py
+++ b/stackpitch/rehearse/origin/serving.py
@@ -1,16 +1,16 @@
-"""A stand-in for the place that models are published at: plain HTTP with Range, and troubles on demand.
-
-What it gives is recorded from its side: when, to whom, which bytes of what.
-"""
+"""The origin's answers: ranges of its files, whole, spoilt, slow, cut short or refused."""
 
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 from zlib import crc32
 
 from stackpitch.loop import MS, SECOND, Coro, Group, Listener, Lost, Stream, Time, World
 from stackpitch.wire import http
 
 RANGE = re.compile(r"bytes=(\d+)-(\d+)")
+FROM = re.compile(r"gateway/(\d{1,4})")  # in its user agent
 PART = 64 * 1024
 
 
@@ -27,7 +27,8 @@
 class Origin:
     """`files` by path, to be changed at any time. `spoil`: of so many answers in a thousand one byte is wrong, chosen by
     the seed; `refuse`: status for all; `slow`: bytes a second at most for each answer; `breaks`: so many answers in a
-    thousand end halfway."""
+    thousand end halfway. `only`: the numbers of the gateways that a trouble strikes; all, if none is named.
+    What it gave goes to `note` if there is one, else into `served`."""
 
     world: World
     files: dict[str, bytes] = field(default_factory=dict)
@@ -36,6 +37,8 @@
     refuse: int = 0
     slow: int = 0
     breaks: int = 0
+    only: dict[str, frozenset[int]] = field(default_factory=dict)
+    note: Callable[..., None] | None = None
     served: list[Served] = field(default_factory=list)
     count: int = 0
 
@@ -63,31 +66,49 @@
         finally:
             stream.close()
 
+    def _ill(self, kind: str, whom: int | None) -> int:
+        """The strength of a trouble for this caller."""
+        only = self.only.get(kind)
+        return int(getattr(self, kind)) if not only or whom in only else 0
+
     def _drawn(self, what: str, share: int) -> bool:
-        return crc32(f"{self.seed} {what} {self.count}".encode()) % 1000 < share
+        return crc32(f"{self.seed} {what} {self.count}".encode()) * 2654435761 % 2**32 * 1000 >> 32 < share
+
+    def _gave(self, one: Served, whom: int | None) -> None:
+        if self.note is None:
+            self.served.append(one)
+        else:
+            self.note("gave", to=whom, path=one.path, first=one.first, size=one.size, spoilt=one.spoilt)
+
+    def _refused(self, stream: Stream, status: int, whom: int | None, path: str, headers: Any = ()) -> bool:
+        if self.note is not None:
+            self.note("refused", to=whom, path=path, status=status)
+        stream.write(http.response(status, b"{}", headers))
+        return True
 
     def _answer(self, stream: Stream, request: http.RequestReader) -> Coro[bool]:
         self.count += 1
         whole, asked = self.files.get(request.path), RANGE.fullmatch(request.headers.get("range", ""))
-        status = self.refuse or (404 if whole is None else 400 if asked is None else 0)
+        found = FROM.search(request.headers.get("user-agent", ""))
+        whom = int(found[1]) if found is not None else None
+        status = self._ill("refuse", whom) or (404 if whole is None else 400 if asked is None else 0)
         if status or whole is None or asked is None:
-            stream.write(http.response(status, b"{}"))
-            return True
+            return self._refused(stream, status, whom, request.path)
         first, last = int(asked[1]), min(int(asked[2]), len(whole) - 1)
         if first > last:
-            stream.write(http.response(416, b"", [("content-range", f"bytes */{len(whole)}")]))
-            return True
-        data, spoilt = bytearray(whole[first:last + 1]), self._drawn("spoil", self.spoil)
+            return self._refused(stream, 416, whom, request.path, [("content-range", f"bytes */{len(whole)}")])
+        data, spoilt = bytearray(whole[first:last + 1]), self._drawn("spoil", self._ill("spoil", whom))
         if spoilt:
             data[self.count % len(data)] ^= 0x55
         stream.write(http.head(206, [("content-length", str(len(data))),
                                      ("content-range", f"bytes {first}-{last}/{len(whole)}")]))
-        upto = len(data) // 2 if self._drawn("break", self.breaks) else len(data)
+        upto = len(data) // 2 if self._drawn("break", self._ill("breaks", whom)) else len(data)
+        slow = self._ill("slow", whom)
         for at in range(0, upto, PART):
             part = bytes(data[at:min(at + PART, upto)])
             stream.write(part)
-            self.served.append(Served(self.world.now(), request.path, first + at, len(part), spoilt))
-            if self.slow:
-                yield from self.world.sleep(max(MS, len(part) * SECOND // self.slow))
+            self._gave(Served(self.world.now(), request.path, first + at, len(part), spoilt), whom)
+            if slow:
+                yield from self.world.sleep(max(MS, len(part) * SECOND // slow))
             yield from stream.drain(PART)
         return upto == len(data)
