--- a/stackpitch/duties/weights/placing/disk.py
+++ b/stackpitch/duties/weights/placing/disk.py
@@ -1,81 +1,12 @@
-"""A disk as placing needs it, a method for each system call, and what its errors mean. All calls block: run them aside."""
+"""The world's disk as placing needs it, and what its errors mean."""
 
 import errno
-import os
-from typing import Protocol
 
 from stackpitch.duties.weights.errors import DiskCorrupt, DiskFull, DiskReadOnly, DiskTrouble
+from stackpitch.loop import RealVolume as RealDisk
+from stackpitch.loop import Volume as Disk
 
-
-class Disk(Protocol):
-    """All raise OSError."""
-
-    def open(self, path: str, create: bool = False) -> int: ...  # to read and write, anywhere in it
-    def size(self, descriptor: int) -> int: ...
-    def read(self, descriptor: int, at: int, most: int) -> bytes: ...
-    def write(self, descriptor: int, at: int, data: bytes) -> int: ...  # how much of it, as a system call does
-    def truncate(self, descriptor: int, size: int) -> None: ...
-    def sync(self, descriptor: int) -> None: ...
-    def close(self, descriptor: int) -> None: ...
-    def rename(self, old: str, new: str) -> None: ...
-    def remove(self, path: str) -> None: ...
-    def folder(self, path: str) -> None: ...  # makes it and those above it, where missing, durably
-    def names(self, path: str) -> list[str]: ...  # in order; none if there is no such folder
-    def sync_folder(self, path: str) -> None: ...
-
-
-class RealDisk:
-    """This machine's."""
-
-    def open(self, path: str, create: bool = False) -> int:
-        return os.open(path, os.O_RDWR | os.O_CLOEXEC | (os.O_CREAT if create else 0), 0o644)
-
-    def size(self, descriptor: int) -> int:
-        return os.fstat(descriptor).st_size
-
-    def read(self, descriptor: int, at: int, most: int) -> bytes:
-        return os.pread(descriptor, most, at)
-
-    def write(self, descriptor: int, at: int, data: bytes) -> int:
-        return os.pwrite(descriptor, data, at)
-
-    def truncate(self, descriptor: int, size: int) -> None:
-        os.ftruncate(descriptor, size)
-
-    def sync(self, descriptor: int) -> None:
-        os.fsync(descriptor)
-
-    def close(self, descriptor: int) -> None:
-        os.close(descriptor)
-
-    def rename(self, old: str, new: str) -> None:
-        os.replace(old, new)
-
-    def remove(self, path: str) -> None:
-        os.unlink(path)
-
-    def folder(self, path: str) -> None:
-        made, here = [], os.path.abspath(path)
-        while not os.path.isdir(here):
-            made.append(here)
-            here = os.path.dirname(here)
-        os.makedirs(path, exist_ok=True)
-        for one in made:
-            self.sync_folder(os.path.dirname(one))
-
-    def names(self, path: str) -> list[str]:
-        try:
-            return sorted(os.listdir(path))
-        except FileNotFoundError:
-            return []
-
-    def sync_folder(self, path: str) -> None:
-        descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-
+__all__ = ["Disk", "RealDisk", "trouble"]
 
 KINDS: dict[int, type[DiskTrouble]] = {
     errno.ENOSPC: DiskFull, errno.EDQUOT: DiskFull, errno.EFBIG: DiskFull,
--- a/stackpitch/duties/weights/work.py
+++ b/stackpitch/duties/weights/work.py
@@ -9,7 +9,7 @@
 from stackpitch.duties.weights import forms
 from stackpitch.duties.weights.grants.grant import Grant
 from stackpitch.duties.weights.owner import Owner
-from stackpitch.duties.weights.placing.disk import Disk, RealDisk
+from stackpitch.duties.weights.placing.disk import Disk
 from stackpitch.duties.weights.placing.folder import Folder
 from stackpitch.duties.weights.receiving.receiver import Engines, Receiver
 from stackpitch.duties.weights.settings import WeightsSettings
@@ -49,7 +49,7 @@
                  disk: Disk | None = None) -> None:
         self.world, self.ground, self.address, self.allowed, self.log = world, ground, address, allowed, log
         self.file = WantedFile(world, Path(settings.wanted))
-        folder = Folder(disk if disk is not None else RealDisk(), settings.folder, ground.number)
+        folder = Folder(disk if disk is not None else world.volume(), settings.folder, ground.number)
         self.receiver = Receiver(world, ground.number, start, folder, engines or NoEngines(), revenue, log)
         self.owner: Owner | None = None
         self.reported: Time = 0
--- a/stackpitch/loop/virtual/world.py
+++ b/stackpitch/loop/virtual/world.py
@@ -10,6 +10,7 @@
 from stackpitch.loop.virtual.listener import VirtualListener
 from stackpitch.loop.virtual.process import Process, VirtualChild, VirtualTask
 from stackpitch.loop.virtual.stream import VirtualStream
+from stackpitch.loop.volume import Volume
 from stackpitch.loop.world import Address, ConnectFailed, Stream, Watch, World
 
 T = TypeVar("T")
@@ -19,12 +20,13 @@
 
 class VirtualWorld(World):
     """`programs`: what a command becomes; called with its words after the interpreter's. `latency`: one way, on
-    average; each connection has one of its own within a half of it."""
+    average; each connection has one of its own within a half of it. `volume`: of all its processes, else the real one."""
 
-    def __init__(self, seed: int = 0, latency: Time = 2, programs: Program | None = None) -> None:
+    def __init__(self, seed: int = 0, latency: Time = 2, programs: Program | None = None,
+                 volume: Volume | None = None) -> None:
         super().__init__(seed)
         self.time: Time = 1_000_000
-        self.latency, self.programs = latency, programs
+        self.latency, self.programs, self.one_volume = latency, programs, volume
         self.random = self.chance("network")
         self.listeners: dict[Address, VirtualListener] = {}
         self.processes: dict[Task, Process] = {}  # emptied as tasks end
@@ -163,6 +165,9 @@
             process.files.append(made)
         return made
 
+    def volume(self) -> Volume:
+        return self.one_volume if self.one_volume is not None else super().volume()
+
     def aside(self, call: Callable[[], T]) -> Coro[T]:
         yield from ()
         return call()
--- a/stackpitch/loop/world.py
+++ b/stackpitch/loop/world.py
@@ -10,6 +10,7 @@
 from stackpitch.loop.files import Files, RealFiles
 from stackpitch.loop.task import Coro, Group, Scope, Task, run_group
 from stackpitch.loop.timers import Time, Timer, Timers
+from stackpitch.loop.volume import RealVolume, Volume
 
 T = TypeVar("T")
 Address = tuple[str, int]
@@ -113,6 +114,10 @@
         """Those of this machine, or made-up ones that lose what was not synced."""
         return RealFiles()
 
+    def volume(self) -> Volume:
+        """The disk that large files lie on, by which word goes for `files`."""
+        return RealVolume()
+
     @abstractmethod
     def fresh(self) -> int:
         """48 bits that no other start of a process has: tells one start from another, decides nothing."""
--- a/stackpitch/rehearse/day.py
+++ b/stackpitch/rehearse/day.py
@@ -4,6 +4,7 @@
 
 from pydantic import Field
 
+from stackpitch.rehearse.dayweights import Weights
 from stackpitch.settings.model import (
     Customer,
     Duties,
@@ -27,6 +28,7 @@
 GATEWAY_TROUBLES = ("gateway-kill", "gateway-roll", "gateway-term", "gateway-stop")
 VOTER_TROUBLES = ("voter-empty", "voter-older", "voter-twin")
 NETWORK_TROUBLES = ("net-cut", "net-one-way", "net-slow", "net-hold", "net-repeat", "net-reorder", "net-half-close")
+WEIGHTS_TROUBLES = ("origin-corrupt", "origin-slow", "origin-refuse", "disk-full")
 TRAFFIC_TROUBLES = ("burst", "heavy-tail", "hot-text")
 
 
@@ -82,15 +84,17 @@
 class Trouble(Part):
     """`part` of those it may strike, or `cell` alone, or `names`; `strength` is what the kind takes it for.
 
-    Among gateways' names, `owner` and `owner.DUTY` stand for the one that the network last saw act as owner. Troubles of the
-    network lie on the paths between those named and all others: both ways, or `way` seen from those named; or on `pairs`.
+    Among gateways' names, `owner` and `owner.DUTY` stand for the one that the network last saw act as owner, `receiver.SITE`
+    for the first of a site's gateways that runs. Those of the origin strike gateways, a full disk sites, by name.
+    Troubles of the network lie on the paths between those named and all others: both ways, or `way` seen from those named; or
+    on `pairs`.
     """
 
     kind: Literal["hang", "silent", "slow", "slow-by-turns", "vanish", "deploy", "drain", "lose-answer", "refuse", "cut",
                   "garble", "tail", "slow-handshake", "slow-link", "fail-at-once", "gateway-kill", "gateway-roll",
                   "gateway-term", "gateway-stop", "edits", "voter-empty", "voter-older", "voter-twin", "net-cut",
-                  "net-one-way", "net-slow", "net-hold", "net-repeat", "net-reorder", "net-half-close", "burst",
-                  "heavy-tail", "hot-text"]
+                  "net-one-way", "net-slow", "net-hold", "net-repeat", "net-reorder", "net-half-close", "origin-corrupt",
+                  "origin-slow", "origin-refuse", "disk-full", "burst", "heavy-tail", "hot-text"]
     at_s: Seconds
     for_s: Seconds = 5.0
     part: Share = 0.1
@@ -126,6 +130,7 @@
     membership: Membership = Membership(watch=False, step_share=1.0, persist_ms=0)
     load: Load = Load()
     duties: Duties = Duties()  # `file` is the director's; calls between gateways then pass through a stand-in network
+    weights: Weights | None = None  # with `weights` among the duties' names: the director makes the files and the origin
     reports: bool = True
     products: dict[Name, Product] = Field(min_length=1)
     traffic: dict[Name, Traffic] = Field(min_length=1)
--- a/stackpitch/rehearse/director/calls.py
+++ b/stackpitch/rehearse/director/calls.py
@@ -1,7 +1,7 @@
 """Calls to control and admin ports, and the wait for a process to listen."""
 
 from stackpitch.loop import MS, SECOND, ConnectFailed, Coro, Lost, World
-from stackpitch.rehearse.director.places import HOST, Net, Post, Seat
+from stackpitch.rehearse.director.places import HOST, Net, Post, Seat, Source
 from stackpitch.rehearse.director.stage import Stage
 from stackpitch.wire import http
 
@@ -30,7 +30,7 @@
     return None
 
 
-def reachable(stage: Stage, one: Seat | Post | Net) -> Coro[None]:
+def reachable(stage: Stage, one: Seat | Post | Net | Source) -> Coro[None]:
     """Waits until a process listens. Raises RuntimeError if it ended instead."""
     for _ in range(600):
         if one.child is not None and (code := one.child.code()) is not None:
--- a/stackpitch/rehearse/director/places.py
+++ b/stackpitch/rehearse/director/places.py
@@ -49,3 +49,14 @@
     links: dict[tuple[int, int], int]
     name: str = "network"
     child: Child | None = None
+
+
+@dataclass(slots=True)
+class Source:
+    """The origin of weights; `files` by path."""
+
+    port: int
+    control: int
+    files: dict[str, str] = field(default_factory=dict)
+    name: str = "origin"
+    child: Child | None = None
--- a/stackpitch/rehearse/director/play.py
+++ b/stackpitch/rehearse/director/play.py
@@ -1,12 +1,21 @@
 """A day from its first process to its last record."""
 
+import shutil
 import signal
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
 
 from stackpitch.loop import SECOND, Coro, Group, World
-from stackpitch.rehearse.day import GATEWAY_TROUBLES, NETWORK_TROUBLES, TRAFFIC_TROUBLES, VOTER_TROUBLES, Day, Trouble
+from stackpitch.rehearse.day import (
+    GATEWAY_TROUBLES,
+    NETWORK_TROUBLES,
+    TRAFFIC_TROUBLES,
+    VOTER_TROUBLES,
+    WEIGHTS_TROUBLES,
+    Day,
+    Trouble,
+)
 from stackpitch.rehearse.director.calls import reachable
 from stackpitch.rehearse.director.check import check
 from stackpitch.rehearse.director.lists import Lists
@@ -17,7 +26,9 @@
 from stackpitch.rehearse.director.troubles.gateways import Gateways
 from stackpitch.rehearse.director.troubles.network import Network
 from stackpitch.rehearse.director.troubles.servers import Servers
+from stackpitch.rehearse.director.troubles.supply import Supply
 from stackpitch.rehearse.director.troubles.voters import Voters
+from stackpitch.rehearse.director.weights import Weights
 from stackpitch.rehearse.records import read_all
 
 
@@ -33,6 +44,8 @@
         self.edits = Edits(stage, self.lists)
         self.voters = Voters(stage, self.gateways)
         self.network = Network(stage)
+        self.weights = Weights(stage)
+        self.supply = Supply(stage)
 
     def trouble(self, group: Group, trouble: Trouble) -> Coro[None]:
         stage = self.stage
@@ -46,6 +59,8 @@
             yield from self.voters.bring(group, trouble, lasts)
         elif trouble.kind in NETWORK_TROUBLES:
             yield from self.network.bring(trouble, lasts)
+        elif trouble.kind in WEIGHTS_TROUBLES:
+            yield from self.supply.bring(trouble, lasts)
         elif trouble.kind in TRAFFIC_TROUBLES:
             stage.say(f"{trouble.kind} x{trouble.strength:g} for {trouble.for_s:g} s")  # the clients play it
         else:
@@ -65,6 +80,10 @@
             if stage.net is not None:
                 self.processes.start_network(stage.net)
                 yield from reachable(stage, stage.net)
+            if stage.origin is not None:
+                self.weights.lay_out()
+                self.processes.start_origin(stage.origin)
+                yield from reachable(stage, stage.origin)
             for post in stage.posts.values():
                 self.processes.start_gateway(post)
             for post in stage.posts.values():
@@ -75,6 +94,7 @@
             stage.stopping = True
             children = [one.child for one in stage.posts.values()] + [one.child for one in stage.seats.values()]
             children += [stage.trap.child] if stage.trap is not None else []
+            children += [stage.origin.child] if stage.origin is not None else []
             children += [stage.net.child] if stage.net is not None else []
             left = [one for one in children if one is not None]
             for child in left:
@@ -89,6 +109,9 @@
         for trouble in stage.day.troubles:
             group.spawn(self.trouble(group, trouble), f"trouble {trouble.kind}")
         group.spawn(self.progress(), "progress")
+        if stage.origin is not None:
+            group.spawn(self.weights.edit(), "wanted")
+            group.spawn(self.weights.watch(), "places")
         finished = False
         with stage.world.limit(stage.start - stage.world.now() + int((stage.day.length_s + stage.day.tail_s) * SECOND)):
             finished = (yield from clients.wait()) == 0
@@ -96,6 +119,8 @@
             clients.signal(signal.SIGKILL)
             yield from clients.wait()
         yield from stage.world.sleep(SECOND)  # the last releases
+        if stage.origin is not None:
+            yield from self.weights.at_the_end()
         stage.stopping = True
         group.cancel()
         return finished
@@ -114,8 +139,10 @@
         folder = keep or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
         for old in [*folder.glob("*.jsonl"), *folder.glob("*.fleet"), *folder.glob("*.kept"), *folder.glob("*.log"),
-                    *folder.glob("*.votes*")]:
+                    *folder.glob("*.votes*"), *folder.glob("*.bytes")]:
             old.unlink()
+        for old in folder.glob("site-*"):
+            shutil.rmtree(old)
         stage = Stage(world, day, folder, broken, say)
         finished = world.run(Director(stage).play())
         places = {one.name: (one.zone, one.cell) for one in stage.seats.values()}
--- a/stackpitch/rehearse/director/processes.py
+++ b/stackpitch/rehearse/director/processes.py
@@ -7,7 +7,7 @@
 from stackpitch.rehearse.director import settings
 from stackpitch.rehearse.director.calls import reachable
 from stackpitch.rehearse.director.lists import Lists
-from stackpitch.rehearse.director.places import Net, Post, Seat
+from stackpitch.rehearse.director.places import Net, Post, Seat, Source
 from stackpitch.rehearse.director.stage import Stage
 
 
@@ -40,6 +40,9 @@
     def start_network(self, net: Net) -> None:
         net.child = self.run(net.name, settings.network(self.stage, net), "network")
 
+    def start_origin(self, place: Source) -> None:
+        place.child = self.run(place.name, settings.origin(self.stage, place), "origin")
+
     def up(self, post: Post) -> Coro[None]:
         yield from reachable(self.stage, post)
         self.stage.recorder.note("listens", name=post.name)
--- a/stackpitch/rehearse/director/settings.py
+++ b/stackpitch/rehearse/director/settings.py
@@ -3,9 +3,15 @@
 from typing import Any
 
 from stackpitch.rehearse.day import TRAFFIC_TROUBLES
-from stackpitch.rehearse.director.places import HOST, Net, Post, Seat
+from stackpitch.rehearse.director.places import HOST, Net, Post, Seat, Source
 from stackpitch.rehearse.director.stage import Stage
 
+WANTED = "wanted.json"
+
+
+def site_folder(site: str) -> str:
+    return f"site-{site}"
+
 
 def engine(stage: Stage, seat: Seat) -> dict[str, Any]:
     day, made = stage.day, seat.made_of
@@ -25,7 +31,10 @@
     kinds = {name: {"role": one.role, "memory_tok": one.memory_tok} for name, one in day.kinds.items()}
     module = day.module.model_dump() | {"gateways": day.gateways, "number": post.number,
                                         "zone": day.module.zone or day.fleet[0].zone}
-    found = {
+    weights = stage.day.weights
+    if weights is not None:
+        module["zone"] = next((name for name, one in weights.sites.items() if post.number in one.gateways), module["zone"])
+    found: dict[str, Any] = {
         "name": post.name, "seed": day.seed * 1000 + post.number, "roster": str(stage.folder / f"{post.name}.fleet"),
         "kept": str(stage.folder / f"{post.name}.kept"), "membership": day.membership.model_dump(),
         "door": {"port": post.port, "bytes_per_tok": day.bytes_per_tok},
@@ -36,6 +45,9 @@
     }
     if stage.net is not None:
         found["duties"] = day.duties.model_dump() | {"file": post.votes}
+        if weights is not None:
+            found["duties"]["weights"] = {"wanted": str(stage.folder / WANTED),
+                                          "folder": str(stage.folder / site_folder(module["zone"]))}
         found["peers"] = {"admin": [f"{HOST}:{stage.net.links.get((post.number, one.number), one.admin)}"
                                     for one in stage.posts.values()]}
     return found
@@ -50,6 +62,11 @@
     }
 
 
+def origin(stage: Stage, place: Source) -> dict[str, Any]:
+    return {"port": place.port, "control_port": place.control, "records": str(stage.folder / "origin.jsonl"),
+            "seed": stage.day.seed, "files": place.files}
+
+
 def clients(stage: Stage) -> dict[str, Any]:
     day = stage.day
     return {
--- a/stackpitch/rehearse/director/stage.py
+++ b/stackpitch/rehearse/director/stage.py
@@ -11,7 +11,7 @@
 
 from stackpitch.loop import Time, World
 from stackpitch.rehearse.day import Day, Trouble
-from stackpitch.rehearse.director.places import HOST, TRAP, Net, Post, Seat
+from stackpitch.rehearse.director.places import HOST, TRAP, Net, Post, Seat, Source
 from stackpitch.rehearse.records import Recorder
 
 FIRST_PORT, LAST_PORT = 18000, 31000
@@ -28,6 +28,7 @@
         self.posts: dict[str, Post] = {}
         self.trap: Seat | None = None
         self.net: Net | None = None  # where gateways have duties
+        self.origin: Source | None = None  # where the day has weights
         self.editing = False  # lists are written by editors from now on
         self.stopping = False
         self.next_port = FIRST_PORT + os.getpid() * 211 % (LAST_PORT - FIRST_PORT)
@@ -60,6 +61,8 @@
         for number in range(self.day.gateways):
             self.posts[f"g{number}"] = Post(f"g{number}", number, self.port(), self.port(),
                                             votes=str(self.folder / f"g{number}.votes"))
+        if self.day.weights is not None:
+            self.origin = Source(self.port(), self.port())
         if self.day.duties.voters:
             numbers = range(self.day.gateways)
             self.net = Net(self.port(), {(one, other): self.port() for one in numbers for other in numbers if one != other})
--- a/stackpitch/rehearse/director/troubles/struck.py
+++ b/stackpitch/rehearse/director/troubles/struck.py
@@ -8,7 +8,7 @@
 from stackpitch.rehearse.director.places import HOST, Post
 from stackpitch.rehearse.director.stage import Stage
 
-OWNER = "owner"
+OWNER, RECEIVER = "owner", "receiver"
 
 
 def gateways(stage: Stage, trouble: Trouble) -> Coro[list[Post]]:
@@ -20,6 +20,8 @@
     for name in trouble.names:
         if name.partition(".")[0] == OWNER:
             name = yield from owner(stage, name.partition(".")[2] or stage.day.duties.names[0])
+        elif name.partition(".")[0] == RECEIVER:
+            name = receiver(stage, name.partition(".")[2])
         found[name] = stage.posts[name]
     return list(found.values())
 
@@ -29,3 +31,11 @@
     answer = yield from call(stage.world, (HOST, stage.net.port), "/owner", b"")
     known = msgspec.json.decode(b"".join(answer.pieces)) if answer is not None and answer.status == 200 else {}
     return f"g{known.get(duty, 0)}"
+
+
+def receiver(stage: Stage, site: str) -> str:
+    """The first of its gateways that runs, as the owner takes them too."""
+    assert stage.day.weights is not None
+    names = [f"g{number}" for number in stage.day.weights.sites[site].gateways]
+    running = [name for name in names if (child := stage.posts[name].child) is not None and child.code() is None]
+    return (running or names)[0]
--- a/stackpitch/rehearse/memorydisk.py
+++ b/stackpitch/rehearse/memorydisk.py
@@ -20,7 +20,7 @@
 
 class MemoryDisk:
     """`cut`: ends the process at that call, in the middle of it if it is a write. `room`: bytes of all files together.
-    `fail`: errno for each call that changes something."""
+    `fail`: errno for each call that changes something. `full`: nothing grows under these folders."""
 
     def __init__(self) -> None:
         self.folders: dict[str, dict[str, File | None]] = {"": {}}  # a name's File, or None for a folder
@@ -30,6 +30,8 @@
         self.cut: int | None = None
         self.room: int | None = None
         self.fail = 0
+        self.full: set[str] = set()
+        self.paths: dict[int, str] = {}  # of what is open, as it was opened
 
     def _call(self, changes: bool = False) -> None:
         self.calls += 1
@@ -53,7 +55,7 @@
                 raise FileNotFoundError(errno.ENOENT, os.strerror(errno.ENOENT))
             file = folder[name] = File()
         self.next += 1
-        self.opened[self.next] = file
+        self.opened[self.next], self.paths[self.next] = file, path
         return self.next
 
     def size(self, descriptor: int) -> int:
@@ -71,6 +73,8 @@
         except Cut:
             self._put(file, at, data[:len(data) // 2])
             raise
+        if at + len(data) > len(file.data) and any(self.paths[descriptor].startswith(f"{one}/") for one in self.full):
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
         if self.room is not None:
             free = self.room - sum(len(one.data) for one in self.all()) + max(0, len(file.data) - at)
             if free <= 0:
@@ -99,7 +103,7 @@
 
     def close(self, descriptor: int) -> None:
         self._call()
-        del self.opened[descriptor]
+        del self.opened[descriptor], self.paths[descriptor]
 
     def rename(self, old: str, new: str) -> None:
         self._call(True)
@@ -146,6 +150,7 @@
         """The machine goes down: of each folder's names what was synced or all; of each file what was synced and any of
         what was written since."""
         self.opened.clear()
+        self.paths.clear()
         self.cut = None
         left: dict[str, dict[str, File | None]] = {}
         for path in sorted(self.folders):
--- a/stackpitch/rehearse/origin/serving.py
+++ b/stackpitch/rehearse/origin/serving.py
@@ -78,11 +78,11 @@
         if self.note is None:
             self.served.append(one)
         else:
-            self.note("gave", to=whom, path=one.path, first=one.first, size=one.size, spoilt=one.spoilt)
+            self.note("served", to=whom, path=one.path, first=one.first, size=one.size, spoilt=one.spoilt)
 
     def _refused(self, stream: Stream, status: int, whom: int | None, path: str, headers: Any = ()) -> bool:
         if self.note is not None:
-            self.note("refused", to=whom, path=path, status=status)
+            self.note("turned away", to=whom, path=path, status=status)
         stream.write(http.response(status, b"{}", headers))
         return True
 
--- a/stackpitch/rehearse/virtual.py
+++ b/stackpitch/rehearse/virtual.py
@@ -16,7 +16,9 @@
 from stackpitch.rehearse.day import Day
 from stackpitch.rehearse.director import Outcome
 from stackpitch.rehearse.engine import EngineSettings, run_engine
+from stackpitch.rehearse.memorydisk import MemoryDisk
 from stackpitch.rehearse.network import NetworkSettings, run_network
+from stackpitch.rehearse.origin import OriginSettings, run_origin
 from stackpitch.settings import Settings
 
 APPLIED: list[str] = []  # what has been broken in this process; a patch is applied once
@@ -28,13 +30,14 @@
     def programs(command: Sequence[str]) -> Coro[Any]:
         """What `Director.command` starts: the words after the interpreter, -m and the package."""
         run: dict[str, Callable[..., Coro[Any]]] = {"serve": gateway, "engine": engine, "clients": clients,
-                                                    "network": network, "broken": gateway}
+                                                    "network": network, "origin": origin,
+                                                    "broken": gateway}
         if command[3] == "broken" and command[4] not in APPLIED:
             APPLIED.append(command[4])
             BREAKS[command[4]]()
         return run[command[3]](made[0], Path(command[-1]))
 
-    made.append(VirtualWorld(seed, programs=programs))
+    made.append(VirtualWorld(seed, programs=programs, volume=MemoryDisk()))
     return made[0]
 
 
@@ -67,3 +70,7 @@
 
 def network(one: VirtualWorld, path: Path) -> Coro[None]:
     yield from run_network(one, msgspec.convert(settings_package.evaluate(path), NetworkSettings))
+
+
+def origin(one: VirtualWorld, path: Path) -> Coro[None]:
+    yield from run_origin(one, msgspec.convert(settings_package.evaluate(path), OriginSettings))
