Weights' word that a version goes into service no longer reaches voters as the release of a lease

It is 'service' now; a work's call with a name of the ground's is an error before it is sent, and the sites' stage holds works to the same.

--- a/stackpitch/duties/carrier/announcing.py
+++ b/stackpitch/duties/carrier/announcing.py
@@ -31,7 +31,7 @@
     def some() -> Coro[None]:
         while left:
             number = left.pop()
-            answer = yield from tenure.tell(number, "owner", None)
+            answer = yield from tenure.effect(number, "owner", None)
             if answer is None or not answer.yes:
                 missed.append(number)
 
--- a/stackpitch/duties/carrier/tenure.py
+++ b/stackpitch/duties/carrier/tenure.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from stackpitch.duties.calls import Answer, Stamp, raw
+from stackpitch.duties.calls import GROUND, Answer, Stamp, raw
 from stackpitch.duties.carrier.figures import Figures
 from stackpitch.duties.carrier.posts import Posts
 from stackpitch.duties.ownership import terms
@@ -85,6 +85,11 @@
             yield
 
     def tell(self, number: int, kind: str, body: Any) -> Coro[Answer | None]:
+        if kind in GROUND:
+            raise ValueError(f"a work's call of kind {kind!r}; allowed: any but the ground's own, {', '.join(sorted(GROUND))}")
+        return (yield from self.effect(number, kind, body))
+
+    def effect(self, number: int, kind: str, body: Any) -> Coro[Answer | None]:
         if not self.holds():
             raise self.over("its lease ran out")
         answer = yield from self.posts.send(number, self.duty, kind, self.stamp, body, self.holds)
--- a/stackpitch/duties/weights/forms.py
+++ b/stackpitch/duties/weights/forms.py
@@ -1,4 +1,4 @@
-"""The bodies of this duty's calls. From the owner, under its term: `begin`, `place`, `grant`, `release`. To it: `report`.
+"""The bodies of this duty's calls. From the owner, under its term: `begin`, `place`, `grant`, `service`. To it: `report`.
 
 Each answer to the owner carries a report too, so that it knows a receiver's mark and state without waiting for one.
 """
--- a/stackpitch/duties/weights/owner.py
+++ b/stackpitch/duties/weights/owner.py
@@ -136,10 +136,10 @@
                     name, model.version, manifest.size, manifest.piece, manifest.whole, tuple(manifest.pieces)), AGAIN)
             elif heard is not None and have is not None and have.placed and not have.released:
                 if self.allowed(name, model.version):
-                    self._tell(group, planner, heard, "release", forms.Release(name, model.version), AGAIN)
+                    self._tell(group, planner, heard, "service", forms.Release(name, model.version), AGAIN)
         for one in heard.report.have if heard is not None else ():
             if one.model not in shall and heard is not None:
-                self._tell(group, planner, heard, "release", forms.Release(one.model, ""), 5 * AGAIN)
+                self._tell(group, planner, heard, "service", forms.Release(one.model, ""), 5 * AGAIN)
         for number in planner.wanted.sites[site].gateways:
             first = number in planner.silent
             mine = heard is None or heard.report.gateway == number
--- a/stackpitch/duties/weights/work.py
+++ b/stackpitch/duties/weights/work.py
@@ -80,7 +80,7 @@
             if grant.address.startswith("#"):  # a neighbour is where this gateway reaches it, not where the owner does
                 grant = msgspec.structs.replace(grant, address=self.address(self._neighbour(grant.address)))
             word = self.receiver.grant(stamp, grant)
-        elif kind == "release":
+        elif kind == "service":
             word = yield from self.receiver.release(stamp, msgspec.json.decode(body, type=forms.Release))
         else:
             return Answer("not known")
--- a/stackpitch/rehearse/stopping.py
+++ b/stackpitch/rehearse/stopping.py
@@ -27,7 +27,8 @@
 
 
 STOPS: dict[str, Callable[[], None]] = {
-    **{f"stop-at-{kind}": partial(stop_at, kind, 1) for kind in ("write", "release", "lease", "grant", "report", "verdict")},
+    **{f"stop-at-{kind}": partial(stop_at, kind, 1) for kind in ("write", "release", "lease", "grant", "service", "report",
+                                                            "verdict")},
     "stop-at-owner": partial(stop_at, "owner", 4),  # once all have been told that it owns the duty
     "stop-at-renewal": partial(stop_at, "lease", 5),
 }
--- a/tests/test_weights_sites.py
+++ b/tests/test_weights_sites.py
@@ -251,12 +251,12 @@
         yield from stage.until(lambda: stage.nodes[0].engines.told)
         assert stage.placed(0, "m") == DATA
         release = raw(forms.Release("m", "1", 99))
-        answer = yield from stage.nodes[0].work.heard(1, "release", Stamp(1, 1), release)
+        answer = yield from stage.nodes[0].work.heard(1, "service", Stamp(1, 1), release)
         assert answer.word == "older" and answer.stamp.term == 2
         stage.nodes[0].kill()
         stage.nodes[0].start()
         yield from stage.world.sleep(SECOND)
-        answer = yield from stage.nodes[0].work.heard(1, "release", Stamp(1, 1), release)
+        answer = yield from stage.nodes[0].work.heard(1, "service", Stamp(1, 1), release)
         assert answer.word == "older", "also after a restart"
         within(stage.origin.served, RATE)
 
@@ -285,7 +285,7 @@
     def script(stage):
         work = stage.nodes[0].work
         for kind, body in [("place", {"model": "../x"}), ("place", {"model": "m", "version": ".."}), ("grant", 7),
-                           ("begin", {}), ("release", {"model": "m", "version": "a/b"}), ("report", [])]:
+                           ("begin", {}), ("service", {"model": "m", "version": "a/b"}), ("report", [])]:
             if kind == "report":
                 stage.own(0)
                 yield from stage.until(lambda: work.owner is not None)
--- a/tests/weights_stage.py
+++ b/tests/weights_stage.py
@@ -3,7 +3,7 @@
 import random
 from pathlib import Path
 
-from stackpitch.duties.calls import ENCODER, Answer, Stamp, raw
+from stackpitch.duties.calls import ENCODER, GROUND, Answer, Stamp, raw
 from stackpitch.duties.weights import manifest as manifests
 from stackpitch.duties.weights.placing.disk import RealDisk
 from stackpitch.duties.weights.serving import answer
@@ -48,6 +48,7 @@
         yield from ()
 
     def tell(self, number, kind, body):
+        assert kind not in GROUND, "the ground would take it for its own"
         if not self.paused and not self.holds():
             raise SteppedDown
         while self.paused:
