--- a/stackpitch/cli/show.py
+++ b/stackpitch/cli/show.py
@@ -5,9 +5,10 @@
 
 from stackpitch.rehearse.director import Outcome
 from stackpitch.rehearse.judging import WORDS as DUTIES
+from stackpitch.rehearse.judging import weights
 
 WORDS = {1: "exactly one final answer in time", 2: "no effect twice", 3: "nothing new to a drained server",
-         4: "no cold server pushed over", 5: "nothing left pinned", **DUTIES}
+         4: "no cold server pushed over", 5: "nothing left pinned", **DUTIES, **weights.WORDS}
 
 
 def show(outcome: Outcome, console: Console, stories: int = 2) -> None:
--- a/stackpitch/duties/weights/plan/allocate.py
+++ b/stackpitch/duties/weights/plan/allocate.py
@@ -12,13 +12,12 @@
 from stackpitch.duties.weights.manifest import Manifest
 from stackpitch.duties.weights.plan.lanes import Lanes
 from stackpitch.duties.weights.plan.needs import Need
-from stackpitch.duties.weights.plan.sites import Heard, Sites, Version
+from stackpitch.duties.weights.plan.sites import LEAST, Heard, Sites, Version
 from stackpitch.duties.weights.wanted import ORIGIN
 from stackpitch.loop import SECOND, Time
 
 MOST_SOURCES = 4  # for one need: more would only make the grants smaller
 MOST_PIECES = 64  # in one grant
-LEAST = 64  # a lane below so small a part of its path's narrowest link is not worth a grant
 
 
 @dataclass(slots=True)
--- a/stackpitch/duties/weights/plan/planner.py
+++ b/stackpitch/duties/weights/plan/planner.py
@@ -14,10 +14,10 @@
 from stackpitch.duties.weights.forms import Report
 from stackpitch.duties.weights.grants.grant import Grant, Lane, longest
 from stackpitch.duties.weights.links import Key, Links
-from stackpitch.duties.weights.plan.allocate import LEAST, Deal, Wish
+from stackpitch.duties.weights.plan.allocate import Deal, Wish
 from stackpitch.duties.weights.plan.lanes import Lanes, Sent
 from stackpitch.duties.weights.plan.needs import needs
-from stackpitch.duties.weights.plan.sites import Sites
+from stackpitch.duties.weights.plan.sites import LEAST, Sites
 from stackpitch.duties.weights.wanted import ORIGIN, Wanted
 from stackpitch.loop import MS, SECOND, Time
 
--- a/stackpitch/duties/weights/plan/sites.py
+++ b/stackpitch/duties/weights/plan/sites.py
@@ -9,6 +9,7 @@
 from stackpitch.duties.weights.wanted import Wanted
 from stackpitch.loop import SECOND, Time
 
+LEAST = 64  # a lane below so small a part of its path's narrowest link is not worth a grant
 FIRST_WAIT, LONGEST_WAIT = SECOND // 2, 30 * SECOND
 Version = tuple[str, str]  # model and version
 
@@ -117,7 +118,8 @@
         pair, whole = (lane.site, lane.source), links.narrowest(lane.source, lane.site)
         real = took * 10_000 // max(1, lasted)
         if real * 2 < rate:
-            self.limits[pair] = max(2 * real, whole // 64, 1)
+            # Never so little that no grant is worth it: nothing would show that the pair is well again.
+            self.limits[pair] = max(2 * real, 2 * whole // LEAST, 1)
         elif pair in self.limits:
             self.limits[pair] *= 2
             if self.limits[pair] >= whole:
--- /dev/null
+++ b/stackpitch/rehearse/broken/weights.py
@@ -0,0 +1,51 @@
+"""Breaks of how weights are granted, paced and checked. Imported by nothing but `broken`, and applied by name alone."""
+
+from collections.abc import Iterator
+
+from stackpitch.loop import Time
+
+
+def unpaced() -> None:
+    """A receiver takes all that it is granted at once: grants' rates count for nothing."""
+    from stackpitch.duties.weights.grants.pace import Pace
+
+    def all_of_it(self: Pace, now: Time, most: int) -> int:
+        return most if now < self.ends else 0
+
+    Pace.take = all_of_it  # type: ignore[method-assign]
+
+
+def classless() -> None:
+    """The owner deals out links from the lowest class on."""
+    from stackpitch.duties.weights.plan import planner
+    from stackpitch.duties.weights.plan.needs import Need, needs
+
+    def reversed_ones(*told: object) -> list[Need]:
+        found = needs(*told)  # type: ignore[arg-type]
+        return sorted((need._replace(order=(99 - need.priority, *need.order[1:])) for need in found), key=lambda one: one.order)
+
+    planner.needs = reversed_ones  # type: ignore[assignment, attr-defined]
+
+
+def unchecked() -> None:
+    """A receiver puts in place whatever came."""
+    from stackpitch.duties.weights.placing.copy import Copy
+    from stackpitch.duties.weights.receiving.pieces import Pieces
+
+    came = Pieces.came
+
+    def any_of_it(self: Pieces, piece: int, data: bytes, source: str) -> bool | None:
+        right = came(self, piece, data, source)
+        if right is False:
+            self.have |= 1 << piece
+        return None if right is None else True
+
+    def at_once(self: Copy) -> Iterator[None]:
+        disk = self.folder.disk
+        yield
+        disk.sync(self._file())
+        disk.rename(self.partial, self.place)
+        disk.sync_folder(self.place.rpartition("/")[0])
+        self.placed = True
+
+    Pieces.came, Copy.finish = any_of_it, at_once  # type: ignore[method-assign]
--- a/stackpitch/rehearse/director/outcome.py
+++ b/stackpitch/rehearse/director/outcome.py
@@ -52,6 +52,10 @@
     if day.duties.voters:
         names |= judging.NAMES
         breaches += judging.judge_owners(records, owner_figures(day), {f"g{number}": number for number in range(day.gateways)})
+    if day.weights is not None:
+        names |= judging.weights.NAMES
+        told = judging.weights.WeightsFigures(int(day.weights.burst_ms * MS), int(day.weights.place_s * SECOND))
+        breaches += judging.weights.judge_weights(records, told, {f"g{number}": number for number in range(day.gateways)})
     ends: dict[str, int] = {}
     for one in records:
         if one["what"] == "end":
--- a/stackpitch/rehearse/judging/__init__.py
+++ b/stackpitch/rehearse/judging/__init__.py
@@ -4,6 +4,7 @@
 of a millisecond on one machine's clock.
 """
 
+from stackpitch.rehearse.judging import weights
 from stackpitch.rehearse.judging.owners import NAMES, WORDS, OwnerFigures, judge_owners
 
-__all__ = ["NAMES", "WORDS", "OwnerFigures", "judge_owners"]
+__all__ = ["NAMES", "WORDS", "OwnerFigures", "judge_owners", "weights"]
--- a/stackpitch/rehearse/network/pieces.py
+++ b/stackpitch/rehearse/network/pieces.py
@@ -1,8 +1,10 @@
 """Pieces of weights between neighbours: long answers, passed on as they come and recorded in parts.
 
-    part: call, sender (who asked), to (who gives), path, size    bytes of an answer's body, as they were handed on
+    part: call, sender (who asked), to (who gives), path, first, size, status    bytes of an answer's body, as they were
+                                                                                 handed on; `first`: their place in the file
 """
 
+import re
 from collections.abc import Callable, Iterator
 
 from stackpitch.loop import MS, ConnectFailed, Coro, Stream, World
@@ -12,6 +14,7 @@
 from stackpitch.wire import http
 
 MOST_HEAD, MOST_BODY = 16384, 1 << 32
+RANGE = re.compile(r"bytes=(\d{1,15})-")
 PART = 64 * 1024  # handed on at a time, and held here
 
 
@@ -53,7 +56,8 @@
             headers = [(name, value) for name, value in reader.headers.items() if name in ("range", "user-agent")]
             giver.write(http.request(reader.method, reader.url.decode("latin-1"), "network", b"",
                                      [*headers, ("connection", "close")]))
-            answer = http.ResponseReader(MOST_HEAD, MOST_BODY)
+            answer, asked = http.ResponseReader(MOST_HEAD, MOST_BODY), RANGE.match(reader.headers.get("range", ""))
+            first = int(asked[1]) if asked is not None else 0
             with self.world.limit(int(self.set.patience_ms * MS)) as scope:
                 while not answer.complete:
                     data = yield from giver.recv(PART)
@@ -65,8 +69,9 @@
                     size = sum(map(len, answer.pieces))
                     answer.pieces.clear()
                     if size:
-                        self.recorder.note("part", call=number, sender=link.sender, to=link.to, path=reader.path, size=size,
-                                           status=answer.status)
+                        self.recorder.note("part", call=number, sender=link.sender, to=link.to, path=reader.path, first=first,
+                                           size=size, status=answer.status)
+                        first += size
                     stream.write(data)
                     yield from stream.drain(PART)
             return not scope.expired and reader.keep_alive and not reader.extra
