--- a/stackpitch/duties/weights/placing/disk.py
+++ b/stackpitch/duties/weights/placing/disk.py
@@ -8,6 +8,8 @@
 
 __all__ = ["Disk", "RealDisk", "trouble"]
 
+QUEUE = "weights"  # of calls aside: a disk that hangs must not hold up a voter's promises
+
 KINDS: dict[int, type[DiskTrouble]] = {
     errno.ENOSPC: DiskFull, errno.EDQUOT: DiskFull, errno.EFBIG: DiskFull,
     errno.EROFS: DiskReadOnly, errno.EACCES: DiskReadOnly, errno.EPERM: DiskReadOnly,
--- a/stackpitch/loop/virtual/world.py
+++ b/stackpitch/loop/virtual/world.py
@@ -168,7 +168,7 @@
     def volume(self) -> Volume:
         return self.one_volume if self.one_volume is not None else super().volume()
 
-    def aside(self, call: Callable[[], T]) -> Coro[T]:
+    def aside(self, call: Callable[[], T], queue: str = "") -> Coro[T]:
         yield from ()
         return call()
 
