The made-up country tells nothing of a stop, as receivers don't; so its slow sites show that they were left for good

The floor of what a slow pair is trusted with was tested in vain: the country told a stop as a grant that ran for no time, which doubled the trust. Without the new floor two of its scenes fail now.

--- a/stackpitch/rehearse/sites.py
+++ b/stackpitch/rehearse/sites.py
@@ -115,7 +115,7 @@
                 word = "yes" if gateway.shelf.fence(stamp) else "older term"
             else:
                 word = gateway.shelf.take(stamp, grant, gateway.clock(self.now))
-                if word == "yes":
+                if word == "yes" and grant.rate:  # a receiver tells nothing of a stop
                     gateway.ran[grant.lane] = Ran(grant.lane, grant.serial, 0, 0)
             report = gateway.report(self.now, self.wanted)
             self.post(lambda: answer(word, report))
