A receiver that takes over looks at what its neighbour on the disk has done before it fetches

Now a version that had no grant for five seconds is looked for on the disk first: what is in place is checked and taken, other gateways' pieces adopted. After a full disk a site is tried again after ten seconds, as the error says; it was up to fifteen.

--- a/stackpitch/duties/weights/placing/copy.py
+++ b/stackpitch/duties/weights/placing/copy.py
@@ -57,6 +57,23 @@
             for path in self.folder.others(self.model, self.version):
                 yield from self._adopt(path)
 
+    def again(self) -> Iterator[None]:
+        """Some time later: another gateway on this disk may have put it in place, or come further. `have` goes on."""
+        disk, (folder, _, name) = self.folder.disk, self.place.rpartition("/")
+        try:
+            if not self.placed and name in disk.names(folder):
+                old, self.descriptor = self._file(), disk.open(self.place)
+                disk.close(old)
+                self.placed, self.have = True, 0
+                yield from self.recheck()
+                if self.placed:
+                    disk.remove(self.partial)
+            others = [] if self.placed else self.folder.others(self.model, self.version)
+        except OSError as wrong:
+            raise trouble(wrong, self.place) from None
+        for path in others:
+            yield from self._adopt(path)
+
     def _out_of_place(self) -> None:
         """The disk has spoilt it: good pieces are kept, the rest is fetched anew."""
         disk, self.placed = self.folder.disk, False
--- a/stackpitch/duties/weights/receiving/lanes.py
+++ b/stackpitch/duties/weights/receiving/lanes.py
@@ -31,6 +31,7 @@
     copy: Copy
     manifest: Manifest
     ready: bool = False
+    used: Time = 0  # until when grants for it ran, or since when it is ready
     trouble: errors.WeightsError | None = None  # that this version alone has, for good
     pieces: Pieces = field(init=False)
 
--- a/stackpitch/duties/weights/receiving/pieces.py
+++ b/stackpitch/duties/weights/receiving/pieces.py
@@ -61,5 +61,10 @@
         self.have |= 1 << piece
         return True
 
+    def adopted(self, have: int) -> None:
+        """So much is there by another way, while no lane fetches."""
+        self.have = have
+        self.begun = {piece: one for piece, one in self.begun.items() if not have >> piece & 1}
+
     def done(self, pieces: tuple[int, ...]) -> bool:
         return all(not 0 <= piece < self.manifest.count or self.have >> piece & 1 for piece in pieces)
--- a/stackpitch/duties/weights/receiving/receiver.py
+++ b/stackpitch/duties/weights/receiving/receiver.py
@@ -20,6 +20,7 @@
 from stackpitch.loop import SECOND, Coro, Group, Time, World
 
 MOST_COPIES = 320  # versions known at once
+IDLE: Time = 5 * SECOND  # a version without a grant for so long is looked for on the disk before it is fetched on
 WAIT: Time = 10 * SECOND  # after trouble with the disk
 TELL: Time = 30 * SECOND  # how often engines are told again what is released: some were away, or have started since
 CLEAR: Time = 5 * SECOND  # how often what is not needed any more is looked for
@@ -80,7 +81,14 @@
             return "not known"
         if grant.rate and self.trouble is not None:
             return "disk"
-        word = self.shelf.take(stamp, grant, self.world.now())
+        now = self.world.now()
+        if grant.rate and entry is not None and now >= entry.used + IDLE and self.group is not None:
+            entry.ready, self.changed = False, True  # another gateway of the site may have fetched meanwhile
+            self.group.spawn(self._again(entry), f"weights {grant.model}")
+            return "looks again"
+        word = self.shelf.take(stamp, grant, now)
+        if entry is not None and (held := self.shelf.held.get(grant.lane)) is not None:
+            entry.used = max(entry.used, held.ends)
         if word == "yes" and self.group is not None:
             self.lanes.run(self.group, grant.lane)
         return word
@@ -117,7 +125,8 @@
             yield from self._look()
             self.group, told = group, self.world.now()
             while True:
-                yield from self.world.sleep(CLEAR)
+                waits = CLEAR if self.trouble is None else self.trouble_until - self.world.now()
+                yield from self.world.sleep(max(0, min(CLEAR, waits)))
                 if self.trouble is not None and self.world.now() >= self.trouble_until:
                     self.trouble, self.changed = None, True
                 yield from self._look()
@@ -181,7 +190,21 @@
         if self.entries.get(entry.version) is not entry:
             yield from self.world.aside(entry.copy.close, QUEUE)
             return
-        entry.pieces.have, entry.ready, self.changed = entry.copy.have, True, True
+        yield from self._found(entry)
+
+    def _again(self, entry: Entry) -> Coro[None]:
+        """After a time without grants, before the first new one: what the site's disk has of it by now."""
+        entry.copy.have = entry.pieces.have
+        while not (yield from self._steps(entry, entry.copy.again())):
+            if self.entries.get(entry.version) is not entry:
+                return
+            yield from self.world.sleep(WAIT)
+        if self.entries.get(entry.version) is entry:
+            entry.pieces.adopted(entry.copy.have)
+            yield from self._found(entry)
+
+    def _found(self, entry: Entry) -> Coro[None]:
+        entry.pieces.have, entry.ready, self.changed, entry.used = entry.copy.have, True, True, self.world.now()
         if entry.copy.have == entry.manifest.full and not entry.copy.placed:
             yield from self.finish(entry)
 
--- a/tests/test_weights_sites.py
+++ b/tests/test_weights_sites.py
@@ -125,6 +125,30 @@
     played(tmp_path, tree(m=model(DATA, ["s0"])), {"/m": DATA}, script)
 
 
+def test_a_gateway_that_takes_over_looks_at_what_the_one_before_has_done_on_their_disk(tmp_path):
+    """It has known the version since before anything of it was fetched."""
+    wanted = tree(m=model(DATA, ["s0"]))
+    stage, manifest = Stage(tmp_path, wanted, {"/m": DATA}), wanted["models"]["m"]["manifest"]
+    stage.nodes[1].disk = stage.nodes[0].disk
+    place = forms.Place("m", "1", len(DATA), manifest["piece"], manifest["whole"], tuple(manifest["pieces"]))
+
+    def script(stage):
+        tenure = stage.own(3)
+        answer = yield from stage.nodes[1].work.heard(3, "place", tenure.stamp, raw(place))
+        assert answer.yes
+        yield from stage.until(lambda: stage.nodes[0].engines.told)
+        yield from stage.world.sleep(6 * SECOND)
+        before = len(stage.origin.served)
+        assert stage.nodes[1].work.receiver.report().have[0].pieces == ""
+        stage.nodes[0].child.signal(9)
+        stage.nodes[0].work = None
+        yield from stage.until(lambda: stage.nodes[1].engines.told, 60 * SECOND)
+        assert len(stage.origin.served) == before and stage.nodes[1].work.receiver.report().have[0].placed
+        assert stage.nodes[1].disk.names("weights/m/partial") == []
+
+    stage.run(script)
+
+
 def test_the_origins_file_changes_under_the_same_name(tmp_path):
     """Its pieces are thrown away, and after two of them a neighbour is asked, though that is further away."""
     def script(stage):
