--- a/stackpitch/duties/weights/placing/copy.py
+++ b/stackpitch/duties/weights/placing/copy.py
@@ -57,8 +57,9 @@
             for path in self.folder.others(self.model, self.version):
                 yield from self._adopt(path)
 
-    def again(self) -> Iterator[None]:
-        """Some time later: another gateway on this disk may have put it in place, or come further. `have` goes on."""
+    def again(self, begun: int) -> Iterator[None]:
+        """Some time later: another gateway on this disk may have put it in place, or come further. `have` goes on. `begun`:
+        pieces of which a part is here; another's bytes must not come between."""
         disk, (folder, _, name) = self.folder.disk, self.place.rpartition("/")
         try:
             if not self.placed and name in disk.names(folder):
@@ -72,7 +73,7 @@
         except OSError as wrong:
             raise trouble(wrong, self.place) from None
         for path in others:
-            yield from self._adopt(path)
+            yield from self._adopt(path, begun)
 
     def _out_of_place(self) -> None:
         """The disk has spoilt it: good pieces are kept, the rest is fetched anew."""
@@ -85,7 +86,7 @@
         except OSError as wrong:
             raise trouble(wrong, self.place) from None
 
-    def _adopt(self, path: str) -> Iterator[None]:
+    def _adopt(self, path: str, but: int = 0) -> Iterator[None]:
         disk = self.folder.disk
         try:
             descriptor = disk.open(path)
@@ -93,7 +94,7 @@
             return  # it went meanwhile
         try:
             for piece in range(self.manifest.count):
-                if not self.have >> piece & 1:
+                if not (self.have | but) >> piece & 1:
                     found = blake3()
                     for at, size in self._parts(piece):
                         data = disk.read(descriptor, at, size)
--- a/stackpitch/duties/weights/receiving/receiver.py
+++ b/stackpitch/duties/weights/receiving/receiver.py
@@ -194,12 +194,14 @@
 
     def _again(self, entry: Entry) -> Coro[None]:
         """After a time without grants, before the first new one: what the site's disk has of it by now."""
-        entry.copy.have = entry.pieces.have
-        while not (yield from self._steps(entry, entry.copy.again())):
+        entry.copy.have, before = entry.pieces.have, entry.copy.descriptor
+        while not (yield from self._steps(entry, entry.copy.again(sum(1 << piece for piece in entry.pieces.begun)))):
             if self.entries.get(entry.version) is not entry:
                 return
             yield from self.world.sleep(WAIT)
         if self.entries.get(entry.version) is entry:
+            if entry.copy.descriptor != before:  # another file, in which nothing of them lies
+                entry.pieces.begun.clear()
             entry.pieces.adopted(entry.copy.have)
             yield from self._found(entry)
 
--- a/tests/test_weights_placing.py
+++ b/tests/test_weights_placing.py
@@ -88,6 +88,22 @@
     assert disk.look("root/m/placed/1") == DATA
 
 
+def test_what_another_gateway_did_meanwhile_is_taken_but_not_into_a_piece_that_is_begun():
+    disk = MemoryDisk()
+    one, other = (Copy(Folder(disk, "root", number), "m", "1", MANIFEST) for number in (1, 2))
+    for copy in (one, other):
+        copy.open()
+        list(copy.recheck())
+    one.write(0, DATA[:500])
+    other.write(1024, DATA[1024:3000])  # one piece, most of the next, and nothing of the first
+    list(one.again(0b1))
+    assert one.have == 0b10 and one.read(0, 500) == DATA[:500]
+    other.write(0, DATA)
+    list(other.finish())
+    list(one.again(0b1))
+    assert one.placed and one.have == MANIFEST.full and disk.names("root/m/partial") == []
+
+
 def test_what_the_disk_spoils_is_noticed():
     disk = MemoryDisk()
     folder = Folder(disk, "root", 1)
