--- a/stackpitch/duties/weights/upkeep.py
+++ b/stackpitch/duties/weights/upkeep.py
@@ -74,10 +74,10 @@
                 self._tell(group, heard, "place", forms.Place(
                     name, model.version, manifest.size, manifest.piece, manifest.whole, tuple(manifest.pieces)), now, AGAIN)
             elif version in heard.placed and self.allowed(name, model.version):
-                self._tell(group, heard, "release", forms.Release(name, model.version), now, AGAIN)
+                self._tell(group, heard, "service", forms.Release(name, model.version), now, AGAIN)
         for one in heard.report.have:
             if one.model not in names:
-                self._tell(group, heard, "release", forms.Release(one.model, ""), now, 5 * AGAIN)
+                self._tell(group, heard, "service", forms.Release(one.model, ""), now, 5 * AGAIN)
 
     def _questions(self, group: Group, site: str, heard: Heard | None, rest: bool, now: Time) -> None:
         last = heard if heard is not None else self.planner.sites.last(site)
