A gateway removes only what its own release has put out of use

Releases are now read anew with each look at the disk, the newest counts, and removed is what lay there when the release in force was carried out here, nothing that came later.

--- a/stackpitch/duties/weights/receiving/receiver.py
+++ b/stackpitch/duties/weights/receiving/receiver.py
@@ -44,6 +44,7 @@
         self.entries: dict[tuple[str, str], Entry] = {}
         self.lying: dict[str, list[str]] = {}  # models on the disk and their placed versions
         self.releases: dict[str, Released] = {}
+        self.outdated: dict[str, set[str]] = {}  # of `lying`, by model: what the release in force has put out of use
         self.placings: dict[str, tuple[Stamp, int]] = {}  # the last word on each model; emptied as its entries are
         self.trouble: DiskTrouble | None = None
         self.trouble_until: Time = 0
@@ -114,6 +115,7 @@
             self._drop(version)
         if not asked.version:
             self.placings.pop(asked.model, None)
+        self._outdate(asked.model)
         yield from self._clear(asked.model)
         return "yes"
 
@@ -150,7 +152,7 @@
         def look() -> tuple[dict[str, list[str]], dict[str, Released]]:
             models = self.folder.models()
             return ({model: self.folder.versions(model) for model in models},
-                    {model: self.folder.released(model) for model in models if model not in self.releases})
+                    {model: self.folder.released(model) for model in models})
 
         try:
             self.lying, found = yield from self.world.aside(look, QUEUE)
@@ -159,7 +161,17 @@
         except OSError as wrong:
             self.log("weights_disk", path=self.folder.root, why=str(wrong))
         else:
-            self.releases |= {model: one for model, one in found.items() if model not in self.releases}
+            for model, one in found.items():
+                mine = self.releases.get(model)
+                if mine is None or (one.stamp, one.serial) > (mine.stamp, mine.serial):  # another gateway's of this site
+                    self.releases[model] = one
+                    self.outdated.pop(model, None)
+
+    def _outdate(self, model: str) -> None:
+        """What lies there now and is neither released nor wanted. What comes into place later is another release's matter:
+        it may be another gateway's of this site, that fetched what this one has never been told of."""
+        wanted = {version for name, version in self.entries if name == model}
+        self.outdated[model] = set(self.lying.get(model, ())) - wanted - {self.releases[model].version}
 
     def _steps(self, entry: Entry, steps: Iterator[None]) -> Coro[bool]:
         """Runs blocking steps aside one by one, so that others get their turns. False after trouble, which was said."""
@@ -207,6 +219,8 @@
 
     def _found(self, entry: Entry) -> Coro[None]:
         entry.pieces.have, entry.ready, self.changed, entry.used = entry.copy.have, True, True, self.world.now()
+        if entry.copy.placed and self.releases.get(entry.model, Released()).version == entry.version[1]:
+            self._outdate(entry.model)  # by an earlier life of this gateway
         if entry.copy.have == entry.manifest.full and not entry.copy.placed:
             yield from self.finish(entry)
 
@@ -238,8 +252,9 @@
         wanted = {version for name, version in self.entries if name == model}
         if released.version and not wanted:
             return  # after a restart, before the owner has said what it wants
+        outdated = self.outdated.get(model, set())
         gone = [self.folder.placed(model, version) for version in self.lying.get(model, ())
-                if version != released.version and version not in wanted and not self.engines.used(model, version)]
+                if version in outdated and version not in wanted and not self.engines.used(model, version)]
         kept = {f"{version}.{self.folder.number}" for version in wanted}
 
         def clear() -> None:
@@ -256,6 +271,7 @@
         for path in gone:
             self.log("weights_removed", path=path)
         self.lying[model] = [version for version in self.lying.get(model, ()) if self.folder.placed(model, version) not in gone]
+        outdated.intersection_update(self.lying[model])
 
     # What is said.
 
--- a/tests/test_weights_sites.py
+++ b/tests/test_weights_sites.py
@@ -149,6 +149,26 @@
     stage.run(script)
 
 
+def test_a_gateway_that_knows_an_older_release_leaves_the_new_one_of_its_neighbour_on_the_disk(tmp_path):
+    wanted = tree(m=model(DATA, ["s0"]))
+    stage, manifest = Stage(tmp_path, wanted, {"/m": DATA, "/n": OTHER}), wanted["models"]["m"]["manifest"]
+    stage.nodes[1].disk = stage.nodes[0].disk
+    place = forms.Place("m", "1", len(DATA), manifest["piece"], manifest["whole"], tuple(manifest["pieces"]))
+
+    def script(stage):
+        tenure = stage.own(3)
+        assert (yield from stage.nodes[1].work.heard(3, "place", tenure.stamp, raw(place))).yes
+        yield from stage.until(lambda: ("m", "1") in stage.nodes[0].engines.told)
+        yield from stage.world.sleep(6 * SECOND)  # it has seen the release of version 1
+        stage.tree["models"]["m"] = model(OTHER, ["s0"], version="2", name="n")
+        stage.write()
+        yield from stage.until(lambda: ("m", "2") in stage.nodes[0].engines.told)
+        yield from stage.world.sleep(12 * SECOND)
+        assert stage.placed(0, "m", "2") == OTHER and stage.placed(0, "m", "1") is None
+
+    stage.run(script)
+
+
 def test_the_origins_file_changes_under_the_same_name(tmp_path):
     """Its pieces are thrown away, and after two of them a neighbour is asked, though that is further away."""
     def script(stage):
