--- a/stackpitch/duties/weights/receiving/receiver.py
+++ b/stackpitch/duties/weights/receiving/receiver.py
@@ -16,6 +16,7 @@
 from stackpitch.duties.weights.placing.disk import QUEUE
 from stackpitch.duties.weights.placing.folder import Folder, Released
 from stackpitch.duties.weights.receiving.lanes import Entry, Lanes
+from stackpitch.duties.weights.receiving.sitedisk import SiteDisk
 from stackpitch.duties.weights.receiving.sources import Sources
 from stackpitch.loop import SECOND, Coro, Group, Time, World
 
@@ -42,9 +43,7 @@
         self.world, self.folder, self.engines, self.revenue, self.log = world, folder, engines, revenue, log
         self.shelf, self.sources, self.site = Shelf(number, start), Sources(), ""
         self.entries: dict[tuple[str, str], Entry] = {}
-        self.lying: dict[str, list[str]] = {}  # models on the disk and their placed versions
-        self.releases: dict[str, Released] = {}
-        self.outdated: dict[str, set[str]] = {}  # of `lying`, by model: what the release in force has put out of use
+        self.disk = SiteDisk(world, folder)
         self.placings: dict[str, tuple[Stamp, int]] = {}  # the last word on each model; emptied as its entries are
         self.trouble: DiskTrouble | None = None
         self.trouble_until: Time = 0
@@ -95,7 +94,7 @@
         return word
 
     def release(self, stamp: Stamp, asked: forms.Release) -> Coro[str]:
-        entry, last = self.entries.get((asked.model, asked.version)), self.releases.get(asked.model, Released())
+        entry, last = self.entries.get((asked.model, asked.version)), self.disk.releases.get(asked.model, Released())
         if not self.shelf.fence(stamp) or (stamp, asked.serial) < (last.stamp, last.serial):
             return "older"
         if asked.version and (entry is None or not entry.copy.placed):
@@ -107,7 +106,7 @@
             except DiskTrouble as wrong:
                 self.failed(wrong)
                 return "disk"
-        self.releases[asked.model] = released
+        self.disk.releases[asked.model] = released
         if asked.version and self.group is not None:  # not waited for: the owner's call is short, and engines may be slow
             self.group.spawn(self.engines.released(asked.model, asked.version), "weights released")
         for version in [one for one, old in self.entries.items() if one[0] == asked.model and one[1] != asked.version
@@ -115,7 +114,7 @@
             self._drop(version)
         if not asked.version:
             self.placings.pop(asked.model, None)
-        self._outdate(asked.model)
+        self.disk.outdate(asked.model, self._wanted(asked.model))
         yield from self._clear(asked.model)
         return "yes"
 
@@ -132,12 +131,12 @@
                 if self.trouble is not None and self.world.now() >= self.trouble_until:
                     self.trouble, self.changed = None, True
                 yield from self._look()
-                for model in list(self.lying):
+                for model in list(self.disk.lying):
                     yield from self._clear(model)
                 if self.world.now() >= told + TELL:
                     told = self.world.now()
-                    for model, released in list(self.releases.items()):
-                        if released.version in self.lying.get(model, ()):
+                    for model, released in list(self.disk.releases.items()):
+                        if released.version in self.disk.lying.get(model, ()):
                             yield from self.engines.released(model, released.version)
 
         try:
@@ -149,29 +148,15 @@
 
     def _look(self) -> Coro[None]:
         """What lies on the disk."""
-        def look() -> tuple[dict[str, list[str]], dict[str, Released]]:
-            models = self.folder.models()
-            return ({model: self.folder.versions(model) for model in models},
-                    {model: self.folder.released(model) for model in models})
-
         try:
-            self.lying, found = yield from self.world.aside(look, QUEUE)
+            yield from self.disk.look()
         except DiskTrouble as wrong:
             self.failed(wrong)
         except OSError as wrong:
             self.log("weights_disk", path=self.folder.root, why=str(wrong))
-        else:
-            for model, one in found.items():
-                mine = self.releases.get(model)
-                if mine is None or (one.stamp, one.serial) > (mine.stamp, mine.serial):  # another gateway's of this site
-                    self.releases[model] = one
-                    self.outdated.pop(model, None)
 
-    def _outdate(self, model: str) -> None:
-        """What lies there now and is neither released nor wanted. What comes into place later is another release's matter:
-        it may be another gateway's of this site, that fetched what this one has never been told of."""
-        wanted = {version for name, version in self.entries if name == model}
-        self.outdated[model] = set(self.lying.get(model, ())) - wanted - {self.releases[model].version}
+    def _wanted(self, model: str) -> set[str]:
+        return {version for name, version in self.entries if name == model}
 
     def _steps(self, entry: Entry, steps: Iterator[None]) -> Coro[bool]:
         """Runs blocking steps aside one by one, so that others get their turns. False after trouble, which was said."""
@@ -219,8 +204,8 @@
 
     def _found(self, entry: Entry) -> Coro[None]:
         entry.pieces.have, entry.ready, self.changed, entry.used = entry.copy.have, True, True, self.world.now()
-        if entry.copy.placed and self.releases.get(entry.model, Released()).version == entry.version[1]:
-            self._outdate(entry.model)  # by an earlier life of this gateway
+        if entry.copy.placed and self.disk.releases.get(entry.model, Released()).version == entry.version[1]:
+            self.disk.outdate(entry.model, self._wanted(entry.model))  # by an earlier life of this gateway
         if entry.copy.have == entry.manifest.full and not entry.copy.placed:
             yield from self.finish(entry)
 
@@ -235,7 +220,7 @@
                 yield from self.world.sleep(WAIT)
         self.changed = True
         if entry.copy.placed:
-            self.lying.setdefault(entry.model, []).append(entry.version[1])
+            self.disk.lying.setdefault(entry.model, []).append(entry.version[1])
             self.log("weights_placed", model=entry.model, version=entry.version[1])
 
     def _drop(self, version: tuple[str, str]) -> None:
@@ -246,32 +231,13 @@
 
     def _clear(self, model: str) -> Coro[None]:
         """Removes what is neither released nor wanted nor used by an engine; partial files of this gateway's own alone."""
-        released = self.releases.get(model, Released())
-        if not released.stamp.term:
-            return  # nothing was ever decided about it here
-        wanted = {version for name, version in self.entries if name == model}
-        if released.version and not wanted:
-            return  # after a restart, before the owner has said what it wants
-        outdated = self.outdated.get(model, set())
-        gone = [self.folder.placed(model, version) for version in self.lying.get(model, ())
-                if version in outdated and version not in wanted and not self.engines.used(model, version)]
-        kept = {f"{version}.{self.folder.number}" for version in wanted}
-
-        def clear() -> None:
-            for path in gone:
-                self.folder.remove(path)
-            for name in self.folder.disk.names(f"{self.folder.model(model)}/partial"):
-                if name.endswith(f".{self.folder.number}") and name not in kept:
-                    self.folder.remove(f"{self.folder.model(model)}/partial/{name}")
-
         try:
-            yield from self.world.aside(clear, QUEUE)
+            gone = yield from self.disk.clear(model, self._wanted(model), lambda version: self.engines.used(model, version))
         except DiskTrouble as wrong:
             self.failed(wrong)
+            return
         for path in gone:
             self.log("weights_removed", path=path)
-        self.lying[model] = [version for version in self.lying.get(model, ()) if self.folder.placed(model, version) not in gone]
-        outdated.intersection_update(self.lying[model])
 
     # What is said.
 
@@ -290,10 +256,10 @@
         for entry in self.entries.values():
             found = "" if entry.copy.placed else forms.bits(entry.pieces.have)
             have.append(forms.Have(*entry.version, entry.manifest.whole, found, entry.copy.placed,
-                                   self.releases.get(entry.model, Released()).version == entry.version[1], entry.ready,
+                                   self.disk.releases.get(entry.model, Released()).version == entry.version[1], entry.ready,
                                    entry.trouble.word if entry.trouble is not None else ""))
         known = {entry.model for entry in self.entries.values()}
-        have += [forms.Have(model, version, known=False) for model, versions in self.lying.items() if model not in known
+        have += [forms.Have(model, version, known=False) for model, versions in self.disk.lying.items() if model not in known
                  for version in versions]
         trouble = None if self.trouble is None else forms.Trouble(self.trouble.word, str(self.trouble))
         self.changed = False
