--- a/stackpitch/duties/weights/placing/copy.py
+++ b/stackpitch/duties/weights/placing/copy.py
@@ -68,7 +68,7 @@
                 self.placed, self.have = True, 0
                 yield from self.recheck()
                 if self.placed:
-                    disk.remove(self.partial)
+                    self.folder.remove(self.partial)
             others = [] if self.placed else self.folder.others(self.model, self.version)
         except OSError as wrong:
             raise trouble(wrong, self.place) from None
