--- a/stackpitch/settings/model/fleet.py
+++ b/stackpitch/settings/model/fleet.py
@@ -35,7 +35,7 @@
     state: Literal["ready", "draining"] = "ready"
     weight: Some = 1.0
     started_unix_ms: Annotated[int, Field(ge=0)] | None = None  # of its latest start; left out: long ago
-    vocabulary: Annotated[str, Field(pattern=r"^([0-9a-f]{64})?$")] = ""  # digest of its tokenizer's (docs/duties.md)
+    vocabulary: Annotated[str, Field(pattern=r"^([0-9a-f]{32})?$")] = ""  # digest of its tokenizer's (docs/duties.md)
 
 
 class Fleet(Part):
