--- a/stackpitch/rehearse/day.py
+++ b/stackpitch/rehearse/day.py
@@ -104,12 +104,14 @@
 
 
 class Figures(Part):
-    """The five rules in figures."""
+    """The rules in figures."""
 
     answer_slack_ms: Milliseconds = 60.0  # past the client's limit, for loopback and the client's own loop
     drain_grace_ms: Milliseconds = 1000.0
     release_ms: Milliseconds = 500.0
     fall_ms: Milliseconds = 1000.0
+    owner_ms: Milliseconds = 1000.0  # without an owner, beside a lease, while a majority of voters can talk
+    handover_ms: Milliseconds = 500.0  # the same after SIGTERM
 
 
 class Day(Part):
--- a/stackpitch/rehearse/director/outcome.py
+++ b/stackpitch/rehearse/director/outcome.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from stackpitch.loop import MS, SECOND
+from stackpitch.loop import MS
 from stackpitch.rehearse import judging, rules
 from stackpitch.rehearse.day import Day
 from stackpitch.rehearse.records import Record
@@ -63,7 +63,8 @@
 
 def owner_figures(day: Day) -> judging.OwnerFigures:
     duties = day.duties
-    return judging.OwnerFigures(tuple(duties.voters), day.gateways, tuple(duties.names), int(duties.lease_ms * MS) + SECOND)
+    return judging.OwnerFigures(tuple(duties.voters), day.gateways, tuple(duties.names),
+                                int((duties.lease_ms + day.rules.owner_ms) * MS), int(day.rules.handover_ms * MS))
 
 
 def modes(folder: Path) -> dict[str, int]:
