--- a/stackpitch/rehearse/day.py
+++ b/stackpitch/rehearse/day.py
@@ -99,7 +99,7 @@
     names: list[Name] = []
     strength: Annotated[float, Field(ge=0)] = 1.0
     way: Literal["both", "in", "out"] = "both"
-    pairs: list[tuple[Name, Name]] = []  # paths: from, to
+    pairs: list[Annotated[list[Name], Field(min_length=2, max_length=2)]] = []  # paths: from, to
     share: Share = 1.0  # of the messages on those paths
 
 
--- a/stackpitch/rehearse/director/check.py
+++ b/stackpitch/rehearse/director/check.py
@@ -28,6 +28,9 @@
     duties = day.duties
     if duties.voters and max(duties.voters) >= day.gateways:
         raise ValueError(f"duties.voters: found {duties.voters}; allowed: numbers under gateways ({day.gateways})")
+    if len(duties.voters) == 1:
+        raise ValueError(f"duties.voters: found {duties.voters}; allowed: at least two in a day, as owners are judged by the "
+                         "network, on which a gateway's vote for itself does not pass")
 
 
 def among_gateways(day: Day, where: str, trouble: Trouble) -> None:
--- a/tests/days/owners.jsonnet
+++ b/tests/days/owners.jsonnet
@@ -12,6 +12,7 @@
 local late = small {
   // What the owner says is held past its lease, and arrives after its successor's.
   troubles: [
+    { kind: 'net-slow', at_s: 2, for_s: 1.5, pairs: [['g0', 'g1'], ['g2', 'g0']], strength: 60 },
     { kind: 'net-hold', at_s: 4, for_s: 4, names: ['owner.weights'], way: 'out' },
     { kind: 'net-repeat', at_s: 9, for_s: 5, names: ['owner.vocabulary'], strength: 4000 },
     { kind: 'gateway-kill', at_s: 10, for_s: 1, names: ['owner.vocabulary'] },
--- a/tests/test_owner_days.py
+++ b/tests/test_owner_days.py
@@ -1,6 +1,7 @@
 """Days with duties: kept by the program as processes and in made-up time, and broken gateways that the checker catches."""
 
 import json
+import re
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -8,6 +9,10 @@
 
 import pytest
 
+from stackpitch import settings
+from stackpitch.rehearse.day import Day, Trouble
+from stackpitch.rehearse.director import check
+
 ROOT = Path(__file__).parent.parent
 SHORT, STORM = "tests/days/owners.jsonnet", "days/owners-storm.jsonnet"
 BROKEN = {"fenceless": ("O1", SHORT), "leaseless": ("O2", SHORT), "forgetful": ("O2", SHORT), "hasty": ("O2", SHORT),
@@ -56,6 +61,21 @@
         assert down, "what came late had to be turned down"
 
 
+@pytest.mark.parametrize("change, said", [
+    ({"kind": "net-cut", "names": ["g9"]}, "troubles.0.names: found 'g9'; allowed: g0, g1, g2, g3, owner, owner.weights"),
+    ({"kind": "voter-empty", "names": ["g3"]}, "troubles.0.names: found 'g3'; allowed: g0, g1, g2"),
+    ({"kind": "voter-twin", "names": ["g1"]}, "troubles.0.names: found 1; voter-twin wants voters' names"),
+    ({"kind": "net-hold", "pairs": [["g0", "w1"]]}, "troubles.0.names: found 'w1'"),
+    ({"voters": [0, 1, 4]}, "duties.voters: found [0, 1, 4]; allowed: numbers under gateways (4)"),
+    ({"voters": []}, "troubles.0.kind: found 'net-cut'; allowed where the day has duties.voters")])
+def test_a_day_that_asks_for_what_is_not_there_is_rejected(change: dict, said: str) -> None:
+    read = settings.read(Day, ROOT / SHORT, {"seed": "1", "play": "good"})
+    voters = change.pop("voters", [0, 1, 2])
+    bad = Trouble(at_s=1, **({"kind": "net-cut"} | change))
+    with pytest.raises(ValueError, match=re.escape(said)):
+        check(read.model_copy(update={"troubles": [bad], "duties": read.duties.model_copy(update={"voters": voters})}))
+
+
 def test_a_storm_from_the_seed_keeps_all_rules() -> None:
     found = outcome("", "--virtual", day=STORM)
     assert found["exit"] == 0, found["breaches"]
