--- a/tests/test_owner_days.py
+++ b/tests/test_owner_days.py
@@ -1,21 +1,50 @@
 """Days with duties: kept by the program as processes and in made-up time, and broken gateways that the checker catches."""
 
 import json
+import re
 import subprocess
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
+from stackpitch import settings
+from stackpitch.rehearse.day import Day, Trouble
+from stackpitch.rehearse.director import check
+
 ROOT = Path(__file__).parent.parent
-BROKEN = {"fenceless": "O1", "leaseless": "O2", "forgetful": "O2", "hasty": "O2", "ownerless": "O3"}
+SHORT, STORM = "tests/days/owners.jsonnet", "days/owners-storm.jsonnet"
+BROKEN = {"fenceless": ("O1", SHORT), "leaseless": ("O2", SHORT), "forgetful": ("O2", SHORT), "hasty": ("O2", SHORT),
+          "restless": ("O2", STORM), "unsynced": ("O1", STORM), "ownerless": ("O3", SHORT)}
+
+
+def begun(play: str, *more: str, day: str = SHORT) -> "subprocess.Popen[bytes]":
+    command = [sys.executable, "-m", "stackpitch", "rehearse", day, "--json", "--set", f"play={play}", *more]
+    return subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+
+
+def ended(process: "subprocess.Popen[bytes]") -> dict:
+    printed, complaints = process.communicate(timeout=150)
+    assert printed, complaints.decode()[-2000:]
+    return json.loads(printed) | {"exit": process.returncode}
 
 
-def outcome(play: str, *more: str) -> dict:
-    command = [sys.executable, "-m", "stackpitch", "rehearse", "tests/days/owners.jsonnet", "--json", "--set", f"play={play}"]
-    done = subprocess.run([*command, *more], cwd=ROOT, capture_output=True, timeout=150)
-    assert done.stdout, done.stderr.decode()[-2000:]
-    return json.loads(done.stdout) | {"exit": done.returncode}
+def outcome(play: str, *more: str, day: str = SHORT) -> dict:
+    return ended(begun(play, *more, day=day))
+
+
+@pytest.fixture(scope="module", autouse=True)
+def processes(tmp_path_factory: pytest.TempPathFactory) -> "Iterator[dict[str, tuple[subprocess.Popen[bytes], Path]]]":
+    """Two days as processes. They take as long as they are, so they begin before all else here."""
+    started = {}
+    for play in ("good", "files"):
+        folder = tmp_path_factory.mktemp(play)
+        started[play] = begun(f"{play} as processes", "--keep", str(folder)), folder
+    yield started
+    for process, _ in started.values():
+        process.kill()
+        process.wait()
 
 
 @pytest.mark.parametrize("play", ["good", "late", "files"])
@@ -32,6 +61,26 @@
         assert down, "what came late had to be turned down"
 
 
+@pytest.mark.parametrize("change, said", [
+    ({"kind": "net-cut", "names": ["g9"]}, "troubles.0.names: found 'g9'; allowed: g0, g1, g2, g3, owner, owner.weights"),
+    ({"kind": "voter-empty", "names": ["g3"]}, "troubles.0.names: found 'g3'; allowed: g0, g1, g2"),
+    ({"kind": "voter-twin", "names": ["g1"]}, "troubles.0.names: found 1; voter-twin wants voters' names"),
+    ({"kind": "net-hold", "pairs": [["g0", "w1"]]}, "troubles.0.names: found 'w1'"),
+    ({"voters": [0, 1, 4]}, "duties.voters: found [0, 1, 4]; allowed: numbers under gateways (4)"),
+    ({"voters": []}, "troubles.0.kind: found 'net-cut'; allowed where the day has duties.voters")])
+def test_a_day_that_asks_for_what_is_not_there_is_rejected(change: dict, said: str) -> None:
+    read = settings.read(Day, ROOT / SHORT, {"seed": "1", "play": "good"})
+    voters = change.pop("voters", [0, 1, 2])
+    bad = Trouble(at_s=1, **({"kind": "net-cut"} | change))
+    with pytest.raises(ValueError, match=re.escape(said)):
+        check(read.model_copy(update={"troubles": [bad], "duties": read.duties.model_copy(update={"voters": voters})}))
+
+
+def test_a_storm_from_the_seed_keeps_all_rules() -> None:
+    found = outcome("", "--virtual", day=STORM)
+    assert found["exit"] == 0, found["breaches"]
+
+
 def taken(folder: Path, kinds: tuple[str, ...]) -> list[dict]:
     """Calls of these kinds that their receivers said yes to, each with `at` as it was answered."""
     records = [json.loads(line) for line in (folder / "network.jsonl").read_text().splitlines()]
@@ -68,21 +117,23 @@
     assert after[0]["stamp"][0] > before[0]["stamp"][0]
 
 
-def test_voters_whose_files_were_changed_say_so(tmp_path: Path) -> None:
+@pytest.mark.parametrize("name", BROKEN)
+def test_gateways_broken_on_purpose_are_caught(name: str) -> None:
+    rule, day = BROKEN[name]
+    found = outcome(name, "--virtual", "--broken", name, day=day)
+    assert found["rules"][rule] > 0 and found["exit"] == 1, found["rules"]
+
+
+def test_voters_whose_files_were_changed_say_so(processes: dict) -> None:
     """As processes, whose logs are their own."""
-    found = outcome("files", "--keep", str(tmp_path))
+    process, folder = processes["files"]
+    found = ended(process)
     assert found["exit"] == 0 and not any(found["rules"].values()), found["breaches"]
-    logged = [json.loads(line) for number in range(3) for line in (tmp_path / f"g{number}.log").read_text().splitlines()]
+    logged = [json.loads(line) for number in range(3) for line in (folder / f"g{number}.log").read_text().splitlines()]
     assert any(one["event"] == "voter_older" for one in logged)
     assert any(one["event"] == "voter_out" and one["kind"] == "FileTaken" for one in logged)
 
 
-def test_the_same_as_processes() -> None:
-    found = outcome("good")
+def test_the_same_as_processes(processes: dict) -> None:
+    found = ended(processes["good"][0])
     assert found["exit"] == 0 and found["ends"]["streamed"] > 10, found["breaches"]
-
-
-@pytest.mark.parametrize("name", BROKEN)
-def test_gateways_broken_on_purpose_are_caught(name: str) -> None:
-    found = outcome(name, "--virtual", "--broken", name)
-    assert found["rules"][BROKEN[name]] > 0 and found["exit"] == 1, found["rules"]
