--- a/stackpitch/cli/main.py
+++ b/stackpitch/cli/main.py
@@ -127,7 +127,8 @@
 @click.option("--virtual", is_flag=True, help="Play it in one process and made-up time: much faster, the same every time.")
 @click.option("--seeds", metavar="A..B", help="With --virtual: play the day with each of these seeds, one line each.")
 @click.option("--broken", type=click.Choice(["answered", "effects", "drains", "cold", "pinned", "fenceless", "leaseless",
-                                               "forgetful", "hasty", "restless", "unsynced", "ownerless"]),
+                                               "forgetful", "hasty", "restless", "unsynced", "ownerless", "unpaced",
+                                               "classless", "unchecked"]),
               help="Break the gateways on purpose, to see the checker catch it.")
 def rehearse(day: Path, sets: tuple[str, ...], as_json: bool, keep: Path | None, virtual: bool, seeds: str | None,
              broken: str | None) -> None:
@@ -389,6 +390,17 @@
     world.run(run_network(world, read))
 
 
+@main.command(hidden=True)
+@click.argument("file", type=click.Path(path_type=Path))
+def origin(file: Path) -> None:
+    """Run a day's stand-in origin of weights, as `rehearse` starts it."""
+    from stackpitch.rehearse.origin import OriginSettings, run_origin
+
+    read = msgspec.convert(settings_package.evaluate(file), OriginSettings)
+    world = RealWorld(read.seed)
+    world.run(run_origin(world, read))
+
+
 @main.command(hidden=True)
 @click.argument("rule")
 @CONFIG
