Vocabularies, sampling profiles and what they mean after a vocabulary change

Token ids of one tokenizer vocabulary mean other tokens in the next one. Vocabularies are read whole from files in the published tokenizer.json form and known by a digest of what they say; profiles say which one they were written for; each kind of parameter has a pure module that says what it means in the new one, with the reason and what to do.

--- /dev/null
+++ b/tests/test_vocabulary.py
@@ -0,0 +1,241 @@
+"""Vocabularies, what parameters mean in the next one, a change for the fleet, and what gateways make of it."""
+
+import json
+from pathlib import Path
+
+import pytest
+from play import scenarios
+from tokenizers import Tokenizer, decoders, models, pre_tokenizers, trainers
+
+from stackpitch.duties.vocabulary import catalogue, errors
+from stackpitch.duties.vocabulary.catalogue.form import LETTERS
+from stackpitch.duties.vocabulary.parameters import Parameters
+from stackpitch.duties.vocabulary.profiles import Profiles, read_profiles
+from stackpitch.duties.vocabulary.verdicts import Judge, Pair, Ratio, measured
+
+LETTER = {byte: letter for letter, byte in LETTERS.items()}
+
+
+def tokenizer(words):
+    """Ids in order: `</s>!` an end, `<pad>*` special, `_` a space. Merges from the tokens that two others make."""
+    bare = [word.rstrip("!*").replace("_", " ") or word for word in words]
+    letters = ["".join(LETTER[byte] for byte in word.encode()) for word in bare]
+    plain = {letter: place for place, (letter, word) in enumerate(zip(letters, words)) if word[-1] not in "!*" or len(word) == 1}
+    merges = []
+    for token in sorted(plain, key=len):
+        ways = [(token[:cut], token[cut:]) for cut in range(len(token) - 1, 0, -1)]
+        merges += [way for way in ways if way[0] in plain and way[1] in plain][:1]
+    tree = {"version": "1.0", "added_tokens": [
+                {"id": place, "content": bare[place], "special": True, "single_word": False, "lstrip": False, "rstrip": False,
+                 "normalized": False} for place, word in enumerate(words) if word[-1] in "!*" and len(word) > 1],
+            "normalizer": None, "pre_tokenizer": {"type": "ByteLevel", "add_prefix_space": False, "trim_offsets": True, "use_regex": False},
+            "post_processor": None, "decoder": {"type": "ByteLevel", "add_prefix_space": True, "trim_offsets": True, "use_regex": True},
+            "model": {"type": "BPE", "dropout": None, "unk_token": None, "continuing_subword_prefix": None, "end_of_word_suffix": None,
+                      "fuse_unk": False, "byte_fallback": False, "vocab": plain, "merges": [list(one) for one in merges]}}
+    return json.dumps(tree).encode()
+
+
+def made(name, words):
+    ends = tuple(word[:-1] for word in words if word[-1] == "!")
+    return catalogue.vocabulary(tokenizer(words), f"{name}.json", name, ends)
+
+
+class Verdicts:
+    """
+    old </s>! a _b          its tokens in order of ids (`!` an end, `*` special, `_` a space); so `new`
+    bias a=2 | stop a | allow a b | word b+a | string TEXT | top_k 3 | min 5 | max 9 | bounds 1 9     the profile; words once each
+    samples TEXT 40         a text, so many times
+    > FIELD WORD lost ids: TOKENS = VALUE | words of the verdict | ...
+    """
+
+    def __init__(self):
+        self.known, self.words, self.given, self.samples, self.judged = {}, {}, {}, [], None
+
+    def sequence(self, word):
+        return [self.words["old"].index(one) for one in ([word] if word in self.words["old"] else word.split("+"))]
+
+    def line(self, text):
+        what, _, rest = text.partition(" ")
+        words = rest.split()
+        if what in ("old", "new"):
+            self.known[what], self.words[what] = made(what, words), [word.rstrip("!*") or word for word in words]
+        elif what == "samples":
+            self.samples = [words[0]] * int(words[1])
+        elif what == "bias":
+            self.given["logit_bias"] = {str(self.sequence(one.split("=")[0])[0]): float(one.split("=")[1]) for one in words}
+        elif what in ("stop", "allow"):
+            self.given[{"stop": "stop_token_ids", "allow": "allowed_token_ids"}[what]] = [self.sequence(one)[0] for one in words]
+        elif what == "id-stop":
+            self.given["stop_token_ids"] += map(int, words)
+        elif what == "word":
+            self.given.setdefault("bad_words_ids", []).append(self.sequence(rest))
+        elif what == "string":
+            self.given["stop"] = [rest]
+        elif what == "bounds":
+            self.given["max_tokens_bounds"] = {"least": int(words[0]), "most": int(words[1])}
+        elif what != ">":
+            self.given[{"min": "min_tokens", "max": "max_tokens"}.get(what, what)] = json.loads(rest)
+        else:
+            self.expect(*rest.split(" | "))
+
+    def expect(self, first, *said):
+        if self.judged is None:
+            old, new = self.known["old"], self.known["new"]
+            ratio = measured(old, new, self.samples) if self.samples else Ratio()
+            self.judged = Judge(Pair(old, new), ratio, Profiles(), {}).one("p", Parameters.model_validate(self.given))
+        field, rest = first.split(" ", 1)
+        if field == "worst":
+            assert self.judged.word == rest
+            return
+        found = self.judged.field(field)
+        rest, _, value = rest.partition(" = ")
+        rest, _, ids = rest.partition(" ids: ")
+        assert f"{found.word}{' lost' if found.lost else ''}" == rest, found
+        if value:
+            assert str(found.translated) == value
+        if ids:
+            assert found.translated == self.new(field, ids.split()), found.translated
+        told = str(found) + f"{len(found.findings)} findings"
+        assert all(one in told for one in said), told
+
+    def new(self, field, words):
+        at = self.words["new"].index
+        if field == "logit_bias":
+            return {str(at(one.split("=")[0])): float(one.split("=")[1]) for one in words}
+        return [[at(one) for one in word.split("+")] for word in words] if field == "bad_words_ids" else [at(one) for one in words]
+
+
+SCENES = {"verdicts": Verdicts}
+ALL = scenarios(Path(__file__).parent / "scenarios_vocabulary")
+
+
+@pytest.mark.parametrize("kind, lines", [(title.split(":")[0], lines) for title, lines in ALL], ids=[title for title, _ in ALL])
+def test_scenes(kind, lines):
+    scene = SCENES[kind]()
+    for number, line in enumerate(lines, 1):
+        try:
+            scene.line(line)
+        except AssertionError as wrong:
+            raise AssertionError(f"line {number}, {line!r}: {wrong}") from None
+
+
+# Vocabularies and profiles, as files.
+
+
+def tree(words="</s>! a b ab"):
+    return json.loads(tokenizer(words.split()))
+
+
+def test_the_digest_is_of_what_a_file_says():
+    raw = tokenizer(["</s>!", "a", "b", "ab"])
+    before = catalogue.digest_of(raw, "x")
+    other = json.loads(raw) | {"truncation": {"max_length": 5}}
+    other["model"] |= {"merges": ["a b"], "vocab": dict(reversed(other["model"]["vocab"].items()))}
+    assert catalogue.digest_of(json.dumps(other, indent=3).encode(), "x") == before == catalogue.vocabulary(raw, "x").digest
+    other["model"]["vocab"] |= {"a": 2, "b": 1}
+    assert len({catalogue.digest_of(json.dumps(other).encode(), "x"), catalogue.digest_of(raw, "x", ("</s>",)), before}) == 3
+
+
+def spoilt(**changed):
+    found = tree()
+    found["model"] |= changed
+    return json.dumps(found)
+
+
+@pytest.mark.parametrize("text, kind, words", [
+    ("{", errors.VocabularyMalformed, "JSON"),
+    ("[" * 100_000, errors.VocabularyMalformed, "(whole)"),
+    ('{"model": 3}', errors.VocabularyMalformed, "model"),
+    ('{"model": {"type": "BPE", "vocab": {"a": 0, "a": 1}}}', errors.VocabularyMalformed, "twice"),
+    (spoilt(type="Magic"), errors.VocabularyMalformed, "'Magic'; allowed: BPE"),
+    (spoilt(vocab=[]), errors.VocabularyMalformed, "found list"),
+    (spoilt(vocab={"a": 1, "b": 1}), errors.VocabularyMalformed, "id 1 for two tokens"),
+    (spoilt(vocab={"a": 0, "b": 1}, merges=[]), errors.VocabularyMalformed, "added_tokens: found id 0 for two"),
+    (spoilt(vocab={"a": 1.5}), errors.VocabularyMalformed, "1.5"),
+    (spoilt(vocab={"a": True}), errors.VocabularyMalformed, "True"),
+    (spoilt(vocab={"a": 1 << 30}, merges=[]), errors.VocabularyTooLarge, "id 1073741824; allowed: ids up to"),
+    (spoilt(vocab={"a" * 5000: 1}, merges=[]), errors.VocabularyTooLarge, "5000 letters"),
+    (spoilt(merges=[["a", "zz"]]), errors.VocabularyMalformed, "tokenizers library"),
+    (json.dumps(tree() | {"added_tokens": [{"id": -1, "content": "x"}]}), errors.VocabularyMalformed, "added_tokens.0"),
+])
+def test_a_file_that_is_wrong_is_rejected_whole(text, kind, words, tmp_path):
+    path = tmp_path / "tokenizer.json"
+    path.write_text(text)
+    with pytest.raises(kind) as wrong:
+        catalogue.read_vocabulary(path)
+    assert words in str(wrong.value) and str(path) in str(wrong.value) and wrong.value.remedy
+
+
+def test_files_that_are_missing_or_too_large(tmp_path, monkeypatch):
+    with pytest.raises(errors.VocabularyUnreadable):
+        catalogue.read_vocabulary(tmp_path / "none")
+    with pytest.raises(errors.VocabularyMalformed, match="end: found '<x>'"):
+        catalogue.vocabulary(tokenizer(["a"]), "f", ends=("<x>",))
+    (tmp_path / "large").write_bytes(b" " * 101)
+    monkeypatch.setattr(catalogue.reading, "MOST_BYTES", 100)
+    with pytest.raises(errors.VocabularyTooLarge, match="allowed: up to 100"):
+        catalogue.read_vocabulary(tmp_path / "large")
+
+
+def test_other_published_forms():
+    """Metaspace with bytes, word pieces and whole words; `old` has the letter a twice, as itself and as a byte."""
+    metaspace = Tokenizer(models.BPE({"<unk>": 0, "<0x61>": 1, "a": 2, "\u2581a": 3, "\u2581": 4}, [("\u2581", "a")], unk_token="<unk>", byte_fallback=True))
+    metaspace.pre_tokenizer, metaspace.decoder = pre_tokenizers.Metaspace(), decoders.Sequence([decoders.Replace("\u2581", " "), decoders.ByteFallback()])
+    pieces = Tokenizer(models.WordPiece({"[UNK]": 0, "a": 1, "##b": 2}, unk_token="[UNK]"))
+    words = Tokenizer(models.WordLevel({"[UNK]": 0, "a": 1}, unk_token="[UNK]"))
+    read = [catalogue.vocabulary(one.to_str().encode(), "f") for one in (metaspace, pieces, words)]
+    assert [one.pieces[1:] for one in read] == [[b"a", b"a", b" a", b" "], [b" a", b"b"], [b" a"]]
+    assert [one.canonical(b" a") for one in read] == [(3,), (1,), (1,)] and read[0].canonical(b"a") == (1,) and read[1].canonical(b" ab") == (1, 2)
+    one = Judge(Pair(read[0], made("new", ["a"])), Ratio(), Profiles(), {}).one("p", Parameters(logit_bias={"1": 5.0, "2": 6.0}))
+    assert one.word == "contradictory" and "id 1 with bias 5 is the same token now" in str(one)
+
+
+def test_profiles_say_their_vocabulary_or_take_a_default(tmp_path):
+    path = tmp_path / "profiles.json"
+    tree = {"vocabulary": "one", "customers": {"c": "two"}, "products": {"p": "three"}, "profiles": {
+        "a": {"customer": "c", "parameters": {}}, "b": {"product": "p", "vocabulary": "one", "parameters": {"top_k": 5}},
+        "d": {"product": "q", "parameters": {}}}}
+    path.write_text(json.dumps(tree))
+    read = read_profiles(path, ("one", "two", "three"), ("c",), ("p", "q"))
+    assert [read.written_for(one) for one in "abd"] == ["two", "one", "one"]
+    path.write_text(json.dumps(dict(reversed(tree.items())), indent=2))
+    assert read_profiles(path, ("one", "two", "three")).digest() == read.digest()
+    path.write_text(json.dumps(tree | {"version": 1}))
+    assert read_profiles(path, ("one", "two", "three")).digest() != read.digest()
+
+
+@pytest.mark.parametrize("changed, words", [
+    ({"parameters": {"top_p": 2}}, "profiles.a.parameters.top_p"), ({"parameters": {"bad": 2}}, "unknown field"),
+    ({"parameters": {"logit_bias": {"x": 1.0}}}, "logit_bias.x"), ({"parameters": {"min_tokens": 9, "max_tokens": 3}}, "min_tokens: found 9"),
+    ({"parameters": {"allowed_token_ids": []}}, "allowed_token_ids"), ({"vocabulary": "none"}, "profiles.a.vocabulary: found 'none'; allowed: one"),
+    ({"customer": "x"}, "customer or a product"), ({"product": "x"}, "profiles.a.product: found 'x'; allowed: p"), ({"revenue": -1}, "revenue")])
+def test_profiles_that_are_wrong_are_rejected_whole(changed, words, tmp_path):
+    path = tmp_path / "profiles.json"
+    path.write_text(json.dumps({"vocabulary": "one", "profiles": {"a": {"product": "p", "parameters": {}} | changed}}))
+    with pytest.raises(errors.ProfilesRejected) as wrong:
+        read_profiles(path, ("one",), ("c",), ("p",))
+    assert words in str(wrong.value) and str(path) in str(wrong.value)
+
+
+def test_a_retrained_vocabulary_is_judged_without_a_false_exact():
+    """Byte-level, trained on two texts: an id that is called exact has the same bytes; what is split is spelt the same."""
+    texts = ["the ferry to the island leaves at noon, the plane leaves later " * 20, "islands and planes: the later ferry is no plane " * 20]
+    read = []
+    for number, text in enumerate(texts):
+        one = Tokenizer(models.BPE())
+        one.pre_tokenizer, one.decoder = pre_tokenizers.ByteLevel(add_prefix_space=False), decoders.ByteLevel()
+        one.train_from_iterator([text], trainers.BpeTrainer(vocab_size=320 + 10 * number, special_tokens=["<|end|>"], show_progress=False,
+                                                           initial_alphabet=pre_tokenizers.ByteLevel.alphabet()))
+        read.append(catalogue.vocabulary(one.to_str().encode(), "f"))
+    pair, words = Pair(*read), set()
+    for number in range(read[0].size):
+        fate = pair.fate(number)
+        words.add(fate.word)
+        if fate.into:
+            assert read[1].text(fate.into) == read[0].pieces[number] and fate.exact is (len(fate.into) == 1)
+    assert {"same", "renumbered", "split"} <= words
+    assert sum(one.count for one in pair.runs) == sum(there >= 0 for there in pair.table)
+    assert all(pair.table[one.begin + at] == one.begin + at + one.shift for one in pair.runs for at in range(one.count))
+    assert measured(*read, texts).new != measured(*read, texts).old
+    with pytest.raises(errors.SamplesTooFew):
+        measured(*read, ["a"])
