A vocabulary change for the fleet: its states, its record, and what each gateway makes of token ids

The owner judges all profiles, keeps the change's state under its term and tells the gateways; a gateway acts by a verdict only if its digests are those that it sees itself, and else sends token ids to engines of their own vocabulary alone.

--- a/stackpitch/duties/vocabulary/catalogue/reading.py
+++ b/stackpitch/duties/vocabulary/catalogue/reading.py
@@ -143,7 +143,9 @@
 
     try:
         made = Tokenizer.from_str(raw.decode())
-    except Exception as wrong:  # the library raises nothing narrower
+    except BaseException as wrong:  # the library raises nothing narrower, and for a panic of its own something wider
+        if not isinstance(wrong, Exception) and type(wrong).__name__ != "PanicException":
+            raise
         raise VocabularyMalformed(file, "(whole)", str(wrong)[:200], "what the tokenizers library takes") from None
     made.no_truncation()
     made.no_padding()
--- a/stackpitch/duties/vocabulary/catalogue/vocabulary.py
+++ b/stackpitch/duties/vocabulary/catalogue/vocabulary.py
@@ -1,6 +1,6 @@
 """One vocabulary: what each id stands for, and how a text is spelt with it. No I/O; the encoder is handed in."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from functools import cached_property
 from typing import Literal
 
@@ -83,20 +83,3 @@
                     if here is None or (len(found), found) < (len(here), here):
                         best[end] = found
         return best[-1]
-
-    def spellings(self, text: bytes) -> Iterator[tuple[int, ...]]:
-        """All of them, those with long first tokens first. Their number can double with each byte: take a few."""
-        ends = [True] * (len(text) + 1)  # from which places the end can be reached
-        for begin in range(len(text) - 1, -1, -1):
-            ends[begin] = any(ends[end] and text[begin:end] in self.ordinary
-                              for end in range(begin + 1, min(len(text), begin + self.longest) + 1))
-
-        def onward(begin: int) -> Iterator[tuple[int, ...]]:
-            if begin == len(text):
-                yield ()
-            for end in range(min(len(text), begin + self.longest), begin, -1):
-                if ends[end] and (number := self.ordinary.get(text[begin:end])) is not None:
-                    for rest in onward(end):
-                        yield (number, *rest)
-
-        return onward(0) if text and ends[0] else iter(())
--- a/stackpitch/duties/vocabulary/verdicts/bans.py
+++ b/stackpitch/duties/vocabulary/verdicts/bans.py
@@ -42,8 +42,8 @@
         if usual is not None and not after.stop(usual):
             found[usual] = None
         if len(one) <= LONGEST:
-            for spelt, old in pair.spelt(one):
-                if not after.stop(spelt) and (old is None or before.stop(old)):
+            for spelt in pair.spelt(one):
+                if not after.stop(spelt):
                     found[spelt] = None
     for number in pair.fresh.holding(core):
         was = pair.old.canonical(pair.new.pieces[number] or b"")
--- a/stackpitch/duties/vocabulary/verdicts/pair.py
+++ b/stackpitch/duties/vocabulary/verdicts/pair.py
@@ -7,10 +7,11 @@
 import msgspec
 
 from stackpitch.duties.vocabulary.catalogue.vocabulary import Vocabulary
+from stackpitch.duties.vocabulary.verdicts.spelling import spellings
 from stackpitch.duties.vocabulary.verdicts.words import Word
 
-KEPT, FEWER = 100_000, 5_000  # fates, and texts with their spellings, remembered; emptied when it is full
-MOST = 256  # spellings looked at of one text, those with long first tokens first
+KEPT = 100_000  # fates, and texts with their spellings, remembered; emptied when it is full
+MOST = 64  # spellings looked at of one text, those with long first tokens first
 
 
 class Fate(msgspec.Struct, frozen=True):
@@ -37,7 +38,7 @@
     def __init__(self, old: Vocabulary, new: Vocabulary) -> None:
         self.old, self.new = old, new
         self.fates: dict[int, Fate] = {}
-        self.spellings: dict[bytes, list[tuple[tuple[int, ...], tuple[int, ...] | None]]] = {}
+        self.spellings: dict[bytes, tuple[tuple[int, ...], ...]] = {}
 
     @cached_property
     def table(self) -> list[int]:
@@ -71,16 +72,12 @@
     def fresh(self) -> "Fresh":
         return Fresh(self.old, self.new)
 
-    def spelt(self, text: bytes) -> list[tuple[tuple[int, ...], tuple[int, ...] | None]]:
-        """Spellings of the new vocabulary, each with that of the same pieces in the old one, None where it lacks one."""
+    def spelt(self, text: bytes) -> tuple[tuple[int, ...], ...]:
+        """Spellings of the new vocabulary that hold a new token."""
         if text not in self.spellings:
-            if len(self.spellings) >= FEWER:
+            if len(self.spellings) >= KEPT:
                 self.spellings.clear()
-            found = []
-            for one in islice(self.new.spellings(text), MOST):
-                old = [self.old.ordinary.get(self.new.pieces[part] or b"", -1) for part in one]
-                found.append((one, None if -1 in old else tuple(old)))
-            self.spellings[text] = found
+            self.spellings[text] = tuple(islice(spellings(self.new, self.fresh.all, text), MOST))
         return self.spellings[text]
 
     def fate(self, number: int) -> Fate:
@@ -137,6 +134,7 @@
     def __init__(self, old: Vocabulary, new: Vocabulary) -> None:
         self.new = new
         self.ids = sorted(number for piece, number in new.ordinary.items() if piece not in old.ordinary)
+        self.all = frozenset(self.ids)
         self.starts: list[int] = []
         parts, at = [], 0
         for number in self.ids:
--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -3,15 +3,21 @@
 import json
 from pathlib import Path
 
+import msgspec
 import pytest
 from play import scenarios
 from tokenizers import Tokenizer, decoders, models, pre_tokenizers, trainers
 
+from stackpitch.duties.calls import Stamp
 from stackpitch.duties.vocabulary import catalogue, errors
+from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Seen, Told, asked
 from stackpitch.duties.vocabulary.catalogue.form import LETTERS
+from stackpitch.duties.vocabulary.change import Change, Machine, Summary, read, written
 from stackpitch.duties.vocabulary.parameters import Parameters
 from stackpitch.duties.vocabulary.profiles import Profiles, read_profiles
-from stackpitch.duties.vocabulary.verdicts import Judge, Pair, Ratio, measured
+from stackpitch.duties.vocabulary.verdicts import FieldVerdict, Finding, Judge, Pair, ProfileVerdict, Ratio, Verdicts, measured
+from stackpitch.duties.vocabulary.verdicts.judge import Digests
+from stackpitch.duties.vocabulary.verdicts.pair import Run
 
 LETTER = {byte: letter for letter, byte in LETTERS.items()}
 
@@ -40,7 +46,7 @@
     return catalogue.vocabulary(tokenizer(words), f"{name}.json", name, ends)
 
 
-class Verdicts:
+class Judging:
     """
     old </s>! a _b          its tokens in order of ids (`!` an end, `*` special, `_` a space); so `new`
     bias a=2 | stop a | allow a b | word b+a | string TEXT | top_k 3 | min 5 | max 9 | bounds 1 9     the profile; words once each
@@ -105,7 +111,92 @@
         return [[at(one) for one in word.split("+")] for word in words] if field == "bad_words_ids" else [at(one) for one in words]
 
 
-SCENES = {"verdicts": Verdicts}
+class Changing:
+    """
+    limit 0.1 | announce A B P1 | judged P1 V1 0.05 | edited P2 | seen A=3 B=1 | confirm V1 | call-off WHY
+    > WORD words of why | ! ERROR words     of the last line; a record goes through its bytes after each
+    """
+
+    def __init__(self):
+        self.machine, self.wrong = Machine(), None
+
+    def line(self, text):
+        what, *words = text.split()
+        machine, self.wrong = self.machine, None if what != "!" else self.wrong
+        calls = {"announce": machine.announce, "edited": machine.edited, "confirm": machine.confirm,
+                 "call-off": lambda *words: machine.call_off(" ".join(words)),
+                 "seen": lambda *words: machine.seen({one[0]: int(one[2:]) for one in words}),
+                 "judged": lambda of, verdict, share: machine.judged(Digests(machine.change.old, machine.change.new, of), Summary(verdict, 10, int(10 * float(share)), float(share)))}
+        if what == "limit":
+            machine.most_share = float(words[0])
+        elif what == "!":
+            assert type(self.wrong).__name__ == words[0] and " ".join(words[1:]) in str(self.wrong) and self.wrong.remedy, self.wrong
+        elif what == ">":
+            change = machine.change
+            told = f"{change.word} {change.summary or 'none'} {change.new} {change.why}"
+            assert told.startswith(words[0]) and all(word in told for word in words), told
+            assert change.admits(change.old) and change.admits(change.new) is (change.word in ("allowed", "mixed", "done"))
+        else:
+            before = machine.record
+            try:
+                calls[what](*words)
+            except errors.VocabularyError as wrong:
+                self.wrong = wrong
+                assert machine.record == before
+            machine.record = read(written(machine.record))
+
+
+class Gate:
+    """
+    servers w1=A w2         vocabulary by server; A, B are seen here with profiles P1; `see P2`
+    told mixed V1 stamp=1 version=2     a change from A to B with ids 0-2 the same, 3-5 ten further on; `forged`: of another digest
+    gen A profile=good FIELD=JSON       its vocabulary (- unstated) and fields
+    > untouched | > A {} B {"FIELD":...} | ! ERROR words
+    """
+
+    def __init__(self):
+        self.known, self.answer, self.version = Known(), None, 0
+        self.acting = Acting(self.known)
+        self.acting.seen = Seen({"A": "a", "B": "b"}, "P1")
+
+    def line(self, text):
+        what, *words = text.split()
+        if what == "servers":
+            self.acting.listed({name: kind or None for name, _, kind in (one.partition("=") for one in words)})
+        elif what == "see":
+            self.acting.seen = Seen({"A": "a", "B": "b"}, words[0])
+        elif what == "told":
+            self.version += 1
+            said = dict(one.split("=") for one in words[2:] if "=" in one)
+            verdicts = verdicts_on(Digests("A", "B", "P1"))
+            digest = "0" * 32 if "forged" in words else verdicts.digest()
+            change = Change(1, words[0].replace("_", " "), "A", "B", "P1", Summary(digest, 1, 0, 0.0), version=int(said.get("version", self.version)))
+            self.known.take(Told(Stamp(int(said["stamp"])), change, verdicts))
+        elif what == "gen":
+            named = dict(one.split("=", 1) for one in words[1:])
+            profile = named.pop("profile", None)
+            try:
+                ids = asked({name: msgspec.Raw(value.encode()) for name, value in named.items()})
+                found = self.acting.decide(Asked(ids, None if words[0] == "-" else words[0], profile))
+                self.answer = "untouched" if found is None else " ".join(
+                    f"{kind} {msgspec.json.encode(fields, order='deterministic').decode()}" for kind, fields in found.fields.items())
+            except errors.VocabularyError as wrong:
+                self.answer = f"{type(wrong).__name__} {wrong}"
+                assert wrong.remedy
+        elif what == ">":
+            assert self.answer == text[2:], self.answer
+        else:
+            assert self.answer.startswith(words[0]) and " ".join(words[1:]) in self.answer, self.answer
+
+
+def verdicts_on(digests, mark="same"):
+    lost = FieldVerdict("stop_token_ids", "another role", True, "", None, (Finding("another role", "id 0", "the end of text", "the text 'b'", "why", "todo"),))
+    good = FieldVerdict("bad_words_ids", "split", False, mark, [[8], [9]]), FieldVerdict("min_tokens", "rescaled", False, "", 6)
+    return Verdicts(digests, Ratio(), (ProfileVerdict("bad", "another role", True, (lost,)), ProfileVerdict("good", "split", False, good)),
+                    (Run(0, 3, 0), Run(3, 3, 10)))
+
+
+SCENES = {"verdicts": Judging, "change": Changing, "acting": Gate}
 ALL = scenarios(Path(__file__).parent / "scenarios_vocabulary")
 
 
