The duty on each gateway: owner judges and tells in pages, servers narrowed by vocabulary

The owner judges in a process of its own, writes the record before it tells anybody, and tells each gateway what it lacks. Servers are narrowed by the preferences of operators' rules, with the module as it is; a session whose writer has taken another vocabulary is forgotten there, so that it goes by a reader.

--- a/stackpitch/duties/vocabulary/acting/narrowing.py
+++ b/stackpitch/duties/vocabulary/acting/narrowing.py
@@ -1,18 +1,17 @@
 """Servers narrowed by vocabulary, in the way that operators' rules narrow them: `Preferences.may`, asked for every leg.
 
 Three things hold: token ids go only where `decide` lets them; a writer takes over only from a reader of its vocabulary; a
-session whose writer has another vocabulary than when it wrote counts as lost there, so that the chain goes by a reader.
+session whose writer has another vocabulary than when it wrote counts as lost, so that the chain goes by a reader.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from stackpitch.brain import Brain
 from stackpitch.duties.vocabulary.acting.decide import Narrowed
 from stackpitch.interface import Generation, Server, Time
 from stackpitch.preferences import Preferences, Rule
 
-SESSIONS = 20_000  # as many as the module remembers the writer of
-
 
 class Narrowing:
     """`vocabularies`: by name of server, as listed."""
@@ -21,11 +20,12 @@
         self.vocabularies: dict[str, str | None] = {}
         self.writing: frozenset[str | None] = frozenset()  # vocabularies that some ready server writes with
         self.chosen: dict[Generation, Narrowed] = {}  # of generations under way; emptied as they end
-        self.sessions: dict[str, tuple[str, str | None]] = {}  # writer and its vocabulary then; the oldest go
 
-    def listed(self, servers: Iterable[Server], vocabularies: dict[str, str | None]) -> None:
-        self.vocabularies = vocabularies
+    def listed(self, servers: Iterable[Server], vocabularies: dict[str, str | None]) -> frozenset[str]:
+        """Takes the present list. Names of servers that had another vocabulary before: see `forget`."""
+        before, self.vocabularies = self.vocabularies, vocabularies
         self.writing = frozenset(vocabularies.get(one.name) for one in servers if one.state == "ready" and one.role != "reader")
+        return frozenset(name for name, has in vocabularies.items() if before.get(name, has) != has)
 
     def takes(self, gen: Generation, narrowed: Narrowed | None) -> None:
         """Before the module hears of it."""
@@ -35,14 +35,6 @@
     def over(self, gen: Generation) -> None:
         self.chosen.pop(gen, None)
 
-    def started(self, gen: Generation, server: Server) -> None:
-        """The first token has come from there: the session's state is that of this vocabulary."""
-        if gen.session:
-            self.sessions.pop(gen.session, None)
-            self.sessions[gen.session] = server.name, self.vocabularies.get(server.name)
-            if len(self.sessions) > SESSIONS:
-                del self.sessions[next(iter(self.sessions))]
-
     def may(self, gen: Generation, server: Server) -> bool:
         has = self.vocabularies.get(server.name)
         narrowed = self.chosen.get(gen)
@@ -51,11 +43,8 @@
         if server.role == "reader":
             return has in self.writing  # nobody could take over from it
         read = next((leg.server for leg in reversed(gen.legs) if leg.outcome == "read"), None)
-        if read is not None and server.role == "writer":
+        if read is not None:
             return self.vocabularies.get(read.name) == has
-        if server.role == "writer" and gen.session:
-            last = self.sessions.get(gen.session)
-            return last is None or last[0] != server.name or last[1] == has
         return True
 
     def fields(self, gen: Generation, server: Server) -> dict[str, object]:
@@ -64,6 +53,15 @@
         return narrowed.fields.get(has, {}) if narrowed is not None and has is not None else {}
 
 
+def forget(brain: Brain, names: frozenset[str]) -> None:
+    """The module forgets who of these wrote which session, as it does for a server that started anew. At a change of the
+    list only, over its table of 20,000 at most."""
+    if names:
+        table = brain.owner.table
+        for key in [key for key, kept in table.items() if kept.seat.server.name in names]:
+            del table[key]
+
+
 @dataclass(slots=True)
 class VocabularyPreferences(Preferences):
     """Rules with the vocabularies beside them; as "only" and "never", they bind every leg."""
--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -1,23 +1,31 @@
 """Vocabularies, what parameters mean in the next one, a change for the fleet, and what gateways make of it."""
 
 import json
+import random
 from pathlib import Path
 
 import msgspec
 import pytest
-from play import scenarios
+from play import Play, scenarios
 from tokenizers import Tokenizer, decoders, models, pre_tokenizers, trainers
 
-from stackpitch.duties.calls import Stamp
+from stackpitch.duties.calls import Stamp, raw
 from stackpitch.duties.vocabulary import catalogue, errors
-from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Seen, Told, asked
+from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Seen, Told, asked, decide, narrowing
+from stackpitch.duties.vocabulary.carrying import pages
 from stackpitch.duties.vocabulary.catalogue.form import LETTERS
 from stackpitch.duties.vocabulary.change import Change, Machine, Summary, read, written
+from stackpitch.duties.vocabulary.judging import Files, InChild, InSteps, Task
+from stackpitch.duties.vocabulary.owning import Asking
 from stackpitch.duties.vocabulary.parameters import Parameters
 from stackpitch.duties.vocabulary.profiles import Profiles, read_profiles
 from stackpitch.duties.vocabulary.verdicts import FieldVerdict, Finding, Judge, Pair, ProfileVerdict, Ratio, Verdicts, measured
 from stackpitch.duties.vocabulary.verdicts.judge import Digests
 from stackpitch.duties.vocabulary.verdicts.pair import Run
+from stackpitch.duties.vocabulary.work import VocabularyWork
+from stackpitch.loop import SECOND, RealWorld
+from stackpitch.loop.virtual import VirtualWorld
+from stackpitch.preferences import RuledBrain
 
 LETTER = {byte: letter for letter, byte in LETTERS.items()}
 
@@ -196,7 +204,36 @@
                     (Run(0, 3, 0), Run(3, 3, 10)))
 
 
-SCENES = {"verdicts": Judging, "change": Changing, "acting": Gate}
+class Narrowed(Play):
+    """A play with the real module: `vocab r1=A w1=B` says who has which vocabulary, `gen ... ids=A,B` where its ids may go."""
+
+    def __init__(self):
+        super().__init__()
+        self.narrowing = narrowing.Narrowing()
+
+    @property
+    def brain(self):
+        if self.made is None:
+            self.made = RuledBrain(self, 7, narrowing.with_rules(self.narrowing, ()), **self.arguments)
+            self.made.begin(self.now)
+            self.made.roster(self.now, list(self.servers.values()), True)
+        return self.made
+
+    def do_vocab(self, **given): narrowing.forget(self.brain, self.narrowing.listed(self.servers.values(), given))
+
+    def do_gen(self, name, product, ids=None, **given):
+        self.narrowing.chosen = Choose(decide.Narrowed({one: {} for one in ids.split(",")}) if ids else None)
+        super().do_gen(name, product, **given)
+
+
+class Choose(dict):
+    """What the next generation is narrowed to: it has no name before the module hears of it."""
+
+    def __init__(self, narrowed): self.narrowed = narrowed
+    def get(self, gen): return self.narrowed
+
+
+SCENES = {"verdicts": Judging, "change": Changing, "acting": Gate, "narrowing": Narrowed}
 ALL = scenarios(Path(__file__).parent / "scenarios_vocabulary")
 
 
@@ -330,3 +367,210 @@
     assert measured(*read, texts).new != measured(*read, texts).old
     with pytest.raises(errors.SamplesTooFew):
         measured(*read, ["a"])
+
+
+# The fleet.
+
+
+def test_random_lives_no_two_gateways_act_by_different_verdicts_of_the_same_digests():
+    """Owners of two versions that judge differently, records that are lost before a majority has them, gateways that see
+    profiles early or late, calls that come late, twice and in any order."""
+    acted, refused = 0, 0
+    for seed in range(250):
+        chance, record, by, flight, term = random.Random(seed), b"", {}, [], 0
+        gateways = [Acting(Known()) for _ in range(4)]
+        machine = None
+        for _ in range(120):
+            profiles = chance.choice(("P1", "P1", "P2"))
+            if machine is None or chance.random() < 0.08:
+                term, mark = term + 1, chance.choice("xxy")
+                machine = Machine(read(record), 0.5)
+            change = machine.change
+            try:
+                what = chance.randrange(8)
+                if what == 0:
+                    machine.announce(*chance.choice((("A", "B"), ("B", "A"))), profiles)
+                elif what == 1:
+                    machine.edited(profiles)
+                elif what in (2, 3) and change:
+                    verdicts = verdicts_on(change.digests, mark)
+                    machine.judged(change.digests, Summary(verdicts.digest(), 2, 1, chance.choice((0.2, 0.7))))
+                elif what == 4 and change and change.summary:
+                    machine.confirm(change.summary.digest)
+                elif what == 5:
+                    machine.seen({"A": chance.randrange(3), "B": chance.randrange(3)})
+                elif what == 6 and chance.random() < 0.3:
+                    machine.call_off("")
+            except errors.VerdictDiffers:
+                refused += 1
+            except errors.VocabularyError:
+                pass
+            if written(machine.record) != record:
+                if chance.random() < 0.1:
+                    machine = None  # stepped down before a majority had it
+                    continue
+                record = written(machine.record)
+            if machine.change:
+                flight.append(Told(Stamp(term), machine.change, verdicts_on(machine.change.digests, mark)))
+            for one in gateways:
+                if flight and chance.random() < 0.5:
+                    one.known.take(chance.choice(flight[-12:]))
+                one.seen = Seen({"A": "a", "B": "b"}, chance.choice(("P1", "P2")))
+                verdicts = one.known.acting(one.seen)
+                if verdicts is not None:
+                    acted += 1
+                    assert by.setdefault(verdicts.digests, verdicts.digest()) == verdicts.digest(), seed
+    assert acted > 5000 and refused > 50
+
+
+class Fleet:
+    """Gateways in one world, with a record that is kept and calls that are made at once; `cut` ones hear nothing."""
+
+    def __init__(self, world, folder, count=3, way=InSteps):
+        self.world, self.record, self.owner, self.cut, self.gateways, self.logs, self.term = world, b"", None, set(), count, [], 0
+        self.servers, self.asked_judge = {}, 0
+        self.files = Files(str(folder / "vocabularies.json"), str(folder / "profiles.json"))
+        self.works = [self.made(number, way) for number in range(count)]
+
+    def made(self, number, way=InSteps):
+        work = VocabularyWork(self.world, Side(self, number), self.files, way(self.world), lambda: self.servers, self.logs.append, 0.4, SECOND)
+        judge = work.way.judge
+
+        def counted(task):
+            self.asked_judge += 1
+            return judge(task)
+        work.way.judge = counted
+        return work
+
+    def tenure(self, number):
+        """Owns the duty until cancelled."""
+        self.owner, self.term = number, self.term + 1
+        return self.works[number].own(Side(self, number, Stamp(self.term)), self.record)
+
+    def words(self):
+        return [(one.known.told.change.word if one.known.told else "", one.known.acting(one.acting.seen) is not None) for one in self.works]
+
+
+NOBODY = Stamp()
+
+
+class Side:
+    def __init__(self, fleet, number, stamp=None):
+        self.fleet, self.number, self.gateways, self.stamp = fleet, number, fleet.gateways, stamp
+
+    def owner(self, duty): return self.fleet.owner
+    def holds(self): return True
+
+    def keep(self, value):
+        yield from self.fleet.world.sleep(20)
+        self.fleet.record = value
+
+    def tell(self, number, kind, body):
+        return (yield from self.ask(number, "vocabulary", kind, body, self.stamp))
+
+    def ask(self, number, duty, kind, body, stamp=NOBODY):
+        yield from self.fleet.world.sleep(5)
+        if number in self.fleet.cut:
+            return None
+        return (yield from self.fleet.works[number].heard(self.number, kind, stamp, raw(body)))
+
+
+def laid(folder, stop="</s>", version=0):
+    """Two vocabularies whose end differs, and a profile by each."""
+    for name, words in (("old", "</s>! _ a b d ab"), ("new", "_ </s>! a b d ab ad")):
+        (folder / f"{name}.json").write_bytes(tokenizer(words.split()))
+    (folder / "vocabularies.json").write_text(json.dumps({"vocabularies": {"old": {"file": "old.json"}, "new": {"file": "new.json"}}, "samples": ["abad " * 99]}))
+    (folder / "profiles.json").write_text(json.dumps({"version": version, "vocabulary": "old", "profiles": {
+        "ends": {"product": "p", "parameters": {"stop_token_ids": [0 if stop == "</s>" else 9]}},
+        **{f"p{one}": {"product": "p", "parameters": {"logit_bias": {"1": one / 50}}} for one in range(5)}}}))
+
+
+def test_owner_and_gateways_through_a_whole_change(tmp_path, monkeypatch):
+    """Announced at a gateway that is not the owner, told in pages, one gateway cut off; the owner changes; a gateway starts
+    anew; the profiles are edited, first to what is held; called off halfway."""
+    monkeypatch.setattr(pages, "SIZE", 400)
+    laid(tmp_path)
+    world = VirtualWorld(1)
+
+    def day():
+        fleet = Fleet(world, tmp_path)
+
+        def body(group):
+            for one in fleet.works:
+                group.spawn(one.serve(), "serve")
+            yield from world.sleep(SECOND)
+            none = yield from fleet.works[1].ask(Asking("announce", "old", "new"))
+            assert "no gateway owns" in none.word
+            owner = group.spawn(fleet.tenure(0), "own")
+            fleet.cut.add(2)
+            yield from world.sleep(SECOND)
+            wrong = yield from fleet.works[1].ask(Asking("announce", "old", "odd"))
+            assert "found 'odd'; allowed: new, old" in wrong.word
+            assert (yield from fleet.works[1].ask(Asking("announce", "old", "new"))).yes
+            yield from world.sleep(3 * SECOND)
+            assert fleet.words() == [("allowed", True), ("allowed", True), ("", False)] and fleet.asked_judge == 1
+            translated = fleet.works[1].known.profiles["ends"].field("stop_token_ids").translated
+            assert translated == [1], "the end of text has moved from 0 to 1"
+            owner.cancel()
+            fleet.cut.clear()
+            fleet.works[1] = fleet.made(1)
+            group.spawn(fleet.works[1].serve(), "serve")
+            owner = group.spawn(fleet.tenure(2), "own")
+            fleet.servers = {fleet.works[2].looked.vocabularies[name]: 1 for name in ("old", "new")}
+            yield from world.sleep(3 * SECOND)
+            assert fleet.words() == [("mixed", True)] * 3 and fleet.asked_judge == 2, "judged once more, by one that had no verdict"
+            laid(tmp_path, stop="gone")
+            yield from world.sleep(4 * SECOND)
+            assert fleet.words() == [("mixed", True)] * 3, "one profile of six is under the limit"
+            laid(tmp_path, stop="gone", version=1)
+            (tmp_path / "profiles.json").write_text((tmp_path / "profiles.json").read_text().replace('"1": 0.', '"9": 0.'))
+            yield from world.sleep(4 * SECOND)
+            assert fleet.words() == [("held", False)] * 3
+            stale = yield from fleet.works[0].ask(Asking("confirm", verdict="x"))
+            assert "allowed: " + fleet.works[0].known.told.change.summary.digest in stale.word
+            assert (yield from fleet.works[0].ask(Asking("confirm", verdict=fleet.works[0].known.told.change.summary.digest))).yes
+            yield from world.sleep(2 * SECOND)
+            assert fleet.words() == [("mixed", True)] * 3
+            assert (yield from fleet.works[1].ask(Asking("call off", why="complaints"))).yes
+            yield from world.sleep(2 * SECOND)
+            assert fleet.words() == [("called off", False)] * 3
+            (tmp_path / "profiles.json").write_text("{")
+            yield from world.sleep(2 * SECOND)
+            assert any("the last good files hold" in line for line in fleet.logs)
+            group.cancel()
+        yield from world.group(body)
+        return fleet
+
+    assert len(world.run(day()).record) < 2000
+
+
+def test_judging_in_a_process_of_its_own_says_the_same(tmp_path):
+    laid(tmp_path)
+    files = Files(str(tmp_path / "vocabularies.json"), str(tmp_path / "profiles.json"))
+
+    def both():
+        found = []
+        for way in (InSteps(world), InChild(world)):
+            found += [(yield from way.look(files)), (yield from way.judge(Task(files, "old", "new"))), (yield from way.judge(Task(files, "old", "odd")))]
+        late = yield from InChild(world, 10).judge(Task(files, "old", "new"))
+        return found, late
+    world = RealWorld()
+    found, late = world.run(both())
+    assert found[:3] == found[3:] and found[0].vocabularies and found[1].summary.lost == 0 and "odd" in found[2].problem
+    assert late.problem and not late.verdicts
+
+
+@pytest.mark.parametrize("kind, body, stamp", [
+    ("change", {"change": {}}, Stamp(1)), ("page", {"digest": "x", "number": 3, "of": 2, "part": ""}, Stamp(1)),
+    ("change", None, Stamp()), ("odd", None, Stamp(1)), ("asking", {"kind": 3}, Stamp())])
+def test_calls_that_are_malformed_are_told_from_others(kind, body, stamp, tmp_path):
+    work = Fleet(VirtualWorld(1), tmp_path).works[0]
+    work.pending = Told(Stamp(1), Change(1, "allowed", "A", "B", "P", Summary("x", 1, 0, 0.0)))
+    with pytest.raises(msgspec.ValidationError):
+        work.world.run(work.heard(1, kind, stamp, raw(body)))
+
+
+@pytest.mark.parametrize("value", [b"x", b"vocabulary 1\n{", b"vocabulary 1\n[]", b"vocabulary 2\n{}"])
+def test_a_record_that_cant_be_read_stops_the_owner(value):
+    with pytest.raises(errors.RecordMalformed):
+        read(value)
