Which vocabulary a request's token ids are of, and what its profile fills in

A request names its profile and its vocabulary in two fields of its own, else the defaults hold. A profile is acted by as it was judged only where no ids of the request stand in its place. The digest of verdicts is reckoned once.

--- a/benchmarks/vocabulary.py
+++ b/benchmarks/vocabulary.py
@@ -63,18 +63,20 @@
         "model": {"type": "BPE", "vocab": numbers, "merges": merges}}).encode()
 
 
-def profiles() -> Profiles:
-    """50 biased ids each, 10 of them bans, 10 banned words of 1 to 3 tokens, a stop; a fifth with 500 allowed ids."""
+def profiles(exact: list[int], words: list[int]) -> Profiles:
+    """50 biased ids each, 10 of them bans, 10 banned words of 1 to 3 tokens, a stop; a fifth with 500 allowed ids. Half of
+    them hold ids at random, the others `exact` ones, and bans of `words` that no new token holds."""
     chance, found = random.Random(3), {}
     for number in range(PROFILES):
-        ids = [chance.randrange(1, SIZE) for _ in range(60)]
+        known, banned = (exact, words) if number % 2 else (range(1, SIZE), range(1, SIZE))
+        ids = chance.sample(banned, 10) + chance.sample(known, 40)
         given: dict[str, Any] = {
             "logit_bias": {str(one): -100.0 if place < 10 else 1.5 for place, one in enumerate(ids[:50])},
             "stop_token_ids": [0],
-            "bad_words_ids": [[chance.randrange(1, SIZE) for _ in range(1 + place % 3)] for place in range(10)],
+            "bad_words_ids": [chance.sample(banned, 1 + place % 3) for place in range(10)],
             "stop": ["\n\n"], "top_k": 40, "top_p": 0.9, "min_tokens": 5, "max_tokens": 800}
         if number % 5 == 0:
-            given["allowed_token_ids"] = [chance.randrange(SIZE) for _ in range(500)]
+            given["allowed_token_ids"] = [0, *chance.sample(known, 500)]
         found[f"p{number}"] = {"product": "chat", "parameters": given}
     return Profiles.model_validate({"vocabulary": "old", "profiles": found})
 
@@ -99,7 +101,9 @@
     texts = [before.text(tuple(range(at, at + 300))).decode("utf-8", "replace") for at in range(1000, 60_000, 1000)]
     ratio, seconds = timed(lambda: measured(before, after, texts))
     table.add_row(f"ratio over {ratio.old} tokens", f"{seconds:.2f}")
-    judge = Judge(pair, ratio, profiles(), {"old": before.digest})
+    exact = [number for number, there in enumerate(pair.table) if there >= 0 and number]
+    words = [one for one in exact if len(before.pieces[one] or b"") > 8 and not pair.fresh.holding(before.text((one,)).strip())]
+    judge = Judge(pair, ratio, profiles(exact, words[:2000]), {"old": before.digest})
     found, longest = [], 0.0
     steps, begun = judge.steps(), time.perf_counter()
     while (one := timed(lambda: next(steps, None)))[0] is not None:
@@ -124,9 +128,10 @@
     one.seen = Seen({digests.old: "old", digests.new: "new"}, digests.profiles)
     one.listed({f"w{number}": digests.old if number % 2 else digests.new for number in range(64)})
     plain = {name: msgspec.Raw(b'"x"') for name in ("model", "messages", "stream", "max_tokens", "temperature", "user")}
-    some = plain | {"stop_token_ids": msgspec.Raw(json.dumps([run.begin for run in verdicts.runs[:3]] or [1, 2, 3]).encode())}
-    bias = plain | {"logit_bias": msgspec.Raw(json.dumps(
-        {str(run.begin): 1.5 for run in (verdicts.runs or (Run(number, 1, 0) for number in range(50)))[:50]}).encode())}
+    if not verdicts.runs:  # too many to go with these verdicts: as many as may
+        verdicts = msgspec.structs.replace(verdicts, runs=tuple(Run(10 * number, 9, number) for number in range(8_000)))
+    some = plain | {"stop_token_ids": msgspec.Raw(json.dumps([run.begin for run in verdicts.runs[:3]]).encode())}
+    bias = plain | {"logit_bias": msgspec.Raw(json.dumps({str(run.begin): 1.5 for run in verdicts.runs[:50]}).encode())}
     good = next((found.name for found in verdicts.profiles if not found.lost), None)
     table = Table(title="One generation, microseconds (best of five)", title_justify="left")
     for column in ("generation", "microseconds"):
@@ -136,7 +141,8 @@
         call = partial(lambda fields, profile: one.decide(Asked(asked(fields), digests.old, profile)), fields, profile)
         table.add_row(name, f"{best(call):.2f}")
     server = Server("w1", "a", "w", 1, "writer", 100_000)
-    gen = Generation("g", Product("chat", "idempotent", "all", 0, 1, 0, 1, 1, 1.0, 0.1), None, None, None, 0, 1, 1, None, 0, 9, False, False)
+    product = Product("chat", "idempotent", "all", 0, 1, 0, 1, 1, 1.0, 0.1)
+    gen = Generation("g", product, None, None, None, 0, 1, 1, None, 0, 9, False, False)
     narrowing = Narrowing()
     narrowing.listed([server], {"w1": digests.old})
     ruled, with_it = Preferences(), with_rules(narrowing, ())
--- a/stackpitch/duties/vocabulary/acting/asked.py
+++ b/stackpitch/duties/vocabulary/acting/asked.py
@@ -18,11 +18,12 @@
 
 class Asked(msgspec.Struct, frozen=True):
     """`ids`: by field, only those that hold any. `vocabulary`: digest that they are written for, None if nobody says.
-    `profile`: the name of the one that the generation goes by; its fields are judged as a whole."""
+    `profile`: the name of the one that the generation goes by, and `filled`: the fields that it was given by it."""
 
     ids: dict[str, object]
     vocabulary: str | None
     profile: str | None = None
+    filled: frozenset[str] = frozenset()
 
 
 def asked(fields: Mapping[str, bytes | msgspec.Raw]) -> dict[str, object]:
--- a/stackpitch/duties/vocabulary/acting/decide.py
+++ b/stackpitch/duties/vocabulary/acting/decide.py
@@ -8,6 +8,7 @@
 from stackpitch.duties.vocabulary.acting.known import Known, Seen
 from stackpitch.duties.vocabulary.acting.translating import translated
 from stackpitch.duties.vocabulary.errors import MeaningLost, VocabularyUnstated
+from stackpitch.duties.vocabulary.parameters import IDS
 from stackpitch.duties.vocabulary.verdicts.judge import Verdicts
 from stackpitch.duties.vocabulary.verdicts.words import FieldVerdict, Finding
 
@@ -56,17 +57,20 @@
         return Narrowed(fields)
 
     def _carried(self, verdicts: Verdicts, one: Asked) -> tuple[dict[str, object], tuple[str, Finding] | None]:
-        """Fields for the new vocabulary, or the first field that has lost its meaning. A profile stands or falls whole."""
+        """Fields for the new vocabulary, or the first field that has lost its meaning. A profile stands or falls whole, as it
+        was judged; where the request has ids of its own in place of the profile's, all are taken for the request's."""
         found: dict[str, object] = {}
+        judged = frozenset[str]()
         profile = self.known.profiles.get(one.profile or "")
-        if one.profile is not None and profile is not None:
+        if profile is not None and all(field.field in one.filled for field in profile.fields if field.field in IDS):
             for field in profile.fields:
-                if field.lost and field.findings:
+                if field.lost and field.findings and field.field in one.filled:
                     return {}, (field.field, field.findings[0])
-            found |= {field.field: field.translated for field in profile.fields if _matters(field)}
+            judged = one.filled
+            found |= {field.field: field.translated for field in profile.fields if _matters(field) and field.field in judged}
         names = self.seen.name(verdicts.digests.old), self.seen.name(verdicts.digests.new)
         for name, value in one.ids.items():
-            if name not in found:
+            if name not in judged:
                 found[name], wrong = translated(verdicts, name, value, names)
                 if wrong is not None:
                     return {}, (name, wrong)
--- a/stackpitch/duties/vocabulary/acting/known.py
+++ b/stackpitch/duties/vocabulary/acting/known.py
@@ -31,11 +31,16 @@
     verdicts: Verdicts | None = None
 
 
+def fits(change: Change, verdicts: Verdicts, digest: str) -> bool:
+    return change.summary is not None and verdicts.digests == change.digests and digest == change.summary.digest
+
+
 class Known:
     """The last change told, and its verdicts. One of each; replaced by what comes under a later stamp or version."""
 
     def __init__(self) -> None:
         self.told: Told | None = None
+        self.digest = ""  # of the verdicts that are here; reckoned once, for they can be of some MB
 
     def take(self, told: Told) -> bool:
         """Whether it is taken: what is earlier than the last one, by stamp and version, is not. What does not hash to the
@@ -43,19 +48,21 @@
         last = self.told
         if last is not None and (told.stamp, told.change.version) < (last.stamp, last.change.version):
             return False
-        verdicts = told.verdicts
-        if verdicts is not None and not self.fits(told.change, verdicts):
-            return False
-        if verdicts is None and last is not None and last.verdicts is not None and self.fits(told.change, last.verdicts):
-            told = msgspec.structs.replace(told, verdicts=last.verdicts)
+        if told.verdicts is not None:
+            digest = told.verdicts.digest()
+            if not fits(told.change, told.verdicts, digest):
+                return False
+            self.digest = digest
+        elif (here := self.verdicts_on(told.change)) is not None:
+            told = msgspec.structs.replace(told, verdicts=here)
         self.told = told
         self.__dict__.pop("profiles", None)
         return True
 
-    @staticmethod
-    def fits(change: Change, verdicts: Verdicts) -> bool:
-        return (change.summary is not None and verdicts.digests == change.digests
-                and verdicts.digest() == change.summary.digest)
+    def verdicts_on(self, change: Change) -> Verdicts | None:
+        """Those that the change names, if they are here."""
+        verdicts = self.told.verdicts if self.told else None
+        return verdicts if verdicts is not None and fits(change, verdicts, self.digest) else None
 
     @cached_property
     def profiles(self) -> dict[str, ProfileVerdict]:
--- a/stackpitch/duties/vocabulary/judging/files.py
+++ b/stackpitch/duties/vocabulary/judging/files.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Generator
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -37,6 +38,7 @@
     products: dict[str, str] = {}
     default: str = ""
     paths: tuple[str, ...] = ()  # of all that was read
+    parameters: dict[str, dict[str, Any]] = {}  # by profile
 
 
 class Task(msgspec.Struct, frozen=True):
@@ -72,7 +74,8 @@
         return Looked(str(wrong), wrong.remedy)
     return Looked("", "", digests, profiles.digest(), {name: profiles.written_for(name) or "" for name in profiles.profiles},
                   profiles.customers, profiles.products, profiles.vocabulary or "",
-                  (files.listing, files.profiles, *(str(beside / one.file) for one in listing.vocabularies.values())))
+                  (files.listing, files.profiles, *(str(beside / one.file) for one in listing.vocabularies.values())),
+                  {name: one.parameters.given() for name, one in profiles.profiles.items()})
 
 
 def marks(paths: tuple[str, ...]) -> tuple[tuple[int, int, int], ...]:
--- a/stackpitch/duties/vocabulary/owning.py
+++ b/stackpitch/duties/vocabulary/owning.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from stackpitch.duties.calls import Answer
-from stackpitch.duties.vocabulary.acting.known import Known
 from stackpitch.duties.vocabulary.carrying import Tell, paged
 from stackpitch.duties.vocabulary.change import Change, Machine, read, written
 from stackpitch.duties.vocabulary.errors import VerdictDiffers, VocabularyError, VocabularyUnknown
@@ -162,11 +161,10 @@
     def _have(self, change: Change) -> bool:
         if self.verdicts is not None and self.verdicts[0] == change.digests:
             return change.word != "announced"
-        told = self.work.known.told
-        if change.acting and told is not None and told.verdicts is not None and Known.fits(change, told.verdicts):
-            self.verdicts = change.digests, told.verdicts.encoded()
-            return True
-        return False
+        here = self.work.known.verdicts_on(change) if change.acting else None
+        if here is not None:
+            self.verdicts = change.digests, here.encoded()
+        return here is not None
 
     def _judged(self, machine: Machine, change: Change, outcome: Outcome) -> None:
         if outcome.problem or outcome.summary is None:
--- a/stackpitch/duties/vocabulary/work.py
+++ b/stackpitch/duties/vocabulary/work.py
@@ -10,6 +10,7 @@
 from stackpitch.duties.calls import Answer, Stamp
 from stackpitch.duties.vocabulary.acting.decide import Acting
 from stackpitch.duties.vocabulary.acting.known import Known, Seen, Told
+from stackpitch.duties.vocabulary.acting.written import Written
 from stackpitch.duties.vocabulary.carrying import Page, Pages, Tell
 from stackpitch.duties.vocabulary.change import Change
 from stackpitch.duties.vocabulary.judging import Files, Looked, Way, marks
@@ -32,7 +33,7 @@
         self.world, self.ground, self.files, self.way, self.log, self.look = world, ground, files, way, log, look
         self.servers, self.most_share = servers, most_share
         self.known, self.pages, self.looked = Known(), Pages(), Looked()
-        self.acting = Acting(self.known)
+        self.acting, self.written = Acting(self.known), Written(self.looked)
         self.marks: tuple[tuple[int, int, int], ...] = ()  # of the files as last read
         self.again: Time = 0
         self.owning: Owning | None = None
@@ -120,3 +121,5 @@
         self.looked = msgspec.structs.replace(self.looked, problem=found.problem) if found.problem else found
         names = {digest: name for name, digest in self.looked.vocabularies.items()}
         self.acting.seen = Seen(names, self.looked.profiles)
+        if not found.problem:
+            self.written = Written(self.looked)
--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -11,11 +11,11 @@
 
 from stackpitch.duties.calls import Stamp, raw
 from stackpitch.duties.vocabulary import catalogue, errors
-from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Seen, Told, asked, decide, narrowing
+from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Seen, Told, Written, asked, decide, narrowing
 from stackpitch.duties.vocabulary.carrying import pages
 from stackpitch.duties.vocabulary.catalogue.form import LETTERS
 from stackpitch.duties.vocabulary.change import Change, Machine, Summary, read, written
-from stackpitch.duties.vocabulary.judging import Files, InChild, InSteps, Task
+from stackpitch.duties.vocabulary.judging import Files, InChild, InSteps, Looked, Task
 from stackpitch.duties.vocabulary.owning import Asking
 from stackpitch.duties.vocabulary.parameters import Parameters
 from stackpitch.duties.vocabulary.profiles import Profiles, read_profiles
@@ -184,8 +184,9 @@
             named = dict(one.split("=", 1) for one in words[1:])
             profile = named.pop("profile", None)
             try:
-                ids = asked({name: msgspec.Raw(value.encode()) for name, value in named.items()})
-                found = self.acting.decide(Asked(ids, None if words[0] == "-" else words[0], profile))
+                ids = asked({name: msgspec.Raw(value.encode()) for name, value in named.items() if name != "own"})
+                filled = frozenset({"good": ("bad_words_ids", "min_tokens"), "bad": ("stop_token_ids",)}.get(profile, ())) - {named.get("own")}
+                found = self.acting.decide(Asked(ids, None if words[0] == "-" else words[0], profile, filled))
                 self.answer = "untouched" if found is None else " ".join(
                     f"{kind} {msgspec.json.encode(fields, order='deterministic').decode()}" for kind, fields in found.fields.items())
             except errors.VocabularyError as wrong:
@@ -544,6 +545,24 @@
     assert len(world.run(day()).record) < 2000
 
 
+def test_what_a_request_is_written_for_and_what_its_profile_gives():
+    parameters = {"p1": {"stop_token_ids": [4], "top_k": 5, "max_tokens_bounds": {"least": 1, "most": 9}}}
+    written = Written(Looked(vocabularies={"one": "A", "two": "B"}, written_for={"p1": "two"}, customers={"c": "one"}, parameters=parameters))
+
+    def read(customer="c", **fields):
+        body = {name: msgspec.Raw(json.dumps(value).encode()) for name, value in fields.items()}
+        found = written.read(body, customer, "p")
+        return found.vocabulary, sorted(found.filled), {name: json.loads(bytes(value)) for name, value in body.items()}
+    assert read(model="x") == (None, [], {"model": "x"})
+    assert read(stop_token_ids=[1])[0] == "A" and read(stop_token_ids=[1], token_vocabulary="two") == ("B", [], {"stop_token_ids": [1]})
+    assert read("other", stop_token_ids=[1])[0] is None
+    assert read(sampling_profile="p1", top_k=9) == ("B", ["max_tokens_bounds", "stop_token_ids"], {"top_k": 9, "stop_token_ids": [4]})
+    assert read(sampling_profile="p1", stop_token_ids=[1])[0] == "A"
+    for wrong in ({"sampling_profile": "p2"}, {"token_vocabulary": "three", "stop_token_ids": [1]}, {"sampling_profile": 7}):
+        with pytest.raises(errors.VocabularyUnknown):
+            read(**wrong)
+
+
 class Slow(InSteps):
     """Judging that takes two seconds after the files were read."""
 
