--- a/stackpitch/loop/world.py
+++ b/stackpitch/loop/world.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol, TypeVar
 from zlib import crc32
 
+from stackpitch.loop.files import Files, RealFiles
 from stackpitch.loop.task import Coro, Group, Scope, Task, run_group
 from stackpitch.loop.timers import Time, Timer, Timers
 
@@ -99,8 +100,9 @@
     def spawn_piped(self, command: Sequence[str], *, errors: str | None = None) -> tuple[Child, Stream]:
         """A child whose standard input and output are a stream's other end."""
     @abstractmethod
-    def aside(self, call: Callable[[], T]) -> Coro[T]:
-        """Runs a call that blocks (files, no more) where it holds up nobody; one at a time, in order."""
+    def aside(self, call: Callable[[], T], queue: str = "") -> Coro[T]:
+        """Runs a call that blocks (files, no more) where it holds up nobody; those of one queue one at a time, in order.
+        A disk that is slow holds up its own queue alone."""
     @abstractmethod
     def watch(self) -> Watch | None:
         """None if this machine has none to give; then looking must do."""
@@ -108,6 +110,14 @@
     def signals(self, *numbers: int) -> Callable[[], Coro[int]]:
         """Catches these from now on; what is returned waits for the next one and gives its number."""
 
+    def files(self) -> Files:
+        """Those of this machine, or made-up ones that lose what was not synced."""
+        return RealFiles()
+
+    @abstractmethod
+    def fresh(self) -> int:
+        """48 bits that no other start of a process has: tells one start from another, decides nothing."""
+
     def chance(self, name: str) -> Random:
         """A source of its own for each name, from the world's seed."""
         return Random(crc32(f"{self.seed} {name}".encode()))
--- /dev/null
+++ b/tests/test_owner_days.py
@@ -0,0 +1,88 @@
+"""Days with duties: kept by the program as processes and in made-up time, and broken gateways that the checker catches."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+BROKEN = {"fenceless": "O1", "leaseless": "O2", "forgetful": "O2", "hasty": "O2", "ownerless": "O3"}
+
+
+def outcome(play: str, *more: str) -> dict:
+    command = [sys.executable, "-m", "stackpitch", "rehearse", "tests/days/owners.jsonnet", "--json", "--set", f"play={play}"]
+    done = subprocess.run([*command, *more], cwd=ROOT, capture_output=True, timeout=150)
+    assert done.stdout, done.stderr.decode()[-2000:]
+    return json.loads(done.stdout) | {"exit": done.returncode}
+
+
+@pytest.mark.parametrize("play", ["good", "late", "files"])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_day_with_duties_keeps_all_rules(play: str, seed: int, tmp_path: Path) -> None:
+    found = outcome(play, "--virtual", "--set", f"seed={seed}", "--keep", str(tmp_path))
+    assert found["exit"] == 0 and not any(found["rules"].values()), found["breaches"]
+    assert set(found["rules"]) >= {"O1", "O2", "O3"}
+    records = [json.loads(line) for line in (tmp_path / "network.jsonl").read_text().splitlines()]
+    terms = {(one["duty"], one["stamp"][0]) for one in records if one["what"] == "call" and one.get("kind") == "owner"}
+    assert len(terms) >= 4, "owners of both duties had to change"
+    if play == "late":
+        down = [one for one in records if one["what"] == "answered" and one.get("word") == "older term"]
+        assert down, "what came late had to be turned down"
+
+
+def taken(folder: Path, kinds: tuple[str, ...]) -> list[dict]:
+    """Calls of these kinds that their receivers said yes to, each with `at` as it was answered."""
+    records = [json.loads(line) for line in (folder / "network.jsonl").read_text().splitlines()]
+    calls = {one["call"]: one for one in records if one["what"] == "call" and one.get("kind") in kinds}
+    return [calls[one["call"]] | {"at": one["at"]} for one in records
+            if one["what"] == "answered" and one.get("word") == "yes" and one["call"] in calls]
+
+
+def noted(folder: Path, what: str, name: str, last: bool = True) -> int:
+    found = [one["at"] for one in map(json.loads, (folder / "director.jsonl").read_text().splitlines())
+             if one["what"] == what and one.get("name") == name]
+    return found[-1 if last else 0]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_voter_back_with_an_empty_file_while_another_is_dead_gives_no_vote(seed: int, tmp_path: Path) -> None:
+    found = outcome("dead", "--virtual", "--set", f"seed={seed}", "--keep", str(tmp_path))
+    assert found["exit"] == 0, found["breaches"]
+    begin, end = noted(tmp_path, "file-over", "g0"), noted(tmp_path, "listens", "g1")
+    votes = [one for one in taken(tmp_path, ("would", "lease", "read", "write")) if one["to"] == 0]
+    assert end - begin > 30_000 and not [one for one in votes if begin <= one["at"] <= end]
+    assert [one for one in votes if one["at"] > end], "and gives it again once it has learnt"
+
+
+def test_an_owner_on_the_small_side_of_a_cut_is_followed_on_the_large_one(tmp_path: Path) -> None:
+    found = outcome("parted", "--virtual", "--keep", str(tmp_path))
+    assert found["exit"] == 0, found["breaches"]
+    cut = next(one for one in map(json.loads, (tmp_path / "network.jsonl").read_text().splitlines()) if one["what"] == "fault")
+    said = [one for one in taken(tmp_path, ("owner",)) if one["duty"] == "weights"]
+    before, after = [one for one in said if one["at"] < cut["at"]], [one for one in said if one["at"] > cut["at"] + 20_000]
+    assert {one["sender"] for one in before} == {cut["paths"][0][0]}, "the first of those cut off was the owner"
+    assert len({(one["sender"], one["stamp"][0]) for one in after}) == 1, "one that is well is left alone after it"
+    assert after[0]["sender"] not in {sender for sender, _ in cut["paths"][:6]}
+    assert after[0]["stamp"][0] > before[0]["stamp"][0]
+
+
+def test_voters_whose_files_were_changed_say_so(tmp_path: Path) -> None:
+    """As processes, whose logs are their own."""
+    found = outcome("files", "--keep", str(tmp_path))
+    assert found["exit"] == 0 and not any(found["rules"].values()), found["breaches"]
+    logged = [json.loads(line) for number in range(3) for line in (tmp_path / f"g{number}.log").read_text().splitlines()]
+    assert any(one["event"] == "voter_older" for one in logged)
+    assert any(one["event"] == "voter_out" and one["kind"] == "FileTaken" for one in logged)
+
+
+def test_the_same_as_processes() -> None:
+    found = outcome("good")
+    assert found["exit"] == 0 and found["ends"]["streamed"] > 10, found["breaches"]
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_gateways_broken_on_purpose_are_caught(name: str) -> None:
+    found = outcome(name, "--virtual", "--broken", name)
+    assert found["rules"][BROKEN[name]] > 0 and found["exit"] == 1, found["rules"]
