--- a/stackpitch/rehearse/broken/__init__.py
+++ b/stackpitch/rehearse/broken/__init__.py
@@ -10,5 +10,6 @@
 BREAKS: dict[str, Callable[[], None]] = {
     "answered": gateways.answered, "effects": gateways.effects, "drains": gateways.drains, "cold": gateways.cold,
     "pinned": gateways.pinned, "fenceless": owners.fenceless, "leaseless": owners.leaseless,
-    "forgetful": owners.forgetful, "hasty": owners.hasty, "ownerless": owners.ownerless,
+    "forgetful": owners.forgetful, "hasty": owners.hasty, "restless": owners.restless,
+    "unsynced": owners.unsynced, "ownerless": owners.ownerless,
     "unpaced": weights.unpaced, "classless": weights.classless, "unchecked": weights.unchecked}
