Vocabularies at the door: token ids judged, translated or refused before any leg

Cause: the duty's judging and its gateways' acting were there without settings, door or admin port. Change: duties.vocabulary in settings; the door asks the duty what becomes of token ids on servers of each vocabulary (400 with what they meant, would mean now, and what to do), legs carry the fields of their server's vocabulary; servers are narrowed beside operators' rules; GET /vocabulary, POST /vocabulary/announce and /call-off on the admin port, confirmation by the route that confirms lists.

--- a/stackpitch/gateway/admin.py
+++ b/stackpitch/gateway/admin.py
@@ -19,10 +19,10 @@
     LIMIT = 5 * SECOND
 
     def __init__(self, world: World, routes: dict[tuple[str, str], Route], takers: dict[str, Taker] | None = None,
-                 max_body: int = 8192, streams: dict[str, Streamer] | None = None) -> None:
+                 max_body: int = 8192) -> None:
         """`takers`: by path, what is posted with a body. `streams`: by the beginning of the path."""
         self.world, self.routes, self.takers, self.max_body = world, routes, takers or {}, max_body
-        self.streams = streams or {}
+        self.streams: dict[str, Streamer] = {}
 
     def serve(self, group: Group, listener: Listener) -> Coro[None]:
         while True:
--- a/stackpitch/gateway/door.py
+++ b/stackpitch/gateway/door.py
@@ -3,12 +3,12 @@
 What can't be taken is refused at once with a clear answer; what is taken is the host's until its final answer.
 """
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 
 from stackpitch.gateway.ask import Ask, OpenAsk
-from stackpitch.gateway.facts import BadRequest, Reading
+from stackpitch.gateway.facts import BadRequest, Facts, Reading
 from stackpitch.gateway.host import Host
 from stackpitch.interface import Generation, Time
 from stackpitch.loop import SECOND, Coro, Group, Listener, Lost, Stream, World
@@ -23,6 +23,12 @@
 FAREWELL = SECOND // 2  # for a client to take the last answer before the connection is closed
 
 
+class Speaks(Protocol):
+    """What becomes of token ids on servers of each vocabulary; None: there are none. Raises BadRequest."""
+
+    def spoken(self, facts: Facts) -> dict[str, dict[str, msgspec.Raw]] | None: ...
+
+
 class Door:
     """Accepts clients. Tables: none beyond the connections that are open."""
 
@@ -32,6 +38,7 @@
                  max_connections: int, max_bodies: int, max_body: int, max_head: int, head: Time, body: Time,
                  idle: Time, stall: Time, margin: Time, fresh: Time | None = None) -> None:
         self.world, self.host, self.log, self.metrics, self.reading = world, host, log, metrics, reading
+        self.speaking: Speaks | None = None  # set where vocabularies matter
         self.max_connections, self.max_bodies, self.max_body = max_connections, max_bodies, max_body
         self.max_head, self.head, self.body, self.idle, self.stall = max_head, head, body, idle, stall
         self.margin = margin
@@ -216,7 +223,10 @@
         gen = Generation(f"{self.mark}.{self.count}", facts.product, facts.customer, facts.session, facts.shared,
                          facts.shared_tok, facts.prompt_tok, facts.limit_tok, None, now,
                          now + max(1, facts.time_limit - self.margin), facts.repeat, False)
-        return OpenAsk(gen, stream, reader.path, facts.fields, facts.request_id, facts.streamed)
+        ask = OpenAsk(gen, stream, reader.path, facts.fields, facts.request_id, facts.streamed)
+        if self.speaking is not None:
+            ask.spoken = self.speaking.spoken(facts)
+        return ask
 
     def _carry(self, stream: Stream, reader: http.RequestReader, ask: Ask) -> Coro[bool]:
         """From a taken generation to its final answer; whether the connection serves another."""
--- a/stackpitch/gateway/duties.py
+++ b/stackpitch/gateway/duties.py
@@ -3,7 +3,8 @@
 from typing import Any
 
 from stackpitch.duties.carrier import Duties, Figures
-from stackpitch.gateway.admin import Streamer
+from stackpitch.gateway.admin import Admin, Streamer
+from stackpitch.gateway.door import Door
 from stackpitch.gateway.host import Host
 from stackpitch.gateway.logs import Log
 from stackpitch.loop import Coro, Stream, World
@@ -19,12 +20,33 @@
                    ticks(one.lease_ms), one.drift, ticks(one.call_ms), ticks(one.announce_ms), one.max_calls)
 
 
-def duties(world: World, settings: Settings, log: Log, host: Host) -> tuple[Duties, dict[str, Streamer]]:
-    """The duties, and what the admin port gives of them beside calls, by the beginning of the path."""
-    made, streams = Duties(world, log, figures(settings)), dict[str, Streamer]()
+def duties(world: World, settings: Settings, log: Log, host: Host, door: Door, admin: Admin) -> Duties:
+    """The duties, with what the door and the admin port give them and are given by them."""
+    made = Duties(world, log, figures(settings))
+    admin.takers["/duty"], admin.max_body = made.take, made.LARGEST
+    if settings.duties.vocabulary is not None:
+        _vocabulary(world, settings, log, host, made, door, admin)
     if settings.duties.weights is not None:
-        _weights(world, settings, log, host, made, streams)
-    return made, streams
+        _weights(world, settings, log, host, made, admin.streams)
+    return made
+
+
+def _vocabulary(world: World, settings: Settings, log: Log, host: Host, made: Duties, door: Door, admin: Admin) -> None:
+    from stackpitch.duties.vocabulary.judging import Files, InChild, InSteps
+    from stackpitch.duties.vocabulary.work import VocabularyWork
+    from stackpitch.gateway import speaking
+    from stackpitch.gateway.tongues import Tongues
+
+    one = settings.duties.vocabulary
+    assert one is not None
+    files = Files(one.vocabularies, one.profiles, tuple(settings.customers), tuple(settings.products))
+    way = InChild(world, ticks(one.judge_ms)) if world.pipes else InSteps(world)
+    work = VocabularyWork(world, made, files, way, lambda: speaking.counted(host.roster),
+                          lambda text: log.info("vocabulary", text=text), one.most_share)
+    made.add(work)
+    door.speaking = speaking.Speaking(work, host.roster)
+    host.narrow(Tongues(host.roster, host.asks).may)
+    admin.routes |= speaking.routes(work, admin.routes["POST", "/fleet/confirm"])
 
 
 def _weights(world: World, settings: Settings, log: Log, host: Host, made: Duties, streams: dict[str, Streamer]) -> None:
--- a/stackpitch/gateway/host.py
+++ b/stackpitch/gateway/host.py
@@ -67,9 +67,19 @@
         self.calls = 0  # small calls under way
         self.relayed = 0
         self.emptied: Callable[[], None] | None = None
+        self.preferences_also: Callable[[Generation, Server], bool] | None = None
         self.list_wanted: Callable[[], None] | None = None  # the module asks to hear the list
         self.brain = RuledBrain(self, seed, preferences, **arguments)  # type: ignore[abstract]
 
+    def narrow(self, may: Callable[[Generation, Server], bool]) -> None:
+        """Beside operators' rules: binds every leg, whatever rules are taken over later."""
+        self.preferences_also = may
+        self.prefer(self.brain.preferences)
+
+    def prefer(self, preferences: Preferences) -> None:
+        preferences.also = self.preferences_also
+        self.brain.prefer(preferences)
+
     def begin(self) -> None:
         self.brain.begin(self.world.now())
 
--- a/stackpitch/gateway/serve.py
+++ b/stackpitch/gateway/serve.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from stackpitch.gateway import logs
-from stackpitch.gateway.admin import Admin, Route, Streamer
+from stackpitch.gateway.admin import Admin, Route
 from stackpitch.gateway.door import Door
 from stackpitch.gateway.engines import Engines
 from stackpitch.gateway.facts import Reading
@@ -81,18 +81,16 @@
 
         def take(new: Settings) -> None:
             door.reading = reading(new)
-            carrier.brain.prefer(preferences(new, carrier.brain.preferences.epoch))
+            carrier.prefer(preferences(new, carrier.brain.preferences.epoch))
 
         keeper.new_settings = take
         keeper.begin()
         listener = world.listen((door_settings.host, door_settings.port))
         admin_listener = world.listen((settings.admin.host, settings.admin.port))
         group.spawn(door.serve(group, listener), "door")
-        duties, streams = _duties(world, settings, log, carrier)
-        if duties is None:
-            admin = Admin(world, _routes(carrier, keeper, metrics))
-        else:
-            admin = Admin(world, _routes(carrier, keeper, metrics), {"/duty": duties.take}, duties.LARGEST, streams)
+        admin = Admin(world, _routes(carrier, keeper, metrics))
+        duties = _duties(world, settings, log, carrier, door, admin)
+        if duties is not None:
             group.spawn(duties.run(), "duties")
         group.spawn(admin.serve(group, admin_listener), "admin")
         group.spawn(_sweep(world, carrier), "sweep")
@@ -125,13 +123,13 @@
     yield from world.group(body)
 
 
-def _duties(world: World, settings: Settings, log: logs.Log, carrier: Host) -> "tuple[Duties | None, dict[str, Streamer]]":
+def _duties(world: World, settings: Settings, log: logs.Log, carrier: Host, door: Door, admin: Admin) -> "Duties | None":
     """None, and not even imported, unless settings name voters."""
     if not settings.duties.voters:
-        return None, {}
+        return None
     from stackpitch.gateway.duties import duties
 
-    return duties(world, settings, log, carrier)
+    return duties(world, settings, log, carrier, door, admin)
 
 
 def _told(keeper: Keeper) -> Coro[None]:
--- a/stackpitch/loop/virtual/world.py
+++ b/stackpitch/loop/virtual/world.py
@@ -22,6 +22,8 @@
     """`programs`: what a command becomes; called with its words after the interpreter's. `latency`: one way, on
     average; each connection has one of its own within a half of it. `volume`: of all its processes, else the real one."""
 
+    pipes = False
+
     def __init__(self, seed: int = 0, latency: Time = 2, programs: Program | None = None,
                  volume: Volume | None = None) -> None:
         super().__init__(seed)
--- a/stackpitch/loop/world.py
+++ b/stackpitch/loop/world.py
@@ -67,7 +67,10 @@
 
 
 class World(ABC):
-    """Runs tasks. One at a time is current; `run` ends when the first task has."""
+    """Runs tasks. One at a time is current; `run` ends when the first task has. `pipes`: whether it can start children whose
+    standard input and output are streams."""
+
+    pipes = True
 
     def __init__(self, seed: int = 0) -> None:
         self.seed = seed
--- a/stackpitch/rehearse/director/outcome.py
+++ b/stackpitch/rehearse/director/outcome.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from stackpitch.loop import MS
+from stackpitch.loop import MS, SECOND
 from stackpitch.rehearse import judging, rules
 from stackpitch.rehearse.day import Day
 from stackpitch.rehearse.records import Record
--- a/stackpitch/rehearse/exploring/search.py
+++ b/stackpitch/rehearse/exploring/search.py
@@ -1,12 +1,12 @@
 """All steps from a state, and the search over all states."""
 
-import time
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 from stackpitch.duties.ownership import terms
 from stackpitch.duties.ownership.fence import Fence
+from stackpitch.loop import SECOND, RealWorld
 from stackpitch.rehearse.exploring import runners, voters
 from stackpitch.rehearse.exploring.runners import Breach
 from stackpitch.rehearse.exploring.state import NONE, Runner, Seat, State, aged, canonical, older, stamp
@@ -125,13 +125,14 @@
 
 def explore(size: Size, bugs: frozenset[str] = frozenset(), most: int = 5_000_000, seconds: float = 3600) -> Outcome:
     """Breadth first, so that a breach is met by its shortest story."""
-    begun, first = time.monotonic(), canonical(size.first(), bugs)
+    clock = RealWorld().now
+    begun, first = clock(), canonical(size.first(), bugs)
     came: dict[State, tuple[State, str] | None] = {first: None}
     front, depth = deque([(first, 0)]), 0
     while front:
         state, depth = front.popleft()
-        if len(came) > most or time.monotonic() - begun > seconds:
-            return Outcome(len(came), depth, time.monotonic() - begun, None, False)
+        if len(came) > most or (clock() - begun) / SECOND > seconds:
+            return Outcome(len(came), depth, (clock() - begun) / SECOND, None, False)
         said = ""
         try:
             for said, after in steps(state, bugs):
@@ -141,8 +142,8 @@
                     check(after, bugs)
                     front.append((after, depth + 1))
         except Breach as wrong:
-            return Outcome(len(came), depth + 1, time.monotonic() - begun, [*_story(came, state), said, str(wrong)], True)
-    return Outcome(len(came), depth, time.monotonic() - begun, None, True)
+            return Outcome(len(came), depth + 1, (clock() - begun) / SECOND, [*_story(came, state), said, str(wrong)], True)
+    return Outcome(len(came), depth, (clock() - begun) / SECOND, None, True)
 
 
 def _story(came: dict[State, tuple[State, str] | None], state: State) -> list[str]:
--- a/stackpitch/settings/model/duties.py
+++ b/stackpitch/settings/model/duties.py
@@ -14,6 +14,15 @@
     folder: Annotated[str, Field(min_length=1)]  # where this gateway's site keeps its models; made if it is missing
 
 
+class VocabularySettings(Part):
+    """The duty `vocabulary`: what sampling parameters mean after a change of tokenizer."""
+
+    vocabularies: Annotated[str, Field(min_length=1)]  # the file that names vocabularies; the same at every gateway
+    profiles: Annotated[str, Field(min_length=1)]  # the sampling profiles; the same at every gateway
+    most_share: Annotated[float, Field(ge=0, le=1)] = 0.0  # of the revenue that may lose its meaning without a confirmation
+    judge_ms: Some = 120000  # for judging, after which it is given up
+
+
 class Duties(Part):
     """Off while `voters` is empty. All but `file` has to be the same at all gateways of the fleet."""
 
@@ -28,6 +37,7 @@
     announce_ms: Some = 60000  # in which an owner tells each gateway once more that it is there
     max_calls: Count = 64  # under way at once from this gateway; others wait
     weights: WeightsSettings | None = None  # with `weights` among the names
+    vocabulary: VocabularySettings | None = None  # with `vocabulary` among the names
 
     @model_validator(mode="after")
     def whole(self) -> "Duties":
@@ -37,8 +47,9 @@
             raise ValueError(f"voters: found {self.voters}; allowed: each number once")
         if len(set(self.names)) != len(self.names):
             raise ValueError(f"names: found {self.names}; allowed: each name once")
-        if self.weights is not None and "weights" not in self.names:
-            raise ValueError("weights: set, and no duty of that name; allowed: with 'weights' among duties.names")
+        for name, part in (("weights", self.weights), ("vocabulary", self.vocabulary)):
+            if part is not None and name not in self.names:
+                raise ValueError(f"{name}: set, and no duty of that name; allowed: with {name!r} among duties.names")
         if self.voters and self.call_ms * 4 > self.lease_ms:
             raise ValueError(f"call_ms: found {self.call_ms:g}; allowed: up to a quarter of lease_ms ({self.lease_ms:g})")
         return self
