--- /dev/null
+++ b/tests/test_weights_days.py
@@ -0,0 +1,138 @@
+"""The judging of weights on made-up records, and short days with weights: kept by the program, and breaks that are caught."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from play import scenarios
+
+from stackpitch.rehearse.judging.weights import NAMES, WeightsFigures, judge_weights
+
+ROOT = Path(__file__).parent.parent
+ALL = scenarios(Path(__file__).parent / "scenarios_wdays")
+HOME = {"north": 0, "south": 2}
+BROKEN = {"unpaced": "W1", "classless": "W2", "unchecked": "W3"}
+
+
+class Made:
+    """Records from lines. See the head of the scenarios' file."""
+
+    def __init__(self):
+        self.records, self.at = [], {}
+
+    def note(self, at, who, what, **facts):
+        self.records.append({"at": round(float(at) * 10), "who": who, "what": what, **facts})
+
+    def part(self, at, way, model, first, size, spoilt=False):
+        source, _, site = way.partition(">")
+        if source == "origin":
+            self.note(at, "origin", "served", to=HOME[site], path=f"/{model}/1", first=first, size=size, spoilt=spoilt)
+        else:
+            self.note(at, "network", "part", call=0, sender=HOME[site], to=HOME[source], path=f"/weights/{model}/1", first=first,
+                      size=size, status=206)
+
+    def flow(self, begin, end, way, model, rate, first=0):
+        for number, at in enumerate(range(int(begin), int(end), 100)):
+            self.part(at, way, model, (int(first) + number * int(rate) // 10) * 1000, int(rate) * 100)
+
+    def wanted(self, at, *words):
+        rates = {name: int(rate) * 1000 for name, rate in (one.split("=") for one in words if "=" in one)}
+        models = {name: {"version": "1", "priority": int(priority), "sites": sites.split(","), "size": int(size) * 1000,
+                         "piece": 50_000, "whole": f"whole {name}"}
+                  for name, priority, size, sites in (one.split(":") for one in words if ":" in one)}
+        self.note(at, "director", "wanted", grant_ms=1000, models=models,
+                  links={"up": {"bytes_per_s": rates.pop("up"), "sites": list(HOME)}},
+                  sites={name: {"bytes_per_s": rate, "gateways": [HOME[name], HOME[name] + 1]} for name, rate in rates.items()})
+
+    def line(self, at, what, *rest):
+        if at == "flow":
+            self.flow(what, *rest)
+        elif what == "wanted":
+            self.wanted(at, *rest)
+        elif what == "owner":
+            self.note(at, "network", "call", call=int(rest[1]), sender=int(rest[0]), to=3, duty="weights", kind="owner",
+                      stamp=[int(rest[1]), 1])
+        elif what == "part":
+            self.part(at, rest[0], rest[1], int(rest[2]) * 1000, int(rest[3]) * 1000)
+        elif what == "spoilt":
+            self.part(at, f"origin>{rest[0]}", rest[1], 0, 1000, True)
+        elif what == "turned-away":
+            self.note(at, "origin", "turned away", to=HOME[rest[0]], path="/high/1", status=503)
+        elif what in ("placed", "gone", "lies"):
+            whole = f"whole {rest[1]}" if rest[2] == "good" else "another"
+            self.note(at, "director", what, site=rest[0], model=rest[1], version="1", whole=whole)
+        elif what == "disk":
+            self.note(at, "director", "disk", site=rest[0], full=rest[1] == "full")
+        elif what == "end":
+            self.note(at, "director", "over")
+        else:
+            self.note(at, "director", what, name=f"g{rest[0]}", **({"signal": 9} if what == "killed" else {}))
+
+
+@pytest.mark.parametrize("lines", [lines for _, lines in ALL], ids=[title for title, _ in ALL])
+def test_judged(lines):
+    made, wanted = Made(), {}
+    for number in range(4):
+        made.note(0, "director", "listens", name=f"g{number}")
+    for line in lines:
+        if line.startswith(">"):
+            wanted[line.split()[1]] = int(line.split()[2])
+        elif not line.startswith("#"):
+            made.line(*line.split())
+    made.records.sort(key=lambda one: one["at"])
+    found = {}
+    breaches = judge_weights(made.records, WeightsFigures(), {f"g{number}": number for number in range(4)})
+    for one in breaches:
+        found[NAMES[one.rule]] = found.get(NAMES[one.rule], 0) + 1
+    assert found == wanted, [(one.text, one.story) for one in breaches]
+
+
+def outcome(play, *more):
+    command = [sys.executable, "-m", "stackpitch", "rehearse", "tests/days/weights.jsonnet", "--json", "--set", f"play={play}"]
+    done = subprocess.run([*command, *more], cwd=ROOT, capture_output=True, timeout=150)
+    assert done.stdout, done.stderr.decode()[-2000:]
+    return json.loads(done.stdout) | {"exit": done.returncode}
+
+
+def records(folder, name):
+    return [json.loads(line) for line in (folder / f"{name}.jsonl").read_text().splitlines()]
+
+
+def kept(found, folder):
+    assert found["exit"] == 0 and not any(found["rules"].values()), found["breaches"]
+    assert set(found["rules"]) >= {"O1", "O2", "O3", "W1", "W2", "W3"}
+    lies = {(one["site"], one["model"]) for one in records(folder, "director") if one["what"] == "lies"}
+    assert lies == {(site, model) for site in ("north", "south") for model in ("base", "urgent")}
+    parts, origin = records(folder, "network"), records(folder, "origin")
+    assert any(one["what"] == "part" for one in parts), "neighbours give each other what they have"
+    assert any(one["what"] == "served" and one["spoilt"] for one in origin)
+    told = [one["call"] for one in parts if one["what"] == "call" and one.get("kind") == "service"]
+    assert any(one["what"] == "answered" and one["call"] in told and one["word"] == "yes" for one in parts)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_short_day_keeps_all_rules(seed, tmp_path):
+    kept(outcome("good", "--virtual", "--set", f"seed={seed}", "--keep", str(tmp_path)), tmp_path)
+
+
+def test_the_same_as_processes(tmp_path):
+    """Each process's log is its own."""
+    kept(outcome("good", "--keep", str(tmp_path)), tmp_path)
+    assert "weights_bad_piece" in "".join((tmp_path / f"g{number}.log").read_text() for number in range(4))
+
+
+def test_a_full_disk_of_processes_is_a_limit_on_their_files(tmp_path):
+    found = outcome("full", "--keep", str(tmp_path))
+    assert not any(found["rules"].values()), found["breaches"]
+    logged = [(tmp_path / f"g{number}.log").read_text() for number in range(4)]
+    assert any("weights_disk_full" in one for one in logged[:2]) and not any("weights_disk" in one for one in logged[2:])
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_gateways_broken_on_purpose_are_caught(name):
+    found = outcome(name, "--virtual", "--broken", name)
+    assert found["rules"][BROKEN[name]] > 0 and found["exit"] == 1, found["rules"]
+    if name != "unchecked":
+        assert not outcome(name, "--virtual")["rules"][BROKEN[name]], "it is the break that is caught"
