--- a/tests/test_weights_days.py
+++ b/tests/test_weights_days.py
@@ -30,8 +30,8 @@
         if source == "origin":
             self.note(at, "origin", "served", to=HOME[site], path=f"/{model}/1", first=first, size=size, spoilt=spoilt)
         else:
-            self.note(at, "network", "part", call=0, sender=HOME[site], to=HOME[source], path=f"/weights/{model}/1", first=first,
-                      size=size, status=206)
+            self.note(at, "network", "part", call=0, sender=HOME[site], to=HOME[source], path=f"/weights/{model}/1",
+                      first=first, size=size, status=206)
 
     def flow(self, begin, end, way, model, rate, first=0):
         for number, at in enumerate(range(int(begin), int(end), 100)):
