--- a/stackpitch/rehearse/day.py
+++ b/stackpitch/rehearse/day.py
@@ -103,17 +103,19 @@
     names: list[Name] = []
     strength: Annotated[float, Field(ge=0)] = 1.0
     way: Literal["both", "in", "out"] = "both"
-    pairs: list[tuple[Name, Name]] = []  # paths: from, to
+    pairs: list[Annotated[list[Name], Field(min_length=2, max_length=2)]] = []  # paths: from, to
     share: Share = 1.0  # of the messages on those paths
 
 
 class Figures(Part):
-    """The five rules in figures."""
+    """The rules in figures."""
 
     answer_slack_ms: Milliseconds = 60.0  # past the client's limit, for loopback and the client's own loop
     drain_grace_ms: Milliseconds = 1000.0
     release_ms: Milliseconds = 500.0
     fall_ms: Milliseconds = 1000.0
+    owner_ms: Milliseconds = 1000.0  # without an owner, beside a lease, while a majority of voters can talk
+    handover_ms: Milliseconds = 500.0  # the same after SIGTERM
 
 
 class Day(Part):
--- a/stackpitch/rehearse/director/outcome.py
+++ b/stackpitch/rehearse/director/outcome.py
@@ -67,7 +67,8 @@
 
 def owner_figures(day: Day) -> judging.OwnerFigures:
     duties = day.duties
-    return judging.OwnerFigures(tuple(duties.voters), day.gateways, tuple(duties.names), int(duties.lease_ms * MS) + SECOND)
+    return judging.OwnerFigures(tuple(duties.voters), day.gateways, tuple(duties.names),
+                                int((duties.lease_ms + day.rules.owner_ms) * MS), int(day.rules.handover_ms * MS))
 
 
 def modes(folder: Path) -> dict[str, int]:
