--- a/days/weights.jsonnet
+++ b/days/weights.jsonnet
@@ -33,7 +33,7 @@
     { kind: 'gateway-stop', at_s: 3, for_s: 0.6, names: ['owner.weights'] },
     { kind: 'gateway-stop', at_s: 10, for_s: 5, names: ['owner.weights'] },
     { kind: 'gateway-kill', at_s: 36, for_s: 2, names: ['owner.weights'] },
-    { kind: 'origin-corrupt', at_s: 5, for_s: 4, names: ['g2', 'g3'], strength: 0.3 },
+    { kind: 'origin-corrupt', at_s: 5, for_s: 4, names: ['g0', 'g1'], strength: 0.3 },
     { kind: 'origin-slow', at_s: 30, for_s: 3, names: ['g6', 'g7'], strength: 20000 },
     { kind: 'origin-refuse', at_s: 41, for_s: 2 },
     { kind: 'gateway-kill', at_s: 19, for_s: 2, names: ['receiver.south'] },
