network: a receiver that is not there refuses its caller at once, unless the way back is cut

A refused or broken connection to a receiver left its caller in silence until its limit, as a cut does; a kill looked slower than it is. Repeated calls count among those under way.

--- a/stackpitch/rehearse/network/passing.py
+++ b/stackpitch/rehearse/network/passing.py
@@ -16,6 +16,10 @@
 MAX_HEAD, MAX_BODY = 16384, 1 << 20
 
 
+class Broken(Exception):
+    """The receiver's side refused or broke the connection, which its caller sees at once."""
+
+
 class Passing:
     """All links. Tables: calls under way (bounded by `most_calls`), and those that wait for a hold to end."""
 
@@ -62,8 +66,15 @@
             request = http.request(reader.method, reader.url.decode("latin-1"), "network", reader.body(),
                                    [("connection", "close")])
             if fate.repeat and not fate.lost:
+                self.under_way += 1
                 group.spawn(self.again(link, number, reader.path, request, fate), "again")
-            answer = yield from self.passed(link, number, 0, reader.path, request, fate)
+            try:
+                answer = yield from self.passed(link, number, 0, reader.path, request, fate)
+            except Broken:
+                if not self.weather.fate((link.to, link.sender)).lost:
+                    stream.abort()
+                    return
+                answer = None
             if answer is not None and seen.get("kind") in ("owner", "write") and b'"word":"yes"' in answer:
                 self.owners[seen["duty"]] = link.sender
             if answer is not None and (yield from self.back(link, number, stream, answer)):
@@ -77,12 +88,19 @@
 
     def again(self, link: Link, number: int, path: str, request: bytes, fate: Fate) -> Coro[None]:
         """The whole request once more; nobody hears the answer."""
-        yield from self.world.sleep(fate.repeat)
-        yield from self.passed(link, number, 1, path, request, fate)
+        try:
+            yield from self.world.sleep(fate.repeat)
+            yield from self.passed(link, number, 1, path, request, fate)
+        except Broken:
+            pass
+        finally:
+            self.under_way -= 1
 
     def arrives(self, path: tuple[int, int], fate: Fate) -> Coro[bool]:
         """Waits until a message is through; False if it is lost on the way."""
-        if fate.delay and not fate.lost:
+        if fate.lost:
+            return False
+        if fate.delay:
             yield from self.world.sleep(fate.delay)
         task = self.world.current
         while fate.held and self.weather.lies("hold", path):
@@ -92,10 +110,11 @@
             finally:
                 self.waiting.pop(task, None)
         late = bool(fate.delay or fate.held)  # a cut that came meanwhile takes what is under way with it
-        return not fate.lost and not (late and self.weather.lies("cut", path))
+        return not (late and self.weather.lies("cut", path))
 
     def passed(self, link: Link, number: int, copy: int, path: str, request: bytes, fate: Fate) -> Coro[bytes | None]:
-        """The receiver's answer as it came, if it gave one."""
+        """The receiver's answer as it came, if it gave one in time. Raises Broken."""
+        begun = self.world.now()
         if not (yield from self.arrives((link.sender, link.to), fate)):
             self.recorder.note("lost", call=number, copy=copy, way="request")
             return None
@@ -122,7 +141,9 @@
                     stream.close()
         except (Lost, ConnectFailed, http.BadMessage) as wrong:
             self.recorder.note("unanswered", call=number, copy=copy, why=str(wrong))
-            return None
+            if isinstance(wrong, ConnectFailed) and self.world.now() - begun >= int(self.set.connect_ms * MS):
+                return None  # nobody said no
+            raise Broken from None
         self.recorder.note("unanswered", call=number, copy=copy, why="no answer in time")
         return None
 
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -35,16 +35,19 @@
 
     def __init__(self, world, folder):
         self.world, self.told = world, []
-        self.taken = {0: [], 1: []}
+        self.taken, self.listeners = {0: [], 1: []}, {}
         self.settings = NetworkSettings(port=100, records=str(folder / "network.jsonl"), seed=7, patience_ms=20_000, links=[
             Link(0, 1, 101, (HOST, 201)), Link(1, 0, 110, (HOST, 200))])
 
     def gateway(self, number):
-        listener = self.world.listen((HOST, 200 + number))
+        listener = self.listeners[number] = self.world.listen((HOST, 200 + number))
 
         def body(group):
-            while True:
-                group.spawn(self.one(number, (yield from listener.accept())), "one")
+            try:
+                while True:
+                    group.spawn(self.one(number, (yield from listener.accept())), "one")
+            except Lost:
+                pass
 
         yield from self.world.group(body)
 
@@ -95,6 +98,8 @@
         if what == "ask":
             sender, _, to = rest[0].partition(">")
             yield from self.ask(int(sender), int(to), rest[1], int(rest[2]) * MS)
+        elif what == "down":
+            self.listeners[int(rest[0])].close()
         elif what == "off":
             yield from self.fault(rest[0], False)
         else:
