--- a/benchmarks/vocabulary.py
+++ b/benchmarks/vocabulary.py
@@ -16,15 +16,12 @@
 
 from stackpitch.duties.calls import Stamp
 from stackpitch.duties.vocabulary import catalogue
-from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Narrowing, Seen, Told, asked
-from stackpitch.duties.vocabulary.acting.narrowing import with_rules
+from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Seen, Told, asked
 from stackpitch.duties.vocabulary.catalogue.form import LETTERS
 from stackpitch.duties.vocabulary.change import Change, Summary
 from stackpitch.duties.vocabulary.profiles import Profiles
 from stackpitch.duties.vocabulary.verdicts import Judge, Pair, Verdicts, measured
 from stackpitch.duties.vocabulary.verdicts.pair import Run
-from stackpitch.interface import Generation, Product, Server
-from stackpitch.preferences import Preferences
 
 SIZE, COMMON, PROFILES = 128_000, 100_000, 1_000
 
@@ -119,14 +116,14 @@
 
 
 def acting(verdicts: Verdicts) -> None:
-    """What comes on top of a generation, for its fields and for each leg that is weighed; best of five."""
+    """What comes on top of a generation; best of five."""
     digests = verdicts.digests
     known = Known()
     change = Change(1, "mixed", digests.old, digests.new, digests.profiles, Summary(verdicts.digest(), PROFILES, 0, 0.0))
     assert known.take(Told(Stamp(1), change, verdicts))
     one = Acting(known)
     one.seen = Seen({digests.old: "old", digests.new: "new"}, digests.profiles)
-    one.listed({f"w{number}": digests.old if number % 2 else digests.new for number in range(64)})
+    one.listed((digests.old, digests.new))
     plain = {name: msgspec.Raw(b'"x"') for name in ("model", "messages", "stream", "max_tokens", "temperature", "user")}
     if not verdicts.runs:  # too many to go with these verdicts: as many as may
         verdicts = msgspec.structs.replace(verdicts, runs=tuple(Run(10 * number, 9, number) for number in range(8_000)))
@@ -140,14 +137,6 @@
                                   ("3 stop ids and a profile", some, good)):
         call = partial(lambda fields, profile: one.decide(Asked(asked(fields), digests.old, profile)), fields, profile)
         table.add_row(name, f"{best(call):.2f}")
-    server = Server("w1", "a", "w", 1, "writer", 100_000)
-    product = Product("chat", "idempotent", "all", 0, 1, 0, 1, 1, 1.0, 0.1)
-    gen = Generation("g", product, None, None, None, 0, 1, 1, None, 0, 9, False, False)
-    narrowing = Narrowing()
-    narrowing.listed([server], {"w1": digests.old})
-    ruled, with_it = Preferences(), with_rules(narrowing, ())
-    table.add_row("a server weighed, without vocabularies", f"{best(lambda: ruled.may(0, gen, server)):.2f}")
-    table.add_row("a server weighed, with them", f"{best(lambda: with_it.may(0, gen, server)):.2f}")
     Console(width=110).print(table)
 
 
--- a/stackpitch/duties/vocabulary/acting/__init__.py
+++ b/stackpitch/duties/vocabulary/acting/__init__.py
@@ -3,8 +3,6 @@
 from stackpitch.duties.vocabulary.acting.asked import Asked, asked
 from stackpitch.duties.vocabulary.acting.decide import Acting, Narrowed
 from stackpitch.duties.vocabulary.acting.known import Known, Seen, Told
-from stackpitch.duties.vocabulary.acting.narrowing import Narrowing, VocabularyPreferences
 from stackpitch.duties.vocabulary.acting.written import Written
 
-__all__ = ["Acting", "Asked", "Known", "Narrowed", "Narrowing", "Seen", "Told", "VocabularyPreferences", "Written",
-           "asked"]
+__all__ = ["Acting", "Asked", "Known", "Narrowed", "Seen", "Told", "Written", "asked"]
--- a/stackpitch/duties/vocabulary/acting/decide.py
+++ b/stackpitch/duties/vocabulary/acting/decide.py
@@ -1,6 +1,6 @@
 """One generation, before any leg: untouched, narrowed to some vocabularies with parameters for each, or refused."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable
 
 import msgspec
 
@@ -18,25 +18,26 @@
 
     fields: dict[str, dict[str, object]]
 
-    def __contains__(self, vocabulary: str | None) -> bool:
-        return vocabulary is not None and vocabulary in self.fields
+    def spoken(self) -> dict[str, dict[str, msgspec.Raw]]:
+        """As a leg's request takes them."""
+        return {vocabulary: {name: msgspec.Raw(msgspec.json.encode(value)) for name, value in fields.items()}
+                for vocabulary, fields in self.fields.items()}
 
 
 class Acting:
-    """`servers`: vocabulary by name of server, of those listed; None where the list does not say."""
+    """`kinds`: digests of the vocabularies that listed servers have, "" among them if the list does not say for some."""
 
     def __init__(self, known: Known) -> None:
         self.known, self.seen = known, Seen()
-        self.servers: dict[str, str | None] = {}
-        self.kinds: frozenset[str | None] = frozenset()
+        self.kinds: frozenset[str] = frozenset()
 
-    def listed(self, servers: Mapping[str, str | None]) -> None:
-        self.servers = dict(servers)
-        self.kinds = frozenset(self.servers.values())
+    def listed(self, vocabularies: Iterable[str]) -> None:
+        """With each list that comes into force: what its servers have."""
+        self.kinds = frozenset(vocabularies)
 
     def decide(self, one: Asked) -> Narrowed | None:
         """None: untouched. Raises MeaningLost, VocabularyUnstated, both answered 400."""
-        if not one.ids or self.kinds <= {None}:
+        if not one.ids or self.kinds <= {""}:
             return None  # no ids, or no server says what it has
         own = one.vocabulary
         if own is None:
--- a/stackpitch/duties/vocabulary/owning.py
+++ b/stackpitch/duties/vocabulary/owning.py
@@ -52,6 +52,7 @@
         self.verdicts: tuple[Digests, bytes] | None = None  # judged here, or known from an earlier owner
         self.not_before = 0  # judging that failed is tried again then, or with other files
         self.failed_on: Looked | None = None
+        self.resting: Running | None = None
         self.judging = False
         self.outcome: Outcome | None = None  # of the judging that has ended
         self.telling: set[int] = set()  # gateways that are being told
@@ -67,6 +68,8 @@
             return Answer("too many words wait; ask again")
         one = Waiting(asking, self.world.current)
         self.waiting.append(one)
+        if self.resting is not None:
+            self.resting.wake()  # from its sleep, nothing else
         try:
             with self.world.limit(100_000):
                 while one.answer is None:
@@ -100,7 +103,10 @@
                 if machine.change is not None:
                     self._judge(group, machine.change)
                     self._tell(group, machine.change)
-                yield from self.world.sleep(ROUND)
+                if not self.waiting:
+                    self.resting = self.world.current
+                    yield from self.world.sleep(ROUND)
+                    self.resting = None
 
         yield from self.world.group(body)
 
--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -3,6 +3,7 @@
 import json
 import random
 from pathlib import Path
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -11,7 +12,7 @@
 
 from stackpitch.duties.calls import Stamp, raw
 from stackpitch.duties.vocabulary import catalogue, errors
-from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Seen, Told, Written, asked, decide, narrowing
+from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Seen, Told, Written, asked, decide
 from stackpitch.duties.vocabulary.carrying import pages
 from stackpitch.duties.vocabulary.catalogue.form import LETTERS
 from stackpitch.duties.vocabulary.change import Change, Machine, Summary, read, written
@@ -23,9 +24,11 @@
 from stackpitch.duties.vocabulary.verdicts.judge import Digests
 from stackpitch.duties.vocabulary.verdicts.pair import Run
 from stackpitch.duties.vocabulary.work import VocabularyWork
+from stackpitch.gateway.ask import OpenAsk
+from stackpitch.gateway.tongues import Tongues
 from stackpitch.loop import SECOND, RealWorld
 from stackpitch.loop.virtual import VirtualWorld
-from stackpitch.preferences import RuledBrain
+from stackpitch.preferences import Preferences, RuledBrain
 
 LETTER = {byte: letter for letter, byte in LETTERS.items()}
 
@@ -170,7 +173,7 @@
     def line(self, text):
         what, *words = text.split()
         if what == "servers":
-            self.acting.listed({name: kind or None for name, _, kind in (one.partition("=") for one in words)})
+            self.acting.listed(one.partition("=")[2] for one in words)
         elif what == "see":
             self.acting.seen = Seen({"A": "a", "B": "b"}, words[0])
         elif what == "told":
@@ -206,32 +209,37 @@
 
 
 class Narrowed(Play):
-    """A play with the real module: `vocab r1=A w1=B` says who has which vocabulary, `gen ... ids=A,B` where its ids may go."""
+    """A play with the real module: `vocab r1=A w1=B` says who has which vocabulary, `gen ... ids=A,B` where its ids may go.
+    A server that has another one than before is another server, as the gateway's roster has it."""
 
     def __init__(self):
         super().__init__()
-        self.narrowing = narrowing.Narrowing()
+        self.roster, self.asks = SimpleNamespace(vocabularies={}, servers=self.servers, applied=0), {}
 
     @property
     def brain(self):
         if self.made is None:
-            self.made = RuledBrain(self, 7, narrowing.with_rules(self.narrowing, ()), **self.arguments)
+            self.made = RuledBrain(self, 7, Preferences(also=Tongues(self.roster, self).may), **self.arguments)
             self.made.begin(self.now)
             self.made.roster(self.now, list(self.servers.values()), True)
         return self.made
 
-    def do_vocab(self, **given): narrowing.forget(self.brain, self.narrowing.listed(self.servers.values(), given))
+    def do_vocab(self, **given):
+        self.roster.applied += 1
+        for name, kind in given.items():
+            before = self.servers[name]
+            if self.roster.vocabularies.get(before, kind) != kind:
+                self.do_list(name, "gone")
+                self.do_server(name)
+            self.roster.vocabularies[self.servers[name]] = kind
 
     def do_gen(self, name, product, ids=None, **given):
-        self.narrowing.chosen = Choose(decide.Narrowed({one: {} for one in ids.split(",")}) if ids else None)
+        self.asks[name] = OpenAsk(None, None, "", {}, name, False)
+        self.asks[name].spoken = decide.Narrowed({one: {} for one in ids.split(",")}).spoken() if ids else None
         super().do_gen(name, product, **given)
 
-
-class Choose(dict):
-    """What the next generation is narrowed to: it has no name before the module hears of it."""
-
-    def __init__(self, narrowed): self.narrowed = narrowed
-    def get(self, gen): return self.narrowed
+    def get(self, gen):
+        return self.asks[gen.name]
 
 
 SCENES = {"verdicts": Judging, "change": Changing, "acting": Gate, "narrowing": Narrowed}
