--- a/stackpitch/duties/vocabulary/acting/asked.py
+++ b/stackpitch/duties/vocabulary/acting/asked.py
@@ -8,6 +8,7 @@
 from stackpitch.duties.vocabulary.parameters import IDS
 
 MOST_BYTES = 1 << 20  # of one field
+LIMITS = ("max_tokens", "max_completion_tokens", "min_tokens")
 DECODERS: dict[str, msgspec.json.Decoder[object]] = {
     "logit_bias": msgspec.json.Decoder(dict[str, float]),
     "stop_token_ids": msgspec.json.Decoder(list[int]),
@@ -24,6 +25,7 @@
     vocabulary: str | None
     profile: str | None = None
     filled: frozenset[str] = frozenset()
+    limits: dict[str, int] = {}  # of the request itself, counted in tokens of its vocabulary
 
 
 def asked(fields: Mapping[str, bytes | msgspec.Raw]) -> dict[str, object]:
@@ -54,3 +56,17 @@
     for one in value if isinstance(value, list) else ():
         found += one if isinstance(one, list) else [one]
     return found
+
+
+def limits(fields: Mapping[str, bytes | msgspec.Raw]) -> dict[str, int]:
+    """Those that are counted in tokens. What is no number is left for the door to turn down."""
+    found: dict[str, int] = {}
+    for name in LIMITS:
+        if name in fields:
+            try:
+                value = msgspec.json.decode(fields[name], type=int | None)
+            except msgspec.DecodeError:
+                continue
+            if value is not None:
+                found[name] = value
+    return found
--- a/stackpitch/duties/vocabulary/acting/decide.py
+++ b/stackpitch/duties/vocabulary/acting/decide.py
@@ -12,6 +12,8 @@
 from stackpitch.duties.vocabulary.verdicts.judge import Verdicts
 from stackpitch.duties.vocabulary.verdicts.words import FieldVerdict, Finding
 
+MOST_TOKENS = 1_000_000  # that a request may ask for
+
 
 class Narrowed(msgspec.Struct, frozen=True):
     """Digests of the vocabularies whose servers may take it, each with the fields that replace those of the body there."""
@@ -75,6 +77,9 @@
                 found[name], wrong = translated(verdicts, name, value, names)
                 if wrong is not None:
                     return {}, (name, wrong)
+        for name, limit in one.limits.items():
+            if (scaled := min(MOST_TOKENS, verdicts.ratio.scaled(limit))) != limit:
+                found[name] = scaled
         return found, None
 
     def _foreign(self, verdicts: Verdicts, one: Asked, own: str) -> MeaningLost:
--- a/stackpitch/duties/vocabulary/acting/written.py
+++ b/stackpitch/duties/vocabulary/acting/written.py
@@ -2,9 +2,10 @@
 
 import msgspec
 
-from stackpitch.duties.vocabulary.acting.asked import Asked, asked
-from stackpitch.duties.vocabulary.errors import VocabularyUnknown
+from stackpitch.duties.vocabulary.acting.asked import Asked, asked, limits
+from stackpitch.duties.vocabulary.errors import ParametersMalformed, VocabularyUnknown
 from stackpitch.duties.vocabulary.judging.files import Looked
+from stackpitch.duties.vocabulary.parameters import IDS
 
 PROFILE, VOCABULARY = "sampling_profile", "token_vocabulary"  # of a request's body; neither goes on to engines
 
@@ -28,13 +29,23 @@
                 raise VocabularyUnknown(PROFILE, profile, tuple(sorted(self.parameters)[:20]))
             filled = frozenset(given.keys() - fields.keys())
             fields |= {name: given[name] for name in given if name in filled and name != "max_tokens_bounds"}
+        read = limits(fields) if profile is not None or _has_ids(fields) else {}
+        own = {name: value for name, value in read.items() if name not in filled}
+        if profile is not None:
+            self._bounded(profile, own)
         ids = asked(fields)
         if not ids:
             return Asked(ids, None, profile, filled)
         name = stated or self._default(profile, ids.keys() <= filled, customer, product)
         if name and name not in self.looked.vocabularies:
             raise VocabularyUnknown(VOCABULARY, name, tuple(sorted(self.looked.vocabularies)))
-        return Asked(ids, self.looked.vocabularies.get(name or ""), profile, filled)
+        return Asked(ids, self.looked.vocabularies.get(name or ""), profile, filled, own)
+
+    def _bounded(self, profile: str, own: dict[str, int]) -> None:
+        bounds = self.looked.parameters[profile].get("max_tokens_bounds")
+        for name in ("max_tokens", "max_completion_tokens"):
+            if bounds is not None and name in own and not bounds["least"] <= own[name] <= bounds["most"]:
+                raise ParametersMalformed(name, str(own[name]), f"{bounds['least']} to {bounds['most']} by profile {profile!r}")
 
     def _default(self, profile: str | None, whole: bool, customer: str | None, product: str) -> str:
         """That of the profile where all ids are the profile's, else the customer's, the product's or the file's."""
@@ -43,6 +54,10 @@
         return self.looked.customers.get(customer or "") or self.looked.products.get(product) or self.looked.default
 
 
+def _has_ids(fields: dict[str, msgspec.Raw]) -> bool:
+    return any(name in fields for name in IDS)
+
+
 def _text(raw: msgspec.Raw | None) -> str | None:
     if raw is None:
         return None
--- a/stackpitch/duties/vocabulary/work.py
+++ b/stackpitch/duties/vocabulary/work.py
@@ -13,6 +13,7 @@
 from stackpitch.duties.vocabulary.acting.written import Written
 from stackpitch.duties.vocabulary.carrying import Page, Pages, Tell
 from stackpitch.duties.vocabulary.change import Change
+from stackpitch.duties.vocabulary.errors import VocabularyError
 from stackpitch.duties.vocabulary.judging import Files, Looked, Way, marks
 from stackpitch.duties.vocabulary.owning import Asking, Owning
 from stackpitch.duties.work import Ground, Tenure
@@ -45,6 +46,9 @@
         owning = self.owning = Owning(self, tenure, value)
         try:
             yield from owning.run()
+        except VocabularyError as wrong:
+            self.log(f"vocabulary: {wrong}; {wrong.remedy}")
+            raise
         finally:
             self.owning = None
             owning.close()
--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -184,12 +184,12 @@
             change = Change(1, words[0].replace("_", " "), "A", "B", "P1", Summary(digest, 1, 0, 0.0), version=int(said.get("version", self.version)))
             self.known.take(Told(Stamp(int(said["stamp"])), change, verdicts))
         elif what == "gen":
-            named = dict(one.split("=", 1) for one in words[1:])
+            named = dict(one.split("=", 1) for one in words[1:] if "=" in one)
             profile = named.pop("profile", None)
             try:
                 ids = asked({name: msgspec.Raw(value.encode()) for name, value in named.items() if name != "own"})
                 filled = frozenset({"good": ("bad_words_ids", "min_tokens"), "bad": ("stop_token_ids",)}.get(profile, ())) - {named.get("own")}
-                found = self.acting.decide(Asked(ids, None if words[0] == "-" else words[0], profile, filled))
+                found = self.acting.decide(Asked(ids, None if words[0] == "-" else words[0], profile, filled, {"max_tokens": 100} if "limit" in words else {}))
                 self.answer = "untouched" if found is None else " ".join(
                     f"{kind} {msgspec.json.encode(fields, order='deterministic').decode()}" for kind, fields in found.fields.items())
             except errors.VocabularyError as wrong:
@@ -204,7 +204,7 @@
 def verdicts_on(digests, mark="same"):
     lost = FieldVerdict("stop_token_ids", "another role", True, "", None, (Finding("another role", "id 0", "the end of text", "the text 'b'", "why", "todo"),))
     good = FieldVerdict("bad_words_ids", "split", False, mark, [[8], [9]]), FieldVerdict("min_tokens", "rescaled", False, "", 6)
-    return Verdicts(digests, Ratio(), (ProfileVerdict("bad", "another role", True, (lost,)), ProfileVerdict("good", "split", False, good)),
+    return Verdicts(digests, Ratio(10, 12), (ProfileVerdict("bad", "another role", True, (lost,)), ProfileVerdict("good", "split", False, good)),
                     (Run(0, 3, 0), Run(3, 3, 10)))
 
 
@@ -566,6 +566,9 @@
     assert read("other", stop_token_ids=[1])[0] is None
     assert read(sampling_profile="p1", top_k=9) == ("B", ["max_tokens_bounds", "stop_token_ids"], {"top_k": 9, "stop_token_ids": [4]})
     assert read(sampling_profile="p1", stop_token_ids=[1])[0] == "A"
+    with pytest.raises(errors.ParametersMalformed, match="max_tokens: found 10; allowed: 1 to 9 by profile 'p1'"):
+        read(sampling_profile="p1", max_tokens=10)
+    assert written.read({"max_tokens": msgspec.Raw(b"7"), "stop_token_ids": msgspec.Raw(b"[1]")}, "c", "p").limits == {"max_tokens": 7}
     for wrong in ({"sampling_profile": "p2"}, {"token_vocabulary": "three", "stop_token_ids": [1]}, {"sampling_profile": 7}):
         with pytest.raises(errors.VocabularyUnknown):
             read(**wrong)
