Vocabulary: scenes for two faults that no test had caught

A spelling by old tokens that was not the usual one before, and a profile of which the request replaces one field.

--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -188,7 +188,7 @@
             profile = named.pop("profile", None)
             try:
                 ids = asked({name: msgspec.Raw(value.encode()) for name, value in named.items() if name != "own"})
-                filled = frozenset({"good": ("bad_words_ids", "min_tokens"), "bad": ("stop_token_ids",)}.get(profile, ())) - {named.get("own")}
+                filled = frozenset({"good": ("bad_words_ids", "min_tokens"), "bad": ("stop_token_ids",), "two": ("stop_token_ids", "bad_words_ids")}.get(profile, ())) - {named.get("own")}
                 found = self.acting.decide(Asked(ids, None if words[0] == "-" else words[0], profile, filled, {"max_tokens": 100} if "limit" in words else {}))
                 self.answer = "untouched" if found is None else " ".join(
                     f"{kind} {msgspec.json.encode(fields, order='deterministic').decode()}" for kind, fields in found.fields.items())
@@ -204,7 +204,8 @@
 def verdicts_on(digests, mark="same"):
     lost = FieldVerdict("stop_token_ids", "another role", True, "", None, (Finding("another role", "id 0", "the end of text", "the text 'b'", "why", "todo"),))
     good = FieldVerdict("bad_words_ids", "split", False, mark, [[8], [9]]), FieldVerdict("min_tokens", "rescaled", False, "", 6)
-    return Verdicts(digests, Ratio(10, 12), (ProfileVerdict("bad", "another role", True, (lost,)), ProfileVerdict("good", "split", False, good)),
+    two = FieldVerdict("bad_words_ids", "split", False, "", [[8]]), FieldVerdict("stop_token_ids", "renumbered", False, "", [13])
+    return Verdicts(digests, Ratio(10, 12), (ProfileVerdict("two", "split", False, two), ProfileVerdict("bad", "another role", True, (lost,)), ProfileVerdict("good", "split", False, good)),
                     (Run(0, 3, 0), Run(3, 3, 10)))
 
 
