--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -438,7 +438,7 @@
 
     def __init__(self, world, folder, count=3, way=InSteps):
         self.world, self.record, self.owner, self.cut, self.gateways, self.logs, self.term = world, b"", None, set(), count, [], 0
-        self.servers, self.asked_judge = {}, 0
+        self.servers, self.asked_judge, self.tells = {}, 0, 0
         self.files = Files(str(folder / "vocabularies.json"), str(folder / "profiles.json"))
         self.works = [self.made(number, way) for number in range(count)]
 
@@ -476,6 +476,7 @@
         self.fleet.record = value
 
     def tell(self, number, kind, body):
+        self.fleet.tells += 1
         return (yield from self.ask(number, "vocabulary", kind, body, self.stamp))
 
     def ask(self, number, duty, kind, body, stamp=NOBODY):
@@ -529,6 +530,13 @@
             fleet.servers = {fleet.works[2].looked.vocabularies[name]: 1 for name in ("old", "new")}
             yield from world.sleep(3 * SECOND)
             assert fleet.words() == [("mixed", True)] * 3 and fleet.asked_judge == 2, "judged once more, by one that had no verdict"
+            told = fleet.tells
+            yield from world.sleep(10 * SECOND)
+            assert fleet.tells == told, "who knows it is not told again"
+            fleet.works[1] = fleet.made(1)
+            group.spawn(fleet.works[1].serve(), "serve")
+            yield from world.sleep(3 * SECOND)
+            assert fleet.words() == [("mixed", True)] * 3, "one that starts anew asks"
             laid(tmp_path, stop="gone")
             yield from world.sleep(4 * SECOND)
             assert fleet.words() == [("mixed", True)] * 3, "one profile of six is under the limit"
