--- a/stackpitch/rehearse/engine/legs.py
+++ b/stackpitch/rehearse/engine/legs.py
@@ -5,6 +5,7 @@
 from stackpitch.loop import Coro, Lost, Stream
 from stackpitch.rehearse.engine.answers import event, usage
 from stackpitch.rehearse.engine.machine import Machine
+from stackpitch.rehearse.engine.spoken import spoken
 from stackpitch.rehearse.engine.transfer import Transfer
 from stackpitch.rehearse.engine.waits import hung, until
 from stackpitch.rehearse.engine.work import Work, canonical
@@ -34,7 +35,9 @@
         machine.recorder.note("leg", key=work.key, leg=work.leg, gateway=work.gateway, part=part, state=transfer.state_id,
                             product=work.product, session=reader.headers.get("x-session-id"), tok=work.prompt_tok)
         meant = reader.headers.get(engine.VOCABULARY)
-        if meant is not None and meant != machine.set.vocabulary:
+        other = meant is not None and meant != machine.set.vocabulary
+        spoken(machine, work, fields, refused=other, guarded=meant is not None)
+        if other:
             self.refuse(stream, work, engine.OTHER_VOCABULARY)
             yield from stream.drain()
             return True
--- a/stackpitch/rehearse/engine/machine.py
+++ b/stackpitch/rehearse/engine/machine.py
@@ -4,6 +4,7 @@
 """
 
 from collections import deque
+from typing import TYPE_CHECKING
 
 from stackpitch.loop import SECOND, Listener, Task, Time, World
 from stackpitch.rehearse.engine.kept import Kept
@@ -12,6 +13,9 @@
 from stackpitch.rehearse.records import Recorder
 from stackpitch.wire import orca
 
+if TYPE_CHECKING:  # the library is for days with vocabularies alone
+    from stackpitch.rehearse.meaning import Meaning
+
 
 class Machine:
     """What all parts of one engine share."""
@@ -33,6 +37,7 @@
         self.report_at, self.report_text = -SECOND * 10, ""
         self.listener: Listener | None = None
         self.control: Listener | None = None
+        self.meaning: Meaning | None = None  # where it has a tokenizer
         self.weights = dict(settings.weights)  # as many as models it was ever told of
 
     def warmth(self) -> float:
--- a/stackpitch/rehearse/engine/settings.py
+++ b/stackpitch/rehearse/engine/settings.py
@@ -35,6 +35,7 @@
     fall_multiple: float = 2.5
     fall_ms: float = 1000.0
     vocabulary: str = ""  # digest of the one that it runs on
+    tokenizer: str = ""  # its file, by which legs' token ids are read for the records
     weights: dict[str, str] = {}  # models and their versions that it runs on at its start
     load_ms: float = 2000.0  # to load another version
     mean_out_tok: int = 80  # by which a leg's work at a writer is weighed
--- a/stackpitch/rehearse/engine/transfer.py
+++ b/stackpitch/rehearse/engine/transfer.py
@@ -30,6 +30,9 @@
                         if not data:
                             return False
                         reader.feed(data)
+                    if reader.status == 200 and machine.set.vocabulary:
+                        machine.recorder.note("took", state=transfer.state_id, vocabulary=machine.set.vocabulary, key=work.key,
+                                              leg=work.leg, gateway=work.gateway)
                     return reader.status == 200
                 finally:
                     stream.close()
@@ -52,6 +55,8 @@
         machine.link_busy[near] = begin + int(found[0].prompt_tok / speed * SECOND)
         yield from machine.world.sleep(machine.link_busy[near] - machine.world.now())
         if machine.free(state, "fetched"):
+            if machine.set.vocabulary:
+                machine.recorder.note("gave", state=state, vocabulary=machine.set.vocabulary)
             stream.write(http.response(200, b"{}"))
         else:
             stream.write(http.response(404, b"{}"))
--- a/stackpitch/rehearse/judging/__init__.py
+++ b/stackpitch/rehearse/judging/__init__.py
@@ -4,6 +4,11 @@
 of a millisecond on one machine's clock.
 """
 
-from stackpitch.rehearse.judging.owners import NAMES, WORDS, OwnerFigures, judge_owners
+from stackpitch.rehearse.judging import vocabulary
+from stackpitch.rehearse.judging.owners import NAMES, OwnerFigures, judge_owners
+from stackpitch.rehearse.judging.owners import WORDS as OWNERS
+from stackpitch.rehearse.judging.vocabulary import judge_vocabulary
 
-__all__ = ["NAMES", "WORDS", "OwnerFigures", "judge_owners"]
+WORDS = OWNERS | vocabulary.WORDS
+
+__all__ = ["NAMES", "WORDS", "OwnerFigures", "judge_owners", "judge_vocabulary", "vocabulary"]
