--- a/tests/test_vocabulary_days.py
+++ b/tests/test_vocabulary_days.py
@@ -28,7 +28,8 @@
         return [{"at": at, "who": "network", "what": "call", "call": at, "to": int(what),
                  "verdict": {"content": rest[0], "digests": rest[1].split(",")}},
                 {"at": at, "who": "network", "what": "answered", "call": at, "copy": 0, "word": word}]
-    return [{"at": at, "who": who, "what": what, "vocabulary": rest[0], "state": rest[1], "key": "s", "leg": 0, "gateway": "g0"}]
+    return [{"at": at, "who": who, "what": what, "vocabulary": rest[0], "state": rest[1], "key": "s", "leg": 0,
+             "gateway": "g0"}]
 
 
 @pytest.mark.parametrize("lines", [lines for _, lines in ALL], ids=[title for title, _ in ALL])
