--- a/stackpitch/rehearse/broken/__init__.py
+++ b/stackpitch/rehearse/broken/__init__.py
@@ -5,9 +5,10 @@
 
 from collections.abc import Callable
 
-from stackpitch.rehearse.broken import gateways, owners
+from stackpitch.rehearse.broken import gateways, owners, vocabulary
 
 BREAKS: dict[str, Callable[[], None]] = {
     "answered": gateways.answered, "effects": gateways.effects, "drains": gateways.drains, "cold": gateways.cold,
     "pinned": gateways.pinned, "fenceless": owners.fenceless, "leaseless": owners.leaseless,
-    "forgetful": owners.forgetful, "hasty": owners.hasty, "ownerless": owners.ownerless}
+    "forgetful": owners.forgetful, "hasty": owners.hasty, "ownerless": owners.ownerless,
+    "babel": vocabulary.babel, "across": vocabulary.across}
--- a/stackpitch/rehearse/clients/settings.py
+++ b/stackpitch/rehearse/clients/settings.py
@@ -33,6 +33,7 @@
 
     files: dict[str, str]  # tokenizer.json by the vocabulary's name
     default: str  # the one that a generation is written for unless it says so
+    products: dict[str, str] = {}  # those with another default
     share: float  # of generations
     named: float  # that name a vocabulary, any of them
     lost: float  # with ids whose text is no token of another vocabulary
--- a/stackpitch/rehearse/clients/speech.py
+++ b/stackpitch/rehearse/clients/speech.py
@@ -30,8 +30,10 @@
         """Gives a turn's body token ids, or none."""
         if random.random() >= self.set.share:
             return
-        written = random.choice(list(self.meanings)) if random.random() < self.set.named else self.set.default
-        if written != self.set.default:
+        default = self.set.products.get(turn.product.name, self.set.default)
+        written = default
+        if random.random() < self.set.named:
+            written = random.choice(list(self.meanings))
             turn.headers.append((HEADER, written))
         loses = random.random() < self.set.lost and self.lost[written]
         fields = self.fields(random, written, random.sample(FIELDS, random.choice((1, 1, 2))), bool(loses))
--- a/stackpitch/rehearse/day.py
+++ b/stackpitch/rehearse/day.py
@@ -4,6 +4,7 @@
 
 from pydantic import Field
 
+from stackpitch.rehearse.dayvocabulary import Vocabularies, Which
 from stackpitch.settings.model import (
     Customer,
     Duties,
@@ -27,6 +28,7 @@
 GATEWAY_TROUBLES = ("gateway-kill", "gateway-roll", "gateway-term", "gateway-stop")
 VOTER_TROUBLES = ("voter-empty", "voter-older", "voter-twin")
 NETWORK_TROUBLES = ("net-cut", "net-one-way", "net-slow", "net-hold", "net-repeat", "net-reorder", "net-half-close")
+VOCABULARY_TROUBLES = ("vocabulary-roll", "vocabulary-profiles")
 TRAFFIC_TROUBLES = ("burst", "heavy-tail", "hot-text")
 
 
@@ -90,7 +92,7 @@
                   "garble", "tail", "slow-handshake", "slow-link", "fail-at-once", "gateway-kill", "gateway-roll",
                   "gateway-term", "gateway-stop", "edits", "voter-empty", "voter-older", "voter-twin", "net-cut",
                   "net-one-way", "net-slow", "net-hold", "net-repeat", "net-reorder", "net-half-close", "burst",
-                  "heavy-tail", "hot-text"]
+                  "heavy-tail", "hot-text", "vocabulary-roll", "vocabulary-profiles"]
     at_s: Seconds
     for_s: Seconds = 5.0
     part: Share = 0.1
@@ -101,6 +103,7 @@
     way: Literal["both", "in", "out"] = "both"
     pairs: list[tuple[Name, Name]] = []  # paths: from, to
     share: Share = 1.0  # of the messages on those paths
+    vocabulary: Which = "new"  # that engines change to
 
 
 class Figures(Part):
@@ -126,6 +129,7 @@
     membership: Membership = Membership(watch=False, step_share=1.0, persist_ms=0)
     load: Load = Load()
     duties: Duties = Duties()  # `file` is the director's; calls between gateways then pass through a stand-in network
+    vocabulary: Vocabularies | None = None
     reports: bool = True
     products: dict[Name, Product] = Field(min_length=1)
     traffic: dict[Name, Traffic] = Field(min_length=1)
--- a/stackpitch/rehearse/director/check.py
+++ b/stackpitch/rehearse/director/check.py
@@ -5,6 +5,7 @@
     GATEWAY_TROUBLES,
     NETWORK_TROUBLES,
     TRAFFIC_TROUBLES,
+    VOCABULARY_TROUBLES,
     VOTER_TROUBLES,
     Day,
     Trouble,
@@ -22,8 +23,10 @@
             raise ValueError(f"fleet.{number}.kind: found {group.kind!r}; allowed: {', '.join(day.kinds)}")
     for number, trouble in enumerate(day.troubles):
         if trouble.kind not in (*ENGINE_TROUBLES, *GATEWAY_TROUBLES, *VOTER_TROUBLES, *NETWORK_TROUBLES, *TRAFFIC_TROUBLES,
-                                "edits"):
+                                *VOCABULARY_TROUBLES, "edits"):
             raise ValueError(f"troubles.{number}.kind: found {trouble.kind!r}")
+        if trouble.kind in VOCABULARY_TROUBLES and day.vocabulary is None:
+            raise ValueError(f"troubles.{number}.kind: found {trouble.kind!r}; allowed where the day has vocabulary")
         among_gateways(day, f"troubles.{number}", trouble)
     duties = day.duties
     if duties.voters and max(duties.voters) >= day.gateways:
--- a/stackpitch/rehearse/director/lists.py
+++ b/stackpitch/rehearse/director/lists.py
@@ -7,7 +7,7 @@
 
 from stackpitch.loop import MS, SECOND, Coro, Group
 from stackpitch.rehearse.director.calls import call
-from stackpitch.rehearse.director.places import HOST, Post
+from stackpitch.rehearse.director.places import HOST, Post, Seat
 from stackpitch.rehearse.director.stage import Stage
 
 TELL_TRIES = 40
@@ -22,9 +22,13 @@
     def fleet(self) -> dict[str, Any]:
         return {"version": self.version, "servers": [
             {"name": one.name, "host": HOST, "port": one.port, "kind": one.kind, "zone": one.zone, "cell": one.cell,
-             "state": one.state, "started_unix_ms": one.started_unix_ms}
+             "state": one.state, "started_unix_ms": one.started_unix_ms, **self.spoken(one)}
             for one in self.stage.seats.values() if one.state != "gone"]}
 
+    def spoken(self, seat: Seat) -> dict[str, str]:
+        made = self.stage.vocabularies
+        return {} if made is None else {"vocabulary": made.digests[seat.vocabulary]}
+
     def write_list(self, post: Post) -> None:
         """Whole or not at all, as a gateway that starts just now may read it."""
         beside = self.stage.folder / f"{post.name}.fleet.new"
--- a/stackpitch/rehearse/director/outcome.py
+++ b/stackpitch/rehearse/director/outcome.py
@@ -52,6 +52,9 @@
     if day.duties.voters:
         names |= judging.NAMES
         breaches += judging.judge_owners(records, owner_figures(day), {f"g{number}": number for number in range(day.gateways)})
+    if day.vocabulary is not None:
+        names |= judging.vocabulary.NAMES
+        breaches += judging.judge_vocabulary(records)
     ends: dict[str, int] = {}
     for one in records:
         if one["what"] == "end":
--- a/stackpitch/rehearse/director/places.py
+++ b/stackpitch/rehearse/director/places.py
@@ -4,6 +4,7 @@
 
 from stackpitch.loop import Child
 from stackpitch.rehearse.day import StandIn
+from stackpitch.rehearse.dayvocabulary import Which
 
 HOST = "127.0.0.1"
 TRAP = "trap"  # an engine that no good list names, on days with edits
@@ -24,6 +25,7 @@
     child: Child | None = None
     state: str = "ready"  # as the list will tell
     started_unix_ms: int | None = None
+    vocabulary: Which = "old"  # on days that have two
 
 
 @dataclass(slots=True)
--- a/stackpitch/rehearse/director/play.py
+++ b/stackpitch/rehearse/director/play.py
@@ -6,13 +6,22 @@
 from pathlib import Path
 
 from stackpitch.loop import SECOND, Coro, Group, World
-from stackpitch.rehearse.day import GATEWAY_TROUBLES, NETWORK_TROUBLES, TRAFFIC_TROUBLES, VOTER_TROUBLES, Day, Trouble
+from stackpitch.rehearse.day import (
+    GATEWAY_TROUBLES,
+    NETWORK_TROUBLES,
+    TRAFFIC_TROUBLES,
+    VOCABULARY_TROUBLES,
+    VOTER_TROUBLES,
+    Day,
+    Trouble,
+)
 from stackpitch.rehearse.director.calls import reachable
 from stackpitch.rehearse.director.check import check
 from stackpitch.rehearse.director.lists import Lists
 from stackpitch.rehearse.director.outcome import Outcome, judge, modes
 from stackpitch.rehearse.director.processes import Processes
 from stackpitch.rehearse.director.stage import Stage
+from stackpitch.rehearse.director.troubles.change import Change
 from stackpitch.rehearse.director.troubles.edits import Edits
 from stackpitch.rehearse.director.troubles.gateways import Gateways
 from stackpitch.rehearse.director.troubles.network import Network
@@ -33,6 +42,7 @@
         self.edits = Edits(stage, self.lists)
         self.voters = Voters(stage, self.gateways)
         self.network = Network(stage)
+        self.change = Change(stage, self.lists, self.processes, self.servers)
 
     def trouble(self, group: Group, trouble: Trouble) -> Coro[None]:
         stage = self.stage
@@ -46,6 +56,8 @@
             yield from self.voters.bring(group, trouble, lasts)
         elif trouble.kind in NETWORK_TROUBLES:
             yield from self.network.bring(trouble, lasts)
+        elif trouble.kind in VOCABULARY_TROUBLES:
+            yield from self.change.bring(group, trouble, lasts)
         elif trouble.kind in TRAFFIC_TROUBLES:
             stage.say(f"{trouble.kind} x{trouble.strength:g} for {trouble.for_s:g} s")  # the clients play it
         else:
--- a/stackpitch/rehearse/director/settings.py
+++ b/stackpitch/rehearse/director/settings.py
@@ -9,6 +9,7 @@
 
 def engine(stage: Stage, seat: Seat) -> dict[str, Any]:
     day, made = stage.day, seat.made_of
+    spoken = stage.vocabularies
     return {
         "name": seat.name, "port": seat.port, "control_port": seat.control, "seed": day.seed,
         "records": str(stage.folder / f"{seat.name}.jsonl"), "role": made.role, "cell": seat.cell,
@@ -17,6 +18,7 @@
         "fall_multiple": day.module.fall_multiple, "fall_ms": day.rules.fall_ms,
         **{name: getattr(made, name) for name in ("slots", "queue", "kept_tok", "chunk", "step_ms", "per_seq_ms",
                                                   "read_per_s", "near_per_s", "far_per_s")},
+        **({"vocabulary": spoken.digests[seat.vocabulary], "tokenizer": spoken.files[seat.vocabulary]} if spoken else {}),
     }
 
 
@@ -51,9 +53,12 @@
 
 
 def clients(stage: Stage) -> dict[str, Any]:
-    day = stage.day
+    day, spoken = stage.day, stage.vocabularies
+    speaking = {} if spoken is None else {"speaking": {
+        "files": spoken.files, "default": "old", "products": dict.fromkeys(spoken.set.new_products, "new"),
+        "share": spoken.set.share, "named": spoken.set.named, "lost": spoken.set.lost}}
     return {
-        "records": str(stage.folder / "clients.jsonl"), "seed": day.seed, "start": stage.start,
+        **speaking, "records": str(stage.folder / "clients.jsonl"), "seed": day.seed, "start": stage.start,
         "length_s": day.length_s, "gateways": {one.name: (HOST, one.port) for one in stage.posts.values()},
         "products": [
             {"name": name, "effect": one.effect, "scope": one.scope, "slo_ms": one.slo_ms,
--- a/stackpitch/rehearse/director/stage.py
+++ b/stackpitch/rehearse/director/stage.py
@@ -8,12 +8,16 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from stackpitch.loop import Time, World
 from stackpitch.rehearse.day import Day, Trouble
 from stackpitch.rehearse.director.places import HOST, TRAP, Net, Post, Seat
 from stackpitch.rehearse.records import Recorder
 
+if TYPE_CHECKING:  # the library is for days with vocabularies alone
+    from stackpitch.rehearse.director.vocabularies import Vocabularies
+
 FIRST_PORT, LAST_PORT = 18000, 31000
 
 
@@ -28,6 +32,7 @@
         self.posts: dict[str, Post] = {}
         self.trap: Seat | None = None
         self.net: Net | None = None  # where gateways have duties
+        self.vocabularies: Vocabularies | None = None  # where the day has two
         self.editing = False  # lists are written by editors from now on
         self.stopping = False
         self.next_port = FIRST_PORT + os.getpid() * 211 % (LAST_PORT - FIRST_PORT)
@@ -57,6 +62,11 @@
         if any(one.kind == "edits" for one in self.day.troubles):
             kind = next(name for name, one in self.day.kinds.items() if one.role == "writer")
             self.trap = Seat(TRAP, kind, self.day.kinds[kind], 1, "", self.port(), self.port(), False)
+        if self.day.vocabulary is not None:
+            from stackpitch.rehearse.director import vocabularies
+
+            self.vocabularies = vocabularies.Vocabularies(self.day, self.world.chance("vocabularies"), self.folder)
+            self.vocabularies.lay_out()
         for number in range(self.day.gateways):
             self.posts[f"g{number}"] = Post(f"g{number}", number, self.port(), self.port(),
                                             votes=str(self.folder / f"g{number}.votes"))
--- /dev/null
+++ b/stackpitch/rehearse/director/vocabularies.py
@@ -0,0 +1,84 @@
+"""Two vocabularies and the sampling profiles of a day, made from its seed.
+
+Of the words that they are trained on some are common to both, in another order and number, so that most tokens are there
+twice under other ids. The first ids are special ones: the end of text is 1 in the old one and 0 in the new one, where 1 is
+ordinary text.
+"""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from tokenizers import Tokenizer, decoders, models, pre_tokenizers, trainers
+
+from stackpitch.duties.vocabulary.catalogue import digest_of
+from stackpitch.loop import Random
+from stackpitch.rehearse.clients.sessions import WORDS
+from stackpitch.rehearse.day import Day
+from stackpitch.rehearse.dayvocabulary import Which
+from stackpitch.rehearse.meaning import Meaning
+
+END = "</s>"
+SPECIALS: dict[Which, list[str]] = {"old": ["<pad>", END], "new": [END]}
+MOST_IDS = 2000
+BAN = -100.0
+
+
+def trained(words: list[str], specials: list[str]) -> bytes:
+    """A byte-level BPE, as a tokenizer.json; the same words give the same bytes."""
+    made = Tokenizer(models.BPE())
+    made.pre_tokenizer = pre_tokenizers.ByteLevel(add_prefix_space=False)
+    made.decoder = decoders.ByteLevel()
+    made.train_from_iterator([" ".join(words)], trainers.BpeTrainer(
+        vocab_size=MOST_IDS, special_tokens=specials, show_progress=False,
+        initial_alphabet=sorted(pre_tokenizers.ByteLevel.alphabet())))
+    return made.to_str().encode()
+
+
+class Vocabularies:
+    """Files in the day's folder. `digests`: as the fleet's list names them."""
+
+    def __init__(self, day: Day, random: Random, folder: Path) -> None:
+        told = day.vocabulary
+        assert told is not None
+        self.day, self.set, self.random, self.folder = day, told, random, folder
+        self.files: dict[Which, str] = {}
+        self.digests: dict[Which, str] = {}
+        self.listing, self.profiles = str(folder / "vocabularies.json"), str(folder / "profiles.json")
+        self.edits = 0  # of the profiles' file
+
+    def lay_out(self) -> None:
+        words = self.random.sample(WORDS, self.set.words)
+        common = round(self.set.words * self.set.common)
+        own = (self.set.words - common) // 2
+        for which, some in (("old", words[:common + own]), ("new", words[:common] + words[common + own:])):
+            repeated = [word for word in some for _ in range(self.random.randrange(2, 9))]
+            self.random.shuffle(repeated)
+            raw = trained(repeated, SPECIALS[which])  # type: ignore[index]
+            path = self.folder / f"{which}.tokenizer.json"
+            path.write_bytes(raw)
+            self.files[which] = str(path)  # type: ignore[index]
+            self.digests[which] = digest_of(raw, path.name, (END,))  # type: ignore[index]
+        samples = [" ".join(self.random.choices(words, k=40)) for _ in range(8)]
+        Path(self.listing).write_bytes(msgspec.json.encode({
+            "vocabularies": {which: {"file": path, "end": [END]} for which, path in self.files.items()}, "samples": samples}))
+        self.write_profiles()
+
+    def write_profiles(self) -> None:
+        """With every call another version with other parameters: an operator's edit."""
+        self.edits += 1
+        own = Meaning(self.files["old"])
+        profiles: dict[str, Any] = {}
+        for number in range(self.set.profiles):
+            whose = ({"product": self.random.choice(list(self.day.products))} if number % 2 or not self.day.customers
+                     else {"customer": self.random.choice(list(self.day.customers))})
+            some = self.random.sample(range(260, own.size), 6)
+            parameters = self.random.choice((
+                {"logit_bias": {str(one): BAN for one in some[:2]}}, {"stop_token_ids": [1, some[0]]},
+                {"allowed_token_ids": some}, {"bad_words_ids": [[some[0]], [some[1], some[2]]]}, {"temperature": 0.7}))
+            profiles[f"p{number}"] = whose | {"vocabulary": "old", "parameters": parameters}
+        text = msgspec.json.encode({"version": self.edits, "vocabulary": "old",
+                                    "products": dict.fromkeys(self.set.new_products, "new"), "profiles": profiles})
+        beside = Path(self.profiles + ".new")
+        beside.write_bytes(text)
+        beside.replace(self.profiles)
