--- a/stackpitch/rehearse/broken/__init__.py
+++ b/stackpitch/rehearse/broken/__init__.py
@@ -11,4 +11,4 @@
     "answered": gateways.answered, "effects": gateways.effects, "drains": gateways.drains, "cold": gateways.cold,
     "pinned": gateways.pinned, "fenceless": owners.fenceless, "leaseless": owners.leaseless,
     "forgetful": owners.forgetful, "hasty": owners.hasty, "ownerless": owners.ownerless,
-    "babel": vocabulary.babel, "across": vocabulary.across}
+    "babel": vocabulary.babel, "across": vocabulary.across, "willful": vocabulary.willful}
--- a/stackpitch/rehearse/broken/vocabulary.py
+++ b/stackpitch/rehearse/broken/vocabulary.py
@@ -1,5 +1,11 @@
 """Breaks of what keeps vocabularies apart."""
 
+import msgspec
+
+from stackpitch.duties.vocabulary.change import Change, Machine
+from stackpitch.duties.vocabulary.judging import Outcome
+from stackpitch.duties.vocabulary.owning import Owning
+from stackpitch.duties.vocabulary.verdicts.judge import Verdicts
 from stackpitch.gateway.ask import OpenAsk
 from stackpitch.gateway.engines import EngineLeg
 from stackpitch.gateway.tongues import Tongues
@@ -39,3 +45,25 @@
             known[source.server] = own
 
     Tongues.may, EngineLeg._request = anywhere, fetching  # type: ignore[method-assign]
+
+
+def willful() -> None:
+    """Each owner judges for itself what was judged before, and tells what it found as if nothing had been."""
+    replaced = msgspec.structs.replace
+
+    def mine_alone(self: Owning, change: Change) -> bool:
+        return self.verdicts is not None and self.verdicts[0] == change.digests and change.word != "announced"
+
+    def judged(self: Owning, machine: Machine, change: Change, outcome: Outcome) -> None:
+        assert outcome.summary is not None, outcome.problem
+        found = msgspec.json.decode(outcome.verdicts, type=Verdicts)
+        found = replaced(found, runs=found.runs[self.work.ground.number + 1:])
+        summary = replaced(outcome.summary, digest=found.digest())
+        if change.word == "announced":
+            machine.record = replaced(machine.record, history=())
+            machine.judged(found.digests, summary)
+        else:
+            machine.record = replaced(machine.record, change=replaced(change, summary=summary, version=change.version + 1))
+        self.verdicts = found.digests, found.encoded()
+
+    Owning._have, Owning._judged = mine_alone, judged  # type: ignore[method-assign]
--- a/stackpitch/rehearse/day.py
+++ b/stackpitch/rehearse/day.py
@@ -28,7 +28,7 @@
 GATEWAY_TROUBLES = ("gateway-kill", "gateway-roll", "gateway-term", "gateway-stop")
 VOTER_TROUBLES = ("voter-empty", "voter-older", "voter-twin")
 NETWORK_TROUBLES = ("net-cut", "net-one-way", "net-slow", "net-hold", "net-repeat", "net-reorder", "net-half-close")
-VOCABULARY_TROUBLES = ("vocabulary-roll", "vocabulary-profiles")
+VOCABULARY_TROUBLES = ("vocabulary-roll", "vocabulary-profiles", "vocabulary-word")
 TRAFFIC_TROUBLES = ("burst", "heavy-tail", "hot-text")
 
 
@@ -92,7 +92,7 @@
                   "garble", "tail", "slow-handshake", "slow-link", "fail-at-once", "gateway-kill", "gateway-roll",
                   "gateway-term", "gateway-stop", "edits", "voter-empty", "voter-older", "voter-twin", "net-cut",
                   "net-one-way", "net-slow", "net-hold", "net-repeat", "net-reorder", "net-half-close", "burst",
-                  "heavy-tail", "hot-text", "vocabulary-roll", "vocabulary-profiles"]
+                  "heavy-tail", "hot-text", "vocabulary-roll", "vocabulary-profiles", "vocabulary-word"]
     at_s: Seconds
     for_s: Seconds = 5.0
     part: Share = 0.1
@@ -104,6 +104,7 @@
     pairs: list[tuple[Name, Name]] = []  # paths: from, to
     share: Share = 1.0  # of the messages on those paths
     vocabulary: Which = "new"  # that engines change to
+    word: Literal["announce", "confirm", "call off"] = "announce"  # an operator's, on a change of vocabulary
 
 
 class Figures(Part):
--- a/stackpitch/rehearse/director/troubles/change.py
+++ b/stackpitch/rehearse/director/troubles/change.py
@@ -2,9 +2,13 @@
 
 import signal
 
+import msgspec
+
 from stackpitch.loop import SECOND, Coro, Group, Time
 from stackpitch.rehearse.day import Trouble
+from stackpitch.rehearse.director.calls import call
 from stackpitch.rehearse.director.lists import Lists
+from stackpitch.rehearse.director.places import HOST, Post
 from stackpitch.rehearse.director.processes import Processes
 from stackpitch.rehearse.director.stage import Stage
 from stackpitch.rehearse.director.troubles.servers import Servers
@@ -24,6 +28,36 @@
         elif trouble.kind == "vocabulary-profiles":
             made.write_profiles()
             self.stage.say(f"sampling profiles edited, version {made.edits}")
+        else:
+            yield from self.word(trouble, lasts)
+
+    def word(self, trouble: Trouble, lasts: Time) -> Coro[None]:
+        """An operator's word to any gateway, said again until the owner has taken it. Raises RuntimeError if that never
+        comes about."""
+        end, answer = self.stage.world.now() + max(lasts, 10 * SECOND), ""
+        while self.stage.world.now() < end:
+            for post in self.stage.posts.values():
+                answer = yield from self.said(post, trouble)
+                if answer == "yes":
+                    self.stage.say(f"{trouble.word}: taken")
+                    return
+            yield from self.stage.world.sleep(SECOND // 2)
+        raise RuntimeError(f"{trouble.word}: no gateway took it; the last said {answer[:300]!r}")
+
+    def said(self, post: Post, trouble: Trouble) -> Coro[str]:
+        """What came of it at one gateway: "yes", or why not. A confirmation names the verdict that stands there."""
+        admin = HOST, post.admin
+        target = f"/vocabulary/{trouble.word.replace(' ', '-')}?old=old&new=new"
+        if trouble.word == "confirm":
+            told = yield from call(self.stage.world, admin, "/vocabulary", b"", "GET")
+            change = msgspec.json.decode(b"".join(told.pieces)) if told is not None and told.status == 200 else None
+            if not change or change["word"] != "held":
+                return f"not held: {change['word'] if change else 'no change'}"
+            target = f"/fleet/confirm?digest={change['summary']['digest']}"
+        answer = yield from call(self.stage.world, admin, target, b"")
+        if answer is None:
+            return "no answer"
+        return "yes" if answer.status == 200 else b"".join(answer.pieces).decode()
 
     def roll(self, group: Group, trouble: Trouble, lasts: Time) -> Coro[None]:
         """Listed as draining, drained, stopped, back with the other tokenizer and listed with it. `part` of those that are
--- a/stackpitch/rehearse/director/vocabularies.py
+++ b/stackpitch/rehearse/director/vocabularies.py
@@ -21,7 +21,7 @@
 END = "</s>"
 SPECIALS: dict[Which, list[str]] = {"old": ["<pad>", END], "new": [END]}
 MOST_IDS = 2000
-BAN = -100.0
+END_ID, WORDS_FROM = 1, 258  # in the old one: bytes and special tokens are below
 
 
 def trained(words: list[str], specials: list[str]) -> bytes:
@@ -65,18 +65,29 @@
         self.write_profiles()
 
     def write_profiles(self) -> None:
-        """With every call another version with other parameters: an operator's edit."""
+        """With every call another version with other parameters: an operator's edit. The first one's keep their meaning but
+        for bans of little revenue; later ones lose most of the revenue's, so that their change is held."""
         self.edits += 1
-        own = Meaning(self.files["old"])
+        own, new = Meaning(self.files["old"]), Meaning(self.files["new"])
+        known = frozenset(new.text([number]) for number in range(new.size))
+        words = range(WORDS_FROM, own.size)
+        kept = [number for number in words if own.text([number]) in known]
+        lost = [number for number in words if number not in kept]
         profiles: dict[str, Any] = {}
         for number in range(self.set.profiles):
             whose = ({"product": self.random.choice(list(self.day.products))} if number % 2 or not self.day.customers
                      else {"customer": self.random.choice(list(self.day.customers))})
-            some = self.random.sample(range(260, own.size), 6)
+            some = self.random.sample(kept, 6)
             parameters = self.random.choice((
-                {"logit_bias": {str(one): BAN for one in some[:2]}}, {"stop_token_ids": [1, some[0]]},
-                {"allowed_token_ids": some}, {"bad_words_ids": [[some[0]], [some[1], some[2]]]}, {"temperature": 0.7}))
-            profiles[f"p{number}"] = whose | {"vocabulary": "old", "parameters": parameters}
+                {"logit_bias": {str(one): 3.0 for one in some[:2]}}, {"stop_token_ids": [END_ID, some[0]]},
+                {"allowed_token_ids": [END_ID, *some]}, {"temperature": 0.7, "top_p": 0.9}))
+            profiles[f"p{number}"] = whose | {"vocabulary": "old", "revenue": 10, "parameters": parameters}
+        ban = {"bad_words_ids": [[self.random.choice(kept)], [self.random.choice(kept), self.random.choice(lost)]]}
+        profiles["ban"] = {"product": next(iter(self.day.products)), "vocabulary": "old", "parameters": ban}
+        if self.edits > 1:
+            mask = {"allowed_token_ids": self.random.sample(lost, min(3, len(lost)))}
+            profiles["lost"] = {"product": next(iter(self.day.products)), "vocabulary": "old", "revenue": 1000,
+                                "parameters": mask}
         text = msgspec.json.encode({"version": self.edits, "vocabulary": "old",
                                     "products": dict.fromkeys(self.set.new_products, "new"), "profiles": profiles})
         beside = Path(self.profiles + ".new")
--- a/stackpitch/rehearse/judging/agreed.py
+++ b/stackpitch/rehearse/judging/agreed.py
@@ -1,8 +1,8 @@
 """V3: no two gateways act by different verdicts of the same digests.
 
-A verdict shows in what is made of token ids. The same ids of a field, written for the same vocabulary, go to engines of the
-same other vocabulary as the same ids, whichever gateway sends them; the profiles' digest stands in the key, as verdicts
-differ by it. Digests that are taken by call (kind `verdict`) must have one content as well.
+A verdict shows in what is made of token ids: the same ids of a field, written for the same vocabulary, go to engines of the
+same other vocabulary as the same ids, whichever gateway sends them. And in calls of kind `change`: the same digests come with
+the same digest of a verdict.
 """
 
 from collections.abc import Iterable
@@ -13,6 +13,8 @@
 from stackpitch.rehearse.records import Record
 from stackpitch.rehearse.rules import Breach
 
+TAKEN = ("yes", "pages")  # what a gateway answers that goes by it from now on, or once its pages are there
+
 
 def differing(records: Iterable[Record], rule: int) -> list[Breach]:
     found: list[Breach] = []
@@ -31,9 +33,9 @@
                                         [f"{at['at'] / 10:.1f} ms: {at['gateway']} to {at['who']}" for at in (before, one)]))
         elif one["what"] == "call" and "verdict" in one:
             calls[one["call"]] = one
-        elif one["what"] == "answered" and one.get("word") == "yes" and one["call"] in calls:
+        elif one["what"] == "answered" and one.get("word") in TAKEN and one["call"] in calls:
             call = calls[one["call"]]
-            digests, content = tuple(call["verdict"]["digests"]), call["verdict"]["content"]
+            digests, content = tuple(call["digests"]), call["verdict"]
             known = taken.setdefault(digests, (content, call))
             if known[0] != content:
                 found.append(Breach(rule, "vocabulary", f"g{call['to']} took verdict {content}, g{known[1]['to']} took "
--- a/stackpitch/rehearse/network/sight.py
+++ b/stackpitch/rehearse/network/sight.py
@@ -13,6 +13,32 @@
     ticks: int  # what the owner will count, in tenths of a millisecond
 
 
+class _Summary(msgspec.Struct):
+    digest: str
+
+
+class _Change(msgspec.Struct):
+    old: str
+    new: str
+    profiles: str
+    word: str
+    summary: _Summary | None = None
+
+
+class _Tell(msgspec.Struct):
+    change: _Change
+
+
+def of_change(body: bytes) -> dict[str, Any]:
+    """What a change of vocabulary is about, and the digest of the verdict on it once there is one."""
+    try:
+        change = msgspec.json.decode(body, type=_Tell).change
+    except msgspec.DecodeError:
+        return {}
+    about = {"change": change.word, "digests": [change.old, change.new, change.profiles]}
+    return about | ({"verdict": change.summary.digest} if change.summary is not None else {})
+
+
 def of_call(path: str, body: bytes) -> dict[str, Any]:
     """Empty for anything but a duty's call; `unread` for one that is malformed."""
     if path != PATH:
@@ -28,6 +54,8 @@
             found["ticks"] = msgspec.json.decode(call.body, type=_Lease).ticks
         except msgspec.DecodeError:
             pass  # its receiver will say so
+    elif call.duty == "vocabulary" and call.kind == "change":
+        found |= of_change(call.body)
     return found
 
 
--- a/tests/days/vocabulary.jsonnet
+++ b/tests/days/vocabulary.jsonnet
@@ -1,6 +1,6 @@
 // Short days with a change of vocabulary for the tests; `play` names one.
 local lib = import '../../days/lib.libsonnet';
-local small = lib.day('vocabulary', 12, 3, 1, 2, 8) + {
+local small = lib.day('vocabulary', 15, 3, 1, 2, 8) + {
   products+: { consulta+: { time_limit_ms: 6000 } },
   rules: { answer_slack_ms: 400 },
   notice_s: 0.3,
@@ -9,10 +9,14 @@
   duties: { fleet: 'hall', voters: [0, 1, 2], names: ['vocabulary'], lease_ms: 1000, call_ms: 200, announce_ms: 500 },
   vocabulary: { new_products: ['aviso'], share: 0.6 },
   troubles: [
-    { kind: 'net-cut', at_s: 1, for_s: 5, names: ['g2'] },
-    { kind: 'vocabulary-roll', at_s: 2, for_s: 3, part: 0.5 },
-    { kind: 'vocabulary-roll', at_s: 6, for_s: 2, part: 1, vocabulary: 'old' },
-    { kind: 'vocabulary-roll', at_s: 8.5, for_s: 3, part: 1 },
+    { kind: 'vocabulary-word', at_s: 0.2, word: 'announce' },
+    { kind: 'vocabulary-roll', at_s: 1.5, for_s: 1.5, part: 0.5 },
+    { kind: 'vocabulary-word', at_s: 4, word: 'call off' },
+    { kind: 'vocabulary-roll', at_s: 4.2, for_s: 1.5, part: 1, vocabulary: 'old' },
+    { kind: 'net-cut', at_s: 6, for_s: 4, names: ['g2'] },
+    { kind: 'vocabulary-word', at_s: 6.2, word: 'announce' },
+    { kind: 'vocabulary-roll', at_s: 7.5, for_s: 5, part: 1 },
+    { kind: 'gateway-kill', at_s: 9, for_s: 0.5, names: ['owner.vocabulary'] },
   ],
 };
-{ good: small, babel: small, across: small }[std.extVar('play')]
+{ good: small, babel: small, across: small, willful: small }[std.extVar('play')]
--- a/tests/test_vocabulary_days.py
+++ b/tests/test_vocabulary_days.py
@@ -26,7 +26,7 @@
     if who == "verdict":
         word = rest[2].replace("_", " ") if len(rest) > 2 else "yes"
         return [{"at": at, "who": "network", "what": "call", "call": at, "to": int(what),
-                 "verdict": {"content": rest[0], "digests": rest[1].split(",")}},
+                 "verdict": rest[0], "digests": rest[1].split(",")},
                 {"at": at, "who": "network", "what": "answered", "call": at, "copy": 0, "word": word}]
     return [{"at": at, "who": who, "what": what, "vocabulary": rest[0], "state": rest[1], "key": "s", "leg": 0,
              "gateway": "g0"}]
