--- a/benchmarks/vocabulary.py
+++ b/benchmarks/vocabulary.py
@@ -7,15 +7,21 @@
 import random
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
+import msgspec
 from rich.console import Console
 from rich.table import Table
 
+from stackpitch.duties.calls import Stamp
 from stackpitch.duties.vocabulary import catalogue
+from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Seen, Told, asked
 from stackpitch.duties.vocabulary.catalogue.form import LETTERS
+from stackpitch.duties.vocabulary.change import Change, Summary
 from stackpitch.duties.vocabulary.profiles import Profiles
-from stackpitch.duties.vocabulary.verdicts import Judge, Pair, measured
+from stackpitch.duties.vocabulary.verdicts import Judge, Pair, Verdicts, measured
+from stackpitch.duties.vocabulary.verdicts.pair import Run
 
 SIZE, COMMON, PROFILES = 128_000, 100_000, 1_000
 
@@ -54,18 +60,20 @@
         "model": {"type": "BPE", "vocab": numbers, "merges": merges}}).encode()
 
 
-def profiles() -> Profiles:
-    """50 biased ids each, 10 of them bans, 10 banned words of 1 to 3 tokens, a stop; a fifth with 500 allowed ids."""
+def profiles(exact: list[int], words: list[int]) -> Profiles:
+    """50 biased ids each, 10 of them bans, 10 banned words of 1 to 3 tokens, a stop; a fifth with 500 allowed ids. Half of
+    them hold ids at random, the others `exact` ones, and bans of `words` that no new token holds."""
     chance, found = random.Random(3), {}
     for number in range(PROFILES):
-        ids = [chance.randrange(1, SIZE) for _ in range(60)]
+        known, banned = (exact, words) if number % 2 else (range(1, SIZE), range(1, SIZE))
+        ids = chance.sample(banned, 10) + chance.sample(known, 40)
         given: dict[str, Any] = {
             "logit_bias": {str(one): -100.0 if place < 10 else 1.5 for place, one in enumerate(ids[:50])},
             "stop_token_ids": [0],
-            "bad_words_ids": [[chance.randrange(1, SIZE) for _ in range(1 + place % 3)] for place in range(10)],
+            "bad_words_ids": [chance.sample(banned, 1 + place % 3) for place in range(10)],
             "stop": ["\n\n"], "top_k": 40, "top_p": 0.9, "min_tokens": 5, "max_tokens": 800}
         if number % 5 == 0:
-            given["allowed_token_ids"] = [chance.randrange(SIZE) for _ in range(500)]
+            given["allowed_token_ids"] = [0, *chance.sample(known, 500)]
         found[f"p{number}"] = {"product": "chat", "parameters": given}
     return Profiles.model_validate({"vocabulary": "old", "profiles": found})
 
@@ -76,7 +84,7 @@
     return found, time.perf_counter() - begun
 
 
-def judging() -> Any:
+def judging() -> Verdicts:
     old, new = written(2), written(4)
     table = Table(title=f"{PROFILES:,} profiles over {SIZE:,} tokens", title_justify="left")
     for column in ("step", "seconds"):
@@ -90,7 +98,9 @@
     texts = [before.text(tuple(range(at, at + 300))).decode("utf-8", "replace") for at in range(1000, 60_000, 1000)]
     ratio, seconds = timed(lambda: measured(before, after, texts))
     table.add_row(f"ratio over {ratio.old} tokens", f"{seconds:.2f}")
-    judge = Judge(pair, ratio, profiles(), {"old": before.digest})
+    exact = [number for number, there in enumerate(pair.table) if there >= 0 and number]
+    words = [one for one in exact if len(before.pieces[one] or b"") > 8 and not pair.fresh.holding(before.text((one,)).strip())]
+    judge = Judge(pair, ratio, profiles(exact, words[:2000]), {"old": before.digest})
     found, longest = [], 0.0
     steps, begun = judge.steps(), time.perf_counter()
     while (one := timed(lambda: next(steps, None)))[0] is not None:
@@ -105,8 +115,37 @@
     return verdicts
 
 
+def acting(verdicts: Verdicts) -> None:
+    """What comes on top of a generation; best of five."""
+    digests = verdicts.digests
+    known = Known()
+    change = Change(1, "mixed", digests.old, digests.new, digests.profiles, Summary(verdicts.digest(), PROFILES, 0, 0.0))
+    assert known.take(Told(Stamp(1), change, verdicts))
+    one = Acting(known)
+    one.seen = Seen({digests.old: "old", digests.new: "new"}, digests.profiles)
+    one.listed((digests.old, digests.new))
+    plain = {name: msgspec.Raw(b'"x"') for name in ("model", "messages", "stream", "max_tokens", "temperature", "user")}
+    if not verdicts.runs:  # too many to go with these verdicts: as many as may
+        verdicts = msgspec.structs.replace(verdicts, runs=tuple(Run(10 * number, 9, number) for number in range(8_000)))
+    some = plain | {"stop_token_ids": msgspec.Raw(json.dumps([run.begin for run in verdicts.runs[:3]]).encode())}
+    bias = plain | {"logit_bias": msgspec.Raw(json.dumps({str(run.begin): 1.5 for run in verdicts.runs[:50]}).encode())}
+    good = next((found.name for found in verdicts.profiles if not found.lost), None)
+    table = Table(title="One generation, microseconds (best of five)", title_justify="left")
+    for column in ("generation", "microseconds"):
+        table.add_column(column, justify="right")
+    for name, fields, profile in (("without token ids", plain, None), ("3 stop ids", some, None), ("50 biased ids", bias, None),
+                                  ("3 stop ids and a profile", some, good)):
+        call = partial(lambda fields, profile: one.decide(Asked(asked(fields), digests.old, profile)), fields, profile)
+        table.add_row(name, f"{best(call):.2f}")
+    Console(width=110).print(table)
+
+
+def best(call: Callable[[], Any], rounds: int = 20_000) -> float:
+    return min(timed(lambda: [call() for _ in range(rounds)])[1] for _ in range(5)) / rounds * 1e6
+
+
 def main() -> None:
-    judging()
+    acting(judging())
 
 
 if __name__ == "__main__":
--- a/stackpitch/duties/vocabulary/acting/decide.py
+++ b/stackpitch/duties/vocabulary/acting/decide.py
@@ -1,6 +1,6 @@
 """One generation, before any leg: untouched, narrowed to some vocabularies with parameters for each, or refused."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable
 
 import msgspec
 
@@ -8,6 +8,7 @@
 from stackpitch.duties.vocabulary.acting.known import Known, Seen
 from stackpitch.duties.vocabulary.acting.translating import translated
 from stackpitch.duties.vocabulary.errors import MeaningLost, VocabularyUnstated
+from stackpitch.duties.vocabulary.parameters import IDS
 from stackpitch.duties.vocabulary.verdicts.judge import Verdicts
 from stackpitch.duties.vocabulary.verdicts.words import FieldVerdict, Finding
 
@@ -17,25 +18,26 @@
 
     fields: dict[str, dict[str, object]]
 
-    def __contains__(self, vocabulary: str | None) -> bool:
-        return vocabulary is not None and vocabulary in self.fields
+    def spoken(self) -> dict[str, dict[str, msgspec.Raw]]:
+        """As a leg's request takes them."""
+        return {vocabulary: {name: msgspec.Raw(msgspec.json.encode(value)) for name, value in fields.items()}
+                for vocabulary, fields in self.fields.items()}
 
 
 class Acting:
-    """`servers`: vocabulary by name of server, of those listed; None where the list does not say."""
+    """`kinds`: digests of the vocabularies that listed servers have, "" among them if the list does not say for some."""
 
     def __init__(self, known: Known) -> None:
         self.known, self.seen = known, Seen()
-        self.servers: dict[str, str | None] = {}
-        self.kinds: frozenset[str | None] = frozenset()
+        self.kinds: frozenset[str] = frozenset()
 
-    def listed(self, servers: Mapping[str, str | None]) -> None:
-        self.servers = dict(servers)
-        self.kinds = frozenset(self.servers.values())
+    def listed(self, vocabularies: Iterable[str]) -> None:
+        """With each list that comes into force: what its servers have."""
+        self.kinds = frozenset(vocabularies)
 
     def decide(self, one: Asked) -> Narrowed | None:
         """None: untouched. Raises MeaningLost, VocabularyUnstated, both answered 400."""
-        if not one.ids or self.kinds <= {None}:
+        if not one.ids or self.kinds <= {""}:
             return None  # no ids, or no server says what it has
         own = one.vocabulary
         if own is None:
@@ -56,17 +58,20 @@
         return Narrowed(fields)
 
     def _carried(self, verdicts: Verdicts, one: Asked) -> tuple[dict[str, object], tuple[str, Finding] | None]:
-        """Fields for the new vocabulary, or the first field that has lost its meaning. A profile stands or falls whole."""
+        """Fields for the new vocabulary, or the first field that has lost its meaning. A profile stands or falls whole, as it
+        was judged; where the request has ids of its own in place of the profile's, all are taken for the request's."""
         found: dict[str, object] = {}
+        judged = frozenset[str]()
         profile = self.known.profiles.get(one.profile or "")
-        if one.profile is not None and profile is not None:
+        if profile is not None and all(field.field in one.filled for field in profile.fields if field.field in IDS):
             for field in profile.fields:
-                if field.lost and field.findings:
+                if field.lost and field.findings and field.field in one.filled:
                     return {}, (field.field, field.findings[0])
-            found |= {field.field: field.translated for field in profile.fields if _matters(field)}
+            judged = one.filled
+            found |= {field.field: field.translated for field in profile.fields if _matters(field) and field.field in judged}
         names = self.seen.name(verdicts.digests.old), self.seen.name(verdicts.digests.new)
         for name, value in one.ids.items():
-            if name not in found:
+            if name not in judged:
                 found[name], wrong = translated(verdicts, name, value, names)
                 if wrong is not None:
                     return {}, (name, wrong)
--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -3,6 +3,7 @@
 import json
 import random
 from pathlib import Path
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -11,11 +12,11 @@
 
 from stackpitch.duties.calls import Stamp, raw
 from stackpitch.duties.vocabulary import catalogue, errors
-from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Seen, Told, asked, decide, narrowing
+from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Seen, Told, Written, asked, decide
 from stackpitch.duties.vocabulary.carrying import pages
 from stackpitch.duties.vocabulary.catalogue.form import LETTERS
 from stackpitch.duties.vocabulary.change import Change, Machine, Summary, read, written
-from stackpitch.duties.vocabulary.judging import Files, InChild, InSteps, Task
+from stackpitch.duties.vocabulary.judging import Files, InChild, InSteps, Looked, Task
 from stackpitch.duties.vocabulary.owning import Asking
 from stackpitch.duties.vocabulary.parameters import Parameters
 from stackpitch.duties.vocabulary.profiles import Profiles, read_profiles
@@ -23,9 +24,11 @@
 from stackpitch.duties.vocabulary.verdicts.judge import Digests
 from stackpitch.duties.vocabulary.verdicts.pair import Run
 from stackpitch.duties.vocabulary.work import VocabularyWork
+from stackpitch.gateway.ask import OpenAsk
+from stackpitch.gateway.tongues import Tongues
 from stackpitch.loop import SECOND, RealWorld
 from stackpitch.loop.virtual import VirtualWorld
-from stackpitch.preferences import RuledBrain
+from stackpitch.preferences import Preferences, RuledBrain
 
 LETTER = {byte: letter for letter, byte in LETTERS.items()}
 
@@ -170,7 +173,7 @@
     def line(self, text):
         what, *words = text.split()
         if what == "servers":
-            self.acting.listed({name: kind or None for name, _, kind in (one.partition("=") for one in words)})
+            self.acting.listed(one.partition("=")[2] for one in words)
         elif what == "see":
             self.acting.seen = Seen({"A": "a", "B": "b"}, words[0])
         elif what == "told":
@@ -184,8 +187,9 @@
             named = dict(one.split("=", 1) for one in words[1:])
             profile = named.pop("profile", None)
             try:
-                ids = asked({name: msgspec.Raw(value.encode()) for name, value in named.items()})
-                found = self.acting.decide(Asked(ids, None if words[0] == "-" else words[0], profile))
+                ids = asked({name: msgspec.Raw(value.encode()) for name, value in named.items() if name != "own"})
+                filled = frozenset({"good": ("bad_words_ids", "min_tokens"), "bad": ("stop_token_ids",)}.get(profile, ())) - {named.get("own")}
+                found = self.acting.decide(Asked(ids, None if words[0] == "-" else words[0], profile, filled))
                 self.answer = "untouched" if found is None else " ".join(
                     f"{kind} {msgspec.json.encode(fields, order='deterministic').decode()}" for kind, fields in found.fields.items())
             except errors.VocabularyError as wrong:
@@ -205,32 +209,37 @@
 
 
 class Narrowed(Play):
-    """A play with the real module: `vocab r1=A w1=B` says who has which vocabulary, `gen ... ids=A,B` where its ids may go."""
+    """A play with the real module: `vocab r1=A w1=B` says who has which vocabulary, `gen ... ids=A,B` where its ids may go.
+    A server that has another one than before is another server, as the gateway's roster has it."""
 
     def __init__(self):
         super().__init__()
-        self.narrowing = narrowing.Narrowing()
+        self.roster, self.asks = SimpleNamespace(vocabularies={}, servers=self.servers, applied=0), {}
 
     @property
     def brain(self):
         if self.made is None:
-            self.made = RuledBrain(self, 7, narrowing.with_rules(self.narrowing, ()), **self.arguments)
+            self.made = RuledBrain(self, 7, Preferences(also=Tongues(self.roster, self).may), **self.arguments)
             self.made.begin(self.now)
             self.made.roster(self.now, list(self.servers.values()), True)
         return self.made
 
-    def do_vocab(self, **given): narrowing.forget(self.brain, self.narrowing.listed(self.servers.values(), given))
+    def do_vocab(self, **given):
+        self.roster.applied += 1
+        for name, kind in given.items():
+            before = self.servers[name]
+            if self.roster.vocabularies.get(before, kind) != kind:
+                self.do_list(name, "gone")
+                self.do_server(name)
+            self.roster.vocabularies[self.servers[name]] = kind
 
     def do_gen(self, name, product, ids=None, **given):
-        self.narrowing.chosen = Choose(decide.Narrowed({one: {} for one in ids.split(",")}) if ids else None)
+        self.asks[name] = OpenAsk(None, None, "", {}, name, False)
+        self.asks[name].spoken = decide.Narrowed({one: {} for one in ids.split(",")}).spoken() if ids else None
         super().do_gen(name, product, **given)
 
-
-class Choose(dict):
-    """What the next generation is narrowed to: it has no name before the module hears of it."""
-
-    def __init__(self, narrowed): self.narrowed = narrowed
-    def get(self, gen): return self.narrowed
+    def get(self, gen):
+        return self.asks[gen.name]
 
 
 SCENES = {"verdicts": Judging, "change": Changing, "acting": Gate, "narrowing": Narrowed}
@@ -544,6 +553,71 @@
     assert len(world.run(day()).record) < 2000
 
 
+def test_what_a_request_is_written_for_and_what_its_profile_gives():
+    parameters = {"p1": {"stop_token_ids": [4], "top_k": 5, "max_tokens_bounds": {"least": 1, "most": 9}}}
+    written = Written(Looked(vocabularies={"one": "A", "two": "B"}, written_for={"p1": "two"}, customers={"c": "one"}, parameters=parameters))
+
+    def read(customer="c", **fields):
+        body = {name: msgspec.Raw(json.dumps(value).encode()) for name, value in fields.items()}
+        found = written.read(body, customer, "p")
+        return found.vocabulary, sorted(found.filled), {name: json.loads(bytes(value)) for name, value in body.items()}
+    assert read(model="x") == (None, [], {"model": "x"})
+    assert read(stop_token_ids=[1])[0] == "A" and read(stop_token_ids=[1], token_vocabulary="two") == ("B", [], {"stop_token_ids": [1]})
+    assert read("other", stop_token_ids=[1])[0] is None
+    assert read(sampling_profile="p1", top_k=9) == ("B", ["max_tokens_bounds", "stop_token_ids"], {"top_k": 9, "stop_token_ids": [4]})
+    assert read(sampling_profile="p1", stop_token_ids=[1])[0] == "A"
+    for wrong in ({"sampling_profile": "p2"}, {"token_vocabulary": "three", "stop_token_ids": [1]}, {"sampling_profile": 7}):
+        with pytest.raises(errors.VocabularyUnknown):
+            read(**wrong)
+
+
+class Slow(InSteps):
+    """Judging that takes two seconds after the files were read."""
+
+    def judge(self, task):
+        found = yield from super().judge(task)
+        yield from self.world.sleep(2 * SECOND)
+        return found
+
+
+def test_a_profile_edited_and_a_change_called_off_while_it_is_judged(tmp_path):
+    laid(tmp_path)
+    world = VirtualWorld(1)
+
+    def day():
+        fleet, acted = Fleet(world, tmp_path, way=Slow), set()
+
+        def watch():
+            while True:
+                for one in fleet.works:
+                    if (verdicts := one.known.acting(one.acting.seen)) is not None:
+                        acted.add(verdicts.digests.profiles)
+                yield from world.sleep(100)
+
+        def body(group):
+            for one in fleet.works:
+                group.spawn(one.serve(), "serve")
+            group.spawn(watch(), "watch")
+            group.spawn(fleet.tenure(0), "own")
+            yield from world.sleep(SECOND)
+            first = fleet.works[0].looked.profiles
+            assert (yield from fleet.works[2].ask(Asking("announce", "old", "new"))).yes
+            yield from world.sleep(SECOND)
+            laid(tmp_path, version=1)
+            yield from world.sleep(7 * SECOND)
+            second = fleet.works[0].looked.profiles
+            assert fleet.words() == [("allowed", True)] * 3 and acted == {second} != {first} and fleet.asked_judge == 2
+            laid(tmp_path, version=2)
+            yield from world.sleep(2 * SECOND)
+            assert (yield from fleet.works[2].ask(Asking("call off"))).yes, "not held up by the judging that goes on"
+            yield from world.sleep(5 * SECOND)
+            assert fleet.words() == [("called off", False)] * 3 and acted == {second}
+            group.cancel()
+        yield from world.group(body)
+
+    world.run(day())
+
+
 def test_judging_in_a_process_of_its_own_says_the_same(tmp_path):
     laid(tmp_path)
     files = Files(str(tmp_path / "vocabularies.json"), str(tmp_path / "profiles.json"))
