--- a/tests/test_weights_sites.py
+++ b/tests/test_weights_sites.py
@@ -125,6 +125,30 @@
     played(tmp_path, tree(m=model(DATA, ["s0"])), {"/m": DATA}, script)
 
 
+def test_a_gateway_that_takes_over_looks_at_what_the_one_before_has_done_on_their_disk(tmp_path):
+    """It has known the version since before anything of it was fetched."""
+    wanted = tree(m=model(DATA, ["s0"]))
+    stage, manifest = Stage(tmp_path, wanted, {"/m": DATA}), wanted["models"]["m"]["manifest"]
+    stage.nodes[1].disk = stage.nodes[0].disk
+    place = forms.Place("m", "1", len(DATA), manifest["piece"], manifest["whole"], tuple(manifest["pieces"]))
+
+    def script(stage):
+        tenure = stage.own(3)
+        answer = yield from stage.nodes[1].work.heard(3, "place", tenure.stamp, raw(place))
+        assert answer.yes
+        yield from stage.until(lambda: stage.nodes[0].engines.told)
+        yield from stage.world.sleep(6 * SECOND)
+        before = len(stage.origin.served)
+        assert stage.nodes[1].work.receiver.report().have[0].pieces == ""
+        stage.nodes[0].child.signal(9)
+        stage.nodes[0].work = None
+        yield from stage.until(lambda: stage.nodes[1].engines.told, 60 * SECOND)
+        assert len(stage.origin.served) == before and stage.nodes[1].work.receiver.report().have[0].placed
+        assert stage.nodes[1].disk.names("weights/m/partial") == []
+
+    stage.run(script)
+
+
 def test_the_origins_file_changes_under_the_same_name(tmp_path):
     """Its pieces are thrown away, and after two of them a neighbour is asked, though that is further away."""
     def script(stage):
@@ -252,12 +276,12 @@
         yield from stage.until(lambda: stage.nodes[0].engines.told)
         assert stage.placed(0, "m") == DATA
         release = raw(forms.Release("m", "1", 99))
-        answer = yield from stage.nodes[0].work.heard(1, "release", Stamp(1, 1), release)
+        answer = yield from stage.nodes[0].work.heard(1, "service", Stamp(1, 1), release)
         assert answer.word == "older" and answer.stamp.term == 2
         stage.nodes[0].kill()
         stage.nodes[0].start()
         yield from stage.world.sleep(SECOND)
-        answer = yield from stage.nodes[0].work.heard(1, "release", Stamp(1, 1), release)
+        answer = yield from stage.nodes[0].work.heard(1, "service", Stamp(1, 1), release)
         assert answer.word == "older", "also after a restart"
         within(stage.origin.served, RATE)
 
@@ -286,7 +310,7 @@
     def script(stage):
         work = stage.nodes[0].work
         for kind, body in [("place", {"model": "../x"}), ("place", {"model": "m", "version": ".."}), ("grant", 7),
-                           ("begin", {}), ("release", {"model": "m", "version": "a/b"}), ("report", [])]:
+                           ("begin", {}), ("service", {"model": "m", "version": "a/b"}), ("report", [])]:
             if kind == "report":
                 stage.own(0)
                 yield from stage.until(lambda: work.owner is not None)
