--- a/stackpitch/rehearse/clients/settings.py
+++ b/stackpitch/rehearse/clients/settings.py
@@ -1,5 +1,7 @@
 """What the stand-in clients are told at their start."""
 
+from typing import Any
+
 import msgspec
 
 
@@ -37,6 +39,8 @@
     share: float  # of generations
     named: float  # that name a vocabulary, any of them
     lost: float  # with ids whose text is no token of another vocabulary
+    profiled: float  # that name a sampling profile instead
+    profiles: dict[str, dict[str, Any]]  # those that nobody edits: their fields that hold token ids, of the vocabulary `old`
 
 
 class ClientSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
--- a/stackpitch/rehearse/clients/speech.py
+++ b/stackpitch/rehearse/clients/speech.py
@@ -7,7 +7,7 @@
 from stackpitch.rehearse.clients.turn import Turn
 from stackpitch.rehearse.meaning import FIELDS, Meaning
 
-HEADER = "x-vocabulary"  # a client's word on what its ids are written for
+VOCABULARY, PROFILE = "token_vocabulary", "sampling_profile"  # of a body: what its ids are written for, what fills them in
 BYTES = 258  # ids under it are single bytes and special tokens: nobody bans those by hand, but for the end of text
 
 
@@ -30,14 +30,21 @@
         """Gives a turn's body token ids, or none."""
         if random.random() >= self.set.share:
             return
+        if self.set.profiles and random.random() < self.set.profiled:
+            name = random.choice(list(self.set.profiles))
+            turn.fields = {PROFILE: name, "x_meant": self.meant("old", self.set.profiles[name], name)}
+            return
         default = self.set.products.get(turn.product.name, self.set.default)
-        written = default
+        written, stated = default, dict[str, Any]()
         if random.random() < self.set.named:
             written = random.choice(list(self.meanings))
-            turn.headers.append((HEADER, written))
+            stated[VOCABULARY] = written
         loses = random.random() < self.set.lost and self.lost[written]
         fields = self.fields(random, written, random.sample(FIELDS, random.choice((1, 1, 2))), bool(loses))
-        turn.fields = fields | {"x_meant": {"written": written, "asked": fields, "meant": self.meanings[written].said(fields)}}
+        turn.fields = stated | fields | {"x_meant": self.meant(written, fields)}
+
+    def meant(self, written: str, fields: dict[str, Any], profile: str = "") -> dict[str, Any]:
+        return {"written": written, "asked": fields, "meant": self.meanings[written].said(fields), "profile": profile}
 
     def fields(self, random: Random, written: str, names: list[str], loses: bool) -> dict[str, Any]:
         def some(count: int) -> list[int]:
--- a/stackpitch/rehearse/dayvocabulary.py
+++ b/stackpitch/rehearse/dayvocabulary.py
@@ -21,5 +21,6 @@
     limit: Share = 0.5  # of revenue that may lose its meaning before a change is held
     # Of generations:
     share: Share = 0.4  # say token ids
+    profiled: Share = 0.2  # name a sampling profile instead of saying any
     named: Share = 0.2  # say which of the two they are written for
     lost: Share = 0.1  # say an id whose text is no token of the other one
--- a/stackpitch/rehearse/director/settings.py
+++ b/stackpitch/rehearse/director/settings.py
@@ -47,6 +47,10 @@
     }
     if stage.net is not None:
         found["duties"] = day.duties.model_dump() | {"file": post.votes}
+        if stage.vocabularies is not None:
+            found["duties"]["vocabulary"] = {"vocabularies": stage.vocabularies.listing,
+                                             "profiles": stage.vocabularies.profiles,
+                                             "most_share": stage.vocabularies.set.limit}
         if weights is not None:
             found["duties"]["weights"] = {"wanted": str(stage.folder / WANTED),
                                           "folder": str(stage.folder / site_folder(module["zone"]))}
@@ -73,7 +77,8 @@
     day, spoken = stage.day, stage.vocabularies
     speaking = {} if spoken is None else {"speaking": {
         "files": spoken.files, "default": "old", "products": dict.fromkeys(spoken.set.new_products, "new"),
-        "share": spoken.set.share, "named": spoken.set.named, "lost": spoken.set.lost}}
+        "share": spoken.set.share, "named": spoken.set.named, "lost": spoken.set.lost, "profiled": spoken.set.profiled,
+        "profiles": spoken.lasting}}
     return {
         **speaking, "records": str(stage.folder / "clients.jsonl"), "seed": day.seed, "start": stage.start,
         "length_s": day.length_s, "gateways": {one.name: (HOST, one.port) for one in stage.posts.values()},
--- a/stackpitch/rehearse/director/vocabularies.py
+++ b/stackpitch/rehearse/director/vocabularies.py
@@ -16,7 +16,7 @@
 from stackpitch.rehearse.clients.sessions import WORDS
 from stackpitch.rehearse.day import Day
 from stackpitch.rehearse.dayvocabulary import Which
-from stackpitch.rehearse.meaning import Meaning
+from stackpitch.rehearse.meaning import FIELDS, Meaning
 
 END = "</s>"
 SPECIALS: dict[Which, list[str]] = {"old": ["<pad>", END], "new": [END]}
@@ -46,6 +46,8 @@
         self.digests: dict[Which, str] = {}
         self.listing, self.profiles = str(folder / "vocabularies.json"), str(folder / "profiles.json")
         self.edits = 0  # of the profiles' file
+        self.made: dict[str, Any] = {}  # profiles that no edit changes
+        self.lost: list[int] = []  # ids of the old one whose text is no token of the new one
 
     def lay_out(self) -> None:
         words = self.random.sample(WORDS, self.set.words)
@@ -65,31 +67,41 @@
         self.write_profiles()
 
     def write_profiles(self) -> None:
-        """With every call another version with other parameters: an operator's edit. The first one's keep their meaning but
-        for bans of little revenue; later ones lose most of the revenue's, so that their change is held."""
+        """With every call another version: an operator's edit. The first one's profiles keep their meaning but for a ban of
+        little revenue; later ones have one more, with most of the revenue, that loses its own, so that their change is held."""
         self.edits += 1
+        if self.edits == 1:
+            self.lay_out_profiles()
+        profiles = self.made
+        if self.edits > 1:
+            mask = {"allowed_token_ids": self.random.sample(self.lost, min(3, len(self.lost)))}
+            profiles = profiles | {"lost": {"product": next(iter(self.day.products)), "vocabulary": "old", "revenue": 1000,
+                                            "parameters": mask}}
+        text = msgspec.json.encode({"version": self.edits, "vocabulary": "old",
+                                    "products": dict.fromkeys(self.set.new_products, "new"), "profiles": profiles})
+        beside = Path(self.profiles + ".new")
+        beside.write_bytes(text)
+        beside.replace(self.profiles)
+
+    def lay_out_profiles(self) -> None:
         own, new = Meaning(self.files["old"]), Meaning(self.files["new"])
         known = frozenset(new.text([number]) for number in range(new.size))
-        words = range(WORDS_FROM, own.size)
-        kept = [number for number in words if own.text([number]) in known]
-        lost = [number for number in words if number not in kept]
-        profiles: dict[str, Any] = {}
+        kept = [number for number in range(WORDS_FROM, own.size) if own.text([number]) in known]
+        self.lost = [number for number in range(WORDS_FROM, own.size) if number not in kept]
         for number in range(self.set.profiles):
             whose = ({"product": self.random.choice(list(self.day.products))} if number % 2 or not self.day.customers
                      else {"customer": self.random.choice(list(self.day.customers))})
             some = self.random.sample(kept, 6)
-            parameters = self.random.choice((
+            parameters: dict[str, Any] = self.random.choice((
                 {"logit_bias": {str(one): 3.0 for one in some[:2]}}, {"stop_token_ids": [END_ID, some[0]]},
                 {"allowed_token_ids": [END_ID, *some]}, {"temperature": 0.7, "top_p": 0.9}))
-            profiles[f"p{number}"] = whose | {"vocabulary": "old", "revenue": 10, "parameters": parameters}
-        ban = {"bad_words_ids": [[self.random.choice(kept)], [self.random.choice(kept), self.random.choice(lost)]]}
-        profiles["ban"] = {"product": next(iter(self.day.products)), "vocabulary": "old", "parameters": ban}
-        if self.edits > 1:
-            mask = {"allowed_token_ids": self.random.sample(lost, min(3, len(lost)))}
-            profiles["lost"] = {"product": next(iter(self.day.products)), "vocabulary": "old", "revenue": 1000,
-                                "parameters": mask}
-        text = msgspec.json.encode({"version": self.edits, "vocabulary": "old",
-                                    "products": dict.fromkeys(self.set.new_products, "new"), "profiles": profiles})
-        beside = Path(self.profiles + ".new")
-        beside.write_bytes(text)
-        beside.replace(self.profiles)
+            self.made[f"p{number}"] = whose | {"vocabulary": "old", "revenue": 10, "parameters": parameters}
+        ban = {"bad_words_ids": [[self.random.choice(kept)], [self.random.choice(kept), self.random.choice(self.lost)]]}
+        self.made["ban"] = {"product": next(iter(self.day.products)), "vocabulary": "old", "parameters": ban}
+
+    @property
+    def lasting(self) -> dict[str, dict[str, Any]]:
+        """Of profiles that no edit changes: the fields with token ids."""
+        found = {name: {field: value for field, value in one["parameters"].items() if field in FIELDS}
+                 for name, one in self.made.items()}
+        return {name: one for name, one in found.items() if one}
--- a/stackpitch/rehearse/judging/agreed.py
+++ b/stackpitch/rehearse/judging/agreed.py
@@ -25,7 +25,7 @@
         if one["what"] == "spoke" and not one["refused"]:
             for field, asked in sorted(one["asked"].items()):
                 sent = one["ids"].get(field)
-                key = one["written"], one["vocabulary"], field, msgspec.json.encode(asked)
+                key = one["profile"], one["written"], one["vocabulary"], field, msgspec.json.encode(asked)
                 before = first.setdefault(key, one)
                 if before["ids"].get(field) != sent and before["gateway"] != one["gateway"]:
                     found.append(Breach(rule, one["key"], f"{one['gateway']} makes {sent} of {field} {asked}, "
--- a/tests/days/vocabulary.jsonnet
+++ b/tests/days/vocabulary.jsonnet
@@ -1,6 +1,6 @@
 // Short days with a change of vocabulary for the tests; `play` names one.
 local lib = import '../../days/lib.libsonnet';
-local small = lib.day('vocabulary', 15, 3, 1, 2, 8) + {
+local small = lib.day('vocabulary', 13, 3, 1, 2, 9) + {
   products+: { consulta+: { time_limit_ms: 6000 } },
   rules: { answer_slack_ms: 400 },
   notice_s: 0.3,
--- a/tests/test_vocabulary_days.py
+++ b/tests/test_vocabulary_days.py
@@ -20,7 +20,8 @@
     if leg := LEG.fullmatch(line):
         gateway, engine, known, field, written, asked, sent, meant, said, refused, unguarded = leg.groups()
         return [{"at": at, "who": engine, "what": "spoke", "key": f"s{at}", "leg": 0, "gateway": gateway, "vocabulary": known,
-                 "refused": bool(refused), "guarded": not unguarded, "written": written, "asked": by_field(field, asked, int),
+                 "refused": bool(refused), "guarded": not unguarded, "profile": "",
+                 "written": written, "asked": by_field(field, asked, int),
                  "ids": by_field(field, sent, int), "meant": by_field(field, meant, str), "said": by_field(field, said, str)}]
     who, what, *rest = line.split()
     if who == "verdict":
