--- a/stackpitch/rehearse/day.py
+++ b/stackpitch/rehearse/day.py
@@ -4,6 +4,7 @@
 
 from pydantic import Field
 
+from stackpitch.rehearse.dayvocabulary import Vocabularies, Which
 from stackpitch.rehearse.dayweights import Weights
 from stackpitch.settings.model import (
     Customer,
@@ -28,6 +29,7 @@
 GATEWAY_TROUBLES = ("gateway-kill", "gateway-roll", "gateway-term", "gateway-stop")
 VOTER_TROUBLES = ("voter-empty", "voter-older", "voter-twin")
 NETWORK_TROUBLES = ("net-cut", "net-one-way", "net-slow", "net-hold", "net-repeat", "net-reorder", "net-half-close")
+VOCABULARY_TROUBLES = ("vocabulary-roll", "vocabulary-profiles", "vocabulary-word")
 WEIGHTS_TROUBLES = ("origin-corrupt", "origin-slow", "origin-refuse", "disk-full")
 TRAFFIC_TROUBLES = ("burst", "heavy-tail", "hot-text")
 
@@ -94,7 +96,8 @@
                   "garble", "tail", "slow-handshake", "slow-link", "fail-at-once", "gateway-kill", "gateway-roll",
                   "gateway-term", "gateway-stop", "edits", "voter-empty", "voter-older", "voter-twin", "net-cut",
                   "net-one-way", "net-slow", "net-hold", "net-repeat", "net-reorder", "net-half-close", "origin-corrupt",
-                  "origin-slow", "origin-refuse", "disk-full", "burst", "heavy-tail", "hot-text"]
+                  "origin-slow", "origin-refuse", "disk-full", "burst", "heavy-tail", "hot-text",
+                  "vocabulary-roll", "vocabulary-profiles", "vocabulary-word"]
     at_s: Seconds
     for_s: Seconds = 5.0
     part: Share = 0.1
@@ -105,6 +108,8 @@
     way: Literal["both", "in", "out"] = "both"
     pairs: list[Annotated[list[Name], Field(min_length=2, max_length=2)]] = []  # paths: from, to
     share: Share = 1.0  # of the messages on those paths
+    vocabulary: Which = "new"  # that engines change to
+    word: Literal["announce", "confirm", "call off"] = "announce"  # an operator's, on a change of vocabulary
 
 
 class Figures(Part):
@@ -132,6 +137,7 @@
     membership: Membership = Membership(watch=False, step_share=1.0, persist_ms=0)
     load: Load = Load()
     duties: Duties = Duties()  # `file` is the director's; calls between gateways then pass through a stand-in network
+    vocabulary: Vocabularies | None = None
     weights: Weights | None = None  # with `weights` among the duties' names: the director makes the files and the origin
     reports: bool = True
     products: dict[Name, Product] = Field(min_length=1)
