--- a/stackpitch/rehearse/director/play.py
+++ b/stackpitch/rehearse/director/play.py
@@ -11,6 +11,7 @@
     GATEWAY_TROUBLES,
     NETWORK_TROUBLES,
     TRAFFIC_TROUBLES,
+    VOCABULARY_TROUBLES,
     VOTER_TROUBLES,
     WEIGHTS_TROUBLES,
     Day,
@@ -22,6 +23,7 @@
 from stackpitch.rehearse.director.outcome import Outcome, judge, modes
 from stackpitch.rehearse.director.processes import Processes
 from stackpitch.rehearse.director.stage import Stage
+from stackpitch.rehearse.director.troubles.change import Change
 from stackpitch.rehearse.director.troubles.edits import Edits
 from stackpitch.rehearse.director.troubles.gateways import Gateways
 from stackpitch.rehearse.director.troubles.network import Network
@@ -44,6 +46,7 @@
         self.edits = Edits(stage, self.lists)
         self.voters = Voters(stage, self.gateways)
         self.network = Network(stage)
+        self.change = Change(stage, self.lists, self.processes, self.servers)
         self.weights = Weights(stage)
         self.supply = Supply(stage)
 
@@ -59,6 +62,8 @@
             yield from self.voters.bring(group, trouble, lasts)
         elif trouble.kind in NETWORK_TROUBLES:
             yield from self.network.bring(trouble, lasts)
+        elif trouble.kind in VOCABULARY_TROUBLES:
+            yield from self.change.bring(group, trouble, lasts)
         elif trouble.kind in WEIGHTS_TROUBLES:
             yield from self.supply.bring(trouble, lasts)
         elif trouble.kind in TRAFFIC_TROUBLES:
