--- a/tests/days/weights.jsonnet
+++ b/tests/days/weights.jsonnet
@@ -20,6 +20,11 @@
 };
 {
   good: short {
+    // Room for both sites at once: whichever is heard first, the one whose pieces are spoilt fetches from the beginning.
+    weights+: {
+      links: { uplink: { bytes_per_s: 600000, sites: ['north', 'south'] } },
+      edits: [{ at_s: 5, link: 'uplink', bytes_per_s: 300000 }],
+    },
     troubles: [
       { kind: 'gateway-stop', at_s: 1, for_s: 0.4, names: ['owner.weights'] },
       { kind: 'origin-corrupt', at_s: 0, for_s: 1.5, names: ['g0', 'g1'], strength: 0.6 },
