--- a/Makefile
+++ b/Makefile
@@ -25,4 +25,9 @@
 	.venv/bin/python -m benchmarks.membership
 	.venv/bin/python -m benchmarks.duties
 
-.PHONY: demo test measure
+# Every order of events for three voters and two candidates; minutes.
+explore: .venv/ready
+	.venv/bin/python -m stackpitch.rehearse.exploring --restarts 0 --acts 0
+	.venv/bin/python -m stackpitch.rehearse.exploring --restarts 1 --acts 0
+
+.PHONY: demo explore measure test
