--- a/tests/test_exploring.py
+++ b/tests/test_exploring.py
@@ -11,7 +11,8 @@
 
 
 @pytest.mark.parametrize("bug,said,size", [
-    ("hasty", "hold a lease at one time", Size(voters=1)), ("late lease", "hold a lease at one time", Size(voters=1, restarts=0)),
+    ("hasty", "hold a lease at one time", Size(voters=1)),
+    ("late lease", "hold a lease at one time", Size(voters=1, restarts=0)),
     ("disturbs", "hold a lease at one time", Size(voters=1, acts=0, restarts=0)),
     ("no fence", "was taken after", Size(voters=1, acts=0, restarts=0)),
     ("late writes", "was lost", Size(voters=1, restarts=0))])
