--- a/stackpitch/duties/vocabulary/owning.py
+++ b/stackpitch/duties/vocabulary/owning.py
@@ -188,7 +188,7 @@
 
     def _failed(self, problem: str, remedy: str) -> None:
         self.not_before, self.failed_on = self.world.now() + AGAIN, self.work.looked
-        self.work.log(f"vocabulary: {problem}; {remedy}")
+        self.work.log(self.work.name, why=problem, remedy=remedy)
 
     # What others are told.
 
--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from functools import partial
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -10,7 +11,8 @@
 from play import Play, scenarios
 from tokenizers import Tokenizer, decoders, models, pre_tokenizers, trainers
 
-from stackpitch.duties.calls import Stamp, raw
+from stackpitch.duties.calls import FORM, Call, Stamp, raw
+from stackpitch.duties.carrier import Duties, Figures
 from stackpitch.duties.vocabulary import catalogue, errors
 from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Seen, Told, Written, asked, decide
 from stackpitch.duties.vocabulary.carrying import pages
@@ -443,7 +445,7 @@
         self.works = [self.made(number, way) for number in range(count)]
 
     def made(self, number, way=InSteps):
-        work = VocabularyWork(self.world, Side(self, number), self.files, way(self.world), lambda: self.servers, self.logs.append, 0.4, SECOND)
+        work = VocabularyWork(self.world, Side(self, number), self.files, way(self.world), lambda: self.servers, lambda word, **fields: self.logs.append(str(fields)), 0.4, SECOND)
         judge = work.way.judge
 
         def counted(task):
@@ -583,6 +585,69 @@
             read(**wrong)
 
 
+class Carried(Fleet):
+    """The same over the carrier of duties, three voters with files of the made-up world; calls arrive after half a millisecond."""
+
+    def __init__(self, world, folder):
+        logs = SimpleNamespace(**{word: lambda *_, **__: None for word in ("debug", "info", "warning", "error", "exception")})
+        addresses = tuple(("127.0.0.1", one + 1) for one in range(3))
+        self.duties = [Duties(world, logs, Figures("hall", one, addresses, (0, 1, 2), ("vocabulary",), f"votes{one}", 0, 10_000, 0.01,
+                                                   2_000, 5_000, 64)) for one in range(3)]
+        super().__init__(world, folder)
+        for number, one in enumerate(self.duties):
+            one.add(self.works[number])
+            one.posts.send = partial(self.send, number)
+
+    def made(self, number, way=InSteps):
+        return VocabularyWork(self.world, self.duties[number], self.files, way(self.world), lambda: {}, lambda word, **fields: None, 0.4, SECOND)
+
+    def send(self, sender, number, duty, kind, stamp=NOBODY, body=None, look=lambda: True):
+        if not look():
+            return None
+        yield from self.world.sleep(5)
+        if sender != number and {sender, number} & self.cut:
+            return None
+        body = body if isinstance(body, msgspec.Raw) else raw(body)
+        return (yield from self.duties[number].desk.heard(Call(FORM, "hall", sender, number, duty, kind, stamp, body)))
+
+    def owners(self):
+        return [number for number, one in enumerate(self.works) if one.owning is not None]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_over_the_carrier_an_owner_cut_off_is_followed_by_one_that_knows_the_change(seed, tmp_path):
+    laid(tmp_path)
+    world = VirtualWorld(seed)
+
+    def day():
+        fleet = Carried(world, tmp_path)
+
+        def body(group):
+            for one in fleet.duties:
+                group.spawn(one.run(), "duties")
+            yield from world.sleep(5 * SECOND)
+            first, = fleet.owners()
+            asked = yield from fleet.works[first - 1].ask(Asking("announce", "old", "new"))
+            assert asked.yes, asked
+            yield from world.sleep(3 * SECOND)
+            assert fleet.words() == [("allowed", True)] * 3
+            fleet.cut.add(first)
+            yield from world.sleep(5 * SECOND)
+            second, = fleet.owners()
+            assert second != first
+            assert (yield from fleet.works[second].ask(Asking("call off"))).yes
+            yield from world.sleep(2 * SECOND)
+            assert [fleet.words()[one] for one in range(3) if one != first] == [("called off", False)] * 2
+            assert fleet.words()[first] == ("allowed", True), "it has not heard; ids go only where they are exact"
+            fleet.cut.clear()
+            yield from world.sleep(3 * SECOND)
+            assert fleet.words() == [("called off", False)] * 3 and fleet.owners() == [second]
+            group.cancel()
+        yield from world.group(body)
+
+    world.run(day())
+
+
 class Slow(InSteps):
     """Judging that takes two seconds after the files were read."""
 
