--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -435,57 +435,63 @@
     assert acted > 5000 and refused > 50
 
 
+NOBODY = Stamp()
+
+
 class Fleet:
-    """Gateways in one world, with a record that is kept and calls that are made at once; `cut` ones hear nothing."""
+    """Three gateways, all voters with files of the made-up world, over the carrier of duties; calls arrive after half a
+    millisecond, those of gateways in `cut` never."""
 
-    def __init__(self, world, folder, count=3, way=InSteps):
-        self.world, self.record, self.owner, self.cut, self.gateways, self.logs, self.term = world, b"", None, set(), count, [], 0
-        self.servers, self.asked_judge, self.tells = {}, 0, 0
+    def __init__(self, world, folder, way=InSteps):
+        say = SimpleNamespace(**{word: lambda *_, **__: None for word in ("debug", "info", "warning", "error", "exception")})
+        addresses = tuple(("127.0.0.1", one + 1) for one in range(3))
+        self.world, self.cut, self.logs, self.servers, self.judged, self.tells = world, set(), [], {}, 0, 0
         self.files = Files(str(folder / "vocabularies.json"), str(folder / "profiles.json"))
-        self.works = [self.made(number, way) for number in range(count)]
+        self.duties = [Duties(world, say, Figures("hall", one, addresses, (0, 1, 2), ("vocabulary",), f"votes{one}", 0, 10_000, 0.01,
+                                                  2_000, 5_000, 64)) for one in range(3)]
+        self.works = [self.made(number, way) for number in range(3)]
+        for number, one in enumerate(self.duties):
+            one.posts.send = partial(self.send, number)
 
     def made(self, number, way=InSteps):
-        work = VocabularyWork(self.world, Side(self, number), self.files, way(self.world), lambda: self.servers, lambda word, **fields: self.logs.append(str(fields)), 0.4, SECOND)
+        """A gateway's work that knows nothing."""
+        work = VocabularyWork(self.world, self.duties[number], self.files, way(self.world), lambda: self.servers,
+                              lambda word, **fields: self.logs.append(str(fields)), 0.4, SECOND)
         judge = work.way.judge
 
         def counted(task):
-            self.asked_judge += 1
+            self.judged += 1
             return judge(task)
         work.way.judge = counted
+        self.duties[number].add(work)
         return work
 
-    def tenure(self, number):
-        """Owns the duty until cancelled."""
-        self.owner, self.term = number, self.term + 1
-        return self.works[number].own(Side(self, number, Stamp(self.term)), self.record)
+    def send(self, sender, number, duty, kind, stamp=NOBODY, body=None, look=lambda: True):
+        if not look():
+            return None
+        self.tells += kind in ("change", "page")
+        yield from self.world.sleep(5)
+        if sender != number and {sender, number} & self.cut:
+            return None
+        body = body if isinstance(body, msgspec.Raw) else raw(body)
+        return (yield from self.duties[number].desk.heard(Call(FORM, "hall", sender, number, duty, kind, stamp, body)))
+
+    def owner(self):
+        found, = (number for number, one in enumerate(self.works) if one.owning is not None)
+        return found
 
     def words(self):
         return [(one.known.told.change.word if one.known.told else "", one.known.acting(one.acting.seen) is not None) for one in self.works]
 
-
-NOBODY = Stamp()
-
-
-class Side:
-    def __init__(self, fleet, number, stamp=None):
-        self.fleet, self.number, self.gateways, self.stamp = fleet, number, fleet.gateways, stamp
-
-    def owner(self, duty): return self.fleet.owner
-    def holds(self): return True
-
-    def keep(self, value):
-        yield from self.fleet.world.sleep(20)
-        self.fleet.record = value
-
-    def tell(self, number, kind, body):
-        self.fleet.tells += 1
-        return (yield from self.ask(number, "vocabulary", kind, body, self.stamp))
-
-    def ask(self, number, duty, kind, body, stamp=NOBODY):
-        yield from self.fleet.world.sleep(5)
-        if number in self.fleet.cut:
-            return None
-        return (yield from self.fleet.works[number].heard(self.number, kind, stamp, raw(body)))
+    def play(self, day):
+        """`day(group)`, after there is an owner."""
+        def body(group):
+            for one in self.duties:
+                group.spawn(one.run(), "duties")
+            yield from self.world.sleep(5 * SECOND)
+            yield from day(group)
+            group.cancel()
+        self.world.run(self.world.group(body))
 
 
 def laid(folder, stop="</s>", version=0):
@@ -499,69 +505,84 @@
 
 
 def test_owner_and_gateways_through_a_whole_change(tmp_path, monkeypatch):
-    """Announced at a gateway that is not the owner, told in pages, one gateway cut off; the owner changes; a gateway starts
+    """Announced at a gateway that is not the owner, told in pages, one gateway cut off; the owner is cut off; a gateway starts
     anew; the profiles are edited, first to what is held; called off halfway."""
     monkeypatch.setattr(pages, "SIZE", 400)
     laid(tmp_path)
     world = VirtualWorld(1)
+    fleet = Fleet(world, tmp_path)
+
+    def day(group):
+        first = fleet.owner()
+        near, far = (first + 1) % 3, (first + 2) % 3
+        fleet.cut.add(far)
+        wrong = yield from fleet.works[near].ask(Asking("announce", "old", "odd"))
+        assert "found 'odd'; allowed: new, old" in wrong.word
+        assert (yield from fleet.works[near].ask(Asking("announce", "old", "new"))).yes
+        yield from world.sleep(3 * SECOND)
+        words = fleet.words()
+        assert [words[one] for one in (first, near, far)] == [("allowed", True), ("allowed", True), ("", False)] and fleet.judged == 1
+        assert fleet.works[near].known.profiles["ends"].field("stop_token_ids").translated == [1], "the end of text has moved from 0 to 1"
+        fleet.cut = {first}
+        fleet.servers = {fleet.works[near].looked.vocabularies[name]: 1 for name in ("old", "new")}
+        yield from world.sleep(6 * SECOND)
+        fleet.cut.clear()
+        yield from world.sleep(4 * SECOND)
+        assert fleet.owner() != first and fleet.words() == [("mixed", True)] * 3 and fleet.judged <= 2, "only by one that had no verdict"
+        told = fleet.tells
+        yield from world.sleep(10 * SECOND)
+        assert fleet.tells == told, "who knows it is not told again"
+        fleet.works[first] = fleet.made(first)
+        group.spawn(fleet.works[first].serve(), "serve")
+        yield from world.sleep(3 * SECOND)
+        assert fleet.words() == [("mixed", True)] * 3, "one that starts anew asks"
+        laid(tmp_path, stop="gone")
+        yield from world.sleep(4 * SECOND)
+        assert fleet.words() == [("mixed", True)] * 3, "one profile of six is under the limit"
+        laid(tmp_path, stop="gone", version=1)
+        (tmp_path / "profiles.json").write_text((tmp_path / "profiles.json").read_text().replace('"1": 0.', '"9": 0.'))
+        yield from world.sleep(4 * SECOND)
+        assert fleet.words() == [("held", False)] * 3
+        stands = fleet.works[0].known.told.change.summary.digest
+        assert "allowed: " + stands in (yield from fleet.works[0].ask(Asking("confirm", verdict="x"))).word
+        assert (yield from fleet.works[0].ask(Asking("confirm", verdict=stands))).yes
+        yield from world.sleep(2 * SECOND)
+        assert fleet.words() == [("mixed", True)] * 3
+        assert (yield from fleet.works[1].ask(Asking("call off", why="complaints"))).yes
+        yield from world.sleep(2 * SECOND)
+        assert fleet.words() == [("called off", False)] * 3
+        (tmp_path / "profiles.json").write_text("{")
+        yield from world.sleep(2 * SECOND)
+        assert any("the last good files hold" in line for line in fleet.logs)
+
+    fleet.play(day)
 
-    def day():
-        fleet = Fleet(world, tmp_path)
-
-        def body(group):
-            for one in fleet.works:
-                group.spawn(one.serve(), "serve")
-            yield from world.sleep(SECOND)
-            none = yield from fleet.works[1].ask(Asking("announce", "old", "new"))
-            assert "no gateway owns" in none.word
-            owner = group.spawn(fleet.tenure(0), "own")
-            fleet.cut.add(2)
-            yield from world.sleep(SECOND)
-            wrong = yield from fleet.works[1].ask(Asking("announce", "old", "odd"))
-            assert "found 'odd'; allowed: new, old" in wrong.word
-            assert (yield from fleet.works[1].ask(Asking("announce", "old", "new"))).yes
-            yield from world.sleep(3 * SECOND)
-            assert fleet.words() == [("allowed", True), ("allowed", True), ("", False)] and fleet.asked_judge == 1
-            translated = fleet.works[1].known.profiles["ends"].field("stop_token_ids").translated
-            assert translated == [1], "the end of text has moved from 0 to 1"
-            owner.cancel()
-            fleet.cut.clear()
-            fleet.works[1] = fleet.made(1)
-            group.spawn(fleet.works[1].serve(), "serve")
-            owner = group.spawn(fleet.tenure(2), "own")
-            fleet.servers = {fleet.works[2].looked.vocabularies[name]: 1 for name in ("old", "new")}
-            yield from world.sleep(3 * SECOND)
-            assert fleet.words() == [("mixed", True)] * 3 and fleet.asked_judge == 2, "judged once more, by one that had no verdict"
-            told = fleet.tells
-            yield from world.sleep(10 * SECOND)
-            assert fleet.tells == told, "who knows it is not told again"
-            fleet.works[1] = fleet.made(1)
-            group.spawn(fleet.works[1].serve(), "serve")
-            yield from world.sleep(3 * SECOND)
-            assert fleet.words() == [("mixed", True)] * 3, "one that starts anew asks"
-            laid(tmp_path, stop="gone")
-            yield from world.sleep(4 * SECOND)
-            assert fleet.words() == [("mixed", True)] * 3, "one profile of six is under the limit"
-            laid(tmp_path, stop="gone", version=1)
-            (tmp_path / "profiles.json").write_text((tmp_path / "profiles.json").read_text().replace('"1": 0.', '"9": 0.'))
-            yield from world.sleep(4 * SECOND)
-            assert fleet.words() == [("held", False)] * 3
-            stale = yield from fleet.works[0].ask(Asking("confirm", verdict="x"))
-            assert "allowed: " + fleet.works[0].known.told.change.summary.digest in stale.word
-            assert (yield from fleet.works[0].ask(Asking("confirm", verdict=fleet.works[0].known.told.change.summary.digest))).yes
-            yield from world.sleep(2 * SECOND)
-            assert fleet.words() == [("mixed", True)] * 3
-            assert (yield from fleet.works[1].ask(Asking("call off", why="complaints"))).yes
-            yield from world.sleep(2 * SECOND)
-            assert fleet.words() == [("called off", False)] * 3
-            (tmp_path / "profiles.json").write_text("{")
-            yield from world.sleep(2 * SECOND)
-            assert any("the last good files hold" in line for line in fleet.logs)
-            group.cancel()
-        yield from world.group(body)
-        return fleet
 
-    assert len(world.run(day()).record) < 2000
+@pytest.mark.parametrize("seed", range(4))
+def test_an_owner_cut_off_is_followed_by_one_that_knows_the_change(seed, tmp_path):
+    laid(tmp_path)
+    world = VirtualWorld(seed)
+    fleet = Fleet(world, tmp_path)
+
+    def day(group):
+        first = fleet.owner()
+        begun = world.now()
+        assert (yield from fleet.works[first - 1].ask(Asking("announce", "old", "new"))).yes
+        assert world.now() - begun < 400, "40 ms, for the call that carries it waits 200 ms"
+        yield from world.sleep(3 * SECOND)
+        assert fleet.words() == [("allowed", True)] * 3
+        fleet.cut.add(first)
+        yield from world.sleep(5 * SECOND)
+        second = fleet.owner()
+        assert second != first and (yield from fleet.works[second].ask(Asking("call off"))).yes
+        yield from world.sleep(2 * SECOND)
+        assert [fleet.words()[one] for one in range(3) if one != first] == [("called off", False)] * 2
+        assert fleet.words()[first] == ("allowed", True), "it has not heard; ids go only where they are exact"
+        fleet.cut.clear()
+        yield from world.sleep(3 * SECOND)
+        assert fleet.words() == [("called off", False)] * 3 and fleet.owner() == second
+
+    fleet.play(day)
 
 
 def test_what_a_request_is_written_for_and_what_its_profile_gives():
@@ -585,69 +606,6 @@
             read(**wrong)
 
 
-class Carried(Fleet):
-    """The same over the carrier of duties, three voters with files of the made-up world; calls arrive after half a millisecond."""
-
-    def __init__(self, world, folder):
-        logs = SimpleNamespace(**{word: lambda *_, **__: None for word in ("debug", "info", "warning", "error", "exception")})
-        addresses = tuple(("127.0.0.1", one + 1) for one in range(3))
-        self.duties = [Duties(world, logs, Figures("hall", one, addresses, (0, 1, 2), ("vocabulary",), f"votes{one}", 0, 10_000, 0.01,
-                                                   2_000, 5_000, 64)) for one in range(3)]
-        super().__init__(world, folder)
-        for number, one in enumerate(self.duties):
-            one.add(self.works[number])
-            one.posts.send = partial(self.send, number)
-
-    def made(self, number, way=InSteps):
-        return VocabularyWork(self.world, self.duties[number], self.files, way(self.world), lambda: {}, lambda word, **fields: None, 0.4, SECOND)
-
-    def send(self, sender, number, duty, kind, stamp=NOBODY, body=None, look=lambda: True):
-        if not look():
-            return None
-        yield from self.world.sleep(5)
-        if sender != number and {sender, number} & self.cut:
-            return None
-        body = body if isinstance(body, msgspec.Raw) else raw(body)
-        return (yield from self.duties[number].desk.heard(Call(FORM, "hall", sender, number, duty, kind, stamp, body)))
-
-    def owners(self):
-        return [number for number, one in enumerate(self.works) if one.owning is not None]
-
-
-@pytest.mark.parametrize("seed", range(4))
-def test_over_the_carrier_an_owner_cut_off_is_followed_by_one_that_knows_the_change(seed, tmp_path):
-    laid(tmp_path)
-    world = VirtualWorld(seed)
-
-    def day():
-        fleet = Carried(world, tmp_path)
-
-        def body(group):
-            for one in fleet.duties:
-                group.spawn(one.run(), "duties")
-            yield from world.sleep(5 * SECOND)
-            first, = fleet.owners()
-            asked = yield from fleet.works[first - 1].ask(Asking("announce", "old", "new"))
-            assert asked.yes, asked
-            yield from world.sleep(3 * SECOND)
-            assert fleet.words() == [("allowed", True)] * 3
-            fleet.cut.add(first)
-            yield from world.sleep(5 * SECOND)
-            second, = fleet.owners()
-            assert second != first
-            assert (yield from fleet.works[second].ask(Asking("call off"))).yes
-            yield from world.sleep(2 * SECOND)
-            assert [fleet.words()[one] for one in range(3) if one != first] == [("called off", False)] * 2
-            assert fleet.words()[first] == ("allowed", True), "it has not heard; ids go only where they are exact"
-            fleet.cut.clear()
-            yield from world.sleep(3 * SECOND)
-            assert fleet.words() == [("called off", False)] * 3 and fleet.owners() == [second]
-            group.cancel()
-        yield from world.group(body)
-
-    world.run(day())
-
-
 class Slow(InSteps):
     """Judging that takes two seconds after the files were read."""
 
@@ -659,40 +617,30 @@
 
 def test_a_profile_edited_and_a_change_called_off_while_it_is_judged(tmp_path):
     laid(tmp_path)
-    world = VirtualWorld(1)
-
-    def day():
-        fleet, acted = Fleet(world, tmp_path, way=Slow), set()
-
-        def watch():
-            while True:
-                for one in fleet.works:
-                    if (verdicts := one.known.acting(one.acting.seen)) is not None:
-                        acted.add(verdicts.digests.profiles)
-                yield from world.sleep(100)
-
-        def body(group):
-            for one in fleet.works:
-                group.spawn(one.serve(), "serve")
-            group.spawn(watch(), "watch")
-            group.spawn(fleet.tenure(0), "own")
-            yield from world.sleep(SECOND)
-            first = fleet.works[0].looked.profiles
-            assert (yield from fleet.works[2].ask(Asking("announce", "old", "new"))).yes
-            yield from world.sleep(SECOND)
-            laid(tmp_path, version=1)
-            yield from world.sleep(7 * SECOND)
-            second = fleet.works[0].looked.profiles
-            assert fleet.words() == [("allowed", True)] * 3 and acted == {second} != {first} and fleet.asked_judge == 2
-            laid(tmp_path, version=2)
-            yield from world.sleep(2 * SECOND)
-            assert (yield from fleet.works[2].ask(Asking("call off"))).yes, "not held up by the judging that goes on"
-            yield from world.sleep(5 * SECOND)
-            assert fleet.words() == [("called off", False)] * 3 and acted == {second}
-            group.cancel()
-        yield from world.group(body)
-
-    world.run(day())
+    world, acted = VirtualWorld(1), set()
+    fleet = Fleet(world, tmp_path, Slow)
+
+    def watch():
+        while True:
+            acted.update(verdicts.digests.profiles for one in fleet.works if (verdicts := one.known.acting(one.acting.seen)) is not None)
+            yield from world.sleep(100)
+
+    def day(group):
+        group.spawn(watch(), "watch")
+        first = fleet.works[0].looked.profiles
+        assert (yield from fleet.works[2].ask(Asking("announce", "old", "new"))).yes
+        yield from world.sleep(SECOND)
+        laid(tmp_path, version=1)
+        yield from world.sleep(7 * SECOND)
+        second = fleet.works[0].looked.profiles
+        assert fleet.words() == [("allowed", True)] * 3 and acted == {second} != {first} and fleet.judged == 2
+        laid(tmp_path, version=2)
+        yield from world.sleep(2 * SECOND)
+        assert (yield from fleet.works[2].ask(Asking("call off"))).yes, "not held up by the judging that goes on"
+        yield from world.sleep(5 * SECOND)
+        assert fleet.words() == [("called off", False)] * 3 and acted == {second}
+
+    fleet.play(day)
 
 
 def test_judging_in_a_process_of_its_own_says_the_same(tmp_path):
