--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -566,9 +566,11 @@
 
     def day(group):
         first = fleet.owner()
-        begun = world.now()
-        assert (yield from fleet.works[first - 1].ask(Asking("announce", "old", "new"))).yes
-        assert world.now() - begun < 400, "40 ms, for the call that carries it waits 200 ms"
+        for _ in range(7):
+            begun = world.now()
+            assert (yield from fleet.works[first - 1].ask(Asking("announce", "old", "new"))).yes
+            assert world.now() - begun < 400, "40 ms, for the call that carries it waits 200 ms"
+            yield from world.sleep(1300)
         yield from world.sleep(3 * SECOND)
         assert fleet.words() == [("allowed", True)] * 3
         fleet.cut.add(first)
