--- a/stackpitch/duties/weights/receiving/lanes.py
+++ b/stackpitch/duties/weights/receiving/lanes.py
@@ -31,6 +31,7 @@
     copy: Copy
     manifest: Manifest
     ready: bool = False
+    used: Time = 0  # until when grants for it ran, or since when it is ready
     trouble: errors.WeightsError | None = None  # that this version alone has, for good
     pieces: Pieces = field(init=False)
 
@@ -100,7 +101,7 @@
                 if source is None or source.address != held.grant.address:
                     if source is not None:
                         source.close()
-                    source = Source(self.world, lane.source, held.grant.address)
+                    source = Source(self.world, lane.source, held.grant.address, lane.gateway)
                 yield from self._use(held, source)
         finally:
             if source is not None:
--- a/stackpitch/rehearse/day.py
+++ b/stackpitch/rehearse/day.py
@@ -4,6 +4,8 @@
 
 from pydantic import Field
 
+from stackpitch.rehearse.dayvocabulary import Vocabularies, Which
+from stackpitch.rehearse.dayweights import Weights
 from stackpitch.settings.model import (
     Customer,
     Duties,
@@ -27,6 +29,8 @@
 GATEWAY_TROUBLES = ("gateway-kill", "gateway-roll", "gateway-term", "gateway-stop")
 VOTER_TROUBLES = ("voter-empty", "voter-older", "voter-twin")
 NETWORK_TROUBLES = ("net-cut", "net-one-way", "net-slow", "net-hold", "net-repeat", "net-reorder", "net-half-close")
+VOCABULARY_TROUBLES = ("vocabulary-roll", "vocabulary-profiles", "vocabulary-word")
+WEIGHTS_TROUBLES = ("origin-corrupt", "origin-slow", "origin-refuse", "disk-full")
 TRAFFIC_TROUBLES = ("burst", "heavy-tail", "hot-text")
 
 
@@ -82,15 +86,18 @@
 class Trouble(Part):
     """`part` of those it may strike, or `cell` alone, or `names`; `strength` is what the kind takes it for.
 
-    Among gateways' names, `owner` and `owner.DUTY` stand for the one that the network last saw act as owner. Troubles of the
-    network lie on the paths between those named and all others: both ways, or `way` seen from those named; or on `pairs`.
+    Among gateways' names, `owner` and `owner.DUTY` stand for the one that the network last saw act as owner, `receiver.SITE`
+    for the first of a site's gateways that runs. Those of the origin strike gateways, a full disk sites, by name.
+    Troubles of the network lie on the paths between those named and all others: both ways, or `way` seen from those named; or
+    on `pairs`.
     """
 
     kind: Literal["hang", "silent", "slow", "slow-by-turns", "vanish", "deploy", "drain", "lose-answer", "refuse", "cut",
                   "garble", "tail", "slow-handshake", "slow-link", "fail-at-once", "gateway-kill", "gateway-roll",
                   "gateway-term", "gateway-stop", "edits", "voter-empty", "voter-older", "voter-twin", "net-cut",
-                  "net-one-way", "net-slow", "net-hold", "net-repeat", "net-reorder", "net-half-close", "burst",
-                  "heavy-tail", "hot-text"]
+                  "net-one-way", "net-slow", "net-hold", "net-repeat", "net-reorder", "net-half-close", "origin-corrupt",
+                  "origin-slow", "origin-refuse", "disk-full", "burst", "heavy-tail", "hot-text",
+                  "vocabulary-roll", "vocabulary-profiles", "vocabulary-word"]
     at_s: Seconds
     for_s: Seconds = 5.0
     part: Share = 0.1
@@ -99,17 +106,21 @@
     names: list[Name] = []
     strength: Annotated[float, Field(ge=0)] = 1.0
     way: Literal["both", "in", "out"] = "both"
-    pairs: list[tuple[Name, Name]] = []  # paths: from, to
+    pairs: list[Annotated[list[Name], Field(min_length=2, max_length=2)]] = []  # paths: from, to
     share: Share = 1.0  # of the messages on those paths
+    vocabulary: Which = "new"  # that engines change to
+    word: Literal["announce", "confirm", "call off"] = "announce"  # an operator's, on a change of vocabulary
 
 
 class Figures(Part):
-    """The five rules in figures."""
+    """The rules in figures."""
 
     answer_slack_ms: Milliseconds = 60.0  # past the client's limit, for loopback and the client's own loop
     drain_grace_ms: Milliseconds = 1000.0
     release_ms: Milliseconds = 500.0
     fall_ms: Milliseconds = 1000.0
+    owner_ms: Milliseconds = 1000.0  # without an owner, beside a lease, while a majority of voters can talk
+    handover_ms: Milliseconds = 500.0  # the same after SIGTERM
 
 
 class Day(Part):
@@ -126,6 +137,8 @@
     membership: Membership = Membership(watch=False, step_share=1.0, persist_ms=0)
     load: Load = Load()
     duties: Duties = Duties()  # `file` is the director's; calls between gateways then pass through a stand-in network
+    vocabulary: Vocabularies | None = None
+    weights: Weights | None = None  # with `weights` among the duties' names: the director makes the files and the origin
     reports: bool = True
     products: dict[Name, Product] = Field(min_length=1)
     traffic: dict[Name, Traffic] = Field(min_length=1)
--- a/stackpitch/rehearse/director/outcome.py
+++ b/stackpitch/rehearse/director/outcome.py
@@ -52,6 +52,13 @@
     if day.duties.voters:
         names |= judging.NAMES
         breaches += judging.judge_owners(records, owner_figures(day), {f"g{number}": number for number in range(day.gateways)})
+    if day.vocabulary is not None:
+        names |= judging.vocabulary.NAMES
+        breaches += judging.judge_vocabulary(records)
+    if day.weights is not None:
+        names |= judging.weights.NAMES
+        told = judging.weights.WeightsFigures(int(day.weights.burst_ms * MS), int(day.weights.place_s * SECOND))
+        breaches += judging.weights.judge_weights(records, told, {f"g{number}": number for number in range(day.gateways)})
     ends: dict[str, int] = {}
     for one in records:
         if one["what"] == "end":
@@ -63,7 +70,8 @@
 
 def owner_figures(day: Day) -> judging.OwnerFigures:
     duties = day.duties
-    return judging.OwnerFigures(tuple(duties.voters), day.gateways, tuple(duties.names), int(duties.lease_ms * MS) + SECOND)
+    return judging.OwnerFigures(tuple(duties.voters), day.gateways, tuple(duties.names),
+                                int((duties.lease_ms + day.rules.owner_ms) * MS), int(day.rules.handover_ms * MS))
 
 
 def modes(folder: Path) -> dict[str, int]:
--- a/stackpitch/rehearse/director/settings.py
+++ b/stackpitch/rehearse/director/settings.py
@@ -3,12 +3,19 @@
 from typing import Any
 
 from stackpitch.rehearse.day import TRAFFIC_TROUBLES
-from stackpitch.rehearse.director.places import HOST, Net, Post, Seat
+from stackpitch.rehearse.director.places import HOST, Net, Post, Seat, Source
 from stackpitch.rehearse.director.stage import Stage
 
+WANTED = "wanted.json"
+
+
+def site_folder(site: str) -> str:
+    return f"site-{site}"
+
 
 def engine(stage: Stage, seat: Seat) -> dict[str, Any]:
     day, made = stage.day, seat.made_of
+    spoken = stage.vocabularies
     return {
         "name": seat.name, "port": seat.port, "control_port": seat.control, "seed": day.seed,
         "records": str(stage.folder / f"{seat.name}.jsonl"), "role": made.role, "cell": seat.cell,
@@ -17,6 +24,7 @@
         "fall_multiple": day.module.fall_multiple, "fall_ms": day.rules.fall_ms,
         **{name: getattr(made, name) for name in ("slots", "queue", "kept_tok", "chunk", "step_ms", "per_seq_ms",
                                                   "read_per_s", "near_per_s", "far_per_s")},
+        **({"vocabulary": spoken.digests[seat.vocabulary], "tokenizer": spoken.files[seat.vocabulary]} if spoken else {}),
     }
 
 
@@ -25,7 +33,10 @@
     kinds = {name: {"role": one.role, "memory_tok": one.memory_tok} for name, one in day.kinds.items()}
     module = day.module.model_dump() | {"gateways": day.gateways, "number": post.number,
                                         "zone": day.module.zone or day.fleet[0].zone}
-    found = {
+    weights = stage.day.weights
+    if weights is not None:
+        module["zone"] = next((name for name, one in weights.sites.items() if post.number in one.gateways), module["zone"])
+    found: dict[str, Any] = {
         "name": post.name, "seed": day.seed * 1000 + post.number, "roster": str(stage.folder / f"{post.name}.fleet"),
         "kept": str(stage.folder / f"{post.name}.kept"), "membership": day.membership.model_dump(),
         "door": {"port": post.port, "bytes_per_tok": day.bytes_per_tok},
@@ -36,6 +47,13 @@
     }
     if stage.net is not None:
         found["duties"] = day.duties.model_dump() | {"file": post.votes}
+        if stage.vocabularies is not None:
+            found["duties"]["vocabulary"] = {"vocabularies": stage.vocabularies.listing,
+                                             "profiles": stage.vocabularies.profiles,
+                                             "most_share": stage.vocabularies.set.limit}
+        if weights is not None:
+            found["duties"]["weights"] = {"wanted": str(stage.folder / WANTED),
+                                          "folder": str(stage.folder / site_folder(module["zone"]))}
         found["peers"] = {"admin": [f"{HOST}:{stage.net.links.get((post.number, one.number), one.admin)}"
                                     for one in stage.posts.values()]}
     return found
@@ -50,10 +68,19 @@
     }
 
 
+def origin(stage: Stage, place: Source) -> dict[str, Any]:
+    return {"port": place.port, "control_port": place.control, "records": str(stage.folder / "origin.jsonl"),
+            "seed": stage.day.seed, "files": place.files}
+
+
 def clients(stage: Stage) -> dict[str, Any]:
-    day = stage.day
+    day, spoken = stage.day, stage.vocabularies
+    speaking = {} if spoken is None else {"speaking": {
+        "files": spoken.files, "default": "old", "products": dict.fromkeys(spoken.set.new_products, "new"),
+        "share": spoken.set.share, "named": spoken.set.named, "lost": spoken.set.lost, "profiled": spoken.set.profiled,
+        "profiles": spoken.lasting}}
     return {
-        "records": str(stage.folder / "clients.jsonl"), "seed": day.seed, "start": stage.start,
+        **speaking, "records": str(stage.folder / "clients.jsonl"), "seed": day.seed, "start": stage.start,
         "length_s": day.length_s, "gateways": {one.name: (HOST, one.port) for one in stage.posts.values()},
         "products": [
             {"name": name, "effect": one.effect, "scope": one.scope, "slo_ms": one.slo_ms,
