Vocabulary: the list of servers goes to the decision by name again, as the gateway hands it

Cause: the signature had become a plain iterable, and the gateway's mapping was read as its names, so that ids without a stated vocabulary were refused and lost meaning never was.

--- a/benchmarks/vocabulary.py
+++ b/benchmarks/vocabulary.py
@@ -123,7 +123,7 @@
     assert known.take(Told(Stamp(1), change, verdicts))
     one = Acting(known)
     one.seen = Seen({digests.old: "old", digests.new: "new"}, digests.profiles)
-    one.listed((digests.old, digests.new))
+    one.listed({"w1": digests.old, "w2": digests.new})
     plain = {name: msgspec.Raw(b'"x"') for name in ("model", "messages", "stream", "max_tokens", "temperature", "user")}
     if not verdicts.runs:  # too many to go with these verdicts: as many as may
         verdicts = msgspec.structs.replace(verdicts, runs=tuple(Run(10 * number, 9, number) for number in range(8_000)))
--- a/stackpitch/duties/vocabulary/acting/decide.py
+++ b/stackpitch/duties/vocabulary/acting/decide.py
@@ -1,6 +1,6 @@
 """One generation, before any leg: untouched, narrowed to some vocabularies with parameters for each, or refused."""
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 import msgspec
 
@@ -33,9 +33,9 @@
         self.known, self.seen = known, Seen()
         self.kinds: frozenset[str] = frozenset()
 
-    def listed(self, vocabularies: Iterable[str]) -> None:
-        """With each list that comes into force: what its servers have."""
-        self.kinds = frozenset(vocabularies)
+    def listed(self, servers: Mapping[str, str | None]) -> None:
+        """With each list that comes into force: vocabulary by name of server, None or "" where it does not say."""
+        self.kinds = frozenset(one or "" for one in servers.values())
 
     def decide(self, one: Asked) -> Narrowed | None:
         """None: untouched. Raises MeaningLost, VocabularyUnstated, both answered 400."""
--- a/stackpitch/duties/vocabulary/owning.py
+++ b/stackpitch/duties/vocabulary/owning.py
@@ -188,7 +188,7 @@
 
     def _failed(self, problem: str, remedy: str) -> None:
         self.not_before, self.failed_on = self.world.now() + AGAIN, self.work.looked
-        self.work.log(self.work.name, why=problem, remedy=remedy)
+        self.work.log(f"{problem}; {remedy}")
 
     # What others are told.
 
--- a/stackpitch/duties/vocabulary/work.py
+++ b/stackpitch/duties/vocabulary/work.py
@@ -25,13 +25,12 @@
 
 
 class VocabularyWork:
-    """`servers`: how many listed servers have which vocabulary, by digest. `log`: a line for operators: a word, and fields,
-    `remedy` among them where something is wrong."""
+    """`servers`: how many listed servers have which vocabulary, by digest. `log`: a line for operators, with what to do."""
 
     name = NAME
 
     def __init__(self, world: World, ground: Ground, files: Files, way: Way, servers: Callable[[], Mapping[str, int]],
-                 log: Callable[..., None], most_share: float = 0.0, look: Time = LOOK) -> None:
+                 log: Callable[[str], None], most_share: float = 0.0, look: Time = LOOK) -> None:
         self.world, self.ground, self.files, self.way, self.log, self.look = world, ground, files, way, log, look
         self.servers, self.most_share = servers, most_share
         self.known, self.pages, self.looked = Known(), Pages(), Looked()
@@ -48,7 +47,7 @@
         try:
             yield from owning.run()
         except VocabularyError as wrong:
-            self.log(NAME, why=str(wrong), remedy=wrong.remedy)
+            self.log(f"{wrong}; {wrong.remedy}")
             raise
         finally:
             self.owning = None
@@ -122,7 +121,7 @@
         self.marks = found_marks if found.problem or found.paths == paths else ()  # other files than those looked at
         self.again = self.world.now() + AGAIN
         if found.problem and found.problem != self.looked.problem:
-            self.log(NAME, why=f"{found.problem}; the last good files hold", remedy=found.remedy)
+            self.log(f"{found.problem}; the last good files hold; {found.remedy}")
         self.looked = msgspec.structs.replace(self.looked, problem=found.problem) if found.problem else found
         names = {digest: name for name, digest in self.looked.vocabularies.items()}
         self.acting.seen = Seen(names, self.looked.profiles)
--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -175,7 +175,7 @@
     def line(self, text):
         what, *words = text.split()
         if what == "servers":
-            self.acting.listed(one.partition("=")[2] for one in words)
+            self.acting.listed({name: kind or None for name, _, kind in (one.partition("=") for one in words)})
         elif what == "see":
             self.acting.seen = Seen({"A": "a", "B": "b"}, words[0])
         elif what == "told":
@@ -456,7 +456,7 @@
     def made(self, number, way=InSteps):
         """A gateway's work that knows nothing."""
         work = VocabularyWork(self.world, self.duties[number], self.files, way(self.world), lambda: self.servers,
-                              lambda word, **fields: self.logs.append(str(fields)), 0.4, SECOND)
+                              self.logs.append, 0.4, SECOND)
         judge = work.way.judge
 
         def counted(task):
