--- a/stackpitch/duties/vocabulary/work.py
+++ b/stackpitch/duties/vocabulary/work.py
@@ -64,6 +64,14 @@
 
     # On every gateway.
 
+    def admits(self, vocabulary: str) -> bool:
+        """For a release: whether servers may be put in service with this one, by digest. One that no change speaks of, only if
+        servers have it already."""
+        change = self.known.told.change if self.known.told else None
+        if change is not None and vocabulary in (change.old, change.new):
+            return change.admits(vocabulary)
+        return vocabulary in self.servers()
+
     def heard(self, sender: int, kind: str, stamp: Stamp, body: msgspec.Raw) -> Coro[Answer]:
         if kind == "asking":
             asking = msgspec.json.decode(body, type=Asking)
--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -516,6 +516,9 @@
         first = fleet.owner()
         near, far = (first + 1) % 3, (first + 2) % 3
         fleet.cut.add(far)
+        old, new = (fleet.works[near].looked.vocabularies[name] for name in ("old", "new"))
+        fleet.servers = {old: 2}
+        assert [fleet.works[near].admits(one) for one in (old, new)] == [True, False]
         wrong = yield from fleet.works[near].ask(Asking("announce", "old", "odd"))
         assert "found 'odd'; allowed: new, old" in wrong.word
         assert (yield from fleet.works[near].ask(Asking("announce", "old", "new"))).yes
@@ -524,7 +527,8 @@
         assert [words[one] for one in (first, near, far)] == [("allowed", True), ("allowed", True), ("", False)] and fleet.judged == 1
         assert fleet.works[near].known.profiles["ends"].field("stop_token_ids").translated == [1], "the end of text has moved from 0 to 1"
         fleet.cut = {first}
-        fleet.servers = {fleet.works[near].looked.vocabularies[name]: 1 for name in ("old", "new")}
+        assert fleet.works[near].admits(new) and not fleet.works[far].admits(new)
+        fleet.servers = {old: 1, new: 1}
         yield from world.sleep(6 * SECOND)
         fleet.cut.clear()
         yield from world.sleep(4 * SECOND)
@@ -550,7 +554,7 @@
         assert fleet.words() == [("mixed", True)] * 3
         assert (yield from fleet.works[1].ask(Asking("call off", why="complaints"))).yes
         yield from world.sleep(2 * SECOND)
-        assert fleet.words() == [("called off", False)] * 3
+        assert fleet.words() == [("called off", False)] * 3 and [fleet.works[0].admits(one) for one in (old, new)] == [True, False]
         (tmp_path / "profiles.json").write_text("{")
         yield from world.sleep(2 * SECOND)
         assert any("the last good files hold" in line for line in fleet.logs)
