--- a/stackpitch/duties/vocabulary/acting/known.py
+++ b/stackpitch/duties/vocabulary/acting/known.py
@@ -42,14 +42,14 @@
         self.told: Told | None = None
         self.digest = ""  # of the verdicts that are here; reckoned once, for they can be of some MB
 
-    def take(self, told: Told) -> bool:
+    def take(self, told: Told, digest: str = "") -> bool:
         """Whether it is taken: what is earlier than the last one, by stamp and version, is not. What does not hash to the
-        digest that the change names is dropped."""
+        digest that the change names is dropped. `digest`: of the bytes that the verdicts were read from, if it is known."""
         last = self.told
         if last is not None and (told.stamp, told.change.version) < (last.stamp, last.change.version):
             return False
         if told.verdicts is not None:
-            digest = told.verdicts.digest()
+            digest = digest or told.verdicts.digest()
             if not fits(told.change, told.verdicts, digest):
                 return False
             self.digest = digest
--- a/stackpitch/duties/vocabulary/work.py
+++ b/stackpitch/duties/vocabulary/work.py
@@ -105,7 +105,7 @@
         verdicts = self.pages.add(stamp, page)
         if verdicts is not None:
             self.pending = None
-            self.known.take(msgspec.structs.replace(pending, verdicts=verdicts))
+            self.known.take(msgspec.structs.replace(pending, verdicts=verdicts), page.digest)  # `pages` holds them to it
         return Answer("yes")
 
     def serve(self) -> Coro[None]:
--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -665,6 +665,22 @@
     assert late.problem and not late.verdicts
 
 
+def test_pages_come_in_any_order_and_count_only_if_they_fit_their_digest(monkeypatch):
+    monkeypatch.setattr(pages, "SIZE", 100)
+    verdicts, stamp = verdicts_on(Digests("A", "B", "P1")), Stamp(1)
+    cut, put = pages.paged(verdicts.encoded(), verdicts.digest()), pages.Pages()
+    assert len(cut) > 3
+    for page in [cut[1], *cut[2:], cut[1]]:
+        assert put.add(stamp, page) is None
+    assert put.add(stamp, cut[0]) == verdicts
+    other = msgspec.structs.replace(cut[0], part=cut[0].part.replace(b"A", b"C"))
+    assert [put.add(stamp, page) for page in (other, *cut[1:])] == [None] * len(cut) and not put.parts
+    assert [put.add(Stamp(2 + (page is cut[0])), page) for page in cut] == [None] * len(cut), "of two owners"
+    monkeypatch.setattr(pages, "MOST", 300)
+    with pytest.raises(errors.VerdictsTooLarge):
+        pages.paged(verdicts.encoded(), verdicts.digest())
+
+
 @pytest.mark.parametrize("kind, body, stamp", [
     ("change", {"change": {}}, Stamp(1)), ("page", {"digest": "x", "number": 3, "of": 2, "part": ""}, Stamp(1)),
     ("change", None, Stamp()), ("odd", None, Stamp(1)), ("asking", {"kind": 3}, Stamp())])
