A voter's file that is filled anew counts on above the one before it

Cause: a voter that had lost its file began a new one at serial 0, while others remembered the old one's count. Worse: a copy of the file before the loss was taken for the newer one, and its forgotten promises with it. Change: what it learns with comes with a serial above all that the others heard, by 2^20.

--- a/stackpitch/duties/carrier/voting.py
+++ b/stackpitch/duties/carrier/voting.py
@@ -84,7 +84,7 @@
                 self.log.warning("voter_older", why=str(FileOlder(self.figures.file, decision.why)))
                 continue
             if decision.promises is not None:
-                if (yield from self.world.aside(partial(self.ballots.begin, dict(decision.promises)), QUEUE)):
+                if (yield from self.world.aside(partial(self.ballots.begin, dict(decision.promises), decision.serial), QUEUE)):
                     break
                 decision = Decision("wait", str(DiskFailed(self.figures.file, self.ballots.log.trouble)))
             if decision.why != said and self.world.now() - begun > SECOND:
--- a/stackpitch/duties/ownership/ballots.py
+++ b/stackpitch/duties/ownership/ballots.py
@@ -86,9 +86,10 @@
         saved = [Saved(self.serial, duty, promise) for duty, promise in self.promises.items()]
         return [ENCODER.encode(one) for one in [self.identity, *saved]]
 
-    def begin(self, promises: dict[str, Promise]) -> bool:
-        """Takes the file as ours from now on, with what it holds and what was learned; whether it is on disk."""
-        self.promises = promises
+    def begin(self, promises: dict[str, Promise], serial: int = 0) -> bool:
+        """Takes the file as ours from now on, with what it holds and what was learned; whether it is on disk. `serial`: to
+        count on from, if it is higher."""
+        self.promises, self.serial = promises, max(self.serial, serial)
         if not self.log.add(ENCODER.encode(self.identity)):
             return False
         return all([self.save(duty, promise) for duty, promise in promises.items()])
--- a/stackpitch/duties/ownership/joining.py
+++ b/stackpitch/duties/ownership/joining.py
@@ -15,6 +15,10 @@
 from stackpitch.duties.ownership.voter import Promise
 from stackpitch.duties.record.register import newest
 
+# A file that is filled anew counts on from so far above what others heard of the one before it. From 0 it would be taken for
+# an older copy at each start, and a copy of the one before it for the newer.
+LIFE = 1 << 20
+
 
 class State(msgspec.Struct, frozen=True):
     """What a voter tells one that starts. `serial`: how many times it has written. `seen`: the highest serial of the one
@@ -36,6 +40,7 @@
     word: str
     why: str = ""
     promises: dict[str, Promise] | None = None
+    serial: int = 0  # from which a file that is filled anew counts on
 
 
 def merged(found: list[dict[str, Promise]]) -> dict[str, Promise]:
@@ -54,16 +59,16 @@
     """`heard`: the other voters' answers so far, by number; those of another generation don't count."""
     others = {number: state for number, state in heard.items() if number != me and number in voters
               and state.generation == generation}
-    needed = majority(len(voters))
+    needed, known = majority(len(voters)), max((state.seen for state in others.values()), default=0)
     if not mine.empty:
-        if (seen := max((state.seen for state in others.values()), default=0)) > mine.serial:
-            return Decision("learn", f"others heard {seen} writes of it, it holds {mine.serial}")
+        if known > mine.serial:
+            return Decision("learn", f"others heard {known} writes of it, it holds {mine.serial}")
         if len(others) >= needed - 1:
             return Decision("vote", promises=mine.promises)
         return Decision("wait", f"{len(others)} of {needed - 1} other voters answered")
     joined = [state.promises for state in others.values() if state.joined]
     if len(joined) >= needed:
-        return Decision("vote", promises=merged(joined))
+        return Decision("vote", promises=merged(joined), serial=known + LIFE)
     if len(others) == len(voters) - 1 and all(virgin(state) for state in others.values()):
         return Decision("vote", promises=merged([mine.promises, *(state.promises for state in others.values())]))
     if len(others) == len(voters) - 1 and sum(one.empty for one in others.values()) + 1 >= needed:
--- a/tests/days/owners.jsonnet
+++ b/tests/days/owners.jsonnet
@@ -53,6 +53,14 @@
       { kind: 'gateway-kill', at_s: 6, for_s: 0.5, names: ['owner.vocabulary'] },
     ],
   },
+  // A voter's file is lost and filled anew; later it is given a copy of the one that it had before.
+  before: small {
+    troubles: [
+      { kind: 'voter-older', at_s: 1, for_s: 12, names: ['g0'] },  // the copy at 1 s, back with it at 13 s
+      { kind: 'voter-empty', at_s: 2, for_s: 0.2, names: ['g0'] },
+      { kind: 'gateway-kill', at_s: 4, for_s: 0.5, names: ['owner.weights'] },
+    ],
+  },
   // Voters and gateways cut into two and three, the owner on the small side.
   parted: small {
     gateways: 5,
--- a/tests/test_duties_pure.py
+++ b/tests/test_duties_pure.py
@@ -101,6 +101,8 @@
         else:
             found = decide(self.voters, 0, self.generation, self.mine, self.heard)
             assert found.word == words[0], found
+            serials = [int(words.pop(1).split("=")[1]) for word in words[1:2] if word.startswith("serial=")]
+            assert serials in ([], [found.serial]), found
             if words[1:]:
                 assert found.promises == promises(words[1:]), found
 
--- a/tests/test_owner_days.py
+++ b/tests/test_owner_days.py
@@ -105,6 +105,15 @@
     assert [one for one in votes if one["at"] > end], "and gives it again once it has learnt"
 
 
+def test_a_copy_of_the_file_before_the_one_that_was_lost_is_known_as_older(tmp_path: Path) -> None:
+    """Only a voter that has to fill itself asks others for a duty's whole record."""
+    found = outcome("before", "--virtual", "--keep", str(tmp_path))
+    assert found["exit"] == 0, found["breaches"]
+    asked = [one for one in taken(tmp_path, ("state",)) if one["sender"] == 0 and one["duty"]]
+    back = noted(tmp_path, "listens", "g0")
+    assert [one for one in asked if one["at"] < back] and [one for one in asked if one["at"] > back]
+
+
 def test_an_owner_on_the_small_side_of_a_cut_is_followed_on_the_large_one(tmp_path: Path) -> None:
     found = outcome("parted", "--virtual", "--keep", str(tmp_path))
     assert found["exit"] == 0, found["breaches"]
