--- a/stackpitch/duties/vocabulary/acting/written.py
+++ b/stackpitch/duties/vocabulary/acting/written.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from stackpitch.duties.vocabulary.acting.asked import Asked, asked, limits
-from stackpitch.duties.vocabulary.errors import ParametersMalformed, VocabularyUnknown
+from stackpitch.duties.vocabulary.errors import FilesUnread, ParametersMalformed, VocabularyUnknown
 from stackpitch.duties.vocabulary.judging.files import Looked
 from stackpitch.duties.vocabulary.parameters import IDS
 
@@ -20,9 +20,12 @@
 
     def read(self, fields: dict[str, msgspec.Raw], customer: str | None, product: str) -> Asked:
         """Takes its two own fields out of the body and puts in what the profile gives and the request doesn't have. Raises
-        VocabularyUnknown, ParametersMalformed."""
+        VocabularyUnknown, ParametersMalformed; FilesUnread while there is nothing to hold ids against, as they would go to
+        any server then."""
         profile, stated = (_text(fields.pop(name, None)) for name in (PROFILE, VOCABULARY))
         filled: frozenset[str] = frozenset()
+        if not self.looked.vocabularies and (profile is not None or asked(fields)):
+            raise FilesUnread(PROFILE if profile is not None else next(iter(asked(fields))))
         if profile is not None:
             given = self.parameters.get(profile)
             if given is None:
--- a/stackpitch/duties/vocabulary/errors.py
+++ b/stackpitch/duties/vocabulary/errors.py
@@ -123,6 +123,16 @@
         self.field, self.found, self.allowed = field, found, allowed
 
 
+class FilesUnread(VocabularyError):
+    """A generation with token ids or a profile came before this gateway had read what they mean; asking again does no harm."""
+
+    remedy = "Ask again in a second; if it stays so, correct what the gateway's log says of vocabularies and profiles."
+
+    def __init__(self, field: str) -> None:
+        super().__init__(f"{field}: the files that say what it means have not been read here yet")
+        self.field = field
+
+
 class VocabularyUnstated(VocabularyError):
     """Token ids without a word on which vocabulary they are of, where engines have several; answered 400."""
 
--- a/tests/days/vocabulary.jsonnet
+++ b/tests/days/vocabulary.jsonnet
@@ -1,13 +1,13 @@
-// Short days with a change of vocabulary for the tests; `play` names one.
+// A short day with a change of vocabulary for the tests: called off halfway, then through, its owner killed.
 local lib = import '../../days/lib.libsonnet';
-local small = lib.day('vocabulary', 13, 3, 1, 2, 9) + {
+lib.day('vocabulary', 13, 3, 1, 2, 9) + {
   products+: { consulta+: { time_limit_ms: 6000 } },
   rules: { answer_slack_ms: 400 },
   notice_s: 0.3,
   tail_s: 10,
   back_cold: false,
   duties: { fleet: 'hall', voters: [0, 1, 2], names: ['vocabulary'], lease_ms: 1000, call_ms: 200, announce_ms: 500 },
-  vocabulary: { new_products: ['aviso'], share: 0.6 },
+  vocabulary: { new_products: ['aviso'], share: 0.6, lost: 0.3 },
   troubles: [
     { kind: 'vocabulary-word', at_s: 0.2, word: 'announce' },
     { kind: 'vocabulary-roll', at_s: 1.5, for_s: 1.5, part: 0.5 },
@@ -18,5 +18,4 @@
     { kind: 'vocabulary-roll', at_s: 7.5, for_s: 5, part: 1 },
     { kind: 'gateway-kill', at_s: 9, for_s: 0.5, names: ['owner.vocabulary'] },
   ],
-};
-{ good: small, babel: small, across: small, willful: small }[std.extVar('play')]
+}
--- a/tests/test_vocabulary_days.py
+++ b/tests/test_vocabulary_days.py
@@ -1,14 +1,23 @@
 """Days on which the vocabulary changes: the judging on made-up records, and days that are played."""
 
+import json
 import re
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
+from msgspec import Raw
 from play import scenarios
 
+from stackpitch.duties.vocabulary.acting.written import Written
+from stackpitch.duties.vocabulary.errors import FilesUnread
+from stackpitch.duties.vocabulary.judging import Looked
 from stackpitch.rehearse.judging import judge_vocabulary, vocabulary
 
+ROOT = Path(__file__).parent.parent
 ALL = scenarios(Path(__file__).parent / "scenarios_vocabulary_days")
+BROKEN = {"babel": "V1", "across": "V2", "willful": "V3"}
 LEG = re.compile(r"(\S+) (\S+) (\S+) (\S+) (\S+): (\S+) -> (\S+) \| (\S+) \| (\S+)( refused)?( unguarded)?")
 
 
@@ -39,3 +48,44 @@
     breaches = judge_vocabulary([made for at, line in enumerate(told) for made in record(at, line)])
     found = {name: count for rule, name in vocabulary.NAMES.items() if (count := sum(one.rule == rule for one in breaches))}
     assert found == {one.split()[1]: int(one.split()[2]) for one in lines if one.startswith(">")}, breaches
+
+def test_token_ids_wait_for_the_files_that_say_what_they_mean() -> None:
+    """Found by a day as processes: a gateway that had just started sent ids on as they came."""
+    written = Written(Looked())
+    for fields in ({"stop_token_ids": Raw(b"[5]")}, {"sampling_profile": Raw(b'"p0"')}):
+        with pytest.raises(FilesUnread):
+            written.read(fields, None, "consulta")
+    assert not written.read({"stop": Raw(b'"x"'), "stop_token_ids": Raw(b"[]")}, None, "consulta").ids
+
+
+def outcome(*more: str) -> dict:
+    command = [sys.executable, "-m", "stackpitch", "rehearse", "tests/days/vocabulary.jsonnet", "--json", *more]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, timeout=150)
+    assert done.stdout, done.stderr.decode()[-2000:]
+    return json.loads(done.stdout) | {"exit": done.returncode}
+
+
+def kept(found: dict, folder: Path) -> None:
+    """All rules, and that the day caused what it is for."""
+    assert found["exit"] == 0 and not any(found["rules"].values()), found["breaches"]
+    assert set(found["rules"]) >= {"O1", "O2", "O3", "V1", "V2", "V3"}
+    records = [json.loads(line) for path in sorted(folder.glob("*.jsonl")) for line in path.read_text().splitlines()]
+    words = {one["change"] for one in records if one["what"] == "call" and "change" in one}
+    assert words >= {"allowed", "mixed", "called off", "done"}
+    spoke = [one for one in records if one["what"] == "spoke"]
+    assert any(one["ids"] == one["asked"] for one in spoke) and any(one["ids"] != one["asked"] for one in spoke)
+
+
+@pytest.mark.parametrize("seed", [1, 3, 6])
+def test_a_change_of_vocabulary_keeps_all_rules(seed: int, tmp_path: Path) -> None:
+    kept(outcome("--virtual", "--set", f"seed={seed}", "--keep", str(tmp_path)), tmp_path)
+
+
+def test_the_same_as_processes(tmp_path: Path) -> None:
+    kept(outcome("--keep", str(tmp_path)), tmp_path)
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_gateways_broken_on_purpose_are_caught(name: str) -> None:
+    found = outcome("--virtual", "--broken", name)
+    assert found["rules"][BROKEN[name]] > 0 and found["exit"] == 1, found["rules"]
