--- a/stackpitch/rehearse/director/check.py
+++ b/stackpitch/rehearse/director/check.py
@@ -26,10 +26,9 @@
         if trouble.kind not in (*ENGINE_TROUBLES, *GATEWAY_TROUBLES, *VOTER_TROUBLES, *NETWORK_TROUBLES, *TRAFFIC_TROUBLES,
                                 *WEIGHTS_TROUBLES, *VOCABULARY_TROUBLES, "edits"):
             raise ValueError(f"troubles.{number}.kind: found {trouble.kind!r}")
-        if trouble.kind in VOCABULARY_TROUBLES and day.vocabulary is None:
-            raise ValueError(f"troubles.{number}.kind: found {trouble.kind!r}; allowed where the day has vocabulary")
         among_gateways(day, f"troubles.{number}", trouble)
     check_weights(day)
+    check_vocabulary(day)
     duties = day.duties
     if duties.voters and max(duties.voters) >= day.gateways:
         raise ValueError(f"duties.voters: found {duties.voters}; allowed: numbers under gateways ({day.gateways})")
@@ -64,6 +63,20 @@
             raise ValueError(f"{where}.names: found {name!r}; allowed: {', '.join(allowed + owners)}")
 
 
+def check_vocabulary(day: Day) -> None:
+    told = day.vocabulary
+    for number, trouble in enumerate(day.troubles):
+        if trouble.kind in VOCABULARY_TROUBLES and told is None:
+            raise ValueError(f"troubles.{number}.kind: found {trouble.kind!r}; allowed where the day has vocabulary")
+    if told is None:
+        return
+    if "vocabulary" not in day.duties.names or not day.duties.voters:
+        raise ValueError("vocabulary: found without its duty; allowed: with duties.voters and vocabulary among duties.names")
+    for name in told.new_products:
+        if name not in day.products:
+            raise ValueError(f"vocabulary.new_products: found {name!r}; allowed: {', '.join(day.products)}")
+
+
 def check_weights(day: Day) -> None:
     """What goes into the wanted file is checked by its own schema once it is made."""
     weights = day.weights
--- a/tests/test_vocabulary_days.py
+++ b/tests/test_vocabulary_days.py
@@ -10,9 +10,12 @@
 from msgspec import Raw
 from play import scenarios
 
+from stackpitch import settings
 from stackpitch.duties.vocabulary.acting.written import Written
 from stackpitch.duties.vocabulary.errors import FilesUnread
 from stackpitch.duties.vocabulary.judging import Looked
+from stackpitch.rehearse.day import Day
+from stackpitch.rehearse.director.check import check
 from stackpitch.rehearse.judging import judge_vocabulary, vocabulary
 
 ROOT = Path(__file__).parent.parent
@@ -89,3 +92,13 @@
 def test_gateways_broken_on_purpose_are_caught(name: str) -> None:
     found = outcome("--virtual", "--broken", name)
     assert found["rules"][BROKEN[name]] > 0 and found["exit"] == 1, found["rules"]
+
+
+@pytest.mark.parametrize("wrong, said", [
+    ({"vocabulary": {"new_products": ["none"]}}, "vocabulary.new_products: found 'none'; allowed: consulta"),
+    ({"duties": {}}, "vocabulary: found without its duty"),
+    ({"vocabulary": None}, "troubles.0.kind: found 'vocabulary-word'; allowed where the day has vocabulary")])
+def test_days_that_can_not_be_played_say_so(wrong: dict, said: str) -> None:
+    told = settings.evaluate(ROOT / "tests/days/vocabulary.jsonnet", {"seed": "1"})
+    with pytest.raises(ValueError, match=re.escape(said)):
+        check(Day.model_validate(told | {"troubles": told["troubles"][:1]} | wrong))
