--- a/tests/test_vocabulary_days.py
+++ b/tests/test_vocabulary_days.py
@@ -75,6 +75,7 @@
     records = [json.loads(line) for path in sorted(folder.glob("*.jsonl")) for line in path.read_text().splitlines()]
     words = {one["change"] for one in records if one["what"] == "call" and "change" in one}
     assert words >= {"allowed", "mixed", "called off", "done"}
+    assert all(one["taken"] for one in records if one["what"] == "word")
     spoke = [one for one in records if one["what"] == "spoke"]
     assert any(one["ids"] == one["asked"] for one in spoke) and any(one["ids"] != one["asked"] for one in spoke)
 
