--- a/stackpitch/duties/weights/owner.py
+++ b/stackpitch/duties/weights/owner.py
@@ -44,9 +44,9 @@
     """`asked`, `tries` and `told` have an entry for each gateway or each of its models; all go with the tenure."""
 
     def __init__(self, world: World, tenure: Tenure, file: WantedFile, address: Callable[[int], str],
-                 allowed: Callable[[str, str], bool], log: Callable[..., None]) -> None:
+                 admits: Callable[[str], bool], log: Callable[..., None]) -> None:
         self.world, self.tenure, self.file, self.address = world, tenure, file, address
-        self.allowed, self.log = allowed, log
+        self.admits, self.log = admits, log
         self.planner: Planner | None = None
         self.kept = Kept()
         self.asked: dict[int, Time] = {}
@@ -140,7 +140,7 @@
                 self._tell(group, planner, heard, "place", forms.Place(
                     name, model.version, manifest.size, manifest.piece, manifest.whole, tuple(manifest.pieces)), AGAIN)
             elif heard is not None and have is not None and have.placed and not have.released:
-                if self.allowed(name, model.version):
+                if not model.vocabulary or self.admits(model.vocabulary):
                     self._tell(group, planner, heard, "service", forms.Release(name, model.version), AGAIN)
         for one in heard.report.have if heard is not None else ():
             if one.model not in shall and heard is not None:
--- a/stackpitch/duties/weights/wanted.py
+++ b/stackpitch/duties/weights/wanted.py
@@ -43,6 +43,8 @@
     origin: HostPort
     path: Annotated[str, Field(max_length=1024, pattern=r"^/[!-~]*$")]  # at the origin; no spaces, no line ends
     manifest: Manifest
+    # Digest of the vocabulary that it comes with: it is put in service once a change to that one is allowed. Empty: at once.
+    vocabulary: Annotated[str, Field(pattern=r"^([0-9a-f]{32})?$")] = ""
 
 
 class Wanted(Part):
--- a/stackpitch/duties/weights/work.py
+++ b/stackpitch/duties/weights/work.py
@@ -39,15 +39,15 @@
 
 class WeightsWork:
     """`start`: a number of this process's own. `address`: where a gateway's pieces are served, host:port, by number.
-    `allowed`: whether a version may go into service. `revenue`: what waits at this gateway's site."""
+    `admits`: whether servers may run on this vocabulary. `revenue`: what waits at this gateway's site."""
 
     name = "weights"
 
     def __init__(self, world: World, ground: Ground, settings: WeightsSettings, start: int, address: Callable[[int], str],
-                 engines: Engines | None = None, allowed: Callable[[str, str], bool] = lambda model, version: True,
+                 engines: Engines | None = None, admits: Callable[[str], bool] = lambda vocabulary: True,
                  revenue: Callable[[], float] = lambda: 0.0, log: Callable[..., None] = lambda word, **fields: None,
                  disk: Disk | None = None) -> None:
-        self.world, self.ground, self.address, self.allowed, self.log = world, ground, address, allowed, log
+        self.world, self.ground, self.address, self.admits, self.log = world, ground, address, admits, log
         self.file = WantedFile(world, Path(settings.wanted))
         folder = Folder(disk if disk is not None else world.volume(), settings.folder, ground.number)
         self.receiver = Receiver(world, ground.number, start, folder, engines or NoEngines(), revenue, log)
@@ -55,7 +55,7 @@
         self.reported: Time = 0
 
     def own(self, tenure: Tenure, value: bytes) -> Coro[None]:
-        owner = self.owner = Owner(self.world, tenure, self.file, numbered, self.allowed, self.log)
+        owner = self.owner = Owner(self.world, tenure, self.file, numbered, self.admits, self.log)
         try:
             yield from owner.run(value)
         finally:
--- a/stackpitch/gateway/duties.py
+++ b/stackpitch/gateway/duties.py
@@ -1,5 +1,6 @@
 """From settings to a gateway's duties. Imported only where settings name voters; a duty's work only where they name it."""
 
+from collections.abc import Callable
 from typing import Any
 
 from stackpitch.duties.carrier import Duties, Figures
@@ -24,14 +25,22 @@
     """The duties, with what the door and the admin port give them and are given by them."""
     made = Duties(world, log, figures(settings))
     admin.takers["/duty"], admin.max_body = made.take, made.LARGEST
+    admits: Callable[[str], bool] = _any
     if settings.duties.vocabulary is not None:
-        _vocabulary(world, settings, log, host, made, door, admin)
+        admits = _vocabulary(world, settings, log, host, made, door, admin)
     if settings.duties.weights is not None:
-        _weights(world, settings, log, host, made, admin.streams)
+        _weights(world, settings, log, host, made, admin.streams, admits)
     return made
 
 
-def _vocabulary(world: World, settings: Settings, log: Log, host: Host, made: Duties, door: Door, admin: Admin) -> None:
+def _any(vocabulary: str) -> bool:
+    """Where nobody judges vocabularies, each may be put in service."""
+    return True
+
+
+def _vocabulary(world: World, settings: Settings, log: Log, host: Host, made: Duties, door: Door,
+                admin: Admin) -> Callable[[str], bool]:
+    """Gives what tells a release whether servers may run on a vocabulary."""
     from stackpitch.duties.vocabulary.judging import Files, InChild, InSteps
     from stackpitch.duties.vocabulary.work import VocabularyWork
     from stackpitch.gateway import speaking
@@ -47,9 +56,11 @@
     door.speaking = speaking.Speaking(work, host.roster)
     host.narrow(Tongues(host.roster, host.asks).may)
     admin.routes |= speaking.routes(work, admin.routes["POST", "/fleet/confirm"])
+    return work.admits
 
 
-def _weights(world: World, settings: Settings, log: Log, host: Host, made: Duties, streams: dict[str, Streamer]) -> None:
+def _weights(world: World, settings: Settings, log: Log, host: Host, made: Duties, streams: dict[str, Streamer],
+             admits: Callable[[str], bool]) -> None:
     from stackpitch.duties.weights import serving
     from stackpitch.duties.weights.work import WeightsWork
     from stackpitch.gateway.loading import SiteEngines
@@ -66,6 +77,6 @@
     assert settings.duties.weights is not None
     engines = SiteEngines(world, host, settings.module.zone)
     work = WeightsWork(world, made, settings.duties.weights, world.fresh(), settings.peers.admin.__getitem__, engines,
-                       revenue=revenue, log=say)
+                       admits=admits, revenue=revenue, log=say)
     made.add(work)
     streams[serving.PREFIX] = given
--- a/tests/test_weights_sites.py
+++ b/tests/test_weights_sites.py
@@ -54,6 +54,19 @@
     played(tmp_path, tree(m=model(DATA, ["s0", "s1"])), {"/m": DATA}, script)
 
 
+def test_a_version_of_another_vocabulary_is_released_once_the_change_to_it_is_allowed(tmp_path):
+    def script(stage):
+        stage.own(3)
+        yield from stage.until(lambda: stage.nodes[0].engines.told and stage.placed(2, "m") == DATA)
+        yield from stage.world.sleep(5 * SECOND)
+        assert ("m", "1") not in stage.nodes[0].engines.told + stage.nodes[2].engines.told
+        stage.admitted.add("f" * 32)
+        yield from stage.until(lambda: ("m", "1") in stage.nodes[0].engines.told and ("m", "1") in stage.nodes[2].engines.told)
+
+    new = model(DATA, ["s0", "s1"]) | {"vocabulary": "f" * 32}
+    played(tmp_path, tree(m=new, plain=model(OTHER, ["s0"], name="plain")), {"/m": DATA, "/plain": OTHER}, script)
+
+
 def test_the_same_on_sockets_and_this_machines_disk(tmp_path):
     def script(stage):
         stage.own(3)
--- a/tests/weights_stage.py
+++ b/tests/weights_stage.py
@@ -97,7 +97,8 @@
     def run(self):
         stage = self.stage
         self.work = WeightsWork(stage.world, Ground(stage, self.number), WeightsSettings(wanted=stage.path, folder=self.folder),
-                                stage.world.fresh(), stage.address, self.engines, revenue=lambda: 1.0 * self.number,
+                                stage.world.fresh(), stage.address, self.engines,
+                                lambda vocabulary: vocabulary in stage.admitted, revenue=lambda: 1.0 * self.number,
                                 log=lambda word, **fields: self.log.append((word, fields)), disk=self.disk)
         listener = stage.world.listen(("127.0.0.1", 0 if stage.real else 9000 + self.number))
         self.port = listener.address[1]
@@ -135,6 +136,7 @@
     """`run(script)`: a generator that gets its turns on the world, with the nodes that `tree` names under way."""
 
     def __init__(self, folder, tree, files, seed=1, real=False):
+        self.admitted = set()
         self.folder, self.real = folder, real
         self.path, self.tree, self.served, self.record = str(folder / "wanted.json"), tree, [], b""
         self.term, self.owner_number = 0, None
