--- a/stackpitch/duties/weights/owner.py
+++ b/stackpitch/duties/weights/owner.py
@@ -36,9 +36,9 @@
 
 class Owner:
     def __init__(self, world: World, tenure: Tenure, file: WantedFile, address: Callable[[int], str],
-                 allowed: Callable[[str, str], bool], log: Callable[..., None]) -> None:
+                 admits: Callable[[str], bool], log: Callable[..., None]) -> None:
         self.world, self.tenure, self.file, self.address = world, tenure, file, address
-        self.allowed, self.log = allowed, log
+        self.admits, self.log = admits, log
         self.planner: Planner | None = None
         self.upkeep: Upkeep | None = None
         self.kept = Kept()
@@ -62,7 +62,7 @@
         wanted = self.file.current
         before = self.kept.lasts, frozenset(self.kept.gateways)
         self.planner = Planner(wanted, self.world.now(), self.address, before)
-        self.upkeep = Upkeep(self.planner, self._send, self.allowed)
+        self.upkeep = Upkeep(self.planner, self._send, self.admits)
         yield from self._keep(wanted, self.kept)
         yield from self.world.group(self._loop)
 
--- a/stackpitch/duties/weights/upkeep.py
+++ b/stackpitch/duties/weights/upkeep.py
@@ -25,10 +25,11 @@
 
 
 class Upkeep:
-    """`asked`, `tries` and `told` have an entry for each gateway or each of its models; all go with the tenure."""
+    """`admits`: whether a vocabulary may be in service. `asked`, `tries` and `told` have an entry for each gateway or each
+    of its models; all go with the tenure."""
 
-    def __init__(self, planner: Planner, send: Send, allowed: Callable[[str, str], bool]) -> None:
-        self.planner, self.send, self.allowed = planner, send, allowed
+    def __init__(self, planner: Planner, send: Send, admits: Callable[[str], bool]) -> None:
+        self.planner, self.send, self.admits = planner, send, admits
         self.asked: dict[int, Time] = {}
         self.tries: dict[int, int] = {}
         self.told: dict[tuple[int, str, str], Time] = {}
@@ -73,7 +74,7 @@
             if version not in heard.known:
                 self._tell(group, heard, "place", forms.Place(
                     name, model.version, manifest.size, manifest.piece, manifest.whole, tuple(manifest.pieces)), now, AGAIN)
-            elif version in heard.placed and self.allowed(name, model.version):
+            elif version in heard.placed and (not model.vocabulary or self.admits(model.vocabulary)):
                 self._tell(group, heard, "service", forms.Release(name, model.version), now, AGAIN)
         for one in heard.report.have:
             if one.model not in names:
