--- a/stackpitch/duties/vocabulary/work.py
+++ b/stackpitch/duties/vocabulary/work.py
@@ -25,7 +25,7 @@
 
 
 class VocabularyWork:
-    """`servers`: how many listed servers have which vocabulary, by digest. `log`: a line for operators."""
+    """`servers`: how many listed servers have which vocabulary, by digest. `log`: a line for operators, with what to do."""
 
     name = NAME
 
@@ -47,7 +47,7 @@
         try:
             yield from owning.run()
         except VocabularyError as wrong:
-            self.log(f"vocabulary: {wrong}; {wrong.remedy}")
+            self.log(f"{wrong}; {wrong.remedy}")
             raise
         finally:
             self.owning = None
@@ -64,6 +64,14 @@
 
     # On every gateway.
 
+    def admits(self, vocabulary: str) -> bool:
+        """For a release: whether servers may be put in service with this one, by digest. One that no change speaks of, only if
+        servers have it already."""
+        change = self.known.told.change if self.known.told else None
+        if change is not None and vocabulary in (change.old, change.new):
+            return change.admits(vocabulary)
+        return vocabulary in self.servers()
+
     def heard(self, sender: int, kind: str, stamp: Stamp, body: msgspec.Raw) -> Coro[Answer]:
         if kind == "asking":
             asking = msgspec.json.decode(body, type=Asking)
@@ -97,7 +105,7 @@
         verdicts = self.pages.add(stamp, page)
         if verdicts is not None:
             self.pending = None
-            self.known.take(msgspec.structs.replace(pending, verdicts=verdicts))
+            self.known.take(msgspec.structs.replace(pending, verdicts=verdicts), page.digest)  # `pages` holds them to it
         return Answer("yes")
 
     def serve(self) -> Coro[None]:
@@ -121,7 +129,7 @@
         self.marks = found_marks if found.problem or found.paths == paths else ()  # other files than those looked at
         self.again = self.world.now() + AGAIN
         if found.problem and found.problem != self.looked.problem:
-            self.log(f"vocabulary: {found.problem}; the last good files hold; {found.remedy}")
+            self.log(f"{found.problem}; the last good files hold; {found.remedy}")
         self.looked = msgspec.structs.replace(self.looked, problem=found.problem) if found.problem else found
         names = {digest: name for name, digest in self.looked.vocabularies.items()}
         self.acting.seen = Seen(names, self.looked.profiles)
