--- a/stackpitch/duties/weights/receiving/lanes.py
+++ b/stackpitch/duties/weights/receiving/lanes.py
@@ -166,7 +166,7 @@
             return
         owner.sources.good_piece(source.name)
         if entry.pieces.have == entry.manifest.full and owner.group is not None:
-            owner.group.spawn(owner.finish(entry), f"weights {entry.model} whole")
+            owner.group.spawn(owner.opening.finish(entry), f"weights {entry.model} whole")
         yield from ()
 
     def _failed(self, wrong: SourceFailed, model: str, version: str) -> None:
--- a/stackpitch/duties/weights/receiving/receiver.py
+++ b/stackpitch/duties/weights/receiving/receiver.py
@@ -3,12 +3,12 @@
 All state is this process's own; the disk is asked anew after a restart, the rest by the owner's next call.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from stackpitch.duties.calls import Stamp
 from stackpitch.duties.weights import forms
-from stackpitch.duties.weights.errors import DiskTrouble, Gone, VersionChanged, WeightsError, WholeDiffers
+from stackpitch.duties.weights.errors import DiskTrouble, VersionChanged, WeightsError
 from stackpitch.duties.weights.grants.grant import Grant, Mark
 from stackpitch.duties.weights.grants.shelf import Shelf
 from stackpitch.duties.weights.manifest import Manifest
@@ -16,13 +16,13 @@
 from stackpitch.duties.weights.placing.disk import QUEUE
 from stackpitch.duties.weights.placing.folder import Folder, Released
 from stackpitch.duties.weights.receiving.lanes import Entry, Lanes
+from stackpitch.duties.weights.receiving.opening import WAIT, Opening
 from stackpitch.duties.weights.receiving.sitedisk import SiteDisk
 from stackpitch.duties.weights.receiving.sources import Sources
 from stackpitch.loop import SECOND, Coro, Group, Time, World
 
 MOST_COPIES = 320  # versions known at once
 IDLE: Time = 5 * SECOND  # a version without a grant for so long is looked for on the disk before it is fetched on
-WAIT: Time = 10 * SECOND  # after trouble with the disk
 TELL: Time = 30 * SECOND  # how often engines are told again what is released: some were away, or have started since
 CLEAR: Time = 5 * SECOND  # how often what is not needed any more is looked for
 Log = Callable[..., None]  # a word, and fields by name
@@ -49,7 +49,7 @@
         self.trouble_until: Time = 0
         self.changed = True  # since the last report
         self.group: Group | None = None
-        self.lanes = Lanes(self)
+        self.lanes, self.opening = Lanes(self), Opening(self)
 
     # Calls of the owner, which have passed the fence.
 
@@ -72,7 +72,7 @@
         for other in [one for one, old in self.entries.items() if one[0] == asked.model and not old.copy.placed]:
             self._drop(other)  # replaced before it was whole
         self.entries[version] = entry = Entry(Copy(self.folder, *version, manifest), manifest)
-        self.group.spawn(self._open(entry), f"weights {asked.model}")
+        self.group.spawn(self.opening.open(entry), f"weights {asked.model}")
         return "yes"
 
     def grant(self, stamp: Stamp, grant: Grant) -> str:
@@ -82,9 +82,10 @@
         if grant.rate and self.trouble is not None:
             return "disk"
         now = self.world.now()
-        if grant.rate and entry is not None and now >= entry.used + IDLE and self.group is not None:
+        if grant.rate and entry is not None and now >= entry.used + IDLE and self.group is not None and (
+                entry.pieces.have != entry.manifest.full):
             entry.ready, self.changed = False, True  # another gateway of the site may have fetched meanwhile
-            self.group.spawn(self._again(entry), f"weights {grant.model}")
+            self.group.spawn(self.opening.again(entry), f"weights {grant.model}")
             return "looks again"
         word = self.shelf.take(stamp, grant, now)
         if entry is not None and (held := self.shelf.held.get(grant.lane)) is not None:
@@ -114,7 +115,7 @@
             self._drop(version)
         if not asked.version:
             self.placings.pop(asked.model, None)
-        self.disk.outdate(asked.model, self._wanted(asked.model))
+        self.disk.outdate(asked.model, self.wanted(asked.model))
         yield from self._clear(asked.model)
         return "yes"
 
@@ -155,74 +156,9 @@
         except OSError as wrong:
             self.log("weights_disk", path=self.folder.root, why=str(wrong))
 
-    def _wanted(self, model: str) -> set[str]:
+    def wanted(self, model: str) -> set[str]:
         return {version for name, version in self.entries if name == model}
 
-    def _steps(self, entry: Entry, steps: Iterator[None]) -> Coro[bool]:
-        """Runs blocking steps aside one by one, so that others get their turns. False after trouble, which was said."""
-        try:
-            while (yield from self.world.aside(lambda: next(steps, steps), QUEUE)) is not steps:
-                pass
-            return True
-        except DiskTrouble as wrong:
-            self.failed(wrong)
-        except WholeDiffers as wrong:
-            entry.trouble = wrong
-            self.said(wrong)
-        except Gone:
-            pass
-        return False
-
-    def _open(self, entry: Entry) -> Coro[None]:
-        def opened() -> Iterator[None]:
-            entry.copy.open()
-            yield
-            yield from entry.copy.recheck()
-
-        while not (yield from self._steps(entry, opened())):
-            yield from self.world.aside(entry.copy.close, QUEUE)
-            if self.entries.get(entry.version) is not entry:
-                return
-            yield from self.world.sleep(WAIT)
-        if self.entries.get(entry.version) is not entry:
-            yield from self.world.aside(entry.copy.close, QUEUE)
-            return
-        yield from self._found(entry)
-
-    def _again(self, entry: Entry) -> Coro[None]:
-        """After a time without grants, before the first new one: what the site's disk has of it by now."""
-        entry.copy.have, before = entry.pieces.have, entry.copy.descriptor
-        while not (yield from self._steps(entry, entry.copy.again(sum(1 << piece for piece in entry.pieces.begun)))):
-            if self.entries.get(entry.version) is not entry:
-                return
-            yield from self.world.sleep(WAIT)
-        if self.entries.get(entry.version) is entry:
-            if entry.copy.descriptor != before:  # another file, in which nothing of them lies
-                entry.pieces.begun.clear()
-            entry.pieces.adopted(entry.copy.have)
-            yield from self._found(entry)
-
-    def _found(self, entry: Entry) -> Coro[None]:
-        entry.pieces.have, entry.ready, self.changed, entry.used = entry.copy.have, True, True, self.world.now()
-        if entry.copy.placed and self.disk.releases.get(entry.model, Released()).version == entry.version[1]:
-            self.disk.outdate(entry.model, self._wanted(entry.model))  # by an earlier life of this gateway
-        if entry.copy.have == entry.manifest.full and not entry.copy.placed:
-            yield from self.finish(entry)
-
-    def finish(self, entry: Entry) -> Coro[None]:
-        """All pieces are here."""
-        entry.copy.have = entry.pieces.have
-        while not entry.copy.placed and entry.trouble is None and self.entries.get(entry.version) is entry:
-            if not (yield from self._steps(entry, entry.copy.finish())) and entry.trouble is None:
-                entry.pieces.have, self.changed = entry.copy.have, True
-                if entry.pieces.have != entry.manifest.full:
-                    return  # a piece went bad: it is fetched anew
-                yield from self.world.sleep(WAIT)
-        self.changed = True
-        if entry.copy.placed:
-            self.disk.lying.setdefault(entry.model, []).append(entry.version[1])
-            self.log("weights_placed", model=entry.model, version=entry.version[1])
-
     def _drop(self, version: tuple[str, str]) -> None:
         entry = self.entries.pop(version)
         self.changed = True
@@ -232,7 +168,7 @@
     def _clear(self, model: str) -> Coro[None]:
         """Removes what is neither released nor wanted nor used by an engine; partial files of this gateway's own alone."""
         try:
-            gone = yield from self.disk.clear(model, self._wanted(model), lambda version: self.engines.used(model, version))
+            gone = yield from self.disk.clear(model, self.wanted(model), lambda version: self.engines.used(model, version))
         except DiskTrouble as wrong:
             self.failed(wrong)
             return
