--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -3,6 +3,7 @@
 import json
 import random
 from pathlib import Path
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -11,7 +12,7 @@
 
 from stackpitch.duties.calls import Stamp, raw
 from stackpitch.duties.vocabulary import catalogue, errors
-from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Seen, Told, Written, asked, decide, narrowing
+from stackpitch.duties.vocabulary.acting import Acting, Asked, Known, Seen, Told, Written, asked, decide
 from stackpitch.duties.vocabulary.carrying import pages
 from stackpitch.duties.vocabulary.catalogue.form import LETTERS
 from stackpitch.duties.vocabulary.change import Change, Machine, Summary, read, written
@@ -23,9 +24,11 @@
 from stackpitch.duties.vocabulary.verdicts.judge import Digests
 from stackpitch.duties.vocabulary.verdicts.pair import Run
 from stackpitch.duties.vocabulary.work import VocabularyWork
+from stackpitch.gateway.ask import OpenAsk
+from stackpitch.gateway.tongues import Tongues
 from stackpitch.loop import SECOND, RealWorld
 from stackpitch.loop.virtual import VirtualWorld
-from stackpitch.preferences import RuledBrain
+from stackpitch.preferences import Preferences, RuledBrain
 
 LETTER = {byte: letter for letter, byte in LETTERS.items()}
 
@@ -170,7 +173,7 @@
     def line(self, text):
         what, *words = text.split()
         if what == "servers":
-            self.acting.listed({name: kind or None for name, _, kind in (one.partition("=") for one in words)})
+            self.acting.listed(one.partition("=")[2] for one in words)
         elif what == "see":
             self.acting.seen = Seen({"A": "a", "B": "b"}, words[0])
         elif what == "told":
@@ -181,12 +184,12 @@
             change = Change(1, words[0].replace("_", " "), "A", "B", "P1", Summary(digest, 1, 0, 0.0), version=int(said.get("version", self.version)))
             self.known.take(Told(Stamp(int(said["stamp"])), change, verdicts))
         elif what == "gen":
-            named = dict(one.split("=", 1) for one in words[1:])
+            named = dict(one.split("=", 1) for one in words[1:] if "=" in one)
             profile = named.pop("profile", None)
             try:
                 ids = asked({name: msgspec.Raw(value.encode()) for name, value in named.items() if name != "own"})
-                filled = frozenset({"good": ("bad_words_ids", "min_tokens"), "bad": ("stop_token_ids",)}.get(profile, ())) - {named.get("own")}
-                found = self.acting.decide(Asked(ids, None if words[0] == "-" else words[0], profile, filled))
+                filled = frozenset({"good": ("bad_words_ids", "min_tokens"), "bad": ("stop_token_ids",), "two": ("stop_token_ids", "bad_words_ids")}.get(profile, ())) - {named.get("own")}
+                found = self.acting.decide(Asked(ids, None if words[0] == "-" else words[0], profile, filled, {"max_tokens": 100} if "limit" in words else {}))
                 self.answer = "untouched" if found is None else " ".join(
                     f"{kind} {msgspec.json.encode(fields, order='deterministic').decode()}" for kind, fields in found.fields.items())
             except errors.VocabularyError as wrong:
@@ -201,37 +204,43 @@
 def verdicts_on(digests, mark="same"):
     lost = FieldVerdict("stop_token_ids", "another role", True, "", None, (Finding("another role", "id 0", "the end of text", "the text 'b'", "why", "todo"),))
     good = FieldVerdict("bad_words_ids", "split", False, mark, [[8], [9]]), FieldVerdict("min_tokens", "rescaled", False, "", 6)
-    return Verdicts(digests, Ratio(), (ProfileVerdict("bad", "another role", True, (lost,)), ProfileVerdict("good", "split", False, good)),
+    two = FieldVerdict("bad_words_ids", "split", False, "", [[8]]), FieldVerdict("stop_token_ids", "renumbered", False, "", [13])
+    return Verdicts(digests, Ratio(10, 12), (ProfileVerdict("two", "split", False, two), ProfileVerdict("bad", "another role", True, (lost,)), ProfileVerdict("good", "split", False, good)),
                     (Run(0, 3, 0), Run(3, 3, 10)))
 
 
 class Narrowed(Play):
-    """A play with the real module: `vocab r1=A w1=B` says who has which vocabulary, `gen ... ids=A,B` where its ids may go."""
+    """A play with the real module: `vocab r1=A w1=B` says who has which vocabulary, `gen ... ids=A,B` where its ids may go.
+    A server that has another one than before is another server, as the gateway's roster has it."""
 
     def __init__(self):
         super().__init__()
-        self.narrowing = narrowing.Narrowing()
+        self.roster, self.asks = SimpleNamespace(vocabularies={}, servers=self.servers, applied=0), {}
 
     @property
     def brain(self):
         if self.made is None:
-            self.made = RuledBrain(self, 7, narrowing.with_rules(self.narrowing, ()), **self.arguments)
+            self.made = RuledBrain(self, 7, Preferences(also=Tongues(self.roster, self).may), **self.arguments)
             self.made.begin(self.now)
             self.made.roster(self.now, list(self.servers.values()), True)
         return self.made
 
-    def do_vocab(self, **given): narrowing.forget(self.brain, self.narrowing.listed(self.servers.values(), given))
+    def do_vocab(self, **given):
+        self.roster.applied += 1
+        for name, kind in given.items():
+            before = self.servers[name]
+            if self.roster.vocabularies.get(before, kind) != kind:
+                self.do_list(name, "gone")
+                self.do_server(name)
+            self.roster.vocabularies[self.servers[name]] = kind
 
     def do_gen(self, name, product, ids=None, **given):
-        self.narrowing.chosen = Choose(decide.Narrowed({one: {} for one in ids.split(",")}) if ids else None)
+        self.asks[name] = OpenAsk(None, None, "", {}, name, False)
+        self.asks[name].spoken = decide.Narrowed({one: {} for one in ids.split(",")}).spoken() if ids else None
         super().do_gen(name, product, **given)
 
-
-class Choose(dict):
-    """What the next generation is narrowed to: it has no name before the module hears of it."""
-
-    def __init__(self, narrowed): self.narrowed = narrowed
-    def get(self, gen): return self.narrowed
+    def get(self, gen):
+        return self.asks[gen.name]
 
 
 SCENES = {"verdicts": Judging, "change": Changing, "acting": Gate, "narrowing": Narrowed}
@@ -429,7 +438,7 @@
 
     def __init__(self, world, folder, count=3, way=InSteps):
         self.world, self.record, self.owner, self.cut, self.gateways, self.logs, self.term = world, b"", None, set(), count, [], 0
-        self.servers, self.asked_judge = {}, 0
+        self.servers, self.asked_judge, self.tells = {}, 0, 0
         self.files = Files(str(folder / "vocabularies.json"), str(folder / "profiles.json"))
         self.works = [self.made(number, way) for number in range(count)]
 
@@ -467,6 +476,7 @@
         self.fleet.record = value
 
     def tell(self, number, kind, body):
+        self.fleet.tells += 1
         return (yield from self.ask(number, "vocabulary", kind, body, self.stamp))
 
     def ask(self, number, duty, kind, body, stamp=NOBODY):
@@ -520,6 +530,13 @@
             fleet.servers = {fleet.works[2].looked.vocabularies[name]: 1 for name in ("old", "new")}
             yield from world.sleep(3 * SECOND)
             assert fleet.words() == [("mixed", True)] * 3 and fleet.asked_judge == 2, "judged once more, by one that had no verdict"
+            told = fleet.tells
+            yield from world.sleep(10 * SECOND)
+            assert fleet.tells == told, "who knows it is not told again"
+            fleet.works[1] = fleet.made(1)
+            group.spawn(fleet.works[1].serve(), "serve")
+            yield from world.sleep(3 * SECOND)
+            assert fleet.words() == [("mixed", True)] * 3, "one that starts anew asks"
             laid(tmp_path, stop="gone")
             yield from world.sleep(4 * SECOND)
             assert fleet.words() == [("mixed", True)] * 3, "one profile of six is under the limit"
@@ -558,6 +575,9 @@
     assert read("other", stop_token_ids=[1])[0] is None
     assert read(sampling_profile="p1", top_k=9) == ("B", ["max_tokens_bounds", "stop_token_ids"], {"top_k": 9, "stop_token_ids": [4]})
     assert read(sampling_profile="p1", stop_token_ids=[1])[0] == "A"
+    with pytest.raises(errors.ParametersMalformed, match="max_tokens: found 10; allowed: 1 to 9 by profile 'p1'"):
+        read(sampling_profile="p1", max_tokens=10)
+    assert written.read({"max_tokens": msgspec.Raw(b"7"), "stop_token_ids": msgspec.Raw(b"[1]")}, "c", "p").limits == {"max_tokens": 7}
     for wrong in ({"sampling_profile": "p2"}, {"token_vocabulary": "three", "stop_token_ids": [1]}, {"sampling_profile": 7}):
         with pytest.raises(errors.VocabularyUnknown):
             read(**wrong)
