--- a/tests/test_weights_days.py
+++ b/tests/test_weights_days.py
@@ -1,6 +1,7 @@
 """The judging of weights on made-up records, and short days with weights: kept by the program, and breaks that are caught."""
 
 import json
+import re
 import subprocess
 import sys
 from pathlib import Path
@@ -8,6 +9,9 @@
 import pytest
 from play import scenarios
 
+from stackpitch import settings
+from stackpitch.rehearse.day import Day
+from stackpitch.rehearse.director import check
 from stackpitch.rehearse.judging.weights import NAMES, WeightsFigures, judge_weights
 
 ROOT = Path(__file__).parent.parent
@@ -89,6 +93,26 @@
     assert found == wanted, [(one.text, one.story) for one in breaches]
 
 
+@pytest.mark.parametrize(("change", "complaint"), [
+    ({"gateways": 3}, "weights.sites.south.gateways: found [2, 3]; allowed: numbers under gateways (3)"),
+    ({"duties": {"voters": [0], "names": ["vocabulary"]}}, "weights: found without its duty"),
+    ({"weights": {"links": {"uplink": {"bytes_per_s": 2048, "sites": ["west"]}}}},
+     "weights.links.uplink.sites: found 'west'; allowed: north, south"),
+    ({"weights": {"edits": [{"at_s": 1, "link": "radio", "bytes_per_s": 2048}]}},
+     "weights.edits.0.link: found 'radio'; allowed: uplink"),
+    ({"troubles": [{"kind": "disk-full", "at_s": 1, "names": ["g0"]}]}, "troubles.0.names: found 'g0'; allowed: north, south"),
+    ({"troubles": [{"kind": "origin-slow", "at_s": 1, "names": ["owner"]}]},
+     "troubles.0.names: found 'owner'; allowed: g0, g1, g2, g3"),
+])
+def test_a_day_that_is_wrong_is_turned_down(change, complaint):
+    path = ROOT / "tests/days/weights.jsonnet"
+    tree = settings.read(Day, path, {"play": "unpaced", "seed": "1"}).model_dump()
+    for name, value in change.items():
+        tree[name] = tree[name] | value if isinstance(value, dict) else value
+    with pytest.raises(ValueError, match=re.escape(complaint)):
+        check(Day.model_validate(tree))
+
+
 def outcome(play, *more):
     command = [sys.executable, "-m", "stackpitch", "rehearse", "tests/days/weights.jsonnet", "--json", "--set", f"play={play}"]
     done = subprocess.run([*command, *more], cwd=ROOT, capture_output=True, timeout=150)
