--- a/tests/duties_stage.py
+++ b/tests/duties_stage.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -18,13 +19,37 @@
 LEASE_MS = 1000
 
 
+BLOCK = 64  # ports of one fleet: gateways, the network between up to six of them, one more
+
+
+def free_block() -> int:
+    """The first of so many ports that nobody listens on, below those of rehearsed days and of outgoing connections."""
+    first = os.getpid() * 97 % 100
+    for step in range(100):
+        base = 10_000 + (first + step) % 100 * BLOCK
+        if all(map(free, range(base, base + BLOCK))):
+            return base
+    raise AssertionError("no free ports")
+
+
+def free(port: int) -> bool:
+    with socket.socket() as one:
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            one.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
+
+
 class Fleet:
     """`ports`: admin ports by number. `seen`: lets a stand-in lie in between, by (from, to)."""
 
     def __init__(self, folder: Path, gateways: int, voters: list[int], names=("weights",), broken: str | None = None, **duties):
         self.folder, self.voters, self.names, self.broken, self.duties = folder, voters, list(names), broken, duties
-        base = 20000 + os.getpid() * 97 % 9000
+        base = free_block()
         self.ports = [base + 2 * number for number in range(gateways)]
+        self.beside = base + BLOCK - 1  # for one more process
         self.processes: dict[int, subprocess.Popen] = {}
         self.paths: dict[tuple[int, int], int] = {}
         (folder / "fleet").write_text(json.dumps({"version": 1, "servers": [
@@ -36,8 +61,8 @@
     def between(self) -> None:
         """A stand-in network between all admin ports, a port for each pair and direction; before any gateway starts."""
         size = len(self.ports)
-        self.paths = {(one, other): self.ports[0] + 200 + one * size + other for one in range(size) for other in range(size) if one != other}
-        self.control = self.ports[0] + 199
+        self.paths = {(one, other): self.ports[0] + 2 * size + 1 + one * size + other for one in range(size) for other in range(size) if one != other}
+        self.control = self.ports[0] + 2 * size
         path = self.folder / "network.json"
         path.write_text(json.dumps({"port": self.control, "records": str(self.folder / "network.jsonl"), "links": [
             {"sender": one, "to": other, "port": port, "target": ["127.0.0.1", self.ports[other]]} for (one, other), port in self.paths.items()]}))
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -155,7 +155,7 @@
         fleet.wait(lambda: all(one.stamp.term >= number_of(term) for one in promises(fleet).values()), 4)
 
         spare = Fleet(tmp_path, 3, [0, 1, 2])  # voter 0 once more, as another process that was given the same file
-        spare.ports = [port + 100 for port in fleet.ports]
+        assert spare.ports[0] != fleet.ports[0], "the first fleet listens on its own"
         path = tmp_path / "twin.json"
         settings = spare.settings(0)
         settings["peers"]["admin"][1:] = [f"127.0.0.1:{port}" for port in fleet.ports[1:]]
--- a/tests/test_duties_weights.py
+++ b/tests/test_duties_weights.py
@@ -36,7 +36,7 @@
 
     def __init__(self, folder, sites, models, shared, own, voters=(0, 1, 2), broken=None):
         super().__init__(folder, sum(map(len, sites.values())), list(voters))
-        self.port, self.sites, self.shared, self.own = self.ports[-1] + 40, sites, shared, own
+        self.port, self.sites, self.shared, self.own = self.beside, sites, shared, own
         (folder / "origin").mkdir()
         self.models = {}
         for name, (size, priority) in models.items():
