--- a/tests/test_vocabulary_days.py
+++ b/tests/test_vocabulary_days.py
@@ -76,6 +76,7 @@
     words = {one["change"] for one in records if one["what"] == "call" and "change" in one}
     assert words >= {"allowed", "mixed", "called off", "done"}
     assert all(one["taken"] for one in records if one["what"] == "word")
+    assert any(one["what"] == "end" and one["status"] == 400 for one in records), "what lost its meaning is refused"
     spoke = [one for one in records if one["what"] == "spoke"]
     assert any(one["ids"] == one["asked"] for one in spoke) and any(one["ids"] != one["asked"] for one in spoke)
 
