Legs say their vocabulary to every server that has one, with token ids or without

Change: x-vocabulary on each leg to a server whose entry names one (gateway/engines.py); a gateway that has not read its files yet answers 503, which may be repeated.

--- a/stackpitch/gateway/engines.py
+++ b/stackpitch/gateway/engines.py
@@ -57,6 +57,7 @@
         fields = self.ask.fields
         if self.ask.spoken is not None:
             fields = fields | self.ask.spoken[vocabulary]  # sent nowhere else (`tongues`)
+        if vocabulary:  # against a list here that is older than the engine: its state would go to a writer of the other one
             headers.append((engine.VOCABULARY, vocabulary))
         return engine.leg_request(self.ask.target, f"{address[0]}:{address[1]}", fields, transfer, self.part != "read", headers)
 
--- a/stackpitch/gateway/speaking.py
+++ b/stackpitch/gateway/speaking.py
@@ -6,13 +6,14 @@
 import msgspec
 
 from stackpitch.duties.calls import Answer
-from stackpitch.duties.vocabulary.errors import VocabularyError
+from stackpitch.duties.vocabulary.errors import FilesUnread, VocabularyError
 from stackpitch.duties.vocabulary.owning import Asking
 from stackpitch.duties.vocabulary.work import VocabularyWork
 from stackpitch.gateway.admin import Route
 from stackpitch.gateway.facts import BadRequest, Facts
 from stackpitch.gateway.roster import Roster
 from stackpitch.loop import Coro
+from stackpitch.wire import http
 
 Spoken = dict[str, dict[str, msgspec.Raw]]
 
@@ -30,12 +31,15 @@
 
     def spoken(self, facts: Facts) -> Spoken | None:
         """By vocabulary that it may go to, the fields that replace those of the body; None: it says no token ids. Takes the
-        fields that are ours out of the body. Raises BadRequest, with what it means and what to do."""
+        fields that are ours out of the body. Raises BadRequest, with what it means and what to do, or
+        BadMessage while it is not known here yet."""
         self._listed()
         customer = facts.customer.name if facts.customer is not None else None
         try:
             asked = self.work.written.read(facts.fields, customer, facts.product.name)
             narrowed = self.work.acting.decide(asked)
+        except FilesUnread as wrong:
+            raise http.BadMessage(503, f"{wrong}. {wrong.remedy}") from None  # may be asked again
         except VocabularyError as wrong:
             raise BadRequest(getattr(wrong, "field", "token ids"), f"{wrong}. {wrong.remedy}") from None
         if narrowed is None:
--- a/tests/test_vocabulary_days.py
+++ b/tests/test_vocabulary_days.py
@@ -61,8 +61,8 @@
     assert not written.read({"stop": Raw(b'"x"'), "stop_token_ids": Raw(b"[]")}, None, "consulta").ids
 
 
-def outcome(*more: str) -> dict:
-    command = [sys.executable, "-m", "stackpitch", "rehearse", "tests/days/vocabulary.jsonnet", "--json", *more]
+def outcome(*more: str, day: str = "tests/days/vocabulary.jsonnet") -> dict:
+    command = [sys.executable, "-m", "stackpitch", "rehearse", day, "--json", *more]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, timeout=150)
     assert done.stdout, done.stderr.decode()[-2000:]
     return json.loads(done.stdout) | {"exit": done.returncode}
@@ -90,6 +90,12 @@
     kept(outcome("--keep", str(tmp_path)), tmp_path)
 
 
+def test_a_gateway_that_slept_through_a_change_moves_no_state_across() -> None:
+    """Its list is older than its engines: they refuse what is meant for their old vocabulary."""
+    found = outcome("--virtual", "--set", "seed=31", day="days/vocabulary-storm.jsonnet")
+    assert found["exit"] == 0 and not any(found["rules"].values()), found["breaches"]
+
+
 @pytest.mark.parametrize("name", BROKEN)
 def test_gateways_broken_on_purpose_are_caught(name: str) -> None:
     found = outcome("--virtual", "--broken", name)
