Two candidates of one vacancy don't split its votes again and again

The lines at fault: Voting._told began all calls of a step at once. Change: candidates of one step are told 30 ms apart, and one that loses a campaign after its pre-vote rests for up to 150 ms, by its number and a count.

--- a/stackpitch/duties/carrier/owning.py
+++ b/stackpitch/duties/carrier/owning.py
@@ -1,6 +1,7 @@
 """One duty on one gateway: campaigns when a voter says so, holds the lease, runs the work while it holds."""
 
 from typing import Any
+from zlib import crc32
 
 import msgspec
 
@@ -17,8 +18,9 @@
 from stackpitch.duties.ownership.rounds import Round
 from stackpitch.duties.record.errors import RecordLost, RecordTooLarge
 from stackpitch.duties.work import Work
-from stackpitch.loop import SECOND, Coro, Group, Scope, Time, World
+from stackpitch.loop import MS, SECOND, Coro, Group, Scope, Time, World
 
+SPLIT: Time = 150 * MS  # within which a candidate that lost a campaign after its pre-vote begins none
 REST: Time = 10 * SECOND  # after work that broke, in which this gateway leaves the duty to others
 
 
@@ -42,6 +44,7 @@
         self.why = ""  # it was ended
         self.leaving = False
         self.rests: Time = 0  # until then
+        self.split = 0  # campaigns that were lost after their pre-vote
 
     # Campaigns.
 
@@ -78,6 +81,9 @@
         then = self.candidate.heard(self.world.now(), asked, voter, answer)
         if then is not None:
             self._send(then)
+            if then.kind == "release" and before == "lease":  # half a vote: others may hold the other half, and so again
+                self.split += 1
+                self.rests = self.world.now() + crc32(f"{self.duty} {self.figures.number} {self.split}".encode()) % SPLIT
         if before != "owner" and self.candidate.stage == "owner":
             self.group.spawn(self._own(self.candidate.stamp), f"own {self.duty}")
 
--- a/stackpitch/duties/carrier/voting.py
+++ b/stackpitch/duties/carrier/voting.py
@@ -20,6 +20,7 @@
 from stackpitch.loop import MS, SECOND, Coro, Group, Task, Time, World
 
 QUEUE = "votes"  # of its file: a voter must not wait while gigabytes of weights are written
+APART: Time = 30 * MS  # between candidates told in one step: the first one's campaign is over before the next begins
 ASK_AGAIN: Time = 200 * MS  # between two rounds of a voter that starts
 KINDS = frozenset({"would", "lease", "release", "read", "write"})
 
@@ -229,14 +230,16 @@
         """If none of them is there, the next ones are told at once."""
         known, there = self.voter.promised(duty).stamp, list[bool]()
 
-        def one(number: int) -> Coro[None]:
-            answer = yield from self.posts.send(number, duty, "vacant", known)
-            there.append(answer is not None)
+        def one(number: int, place: int) -> Coro[None]:
+            yield from self.world.sleep(place * APART)
+            if duty in self.open:
+                answer = yield from self.posts.send(number, duty, "vacant", known)
+                there.append(answer is not None)
 
         def body(group: Group) -> Coro[None]:
             yield from ()
-            for number in numbers:
-                group.spawn(one(number), f"vacant {number}")
+            for place, number in enumerate(numbers):
+                group.spawn(one(number, place), f"vacant {number}")
 
         yield from self.world.group(body)
         if not any(there) and duty in self.open and vacancy.hurry(self.world.now()):
