--- a/benchmarks/outages.py
+++ b/benchmarks/outages.py
@@ -58,14 +58,15 @@
     return found
 
 
-def played(times: int, made_up: bool, cause: str) -> tuple[str, list[float], int]:
+def played(times: int, made_up: bool, cause: str) -> tuple[str, list[float], list[str]]:
     one = day(cause, times)
     with tempfile.TemporaryDirectory() as folder:
         if made_up:
             outcome = virtual.play(one, Path(folder), lambda text: None)
         else:
             outcome = director.play(RealWorld(one.seed), one, Path(folder), None, lambda text: None)
-        return cause, outages(read_all(Path(folder)), one, CAUSES[cause][2]), len(outcome.breaches)
+        return cause, outages(read_all(Path(folder)), one, CAUSES[cause][2]), [
+            f"{cause}: {outcome.names[breach.rule]} {breach.key}: {breach.text}" for breach in outcome.breaches]
 
 
 def main() -> None:
@@ -76,14 +77,19 @@
     table = Table(title="Time without an owner" + (" (made-up time and network)" if given.virtual else ""))
     for column in ("cause", "strikes", "p50 ms", "p99 ms", "most ms", "bound ms", "p99 / bound", "breaches"):
         table.add_column(column, justify="left" if column == "cause" else "right")
+    broken: list[str] = []
     with ProcessPoolExecutor(len(CAUSES)) as pool:
         for cause, found, breaches in pool.map(partial(played, given.times, given.virtual), CAUSES):
             bound = 500 if cause == "SIGTERM" else 4000
             found.sort()
             p99 = found[max(0, round(0.99 * len(found)) - 1)]
             table.add_row(cause, str(len(found)), f"{statistics.median(found):.0f}", f"{p99:.0f}", f"{found[-1]:.0f}",
-                          str(bound), f"{p99 / bound:.2f}", str(breaches))
-    Console(width=120).print(table)
+                          str(bound), f"{p99 / bound:.2f}", str(len(breaches)))
+            broken += breaches
+    console = Console(width=120)
+    console.print(table)
+    for text in broken:
+        console.print(text, highlight=False)
 
 
 if __name__ == "__main__":
