--- a/stackpitch/rehearse/judging/lives.py
+++ b/stackpitch/rehearse/judging/lives.py
@@ -29,6 +29,10 @@
         place = bisect_right(starts, at)
         return starts[place - 1] if place else 0
 
+    def harmed_before(self, number: int, at: Time) -> Time:
+        """When its voter's file was last taken away or set back; 0: never."""
+        return max((begin for begin, _ in self.hurt[number] if begin <= at), default=0)
+
     def away(self, number: int) -> list[Span]:
         return self.down[number] + self.stopped[number] + self.hurt[number]
 
