--- a/tests/duties_stage.py
+++ b/tests/duties_stage.py
@@ -170,6 +170,8 @@
             return ANSWER.decode(urllib.request.urlopen(request, timeout=3).read())
         except urllib.error.HTTPError as wrong:
             return wrong.read().decode()
+        except urllib.error.URLError as wrong:  # closed before all was sent
+            return f"closed: {wrong.reason}"
 
 
 def order(term: str) -> tuple[int, ...]:
