An attempt tells what time is left and looks at its server's state as it is written

Cause: an attempt's limit and server were settled as it was spawned (LegRun.__init__, Host.send), its first byte is written up to a wait for a place (250 ms) and a connection (250 ms) later.

Change: the attempt keeps the moment at which it ends, and tells the time from the write to it; LegRun._write, which already looks at the client once more, looks at the server's state too and ends the attempt as not sent.

--- a/stackpitch/gateway/leg.py
+++ b/stackpitch/gateway/leg.py
@@ -31,7 +31,8 @@
     ROW = 16  # feeds without a wait, then the others get their turn
 
     def __init__(self, host: "Carrier", ask: Ask, leg: Leg, limit: Time) -> None:
-        self.host, self.leg, self.limit = host, leg, limit
+        self.host, self.leg = host, leg
+        self.ends = host.world.now() + limit  # the attempt is given up then
         self.carried = ask
         self.phase = [Phase.QUEUED]
         self.reader = http.ResponseReader(host.bounds.max_head, host.bounds.max_answer)
@@ -46,6 +47,9 @@
         finally:  # also where the task is cancelled: the module always hears the end
             self.host.leg_ended(self.carried, self.leg, end or self._broken("cancelled", "cancelled"))
 
+    def time_left(self) -> Time:
+        return self.ends - self.host.world.now()
+
     def _broken(self, how: Break, why: str) -> End:
         return End(broken(self.phase[0], how), self.phase[0], why=why, report=self._load())
 
@@ -64,7 +68,7 @@
         pool = self.host.pool(server)
         stream: Stream | None = None
         end: End | None = None
-        with world.limit(self.limit) as scope:
+        with world.limit(self.time_left()) as scope:
             try:
                 # The other side may have closed a kept connection as the request is written to it; nothing then tells
                 # whether it ran, and a side-effecting generation could not be sent again.
@@ -96,12 +100,18 @@
             pool.drop(stream)
 
     def _write(self, stream: Stream, request: bytes) -> Coro[None]:
-        """Looks once more before the first byte: a connection may have been long in the making, or this loop busy."""
+        """Looks once more before the first byte: a connection may have been long in the making, or this loop busy.
+
+        Guards against attempts for clients that have gone, and against new work for a server that was listed as
+        draining or gone while the attempt waited.
+        """
         ask = self.carried
         if not self.leg.gen.over and ask.left():
             self.host.departed(ask)
         if self.leg.gen.over:
             raise NotSent("its client has left")
+        if self.leg.server.state != "ready":
+            raise NotSent(f"its server is {self.leg.server.state}")
         until, world = latest(self.leg), self.host.world
         if until is not None and world.now() >= until:
             raise NotSent("its servers may have forgotten an earlier leg")
--- a/stackpitch/platform/leg.py
+++ b/stackpitch/platform/leg.py
@@ -7,7 +7,7 @@
 from stackpitch.gateway.outcomes import Phase
 from stackpitch.gateway.pool import Pool
 from stackpitch.interface import Leg, Time
-from stackpitch.loop import Coro, Scope, Stream
+from stackpitch.loop import MS, Coro, Scope, Stream
 from stackpitch.platform.ask import PlatformAsk
 from stackpitch.wire import engine, http, platform
 
@@ -39,7 +39,7 @@
     def _request(self) -> bytes:
         ask, host, port = self.ask, *self.host.roster.addresses[self.leg.server]
         return http.request(ask.method, ask.target, f"{host}:{port}", ask.body, [
-            ("req-id", ask.gen.name), ("req-deadline-ms", str(max(1, self.limit // 10)))])
+            ("req-id", ask.gen.name), ("req-deadline-ms", str(max(1, self.time_left() // MS)))])
 
     def _exchange(self, stream: Stream, scope: Scope) -> Coro[End]:
         yield from self._write(stream, self._request())
--- a/tests/platform_expect.py
+++ b/tests/platform_expect.py
@@ -48,11 +48,26 @@
         yield from self.until(3000, lambda: number in self.outcomes, "it is not over")
         assert self.outcomes[number] == list(outcomes), f"outcomes {self.outcomes[number]}"
 
+    def expect_deadlines(self, name: str, count: str, slack_ms: str) -> None:
+        client = self.clients[name]
+        found = [one for server in self.servers.values() for one in server.deadlines.get(client.id, [])]
+        assert len(found) == int(count), f"{len(found)} attempts"
+        for told, when in found:
+            left = client.limit - (when - client.asked) // MS
+            assert told <= left + int(slack_ms), f"told {told} ms, {left} are left"
+
     def expect_half_written(self, name: str, role: str, count: str, or_none: str = "") -> None:
         mark = f"req-id: {self.clients[name].id}".encode()
         found = [(one.name[0], came[1]) for one in self.servers.values() for came in one.came if mark in came[0] and not came[2]]
         assert found == [(role, int(count))] or (or_none and not found), f"{found}"
 
+    def expect_served_or_refused(self, name: str) -> Coro[None]:
+        """A new connection owes an answer to whatever came on it; a request that was refused so is not sent on."""
+        client = self.clients[name]
+        yield from self.until(3000, lambda: client.end is not None, "no end came")
+        assert client.end in ("streamed", "503"), f"ended as {client.end!r}: {client.why}"
+        assert client.end == "streamed" or not self.called("POST", name), f"sent on to {self.called('POST', name)}"
+
     def expect_answered_or_unread(self, name: str) -> Coro[None]:
         client = self.clients[name]
         yield from self.until(3000, lambda: client.end is not None, "no end came")
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -16,6 +16,7 @@
     raw a POST /v1 HTTP/1.1\\r\\n   bytes on a connection of their own; {id} is a fresh id, {mb} a megabyte
     then a chat                     asks again on the same connection once the last answer was whole; `again`: at once
     quiet a                         a connection that says nothing
+    open a                          a connection that neither asks nor reads until `again a chat`
     leave a | leave a half | leave a reset      closes its connection, ends its sending, breaks it
     more a 500                      so many bytes after its request; `second a`: a whole second request
     budget 1                        so many connections to servers may be open from now on
@@ -31,6 +32,7 @@
     > ready-within 510              ms from the gateway's start until it said that it was ready
     > attempts a 1                  so many, wherever
     > outcomes a read not-sent      of its attempts, in order, once it is over
+    > deadlines a 2 15              so many attempts, each telling its server at most what the client has left and 15 ms
     > half-written a w 300 or-none  of its request so many bytes came to one server of that letter, never the whole, or none if that will do
     > clean a                       its connection ended by an end, not by a reset
     > answered-or-unread a          a whole answer, that tells of a shutdown; or a clean end, and nothing was sent on
@@ -224,6 +226,9 @@
         client = self.clients[name] = Client(stream, f"{self.count:016x}")
         return client
 
+    def do_open(self, name: str) -> Coro[None]:
+        yield from self.connect(name)
+
     def do_quiet(self, name: str) -> Coro[None]:
         client = yield from self.connect(name)
         self.group.spawn(self.take(client), name)
@@ -245,6 +250,7 @@
     def ask(self, client: Client, name: str, product: str, limit: str = "3000", id: str | None = None, key: str | None = None,
             extra: str = "prompt_len=500,max_out=50", retry: str = "0", pad: str = "0",
             reads: str = "65536/0") -> None:
+        client.asked, client.limit = self.world.now(), int(limit)
         client.pace = int(reads.partition("/")[0]), int(reads.partition("/")[2]) * MS
         client.id = self.clients[id].id if id else client.id
         body = self.bodies[client.id] = BODY + b" " * int(pad)
