Answers for clients that ended their sending, new connections that end, and the accept queue

Causes, by reading each path that ends something against 'a request that was read and then closed with no answer is lost': - Door._carry and Told.departed took a half-close for a close and closed without an answer, though the client may still read; a stream was cut off at a half-close as well. - Door._request and Endings._end ended a new connection by a half-close alone; a request that crossed it was read and dropped. - serve() closed the listener 0.7 s after SIGTERM: what the kernel had queued for accept then was reset.

Change: who ended its sending before its stream began gets its final answer at once (429 where nothing can have run, else 502), and no attempt begins; a stream goes on until a write fails. A new connection that ends without its request gets 503. Listener.finish accepts what is queued before it closes. The virtual world resets who writes to a closed connection, as a system does.

--- a/stackpitch/gateway/ask.py
+++ b/stackpitch/gateway/ask.py
@@ -12,6 +12,7 @@
 from stackpitch.wire.collect import Collector
 from stackpitch.wire.engine import error_body
 
+DEPARTED = "departed"  # the end of a request whose client has left
 SURPLUS = 1 << 19  # bytes after a request: one more of the largest, which is refused once this one is answered
 
 
@@ -38,6 +39,7 @@
         self.tasks: dict[Leg, Task] = {}  # legs out
         self.unsent: set[Leg] = set()  # of them, those whose last byte has not been handed over
         self.surplus = 0  # bytes that came after the request; none is kept
+        self.sending_ended = False  # the client closed, or half-closed and still reads: which of them can't be told
         self.begun = self.answered = False
         self.cut = False  # the stream was broken off, nothing can be written after it
         self.closing = False  # this answer is the connection's last, and says so where its head is still to come
@@ -50,19 +52,31 @@
 
     def left(self) -> bool:
         """Looks now whether the client has left, also behind bytes that it sent on. One that goes on sending counts as
-        left: whether it has closed can't be seen behind what it sends, and reading all of it would cost the others."""
+        left: whether it has closed can't be seen behind what it sends, and reading all of it would cost the others.
+
+        One that has ended its sending counts as left until its answer streams; then the next write tells."""
         try:
             while self.client is not None and self.surplus <= SURPLUS:
                 data = self.client.recv_now(look=True)
-                if data is None:
-                    return self.client.eof
                 if not data:
-                    return True
+                    self.sending_ended = self.client.eof
+                    return self.sending_ended and not self.streaming
                 self.surplus += len(data)
         except Lost:
             return True
         return not self.begun
 
+    @property
+    def streaming(self) -> bool:
+        """Whether output is written to the client as it comes."""
+        return self.begun
+
+    def answer_ended_sending(self) -> None:
+        """The final answer for a client that has ended its sending: no attempt begins for it any more, but it may read."""
+        nothing_ran = self.unsent.issuperset(self.gen.ran())
+        status = 429 if nothing_ran else 502
+        self.refuse(status, DEPARTED, "the client ended its sending before its answer came", again=nothing_ran)
+
     @property
     def flooded(self) -> bool:
         return self.surplus > SURPLUS
@@ -104,7 +118,7 @@
         """The client has departed: nothing more is written."""
         self.client = None
         if not self.answered:
-            self._final("departed")
+            self._final(DEPARTED)
 
     def _final(self, how: str) -> None:
         self.answered, self.end = True, how
@@ -126,6 +140,10 @@
         # By vocabulary that it may be read and answered in, the fields that say token ids; None: it says none.
         self.spoken: dict[str, dict[str, msgspec.Raw]] | None = None
 
+    @property
+    def streaming(self) -> bool:
+        return self.begun and self.collector is None
+
     def _headers(self) -> list[tuple[str, str]]:
         return [("x-request-id", self.request_id), *self._last()]
 
--- a/stackpitch/gateway/door.py
+++ b/stackpitch/gateway/door.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from stackpitch.gateway.ask import Ask, OpenAsk
+from stackpitch.gateway.ask import DEPARTED, Ask, OpenAsk
 from stackpitch.gateway.endings import Endings, Resting
 from stackpitch.gateway.facts import BadRequest, Facts, Reading
 from stackpitch.gateway.host import Host
@@ -42,6 +42,7 @@
         self.margin = margin
         self.fresh = idle if fresh is None else fresh  # for a connection's first byte
         self.connections = self.bodies = self.count = 0
+        self.accepting = True  # until the listener is closed
         self.mark = f"{host.name}.{world.wall_ms() % 0x100000000:x}"
 
     def serve(self, group: Group, listener: Listener) -> Coro[None]:
@@ -49,6 +50,7 @@
             try:
                 stream = yield from listener.accept()
             except Lost:
+                self.accepting = False
                 return  # the listener is closed: the gateway stops
             if self.connections - len(self.lingering) >= self.max_connections and not self._make_room():
                 self.metrics.refused.labels("connections").inc()
@@ -87,6 +89,8 @@
         try:
             first = yield from self._first(stream, kept)
             if not first:
+                if not (kept or stream.eof or stream in self.lingering):
+                    self._answer_unasked(stream)
                 return False
             began = self.world.now()
             reader.feed(first)
@@ -199,6 +203,8 @@
         if ask.left():  # with its request, or while that waited here for its turn: nothing is begun for it
             if ask.flooded:
                 yield from self._flooded(stream)
+            elif ask.sending_ended:
+                ask.answer_ended_sending()
             return False
         ask.closing = self.stopping or not reader.keep_alive
         self.host.arrived(ask)
@@ -207,7 +213,7 @@
         finally:
             if not ask.answered:
                 self.host.departed(ask)
-        if ask.end == "departed":
+        if ask.end == DEPARTED:
             if ask.flooded:
                 yield from self._flooded(stream)
             return False
@@ -221,11 +227,14 @@
         return reader.keep_alive and not self.stopping and not ask.closing
 
     def _wait(self, stream: Stream, ask: Ask) -> Coro[None]:
-        """Until the final answer, or until the client has left; also one that has sent on is attended to."""
+        """Until the final answer, or until the client has left; also one that has sent on is attended to.
+
+        Not one that has ended its sending while its answer streams: nothing more can come, and a write tells if it left.
+        """
         ask.waiter = self.world.current
         try:
             while not ask.answered:
-                stream.attend(None if ask.flooded else self.world.current)
+                stream.attend(None if ask.flooded or ask.sending_ended else self.world.current)
                 yield
                 if not ask.answered and ask.left():
                     self.host.departed(ask)
--- a/stackpitch/gateway/endings.py
+++ b/stackpitch/gateway/endings.py
@@ -60,6 +60,8 @@
             pass
         if not rest.first:
             self.lingering[stream] = None
+            if not rest.kept:
+                self._answer_unasked(stream)
             stream.finish()
         rest.scope.cancel()
         return not rest.first
@@ -73,6 +75,16 @@
         for stream in [one for one, rest in self.waiting.items() if rest.kept]:  # others may have a request on its way
             self._end(stream)
 
+    def _answer_unasked(self, stream: Stream) -> None:
+        """On a new connection that ends before its request came. Guards against a request that crosses the end: it is read
+        and dropped, and its client would be left without an answer; on a kept connection it is sent anew."""
+        body = error_body("no request came in time; try again", "no_request", "server_error")
+        headers = [("x-should-retry", "true"), ("connection", "close")]
+        try:
+            stream.write(http.response(503, body, headers))
+        except Lost:
+            pass  # it has gone
+
     def _turn_away(self, stream: Stream) -> Coro[None]:
         try:
             yield from self._error(stream, 503, "overfull", "no connection is free here; try again", again=True)
--- a/stackpitch/gateway/host/told.py
+++ b/stackpitch/gateway/host/told.py
@@ -95,9 +95,12 @@
 
     def departed(self, ask: Ask) -> None:
         """The client has left. A stream that nobody reads ends, and so do legs that have not been handed over whole, which
-        would begin for nobody; other legs go on to their outcome."""
+        would begin for nobody; other legs go on to their outcome. One that may only have ended its sending is owed an
+        answer."""
         if ask.gen.over:
             return
+        if ask.sending_ended and not ask.streaming:
+            ask.answer_ended_sending()
         ask.gen.over = True
         ask.leave()
         for leg, task in list(ask.tasks.items()):
--- a/stackpitch/gateway/serve.py
+++ b/stackpitch/gateway/serve.py
@@ -102,14 +102,14 @@
         while (number := (yield from caught())) == signal.SIGHUP:
             group.spawn(_told(keeper), "reload")
         log.info("stopping", signal=number, held=len(carrier.asks))
-        listener.close()
+        listener.finish()
         door.close_idle()
         if duties is not None:
             yield from duties.leave()  # bounded by the limit of one call between gateways
         task = world.current
         carrier.emptied = task.wake
         with world.limit(ticks(settings.stop.finish_ms)):
-            while carrier.asks or carrier.calls:
+            while door.accepting or carrier.asks or carrier.calls:
                 yield from world.sleep(50)
         carrier.emptied = None
         left = len(carrier.asks)
--- a/stackpitch/loop/real/listener.py
+++ b/stackpitch/loop/real/listener.py
@@ -28,6 +28,7 @@
         self.address: Address = self.sock.getsockname()
         self.waiter: Task | None = None
         self.choked, self.fillers = False, list[socket.socket]()
+        self.finishing = False
         self.row = 0
         self.fd = self.sock.fileno()
         world.handlers[self.fd] = self.on_event
@@ -49,7 +50,9 @@
                 try:
                     sock, peer = self.sock.accept()
                 except BlockingIOError:
-                    pass
+                    if self.finishing:
+                        self.close()
+                        raise Lost("closed here") from None
                 except OSError as wrong:
                     if wrong.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
                         yield from self.world.sleep(self.OUT_OF_DESCRIPTORS)
@@ -90,6 +93,13 @@
             if self.waiter is not None:
                 self.waiter.wake()
 
+    def finish(self) -> None:
+        """Guards against the resets that a plain close sends to connections still in the kernel's queue, whose clients
+        may have written their requests already."""
+        self.finishing = True
+        if self.waiter is not None:
+            self.waiter.wake()
+
     def close(self) -> None:
         if self.sock.fileno() >= 0:
             self.world.forget(self.fd)
--- a/stackpitch/loop/virtual/listener.py
+++ b/stackpitch/loop/virtual/listener.py
@@ -17,7 +17,7 @@
         self.world, self.address, self.backlog, self.process = world, address, backlog, process
         self.queue: deque[VirtualStream] = deque()
         self.waiter: Task | None = None
-        self.choked = self.closed = False
+        self.choked = self.closed = self.finishing = False
         self.late = 0  # by so much connections come about later
         self.window: int | None = None  # bytes that its connections take before they are read; None: the usual
         if process is not None:
@@ -25,6 +25,8 @@
 
     def accept(self) -> Coro[Stream]:
         while not self.queue or self.choked:
+            if self.finishing:
+                self.close()
             if self.closed:
                 raise Lost("closed here")
             self.waiter = self.world.current
@@ -39,6 +41,11 @@
         if not on and self.waiter is not None:
             self.waiter.wake()
 
+    def finish(self) -> None:
+        self.finishing = True
+        if self.waiter is not None:
+            self.waiter.wake()
+
     def close(self) -> None:
         if not self.closed:
             self.closed = True
--- a/stackpitch/loop/virtual/stream.py
+++ b/stackpitch/loop/virtual/stream.py
@@ -89,7 +89,9 @@
             self.world.network(self.latency, other.arrive_end)
 
     def arrive(self, data: bytes) -> None:
-        if not self.closed and not self.broken:
+        if self.closed:  # the other end hears that nobody reads here any more
+            self.world.network(self.latency, self.other.arrive_reset)
+        elif not self.broken:
             self.inbox.append(data)
             self.wake_reader()
 
--- a/stackpitch/loop/world.py
+++ b/stackpitch/loop/world.py
@@ -51,6 +51,10 @@
 
     def accept(self) -> Coro[Stream]: ...
     def choke(self, on: bool) -> None: ...  # new connections don't come about, open ones go on (stand-ins)
+    def finish(self) -> None:
+        """Closes once all connections that are already queued have been accepted; `accept` raises Lost then."""
+        ...
+
     def close(self) -> None: ...
 
 
--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -100,8 +100,8 @@
         log.info("stopping", held=len(host.asks), connections=door.connections)
         door.close_idle()
         yield from world.sleep(STILL_COMING)
-        listener.close()
-        while host.asks or host.calls or door.connections:
+        listener.finish()
+        while door.accepting or host.asks or host.calls or door.connections:
             door.close_idle()
             yield from world.sleep(20 * MS)
         log.classes()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -64,6 +64,12 @@
                           "quiet c", *moment, "> answered-or-unread a"])
 
 
+@pytest.mark.parametrize("ticks", range(90, 116))
+def test_a_request_in_the_moment_in_which_its_new_connection_ends(ticks: int, tmp_path: Path) -> None:
+    """No request has come on it for 1.2 s, that is 12,000 ticks."""
+    Stage(tmp_path).play(["fleet r1 w1", "open a", "wait 1190", f"ticks {ticks}", "again a chat", "> served-or-refused a", "> idle"])
+
+
 @pytest.mark.parametrize("ticks", [*range(0, 30, 3), 300, 1000])
 @pytest.mark.parametrize("behind", ["wait 0", "second a", "more a 60, wait 5", "second a, wait 5"])
 @pytest.mark.parametrize("how", ["close", "half", "reset"])
