An attempt that is over as its connection comes about is not sent; a part is not the whole list

Causes, by reading: LegRun._write looked at the client, not at the attempt's own time or cancellation. A time-out that fires in the turn in which the connection comes about strikes at the next wait, which is behind the write (Task.step), so the request was handed over past its limit and could then only end as time-out, which may have run. Discovery._take_up took an answer to the whole-list call for the whole list though it said complete=false: what it left out stayed unknown until the next failure.

Change: _write ends such an attempt as not sent; a part in place of the whole list is taken as news and the whole is asked for again, at the pace of other bad answers.

--- a/stackpitch/gateway/leg.py
+++ b/stackpitch/gateway/leg.py
@@ -113,6 +113,8 @@
         if self.leg.server.state != "ready":
             raise NotSent(f"its server is {self.leg.server.state}")
         until, world = latest(self.leg), self.host.world
+        if self.time_left() <= 0 or world.current.struck() is not None:
+            raise NotSent("given up in the very turn in which its connection came about")
         if until is not None and world.now() >= until:
             raise NotSent("its servers may have forgotten an earlier leg")
         self.phase[0] = Phase.WRITING
--- a/stackpitch/platform/discovery.py
+++ b/stackpitch/platform/discovery.py
@@ -19,6 +19,7 @@
     from stackpitch.gateway.logs import Log
 
 MAX_LIST = 1 << 20  # bytes
+PART = "a part of the list where all of it was asked for"
 MOST_SAID = 16  # causes that are told of one outage
 
 
@@ -107,12 +108,18 @@
 
     def _take_up(self) -> Coro[Stream]:
         """Asks for the whole list until it comes, and takes it; the connection it came on. A try that is silent is not
-        waited for: the next one begins beside it, and the first whole answer ends the others."""
+        waited for: the next one begins beside it, and the first whole answer ends the others. A part of a list tells its
+        members, but not what else there is."""
         found: list[tuple[Stream, platform.Listed]] = []
 
         def one(group: Group) -> Coro[None]:
             try:
-                found.append((yield from self._whole()))
+                stream, told = yield from self._whole()
+                if not told.complete:
+                    stream.close()
+                    self.take(told)
+                    raise BadAnswer(PART)
+                found.append((stream, told))
             except (Lost, ConnectFailed, BadAnswer) as wrong:
                 self._failed(wrong)
             else:
@@ -175,6 +182,8 @@
                     told, keeps = yield from self._call(stream, f"{platform.LIST}{query}")
                 if told is None:
                     raise Lost(f"no answer within {(self.times.wait + self.times.grace) // MS} ms")
+                if since is None and not told.complete:
+                    raise BadAnswer(PART)
                 if told.complete or since is None or told.revision >= since:
                     self._told(told)
                 else:
--- a/tests/platform_discovery.py
+++ b/tests/platform_discovery.py
@@ -48,6 +48,8 @@
                 whole = since < 0 or since > self.revision
                 found = list(self.members.values()) if whole else [
                     one for revision, one in self.news if revision > since]
+                if spoil == "part":
+                    found, whole = found[:1], False
                 yield from self.spoilt(stream, spoil, json.dumps(self.listing(found, whole)).encode())
         except Lost:
             pass
@@ -56,7 +58,8 @@
             stream.close()
 
     def spoilt(self, stream: Stream, spoil: str, body: bytes) -> Coro[None]:
-        """`cut` in the middle, a byte a second, or bytes that are no such answer; `last`: good, then closed."""
+        """`cut` in the middle, a byte a second, or bytes that are no such answer; `last`: good, then closed; `part`: one
+        member alone, as if it were news."""
         good = http.response(200, body, [("connection", "close")] if spoil == "last" else [])
         if spoil == "cut":
             stream.write(good[:len(good) // 2])
--- /dev/null
+++ b/tests/test_attempt_writes.py
@@ -0,0 +1,72 @@
+"""What an attempt looks at before the first byte of its request, on sockets of this machine."""
+
+import socket
+import time
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from stackpitch.gateway.leg import LegRun
+from stackpitch.gateway.outcomes import End, Phase
+from stackpitch.gateway.pool import Pool
+from stackpitch.interface import Generation, Leg, Product, Server
+from stackpitch.loop import MS, SECOND, Coro, Group, RealWorld, Scope, Stream, Task
+
+LIMIT = 20 * MS
+CHAT = Product("chat", "idempotent", "all", 0, 10_000, 0, 600, 40_000, 1, 0)
+
+
+class WritingAttempt(LegRun):
+    """Writes its request and takes that for the whole exchange."""
+
+    def _load(self) -> str | None:
+        return None
+
+    def _exchange(self, stream: Stream, scope: Scope) -> Coro[End]:
+        yield from self._write(stream, b"request")
+        return End("streamed", Phase.STREAMING)
+
+
+def attempted(meanwhile: Callable[[Task], None]) -> tuple[str, bytes]:
+    """The outcome of an attempt, and what its server got; `meanwhile` happens while its connection comes about, seen by the
+    loop in the same turn as the connection."""
+    world, ends = RealWorld(), list[End]()
+    listener = socket.create_server(("127.0.0.1", 0))
+    address = listener.getsockname()
+    server = Server("w1", "a", "w", 1, "writer", 1000)
+    request = Generation("a", CHAT, None, None, None, 0, 10, 10, None, 0, SECOND, False, False)
+    pool = Pool(world, address, 4, SECOND, SECOND)
+    host: Any = SimpleNamespace(
+        world=world, roster=SimpleNamespace(addresses={server: address}), pool=lambda _: pool,
+        bounds=SimpleNamespace(max_head=1000, max_answer=1000), leg_ended=lambda ask, leg, end: ends.append(end))
+    ask: Any = SimpleNamespace(left=lambda: False, unsent=set())
+
+    def body(group: Group) -> Coro[None]:
+        attempt = WritingAttempt(host, ask, Leg(request, 0, server, world.now()), LIMIT)
+        task = group.spawn(attempt.run(), "attempt")
+        yield from world.pause()  # it connects now
+        meanwhile(task)
+        while not ends:
+            yield from world.sleep(MS)
+        pool.close()
+
+    world.run(world.group(body))
+    world.epoll.close()
+    accepted, _ = listener.accept()
+    accepted.settimeout(5)
+    got = accepted.recv(100)
+    for one in (accepted, listener):
+        one.close()
+    return ends[0].outcome, got
+
+
+@pytest.mark.parametrize("meanwhile, outcome, got", [
+    (lambda task: None, "streamed", b"request"),
+    (lambda task: time.sleep(3 * LIMIT / SECOND), "not-sent", b""),
+    (lambda task: task.cancel(), "not-sent", b""),
+], ids=["nothing happens", "its time is up", "it is cancelled"])
+def test_an_attempt_that_is_over_as_its_connection_comes_about_is_not_sent(
+        meanwhile: Callable[[Task], None], outcome: str, got: bytes) -> None:
+    assert attempted(meanwhile) == (outcome, got)
