A client's own fields go on to the model server with each attempt

Change: http.end_to_end gives the fields that go on: all but those of one connection (RFC 9110, 7.6.1), of framing, expect, host and accept-encoding (a compressed stream could not be read here); a value with a line's end in it is refused. The time told stays our own.

--- a/stackpitch/platform/ask.py
+++ b/stackpitch/platform/ask.py
@@ -9,16 +9,19 @@
 
 
 class PlatformAsk(Ask):
-    def __init__(self, gen: Generation, client: Stream, method: str, target: str, body: bytes) -> None:
+    """`headers`: the request's fields that go on to the servers with it."""
+
+    def __init__(self, gen: Generation, client: Stream, method: str, target: str, headers: Sequence[tuple[str, str]],
+                 body: bytes) -> None:
         super().__init__(gen, client, target)
-        self.method, self.body = method, body
+        self.method, self.headers, self.body = method, headers, body
         self.written: Leg | None = None  # the newest leg whose request has been handed over whole
         self.held = False  # a state or place may be held; a started stream lets go of it
         self.doubt = False  # a read may have ended well unseen: what it left is held, whatever started since
 
     def _final(self, how: str) -> None:
         super()._final(how)
-        self.body = b""  # nothing more is sent
+        self.headers, self.body = (), b""  # nothing more is sent
 
     def begin(self, now: Time) -> None:
         self.begun, self.first_token = True, now
--- a/stackpitch/platform/door.py
+++ b/stackpitch/platform/door.py
@@ -43,4 +43,5 @@
         gen = Generation(facts.name, product, self.customers.get(facts.customer or ""), facts.session, facts.shared,
                          facts.shared_tok, facts.prompt_tok, facts.limit_tok, None, now, gives_up, facts.repeat,
                          facts.resumed)
-        return PlatformAsk(gen, stream, reader.method, reader.url.decode("latin-1"), reader.body())
+        headers = [(name, value) for name, value in http.end_to_end(reader.headers) if name != platform.DEADLINE]
+        return PlatformAsk(gen, stream, reader.method, reader.url.decode("latin-1"), headers, reader.body())
--- a/stackpitch/platform/leg.py
+++ b/stackpitch/platform/leg.py
@@ -38,8 +38,9 @@
 
     def _request(self) -> bytes:
         ask, host, port = self.ask, *self.host.roster.addresses[self.leg.server]
+        left = max(1, self.time_left() // MS)
         return http.request(ask.method, ask.target, f"{host}:{port}", ask.body, [
-            ("req-id", ask.gen.name), ("req-deadline-ms", str(max(1, self.time_left() // MS)))])
+            *ask.headers, (platform.DEADLINE, str(left))])
 
     def _exchange(self, stream: Stream, scope: Scope) -> Coro[End]:
         yield from self._write(stream, self._request())
--- a/stackpitch/wire/http.py
+++ b/stackpitch/wire/http.py
@@ -5,7 +5,7 @@
 are noted (`extra`), never parsed on.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Mapping
 
 import httptools
 
@@ -15,7 +15,11 @@
     429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
     502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 }
-Headers = Iterable[tuple[str, str]]
+Headers = Collection[tuple[str, str]]
+# Fields that speak of one connection, or of how this message is framed on it; and of what whoever passes it on can read.
+NOT_PASSED_ON = frozenset({
+    "accept-encoding", "connection", "content-length", "expect", "host", "keep-alive", "proxy-authenticate",
+    "proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade"})
 LAST_CHUNK = b"0\r\n\r\n"
 MAX_URL = 2048
 
@@ -205,11 +209,22 @@
     return head(status, [("content-type", kind), ("content-length", str(len(body))), *headers]) + body
 
 
+def end_to_end(headers: Mapping[str, str]) -> list[tuple[str, str]]:
+    """The fields of a request that go on to whoever serves it, in the order in which they came. Raises BadMessage on a value
+    with a line end in it, which would begin a field of its own there."""
+    if any("\n" in value or "\r" in value for value in headers.values()):
+        raise BadMessage(400, "a field's value goes over a line's end")
+    named = {one.strip().lower() for one in headers.get("connection", "").split(",")}
+    return [(name, value) for name, value in headers.items() if name not in NOT_PASSED_ON and name not in named]
+
+
 def request(method: str, target: str, host: str, body: bytes, headers: Headers = ()) -> bytes:
     lines = [f"{method} {target} HTTP/1.1", f"host: {host}"]
     lines += [f"{name}: {value}" for name, value in headers]
     if body or method != "GET":
-        lines += ["content-type: application/json", f"content-length: {len(body)}"]
+        if not any(name == "content-type" for name, _ in headers):
+            lines.append("content-type: application/json")
+        lines.append(f"content-length: {len(body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace") + body
 
 
--- a/stackpitch/wire/platform.py
+++ b/stackpitch/wire/platform.py
@@ -14,6 +14,7 @@
 from stackpitch.plausible import Doubts
 from stackpitch.wire.http import BadMessage
 
+DEADLINE = "req-deadline-ms"  # how long whoever sends will wait
 READY, WELL, LIST, LEASES = "/-/ready", "/-/healthy", "/api/targets", "/kv/leases/"
 ID = re.compile(r"[0-9a-f]{16}")
 NAME = re.compile(r"[!-~]{1,100}")
@@ -60,7 +61,7 @@
     product = _named(headers, "req-kind")
     if product is None:
         raise BadMessage(400, "req-kind is missing")
-    limit = _whole("req-deadline-ms", headers.get("req-deadline-ms", ""), MOST_MS)
+    limit = _whole(DEADLINE, headers.get(DEADLINE, ""), MOST_MS)
     extra: dict[str, str] = {}
     for part in filter(None, (one.strip() for one in headers.get("req-extra", "").split(","))):
         key, equals, value = part.partition("=")
--- a/tests/platform_expect.py
+++ b/tests/platform_expect.py
@@ -48,6 +48,15 @@
         yield from self.until(3000, lambda: number in self.outcomes, "it is not over")
         assert self.outcomes[number] == list(outcomes), f"outcomes {self.outcomes[number]}"
 
+    def expect_passed_on(self, name: str, *fields: str) -> None:
+        """With every attempt; `-name`: that field with none."""
+        heads = [head for server in self.servers.values() for head in server.fields.get(self.clients[name].id, [])]
+        assert heads, "no attempt"
+        for head in heads:
+            for field, _, value in (one.partition(":") for one in fields):
+                wanted = None if field.startswith("-") else value
+                assert head.get(field.removeprefix("-")) == wanted, f"{head}"
+
     def expect_deadlines(self, name: str, count: str, slack_ms: str) -> None:
         client = self.clients[name]
         found = [one for server in self.servers.values() for one in server.deadlines.get(client.id, [])]
--- a/tests/platform_script.py
+++ b/tests/platform_script.py
@@ -56,6 +56,7 @@
         self.stage, self.name, self.port, self.acts = stage, name, port, ["ok"]
         self.calls: list[tuple[str, str]] = []
         self.blind = 0  # so long after it came about a connection is not read
+        self.fields: dict[str, list[dict[str, str]]] = {}  # by id: of each attempt's head
         self.deadlines: dict[str, list[tuple[int, int]]] = {}  # by id: ms that an attempt told, and when it was whole here
         self.came: list[list[Any]] = []  # of each request the first bytes, how many came, whether it is whole
         self.listener = stage.world.listen(("127.0.0.1", port))
@@ -94,6 +95,7 @@
                     stream.write(http.response(204 if reader.method == "DELETE" else 200, b""))
                     continue
                 assert reader.headers["req-deadline-ms"].isdigit() and reader.body() == self.stage.bodies.get(name, BODY), "not as it came"
+                self.fields.setdefault(name, []).append(reader.headers)
                 self.deadlines.setdefault(name, []).append((int(reader.headers["req-deadline-ms"]), self.stage.world.now()))
                 act, _, number = (self.acts.pop(0) if len(self.acts) > 1 else self.acts[0]).partition(":")
                 if stale:
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -12,6 +12,7 @@
     discovery down | up | cut-off | back    refused and reset, or connections that never come up
     discovery next never cut ok     what becomes of its next calls; see `spoilt`
     starve 300 100                  the gateway's process runs 100 ms after each 300 in which it doesn't
+    ask a chat with=idempotency-key:7f,x-a:1    and so further fields; `> passed-on a idempotency-key:7f` to each server that it came to
     ask a chat limit=900 extra=...  a client asks, chat, pay or order; retry=1; id=b that of another; key=s a session; pad=900 bytes more; reads=1/3000 a byte each 3 s
     raw a POST /v1 HTTP/1.1\\r\\n   bytes on a connection of their own; {id} is a fresh id, {mb} a megabyte
     then a chat                     asks again on the same connection once the last answer was whole; `again`: at once
@@ -249,13 +250,14 @@
 
     def ask(self, client: Client, name: str, product: str, limit: str = "3000", id: str | None = None, key: str | None = None,
             extra: str = "prompt_len=500,max_out=50", retry: str = "0", pad: str = "0",
-            reads: str = "65536/0") -> None:
+            reads: str = "65536/0", **more: str) -> None:
         client.asked, client.limit = self.world.now(), int(limit)
         client.pace = int(reads.partition("/")[0]), int(reads.partition("/")[2]) * MS
         client.id = self.clients[id].id if id else client.id
         body = self.bodies[client.id] = BODY + b" " * int(pad)
         headers = [("req-id", client.id), ("req-kind", product), ("req-deadline-ms", limit), ("req-extra", extra),
-                   ("req-retry", retry), *([("req-key", key)] if key else [])]
+                   ("req-retry", retry), *([("req-key", key)] if key else []),
+                   *((name, value) for name, _, value in (one.partition(":") for one in more.get("with", "").split(",") if one))]
         client.stream.write(http.request("POST", "/v1/chat/completions", "backend.local", body, headers))
         self.group.spawn(self.take(client), name)
 
