--- a/tests/test_attempt_writes.py
+++ b/tests/test_attempt_writes.py
@@ -39,8 +39,12 @@
     request = Generation("a", CHAT, None, None, None, 0, 10, 10, None, 0, SECOND, False, False)
     pool = Pool(world, address, 4, SECOND, SECOND)
     host: Any = SimpleNamespace(
-        world=world, roster=SimpleNamespace(addresses={server: address}), pool=lambda _: pool,
-        bounds=SimpleNamespace(max_head=1000, max_answer=1000), leg_ended=lambda ask, leg, end: ends.append(end))
+        world=world,
+        roster=SimpleNamespace(addresses={server: address}),
+        pool=lambda _: pool,
+        bounds=SimpleNamespace(max_head=1000, max_answer=1000),
+        leg_ended=lambda ask, leg, end: ends.append(end),
+    )
     ask: Any = SimpleNamespace(left=lambda: False, unsent=set())
 
     def body(group: Group) -> Coro[None]:
@@ -62,11 +66,16 @@
     return ends[0].outcome, got
 
 
-@pytest.mark.parametrize("meanwhile, outcome, got", [
-    (lambda task: None, "streamed", b"request"),
-    (lambda task: time.sleep(3 * LIMIT / SECOND), "not-sent", b""),
-    (lambda task: task.cancel(), "not-sent", b""),
-], ids=["nothing happens", "its time is up", "it is cancelled"])
+@pytest.mark.parametrize(
+    "meanwhile, outcome, got",
+    [
+        (lambda task: None, "streamed", b"request"),
+        (lambda task: time.sleep(3 * LIMIT / SECOND), "not-sent", b""),
+        (lambda task: task.cancel(), "not-sent", b""),
+    ],
+    ids=["nothing happens", "its time is up", "it is cancelled"],
+)
 def test_an_attempt_that_is_over_as_its_connection_comes_about_is_not_sent(
-        meanwhile: Callable[[Task], None], outcome: str, got: bytes) -> None:
+    meanwhile: Callable[[Task], None], outcome: str, got: bytes
+) -> None:
     assert attempted(meanwhile) == (outcome, got)
