An answer or list nested too deeply costs itself, not the whole gateway

Cause, found by feeding each decoder what a stranger can send: msgspec raises RecursionError, which is no DecodeError, on text nested some 1,000 deep. platform.read_kept and platform.listed caught DecodeError alone, so one such answer of a prefill worker, or one such list, went through LegRun.run or Discovery.run into the group of all tasks and ended the gateway. The OpenAI-style front's decoders the same.

Change: wire/decoding.decode makes it a DecodeError; used where strangers' text is decoded. Beside that, as the same way out stood open to any error: what an attempt raises ends that attempt as one that may have run, what a list raises its call (both logged with a trace); a connection that breaks as it is accepted costs itself; a line that can't be written (its reader is gone) is dropped.

Tests, all seen to fail without the change: scenes 'an answer nested deeper than can be read ...' and 'a list nested deeper ...', test_what_an_attempt_raises_ends_that_attempt_alone, test_a_gateway_whose_lines_nobody_reads_any_more_serves_on. The accept case has none: no system here breaks a connection in that moment.

--- a/stackpitch/duties/vocabulary/acting/asked.py
+++ b/stackpitch/duties/vocabulary/acting/asked.py
@@ -6,6 +6,7 @@
 
 from stackpitch.duties.vocabulary.errors import ParametersMalformed
 from stackpitch.duties.vocabulary.parameters import IDS
+from stackpitch.wire.decoding import decode
 
 MOST_BYTES = 1 << 20  # of one field
 LIMITS = ("max_tokens", "max_completion_tokens", "min_tokens")
@@ -64,7 +65,7 @@
     for name in LIMITS:
         if name in fields:
             try:
-                value = msgspec.json.decode(fields[name], type=int | None)
+                value = decode(fields[name], type=int | None)
             except msgspec.DecodeError:
                 continue
             if value is not None:
--- a/stackpitch/duties/vocabulary/acting/written.py
+++ b/stackpitch/duties/vocabulary/acting/written.py
@@ -6,6 +6,7 @@
 from stackpitch.duties.vocabulary.errors import FilesUnread, ParametersMalformed, VocabularyUnknown
 from stackpitch.duties.vocabulary.judging.files import Looked
 from stackpitch.duties.vocabulary.parameters import IDS
+from stackpitch.wire.decoding import decode
 
 PROFILE, VOCABULARY = "sampling_profile", "token_vocabulary"  # of a request's body; neither goes on to engines
 
@@ -65,7 +66,7 @@
     if raw is None:
         return None
     try:
-        return msgspec.json.decode(raw, type=str | None)
+        return decode(raw, type=str | None)
     except msgspec.DecodeError:
         raise VocabularyUnknown("body", bytes(raw)[:40].decode(errors="replace"), ("a name",)) from None
 
--- a/stackpitch/duties/vocabulary/carrying/pages.py
+++ b/stackpitch/duties/vocabulary/carrying/pages.py
@@ -8,6 +8,7 @@
 from stackpitch.duties.vocabulary.change.states import Change
 from stackpitch.duties.vocabulary.errors import VerdictsTooLarge
 from stackpitch.duties.vocabulary.verdicts.judge import Verdicts
+from stackpitch.wire.decoding import decode
 
 SIZE, MOST = 192 * 1024, 16 << 20  # bytes of a page before base64; of all verdicts
 
@@ -53,4 +54,4 @@
         self.of, self.parts = None, {}
         if sha256(raw).hexdigest()[:32] != page.digest:
             return None
-        return msgspec.json.decode(raw, type=Verdicts)
+        return decode(raw, type=Verdicts)
--- a/stackpitch/duties/vocabulary/judging/ways.py
+++ b/stackpitch/duties/vocabulary/judging/ways.py
@@ -7,6 +7,7 @@
 
 from stackpitch.duties.vocabulary.judging.files import Files, Looked, Outcome, Task, judged, looked
 from stackpitch.loop import Coro, Lost, Time, World
+from stackpitch.wire.decoding import decode
 
 MOST = 64 << 20  # bytes of a child's answer
 REMEDY = "Look at the gateway's standard error; if the files are large, allow more time for judging."
@@ -48,11 +49,11 @@
 
     def look(self, files: Files) -> Coro[Looked]:
         raw = yield from self._asked(Task(files))
-        return msgspec.json.decode(raw, type=Looked) if raw else Looked("the judging process gave no answer", REMEDY)
+        return decode(raw, type=Looked) if raw else Looked("the judging process gave no answer", REMEDY)
 
     def judge(self, task: Task) -> Coro[Outcome]:
         raw = yield from self._asked(task)
-        return msgspec.json.decode(raw, type=Outcome) if raw else Outcome("the judging process gave no answer", REMEDY)
+        return decode(raw, type=Outcome) if raw else Outcome("the judging process gave no answer", REMEDY)
 
     def _asked(self, task: Task) -> Coro[bytes]:
         """Its whole answer; empty if it broke, took too long or was too large."""
--- a/stackpitch/duties/vocabulary/owning.py
+++ b/stackpitch/duties/vocabulary/owning.py
@@ -14,6 +14,7 @@
 from stackpitch.duties.work import Tenure
 from stackpitch.loop import Coro, Group, Time
 from stackpitch.loop import Task as Running
+from stackpitch.wire.decoding import decode
 
 if TYPE_CHECKING:
     from stackpitch.duties.vocabulary.work import VocabularyWork
@@ -176,7 +177,7 @@
         if outcome.problem or outcome.summary is None:
             self._failed(outcome.problem, outcome.remedy)
             return
-        digests = msgspec.json.decode(outcome.verdicts, type=About).digests
+        digests = decode(outcome.verdicts, type=About).digests
         if digests != change.digests:
             return  # the files have changed since they were looked at; the next look says so
         paged(outcome.verdicts, outcome.summary.digest)  # what can't be told is not allowed either
--- a/stackpitch/duties/vocabulary/work.py
+++ b/stackpitch/duties/vocabulary/work.py
@@ -18,6 +18,7 @@
 from stackpitch.duties.vocabulary.owning import Asking, Owning
 from stackpitch.duties.work import Ground, Tenure
 from stackpitch.loop import Coro, Time, World
+from stackpitch.wire.decoding import decode
 
 NAME = "vocabulary"
 LOOK, SAY = 50_000, 20_000  # between looks at the files; between questions to the owner while nothing is known
@@ -80,7 +81,7 @@
 
     def heard(self, sender: int, kind: str, stamp: Stamp, body: msgspec.Raw) -> Coro[Answer]:
         if kind == "asking":
-            asking = msgspec.json.decode(body, type=Asking)
+            asking = decode(body, type=Asking)
             if self.owning is None:
                 return Answer("does not own the duty")
             return (yield from self.owning.asked(asking))
@@ -89,9 +90,9 @@
                 self.owning.told.pop(sender, None)
             return Answer("yes" if self.owning is not None else "does not own the duty")
         if kind == "change" and stamp.term > 0:
-            return self._change(stamp, msgspec.json.decode(body, type=Tell).change)
+            return self._change(stamp, decode(body, type=Tell).change)
         if kind == "page" and stamp.term > 0:
-            return self._page(stamp, msgspec.json.decode(body, type=Page))
+            return self._page(stamp, decode(body, type=Page))
         raise msgspec.ValidationError(f"kind {kind[:20]!r}, or it lacks a term")
 
     def _change(self, stamp: Stamp, change: Change) -> Answer:
--- a/stackpitch/duties/weights/owner.py
+++ b/stackpitch/duties/weights/owner.py
@@ -19,6 +19,7 @@
 from stackpitch.duties.weights.wantedfile import WantedFile
 from stackpitch.duties.work import Tenure
 from stackpitch.loop import MS, SECOND, Coro, Group, Task, Time, World
+from stackpitch.wire.decoding import decode
 
 SOON: Time = 20 * MS  # between two turns at least: a plan for 50 sites takes 5 ms of the loop
 TICK: Time = SECOND // 10
@@ -131,7 +132,7 @@
         if answer is None or self.planner is None or self.upkeep is None:
             return
         try:
-            report = msgspec.json.decode(answer.body, type=forms.Report)
+            report = decode(answer.body, type=forms.Report)
         except msgspec.DecodeError as wrong:
             self.log("weights_answer", gateway=number, why=str(wrong))
             return
--- a/stackpitch/duties/weights/work.py
+++ b/stackpitch/duties/weights/work.py
@@ -18,6 +18,7 @@
 from stackpitch.duties.weights.wantedfile import WantedFile
 from stackpitch.duties.work import Ground, Tenure
 from stackpitch.loop import MS, SECOND, Coro, Group, Time, World
+from stackpitch.wire.decoding import decode
 
 LOOK: Time = 2 * SECOND  # at the wanted file
 SOON: Time = 100 * MS  # between two reports while something changes
@@ -71,30 +72,30 @@
 
     def announced(self, number: int, body: msgspec.Raw | None) -> None:
         self.waiting.pop(number, None)
-        said = None if body is None else msgspec.json.decode(body, type=forms.Present | None)
+        said = None if body is None else decode(body, type=forms.Present | None)
         if said is not None:  # a gateway of an older version says nothing
             self.waiting[number] = said.revenue
 
     def heard(self, sender: int, kind: str, stamp: Stamp, body: msgspec.Raw) -> Coro[Answer]:
         if kind == "report":
-            word = self.owner.report(msgspec.json.decode(body, type=forms.Report)) if self.owner is not None else "not owner"
+            word = self.owner.report(decode(body, type=forms.Report)) if self.owner is not None else "not owner"
             return Answer(word)
         if stamp.term <= 0:
             return Answer("a term is needed")
         if kind == "begin":
-            begin = msgspec.json.decode(body, type=forms.Begin)
+            begin = decode(body, type=forms.Begin)
             word = "yes" if self.receiver.shelf.fence(stamp) else "older term"
             if word == "yes":
                 self.receiver.site = begin.site
         elif kind == "place":
-            word = self.receiver.place(stamp, msgspec.json.decode(body, type=forms.Place))
+            word = self.receiver.place(stamp, decode(body, type=forms.Place))
         elif kind == "grant":
-            grant = msgspec.json.decode(body, type=Grant)
+            grant = decode(body, type=Grant)
             if grant.address.startswith("#"):  # a neighbour is where this gateway reaches it, not where the owner does
                 grant = msgspec.structs.replace(grant, address=self.address(self._neighbour(grant.address)))
             word = self.receiver.grant(stamp, grant)
         elif kind == "service":
-            word = yield from self.receiver.release(stamp, msgspec.json.decode(body, type=forms.Release))
+            word = yield from self.receiver.release(stamp, decode(body, type=forms.Release))
         else:
             return Answer("not known")
         return Answer(word, self.receiver.shelf.stamp, raw(self.receiver.report()))
--- a/stackpitch/gateway/engines.py
+++ b/stackpitch/gateway/engines.py
@@ -12,6 +12,7 @@
 from stackpitch.interface import Leg, Report, Server, Time
 from stackpitch.loop import Coro, Lost, Scope, Stream
 from stackpitch.wire import engine, http, orca, sse
+from stackpitch.wire.decoding import decode
 from stackpitch.wire.engine import HEALTH, STATE_HOLD, STATE_RELEASE, HoldAnswer, StateCall
 
 
@@ -177,7 +178,7 @@
         granted = False
         if answer is not None and answer.status == 200:
             try:
-                granted = msgspec.json.decode(b"".join(answer.pieces), type=HoldAnswer).held
+                granted = decode(b"".join(answer.pieces), type=HoldAnswer).held
             except msgspec.DecodeError:
                 pass  # not granted
         if granted and (ask.gen.over or ask.place is not server):
--- a/stackpitch/gateway/facts.py
+++ b/stackpitch/gateway/facts.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from stackpitch.interface import Customer, Product, Time
+from stackpitch.wire.decoding import decode
 
 SYSTEM = ("system", "developer")
 
@@ -50,7 +51,7 @@
     def read(self, target: str, headers: Mapping[str, str], body: bytes, unnamed: str) -> Facts:
         """Raises BadRequest. `unnamed` is the request's id where the client gives none."""
         try:
-            fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+            fields = decode(body, type=dict[str, msgspec.Raw])
         except msgspec.DecodeError as wrong:
             raise BadRequest("(body)", f"a JSON object is wanted: {wrong}") from None
         if "kv_transfer_params" in fields:
@@ -87,10 +88,10 @@
             return len(bytes(raw)), None, 0
         raw = fields.get("messages")
         try:
-            messages = msgspec.json.decode(raw if raw is not None else b"null", type=list[msgspec.Raw])
+            messages = decode(raw if raw is not None else b"null", type=list[msgspec.Raw])
             opening = []
             for one in messages:
-                if msgspec.json.decode(one, type=_Role).role not in SYSTEM:
+                if decode(one, type=_Role).role not in SYSTEM:
                     break
                 opening.append(bytes(one))
         except msgspec.DecodeError as wrong:
@@ -105,7 +106,7 @@
         if name not in fields:
             return None
         try:
-            return msgspec.json.decode(fields[name], type=str | None)
+            return decode(fields[name], type=str | None)
         except msgspec.DecodeError:
             raise BadRequest(name, "a string is wanted") from None
 
@@ -114,7 +115,7 @@
         if name not in fields:
             return None
         try:
-            found = msgspec.json.decode(fields[name], type=int | None)
+            found = decode(fields[name], type=int | None)
         except msgspec.DecodeError:
             found = 0
         if found is not None and not 0 < found <= 1_000_000:
--- a/stackpitch/gateway/leg.py
+++ b/stackpitch/gateway/leg.py
@@ -85,6 +85,9 @@
                 end = self._broken("lost", str(wrong))
             except http.BadMessage as wrong:
                 end = self._broken("garbled", str(wrong))
+            except Exception as wrong:  # guards the gateway against an answer that nobody thought of: it costs its attempt
+                self.host.logger.exception("attempt_raised", server=server.name, why=str(wrong))
+                end = self._broken("garbled", str(wrong))
             finally:
                 if stream is not None:
                     self._leave(pool, stream, end)
--- a/stackpitch/gateway/loading.py
+++ b/stackpitch/gateway/loading.py
@@ -12,11 +12,11 @@
 from stackpitch.interface import Server
 from stackpitch.loop import SECOND, Coro, Time, World
 from stackpitch.wire import engine, http
+from stackpitch.wire.decoding import decode
 
 LOOK: Time = 5 * SECOND  # at what engines run on, no oftener than somebody asks
 
 
-RUNS = msgspec.json.Decoder(engine.WeightsAnswer)
 
 
 class SiteEngines:
@@ -59,6 +59,6 @@
         self.runs.pop(server, None)
         if answer is not None and answer.status == 200:
             try:
-                self.runs[server] = RUNS.decode(b"".join(answer.pieces)).weights
+                self.runs[server] = decode(b"".join(answer.pieces), type=engine.WeightsAnswer).weights
             except msgspec.DecodeError:
                 pass  # as if it had not answered
--- a/stackpitch/loop/real/listener.py
+++ b/stackpitch/loop/real/listener.py
@@ -61,9 +61,13 @@
                         raise Lost("closed here") from None
                     continue  # that connection broke before it was taken
                 else:
-                    sock.setblocking(False)
-                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                    return RealStream(self.world, sock, peer)
+                    try:
+                        sock.setblocking(False)
+                        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                        return RealStream(self.world, sock, peer)
+                    except OSError:  # guards the door against a connection that broke as it was taken
+                        sock.close()
+                        continue
             self.row = 0
             self.waiter = self.world.current
             if not self.choked:
--- a/stackpitch/platform/discovery.py
+++ b/stackpitch/platform/discovery.py
@@ -93,6 +93,8 @@
                     yield from self._follow(stream)
                 except (Lost, ConnectFailed, BadAnswer) as wrong:
                     self._failed(wrong)
+                except Exception as wrong:  # guards the gateway against a list that nobody thought of: it costs its call
+                    self.log.exception("discovery_raised", why=str(wrong))
 
     def _failed(self, wrong: Exception) -> None:
         """One line for each cause until the next list: a discovery that is down must not fill the log."""
@@ -122,6 +124,8 @@
                 found.append((stream, told))
             except (Lost, ConnectFailed, BadAnswer) as wrong:
                 self._failed(wrong)
+            except Exception as wrong:  # as in `run`
+                self.log.exception("discovery_raised", why=str(wrong))
             else:
                 group.scope.cancel()
 
--- a/stackpitch/platform/lines.py
+++ b/stackpitch/platform/lines.py
@@ -20,8 +20,11 @@
 
     def _write(self, level: str, event: str, fields: dict[str, Any]) -> None:
         line = {"level": level, "gateway": self.gateway, "event": event, **fields}
-        sys.stderr.write(msgspec.json.encode(line, enc_hook=str).decode() + "\n")
-        sys.stderr.flush()
+        try:
+            sys.stderr.write(msgspec.json.encode(line, enc_hook=str).decode() + "\n")
+            sys.stderr.flush()
+        except OSError:
+            pass  # guards the gateway against the end of whoever reads its lines
 
     def debug(self, event: str, **fields: Any) -> None: ...
 
--- a/stackpitch/wire/collect.py
+++ b/stackpitch/wire/collect.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from stackpitch.wire.decoding import decode
 from stackpitch.wire.sse import Events
 
 
@@ -22,7 +23,7 @@
             if one == b"[DONE]":
                 continue
             try:
-                event = msgspec.json.decode(one)
+                event = decode(one)
             except msgspec.DecodeError:
                 continue  # the engine's own remark; the stream's end tells whether the answer is whole
             if not isinstance(event, dict):
--- a/stackpitch/wire/engine.py
+++ b/stackpitch/wire/engine.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from stackpitch.wire import http
+from stackpitch.wire.decoding import decode
 
 STATE_HOLD, STATE_RELEASE, HEALTH = "/v1/state/hold", "/v1/state/release", "/health"
 WEIGHTS = "/v1/weights"
@@ -116,7 +117,7 @@
 def read_answer(body: bytes) -> ReadAnswer:
     """Raises ValueError on a body that is no reader's answer."""
     try:
-        return msgspec.json.decode(body, type=ReadAnswer)
+        return decode(body, type=ReadAnswer)
     except msgspec.DecodeError as wrong:
         raise ValueError(str(wrong)) from None
 
@@ -126,7 +127,7 @@
     if status != 503:
         return None
     try:
-        code = msgspec.json.decode(body, type=ErrorAnswer).error.code
+        code = decode(body, type=ErrorAnswer).error.code
     except msgspec.DecodeError:
         return None
     return code if isinstance(code, str) and code in REFUSALS else None
@@ -138,7 +139,7 @@
     for one in reversed(events[-3:]):
         if one.startswith(b"data: {") and b'"usage"' in one:
             try:
-                found = msgspec.json.decode(one[6:], type=LastEvent).usage
+                found = decode(one[6:], type=LastEvent).usage
             except msgspec.DecodeError:
                 return None
             if found is not None:
--- a/stackpitch/wire/orca.py
+++ b/stackpitch/wire/orca.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from stackpitch.wire.decoding import decode
+
 HEADER = "endpoint-load-metrics"
 MAPS = ("named_metrics", "utilization", "request_cost")
 
@@ -46,7 +48,7 @@
 
 def _parse_json(text: str) -> dict[str, float]:
     try:
-        tree = msgspec.json.decode(text)
+        tree = decode(text)
     except msgspec.DecodeError as wrong:
         raise BadReport(f"not JSON: {wrong}") from None
     if not isinstance(tree, dict):
--- a/stackpitch/wire/platform.py
+++ b/stackpitch/wire/platform.py
@@ -12,6 +12,7 @@
 
 from stackpitch.interface import Outcome, Report, Role
 from stackpitch.plausible import Doubts
+from stackpitch.wire.decoding import decode
 from stackpitch.wire.http import BadMessage
 
 DEADLINE = "req-deadline-ms"  # how long whoever sends will wait
@@ -96,7 +97,7 @@
 def read_kept(body: bytes) -> object | None:
     """What a reader tells of tokens found kept, as told (`plausible.Doubts.kept`); None if its answer is none."""
     try:
-        found = msgspec.json.decode(body, type=_Read).cached_tokens
+        found = decode(body, type=_Read).cached_tokens
     except msgspec.DecodeError:
         return None
     return "" if found is None else found
@@ -201,16 +202,16 @@
 def listed(body: bytes) -> Listed:
     """One member that can't be read costs that member alone. Raises ValueError where the list itself can't be."""
     try:
-        unread = msgspec.json.decode(body, type=_Unread)
+        unread = decode(body, type=_Unread)
     except msgspec.DecodeError as wrong:
         raise ValueError(str(wrong)) from None
     found = Listed(unread.revision, unread.complete)
     for raw in unread.members:
         try:
-            found.members.append(msgspec.json.decode(raw, type=Member))
+            found.members.append(decode(raw, type=Member))
         except msgspec.DecodeError as wrong:
             try:
-                named = msgspec.json.decode(raw, type=_Named)
+                named = decode(raw, type=_Named)
                 name = named.id if named.phase == "up" else ""  # what drains or is gone keeps no entry
             except msgspec.DecodeError:
                 name = ""
--- a/tests/platform_discovery.py
+++ b/tests/platform_discovery.py
@@ -71,6 +71,7 @@
                 yield from self.world.sleep(SECOND)
         else:
             stream.write({
+                "deep": http.response(200, b'{"revision":99,"complete":true,"members":[' + b"[" * 9000 + b"]" * 9000 + b"]}"),
                 "noise": b"\x07\x80noise\r\n", "text": http.response(200, b"no list"), "status": http.response(500, b"{}"),
                 "endless": http.head(200, [("transfer-encoding", "chunked")]) + http.chunk(b"x" * 65536) * 17,
                 "large": http.head(200, [("content-length", "2000000")])}.get(spoil, good))
--- a/tests/platform_script.py
+++ b/tests/platform_script.py
@@ -43,6 +43,7 @@
     "bad-chunk": HEAD + event("w") + b"|" + b"zz\r\nnoise", "unfit-chunk": HEAD + event("w") + b"|" + b"2\r\nabcdef\r\n",
     "huge-chunk": HEAD + event("w") + b"|" + b"c0000000\r\ndata: " + b"x" * 100_000, "no-done": HEAD + event("w") + b"|" + http.LAST_CHUNK,
     "early": b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n" + STREAM, "second": STREAM + READ,
+    "deep-read": http.response(202, b'{"cached_tokens":' + b"[" * 9000 + b"]" * 9000 + b"}"),
     "odd-read": http.response(202, b'{"cached_tokens":"many"}'), "huge-read": http.response(202, b'{"cached_tokens":1%b}' % (b"0" * 30)),
     "odd-load": HEAD + event("w") + http.chunk(sse.DONE) + http.chunk(b": Srv-Load: queue=1e30,util=500,x0=-40\n\n") + http.LAST_CHUNK,
     "over-load": HEAD + event("w") + http.chunk(sse.DONE) + http.chunk(b": Srv-Load: queue=1,util=500,x0=1.2\n\n") + http.LAST_CHUNK,
--- a/tests/test_attempt_writes.py
+++ b/tests/test_attempt_writes.py
@@ -29,7 +29,15 @@
         return End("streamed", Phase.STREAMING)
 
 
-def attempted(meanwhile: Callable[[Task], None]) -> tuple[str, bytes]:
+class RaisingAttempt(WritingAttempt):
+    """Meets an answer that nobody thought of."""
+
+    def _exchange(self, stream: Stream, scope: Scope) -> Coro[End]:
+        yield from self._write(stream, b"request")
+        raise KeyError("odd")
+
+
+def attempted(meanwhile: Callable[[Task], None], kind: type[WritingAttempt] = WritingAttempt) -> tuple[str, bytes]:
     """The outcome of an attempt, and what its server got; `meanwhile` happens while its connection comes about, seen by the
     loop in the same turn as the connection."""
     world, ends = RealWorld(), list[End]()
@@ -44,11 +52,12 @@
         pool=lambda _: pool,
         bounds=SimpleNamespace(max_head=1000, max_answer=1000),
         leg_ended=lambda ask, leg, end: ends.append(end),
+        logger=SimpleNamespace(exception=lambda event, **fields: None),
     )
     ask: Any = SimpleNamespace(left=lambda: False, unsent=set())
 
     def body(group: Group) -> Coro[None]:
-        attempt = WritingAttempt(host, ask, Leg(request, 0, server, world.now()), LIMIT)
+        attempt = kind(host, ask, Leg(request, 0, server, world.now()), LIMIT)
         task = group.spawn(attempt.run(), "attempt")
         yield from world.pause()  # it connects now
         meanwhile(task)
@@ -79,3 +88,8 @@
     meanwhile: Callable[[Task], None], outcome: str, got: bytes
 ) -> None:
     assert attempted(meanwhile) == (outcome, got)
+
+
+def test_what_an_attempt_raises_ends_that_attempt_alone() -> None:
+    """It may have run; the error doesn't reach the group, which would end the gateway."""
+    assert attempted(lambda task: None, RaisingAttempt) == ("error", b"request")
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -259,3 +259,22 @@
     said = play(START, [ASK], [f"COMPLETED {GEN} 0 r prefilled 20.5 0 {detail} -"])[2]
     assert [line for line in said if line.startswith("RECORD")] == ([f"RECORD implausible last=r {counted}"] if counted else [])
     assert any(line.startswith(f"ASSIGN {GEN} w ") for line in said)
+
+
+def test_a_gateway_whose_lines_nobody_reads_any_more_serves_on(tmp_path: Path) -> None:
+    """The other end of its standard error closes; the line that tells of the reload can't be written."""
+    given = config()
+    process = started(tmp_path, given)
+    assert process.stderr is not None
+    process.stderr.readline()
+    process.stderr.close()
+    port = int(given["listen"].rpartition(":")[2])
+    for _ in range(3):
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.05)
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+        connection.request("GET", "/-/healthy")
+        assert connection.getresponse().status == 200
+        connection.close()
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(10) == 0
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,6 +10,7 @@
 from stackpitch.interface import Product
 from stackpitch.settings import BadSettings, Settings, read
 from stackpitch.wire import engine, http, orca, sse
+from stackpitch.wire.decoding import decode
 
 ANSWER = (http.head(200, [("transfer-encoding", "chunked")]) + http.chunk(b"data: a\n\n") + http.chunk(b"data: b\n\n")
           + b"0\r\nendpoint-load-metrics: TEXT a=1\r\n\r\n")
@@ -152,3 +153,14 @@
     with pytest.raises(BadSettings) as caught:
         read(Settings, path)
     assert named in str(caught.value) and str(path) in str(caught.value)
+
+
+def test_text_nested_deeper_than_the_decoder_goes_is_malformed_like_any_other() -> None:
+    deep = b"[" * 9000 + b"]" * 9000
+    with pytest.raises(msgspec.DecodeError, match="nested"):
+        decode(deep)
+    with pytest.raises(ValueError):
+        orca.parse("JSON " + deep.decode())
+    with pytest.raises(ValueError):
+        engine.read_answer(deep)
+    assert engine.refusal(503, deep) is None
