A request whose facts raise an unexpected error is answered with 500

Cause, by reading: Door._connection logged any error of a connection and closed it, so a request that had been read was left without an answer. Change: what reading its facts raises becomes an answer. Test: test_a_request_whose_facts_raise_is_answered (fails without: no answer, None in place of 500).

--- a/stackpitch/gateway/door.py
+++ b/stackpitch/gateway/door.py
@@ -181,6 +181,11 @@
             body = error_body(str(wrong), "bad_request", "invalid_request_error")
             stream.write(http.response(400, body, [("x-should-retry", "false"), *self._last(reader)]))
             return (yield from self._taken(stream)) and reader.keep_alive and not reader.extra and not self.stopping
+        except http.BadMessage:
+            raise
+        except Exception as wrong:  # a request that was read is owed an answer, whatever is odd about it
+            self.log.exception("request_raised", why=str(wrong))
+            raise http.BadMessage(500, "this request could not be worked with") from None
         reader.pieces = []
         return (yield from self._carry(stream, reader, ask))
 
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -34,7 +34,8 @@
     given: dict[str, Any] = {
         "max_connections": 50, "max_bodies": 1 << 20, "max_body": 1 << 18, "max_head": 1 << 14, "head": SECOND // 5,
         "body": SECOND // 5, "idle": SECOND, "stall": SECOND, "margin": MS, "fresh": SECOND // 5} | odd
-    made = PlatformDoor(world, host, SimpleNamespace(exception=print), NoCounts(), None, **given)  # type: ignore[arg-type]
+    log: Any = SimpleNamespace(exception=lambda event, **fields: print(event, fields))
+    made = PlatformDoor(world, host, log, NoCounts(), None, **given)  # type: ignore[arg-type]
     made.products = {"chat": CHAT}
     return made
 
@@ -214,3 +215,23 @@
     most = played(body, max_connections=120)
     assert most["lost"] == most["late"] == 0, str(most)
     assert most["connections"] <= 120 + 17 and most["bodies"] <= 1 << 20, str(most)
+
+
+def test_a_request_whose_facts_raise_is_answered() -> None:
+    """An error that nobody thought of costs its request alone, which is still owed an answer."""
+    def body(world: RealWorld, group: Group, made: PlatformDoor, host: Answering, address: Any) -> Coro[list[int | None]]:
+        class Odd(dict[str, Product]):
+            def get(self, *_: Any) -> Any:
+                raise KeyError("odd")
+
+        found, good = list[int | None](), made.products
+        for products in (Odd(), good):
+            made.products = products
+            stream = yield from world.connect(address, SECOND)
+            stream.write(request("a" * 16))
+            got = yield from answer(stream)
+            found.append(None if got is None else got.status)
+            stream.close()
+        return found
+
+    assert played(body) == [500, 200]
