Platform: after a SIGHUP nothing of the old settings decides about later requests

Cause: `serve()` in platform/serve.py read the new file and took discovery's address from it alone; door (`products`, `customers`), module arguments, `Roster.kinds`, `Bounds`, `Budget` and the shares stayed those of the start.

Settings alike: module, learnt figures and connections stay. Settings changed: a module made anew, fed the list in force; requests under way stay with the module and the bounds they arrived under (`Told.earlier`, emptied as they end). Cold servers' turns are counted on and the earlier module draws none (rule 4). `Discovery.unknown` keeps members of kinds the settings don't know, so that a reload that names the kind needs no new list. Bounds that fall end what rests beyond them at once and the rest behind its answer. The door's `products`, `customers` and `ready` are no class-level defaults any more.

--- a/stackpitch/gateway/connections.py
+++ b/stackpitch/gateway/connections.py
@@ -7,7 +7,7 @@
 from stackpitch.gateway.outcomes import Phase
 from stackpitch.gateway.pool import Budget, NoneFree, Pool
 from stackpitch.gateway.roster import Roster
-from stackpitch.interface import Server
+from stackpitch.interface import Server, Time
 from stackpitch.loop import ConnectFailed, Coro, Lost, Stream, World
 from stackpitch.wire import http
 
@@ -31,6 +31,11 @@
                                              bounds.idle, bounds.rest, self.budget)
         return pool
 
+    def take_bounds(self, bounds: Bounds) -> None:
+        self.bounds = bounds
+        for pool in self.pools.values():
+            pool.take_bounds(bounds.pool, bounds.connect, bounds.idle, bounds.rest)
+
     def close(self, server: Server) -> None:
         """The server is gone, or at another address."""
         if (pool := self.pools.pop(server, None)) is not None:
@@ -55,14 +60,15 @@
         finally:
             self.calls -= 1
 
-    def call(self, server: Server, method: str, target: str, body: bytes) -> Coro[http.ResponseReader | None]:
-        """One small call; None if no whole answer came in time."""
+    def call(self, server: Server, method: str, target: str, body: bytes,
+             limit: Time | None = None) -> Coro[http.ResponseReader | None]:
+        """One small call; None if no whole answer came in time. `limit`: other than the bounds in force have it."""
         if server not in self.roster.addresses:
             return None
         pool, phase = self.pool(server), [Phase.QUEUED]
         stream = None
         try:
-            with self.world.limit(self.bounds.call):
+            with self.world.limit(self.bounds.call if limit is None else limit):
                 stream = yield from pool.take(phase)
                 reader = yield from self.exchange(stream, method, target, server.name, body)
                 if reader is not None:
--- a/stackpitch/gateway/host/asked.py
+++ b/stackpitch/gateway/host/asked.py
@@ -43,6 +43,18 @@
         preferences.also = self.preferences_also
         self.brain.prefer(preferences)
 
+    def replace_brain(self, seed: int, preferences: Preferences, arguments: Mapping[str, Any]) -> RuledBrain:
+        """Another module in force, that knows no server yet. Gives the one before, which goes on with what arrived at it.
+
+        `preferences`: an object of its own, as each module keeps in it what it was told.
+        """
+        preferences.also = self.preferences_also
+        before, brain = self.brain, RuledBrain(self, seed, preferences, **arguments)  # type: ignore[abstract]
+        self.set_apart()
+        self.brain = brain
+        self.begin()
+        return before
+
     def send(self, gen: Generation, server: Server, limit: Time) -> Leg:
         ask = self.asks[gen]
         leg = Leg(gen, len(gen.legs), server, self.world.now())
@@ -52,11 +64,11 @@
         return leg
 
     def hold(self, gen: Generation, server: Server) -> None:
-        ask = self.asks[gen]
+        ask, brain = self.asks[gen], self.brain_of(gen)
 
         def call() -> Coro[None]:
             granted = yield from self.front.hold(ask, gen.legs[-1], server)
-            self._tell(ask, lambda now: self.brain.held(now, gen, server, granted))
+            self._tell(ask, lambda now: brain.held(now, gen, server, granted))
 
         self.group.spawn(self.counted(call()), f"hold {gen.name}")
 
@@ -86,10 +98,12 @@
             task.cancel()
 
     def probe(self, server: Server) -> None:
+        brain = self.brain  # none but the one in force probes
+
         def call() -> Coro[None]:
             well, report = yield from self.front.probe(server)
             self.doubts.server = server.name
-            self._tell(None, lambda now: self.brain.probed(now, server, well, self._report(
+            self._tell(None, lambda now: brain.probed(now, server, well, self._report(
                 End("streamed", Phase.HEAD, report=report))))
 
         self.group.spawn(self.counted(call()), f"probe {server.name}")
--- a/stackpitch/gateway/host/told.py
+++ b/stackpitch/gateway/host/told.py
@@ -4,6 +4,8 @@
 """
 
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from stackpitch.gateway.ask import Ask
@@ -25,6 +27,14 @@
     from stackpitch.gateway.metrics import Metrics
 
 
+@dataclass(frozen=True, slots=True)
+class Arrangement:
+    """The module that a generation arrived at and the bounds it arrived under, both its own until it is over."""
+
+    brain: RuledBrain
+    bounds: Bounds
+
+
 class Told:
     """The side of the host towards door, legs and lists. All tables are bounded by what is under way and by the roster."""
 
@@ -38,6 +48,7 @@
         self.pool, self.call = self.connections.pool, self.connections.call
         self.exchange, self.counted = self.connections.exchange, self.connections.counted
         self.asks: dict[Generation, Ask] = {}  # emptied once a generation is over and its last leg is back
+        self.earlier: dict[Generation, Arrangement] = {}  # of those from before a reload; emptied as `asks`
         self.doubts, self.counters = Doubts(), Counters()
         self.relayed = 0
         self.emptied: Callable[[], None] | None = None
@@ -51,6 +62,25 @@
         """Small calls under way."""
         return self.connections.calls
 
+    def arrangement(self, gen: Generation) -> Arrangement:
+        return self.earlier.get(gen) or Arrangement(self.brain, self.bounds)
+
+    def brain_of(self, gen: Generation) -> RuledBrain:
+        return self.earlier[gen].brain if gen in self.earlier else self.brain
+
+    def brains(self) -> list[RuledBrain]:
+        """The module in force, then earlier ones for which something is under way."""
+        return list(dict.fromkeys([self.brain, *(one.brain for one in self.earlier.values())]))
+
+    def set_apart(self) -> None:
+        """What is under way keeps its present module and bounds, whatever comes into force next."""
+        for gen in self.asks:
+            self.earlier.setdefault(gen, Arrangement(self.brain, self.bounds))
+
+    def take_bounds(self, bounds: Bounds) -> None:
+        self.bounds = bounds
+        self.connections.take_bounds(bounds)
+
     def terminate(self, gen: Generation) -> None:
         raise NotImplementedError
 
@@ -65,12 +95,17 @@
             if self.roster.addresses.get(server) != address:
                 self.connections.close(server)
         # Those left out are marked as gone already: the module need not compare the whole list.
-        self._tell(None, lambda now: self.brain.roster(now, servers, False))
+        for brain in self.brains():
+            self._tell(None, partial(self._tell_list, brain, servers))
         self._forget_servers()
         self.metrics.roster_version.set(version)
         self.logger.info("roster", version=version, servers=len(entries),
                          draining=sum(one.state == "draining" for one in entries))
 
+    @staticmethod
+    def _tell_list(brain: RuledBrain, servers: list[Server], now: Time) -> None:
+        brain.roster(now, servers, False)
+
     def list_failed(self) -> None:
         """A list could not be used; the one in force stays."""
         self._tell(None, lambda now: self.brain.roster_failed(now))
@@ -88,8 +123,9 @@
         self.asks[gen] = ask
         self.metrics.held.set(len(self.asks))
         ask.watch = self.world.at(gen.gives_up + self.bounds.watch, lambda: self._overdue(ask))
-        self._tell(ask, lambda now: self.brain.arrived(now, gen))
-        if not gen.over and not gen.out() and not self.brain.keeps(gen):
+        brain = self.brain
+        self._tell(ask, lambda now: brain.arrived(now, gen))
+        if not gen.over and not gen.out() and not brain.keeps(gen):
             self.logger.error("module_kept_without_leg", generation=gen.name)
             self.terminate(gen)
 
@@ -103,7 +139,8 @@
         for leg, task in list(ask.tasks.items()):
             if leg is ask.serving or leg in ask.unsent:
                 task.cancel()
-        self._tell(ask, lambda now: self.brain.departed(now, ask.gen))
+        brain = self.brain_of(ask.gen)
+        self._tell(ask, lambda now: brain.departed(now, ask.gen))
         self._settle(ask)
 
     def _overdue(self, ask: Ask) -> None:
@@ -136,7 +173,8 @@
         ask.begin(self.world.now())
         self.front.started(ask, leg, fetched)
         self.counters.started(self.world.now(), leg)
-        self._tell(ask, lambda now: self.brain.started(now, leg))
+        brain = self.brain_of(leg.gen)
+        self._tell(ask, lambda now: brain.started(now, leg))
         self.metrics.first_token.labels(ask.gen.product.name).observe((self.world.now() - ask.gen.arrived) / 10_000)
         return True
 
@@ -159,7 +197,8 @@
         self.doubts.server = leg.server.name
         kept = self.doubts.kept(end.kept, gen.prompt_tok)
         self.counters.leg_ended(self.world.now(), leg, kept)
-        self._tell(ask, lambda now: self.brain.ended(now, leg, kept, end.no_state, self._report(end)))
+        brain = self.brain_of(gen)
+        self._tell(ask, lambda now: brain.ended(now, leg, kept, end.no_state, self._report(end)))
         if (doubted := self.doubts.due(self.world.now())) is not None:
             self.logger.warning("implausible", **doubted)
         if not gen.over and not gen.out():
@@ -191,6 +230,7 @@
         """Forgets a generation that is over with no leg out. Rule 5's last net: what still waits is let go."""
         if ask.gen.over and not ask.gen.out() and self.asks.pop(ask.gen, None) is not None:
             self.front.let_go(ask)
+            self.earlier.pop(ask.gen, None)
             if ask.watch is not None:
                 ask.watch.cancel()
             self.metrics.generations.labels(ask.gen.product.name, ask.end).inc()
--- a/stackpitch/gateway/pool.py
+++ b/stackpitch/gateway/pool.py
@@ -27,6 +27,15 @@
         self.idle: dict[Stream, Pool] = {}  # of all pools, longest first; emptied as theirs
         self.line: Line[Place] = Line()
 
+    def resize(self, most: int) -> None:
+        """Another bound. What is open beyond it closes at once where it is idle, else as it comes back."""
+        self.most = most
+        while self.open > most and self.idle:
+            stream, pool = next(iter(self.idle.items()))
+            pool.forget(stream)
+            pool.shut(stream)
+        self.line.call()  # there may be more room than before
+
     def room(self) -> bool:
         while self.open >= self.most:
             if not self.idle:
@@ -125,7 +134,7 @@
             self.drop(stream)
 
     def _take_back(self, stream: Stream) -> None:
-        if self.closed:
+        if self.closed or self.budget.open > self.budget.most:  # the latter once the bound has fallen
             self.drop(stream)
             return
         self.idle.append((stream, self.world.now()))
@@ -160,6 +169,10 @@
                 self.forget(stream)
                 self.drop(stream)
 
+    def take_bounds(self, most: int, connect: Time, idle: Time, rest: Time) -> None:
+        """Other bounds from the next use on; connections that are open stay."""
+        self.most, self.connect, self.idle_time, self.rest = most, connect, idle, rest
+
     def close(self) -> None:
         self.closed = True
         while (stream := self._newest()) is not None:
--- a/stackpitch/gateway/roster.py
+++ b/stackpitch/gateway/roster.py
@@ -37,8 +37,9 @@
     def _server(self, one: Entry) -> Server:
         role, memory = self.kinds[one.kind]
         server = self.servers.get(one.name)
-        if server is not None and (server.zone, server.kind, server.cell, self.vocabularies.get(server, "")) != (
-                one.zone, one.kind, one.cell, one.vocabulary):
+        if server is not None and (server.zone, server.kind, server.cell, self.vocabularies.get(server, ""),
+                                   server.role, server.memory_tok) != (
+                one.zone, one.kind, one.cell, one.vocabulary, role, memory):
             server.state = "gone"  # another machine under the same name; or one to which nothing that it kept means anything
             server = None
         if server is None:
@@ -50,6 +51,10 @@
         self.addresses[server] = one.address
         return server
 
+    def take_kinds(self, kinds: Mapping[str, tuple[Role, int]]) -> None:
+        """Other roles and memories of kinds. The next list is looked at whole, as for a module that knows no server yet."""
+        self.kinds, self.told = kinds, {}
+
     def forget(self, server: Server) -> None:
         if server.state == "gone":
             self.addresses.pop(server, None)
--- a/stackpitch/platform/discovery.py
+++ b/stackpitch/platform/discovery.py
@@ -5,9 +5,11 @@
 """
 
 from collections import deque
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 from stackpitch.gateway.host import Host
+from stackpitch.interface import Role
 from stackpitch.loop import MS, ConnectFailed, Coro, Group, Lost, Scope, Stream, Task, Time, World
 from stackpitch.loop.world import Address
 from stackpitch.membership.entries import Entry
@@ -38,6 +40,7 @@
     def __init__(self, world: World, host: Host, log: "Log", target: Address, known: platform.Listed, times: Times) -> None:
         self.world, self.host, self.log, self.target, self.times = world, host, log, target, times
         self.entries: dict[str, Entry] = {}
+        self.unknown: dict[str, Entry] = {}  # members of kinds that the settings don't know; emptied as `entries`
         self.revision: int | None = None  # None: the whole list is wanted
         self.fresh = False  # something has come since the start
         self.tried: Time | None = None  # when the last try began
@@ -56,12 +59,13 @@
         """A member that can't be used is left out; one that is known keeps the entry it had, as nothing is told of it."""
         before = dict(self.entries)
         if told.complete:
-            self.entries = {}
+            self.entries, self.unknown = {}, {}
         for name, why in told.bad:
             self.log.warning("bad_member", server=name, why=why)
             if name in before:
                 self.entries[name] = before[name]
         for one in told.members:
+            self.unknown.pop(one.id, None)
             if one.phase not in ("up", "draining"):
                 self.entries.pop(one.id, None)
             elif (entry := self._entry(one, before)) is not None:
@@ -77,12 +81,27 @@
         except BadConfig as wrong:
             self.log.warning("bad_member", why=str(wrong))
             return before.get(one.id) if one.phase == "up" else None
-        if one.flavor not in self.host.roster.kinds:
-            self.log.warning("bad_member", server=one.id, flavor=one.flavor)
-            return None
-        return Entry(name=one.id, host=host, port=port, kind=one.flavor, zone=one.locality, cell=one.cell,
-                     state="ready" if one.phase == "up" else "draining", weight=one.size,
-                     started_unix_ms=one.up_since_ms or None)
+        entry = Entry(name=one.id, host=host, port=port, kind=one.flavor, zone=one.locality, cell=one.cell,
+                      state="ready" if one.phase == "up" else "draining", weight=one.size,
+                      started_unix_ms=one.up_since_ms or None)
+        if self._known(entry):
+            return entry
+        self.unknown[one.id] = entry
+        return None
+
+    def _known(self, entry: Entry) -> bool:
+        if entry.kind in self.host.roster.kinds:
+            return True
+        self.log.warning("bad_member", server=entry.name, flavor=entry.kind)
+        return False
+
+    def take_kinds(self, kinds: Mapping[str, tuple[Role, int]]) -> None:
+        """Other kinds of servers: the whole list is told anew, with the members that these kinds make known."""
+        self.host.roster.take_kinds(kinds)
+        listed = [*self.entries.values(), *self.unknown.values()]
+        self.entries = {one.name: one for one in listed if self._known(one)}
+        self.unknown = {one.name: one for one in listed if one.kind not in kinds}
+        self.host.take(self.host.roster.version, list(self.entries.values()))
 
     def run(self) -> Coro[None]:
         while True:
--- a/stackpitch/platform/door.py
+++ b/stackpitch/platform/door.py
@@ -1,6 +1,7 @@
 """Where the platform's clients come in: facts from heads alone, the body passed on as it came."""
 
 from collections.abc import Mapping
+from typing import Any
 
 from stackpitch.gateway.ask import Ask
 from stackpitch.gateway.door import Door
@@ -16,13 +17,35 @@
 
     told_why = 8  # each holds a descriptor of the reserve
     takes_to_the_end = True
-    products: Mapping[str, Product] = {}
-    customers: Mapping[str, Customer] = {}
-    ready = False
+
+    def __init__(self, *given: Any, **bounds: Any) -> None:
+        """As `Door`."""
+        super().__init__(*given, **bounds)
+        self.products: Mapping[str, Product] = {}
+        self.customers: Mapping[str, Customer] = {}
+        self.ready = False
+        self.shrinking = False  # more are open than a bound that has fallen allows
+
+    def take_bounds(self, max_connections: int, max_bodies: int) -> None:
+        """Other bounds. Resting connections beyond them end at once, others after their answer."""
+        self.max_connections, self.max_bodies = max_connections, max_bodies
+        for _ in range(self._beyond()):
+            if not self._make_room():
+                break
+        self._trim()
+        self.shrinking = self._beyond() > 0
+
+    def _beyond(self) -> int:
+        return self.connections - len(self.lingering) - self.max_connections
+
+    def _may_stay(self) -> bool:
+        """Asked of a connection whose answer has been taken."""
+        self.shrinking = self.shrinking and self._beyond() > 0
+        return not self.shrinking
 
     def _answer(self, stream: Stream, reader: http.RequestReader, began: Time) -> Coro[bool]:
         if reader.path in GENERATE and reader.method == "POST":
-            return (yield from self._generation(stream, reader, began))
+            return (yield from self._generation(stream, reader, began)) and self._may_stay()
         if reader.path in (platform.READY, platform.WELL) and reader.method == "GET":
             well = reader.path == platform.WELL or (self.ready and not self.stopping)
             stream.write(http.response(200 if well else 503, b"{}", self._last(reader)))
--- a/stackpitch/platform/leases.py
+++ b/stackpitch/platform/leases.py
@@ -1,6 +1,7 @@
 """The front towards model servers: legs, places held ahead, and letting go of whatever may be held."""
 
 from stackpitch.gateway.ask import Ask
+from stackpitch.gateway.bounds import Bounds
 from stackpitch.gateway.host import Host
 from stackpitch.interface import Generation, Leg, Report, Server, Time
 from stackpitch.loop import MS, Coro
@@ -50,21 +51,22 @@
         assert isinstance(ask, PlatformAsk)
         if ask.held or ask.doubt:
             ask.held = ask.doubt = False
-            self.host.group.spawn(self.host.counted(self._release(ask.gen)), f"release {ask.gen.name}")
+            release = self._release(ask.gen, self.host.arrangement(ask.gen).bounds)
+            self.host.group.spawn(self.host.counted(release), f"release {ask.gen.name}")
 
-    def _release(self, gen: Generation) -> Coro[None]:
+    def _release(self, gen: Generation, bounds: Bounds) -> Coro[None]:
         """Short tries, each at another server: first those whose connections were last good, and none that this
-        generation has just found without an answer."""
+        generation has just found without an answer. `bounds`: those that it arrived under."""
         host, name = self.host, gen.name
         asked = {leg.server for leg in gen.legs if leg.outcome in ("reset", "time-out", "unreachable")}
-        for _ in range(host.bounds.release_tries):
+        for _ in range(bounds.release_tries):
             server = self._next(asked)
             if server is None:
                 asked.clear()
-                yield from host.world.sleep(host.bounds.call // 4)
+                yield from host.world.sleep(bounds.call // 4)
                 continue
             asked.add(server)
-            answer = yield from host.call(server, "DELETE", platform.LEASES + name, b"")
+            answer = yield from host.call(server, "DELETE", platform.LEASES + name, b"", bounds.call)
             if answer is not None and answer.status == 204:
                 host.metrics.releases.labels("done").inc()
                 return
--- a/stackpitch/platform/lines.py
+++ b/stackpitch/platform/lines.py
@@ -8,6 +8,8 @@
 
 from stackpitch.gateway.counters import Counters
 
+OWN = ("level", "gateway", "event")  # fields of each line
+
 
 class Lines:
     """JSON lines on standard error, with the methods of the gateway's log. `debug` is off. Of `log`, generations are
@@ -15,7 +17,7 @@
 
     def __init__(self, gateway: str) -> None:
         self.gateway = gateway
-        self.ends: dict[str, dict[str, int]] = {}  # since the start; as many as products and kinds of ends
+        self.ends: dict[str, dict[str, int]] = {}  # since the start or `begin_anew`; as many as products and kinds of ends
         self.said = 0
 
     def _write(self, level: str, event: str, fields: dict[str, Any]) -> None:
@@ -38,7 +40,14 @@
         came = {product: sum(of.values()) for product, of in self.ends.items()}
         if sum(came.values()) != self.said:
             self.said = sum(came.values())
-            self.info("classes", **{product: {"came": came[product], **of} for product, of in self.ends.items()})
+            self._write("info", "classes", {
+                f"class {product}" if product in OWN else product: {"came": came[product], **of}
+                for product, of in self.ends.items()})
+
+    def begin_anew(self) -> None:
+        """Tells what came of each product so far; the products of the next settings are others, also by the same name."""
+        self.classes()
+        self.ends, self.said = {}, 0
 
     def counters(self, counters: Counters) -> None:
         for line in counters.take():
--- /dev/null
+++ b/stackpitch/platform/plan.py
@@ -0,0 +1,75 @@
+"""What a gateway of the platform works with, worked out from its configuration before anything is made or changed.
+
+Shares of descriptors and of memory, times, and the parts of the settings that door, host and module take.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from stackpitch.benchlink import settings as reading
+from stackpitch.gateway import pacing
+from stackpitch.gateway.bounds import Bounds
+from stackpitch.interface import Customer, Product, Role
+from stackpitch.loop import MS, SECOND
+from stackpitch.platform import config
+from stackpitch.platform.door import PlatformDoor
+from stackpitch.platform.watching import TRIES
+
+OWN = 7  # descriptors: three standard streams, epoll, two for signals, the listener
+PASSING = 2  # a client's connection that was just accepted, and the configuration while it is read anew
+UNSEEN = 3  # of libraries that whoever starts the program loads into it
+RESERVE = OWN + PASSING + UNSEEN + TRIES + PlatformDoor.told_why
+CLIENTS = 0.42  # of the rest: the platform's clients hold a third at most for requests
+MAX_BODY, MAX_HEAD = 256 << 10, 16 << 10  # bytes; the protocol's bound, and what no head of it reaches
+GAP = SECOND * 35 // 10  # a client is kept waiting 5 s at most after a server's last event; seen a quarter later
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """One configuration with all that follows from it."""
+
+    conf: config.Config
+    sockets: int  # descriptors that are shared out
+    clients: int  # connections of clients
+    engines: int  # connections to servers
+    bodies: int  # bytes of what clients send, and again of what waits for them
+    arguments: Mapping[str, Any]  # of the module
+    products: Mapping[str, Product]
+    customers: Mapping[str, Customer]
+    kinds: Mapping[str, tuple[Role, int]]
+    bounds: Bounds
+
+    def same_settings(self, other: "Plan") -> bool:
+        """Whether the module would be made alike, and requests be taken alike."""
+        mine, others = self.conf, other.conf
+        return mine.seed == others.seed and bool(mine.settings.values == others.settings.values)
+
+
+def bounds(settings: reading.Tree, engines: int, buffer: int) -> Bounds:
+    """`engines`: connections to servers; `buffer`: bytes that may wait for a client. Times from the settings' own bounds."""
+    allowed, extra = settings.tree("bounds"), settings.tree("extra")
+    connect = allowed.ticks("connectTimeoutMs", 250)
+    return Bounds(
+        pool=engines, connect=connect, idle=allowed.ticks("connIdleMs", 30_000) * 7 // 10, gap=GAP,
+        call=min(connect, extra.ticks("releaseMs", 500) // 4), release_tries=12, max_head=MAX_HEAD, max_answer=4 << 20,
+        buffer=buffer, stall=GAP, watch=20 * MS, request_level=0, rest=10 * MS)
+
+
+def planned(conf: config.Config, descriptors: int) -> Plan:
+    """`descriptors`: that the system lets the process hold. Raises BadConfig."""
+    sockets = min(conf.sockets, descriptors)  # shares of more than there are would let idle clients take all
+    if sockets < config.LEAST["sockets"]:
+        raise config.BadConfig(
+            f"the process may hold {sockets} descriptors; {config.LEAST['sockets']} at least are wanted")
+    clients = int((sockets - RESERVE) * CLIENTS)
+    engines = sockets - RESERVE - clients
+    part = conf.memory_mb << 17  # bytes, an eighth
+    buffer = pacing.buffer(part, clients, MAX_BODY)
+    return Plan(
+        conf=conf, sockets=sockets, clients=clients, engines=engines, bodies=part,
+        arguments=config.parts(conf.settings, reading.arguments),
+        products=config.parts(conf.settings, reading.products),
+        customers=config.parts(conf.settings, reading.customers),
+        kinds=config.parts(conf.settings, reading.kinds),
+        bounds=config.parts(conf.settings, lambda tree: bounds(tree, engines, buffer)))
--- a/stackpitch/preferences.py
+++ b/stackpitch/preferences.py
@@ -171,6 +171,14 @@
             stage.guard = self.guard
         preferences.listed(self.fleet.seats)
 
+    def take_turns(self, before: "RuledBrain") -> None:
+        """Counts cold servers' turns on from where the module before stands, which draws none any more. Guards rule 4: two
+        modules at once, or one made anew again and again, would each send a cold server a budget of its own."""
+        turns = {server.name: seat.turn for server, seat in before.fleet.seats.items()}
+        for server, seat in self.fleet.seats.items():
+            seat.turn = turns.get(server.name, seat.turn)
+        before.fleet.cold_load = 0.0
+
     def roster(self, now: Time, servers: list[Server], complete: bool) -> None:
         super().roster(now, servers, complete)
         self.preferences.listed(self.fleet.seats)
--- a/tests/platform_expect.py
+++ b/tests/platform_expect.py
@@ -1,5 +1,6 @@
 """What a text may expect of the stage; see `platform_stage`."""
 
+import gc
 from typing import Any
 
 from stackpitch.interface import Server
@@ -94,10 +95,12 @@
         seat, server = self.seat(name), next(one for one in self.host.roster.addresses if one.name == name)
         assert isinstance(server, Server) and abs(seat.others - float(held)) < 0.02, f"others hold {seat.others:.3f}"
 
-    def expect_servers(self, *names: str) -> None:
+    def expect_servers(self, *names: str, seats: str | None = None) -> None:
+        """`seats`: those that the module in force knows, where one from before has others."""
         found = [one.name for one in self.host.roster.addresses]
-        seats = [one.name for one in self.host.brain.fleet.seats]
-        assert sorted(found) == sorted(seats) == sorted(names), f"servers {found}, seats {seats}"
+        known = [one.name for one in self.host.brain.fleet.seats]
+        wanted = sorted(names) if seats is None else seats.split(",")
+        assert sorted(found) == sorted(names) and sorted(known) == wanted, f"servers {found}, seats {known}"
 
     def expect_told(self, ms: str, *names: str) -> Coro[None]:
         def found() -> list[str]:
@@ -123,6 +126,10 @@
         found = self.door.connections + sum(one.open for one in self.host.pools.values())
         assert found <= int(most), f"{found} open"
 
+    def expect_open(self, _: str, count: str) -> None:
+        found = self.door.connections - len(self.door.lingering)
+        assert found == int(count), f"{found} clients"
+
     def expect_tables(self, most: str) -> None:
         brain, host = self.host.brain, self.host
         sizes = {"asks": len(host.asks), "pools": len(host.pools), "seats": len(brain.fleet.seats),
@@ -130,10 +137,59 @@
                  "owners": len(brain.owner.table), "servers": len(host.roster.servers), "timers": len(self.world.timers)}
         assert sum(sizes.values()) <= int(most), str(sizes)
 
+    def expect_deadline(self, name: str, ms: str) -> None:
+        told = [int(fields["req-deadline-ms"]) for fields, _ in self.got(name)]
+        assert told and int(ms) - 60 <= max(told) <= int(ms), f"told {told}"
+
+    def got(self, name: str) -> list[tuple[dict[str, str], bytes]]:
+        """Fields and the beginning of the body of each of its attempts."""
+        number, found = self.clients[name].id, []
+        for came, _, _ in (one for server in self.servers.values() for one in server.came):
+            head, _, body = came.partition(b"\r\n\r\n")
+            fields = dict(line.split(": ", 1) for line in head.decode("latin-1").split("\r\n")[1:])
+            if fields.get("req-id") == number:
+                found.append((fields, body))
+        return found
+
+    def expect_sent_on(self, name: str) -> None:
+        for fields, body in self.got(name):
+            assert set(fields) == {"host", "req-id", "req-deadline-ms", "content-type", "content-length"}, f"{fields}"
+            assert self.bodies[self.clients[name].id].startswith(body), f"{body!r}"
+
+    def expect_facts(self, name: str, **facts: str) -> None:
+        gen = next((one for one in self.host.asks if one.name == self.clients[name].id), None)
+        assert gen is not None, "it is not under way"
+        of, customer = gen.product, gen.customer
+        found = {"product": of.name, "effect": of.effect, "scope": of.scope, "memory": of.memory // MS, "slo": of.slo_time // MS,
+                 "gap": of.token_gap // MS, "limit": of.time_limit // MS, "worth": of.revenue,
+                 "owner": customer and customer.name, "quota": customer and customer.quota_per_s, "share": customer and customer.share}
+        found = {key: str(found[key]) for key in facts}
+        assert found == facts, f"{found}"
+
+    def expect_module(self, how: str) -> None:
+        assert (self.modules[-1]() is self.host.brain) is (how == "kept"), "it is another" if how == "kept" else "it is the same"
+
+    def expect_modules(self, count: str) -> None:
+        used = self.host.brains()
+        assert len(used) == int(count), f"{len(used)} modules"
+        gc.collect()
+        left = [one() for one in self.modules if one() is not None and one() not in used]
+        assert not left, f"{len(left)} earlier modules are still held"
+
+    def expect_server(self, name: str, role: str, memory: str) -> None:
+        one = self.host.roster.servers[name]
+        assert (one.role, one.memory_tok) == (role, int(memory)), f"{one.role} {one.memory_tok}"
+        assert one in self.host.brain.fleet.seats, "the module does not know it"
+
+    def expect_reused(self, name: str, least: str) -> None:
+        pool = self.host.pools[self.host.roster.servers[name]]
+        assert pool.reused >= int(least), f"{pool.reused} times"
+
     def expect_idle(self) -> Coro[None]:
         host = self.host
         yield from self.until(1500, lambda: not host.asks and not host.calls, lambda: f"{len(host.asks)} asks left")
         yield from self.world.sleep(20 * MS)
         assert not host.brain.guard.pinned and not host.brain.writer.plan
+        assert not host.earlier, "generations of an earlier module are left"
         assert all(one.open == len(one.idle) for one in host.pools.values()), "a connection is lost"
         assert host.budget.open == sum(one.open for one in host.pools.values()), "the budget is out"
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -15,6 +15,8 @@
     ask a chat limit=900 extra=...  a client asks, chat, pay or order; retry=1; id=b that of another; key=s a session; pad=900 bytes more; reads=1/3000 a byte each 3 s
     raw a POST /v1 HTTP/1.1\\r\\n   bytes on a connection of their own; {id} is a fresh id, {mb} a megabyte
     then a chat                     asks again on the same connection once the last answer was whole; `again`: at once
+    ask a chat owner=acme           of a tenant; `then` and `again` take the same words
+    reload settings.bounds.maxAttempts=2 settings.classes.0=gone    changes the file by path, as JSON without blanks, and sends SIGHUP; then=term: both signals at once
     quiet a                         a connection that says nothing
     leave a | leave a half | leave a reset      closes its connection, ends its sending, breaks it
     more a 500                      so many bytes after its request; `second a`: a whole second request
@@ -39,14 +41,24 @@
     > called 10                     calls of discovery since the last change or return, at most
     > said discovery_lost 1 [WORD]  lines of the log by event, and a word that the last one has
     > believes w1 held=0.3          the module's word on what others hold there
+    > deadline a 900                the longest that a server of its was told it has, in ms, or up to 60 more
+    > sent-on a                     its servers got its own head and body, and no field beside
+    > facts a product=chat effect=idempotent owner=acme quota=5     what it is carried with, while it is under way
+    > module kept | new             since the last reload
+    > modules 2                     in use; earlier ones are forgotten, down to their last object
+    > server w1 mixed 5000          role and memory
+    > reused w1 2                   connections to it that served again, at least
     > idle                          no generation, call, leg or client's request is left
     > buffered 132000               bytes that wait here for the slowest client, at most, and some do
     > sockets 40                    connections the gateway has open, at most
+    > open clients 4                connections of clients
     > tables 60                     rows in all tables of host and module, at most
 """
 
 import json
 import signal
+import weakref
+from copy import deepcopy
 from pathlib import Path
 from typing import Any
 
@@ -60,6 +72,24 @@
 from stackpitch.wire import http, sse
 
 
+def changed(tree: dict[str, Any], changes: dict[str, str]) -> dict[str, Any]:
+    """`a.b.0`: the JSON value there, one after the last of a list adds to it; `gone` takes it out."""
+    tree = deepcopy(tree)
+    for path, value in changes.items():
+        *parts, last = path.split(".")
+        at: Any = tree
+        for part in parts:
+            at = at[int(part)] if isinstance(at, list) else at[part]
+        place: Any = int(last) if isinstance(at, list) else last
+        if value == "gone":
+            del at[place]
+        elif isinstance(at, list) and place == len(at):
+            at.append(json.loads(value))
+        else:
+            at[place] = json.loads(value)
+    return tree
+
+
 class Stage(ScriptedDiscovery, Expectations):
     """Plays one text."""
 
@@ -79,6 +109,8 @@
         self.outcomes: dict[str, list[str]] = {}  # of attempts, by id, once it is over
         self.told_at = 0  # when discovery had the last change and could be reached
         self.settings = SETTINGS
+        self.changes: dict[str, str] = {}  # of the configuration, by path
+        self.modules: list[weakref.ref[Any]] = []  # at each reload
         self.lines: list[tuple[str, dict[str, Any]]] = []  # of the log
         self.host: Any = None
 
@@ -139,8 +171,18 @@
         self.file.write_text(text)
 
     def configured(self) -> dict[str, Any]:
-        return {"name": "n0", "listen": f"127.0.0.1:{DOOR}", "discovery": f"127.0.0.1:{self.port}", "seed": "1f",
+        found = {"name": "n0", "listen": f"127.0.0.1:{DOOR}", "discovery": f"127.0.0.1:{self.port}", "seed": "1f",
                 "limits": self.limits, "known": self.listing(list(self.members.values())), "settings": self.settings}
+        return changed(found, self.changes)
+
+    def do_reload(self, then: str = "", **changes: str) -> Coro[None]:
+        self.changes |= changes
+        self.file.write_text(json.dumps(self.configured()))
+        self.modules.append(weakref.ref(self.host.brain))
+        self.do_signal("hup")
+        if then:
+            self.do_signal(then)
+        yield from self.world.sleep(2)
 
     def do_fleet(self, *names: str) -> Coro[None]:
         for place, name in enumerate(names):
@@ -244,24 +286,24 @@
 
     def ask(self, client: Client, name: str, product: str, limit: str = "3000", id: str | None = None, key: str | None = None,
             extra: str = "prompt_len=500,max_out=50", retry: str = "0", pad: str = "0",
-            reads: str = "65536/0") -> None:
+            reads: str = "65536/0", owner: str | None = None) -> None:
         client.pace = int(reads.partition("/")[0]), int(reads.partition("/")[2]) * MS
         client.id = self.clients[id].id if id else client.id
         body = self.bodies[client.id] = BODY + b" " * int(pad)
         headers = [("req-id", client.id), ("req-kind", product), ("req-deadline-ms", limit), ("req-extra", extra),
-                   ("req-retry", retry), *([("req-key", key)] if key else [])]
+                   ("req-retry", retry), *([("req-key", key)] if key else []), *([("req-owner", owner)] if owner else [])]
         client.stream.write(http.request("POST", "/v1/chat/completions", "backend.local", body, headers))
         self.group.spawn(self.take(client), name)
 
-    def do_then(self, name: str, product: str) -> Coro[None]:
+    def do_then(self, name: str, product: str, **given: str) -> Coro[None]:
         yield from self.world.sleep(110 * MS)
-        self.do_again(name, product)
+        self.do_again(name, product, **given)
 
-    def do_again(self, name: str, product: str) -> None:
+    def do_again(self, name: str, product: str, **given: str) -> None:
         client = self.clients[name]
         self.count += 1
         client.end, client.words, client.id = None, 0, f"{self.count:016x}"
-        self.ask(client, name, product)
+        self.ask(client, name, product, **given)
 
     def do_many(self, count: str, product: str) -> Coro[None]:
         for number in range(int(count)):
