--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -69,6 +69,7 @@
         gc.freeze()
         while (yield from caught()) == signal.SIGHUP:
             reloading.reload()
+        group.spawn(_reloads(caught, reloading), "reloads")
         log.info("stopping", held=len(host.asks), connections=door.connections)
         door.close_idle()
         yield from world.sleep(STILL_COMING)
@@ -92,6 +93,14 @@
     door.ready = True
 
 
+def _reloads(caught: Callable[[], Coro[int]], reloading: Reloading) -> Coro[None]:
+    """While the gateway stops: requests still come, and of signals that are pending together the system tells SIGTERM
+    before a SIGHUP that was sent first."""
+    while True:
+        if (yield from caught()) == signal.SIGHUP:
+            reloading.reload()
+
+
 def _each(world: World, span: Time, call: Callable[[], None]) -> Coro[None]:
     while True:
         yield from world.sleep(span)
