Reloads at random moments; what was read is let go of though a bound fell below what is open

Change: small calls may have as many connections open as there were when the bound fell, until a place is free.

--- a/stackpitch/gateway/connections.py
+++ b/stackpitch/gateway/connections.py
@@ -69,7 +69,7 @@
         stream = None
         try:
             with self.world.limit(self.bounds.call if limit is None else limit):
-                stream = yield from pool.take(phase)
+                stream = yield from pool.take(phase, call=True)
                 reader = yield from self.exchange(stream, method, target, server.name, body)
                 if reader is not None:
                     pool.give(stream)
--- a/stackpitch/gateway/pool.py
+++ b/stackpitch/gateway/pool.py
@@ -20,10 +20,15 @@
 
 class Budget:
     """What all pools of a gateway may have open together. At the bound the connection idle longest is closed; what comes
-    free goes to the leg or call that has waited longest, at whatever pool."""
+    free goes to the leg or call that has waited longest, at whatever pool.
+
+    `for_calls`: what may be open where a call wants one. It is over `most` only once that has fallen, until a place is
+    free: legs that are under way may keep all of them, and what was read is to be let go of in time nevertheless.
+    """
 
     def __init__(self, most: int) -> None:
         self.most, self.open = most, 0
+        self.for_calls = most
         self.idle: dict[Stream, Pool] = {}  # of all pools, longest first; emptied as theirs
         self.line: Line[Place] = Line()
 
@@ -34,10 +39,18 @@
             stream, pool = next(iter(self.idle.items()))
             pool.forget(stream)
             pool.shut(stream)
+        self.for_calls = max(most, self.open)
         self.line.call()  # there may be more room than before
 
-    def room(self) -> bool:
-        while self.open >= self.most:
+    def left(self) -> None:
+        """One was closed, and its place is free."""
+        self.open -= 1
+        if self.open < self.most:
+            self.for_calls = self.most
+        self.line.call()
+
+    def room(self, call: bool) -> bool:
+        while self.open >= (self.for_calls if call else self.most):
             if not self.idle:
                 return False
             stream, pool = next(iter(self.idle.items()))
@@ -61,13 +74,14 @@
         self.open = self.made = self.reused = 0
         self.closed = False
 
-    def take(self, phase: list[Phase], fresh: bool = False) -> Coro[Stream]:
-        """A connection, kept or, if `fresh`, new; `phase[0]` follows how far it is. Raises NoneFree, ConnectFailed."""
+    def take(self, phase: list[Phase], fresh: bool = False, call: bool = False) -> Coro[Stream]:
+        """A connection, kept or, if `fresh`, new; `phase[0]` follows how far it is. `call`: for a small call, not a leg.
+        Raises NoneFree, ConnectFailed."""
         phase[0] = Phase.QUEUED
-        place = self._place(fresh)
+        place = self._place(fresh, call)
         if place is None:
             with self.world.limit(self.connect):
-                place = yield from self.budget.line.wait(self.world.current, lambda: self._place(fresh), self._back)
+                place = yield from self.budget.line.wait(self.world.current, lambda: self._place(fresh, call), self._back)
             if place is None:  # asked of the place, as it may be handed over in the very turn in which the time is up
                 raise NoneFree
         stream = place.stream
@@ -89,10 +103,10 @@
         self.made += 1
         return stream
 
-    def _place(self, fresh: bool) -> Place | None:
+    def _place(self, fresh: bool, call: bool) -> Place | None:
         if self.idle and (not fresh or self.open >= self.most):
             return Place(self._newest())
-        if self.open >= self.most or not self.budget.room():
+        if (self.open >= self.most and not call) or not self.budget.room(call):
             return None
         self.open += 1
         self.budget.open += 1
@@ -158,8 +172,7 @@
 
     def _left(self) -> None:
         self.open -= 1
-        self.budget.open -= 1
-        self.budget.line.call()
+        self.budget.left()
 
     def sweep(self) -> None:
         """Closes what has been idle for too long or was ended by the other side."""
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -327,7 +327,7 @@
         self.clients[name].stream.write(b"x" * int(count))
 
     def do_budget(self, most: str) -> None:
-        self.host.budget.most = int(most)
+        self.host.budget.resize(int(most))
 
     def do_module(self, what: str, name: str, server: str) -> None:
         gen = next(gen for gen in self.host.asks if gen.name == self.clients[name].id)
--- a/tests/test_settings_isolation.py
+++ b/tests/test_settings_isolation.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 from heapq import heappop
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import pytest
@@ -222,6 +223,111 @@
     assert found == {name: each_alone[name] for name in names}
 
 
+# Reloads at any moment.
+
+CHANGES: list[dict[str, str]] = [
+    {"settings.classes.0.effect": '"single_shot"'}, {"settings.classes.0.effect": '"free"'},
+    {"settings.classes.0.effect": '"guarded"', "settings.classes.0.keyTtlMs": "200", "settings.classes.0.dedupScope": '"all"'},
+    {"settings.classes.1.keyTtlMs": "2000"}, {"settings.classes.1.keyTtlMs": "50"}, {"settings.classes.2.effect": '"free"'},
+    {"settings.classes.2.effect": '"single_shot"'}, {"settings.classes.1.name": '"paid"'}, {"settings.classes.1.name": '"pay"'},
+    {"settings.bounds.maxAttempts": "2"}, {"settings.bounds.maxAttempts": "6"}, {"settings.bounds.connectTimeoutMs": "90"},
+    {"settings.extra.dutyByKind": '["read","both"]'}, {"settings.extra.dutyByKind": '["read","write"]'},
+    {"settings.extra.localRead": "false"}, {"settings.extra.localRead": "true"}, {"settings.extra.releaseMs": "9000"},
+    {"limits.sockets": "34"}, {"limits.sockets": "256"}, {"settings.extra.dutyByKind": "3"}, {}]
+ACTS = ["ok", "ok", "late:60", "reset", "reset:120", "words:8", "cut", "declined", "silent", "no-state", "unmarked"]
+FAULTS = ("module_raised", "answered_by_host", "module_kept_without_leg", "release_failed")
+EFFECTS = {"free": "idempotent", "guarded": "deduplicated", "single_shot": "side-effecting"}
+
+
+class Reloaded(Stage):
+    """Random requests, reloads, troubles and clients that go. What is sent is held against the configuration that was in
+    force when its request arrived."""
+
+    def __init__(self, folder: Path, seed: int) -> None:
+        super().__init__(folder)
+        self.draw, self.in_force = Random(seed), dict[str, Any]()
+        self.arrived_under: dict[Generation, dict[str, Any]] = {}
+        self.sends = 0
+
+    def ready(self, host: Any, door: Any) -> None:
+        super().ready(host, door)
+        self.in_force = self.configured()
+        arrived, send, write = host.arrived, host.send, host.logger._write
+
+        def noted_write(level: str, event: str, fields: dict[str, Any]) -> None:
+            if event == "reloaded":
+                self.in_force = self.configured()
+            write(level, event, fields)
+
+        def noted_arrived(one: Any) -> None:
+            self.arrived_under[one.gen] = self.in_force
+            arrived(one)
+
+        def noted_send(gen: Generation, server: Listed, limit: int) -> Any:
+            self.judge(gen)
+            return send(gen, server, limit)
+
+        host.arrived, host.send, host.logger._write = noted_arrived, noted_send, noted_write
+
+    def judge(self, gen: Generation) -> None:
+        self.sends += 1
+        settings = self.arrived_under[gen]["settings"]
+        product = next(one for one in settings["classes"] if one["name"] == gen.product.name)
+        effect = EFFECTS[product["effect"]]
+        assert gen.product.effect == effect and len(gen.legs) < settings["bounds"]["maxAttempts"]
+        ran = gen.ran()
+        if effect == "side-effecting":
+            assert not ran, "sent again"
+        elif effect == "deduplicated" and ran:
+            assert self.world.now() < ran[0].sent + product["keyTtlMs"] * MS, "sent past its window"
+
+    def story(self) -> Coro[None]:
+        draw = self.draw
+        yield from self.do_fleet("r1", "r2", "w1", "w2", "w3")
+        for number in range(300):
+            what = draw.random()
+            if what < 0.55:
+                name = f"c{number}"
+                yield from self.do_ask(name, draw.choice(("chat", "pay", "paid", "order")), limit=str(draw.choice((400, 2500))),
+                                       key=draw.choice((None, "s", "t")))
+                if draw.random() < 0.15:
+                    yield from self.world.sleep(draw.randrange(100 * MS))
+                    self.do_leave(name, draw.choice(("close", "half", "reset")))
+            elif what < 0.75:
+                yield from self.do_reload(**draw.choice(CHANGES))
+                if self.lines[-1][0] == "reload_failed":
+                    self.changes["settings.extra.dutyByKind"] = '["read","write"]'
+            else:
+                self.do_server(draw.choice(list(self.servers)), *draw.choices(ACTS, k=2))
+            yield from self.world.sleep(draw.choice((0, 3, 20 * MS, 150 * MS)))
+        for name in self.servers:
+            self.do_server(name, "ok")
+        yield from self.world.sleep(12 * SECOND)
+        assert all(one.end is not None for one in self.clients.values()), "a request has no answer"
+        yield from self.expect_idle()
+        self.expect_modules("1")
+        assert not [line for line in self.lines if line[0] in FAULTS]
+
+    def play_story(self) -> None:
+        def body(group: Group) -> Coro[None]:
+            self.group = group
+            yield from self.story()
+            group.cancel()
+
+        def main() -> Coro[None]:
+            yield from self.world.group(body)
+
+        self.world.run(main())
+        self.world.bury()
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_each_request_is_carried_by_the_settings_it_arrived_under(seed: int, tmp_path: Path) -> None:
+    stage = Reloaded(tmp_path, seed)
+    stage.play_story()
+    assert stage.sends > 100 and len([line for line in stage.lines if line[0] == "reloaded"]) > 8
+
+
 # What outlives its owner.
 
 
