--- a/stackpitch/gateway/host/asked.py
+++ b/stackpitch/gateway/host/asked.py
@@ -50,7 +50,7 @@
         """
         preferences.also = self.preferences_also
         before, brain = self.brain, RuledBrain(self, seed, preferences, **arguments)  # type: ignore[abstract]
-        self.set_apart()
+        self.keep_arrival_settings()
         self.brain = brain
         self.begin()
         return before
--- a/stackpitch/gateway/host/told.py
+++ b/stackpitch/gateway/host/told.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Arrangement:
+class ArrivalSettings:
     """The module that a generation arrived at and the bounds it arrived under, both its own until it is over."""
 
     brain: RuledBrain
@@ -48,7 +48,7 @@
         self.pool, self.call = self.connections.pool, self.connections.call
         self.exchange, self.counted = self.connections.exchange, self.connections.counted
         self.asks: dict[Generation, Ask] = {}  # emptied once a generation is over and its last leg is back
-        self.earlier: dict[Generation, Arrangement] = {}  # of those from before a reload; emptied as `asks`
+        self.earlier: dict[Generation, ArrivalSettings] = {}  # of those from before a reload; emptied as `asks`
         self.doubts, self.counters = Doubts(), Counters()
         self.relayed = 0
         self.emptied: Callable[[], None] | None = None
@@ -62,8 +62,8 @@
         """Small calls under way."""
         return self.connections.calls
 
-    def arrangement(self, gen: Generation) -> Arrangement:
-        return self.earlier.get(gen) or Arrangement(self.brain, self.bounds)
+    def arrival_settings(self, gen: Generation) -> ArrivalSettings:
+        return self.earlier.get(gen) or ArrivalSettings(self.brain, self.bounds)
 
     def brain_of(self, gen: Generation) -> RuledBrain:
         return self.earlier[gen].brain if gen in self.earlier else self.brain
@@ -72,10 +72,10 @@
         """The module in force, then earlier ones for which something is under way."""
         return list(dict.fromkeys([self.brain, *(one.brain for one in self.earlier.values())]))
 
-    def set_apart(self) -> None:
+    def keep_arrival_settings(self) -> None:
         """What is under way keeps its present module and bounds, whatever comes into force next."""
         for gen in self.asks:
-            self.earlier.setdefault(gen, Arrangement(self.brain, self.bounds))
+            self.earlier.setdefault(gen, ArrivalSettings(self.brain, self.bounds))
 
     def take_bounds(self, bounds: Bounds) -> None:
         self.bounds = bounds
--- a/stackpitch/platform/leases.py
+++ b/stackpitch/platform/leases.py
@@ -51,7 +51,7 @@
         assert isinstance(ask, PlatformAsk)
         if ask.held or ask.doubt:
             ask.held = ask.doubt = False
-            release = self._release(ask.gen, self.host.arrangement(ask.gen).bounds)
+            release = self._release(ask.gen, self.host.arrival_settings(ask.gen).bounds)
             self.host.group.spawn(self.host.counted(release), f"release {ask.gen.name}")
 
     def _release(self, gen: Generation, bounds: Bounds) -> Coro[None]:
--- a/stackpitch/platform/plan.py
+++ b/stackpitch/platform/plan.py
@@ -1,4 +1,4 @@
-"""What a gateway of the platform works with, worked out from its configuration before anything is made or changed.
+"""What a gateway of the platform works with, worked out from its configuration before anything changes.
 
 Shares of descriptors and of memory, times, and the parts of the settings that door, host and module take.
 """
@@ -22,7 +22,9 @@
 RESERVE = OWN + PASSING + UNSEEN + TRIES + PlatformDoor.told_why
 CLIENTS = 0.42  # of the rest: the platform's clients hold a third at most for requests
 MAX_BODY, MAX_HEAD = 256 << 10, 16 << 10  # bytes; the protocol's bound, and what no head of it reaches
-GAP = SECOND * 35 // 10  # a client is kept waiting 5 s at most after a server's last event; seen a quarter later
+GAP = (
+    SECOND * 35 // 10
+)  # a client is kept waiting 5 s at most after a server's last event; seen a quarter later
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,13 +49,24 @@
 
 
 def bounds(settings: reading.Tree, engines: int, buffer: int) -> Bounds:
-    """`engines`: connections to servers; `buffer`: bytes that may wait for a client. Times from the settings' own bounds."""
+    """`engines`: connections to servers. `buffer`: bytes that may wait for a client."""
     allowed, extra = settings.tree("bounds"), settings.tree("extra")
     connect = allowed.ticks("connectTimeoutMs", 250)
     return Bounds(
-        pool=engines, connect=connect, idle=allowed.ticks("connIdleMs", 30_000) * 7 // 10, gap=GAP,
-        call=min(connect, extra.ticks("releaseMs", 500) // 4), release_tries=12, max_head=MAX_HEAD, max_answer=4 << 20,
-        buffer=buffer, stall=GAP, watch=20 * MS, request_level=0, rest=10 * MS)
+        pool=engines,
+        connect=connect,
+        idle=allowed.ticks("connIdleMs", 30_000) * 7 // 10,
+        gap=GAP,
+        call=min(connect, extra.ticks("releaseMs", 500) // 4),
+        release_tries=12,
+        max_head=MAX_HEAD,
+        max_answer=4 << 20,
+        buffer=buffer,
+        stall=GAP,
+        watch=20 * MS,
+        request_level=0,
+        rest=10 * MS,
+    )
 
 
 def planned(conf: config.Config, descriptors: int) -> Plan:
@@ -61,15 +74,21 @@
     sockets = min(conf.sockets, descriptors)  # shares of more than there are would let idle clients take all
     if sockets < config.LEAST["sockets"]:
         raise config.BadConfig(
-            f"the process may hold {sockets} descriptors; {config.LEAST['sockets']} at least are wanted")
+            f"the process may hold {sockets} descriptors; {config.LEAST['sockets']} at least are wanted"
+        )
     clients = int((sockets - RESERVE) * CLIENTS)
     engines = sockets - RESERVE - clients
     part = conf.memory_mb << 17  # bytes, an eighth
     buffer = pacing.buffer(part, clients, MAX_BODY)
     return Plan(
-        conf=conf, sockets=sockets, clients=clients, engines=engines, bodies=part,
+        conf=conf,
+        sockets=sockets,
+        clients=clients,
+        engines=engines,
+        bodies=part,
         arguments=config.parts(conf.settings, reading.arguments),
         products=config.parts(conf.settings, reading.products),
         customers=config.parts(conf.settings, reading.customers),
         kinds=config.parts(conf.settings, reading.kinds),
-        bounds=config.parts(conf.settings, lambda tree: bounds(tree, engines, buffer)))
+        bounds=config.parts(conf.settings, lambda tree: bounds(tree, engines, buffer)),
+    )
--- a/stackpitch/platform/reloading.py
+++ b/stackpitch/platform/reloading.py
@@ -1,9 +1,10 @@
 """SIGHUP: takes another configuration while the gateway runs.
 
-All of it is worked out before anything changes, so one that can't be used changes nothing. Where the settings are the
-same, the module, what it has learnt and all connections stay. Where they are not, nothing of the old ones decides about
-requests that arrive later: these meet other classes, tenants and bounds, and a module made anew. Requests that are under
-way go on at the module they arrived at, with the facts they arrived with (`gateway.host.told.Arrangement`).
+All of it is worked out before anything changes, so one that can't be used changes nothing. Where the settings
+are the same, the module, what it has learnt and all connections stay. Where they are not, nothing of the old
+ones decides about requests that arrive later: these meet other classes, tenants and bounds, and a module made
+anew. Requests that are under way go on at the module they arrived at, with the facts they arrived with
+(`gateway.host.told.ArrivalSettings`).
 """
 
 from collections.abc import Mapping
@@ -30,13 +31,22 @@
 class Reloading:
     """`plan` is the one in force."""
 
-    def __init__(self, world: World, log: "Lines", given: Mapping[str, str], plan: Plan, host: Host, budget: Budget,
-                 door: PlatformDoor, discovery: Discovery) -> None:
+    def __init__(
+        self,
+        world: World,
+        log: "Lines",
+        given: Mapping[str, str],
+        plan: Plan,
+        host: Host,
+        budget: Budget,
+        door: PlatformDoor,
+        discovery: Discovery,
+    ) -> None:
         self.world, self.log, self.given, self.plan = world, log, given, plan
         self.host, self.budget, self.door, self.discovery = host, budget, door, discovery
 
     def reload(self) -> None:
-        """Reads the configuration anew and puts it in force; one that can't be used is logged with its field."""
+        """Reads the configuration anew and puts it in force; if it can't be used, its field is logged."""
         try:
             new = planned(self._with_kept_fields(config.read(self.given)), self.world.descriptors())
         except config.BadConfig as wrong:
@@ -48,8 +58,13 @@
             self._take_settings(new)
         self._take_shares(new)
         self._take_discovery(new, old)
-        self.log.info("reloaded", discovery=self.discovery.target, settings="kept" if same else "changed",
-                      clients=new.clients, engines=new.engines)
+        self.log.info(
+            "reloaded",
+            discovery=self.discovery.target,
+            settings="kept" if same else "changed",
+            clients=new.clients,
+            engines=new.engines,
+        )
 
     def _with_kept_fields(self, conf: config.Config) -> config.Config:
         """What can't change without a restart stays as it is, with one line for each."""
@@ -60,13 +75,13 @@
         return msgspec.structs.replace(conf, **kept)
 
     def _take_settings(self, new: Plan) -> None:
-        """Classes, tenants, kinds and the module's arguments. Counts told so far are those of the old classes."""
+        """Classes, tenants, kinds, the module's arguments. Counts of the old classes are told first."""
         self.log.begin_anew()
         self.log.counters(self.host.counters)
         self.door.products, self.door.customers = new.products, new.customers
         before = self.host.replace_brain(new.conf.seed, Preferences(), new.arguments)
         self.discovery.take_kinds(new.kinds)  # tells all modules the whole list
-        self.host.brain.take_turns(before)
+        self.host.brain.continue_cold_turns(before)
 
     def _take_shares(self, new: Plan) -> None:
         """Bounds of connections, descriptors and memory. Where they are the same nothing changes."""
--- a/stackpitch/preferences.py
+++ b/stackpitch/preferences.py
@@ -171,7 +171,7 @@
             stage.guard = self.guard
         preferences.listed(self.fleet.seats)
 
-    def take_turns(self, before: "RuledBrain") -> None:
+    def continue_cold_turns(self, before: "RuledBrain") -> None:
         """Counts cold servers' turns on from where the module before stands, which draws none any more. Guards rule 4: two
         modules at once, or one made anew again and again, would each send a cold server a budget of its own."""
         turns = {server.name: seat.turn for server, seat in before.fleet.seats.items()}
--- a/tests/test_settings_isolation.py
+++ b/tests/test_settings_isolation.py
@@ -1,6 +1,7 @@
-"""One customer's settings never show up for another: gateways side by side in one interpreter, and one after a reload.
+"""One customer's settings never show up for another: gateways side by side, and one after a reload.
 
-Scenes of one gateway, with reloads and with names that look alike, are `scenarios_platform/reload.txt` and `settings.txt`.
+Scenes of one gateway are `scenarios_platform/reload.txt` and, for requests of several classes and tenants on
+one connection and for names that look alike, `scenarios_platform/settings.txt`.
 """
 
 import ast
@@ -63,9 +64,16 @@
     return found
 
 
-@pytest.mark.parametrize("first, second", [
-    ("reports", "peers-zones"), ("peers-zones", "reports"), ("all-mixed", "overload"), ("overload", "all-mixed"),
-    ("zones-mixed", "no-readers")])
+@pytest.mark.parametrize(
+    "first, second",
+    [
+        ("reports", "peers-zones"),
+        ("peers-zones", "reports"),
+        ("all-mixed", "overload"),
+        ("overload", "all-mixed"),
+        ("zones-mixed", "no-readers"),
+    ],
+)
 def test_modules_side_by_side_decide_as_each_does_alone(first: str, second: str) -> None:
     """Event by event in turn: all that is asked for, with times and limits, line by line."""
     found: dict[str, list[str]] = {first: [], second: []}
@@ -108,14 +116,31 @@
     """A start, then a request whose writer breaks off, and one more."""
     start = [f"PROVISION 7 {json.dumps(settings)}", "\n".join(START[1:])]
     other = ASK.replace(GEN, GEN[::-1])
-    return [[(who, line) for line in lines] for lines in (
-        start, [ASK], [f"COMPLETED {GEN} 0 r prefilled 20.5 0 7 -"], [f"COMPLETED {GEN} 1 w cut 30 0 - -"], [other],
-        [f"COMPLETED {GEN[::-1]} 0 r too_slow 600 0 - -"], [f"COMPLETED {GEN[::-1]} 1 w fault 700 0 - -"])]
-
-
-UNLIKE = changed(CONFIG, {
-    "classes.0.effect": '"free"', "classes.0.deadlineMs": "9000", "bounds.maxAttempts": "2", "bounds.retryAfter": "true",
-    "bounds.maxRetryAfterMs": "400", "extra.localRead": "false"})
+    return [
+        [(who, line) for line in lines]
+        for lines in (
+            start,
+            [ASK],
+            [f"COMPLETED {GEN} 0 r prefilled 20.5 0 7 -"],
+            [f"COMPLETED {GEN} 1 w cut 30 0 - -"],
+            [other],
+            [f"COMPLETED {GEN[::-1]} 0 r too_slow 600 0 - -"],
+            [f"COMPLETED {GEN[::-1]} 1 w fault 700 0 - -"],
+        )
+    ]
+
+
+UNLIKE = changed(
+    CONFIG,
+    {
+        "classes.0.effect": '"free"',
+        "classes.0.deadlineMs": "9000",
+        "bounds.maxAttempts": "2",
+        "bounds.retryAfter": "true",
+        "bounds.maxRetryAfterMs": "400",
+        "extra.localRead": "false",
+    },
+)
 
 
 def test_instances_of_one_adapter_answer_as_each_does_alone() -> None:
@@ -125,19 +150,39 @@
     together = [[*first, *second] for first, second in zip(one, other, strict=True)]
     assert answers(together) == wanted
     assert answers([[*second, *first] for first, second in zip(one, other, strict=True)]) == wanted
-    by_line = [[line for pair in zip(first, second) for line in pair] for first, second in zip(one, other, strict=True)]
+    by_line = [
+        [line for pair in zip(first, second) for line in pair]
+        for first, second in zip(one, other, strict=True)
+    ]
     assert answers(by_line) == wanted
 
 
 # Whole gateways.
 
-ORDER = [("a1", "chat"), ("b1", "chat"), ("b2", "order"), ("a2", "order"), ("a3", "pay"), ("b3", "pay"), ("b4", "lone"),
-         ("a4", "lone"), ("b5", "chat"), ("a5", "chat")]
+ORDER = [
+    ("a1", "chat"),
+    ("b1", "chat"),
+    ("b2", "order"),
+    ("a2", "order"),
+    ("a3", "pay"),
+    ("b3", "pay"),
+    ("b4", "lone"),
+    ("a4", "lone"),
+    ("b5", "chat"),
+    ("a5", "chat"),
+]
 OTHERS: dict[str, str] = {  # of the second gateway
-    "classes.0.effect": '"single_shot"', "classes.2.effect": '"free"', "classes.1.keyTtlMs": "1",
-    "classes.3": '{"name":"lone","effect":"free","aimMs":900,"deadlineMs":5000}', "bounds.maxAttempts": "2",
-    "bounds.maxRetryAfterMs": "300", "extra.dutyByKind": '["read","both"]', "extra.kvTokens": "[100000,7000]",
-    "guarantees.warmUpMs": "900", "tenants": '[{"name":"acme","quotaPerS":5}]'}
+    "classes.0.effect": '"single_shot"',
+    "classes.2.effect": '"free"',
+    "classes.1.keyTtlMs": "1",
+    "classes.3": '{"name":"lone","effect":"free","aimMs":900,"deadlineMs":5000}',
+    "bounds.maxAttempts": "2",
+    "bounds.maxRetryAfterMs": "300",
+    "extra.dutyByKind": '["read","both"]',
+    "extra.kvTokens": "[100000,7000]",
+    "guarantees.warmUpMs": "900",
+    "tenants": '[{"name":"acme","quotaPerS":5}]',
+}
 
 
 class TwoGateways(Stage):
@@ -146,7 +191,9 @@
     def __init__(self, folder: Path, names: str) -> None:
         super().__init__(folder)
         self.folder, self.names = folder, names
-        self.world = VirtualWorld(7, programs=lambda command: serve(self.world, {"RELAY_CONFIG": command[0]}, self.noted))
+        self.world = VirtualWorld(
+            7, programs=lambda command: serve(self.world, {"RELAY_CONFIG": command[0]}, self.noted)
+        )
         self.asked: dict[str, list[str]] = {name: [] for name in names}
         self.doors: dict[str, Any] = {}
 
@@ -155,7 +202,12 @@
         terminate = host.terminate
 
         def noted_send(gen: Generation, server: Listed, limit: int) -> Any:
-            facts = [gen.product.effect, gen.product.memory, gen.customer and gen.customer.quota_per_s, gen.slo()]
+            facts = [
+                gen.product.effect,
+                gen.product.memory,
+                gen.customer and gen.customer.quota_per_s,
+                gen.slo(),
+            ]
             asked.append(f"send {gen.name} {server.name} {server.role} {server.memory_tok} {facts}")
             return send(gen, server, limit)
 
@@ -216,8 +268,10 @@
 
 
 @pytest.mark.parametrize("names", ["ab", "ba"])
-def test_gateways_side_by_side_do_what_each_does_alone(names: str, each_alone: dict[str, list[str]], tmp_path: Path) -> None:
-    """Constructed in both orders, asked in turn; servers break each attempt off, so effects and attempts show."""
+def test_gateways_side_by_side_do_what_each_does_alone(
+    names: str, each_alone: dict[str, list[str]], tmp_path: Path
+) -> None:
+    """Constructed in both orders, asked in turn. Servers break off each attempt, so effects show."""
     assert len(each_alone["a"]) > 8 and len(each_alone["b"]) > 6
     found = TwoGateways(tmp_path, names).play_order()
     assert found == {name: each_alone[name] for name in names}
@@ -226,22 +280,52 @@
 # Reloads at any moment.
 
 CHANGES: list[dict[str, str]] = [
-    {"settings.classes.0.effect": '"single_shot"'}, {"settings.classes.0.effect": '"free"'},
-    {"settings.classes.0.effect": '"guarded"', "settings.classes.0.keyTtlMs": "200", "settings.classes.0.dedupScope": '"all"'},
-    {"settings.classes.1.keyTtlMs": "2000"}, {"settings.classes.1.keyTtlMs": "50"}, {"settings.classes.2.effect": '"free"'},
-    {"settings.classes.2.effect": '"single_shot"'}, {"settings.classes.1.name": '"paid"'}, {"settings.classes.1.name": '"pay"'},
-    {"settings.bounds.maxAttempts": "2"}, {"settings.bounds.maxAttempts": "6"}, {"settings.bounds.connectTimeoutMs": "90"},
-    {"settings.extra.dutyByKind": '["read","both"]'}, {"settings.extra.dutyByKind": '["read","write"]'},
-    {"settings.extra.localRead": "false"}, {"settings.extra.localRead": "true"}, {"settings.extra.releaseMs": "9000"},
-    {"limits.sockets": "34"}, {"limits.sockets": "256"}, {"settings.extra.dutyByKind": "3"}, {}]
-ACTS = ["ok", "ok", "late:60", "reset", "reset:120", "words:8", "cut", "declined", "silent", "no-state", "unmarked"]
+    {"settings.classes.0.effect": '"single_shot"'},
+    {"settings.classes.0.effect": '"free"'},
+    {
+        "settings.classes.0.effect": '"guarded"',
+        "settings.classes.0.keyTtlMs": "200",
+        "settings.classes.0.dedupScope": '"all"',
+    },
+    {"settings.classes.1.keyTtlMs": "2000"},
+    {"settings.classes.1.keyTtlMs": "50"},
+    {"settings.classes.2.effect": '"free"'},
+    {"settings.classes.2.effect": '"single_shot"'},
+    {"settings.classes.1.name": '"paid"'},
+    {"settings.classes.1.name": '"pay"'},
+    {"settings.bounds.maxAttempts": "2"},
+    {"settings.bounds.maxAttempts": "6"},
+    {"settings.bounds.connectTimeoutMs": "90"},
+    {"settings.extra.dutyByKind": '["read","both"]'},
+    {"settings.extra.dutyByKind": '["read","write"]'},
+    {"settings.extra.localRead": "false"},
+    {"settings.extra.localRead": "true"},
+    {"settings.extra.releaseMs": "9000"},
+    {"limits.sockets": "34"},
+    {"limits.sockets": "256"},
+    {"settings.extra.dutyByKind": "3"},
+    {},
+]
+ACTS = [
+    "ok",
+    "ok",
+    "late:60",
+    "reset",
+    "reset:120",
+    "words:8",
+    "cut",
+    "declined",
+    "silent",
+    "no-state",
+    "unmarked",
+]
 FAULTS = ("module_raised", "answered_by_host", "module_kept_without_leg", "release_failed")
 EFFECTS = {"free": "idempotent", "guarded": "deduplicated", "single_shot": "side-effecting"}
 
 
 class Reloaded(Stage):
-    """Random requests, reloads, troubles and clients that go. What is sent is held against the configuration that was in
-    force when its request arrived."""
+    """Random requests, reloads, troubles and clients that go. What is sent is held against the configuration
+    that was in force when its request arrived."""
 
     def __init__(self, folder: Path, seed: int) -> None:
         super().__init__(folder)
@@ -288,8 +372,12 @@
             what = draw.random()
             if what < 0.55:
                 name = f"c{number}"
-                yield from self.do_ask(name, draw.choice(("chat", "pay", "paid", "order")), limit=str(draw.choice((400, 2500))),
-                                       key=draw.choice((None, "s", "t")))
+                yield from self.do_ask(
+                    name,
+                    draw.choice(("chat", "pay", "paid", "order")),
+                    limit=str(draw.choice((400, 2500))),
+                    key=draw.choice((None, "s", "t")),
+                )
                 if draw.random() < 0.15:
                     yield from self.world.sleep(draw.randrange(100 * MS))
                     self.do_leave(name, draw.choice(("close", "half", "reset")))
@@ -332,14 +420,20 @@
 
 
 def mutable_state(tree: ast.Module) -> list[str]:
-    """Names of module and class values that something could be put into, but constants and fields of records; and mutable
-    defaults of arguments."""
+    """Names of module and class values that something could be put into, but for constants and fields of
+    records; and mutable defaults of arguments."""
     found = []
 
     def mutable(value: ast.AST | None) -> bool:
         called = isinstance(value, ast.Call) and isinstance(value.func, ast.Name)
         name = value.func.id if called else ""  # type: ignore[union-attr]
-        return isinstance(value, (ast.Dict, ast.List, ast.Set)) or name in ("dict", "list", "set", "deque", "Counter")
+        return isinstance(value, (ast.Dict, ast.List, ast.Set)) or name in (
+            "dict",
+            "list",
+            "set",
+            "deque",
+            "Counter",
+        )
 
     def look(body: list[ast.stmt], record: bool) -> None:
         for node in body:
@@ -354,17 +448,23 @@
     look(tree.body, False)
     for node in ast.walk(tree):
         if isinstance(node, (ast.FunctionDef, ast.Lambda)):
-            found += [ast.unparse(one) for one in [*node.args.defaults, *node.args.kw_defaults] if mutable(one)]
+            found += [
+                ast.unparse(one) for one in [*node.args.defaults, *node.args.kw_defaults] if mutable(one)
+            ]
         if isinstance(node, ast.Global):
             found += node.names
     return found
 
 
 def test_no_module_class_or_default_holds_state() -> None:
-    """All that a gateway of the platform consists of. Constants in capitals are tables that nothing writes to."""
+    """All that a gateway of the platform consists of. Names in capitals are tables that nothing writes to."""
     parts = ("platform", "gateway", "brain", "wire", "loop", "benchlink")
     files = [path for part in parts for path in (SOURCES / part).rglob("*.py")] + list(SOURCES.glob("*.py"))
-    found = {str(path.relative_to(SOURCES)): state for path in files if (state := mutable_state(ast.parse(path.read_text())))}
+    found = {
+        str(path.relative_to(SOURCES)): state
+        for path in files
+        if (state := mutable_state(ast.parse(path.read_text())))
+    }
     assert len(files) > 60 and not found
 
 
@@ -381,7 +481,12 @@
     told = json.loads(capsys.readouterr().err)
     assert (told["event"], told["level"], told["gateway"]) == ("classes", "info", "n0")
     assert {name for name, value in told.items() if value == {"came": 1, "streamed": 1}} == {
-        "class event", "class level", "class gateway", "self", "chat"}
+        "class event",
+        "class level",
+        "class gateway",
+        "self",
+        "chat",
+    }
 
 
 # Rule 4 over reloads.
@@ -402,8 +507,20 @@
 
 def module(number: int = 0, gateways: int = 1) -> RuledBrain:
     return RuledBrain(
-        Sends(), 1, Preferences(), number=number, gateways=gateways, zone="a", max_legs=4, max_retry_after=0,  # type: ignore[abstract, arg-type]
-        fall_multiple=2.0, must_ask=False, cold_from=0.1, warm_up=1000 * SECOND, local_reads=True)
+        Sends(),
+        1,
+        Preferences(),
+        number=number,
+        gateways=gateways,
+        zone="a",
+        max_legs=4,
+        max_retry_after=0,  # type: ignore[abstract, arg-type]
+        fall_multiple=2.0,
+        must_ask=False,
+        cold_from=0.1,
+        warm_up=1000 * SECOND,
+        local_reads=True,
+    )
 
 
 CHAT = Product("chat", "idempotent", "all", 0, SECOND, 0, 0, 4 * SECOND, 1.0, 0.1)
@@ -413,8 +530,11 @@
 
 
 def turns(reload_every: int, number: int) -> int:
-    """How many of a gateway's lookups of readers, 10 ms apart, go to a cold one of ten, with a reload after each so many."""
-    servers = [Listed(f"r{place}", "a", "r", 1, "reader", 1000, started=0 if place == 0 else None) for place in range(10)]
+    """How many lookups, 10 ms apart, go to the cold one of ten readers, with a reload after so many."""
+    servers = [
+        Listed(f"r{place}", "a", "r", 1, "reader", 1000, started=0 if place == 0 else None)
+        for place in range(10)
+    ]
     servers.append(Listed("w0", "a", "w", 1, "writer", 1000))
     brain, drawn = module(number, GATEWAYS), 0
     brain.roster(0, servers, True)
@@ -424,8 +544,10 @@
             before, brain = brain, module(number, GATEWAYS)
             brain.begin(now)
             brain.roster(now, servers, True)
-            brain.take_turns(before)
-        gen = Generation(f"g{lookup}", CHAT, None, None, None, 0, 100, 10, None, now, now + 4 * SECOND, False, False)
+            brain.continue_cold_turns(before)
+        gen = Generation(
+            f"g{lookup}", CHAT, None, None, None, 0, 100, 10, None, now, now + 4 * SECOND, False, False
+        )
         drawn += goes_cold(brain, now, gen, servers[0])
     return drawn
 
@@ -445,12 +567,18 @@
 
 
 def test_the_module_before_draws_no_cold_server_any_more() -> None:
-    servers = [Listed(f"r{place}", "a", "r", 1, "reader", 1000, started=0 if place == 0 else None) for place in range(10)]
+    servers = [
+        Listed(f"r{place}", "a", "r", 1, "reader", 1000, started=0 if place == 0 else None)
+        for place in range(10)
+    ]
     before, after = module(), module()
     for one in (before, after):
         one.roster(0, servers, True)
-    after.take_turns(before)
-    gens = [Generation(f"g{number}", CHAT, None, None, None, 0, 100, 10, None, 0, 9, False, False) for number in range(400)]
+    after.continue_cold_turns(before)
+    gens = [
+        Generation(f"g{number}", CHAT, None, None, None, 0, 100, 10, None, 0, 9, False, False)
+        for number in range(400)
+    ]
     found = {one: sum(goes_cold(one, 5, gen, servers[0]) for gen in gens) for one in (before, after)}
     assert found[before] == 0 < found[after]
 
