Mixed workers: their last wait counts where no peer tells, and doesn't condemn the other way

Causes: Load.wait_tok gave a mixed worker no cost for its queue unless it held over half its memory, so Reader.pick took it for free while prefill workers' own waits counted; Fleet.expected took the worse of the two ways, so slow mixed workers had requests shed that would have gone through prefill and decode workers. Ruled out: the share of the hash's order (Fleet.whole) is 0.8 of a pair and stayed as it was.

Change: without peers' messages the last wait at a mixed worker counts as it does at a prefill worker; where all three kinds are there the better way is expected. Nothing changes without mixed workers, nor the first part where peers tell.

--- a/stackpitch/brain/fleet.py
+++ b/stackpitch/brain/fleet.py
@@ -100,9 +100,10 @@
         self.late[role] = late + max(self.LATE_LEARN, fresh) * (part - late), now
 
     def expected(self, now: Time, gen: Generation) -> float:
-        """How long a first token takes, by what our legs met lately; a generation meets one of the two."""
+        """How long a first token takes, by what our legs met lately: the better of the ways that there are."""
         reads, writes, both = (faded(self.late[role], now, self.LATE_SPAN) for role in self.late)
-        return max(reads + writes, both) * gen.slo()
+        best = min if all(self.roles.values()) else max
+        return best(reads + writes, both) * gen.slo()
 
     def queue_wait(self, role: Role, seats: list[Seat], now: Time) -> float:
         """How long our legs that have waited a while will take at the pace at which legs get done."""
--- a/stackpitch/brain/load.py
+++ b/stackpitch/brain/load.py
@@ -51,13 +51,14 @@
 
     def wait_tok(self, seat: Seat, now: Time, gen: Generation) -> float:
         """Tokens before this one's at a reader; at a mixed server, as many as are read while it slows it."""
+        behind = self.BEHIND * gen.prompt_tok * faded(seat.late, now, self.LATE_SPAN) / max(1, gen.slo())
+        behind = 0.0 if self.peers else behind  # by their words; else by the last wait there
         if seat.server.role == "mixed":
             slow = self.SLOWED * max(0.0, self.full(seat, now) - self.SLOW_HELD)
-            return slow * gen.slo() * self.ahead / self.usual["reader"]
-        if self.peers:  # by their words; else as if a few gateways did as we, and by the last wait there
+            return slow * gen.slo() * self.ahead / self.usual["reader"] + behind
+        if self.peers:
             return seat.own + max(0.0, seat.others * seat.server.memory_tok)
-        behind = self.BEHIND * gen.prompt_tok * faded(seat.late, now, self.LATE_SPAN) / max(1, gen.slo())
-        return self.alike * seat.own + behind
+        return self.alike * seat.own + behind  # as if a few gateways did as we
 
     def held_share(self, seat: Seat, now: Time, usual: float) -> float:
         """Projected share of memory: own legs grown by their answers, others' as reported or usual."""
--- /dev/null
+++ b/tests/test_mixed_workers.py
@@ -0,0 +1,75 @@
+"""Mixed workers beside separate prefill and decode workers: waits there count, and don't condemn the other way."""
+
+import pytest
+
+from stackpitch.brain import Fleet
+from stackpitch.interface import MS, SECOND, Generation, Leg, Product, Role, Server
+
+CHAT = Product("chat", "idempotent", "all", 0, 2 * SECOND, 0, 60 * MS, 12 * SECOND, 1, 0)
+MEMORY = 100_000
+
+
+class Silent:
+    """A gateway that only log lines reach."""
+
+    def log(self, text: str) -> None: ...
+
+
+def fleet(roles: list[Role], peers: bool = False) -> Fleet:
+    found = Fleet(Silent(), 1, 0.3, 10 * SECOND, 3.0, 0, 4, "a", peers)  # type: ignore[arg-type]
+    found.update(
+        0, [Server(f"{role}{number}", "a", role, 1, role, MEMORY) for number, role in enumerate(roles)], True
+    )
+    return found
+
+
+def request(name: str) -> Generation:
+    return Generation(name, CHAT, None, None, None, 0, 1000, 100, None, 0, 12 * SECOND, False, False)
+
+
+def waited(of: Fleet, role: Role, wait: int, times: int = 1) -> None:
+    """Attempts at the first worker of that role waited so long, the last one until now."""
+    server = of.roles[role][0].server
+    for number in range(times):
+        of.met(Leg(request(f"{role}{number}"), 0, server, SECOND), SECOND + wait, wait)
+
+
+@pytest.mark.parametrize("role", ["reader", "mixed"])
+def test_a_long_wait_at_a_worker_sends_the_next_request_elsewhere(role: Role) -> None:
+    of = fleet([role, role, "writer"])
+    slow, other = of.roles[role]
+    before = of.wait_tok(slow, SECOND, request("a"))
+    waited(of, role, 4 * SECOND)
+    assert of.wait_tok(slow, 5 * SECOND, request("a")) > before + 1000
+    assert of.wait_tok(other, 5 * SECOND, request("a")) == before
+    assert of.wait_tok(slow, 15 * SECOND, request("a")) == before, "it is forgotten after ten seconds"
+
+
+@pytest.mark.parametrize("role", ["reader", "mixed"])
+def test_where_peers_tell_of_queues_their_messages_count_instead(role: Role) -> None:
+    of = fleet([role, role, "writer"], peers=True)
+    before = of.wait_tok(of.roles[role][0], 5 * SECOND, request("a"))
+    waited(of, role, 4 * SECOND)
+    assert of.wait_tok(of.roles[role][0], 5 * SECOND, request("a")) == before
+
+
+def test_the_better_of_two_ways_is_expected() -> None:
+    of = fleet(["reader", "writer", "mixed"])
+    waited(of, "mixed", 2 * SECOND, times=30)
+    assert of.expected(3 * SECOND, request("a")) == 0
+    waited(of, "reader", SECOND, times=30)
+    assert 0.8 * SECOND < of.expected(3 * SECOND, request("a")) < 1.1 * SECOND
+
+
+@pytest.mark.parametrize("roles", [["mixed"], ["reader", "mixed"], ["writer", "mixed"]], ids=" and ".join)
+def test_waits_at_mixed_workers_are_expected_where_there_is_no_other_way(roles: list[Role]) -> None:
+    of = fleet(roles)
+    waited(of, "mixed", 2 * SECOND, times=30)
+    assert of.expected(3 * SECOND, request("a")) > 1.9 * SECOND
+
+
+def test_waits_at_prefill_and_decode_workers_add_up_where_there_are_no_mixed_ones() -> None:
+    of = fleet(["reader", "writer"])
+    waited(of, "reader", SECOND, times=30)
+    waited(of, "writer", SECOND, times=30)
+    assert of.expected(2 * SECOND, request("a")) > 1.8 * SECOND
