--- a/stackpitch/brain/fleet.py
+++ b/stackpitch/brain/fleet.py
@@ -100,7 +100,7 @@
         self.late[role] = late + max(self.LATE_LEARN, fresh) * (part - late), now
 
     def expected(self, now: Time, gen: Generation) -> float:
-        """How long a first token takes, by what our legs met lately: the better of the ways that there are."""
+        """How long a first token takes, by what our legs met lately: the better of the ways there are."""
         reads, writes, both = (faded(self.late[role], now, self.LATE_SPAN) for role in self.late)
         best = min if all(self.roles.values()) else max
         return best(reads + writes, both) * gen.slo()
