Platform: the module isn't told that it may send messages which this front doesn't carry

Cause: platform took bounds.peers and bounds.probes from the settings as they are, but its front carries no words between gateways (Host.words has no peers: each is dropped) and no probes (Servers.probe). So Home.take held each first turn for the answer of a peer, up to 100 ms, and Reader.pick and Load.wait_tok went by queues that peers were to tell. On the simulator both are there.

Change: plan.NOT_CARRIED lays False over both.

Test: test_the_module_is_told_of_no_messages_that_this_front_does_not_carry, fails without the change.

--- a/stackpitch/platform/plan.py
+++ b/stackpitch/platform/plan.py
@@ -27,6 +27,11 @@
 )  # a client is kept waiting 5 s at most after a server's last event; seen a quarter later
 
 
+# The protocol has no messages between gateways and no probes. A module that is told that they are allowed waits for
+# answers that never come, and goes by what it would hear.
+NOT_CARRIED: Mapping[str, Any] = {"peers": False, "probes": False}
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """One configuration with all that follows from it."""
@@ -86,7 +91,7 @@
         clients=clients,
         engines=engines,
         bodies=part,
-        arguments=config.parts(conf.settings, reading.arguments),
+        arguments={**config.parts(conf.settings, reading.arguments), **NOT_CARRIED},
         products=config.parts(conf.settings, reading.products),
         customers=config.parts(conf.settings, reading.customers),
         kinds=config.parts(conf.settings, reading.kinds),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,6 +16,7 @@
 from stackpitch.loop import SECOND
 from stackpitch.platform import config, watching
 from stackpitch.platform.lines import Lines
+from stackpitch.platform.plan import planned
 from stackpitch.platform.serve import CLIENTS, MAX_BODY, RESERVE
 from stackpitch.plausible import Doubts
 from stackpitch.wire import http, platform
@@ -215,3 +216,13 @@
     else:
         with pytest.raises(config.BadConfig, match="an IPv4 address"):
             config.address(text, "a")
+
+
+def test_the_module_is_told_of_no_messages_that_this_front_does_not_carry(tmp_path: Path) -> None:
+    """Settings may allow words between gateways and probes; a module that counts on them waits for what never comes."""
+    allowed = {"bounds": {**SETTINGS["bounds"], "peers": True, "probes": True}, "report": {"fields": ["x0"], "via": "pull"}}
+    (tmp_path / "c").write_text(json.dumps({
+        "name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1f", "limits": {"sockets": 64},
+        "known": {"revision": 1, "complete": True, "members": []}, "settings": SETTINGS | allowed}))
+    arguments = planned(config.read({"RELAY_CONFIG": str(tmp_path / "c")}), 1024).arguments
+    assert arguments["peers"] is False and arguments["probes"] is False
