Slow start: what one server bore is remembered by lookups, so few cold ones left get their part

Cause: SlowStart.draw counted one lookup in done / (drawn + 1) as done by the servers left, whoever looked up.

Change: the part is done legs over the sum, lookup by lookup, of the servers by warmth that could take them (Fleet.usable, Fleet.word). Both are forgotten together over 4 s, but by at most a thirty-second at each lookup, so a shrunk fleet leaves the quotient what it was: what one server bore. Lookups while no server can be reached count nothing; more done legs than lookups (owners' turns) count as many. Who remembers little adds the list as one lookup: its servers in full, done as far as they are warm, until a gateway is older than a warm-up; then by warmth.

--- a/stackpitch/brain/fleet.py
+++ b/stackpitch/brain/fleet.py
@@ -28,9 +28,7 @@
 
     def plan(self, now: Time) -> None:
         """What part of all reads each cell does and where it is written, so that least leaves its cell."""
-        last, reads, writes, self.planned = self.planned, Counter(), Counter(), now
-        self.size = {role: max(self.warm[role], faded((self.size[role], last), now, self.LATE_SPAN),
-                               len(of) * (last < 0)) for role, of in self.roles.items()}  # first: as if warm
+        reads, writes, self.planned = Counter(), Counter(), now
         self.warm = {role: sum(self.warmth(one, now) for one in of) for role, of in self.roles.items()}
         for role, count in (("reader", reads), ("writer", writes)):
             able = {one: self.warmth(one, now) * (0.1 if one.down else 1) for one in self.roles[role]}
@@ -87,6 +85,8 @@
             self.ahead += self.LEARN * (self.wait_tok(seat, now, leg.gen) + own - self.ahead)
         self.met(leg, now, wait)
         self.done[role] = faded(self.done[role], now, self.PACE) + 1, now
+        # Owners' turns are not looked up: no more count than are, or a fleet that shrinks drops all on few.
+        self.borne[role] = min(self.borne[role] + 1, self.size[role][0] / max(0.1, self.warm[role]))
         if seat.strikes:
             self.gateway.log(f"trust {seat.server.name} wait={wait // MS}ms strikes={seat.strikes}")
             seat.strikes, seat.shunned_until, seat.down = 0, 0, False
@@ -119,7 +119,10 @@
         return [one for one in seats if one not in out] if out else seats
 
     def usable(self, role: Role, now: Time, gen: Generation) -> list[Seat]:
-        self.drawn[role] = faded(self.drawn[role], now, self.PACE) + 1, now
+        # Where none can be reached nothing is learnt, or a site that comes back cold would get too little.
+        warm = self.warm[role] * any(not one.down for one in self.roles[role])
+        self.borne[role] = faded((self.borne[role], self.size[role][1]), now, self.PACE, self.KEPT)
+        self.size[role] = faded(self.size[role], now, self.PACE, self.KEPT) + warm, now
         cold = {one for one in self.roles[role] if one.server.started is not None and self.cold(one, now)}
         if now - self.planned > SECOND and (cold or any([one.down for one in self.roles[role]])):
             self.plan(now)
--- a/stackpitch/brain/seats.py
+++ b/stackpitch/brain/seats.py
@@ -15,9 +15,9 @@
     return (mixed ^ mixed >> 15) * 0x85EBCA6B & 0xFFFFFFFF
 
 
-def faded(of: tuple[float, Time], now: Time, span: Time) -> float:
-    """What is left of a figure noted at a time, if it is forgotten over this span."""
-    return of[0] * max(0.0, 1 - (now - of[1]) / span)
+def faded(of: tuple[float, Time], now: Time, span: Time, least: float = 0.0) -> float:
+    """What is left of a figure noted at a time, if it is forgotten over this span, but for this part."""
+    return of[0] * max(least, 1 - (now - of[1]) / span)
 
 
 class Seat:
@@ -36,9 +36,8 @@
         self.drawn: Generation | None = None  # the one that may go there while it is cold
 
     def put(self, gen: Generation, tok: int) -> None:
-        self.drop(gen)
-        self.tok[gen] = max(0, tok)  # a shared text longer than its prompt is odd, but may be told
-        self.own += self.tok[gen]
+        self.own += max(0, tok) - self.tok.get(gen, 0)  # a shared text longer than its prompt may be told
+        self.tok[gen] = max(0, tok)
 
     def drop(self, gen: Generation) -> None:
         self.own -= self.tok.pop(gen, 0)
@@ -46,7 +45,8 @@
 
 class Seats:
     PACE, LATE_SPAN = 4 * SECOND, 10 * SECOND  # the pace of done legs is averaged; mean waits fade
-    COLD_CARE, ALIKE = 0.6, 3  # part of a cold budget that is used; gateways taken to do as we do now
+    # Kept at least of what a lookup finds: gateways that see one in seconds would forget all between two.
+    COLD_CARE, ALIKE, KEPT = 0.6, 3, 31 / 32  # part used of a cold budget; gateways taken to do as we do
 
     def __init__(self, gateway: Gateway, seed: int, cold_from: float, warm_up: Time, fall_multiple: float,
                  number: int, gateways: int, zone: str, peers: bool) -> None:
@@ -58,14 +58,15 @@
         self.alike, self.count, self.born, self.planned = min(gateways, self.ALIKE), 0, 0, -1
         self.seats: dict[Server, Seat] = {}  # a seat goes once its server is gone and its last leg is back
         self.roles: dict[Role, list[Seat]] = {"reader": [], "writer": [], "mixed": []}  # the ready ones
-        self.warm, self.size = dict.fromkeys(self.roles, 0.0), dict.fromkeys(self.roles, 0.0)  # and lately
+        self.warm, self.borne = dict.fromkeys(self.roles, 0.0), dict.fromkeys(self.roles, 0.0)  # legs done
         self.others: dict[Role, float] = {}  # mean share that others hold, by reports
         self.by_hash, self.parts = dict[int, Seat](), dict[int, float]()  # by peers' names; readers' by cell
         self.order, self.mark = list[Seat](), b""  # the servers as peers' words name them, and its mark
         self.said, self.followed, self.reach = 0, 0, 1.0  # place said up to; means moved; peers that answer
         self.mean: dict[Role, float] = dict.fromkeys(self.roles, 0.0)  # tokens our legs brought to a server
         self.done: dict[Role, tuple[float, Time]] = dict.fromkeys(self.roles, (0.0, 0))  # legs; and when
-        self.late, self.drawn = dict(self.done), dict(self.done)  # mean wait over SLO time; looked up for
+        # The mean wait over the SLO time; the servers by warmth summed over lookups, as `borne` is over legs.
+        self.late, self.size = dict(self.done), dict(self.done)
         self.ahead = 5000.0  # mean of the tokens at a reader, while legs of ours were read there
         self.usual: dict[Role, float] = {"reader": 100.0 * MS, "writer": 50.0 * MS, "mixed": 200.0 * MS}
 
--- a/stackpitch/brain/slow_start.py
+++ b/stackpitch/brain/slow_start.py
@@ -1,6 +1,6 @@
-"""What a cold server, one that started lately, may be sent, by the pace at which legs get done."""
+"""What a cold server, one that started lately, may be sent, by what a warm one is known to get done."""
 
-from stackpitch.brain.seats import Seat, Seats, faded, mix
+from stackpitch.brain.seats import Seat, Seats, mix
 from stackpitch.interface import Generation, Time
 
 
@@ -18,11 +18,13 @@
         at, role = seat.server.started, seat.server.role  # a start is told by each process's own clock
         turn = seat.turn[1] if seat.turn[0] == at else self.number / self.gateways + mix(seat.hash, 0) / 2**32
         even = {"writer": 1.0} if role == "writer" else {"reader": 1.0, "mixed": min(1.0, self.whole)}
-        left, size = (max(1.0, sum(each * of[one] for one, each in even.items()))
-                      for of in (self.warm, self.size))
-        done = sum(faded(self.done[one], now, self.PACE) for one in even) + min(1.0, left / size)
-        done /= left * (faded(self.drawn[role], now, self.PACE) + 1)
-        part = self.cold_load * self.warmth(seat, now) * even[role] * min(1 / max(left, size), done)
+        # Who remembers little counts the list as one more lookup, done as far as its servers are warm. While
+        # some may have been cold since before we came, they count in full: a few may be left of many.
+        full = {of: len(self.roles[of]) if now - self.born < self.warm_up else self.warm[of] for of in even}
+        unseen = sum(self.warm[one] for one in even) / max(0.1, sum(full.values()))
+        done = sum(self.borne[one] for one in even) + unseen
+        servers = max(0.1, sum(each * (self.size[one][0] + full[one]) for one, each in even.items()))
+        part = self.cold_load * self.warmth(seat, now) * even[role] * done / servers
         seat.turn = at, (turn + part) % 1
         seat.drawn = gen if seat.turn[1] < part else seat.drawn
         return seat.drawn is gen
