--- a/benchmarks/slow_start.py
+++ b/benchmarks/slow_start.py
@@ -19,7 +19,7 @@
 from statistics import fmean, variance
 
 from stackpitch.brain import Fleet, Seat
-from stackpitch.interface import Generation, Leg, Product, Role, Server, Time
+from stackpitch.interface import Generation, Leg, ModuleSettings, Product, Role, Server, Time
 
 MS, SECOND = 10, 10_000
 PRODUCT = Product("chat", "idempotent", "all", 20_000, 10_000, 400, 600, 40_000, 1.0, 0.1)
@@ -102,6 +102,14 @@
         pass
 
 
+def fleet_of(number: int, gateways: int, cold_from: float, warm_up: Time, multiple: float) -> Fleet:
+    """What the gateway of that number knows of the servers, before its first list."""
+    settings = ModuleSettings(
+        number=number, gateways=gateways, zone="a", max_legs=TRIES, max_retry_after=0, fall_multiple=multiple,
+        must_ask=False, cold_from=cold_from, warm_up=warm_up, local_reads=True)
+    return Fleet(Silent(), number, settings)  # type: ignore[arg-type]
+
+
 @dataclass
 class Found:
     """Of one play or several. Windows are those that end with a leg to a cold server."""
@@ -150,8 +158,7 @@
 
     def fleet(self, number: int, now: Time) -> Fleet:
         case = self.case
-        made = Fleet(Silent(), number, case.cold_from, case.warm_up, case.multiple,  # type: ignore[arg-type]
-                     number, self.count, "a", False)
+        made = fleet_of(number, self.count, case.cold_from, case.warm_up, case.multiple)
         made.born = now
         return made
 
--- a/stackpitch/brain/__init__.py
+++ b/stackpitch/brain/__init__.py
@@ -2,6 +2,8 @@
 
 A generation passes Home, Owner, Reader and Writer by `take`, and back up by `back`; only Guard sends."""
 
+from typing import Any
+
 from stackpitch.brain.admission import Admission
 from stackpitch.brain.affinity import Home, Owner
 from stackpitch.brain.fleet import Fleet
@@ -10,7 +12,7 @@
 from stackpitch.brain.reader import Reader
 from stackpitch.brain.seats import Seat, mix
 from stackpitch.brain.writer import Writer
-from stackpitch.interface import SECOND, Gateway, Generation, Leg, Module, Report, Server, Time
+from stackpitch.interface import SECOND, Gateway, Generation, Leg, Module, ModuleSettings, Report, Server, Time
 
 __all__ = ["Brain", "Fleet", "Guard", "Home", "Seat", "mix"]
 
@@ -18,17 +20,16 @@
 class Brain(Module):
     ASK_AGAIN = 2 * SECOND  # after a failed call to a discovery that must be asked
 
-    def __init__(self, gateway: Gateway, seed: int, *, number: int, gateways: int, zone: str, max_legs: int,
-                 max_retry_after: Time, fall_multiple: float, must_ask: bool, cold_from: float, warm_up: Time,
-                 local_reads: bool, peers: bool = False, probes: bool = False, cancels: bool = False,
-                 release: Time = SECOND // 2) -> None:
-        self.gateway, self.must_ask = gateway, must_ask
-        self.fleet = Fleet(gateway, seed, cold_from, warm_up, fall_multiple, number, gateways, zone, peers)
-        self.probing = Probing(self.fleet, probes)
-        self.guard = Guard(self.fleet, max_legs, max_retry_after, release)
+    def __init__(self, gateway: Gateway, seed: int, **arguments: Any) -> None:
+        """`arguments`: the fields of `interface.ModuleSettings`."""
+        settings = ModuleSettings(**arguments)
+        self.gateway, self.must_ask = gateway, settings.must_ask
+        self.fleet = Fleet(gateway, seed, settings)
+        self.probing = Probing(self.fleet, settings.probes)
+        self.guard = Guard(self.fleet, settings.max_legs, settings.max_retry_after, settings.release)
         self.writer = Writer(self.guard)
         self.admission = Admission(self.guard)
-        self.reader = Reader(self.admission, self.writer, local_reads, cancels)
+        self.reader = Reader(self.admission, self.writer, settings.local_reads, settings.cancels)
         self.owner = Owner(self.reader)
         self.home = Home(self.owner)
         self.probed, self.heard = self.probing.answered, self.home.heard
--- a/stackpitch/brain/seats.py
+++ b/stackpitch/brain/seats.py
@@ -2,7 +2,7 @@
 
 from zlib import crc32
 
-from stackpitch.interface import MS, SECOND, Gateway, Generation, Leg, Role, Server, Time
+from stackpitch.interface import MS, SECOND, Gateway, Generation, Leg, ModuleSettings, Role, Server, Time
 
 
 def hashed(text: str) -> int:
@@ -48,14 +48,13 @@
     # Kept at least of what a lookup finds: gateways that see one in seconds would forget all between two.
     COLD_CARE, ALIKE, KEPT = 0.6, 3, 31 / 32  # part used of a cold budget; gateways taken to do as we do
 
-    def __init__(self, gateway: Gateway, seed: int, cold_from: float, warm_up: Time, fall_multiple: float,
-                 number: int, gateways: int, zone: str, peers: bool) -> None:
-        self.peers, self.gateway, self.seed, self.zone = peers, gateway, seed, zone
-        self.number, self.gateways, self.warm_up = number, gateways, max(1, warm_up)
-        self.cold_load, self.cold_from = self.COLD_CARE * fall_multiple, cold_from
+    def __init__(self, gateway: Gateway, seed: int, settings: ModuleSettings) -> None:
+        self.gateway, self.seed, self.peers, self.zone = gateway, seed, settings.peers, settings.zone
+        self.number, self.gateways, self.warm_up = settings.number, settings.gateways, max(1, settings.warm_up)
+        self.cold_load, self.cold_from = self.COLD_CARE * settings.fall_multiple, settings.cold_from
         self.near, self.wanting = dict[int, float](), dict[int, float]()  # part written there; others to feed
         self.stay, self.whole = 1.0, 0.0  # part of our sessions for this zone; a mixed server's weight
-        self.alike, self.count, self.born, self.planned = min(gateways, self.ALIKE), 0, 0, -1
+        self.alike, self.count, self.born, self.planned = min(self.gateways, self.ALIKE), 0, 0, -1
         self.seats: dict[Server, Seat] = {}  # a seat goes once its server is gone and its last leg is back
         self.roles: dict[Role, list[Seat]] = {"reader": [], "writer": [], "mixed": []}  # the ready ones
         self.warm, self.borne = dict.fromkeys(self.roles, 0.0), dict.fromkeys(self.roles, 0.0)  # legs done
--- a/stackpitch/interface.py
+++ b/stackpitch/interface.py
@@ -21,6 +21,26 @@
 NEVER_RAN: frozenset[Outcome] = frozenset({"read", "full", "unreachable", "not-sent"})
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ModuleSettings:
+    """What a deployment's settings say to the module. Defaults: of settings that don't say."""
+
+    number: int  # this gateway's, from 0
+    gateways: int
+    zone: str
+    max_legs: int  # of a generation
+    max_retry_after: Time
+    fall_multiple: float  # of what a cold server can do, before it falls over
+    must_ask: bool  # the list comes to those who subscribe alone
+    cold_from: float  # part of its work that a server can do as it starts
+    warm_up: Time
+    local_reads: bool  # writers read, too
+    peers: bool = False  # gateways may send each other words
+    probes: bool = False
+    cancels: bool = False  # a leg that was handed over may be taken back
+    release: Time = SECOND // 2  # within which what is held is used or let go
+
+
 @dataclass(slots=True, eq=False)
 class Product:
     """A class of traffic: what repeating it does, its times and what it is worth."""
--- a/tests/test_mixed_workers.py
+++ b/tests/test_mixed_workers.py
@@ -3,7 +3,7 @@
 import pytest
 
 from stackpitch.brain import Fleet
-from stackpitch.interface import MS, SECOND, Generation, Leg, Product, Role, Server
+from stackpitch.interface import MS, SECOND, Generation, Leg, ModuleSettings, Product, Role, Server
 
 CHAT = Product("chat", "idempotent", "all", 0, 2 * SECOND, 0, 60 * MS, 12 * SECOND, 1, 0)
 MEMORY = 100_000
@@ -16,7 +16,10 @@
 
 
 def fleet(roles: list[Role], peers: bool = False) -> Fleet:
-    found = Fleet(Silent(), 1, 0.3, 10 * SECOND, 3.0, 0, 4, "a", peers)  # type: ignore[arg-type]
+    settings = ModuleSettings(
+        number=0, gateways=4, zone="a", max_legs=5, max_retry_after=0, fall_multiple=3.0, must_ask=False,
+        cold_from=0.3, warm_up=10 * SECOND, local_reads=True, peers=peers)
+    found = Fleet(Silent(), 1, settings)  # type: ignore[arg-type]
     found.update(
         0, [Server(f"{role}{number}", "a", role, 1, role, MEMORY) for number, role in enumerate(roles)], True
     )
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from benchmarks.slow_start import CASES, PRODUCT, Cluster, Found, Silent, operators_bound, stricter_bound
+from benchmarks.slow_start import CASES, PRODUCT, Cluster, Found, fleet_of, operators_bound, stricter_bound
 from stackpitch.brain import Fleet
 from stackpitch.interface import Generation, Leg, Server, Time
 
@@ -66,7 +66,7 @@
 
 def looked_up(number: int, gateways: int, warm: int, cold: list[str], started: int, times: int = 1) -> Fleet:
     """A gateway with its first list, after so many generations."""
-    fleet = Fleet(Silent(), number, 0.3, 13 * SECOND, 3.0, number, gateways, "a", False)  # type: ignore[arg-type]
+    fleet = fleet_of(number, gateways, 0.3, 13 * SECOND, 3.0)
     fleet.update(0, [Server(f"r{one}", "a", "k", 1, "reader", 1000) for one in range(warm)]
                  + [Server(name, "a", "k", 1, "reader", 1000, started=started) for name in cold], True)
     for _ in range(times):
@@ -92,7 +92,7 @@
     """One that looked up generations at 40 warm readers, until all but one cold one go."""
 
     def __init__(self, every: Time, lookups: int, done: int) -> None:
-        self.fleet = Fleet(Silent(), 0, 0.3, 60 * SECOND, 3.0, 0, 230, "a", False)  # type: ignore[arg-type]
+        self.fleet = fleet_of(0, 230, 0.3, 60 * SECOND, 3.0)
         warm = [Server(f"r{one}", "a", "k", 1, "reader", 1000) for one in range(40)]
         self.fleet.update(0, warm, True)
         self.now = 0
