--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -74,10 +74,11 @@
 
 
 class Gateway:
-    """With so many descriptors; `sockets`: what its configuration says of them."""
+    """With so many descriptors; `sockets`: what its configuration says of them; `port`: 0 for any that is free."""
 
-    def __init__(self, folder: Path, agent: Agent, sockets: int = MOST, most: int = MOST, **settings: object) -> None:
-        self.port = free_port()
+    def __init__(self, folder: Path, agent: Agent, sockets: int = MOST, most: int = MOST, port: int = 0,
+                 **settings: object) -> None:
+        self.port = port or free_port()
         (folder / "c").write_text(json.dumps({
             "name": "n", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{agent.port}", "seed": "1f",
             "limits": {"sockets": sockets, "memory_mb": 64}, "settings": SETTINGS | settings,
