--- a/tests/test_crossings_answered.py
+++ b/tests/test_crossings_answered.py
@@ -4,6 +4,7 @@
 stopped, signals and bytes are put into its sockets, and one turn of its loop finds all of them.
 """
 
+import select
 import signal
 import socket
 import time
@@ -143,8 +144,8 @@
 
 
 def test_requests_on_resting_connections_race_sigterm(tmp_path: Path) -> None:
-    """80 connections rest; a request is sent on one after another, and the signal comes in their midst. Each gets its answer,
-    or a clean end without one, and then no worker has heard of it."""
+    """80 connections rest; a request is sent on one after another, the signal comes in their midst, and the last ten are sent
+    when their ends have come. Each gets its answer, or a clean end without one, and then no worker has heard of it."""
     workers = fleet("r1", "w1")
     with RunningGateway(tmp_path, workers) as gateway:
         clients = [gateway.ask("order") for _ in range(80)]
@@ -152,8 +153,11 @@
         for at, client in enumerate(clients):
             if at == 20:
                 gateway.signal(SIGTERM)
-            with suppress(OSError):  # its end has come, and its close
-                client.ask("order")
+            if at > 20:
+                time.sleep(0.0005)
+            if at >= 70:
+                assert select.select([client.socket], [], [], PATIENCE)[0], f"client {at} hears of no end"
+            client.ask("order")
         for at, client in enumerate(clients):
             answer = client.answer()
             served = any(worker.attempts(client.name) for worker in workers)
