--- a/tests/crossing_flood.py
+++ b/tests/crossing_flood.py
@@ -1,7 +1,8 @@
-"""Floods a gateway from a process of its own, so that it takes no time from the test's threads: `crossing_flood.py PORT KIND`.
+"""Floods a gateway from a process of its own, so that it takes no time from the test's threads:
+`crossing_flood.py PORT KIND`.
 
-Kinds: `bad`, requests that are none, each on a connection of its own; `idle`, connections that say nothing, 64 open at a
-time. It ends with its standard input.
+Kinds: `bad`, requests that are none, each on a connection of its own; `idle`, connections that say nothing,
+64 open at a time. It ends with its standard input.
 """
 
 import select
@@ -9,9 +10,12 @@
 import sys
 from contextlib import suppress
 
-BAD = (b"\x00\x01\x02\r\n\r\n", b"GET / HTTP/1.1\r\nhost: a\r\n\r\n",
-       b"POST /v1/chat/completions HTTP/1.1\r\nreq-id: x\r\n\r\n",
-       b"POST /v1/chat/completions HTTP/1.1\r\n" + b"a: b\r\n" * 5000 + b"\r\n")
+BAD = (
+    b"\x00\x01\x02\r\n\r\n",
+    b"GET / HTTP/1.1\r\nhost: a\r\n\r\n",
+    b"POST /v1/chat/completions HTTP/1.1\r\nreq-id: x\r\n\r\n",
+    b"POST /v1/chat/completions HTTP/1.1\r\n" + b"a: b\r\n" * 5000 + b"\r\n",
+)
 OPEN = 64
 
 
--- a/tests/test_crossings_answered.py
+++ b/tests/test_crossings_answered.py
@@ -1,7 +1,8 @@
-"""A request that was read gets its final answer, on new connections too, whatever servers, signals or other clients do.
+"""A request that was read gets its final answer, on new connections too, whatever servers, signals or other
+clients do.
 
-The gateway is a process; its signals, requests and the answers of its stand-in workers cross in either order. While it is
-stopped, signals and bytes are put into its sockets, and one turn of its loop finds all of them.
+The gateway is a process; its signals, requests and the answers of its stand-in workers cross in either order.
+While it is stopped, signals and bytes are put into its sockets, and one turn of its loop finds all of them.
 """
 
 import select
@@ -13,28 +14,11 @@
 from pathlib import Path
 
 import pytest
-from crossing_stage import (
-    PATIENCE,
-    READ,
-    STREAM,
-    STREAM_END,
-    STREAM_HEAD,
-    Answer,
-    Attempt,
-    Client,
-    RunningGateway,
-    Worker,
-    break_off,
-    chat_request,
-    decline,
-    event,
-    fresh_id,
-    in_body,
-    side_by_side,
-    stream,
-    wait_for,
-)
-from test_crossings_gone import fleet
+from crossing_clients import Answer, Client, chat_request, in_body
+from crossing_gateway import RunningGateway, side_by_side
+from crossing_sockets import PATIENCE, fresh_id, wait_for
+from crossing_workers import STREAM_END, STREAM_HEAD, Attempt, Worker, break_off, decline, fleet, stream
+from platform_script import READ, STREAM, event
 
 STILL_COMING = 0.7  # seconds after SIGTERM for which the listener stays
 
@@ -57,7 +41,9 @@
             writer.next(one.name).answer(STREAM)
             assert one.answer().status == 200
         self.streaming, self.decode, self.handover, self.prefill = (ask("order") for _ in range(4))
-        self.reads = {one: reader.next(one.name) for one in (self.streaming, self.decode, self.handover, self.prefill)}
+        self.reads = {
+            one: reader.next(one.name) for one in (self.streaming, self.decode, self.handover, self.prefill)
+        }
         self.writes = {}
         for one in (self.streaming, self.decode):
             self.reads[one].answer(READ)
@@ -91,9 +77,15 @@
                     attempt.answer(READ if worker is self.reader else STREAM)
         rest = self.writes[self.streaming]
         rest.answer(event("last") + STREAM_END)
-        for what, client in {"resting": self.resting, "mid-head": self.head, "mid-body": self.body, "prefill": self.prefill,
-                             "handover": self.handover, "decode": self.decode,
-                             **{f"accept queue {number}": one for number, one in enumerate(self.queued)}}.items():
+        for what, client in {
+            "resting": self.resting,
+            "mid-head": self.head,
+            "mid-body": self.body,
+            "prefill": self.prefill,
+            "handover": self.handover,
+            "decode": self.decode,
+            **{f"accept queue {number}": one for number, one in enumerate(self.queued)},
+        }.items():
             check(what, client, client.answer())
         pieces = b"".join(data for _, data in self.streaming.pieces) + self.streaming.ended()[1]
         assert b"last" in pieces and pieces.endswith(b"0\r\n\r\n"), f"mid-stream: {pieces[-300:]!r}"
@@ -108,13 +100,17 @@
 
 
 SIGNALS = [
-    *(([SIGTERM], order) for order in ORDERS), ([SIGTERM, SIGTERM], ORDERS[0]), ([SIGTERM, SIGTERM], ORDERS[2]),
-    ([SIGHUP, SIGTERM], ORDERS[0]), ([SIGHUP, SIGTERM], ORDERS[1])]
+    *(([SIGTERM], order) for order in ORDERS),
+    ([SIGTERM, SIGTERM], ORDERS[0]),
+    ([SIGTERM, SIGTERM], ORDERS[2]),
+    ([SIGHUP, SIGTERM], ORDERS[0]),
+    ([SIGHUP, SIGTERM], ORDERS[1]),
+]
 
 
 def test_sigterm_at_every_stage_of_a_request(tmp_path: Path) -> None:
-    """Once, twice, and behind SIGHUP. Where the signal was seen before, what rests has been half-closed: its request comes too
-    late, and it gets a clean end."""
+    """Once, twice, and behind SIGHUP. Where the signal was seen before, what rests has been half-closed: its
+    request comes too late, and it gets a clean end."""
     side_by_side(stopped_at_every_stage, tmp_path, SIGNALS)
 
 
@@ -144,8 +140,9 @@
 
 
 def test_requests_on_resting_connections_race_sigterm(tmp_path: Path) -> None:
-    """80 connections rest; a request is sent on one after another, the signal comes in their midst, and the last ten are sent
-    when their ends have come. Each gets its answer, or a clean end without one, and then no worker has heard of it."""
+    """80 connections rest; a request is sent on one after another, the signal comes in their midst, and the
+    last ten are sent when their ends have come. Each gets its answer, or a clean end without one, and then no
+    worker has heard of it."""
     workers = fleet("r1", "w1")
     with RunningGateway(tmp_path, workers) as gateway:
         clients = [gateway.ask("order") for _ in range(80)]
@@ -175,7 +172,8 @@
 
 
 def test_requests_in_the_accept_queue_as_the_listener_closes(tmp_path: Path) -> None:
-    """The process is stopped from within the 0.7 s until after them, and connections with requests come meanwhile."""
+    """The process is stopped from within the 0.7 s until after them, and connections with requests come
+    meanwhile."""
     with RunningGateway(tmp_path, fleet("r1", "w1")) as gateway:
         gateway.signal(signal.SIGTERM)
         signalled = time.monotonic()
@@ -191,7 +189,8 @@
 
 
 def test_a_connection_that_races_the_close_of_the_listener(tmp_path: Path) -> None:
-    """Connections with requests come one after another until they are refused; each that came about is answered."""
+    """Connections with requests come one after another until they are refused; each that came about is
+    answered."""
     with RunningGateway(tmp_path, fleet("r1", "w1")) as gateway:
         gateway.signal(signal.SIGTERM)
         clients: list[Client] = []
@@ -209,15 +208,20 @@
 
 
 FAULTS: dict[str, Callable[[Attempt], None]] = {
-    "reset": break_off, "closed": Attempt.close, "declined": decline, "hung": lambda attempt: None,
+    "reset": break_off,
+    "closed": Attempt.close,
+    "declined": decline,
+    "hung": lambda attempt: None,
     "noise": lambda attempt: attempt.send(b"\x00noise\r\n\r\n"),
     "half a head": lambda attempt: (attempt.send(b"HTTP/1.1 2"), attempt.close())[1],
-    "half a stream": lambda attempt: (attempt.send(STREAM_HEAD + event("w")), attempt.reset())[1]}
+    "half a stream": lambda attempt: (attempt.send(STREAM_HEAD + event("w")), attempt.reset())[1],
+}
 
 
 @pytest.mark.parametrize("where", ["prefill", "decode"])
 def test_whatever_servers_do(tmp_path: Path, where: str) -> None:
-    """All of that role fail in the same way; each client gets one final answer, or the clean end of a broken stream."""
+    """All of that role fail in the same way; each client gets one final answer, or the clean end of a broken
+    stream."""
     workers = fleet("r1", "r2", "w1", "w2")
     faulty = workers[:2] if where == "prefill" else workers[2:]
     with RunningGateway(tmp_path, workers) as gateway:
@@ -258,8 +262,13 @@
 class Flood:
     """Others' bad requests and idle connections, for as long as it is entered."""
 
-    KINDS = (b"", b"GET / HTTP/1.1\r\n", b"\x00\x01\x02\r\n\r\n", b"POST /v1/chat/completions HTTP/1.1\r\nreq-id: x\r\n\r\n",
-             b"A" * 20_000)
+    KINDS = (
+        b"",
+        b"GET / HTTP/1.1\r\n",
+        b"\x00\x01\x02\r\n\r\n",
+        b"POST /v1/chat/completions HTTP/1.1\r\nreq-id: x\r\n\r\n",
+        b"A" * 20_000,
+    )
 
     def __init__(self, gateway: RunningGateway, count: int) -> None:
         self.gateway, self.clients = gateway, list[socket.socket]()
@@ -279,7 +288,8 @@
 
 
 def test_a_request_that_is_open_is_never_evicted(tmp_path: Path) -> None:
-    """20 clients may be connected. 12 are at prefill, in decode or in the midst of a stream as 96 others flood the door."""
+    """20 clients may be connected. 12 are at prefill, in decode or in the midst of a stream as 96 others
+    flood the door."""
     workers = fleet("r1*", "w1*")
     with RunningGateway(tmp_path, workers, sockets=72) as gateway:
         clients = [gateway.ask("order") for _ in range(12)]
@@ -301,11 +311,14 @@
                 assert client.answer().status == 200, f"client {at}"
             else:
                 got = client.rest_of_answer()
-                assert b"last" in got and got.endswith(b"0\r\n\r\n"), f"client {at}: its stream ended after {got[-100:]!r}"
+                assert b"last" in got and got.endswith(b"0\r\n\r\n"), (
+                    f"client {at}: its stream ended after {got[-100:]!r}"
+                )
 
 
 def test_a_new_connection_is_told_why_it_ends(tmp_path: Path) -> None:
-    """No request came on it in time (2.6 s), or another one needs its place: it gets an answer, then a clean end."""
+    """No request came on it in time (2.6 s), or another one needs its place: it gets an answer, then a clean
+    end."""
     with RunningGateway(tmp_path, fleet("r1*", "w1"), sockets=32) as gateway:
         evicted = [gateway.client() for _ in range(3)]  # as many as may be connected
         gateway.looked()
@@ -316,7 +329,8 @@
 
 
 def test_a_client_that_ends_its_sending_gets_an_answer(tmp_path: Path) -> None:
-    """It half-closes behind its request, before that is read, during prefill, during decode, and in the midst of a stream."""
+    """It half-closes behind its request, before that is read, during prefill, during decode, and in the midst
+    of a stream."""
     workers = fleet("r1*", "w1*")
     with RunningGateway(tmp_path, workers) as gateway:
         with gateway.stopped():
--- a/tests/test_crossings_bad_input.py
+++ b/tests/test_crossings_bad_input.py
@@ -1,33 +1,28 @@
-"""Bad input costs its own connection alone, with an answer where one is owed: others are served at the same time.
+"""Bad input costs its own connection alone, with an answer where one is owed: others are served at the same
+time.
 
-Clients and stand-in workers send what is spoilt in one instant with good requests: the process is stopped, all of it is put
-into its sockets, and one turn of its loop finds it.
+Clients and stand-in workers send what is spoilt in one instant with good requests: the process is stopped,
+all of it is put into its sockets, and one turn of its loop finds it.
 """
 
 from pathlib import Path
 
-from crossing_stage import (
-    READ,
-    STREAM,
-    STREAM_HEAD,
-    Attempt,
-    Client,
-    RunningGateway,
-    attempt_anywhere,
-    chat_request,
-    event,
-    fresh_id,
-    in_body,
-)
-from platform_script import WHOLE
+from crossing_clients import Client, chat_request, in_body
+from crossing_gateway import RunningGateway
+from crossing_sockets import fresh_id
+from crossing_workers import STREAM_HEAD, Attempt, attempt_anywhere, fleet
+from platform_script import READ, STREAM, WHOLE, event
 from test_crossings_ends import BAD
-from test_crossings_gone import fleet
 
 ODD_HEADS = {
-    "no id": {b"req-id": b"x-id"}, "no kind": {b"req-kind": b"x-kind"}, "an unknown kind": {b"chat\r\n": b"talk\r\n"},
-    "no deadline": {b"req-deadline-ms": b"x-deadline"}, "a bad deadline": {b"8000": b"8e3"},
+    "no id": {b"req-id": b"x-id"},
+    "no kind": {b"req-kind": b"x-kind"},
+    "an unknown kind": {b"chat\r\n": b"talk\r\n"},
+    "no deadline": {b"req-deadline-ms": b"x-deadline"},
+    "a bad deadline": {b"8000": b"8e3"},
     "a bad extra": {b"prompt_len=": b"prompt_len"},
-    "another path": {b"/v1/chat/completions": b"/v1/other"}, "another method": {b"POST ": b"PUT "},
+    "another path": {b"/v1/chat/completions": b"/v1/other"},
+    "another method": {b"POST ": b"PUT "},
     "an upgrade": {b"req-id": b"connection: upgrade\r\nupgrade: websocket\r\nreq-id"},
     "two lengths": {b"req-id": b"content-length: 99\r\nreq-id"},
     "length and chunks": {b"req-id": b"transfer-encoding: chunked\r\nreq-id"},
@@ -35,8 +30,8 @@
 
 
 def test_bad_requests_in_one_turn_with_good_ones(tmp_path: Path) -> None:
-    """Each bad one gets an error of its own; good ones before, between and after them are all answered, also a second on a
-    connection kept from before, and a stream under way goes on."""
+    """Each bad one gets an error of its own; good ones before, between and after them are all answered, also
+    a second on a connection kept from before, and a stream under way goes on."""
     workers = fleet("r1*", "w1*")
     with RunningGateway(tmp_path, workers) as gateway:
         under_way, kept = gateway.ask("order"), gateway.ask("order")
@@ -75,13 +70,14 @@
             if not (answer.whole and 400 <= answer.status < 500 and client.ended() == ("end", b"")):
                 found[what] = answer
         assert not found, f"{found}"
-        rest.answer(event("last") + STREAM[len(STREAM_HEAD):])
+        rest.answer(event("last") + STREAM[len(STREAM_HEAD) :])
         got = b"".join(data for _, data in under_way.pieces) + under_way.rest_of_answer()
         assert got.count(b"second") == 1 and got.endswith(b"0\r\n\r\n"), f"{got[-200:]!r}"
 
 
 def test_spoilt_answers_in_one_turn_with_good_ones(tmp_path: Path) -> None:
-    """Of a decode worker, to one request of two; the other one's answer comes whole, and nothing of the spoilt one is in it."""
+    """Of a decode worker, to one request of two; the other one's answer comes whole, and nothing of the
+    spoilt one is in it."""
     workers = fleet("r1*", "w1*", "w2*", "w3*", "w4*")
     kinds = ("noise", "bad-head", "long-head", "bad-chunk", "unfit-chunk", "no-event")
     with RunningGateway(tmp_path, workers) as gateway:
@@ -99,6 +95,8 @@
             assert answer.status == 200 and answer.whole and b"noise" not in answer.body, f"{kind}: {answer}"
             other = spoilt.answer()
             assert other.status in (200, 429, 502) and b"noise" not in other.body, f"{kind}: {other}"
-            assert other.whole if other.status != 200 else (not other.whole and other.ending == "end"), f"{kind}: {other}"
+            assert other.whole if other.status != 200 else (not other.whole and other.ending == "end"), (
+                f"{kind}: {other}"
+            )
             for client in (spoilt, good):
                 client.close()
--- a/tests/test_crossings_deadlines.py
+++ b/tests/test_crossings_deadlines.py
@@ -1,27 +1,18 @@
 """The deadline told to a worker is at most what the client has left at that moment, with 0.15 s of slack.
 
-The client notes when its first byte went out. Stand-in workers note when an attempt's first byte came and what its
-`req-deadline-ms` says, and let it hang or break, or stand behind a full backlog; attempts of clients that have left hold all
-connections that may be open to workers.
+The client notes when its first byte went out. Stand-in workers note when an attempt's first byte came and
+what its `req-deadline-ms` says, and let it hang or break, or stand behind a full backlog; attempts of clients
+that have left hold all connections that may be open to workers.
 """
 
 import time
 from pathlib import Path
 
-from crossing_stage import (
-    READ,
-    STREAM,
-    Attempt,
-    Client,
-    RunningGateway,
-    Worker,
-    chat_request,
-    fresh_id,
-    side_by_side,
-    wait_for,
-)
-from platform_script import SETTINGS
-from test_crossings_gone import fill_the_budget, fleet
+from crossing_clients import Client, chat_request
+from crossing_gateway import RunningGateway, fill_the_budget, side_by_side
+from crossing_sockets import fresh_id, wait_for
+from crossing_workers import Attempt, Worker, fleet
+from platform_script import READ, SETTINGS, STREAM
 
 SLACK_MS = 150
 SLOW_CONNECT = SETTINGS["bounds"] | {"connectTimeoutMs": 3000}
@@ -31,11 +22,14 @@
     """`began`: when the client's first byte had gone out."""
     left = limit_ms - (attempt.began - began) * 1000
     assert attempt.deadline_ms <= left + SLACK_MS, (
-        f"{attempt.worker.name} was told {attempt.deadline_ms} ms, but the client has {left:.0f} of {limit_ms} ms left")
+        f"{attempt.worker.name} was told {attempt.deadline_ms} ms, "
+        f"but the client has {left:.0f} of {limit_ms} ms left"
+    )
 
 
 def test_first_attempts(tmp_path: Path) -> None:
-    """Of products with short and long limits, at prefill and at decode, also where the request comes in pieces."""
+    """Of products with short and long limits, at prefill and at decode, also where the request comes in
+    pieces."""
     workers = fleet("r1*", "w1*")
     with RunningGateway(tmp_path, workers) as gateway:
         for product in ("chat", "pay", "order"):
@@ -73,8 +67,10 @@
 
         def further(count: int) -> Attempt:
             def come() -> bool:
-                seen[:] = sorted((one for worker in workers for one in worker.attempts(client.name) if one.whole),
-                                 key=lambda one: one.began)
+                seen[:] = sorted(
+                    (one for worker in workers for one in worker.attempts(client.name) if one.whole),
+                    key=lambda one: one.began,
+                )
                 return len(seen) >= count
 
             wait_for(come, f"attempt {count} did not begin")
@@ -99,7 +95,10 @@
     workers = [Worker("r1"), Worker("w1", full=True)]
     with RunningGateway(tmp_path, workers, bounds=SLOW_CONNECT) as gateway:
         clients = {limit_ms: gateway.ask("order", limit_ms) for limit_ms in (1600, 2500, 8000)}
-        wait_for(lambda: workers[1].connecting() == len(clients), "no connections to the decode worker are in the making")
+        wait_for(
+            lambda: workers[1].connecting() == len(clients),
+            "no connections to the decode worker are in the making",
+        )
         workers[1].accept()
         attempts = {limit_ms: workers[1].next(client.name) for limit_ms, client in sorted(clients.items())}
         assert all(client.answer().status == 200 for client in clients.values())
@@ -108,7 +107,8 @@
 
 
 def test_after_a_wait_for_a_place(tmp_path: Path) -> None:
-    """All connections that may be open to workers are held by others' attempts; one is given back or dropped after 0.45 s."""
+    """All connections that may be open to workers are held by others' attempts; one is given back or dropped
+    after 0.45 s."""
     side_by_side(waits_for_a_place, tmp_path, ["given back", "dropped"])
 
 
@@ -128,8 +128,8 @@
 
 
 def test_a_request_that_waited_for_the_process(tmp_path: Path) -> None:
-    """It lay in the gateway's socket for 0.5 s, on a new connection or on a kept one, before the process went on. The system
-    knows how long ago bytes came (`TCP_INFO`, `tcpi_last_data_recv`)."""
+    """It lay in the gateway's socket for 0.5 s, on a new connection or on a kept one, before the process went
+    on. The system knows how long ago bytes came (`TCP_INFO`, `tcpi_last_data_recv`)."""
     workers = fleet("r1", "w1")
     with RunningGateway(tmp_path, workers) as gateway:
         kept = gateway.ask()
--- a/tests/test_crossings_ends.py
+++ b/tests/test_crossings_ends.py
@@ -1,7 +1,9 @@
-"""A connection closes without a reset that destroys what was written: the client reads its whole answer, then a clean end.
+"""A connection closes without a reset that destroys what was written: the client reads its whole answer, then
+a clean end.
 
-Clients send on behind their request, at the barrier that a stand-in worker holds, in the turn in which the answer ends, or
-while they take it slowly through a small window; others send what is refused, more of it than is read.
+Clients send on behind their request, at the barrier that a stand-in worker holds, in the turn in which the
+answer ends, or while they take it slowly through a small window; others send what is refused, more of it than
+is read.
 """
 
 import signal
@@ -12,20 +14,11 @@
 from pathlib import Path
 
 import pytest
-from crossing_stage import (
-    PATIENCE,
-    READ,
-    STREAM_END,
-    STREAM_HEAD,
-    Client,
-    RunningGateway,
-    chat_request,
-    event,
-    fresh_id,
-    in_body,
-    side_by_side,
-)
-from test_crossings_gone import fleet
+from crossing_clients import Client, chat_request, in_body
+from crossing_gateway import RunningGateway, side_by_side
+from crossing_sockets import PATIENCE, fresh_id
+from crossing_workers import STREAM_END, STREAM_HEAD, fleet
+from platform_script import READ, event
 
 WIDE = event("w" * 4000)
 READ_TO_THE_END = 256 << 10  # bytes behind a last answer that the gateway reads before it closes
@@ -33,6 +26,7 @@
 
 def sending(client: Client, data: bytes) -> threading.Thread:
     """It may be refused to send all of it."""
+
     def work() -> None:
         with suppress(OSError):
             client.send(data)
@@ -45,8 +39,8 @@
 @pytest.mark.parametrize("when", ["with it", "during prefill", "mid-stream", "same turn as the end"])
 @pytest.mark.parametrize("size", [5, 200_000, 2_000_000])
 def test_bytes_behind_a_request(tmp_path: Path, size: int, when: str) -> None:
-    """Up to 512 KiB of them the answer is whole; over that the client may be refused, with an answer, unless its stream has
-    begun. Whatever it is, it is read whole, and then comes a clean end."""
+    """Up to 512 KiB of them the answer is whole; over that the client may be refused, with an answer, unless
+    its stream has begun. Whatever it is, it is read whole, and then comes a clean end."""
     workers = fleet("r1*", "w1*")
     more = b"x" * size
     with RunningGateway(tmp_path, workers) as gateway:
@@ -83,7 +77,9 @@
                 got = b"".join(data for _, data in client.pieces)
                 ending, rest = client.ended()
                 got += rest
-                assert ending == "end" and b"last" in got and b"0\r\n\r\n" in got, f"{ending} after {got[-200:]!r}"
+                assert ending == "end" and b"last" in got and b"0\r\n\r\n" in got, (
+                    f"{ending} after {got[-200:]!r}"
+                )
                 assert size > READ_TO_THE_END or not client.reset_follows(), "a reset behind the end"
                 return
         ending, rest = client.ended()
@@ -95,8 +91,13 @@
 
 @pytest.mark.parametrize("sends_on", [False, True], ids=["silent", "sends on"])
 def test_an_answer_that_is_taken_slowly(tmp_path: Path, sends_on: bool) -> None:
-    """Through a window of 4 KiB, 40 KB of it after a first pause of 1.2 s, in which a byte is sent on each 0.1 s or nothing."""
-    side_by_side(partial(taken_slowly, sends_on), tmp_path, ["Connection: close", "SIGTERM", "SIGTERM in the same turn"])
+    """Through a window of 4 KiB, 40 KB of it after a first pause of 1.2 s, in which a byte is sent on each
+    0.1 s or nothing."""
+    side_by_side(
+        partial(taken_slowly, sends_on),
+        tmp_path,
+        ["Connection: close", "SIGTERM", "SIGTERM in the same turn"],
+    )
 
 
 def taken_slowly(sends_on: bool, folder: Path, last: str) -> None:
@@ -106,7 +107,9 @@
         client = gateway.client(small=True)
         client.name = fresh_id()
         request = chat_request(client.name, "order")
-        client.send(request.replace(b"req-id", b"connection: close\r\nreq-id", 1) if "close" in last else request)
+        client.send(
+            request.replace(b"req-id", b"connection: close\r\nreq-id", 1) if "close" in last else request
+        )
         workers[0].next(client.name).answer(READ)
         write = workers[1].next(client.name)
         write.send(STREAM_HEAD + event("first"))
@@ -133,7 +136,10 @@
         assert ending == "end", f"{ending} behind a whole answer"
 
 
-HEAD = b"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nreq-id: %b\r\nreq-kind: chat\r\nreq-deadline-ms: 900\r\n"
+HEAD = (
+    b"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n"
+    b"req-id: %b\r\nreq-kind: chat\r\nreq-deadline-ms: 900\r\n"
+)
 BAD: dict[str, tuple[bytes, int]] = {
     "no request": (b"\x00\x01\x02 noise\r\n\r\n", 400),
     "no request, and more": (b"\x00\x01\x02 noise\r\n\r\n" + b"x" * 100_000, 400),
@@ -150,7 +156,8 @@
 
 
 def test_what_is_refused_gets_its_answer_and_a_clean_end(tmp_path: Path) -> None:
-    """All at once, each on a connection of its own; what is over the bound is sent on while the answer comes."""
+    """All at once, each on a connection of its own; what is over the bound is sent on while the answer
+    comes."""
     with RunningGateway(tmp_path, fleet("r1", "w1")) as gateway:
         clients: dict[str, Client] = {}
         for what, (data, _) in BAD.items():
--- a/tests/test_crossings_events.py
+++ b/tests/test_crossings_events.py
@@ -1,8 +1,9 @@
-"""An event is passed on within 0.3 s of when its worker wrote it, and events written apart aren't merged into lumps.
+"""An event is passed on within 0.3 s of when its worker wrote it, and events written apart aren't merged into
+lumps.
 
-The stand-in decode worker writes events one at a time and notes when. What the client gets is judged by its chunks: the
-gateway makes one of whatever it passes on at once, however the client's own system joins its reads. Floods come from a
-process of their own, much streaming from other stand-ins.
+The stand-in decode worker writes events one at a time and notes when. What the client gets is judged by its
+chunks: the gateway makes one of whatever it passes on at once, however the client's own system joins its
+reads. Floods come from a process of their own, much streaming from other stand-ins.
 """
 
 import threading
@@ -11,20 +12,11 @@
 from pathlib import Path
 
 import pytest
-from crossing_stage import (
-    READ,
-    STREAM_END,
-    STREAM_HEAD,
-    Attempt,
-    Client,
-    RunningGateway,
-    Worker,
-    event,
-    flooded,
-    wait_for,
-)
-from platform_script import SETTINGS
-from test_crossings_gone import fleet
+from crossing_clients import Client
+from crossing_gateway import RunningGateway, flooded
+from crossing_sockets import wait_for
+from crossing_workers import STREAM_END, STREAM_HEAD, Attempt, Worker, fleet
+from platform_script import READ, SETTINGS, event
 
 WITHIN = 0.3  # seconds from the worker's write to the client's read
 APART = 0.12  # seconds between two events
@@ -42,12 +34,13 @@
         if len(rest) < length + 2:
             break
         found.append(rest[:length])
-        rest = rest[length + 2:]
+        rest = rest[length + 2 :]
     return found
 
 
 def gather(client: Client) -> threading.Thread:
     """Reads all that comes, until the answer is whole, and notes when."""
+
     def work() -> None:
         got = b""
         while not got.endswith(b"0\r\n\r\n"):
@@ -154,7 +147,11 @@
         went = time.monotonic()
         client.pieces.clear()
         thread = gather(client)
-        wait_for(lambda: any(b"after." in data for _, data in client.pieces), "the next event does not come", WITHIN)
+        wait_for(
+            lambda: any(b"after." in data for _, data in client.pieces),
+            "the next event does not come",
+            WITHIN,
+        )
         assert client.pieces[0][0] - went <= WITHIN
         attempt.answer(STREAM_END)
         thread.join(8)
--- a/tests/test_crossings_gone.py
+++ b/tests/test_crossings_gone.py
@@ -1,29 +1,20 @@
 """No attempt, first or further, begins over 0.1 s after its client closed, reset or cancelled.
 
-The stand-in workers hold each attempt until the test has put the client's leaving and the other event (an answer, a reset,
-a connection that comes about, a place that comes free) into the gateway's sockets, in either order. While the process is
-stopped both are found in one turn of its loop; it stays stopped for longer than the 0.1 s, so that whatever begins after it
-goes on is a fault.
+The stand-in workers hold each attempt until the test has put the client's leaving and the other event (an
+answer, a reset, a connection that comes about, a place that comes free) into the gateway's sockets, in either
+order. While the process is stopped both are found in one turn of its loop; it stays stopped for longer than
+the 0.1 s, so that whatever begins after it goes on is a fault.
 """
 
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 
-from crossing_stage import (
-    DECLINED,
-    READ,
-    Attempt,
-    Client,
-    RunningGateway,
-    Worker,
-    chat_request,
-    fresh_id,
-    held,
-    side_by_side,
-    wait_for,
-)
-from platform_script import SETTINGS
+from crossing_clients import Client, chat_request
+from crossing_gateway import RunningGateway, fill_the_budget, side_by_side
+from crossing_sockets import fresh_id, wait_for
+from crossing_workers import DECLINED, Attempt, Worker, attempt_anywhere, fleet
+from platform_script import READ, SETTINGS
 
 STILL = 0.15  # seconds for which the process stays stopped after the client has left
 LEAVINGS = ["close", "reset", "sent on, then close", "sent on, then reset"]
@@ -54,11 +45,6 @@
     return left
 
 
-def fleet(*scripts: str) -> list[Worker]:
-    """Workers by name; those with a star hold their attempts."""
-    return [Worker(one.rstrip("*"), held if one.endswith("*") else None) for one in scripts]
-
-
 def test_left_before_its_request_was_read(tmp_path: Path) -> None:
     """A connection that waits to be accepted, one whose head was half read, and one that rests."""
     workers = fleet("r1", "w1")
@@ -97,7 +83,9 @@
                 attempt = workers[0].next(client.name)
                 left = cross(gateway, order, client, how, partial(attempt.answer, READ))
                 gateway.no_attempt_since(client.name, left, 0.03)
-                assert not workers[1].attempts(client.name), f"a decode attempt began, {how}, connection kept: {kept}"
+                assert not workers[1].attempts(client.name), (
+                    f"a decode attempt began, {how}, connection kept: {kept}"
+                )
             if not kept:
                 other = gateway.ask()
                 workers[0].next(other.name).answer(READ)
@@ -106,12 +94,19 @@
 
 
 FAULTS: dict[str, Callable[[Attempt], None]] = {
-    "reset": Attempt.reset, "closed": Attempt.close, "declined": lambda attempt: attempt.answer(DECLINED)}
+    "reset": Attempt.reset,
+    "closed": Attempt.close,
+    "declined": lambda attempt: attempt.answer(DECLINED),
+}
 
 
 def test_left_between_a_failed_attempt_and_its_repeat(tmp_path: Path) -> None:
     """A client that stays gets its further attempt, so one is seen to be left out."""
-    side_by_side(leaves_after_a_failure, tmp_path, [(role, fault) for role in ("prefill", "decode") for fault in FAULTS])
+    side_by_side(
+        leaves_after_a_failure,
+        tmp_path,
+        [(role, fault) for role in ("prefill", "decode") for fault in FAULTS],
+    )
 
 
 def leaves_after_a_failure(folder: Path, case: tuple[str, str]) -> None:
@@ -124,13 +119,18 @@
     with RunningGateway(folder, readers + writers) as gateway:
         for order in (*ORDERS, "stays"):
             client = gateway.ask()
-            wait_for(lambda: whole_attempts(tried, client.name) == 1, f"{order}: no attempt began")  # noqa: B023
-            first = next(one for worker in tried for one in worker.attempts(client.name))
+            first = attempt_anywhere(tried, client.name)
             if order == "stays":
                 FAULTS[fault](first)
-                wait_for(lambda: whole_attempts(tried, client.name) == 2, "no further attempt for one that stays")  # noqa: B023
+                attempt_anywhere([one for one in tried if one is not first.worker], client.name)
                 break
-            left = cross(gateway, order, client, "reset" if order == "left before" else "close", partial(FAULTS[fault], first))
+            left = cross(
+                gateway,
+                order,
+                client,
+                "reset" if order == "left before" else "close",
+                partial(FAULTS[fault], first),
+            )
             gateway.no_attempt_since(client.name, left, 0.03)
             assert whole_attempts(tried, client.name) == 1, f"{order}: it was repeated"
 
@@ -140,22 +140,26 @@
 
 
 def test_left_before_an_attempt_times_out(tmp_path: Path) -> None:
-    """The further attempt would begin 0.6 s after the first. Clients that stay get theirs, so the time-out is seen to come."""
+    """The further attempt would begin 0.6 s after the first. Clients that stay get theirs, so the time-out is
+    seen to come."""
     workers = fleet("r1*", "r2*", "w1")
     with RunningGateway(tmp_path, workers) as gateway:
         clients = {how: gateway.ask() for how in (*LEAVINGS, "stays")}
         for client in clients.values():
-            wait_for(lambda: any(worker.attempts(client.name) for worker in workers), "no first attempt")  # noqa: B023
+            attempt_anywhere(workers, client.name)
         lefts = {how: leave(client, how) for how, client in clients.items() if how != "stays"}
         stays = clients["stays"].name
-        wait_for(lambda: all(worker.attempts(stays) for worker in workers[:2]), "no further attempt after a time-out")
+        wait_for(
+            lambda: all(worker.attempts(stays) for worker in workers[:2]),
+            "no further attempt after a time-out",
+        )
         for how, left in lefts.items():
             gateway.no_attempt_since(clients[how].name, left, 0.03)
 
 
 def test_left_while_a_connection_is_in_the_making(tmp_path: Path) -> None:
-    """The worker's backlog is full: the connection comes about when the system tries again, a second later. A client that
-    stays is served then."""
+    """The worker's backlog is full: the connection comes about when the system tries again, a second later. A
+    client that stays is served then."""
     side_by_side(leaves_as_it_connects, tmp_path, ["left before", "same turn"])
 
 
@@ -163,7 +167,10 @@
     workers = [Worker("r1"), Worker("w1", full=True)]
     with RunningGateway(folder, workers, bounds=SLOW_CONNECT) as gateway:
         clients = {how: gateway.ask("order") for how in (*LEAVINGS, "stays")}
-        wait_for(lambda: workers[1].connecting() == len(clients), "no connections to the decode worker are in the making")
+        wait_for(
+            lambda: workers[1].connecting() == len(clients),
+            "no connections to the decode worker are in the making",
+        )
         if order == "left before":
             lefts = {how: leave(client, how) for how, client in clients.items() if how != "stays"}
             gateway.looked()
@@ -180,8 +187,8 @@
 
 
 def test_left_while_it_waits_for_a_place(tmp_path: Path) -> None:
-    """All connections that may be open to workers are held by attempts; one comes free as the client leaves. One that
-    stays gets it."""
+    """All connections that may be open to workers are held by attempts; one comes free as the client leaves.
+    One that stays gets it."""
     workers = fleet("r1*", "w1")
     with RunningGateway(tmp_path, workers, sockets=32, bounds=SLOW_CONNECT) as gateway:
         attempts = fill_the_budget(gateway, workers[0])
@@ -195,14 +202,3 @@
             attempts.append(workers[0].next(other.name))
             other.close()
             gateway.looked()
-
-
-def fill_the_budget(gateway: RunningGateway, reader: Worker) -> list[Attempt]:
-    """Of a gateway of 32 descriptors, five of them for workers: attempts whose clients have left."""
-    attempts = []
-    for _ in range(5):
-        client = gateway.ask("order", 8000)
-        attempts.append(reader.next(client.name))
-        client.close()
-        gateway.looked()
-    return attempts
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -1,46 +1,40 @@
-"""Workers that drain, vanish, are replaced, hang or break off: one final answer to the client, nothing of a stray answer
-reaches another request.
+"""Workers that drain, vanish, are replaced, hang or break off: one final answer to the client, nothing of a
+stray answer reaches another request.
 
-Stand-in workers hold each attempt; discovery's news, strays on kept connections and further requests are put into the
-gateway's sockets before, in the same turn or after.
+Stand-in workers hold each attempt; discovery's news, strays on kept connections and further requests are put
+into the gateway's sockets before, in the same turn or after.
 """
 
 import time
 from pathlib import Path
 
 import pytest
-from crossing_stage import (
-    GRACE,
-    READ,
-    STREAM,
-    STREAM_END,
-    STREAM_HEAD,
-    Attempt,
-    Client,
-    RunningGateway,
-    Worker,
-    attempt_anywhere,
-    event,
-    http,
-    in_body,
-    side_by_side,
-    wait_delivered,
-    wait_for,
-)
-from platform_script import SETTINGS
-from test_crossings_gone import fill_the_budget, fleet
+from crossing_clients import Client, in_body
+from crossing_gateway import RunningGateway, fill_the_budget, side_by_side
+from crossing_sockets import GRACE, wait_delivered, wait_for
+from crossing_workers import STREAM_END, STREAM_HEAD, Attempt, Worker, attempt_anywhere, fleet
+from platform_script import READ, SETTINGS, STREAM, event
+
+from stackpitch.wire import http
 
 SLOW_CONNECT = SETTINGS["bounds"] | {"connectTimeoutMs": 3000}
 GAP = 5.0  # seconds for which a client is kept waiting at most after a worker's last event
 STRAY = STREAM_HEAD + event("stray") + STREAM_END
-STRAYS = {"a whole answer": STRAY, "half a line": b"HTTP/1.1 20", "half a stream": STREAM_HEAD + event("stray"),
-          "a read's answer": http.response(202, b'{"cached_tokens":77}'), "noise": b"\x00stray\r\n\r\n"}
+STRAYS = {
+    "a whole answer": STRAY,
+    "half a line": b"HTTP/1.1 20",
+    "half a stream": STREAM_HEAD + event("stray"),
+    "a read's answer": http.response(202, b'{"cached_tokens":77}'),
+    "noise": b"\x00stray\r\n\r\n",
+}
 
 
 def one_answer(client: Client, marker: bytes = b"") -> None:
     """Whole, without anything stray, and nothing behind it."""
     answer = client.answer()
-    assert (answer.status, answer.whole) == (200, True) and b"stray" not in answer.body and marker in answer.body, f"{answer}"
+    assert (
+        (answer.status, answer.whole) == (200, True) and b"stray" not in answer.body and marker in answer.body
+    ), f"{answer}"
     nothing_more(client)
 
 
@@ -52,7 +46,9 @@
 
 
 @pytest.mark.parametrize("role", ["prefill", "decode"])
-@pytest.mark.parametrize("when", ["with the answer", "at rest", "same turn as the next request", "shut, with the next request"])
+@pytest.mark.parametrize(
+    "when", ["with the answer", "at rest", "same turn as the next request", "shut, with the next request"]
+)
 def test_a_stray_on_a_connection(tmp_path: Path, when: str, role: str) -> None:
     """Behind the whole answer of an attempt, as its connection rests, and as it would be used again."""
     workers = fleet("r1*", "w1*")
@@ -91,8 +87,8 @@
 
 @pytest.mark.parametrize("stage", ["prefill", "decode", "mid-stream"])
 def test_a_list_that_crosses_an_attempt(tmp_path: Path, stage: str) -> None:
-    """The worker drains, vanishes, or another id stands at its address, in the same turn as its answer: the attempt goes on
-    and what comes next goes elsewhere, or to the new one."""
+    """The worker drains, vanishes, or another id stands at its address, in the same turn as its answer: the
+    attempt goes on and what comes next goes elsewhere, or to the new one."""
     workers = fleet("r1*", "w1*")
     at = 0 if stage == "prefill" else 1
     with RunningGateway(tmp_path, workers) as gateway:
@@ -137,8 +133,8 @@
 
 
 def test_an_attempt_that_waited_is_not_sent_to_a_worker_that_drains(tmp_path: Path) -> None:
-    """It waits for a place among the connections to workers; a watch since the new list shows that the gateway has it, and
-    only then a place comes free."""
+    """It waits for a place among the connections to workers; a watch since the new list shows that the
+    gateway has it, and only then a place comes free."""
     side_by_side(waits_as_it_drains, tmp_path, ["draining", "removed"])
 
 
@@ -170,18 +166,23 @@
         answer = client.answer()
         assert answer.whole, f"{answer}"
         sent = workers[1].attempts(client.name)
-        assert not sent, f"an attempt began {sent[0].began - told:.3f} s after the list had said that w1 is {change}"
+        assert not sent, (
+            f"an attempt began {sent[0].began - told:.3f} s after the list had said that w1 is {change}"
+        )
 
 
 def test_workers_that_hang_or_break_off(tmp_path: Path) -> None:
-    """Before the first event another worker answers; after it the stream ends, without its last chunk, in 5 s at most. All
-    at once, and whoever asks meanwhile is served."""
+    """Before the first event another worker answers; after it the stream ends, without its last chunk, in 5 s
+    at most. All at once, and whoever asks meanwhile is served."""
     workers = fleet("r1", "w1*", "w2*", "w3*", "w4*")
     writers = workers[1:]
     with RunningGateway(tmp_path, workers) as gateway:
         hung = gateway.ask("chat")
         first = attempt_anywhere(writers, hung.name)
-        wait_for(lambda: sum(len(one.attempts(hung.name)) for one in writers) > 1, "no further attempt after a hung one")
+        wait_for(
+            lambda: sum(len(one.attempts(hung.name)) for one in writers) > 1,
+            "no further attempt after a hung one",
+        )
         second = next(one for worker in writers for one in worker.attempts(hung.name) if one is not first)
         wait_for(lambda: bool(second.whole), "it is not whole")
         with gateway.stopped():
@@ -190,8 +191,14 @@
         one_answer(hung)
         clients: dict[str, Client] = {}
         attempts: dict[str, Attempt] = {}
-        for what in ("hangs after an event", "hangs in an event", "resets after an event", "closes after an event",
-                     "closes in an event", "ends without [DONE]"):
+        for what in (
+            "hangs after an event",
+            "hangs in an event",
+            "resets after an event",
+            "closes after an event",
+            "closes in an event",
+            "ends without [DONE]",
+        ):
             clients[what] = gateway.ask("order", 9000)
             attempts[what] = attempt_anywhere(writers, clients[what].name)
             attempts[what].send(STREAM_HEAD + event("first"))
--- a/tests/test_crossings_told.py
+++ b/tests/test_crossings_told.py
@@ -1,7 +1,9 @@
-"""A change of the list counts as told 6 s after discovery had it and could be reached, whatever failed before.
+"""A change of the list counts as told 6 s after discovery had it and could be reached, whatever failed
+before.
 
-Each case is a gateway of its own with a discovery of its own that fails in another way; all run side by side among the same
-workers. A thread for each asks one request after another, and the worker that drains or vanishes notes when attempts begin.
+Each case is a gateway of its own with a discovery of its own that fails in another way; all run side by side
+among the same workers. A thread for each asks one request after another, and the worker that drains or
+vanishes notes when attempts begin.
 """
 
 import socket
@@ -11,15 +13,10 @@
 from contextlib import suppress
 from pathlib import Path
 
-from crossing_stage import (
-    PATIENCE,
-    Call,
-    ListDiscovery,
-    RunningGateway,
-    Worker,
-    reset,
-    wait_for,
-)
+from crossing_discovery import Call, ListDiscovery
+from crossing_gateway import RunningGateway
+from crossing_sockets import PATIENCE, reset, wait_for
+from crossing_workers import Worker
 
 BOUND = 6.0  # seconds after which nothing new goes to a worker that drains or is gone
 OUTAGE = 8.0  # seconds for which discovery refuses connections
@@ -27,8 +24,8 @@
 
 
 class Faulty(ListDiscovery):
-    """Fails in one way once `arm` was called, by when each call came; `changed_at`: when it had the change and could be
-    reached."""
+    """Fails in one way once `arm` was called, by when each call came; `changed_at`: when it had the change
+    and could be reached."""
 
     def __init__(self, workers: list[Worker]) -> None:
         super().__init__(workers)
@@ -57,11 +54,11 @@
                 call.stream.shutdown(socket.SHUT_RDWR)
             elif how == "half a list":
                 body = good.partition(b"\r\n\r\n")[2]
-                part = body[:len(body) // 2]
+                part = body[: len(body) // 2]
                 call.stream.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(part) + part)
             elif how == "pieces of a byte":
                 for at in range(len(good)):
-                    call.stream.sendall(good[at:at + 1])
+                    call.stream.sendall(good[at : at + 1])
                     time.sleep(0.1)
         return True
 
@@ -70,7 +67,9 @@
         count = len(self.calls)
         self.armed = True
         with self.changed:
-            assert self.changed.wait_for(lambda: len(self.calls) > count and self.calls[-1].since == self.revision, PATIENCE)
+            assert self.changed.wait_for(
+                lambda: len(self.calls) > count and self.calls[-1].since == self.revision, PATIENCE
+            )
             return self.calls[-1]
 
     def change(self) -> None:
@@ -90,7 +89,9 @@
     """Nothing is answered any more on the watch's connection; the next connections are good."""
 
     def fail(self, call: Call) -> bool:
-        return ((call.since >= 0 and self.bad == 0) or call.connection in self.watched) and self.spoil(call, "hang")
+        return ((call.since >= 0 and self.bad == 0) or call.connection in self.watched) and self.spoil(
+            call, "hang"
+        )
 
 
 class SilentLate(SilentFromTheFirst):
@@ -141,7 +142,8 @@
 
 
 class BackAfterAnOutage(Faulty):
-    """Refuses for 8 s, in which the change comes; then one connection hangs, one breaks off, and all others are well."""
+    """Refuses for 8 s, in which the change comes; then one connection hangs, one breaks off, and all others
+    are well."""
 
     def change(self) -> None:
         self.armed = True
@@ -160,9 +162,15 @@
 
 
 CASES: dict[str, Callable[[list[Worker]], Faulty]] = {
-    "silent from its first moment": SilentFromTheFirst, "silent late": SilentLate, "silent, and three more": SilentThrice,
-    "reset": spoilt("reset"), "cut off": spoilt("cut off"), "half a list": spoilt("half a list"),
-    "pieces of a byte": spoilt("pieces of a byte"), "lacks members": LacksMembers, "back after an outage": BackAfterAnOutage,
+    "silent from its first moment": SilentFromTheFirst,
+    "silent late": SilentLate,
+    "silent, and three more": SilentThrice,
+    "reset": spoilt("reset"),
+    "cut off": spoilt("cut off"),
+    "half a list": spoilt("half a list"),
+    "pieces of a byte": spoilt("pieces of a byte"),
+    "lacks members": LacksMembers,
+    "back after an outage": BackAfterAnOutage,
 }
 
 
@@ -203,7 +211,11 @@
             while True:
                 self.ask()
                 now, changed_at = time.monotonic(), self.discovery.changed_at
-                if changed_at and not taken_at and any(one.since == self.discovery.revision for one in self.discovery.calls):
+                if (
+                    changed_at
+                    and not taken_at
+                    and any(one.since == self.discovery.revision for one in self.discovery.calls)
+                ):
                     taken_at = now
                 if changed_at and (now > changed_at + BOUND + 1 or (taken_at and now > taken_at + 1)):
                     break
@@ -211,8 +223,12 @@
             changing.join(PATIENCE)
             late = max(self.begun(drained)) - self.discovery.changed_at
             if not taken_at or late > BOUND:
-                self.found.append(f"{self.name}: taken up: {bool(taken_at)}, an attempt began {late:.2f} s after the change")
-            print(f"{self.name}: {self.discovery.bad} calls spoilt, the last attempt began {late:.2f} s after the change")
+                self.found.append(
+                    f"{self.name}: taken up: {bool(taken_at)}, an attempt began {late:.2f} s after the change"
+                )
+            print(
+                f"{self.name}: {self.discovery.bad} calls spoilt, the last attempt began after {late:.2f} s"
+            )
             if not max(self.begun(other)) > self.discovery.changed_at:
                 self.found.append(f"{self.name}: nothing was served after it")
         except (AssertionError, OSError) as wrong:
