--- a/tests/test_crossings_events.py
+++ b/tests/test_crossings_events.py
@@ -89,7 +89,7 @@
     return client, writer.next(client.name)
 
 
-@pytest.mark.parametrize("others", ["none", "bad", "idle"])
+@pytest.mark.parametrize("others", ["none", "bad", "heads", "idle"])
 def test_while_others_flood_the_door(tmp_path: Path, others: str) -> None:
     workers = fleet("r1*", "w1*")
     with RunningGateway(tmp_path, workers) as gateway, ExitStack() as stack:
