A request's time counts from when it may have come; a close waits for what the client still takes

Causes, found by tests/test_crossings_*.py (fail without, pass with): - PlatformDoor took a request's time limit from the turn in which its bytes were read. One that had lain in the kernel while the process was not run, or busy, told its server up to that much more than its client had left (789 ms told of 297 left after a stop of 0.5 s). Now World.unseen bounds what a poll's finds may have waited: since the last poll where it found them at once, else by how much a due timer is late; a heartbeat of 100 ms keeps one due. test_a_request_that_waited_for_the_process. - Endings._farewell closed 0.5 s after the half-close whatever was still unsent; a byte of the client's after that made a reset, which destroyed the rest of an answer that it took slowly (6 of 41 KB arrived). Now the close waits while the client's system goes on taking (SIOCOUTQ), 3.5 s without progress and 7 s in all at most; how many linger is bounded as before. test_an_answer_that_is_taken_slowly.

--- a/stackpitch/gateway/door.py
+++ b/stackpitch/gateway/door.py
@@ -64,12 +64,13 @@
             self._trim()
             self.connections += 1
             self.metrics.connections.labels("clients").set(self.connections)
-            group.spawn(self._connection(stream), "client")
+            group.spawn(self._connection(stream, self.world.now() - self.world.unseen), "client")
 
-    def _connection(self, stream: Stream) -> Coro[None]:
+    def _connection(self, stream: Stream, since: Time) -> Coro[None]:
+        """`since`: when it came about at the earliest."""
         kept = False
         try:
-            while (yield from self._request(stream, kept)):
+            while (yield from self._request(stream, kept, since)):
                 kept = True
             self.lingering[stream] = None
             yield from self._farewell(stream)
@@ -83,16 +84,22 @@
             self.connections -= 1
             self.metrics.connections.labels("clients").set(self.connections)
 
-    def _request(self, stream: Stream, kept: bool) -> Coro[bool]:
-        """Reads and answers one request; whether the connection serves another."""
-        reader, held = http.RequestReader(self.max_head, self.max_body), 0
+    def _request(self, stream: Stream, kept: bool, since: Time) -> Coro[bool]:
+        """Reads and answers one request; whether the connection serves another.
+
+        Its time limit counts from when its first byte may have come: it may have lain here, unread, while this process
+        was busy or not run.
+        """
+        turn, reader, held = self.world.turn, http.RequestReader(self.max_head, self.max_body), 0
         try:
             first = yield from self._first(stream, kept)
             if not first:
                 if not (kept or stream.eof or stream in self.lingering):
                     self._answer_unasked(stream)
                 return False
-            began = self.world.now()
+            began = self.world.now() - self.world.unseen
+            if not kept and self.world.turn == turn:  # it came with the connection
+                began = min(began, since)
             reader.feed(first)
             held = yield from self._rest(stream, reader, 0)
             if not reader.complete:
--- a/stackpitch/gateway/endings.py
+++ b/stackpitch/gateway/endings.py
@@ -105,12 +105,21 @@
             stream.close()
 
     def _farewell(self, stream: Stream) -> Coro[None]:
+        """Half-closes behind what is written, then reads until the client ends its side. A close with bytes unread, or bytes
+        that come after it, make a reset, which destroys what the client's system has not taken yet: as long as that goes
+        on taking, or for `stall`, the close waits."""
         left = self.max_body  # bytes: what a stranger sends at full speed must not take the time of others
-        with self.world.limit(FAREWELL):
-            yield from stream.drain()
-            stream.finish()
-            while left > 0 and (data := (yield from stream.recv())):
-                left -= len(data)  # a close with bytes unread would be a reset, and could lose the answer
+        pending, rounds = 0, max(1, self.stall // FAREWELL)
+        for _ in range(2 * rounds):
+            with self.world.limit(FAREWELL) as scope:
+                yield from stream.drain()
+                stream.finish()
+                while left > 0 and (data := (yield from stream.recv())):
+                    left -= len(data)
+            before, pending = pending, stream.unacknowledged()
+            rounds = rounds - 1 if pending == before else rounds
+            if not scope.expired or not pending or not rounds:
+                return
 
     def _taken(self, stream: Stream, most: Time | None = None) -> Coro[bool]:
         """Whether the client took its answer. One that asks and never reads, or reads a byte now and then, would keep its
--- a/stackpitch/loop/real/stream.py
+++ b/stackpitch/loop/real/stream.py
@@ -4,6 +4,8 @@
 import select
 import socket
 import struct
+from fcntl import ioctl
+from termios import TIOCOUTQ
 from typing import TYPE_CHECKING
 
 from stackpitch.loop.task import Coro, Task
@@ -12,6 +14,7 @@
 if TYPE_CHECKING:
     from stackpitch.loop.real.world import RealWorld
 
+NUMBER = struct.Struct("i")
 IN_EVENTS = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 END_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 OUT_EVENTS = select.EPOLLOUT | select.EPOLLHUP | select.EPOLLERR
@@ -136,6 +139,15 @@
             if self.closed:  # which empties the buffer
                 raise Lost("closed here")
 
+    def unacknowledged(self) -> int:
+        if self.closed:
+            return 0
+        try:
+            found: int = NUMBER.unpack(ioctl(self.fd, TIOCOUTQ, NUMBER.pack(0)))[0]
+        except OSError:  # a system that does not tell
+            found = 0
+        return len(self.out) + found
+
     def finish(self) -> None:
         if not self.closed:
             self.finishing = True
--- a/stackpitch/loop/virtual/stream.py
+++ b/stackpitch/loop/virtual/stream.py
@@ -124,6 +124,9 @@
             if self.closed:  # which empties the buffer
                 raise Lost("closed here")
 
+    def unacknowledged(self) -> int:
+        return 0 if self.closed or self.broken else len(self.out) + self.other.held
+
     def finish(self) -> None:
         if not self.closed:
             self.finished = True
--- a/stackpitch/loop/world.py
+++ b/stackpitch/loop/world.py
@@ -12,6 +12,7 @@
 from stackpitch.loop.timers import Time, Timer, Timers
 from stackpitch.loop.volume import RealVolume, Volume
 
+AT_ONCE: Time = 10  # a poll that took no longer did not wait
 T = TypeVar("T")
 Address = tuple[str, int]
 
@@ -43,6 +44,7 @@
     def attend(self, task: Task | None) -> None: ...  # wakes the task with True once there is something to recv
     def close(self) -> None: ...  # what is buffered is dropped
     def abort(self) -> None: ...  # the other side sees a reset
+    def unacknowledged(self) -> int: ...  # bytes that the other side's system has not taken; 0 if that isn't known
     def finish(self) -> None: ...  # half-close once what is buffered has been handed over: no more is written from here
 
 
@@ -86,6 +88,8 @@
         self.ready: deque[tuple[Task, Any, BaseException | None]] = deque()
         self.current_or_none: Task | None = None
         self.over = False  # all that is still done is clearing away
+        self.turn = 0  # polls so far
+        self.unseen: Time = 0  # at most how long what the last poll found had waited for it
         self.on_hog: Callable[[str, Time], None] | None = None  # name and time of a step over `hog_limit`
         self.hog_limit: Time = 500
 
@@ -174,9 +178,25 @@
         task.wake()
         return task
 
+    def _poll(self, before: Time) -> Time:
+        """Polls, notes how long what it found may have waited, and gives the time. `before`: of the last poll's end.
+
+        A poll that finds something at once may have missed it since the last one. One that waited was told in that
+        moment, unless the process was not run: then a timer that was due tells by how much.
+        """
+        begun = self.now()
+        due = begun if self.ready else self.timers.next()
+        self.poll(0 if self.ready else due)
+        now = self.now()
+        at_once = now - begun < AT_ONCE
+        self.unseen = now - before if at_once else max(0, now - due) if due is not None else 0
+        self.turn += 1
+        return now
+
     def run(self, main: Coro[T]) -> T:
         """Runs to the end of `main`; raises what it raised."""
         root = self.start(main, "main", lambda _: None)
+        now = self.now()
         while not root.ended:
             begun = self.now()
             for _ in range(len(self.ready)):
@@ -193,8 +213,7 @@
             self.current_or_none = None
             if root.ended:
                 break
-            self.poll(0 if self.ready else self.timers.next())
-            now = self.now()
+            now = self._poll(now)
             while (call := self.timers.pop(now)) is not None:
                 call()
         if root.error is not None:
--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -23,6 +23,7 @@
 
 SAY = 30 * SECOND  # between two lines that tell what became of each product
 COUNT = 10 * SECOND  # between two that tell what each product met
+HEARTBEAT = 100 * MS  # so exactly is known how long a request may have waited for the process; servers are told within 150
 STILL_COMING = 7 * SECOND // 10  # after SIGTERM connections still come
 
 
@@ -58,6 +59,7 @@
         group.spawn(_sweep(world, host), "sweep")
         group.spawn(_each(world, SAY, log.classes), "classes")
         group.spawn(_each(world, COUNT, lambda: log.counters(host.counters)), "counters")
+        group.spawn(_each(world, HEARTBEAT, _nothing), "heartbeat")
         group.spawn(_ready(world, door, discovery), "ready")
         log.info("serving", descriptors=plan.sockets, clients=plan.clients, engines=plan.engines,
                  servers=len(discovery.entries),
@@ -101,6 +103,10 @@
             reloading.reload()
 
 
+def _nothing() -> None:
+    """A timer that is due often lets the loop see for how long it was not run (`World.unseen`)."""
+
+
 def _each(world: World, span: Time, call: Callable[[], None]) -> Coro[None]:
     while True:
         yield from world.sleep(span)
