A head holds 128 fields at most, so that a flood of costly heads doesn't hold up events

Cause, found by test_while_others_flood_the_door[heads]: 64 KiB in short fields is 16,300 fields, each a call back into Python. A turn of the loop with a few such heads took up to 0.47 s, and an event of another stream waited for it (0.3 s are allowed). The bound was bytes alone (16 KiB, but a read of 64 KiB is parsed whole).

Change: http readers refuse a head or trailers of over 128 fields (431).

--- a/stackpitch/wire/http.py
+++ b/stackpitch/wire/http.py
@@ -22,6 +22,7 @@
     "proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade"})
 LAST_CHUNK = b"0\r\n\r\n"
 MAX_URL = 2048
+MAX_FIELDS = 128  # of a head and its trailers: a head of a thousand small ones costs the others milliseconds each
 
 
 class BadMessage(Exception):
@@ -41,7 +42,7 @@
         self.trailers: dict[str, str] = {}
         self.pieces: list[bytes] = []  # of the body, from the last feed (responses) or from all (requests)
         self.head_done = self.complete = self.extra = self.keep_alive = False
-        self.seen = self.body_size = 0
+        self.seen = self.body_size = self.fields = 0
         self.beside = 0  # bytes since some of the body, or a whole chunk, came
         self.begun = False
 
@@ -53,6 +54,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.extra:
             return
+        self.fields += 1
+        if self.fields > MAX_FIELDS:
+            raise BadMessage(431, f"over {MAX_FIELDS} fields")
         into = self.trailers if self.head_done else self.headers
         key, text = name.decode("latin-1").lower(), value.decode("latin-1").strip()
         into[key] = f"{into[key]}, {text}" if key in into else text
