--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 	$(MAKE) --no-print-directory -j 3 -k -O checks tests-waiting tests-others
 
 checks:
+	.venv/bin/ruff format --check stackpitch tests benchmarks
 	.venv/bin/ruff check stackpitch tests benchmarks
 	.venv/bin/mypy
 	.venv/bin/lint-imports
--- a/benchmarks/bed.py
+++ b/benchmarks/bed.py
@@ -47,8 +47,13 @@
             process.wait()
         self.temporary.cleanup()
 
-    def start(self, port: int, *words: str, first: tuple[str, ...] = (), errors: IO[bytes] | int = subprocess.DEVNULL) -> (
-            "subprocess.Popen[bytes]"):
+    def start(
+        self,
+        port: int,
+        *words: str,
+        first: tuple[str, ...] = (),
+        errors: IO[bytes] | int = subprocess.DEVNULL,
+    ) -> "subprocess.Popen[bytes]":
         process = subprocess.Popen([sys.executable, *first, "-m", *words], stderr=errors)
         self.processes.append(process)
         for _ in range(400):
@@ -64,18 +69,30 @@
         self.start(port, "benchmarks.peers", "source", str(port))
         return port
 
-    def gateway(self, servers: list[tuple[str, str, int]], first: tuple[str, ...] = ()) -> tuple[
-            "subprocess.Popen[bytes]", int]:
+    def gateway(
+        self, servers: list[tuple[str, str, int]], first: tuple[str, ...] = ()
+    ) -> tuple["subprocess.Popen[bytes]", int]:
         """`servers`: name, role and port."""
         port, admin = free_port(), free_port()
         listed = [{"name": name, "host": "127.0.0.1", "port": at, "kind": role} for name, role, at in servers]
         (self.folder / f"fleet{port}").write_text(json.dumps({"version": 1, "servers": listed}))
         product = {"effect": "idempotent", "slo_ms": 5000, "time_limit_ms": 20000}
         path = self.folder / f"gateway{port}"
-        path.write_text(json.dumps({
-            "roster": str(self.folder / f"fleet{port}"), "door": {"port": port}, "admin": {"port": admin},
-            "products": {"m": product}, "logs": {"level": "error"}, "engines": {"pool": 2048},
-            "kinds": {role: {"role": role, "memory_tok": 1 << 40} for role in ("reader", "writer", "mixed")}}))
+        path.write_text(
+            json.dumps(
+                {
+                    "roster": str(self.folder / f"fleet{port}"),
+                    "door": {"port": port},
+                    "admin": {"port": admin},
+                    "products": {"m": product},
+                    "logs": {"level": "error"},
+                    "engines": {"pool": 2048},
+                    "kinds": {
+                        role: {"role": role, "memory_tok": 1 << 40} for role in ("reader", "writer", "mixed")
+                    },
+                }
+            )
+        )
         return self.start(port, "stackpitch", "serve", "-c", str(path), first=first), port
 
     def clients(self, port: int, processes: int = 1, **plan: float) -> dict:
@@ -83,8 +100,11 @@
         command = [sys.executable, "-m", "benchmarks.peers", "clients", str(port), json.dumps(plan)]
         running = [subprocess.Popen(command, stdout=subprocess.PIPE) for _ in range(processes)]
         found = [json.loads(one.communicate()[0]) for one in running]
-        return found[0] | {name: sum(one[name] for one in found) for name in ("chunks", "refused", "asks")} | {
-            "took_s": max(one["took_s"] for one in found)}
+        return (
+            found[0]
+            | {name: sum(one[name] for one in found) for name in ("chunks", "refused", "asks")}
+            | {"took_s": max(one["took_s"] for one in found)}
+        )
 
 
 def cpu(process: "subprocess.Popen[bytes]") -> float:
@@ -94,7 +114,9 @@
 
 
 def memory_mb(process: "subprocess.Popen[bytes]") -> float:
-    line = next(one for one in Path(f"/proc/{process.pid}/status").read_text().splitlines() if one.startswith("VmRSS"))
+    line = next(
+        one for one in Path(f"/proc/{process.pid}/status").read_text().splitlines() if one.startswith("VmRSS")
+    )
     return int(line.split()[1]) / 1024
 
 
--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -16,9 +16,18 @@
 from benchmarks.bed import Bed, cpu, end, memory_mb
 
 PLAN = {"streams": 40, "count": 6, "gap_ms": 0, "prompt": 4000, "sessions": 1}
-PARTS = (("/stackpitch/brain/", "module"), ("/stackpitch/loop/", "loop"), ("/stackpitch/wire/", "codecs"),
-         ("/stackpitch/gateway/", "gateway"), ("method 'feed_data'", "codecs"), ("msgspec", "codecs"),
-         ("select.epoll", "waiting"), ("_socket.socket", "system calls"), ("prometheus", "metrics"), ("structlog", "logs"))
+PARTS = (
+    ("/stackpitch/brain/", "module"),
+    ("/stackpitch/loop/", "loop"),
+    ("/stackpitch/wire/", "codecs"),
+    ("/stackpitch/gateway/", "gateway"),
+    ("method 'feed_data'", "codecs"),
+    ("msgspec", "codecs"),
+    ("select.epoll", "waiting"),
+    ("_socket.socket", "system calls"),
+    ("prometheus", "metrics"),
+    ("structlog", "logs"),
+)
 
 
 def split(path: str) -> dict[str, float]:
@@ -45,14 +54,22 @@
         for share in (0.1, 0.6, 0.3):
             before = cpu(gateway)
             seen = bed.clients(port, **PLAN, asks=int(count * share) // 40)
-            rows.append((seen["asks"], (cpu(gateway) - before) / seen["asks"] * 1e3, seen["asks"] / seen["took_s"],
-                         memory_mb(gateway)))
+            rows.append(
+                (
+                    seen["asks"],
+                    (cpu(gateway) - before) / seen["asks"] * 1e3,
+                    seen["asks"] / seen["took_s"],
+                    memory_mb(gateway),
+                )
+            )
         out = str(bed.folder / "profile")
         profiled, port = bed.gateway(servers, first=("-m", "cProfile", "-o", out))
         bed.clients(port, **PLAN, asks=50)
         end(profiled)
         parts = split(out)
-    table = Table(title=f"One gateway process; {begun:.1f} MB after the first 1,000 generations", title_justify="left")
+    table = Table(
+        title=f"One gateway process; {begun:.1f} MB after the first 1,000 generations", title_justify="left"
+    )
     for column in ("generations", "CPU ms a generation", "generations a second", "resident MB"):
         table.add_column(column, justify="right")
     done = 1000
@@ -60,7 +77,10 @@
         done += number
         table.add_row(str(done), f"{spent:.3f}", f"{rate:.0f}", f"{size:.1f}")
     console.print(table)
-    console.print("CPU by part (under the profiler): " + ", ".join(f"{part} {share:.0%}" for part, share in parts.items()))
+    console.print(
+        "CPU by part (under the profiler): "
+        + ", ".join(f"{part} {share:.0%}" for part, share in parts.items())
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -25,11 +25,30 @@
 from typing import Any, TextIO
 
 from stackpitch.brain import Brain
-from stackpitch.interface import MS, NEVER_RAN, SECOND, Generation, Leg, Outcome, Product, Report, Role, Server, Time
-
-PRODUCTS = [Product(name, effect, scope, 2 * SECOND, SECOND, 400, 600, 4 * SECOND, 1.0, 0.1) for name, effect, scope in (
-    ("chat", "idempotent", "all"), ("order", "side-effecting", "all"), ("book", "deduplicated", "cell"),
-    ("note", "deduplicated", "zone"), ("memo", "deduplicated", "all"))]
+from stackpitch.interface import (
+    MS,
+    NEVER_RAN,
+    SECOND,
+    Generation,
+    Leg,
+    Outcome,
+    Product,
+    Report,
+    Role,
+    Server,
+    Time,
+)
+
+PRODUCTS = [
+    Product(name, effect, scope, 2 * SECOND, SECOND, 400, 600, 4 * SECOND, 1.0, 0.1)
+    for name, effect, scope in (
+        ("chat", "idempotent", "all"),
+        ("order", "side-effecting", "all"),
+        ("book", "deduplicated", "cell"),
+        ("note", "deduplicated", "zone"),
+        ("memo", "deduplicated", "all"),
+    )
+]
 MEMORY = 100_000
 
 
@@ -51,14 +70,28 @@
 
 
 CASES = [
-    Case("reports"), Case("plain", reports=False, probes=True, told=200, gateways=2, rate=40), Case("peers", peers=True),
+    Case("reports"),
+    Case("plain", reports=False, probes=True, told=200, gateways=2, rate=40),
+    Case("peers", peers=True),
     Case("peers-zones", peers=True, reports=False, zones="ab", readers=20, writers=14, told=12),
     Case("mixed", readers=6, writers=6, mixed=8, local_reads=False),
     Case("all-mixed", readers=0, writers=0, mixed=16, peers=True),
     Case("zones-mixed", readers=10, writers=8, mixed=6, zones="abc", told=30, probes=True, reports=False),
-    Case("overload", readers=3, writers=3, rate=150.0), Case("stormy", readers=30, writers=20, zones="ab", troubles=12.0),
-    Case("no-readers", readers=0, writers=10), Case("wide", readers=160, writers=100, zones="ab", peers=True, troubles=8.0),
-    Case("wide-alone", readers=160, writers=100, mixed=20, gateways=1, told=200, rate=50.0, reports=False, troubles=8.0),
+    Case("overload", readers=3, writers=3, rate=150.0),
+    Case("stormy", readers=30, writers=20, zones="ab", troubles=12.0),
+    Case("no-readers", readers=0, writers=10),
+    Case("wide", readers=160, writers=100, zones="ab", peers=True, troubles=8.0),
+    Case(
+        "wide-alone",
+        readers=160,
+        writers=100,
+        mixed=20,
+        gateways=1,
+        told=200,
+        rate=50.0,
+        reports=False,
+        troubles=8.0,
+    ),
 ]
 
 
@@ -70,9 +103,22 @@
         self.servers: dict[str, Server] = {}
         case = world.case
         self.brain = Brain(
-            self, world.seed * 100 + number, number=number, gateways=case.told, zone=case.zones[number % len(case.zones)],
-            max_legs=4, max_retry_after=SECOND, fall_multiple=2.5, must_ask=True, cold_from=0.3, warm_up=6 * SECOND,
-            local_reads=case.local_reads, peers=case.peers, probes=case.probes, cancels=True)
+            self,
+            world.seed * 100 + number,
+            number=number,
+            gateways=case.told,
+            zone=case.zones[number % len(case.zones)],
+            max_legs=4,
+            max_retry_after=SECOND,
+            fall_multiple=2.5,
+            must_ask=True,
+            cold_from=0.3,
+            warm_up=6 * SECOND,
+            local_reads=case.local_reads,
+            peers=case.peers,
+            probes=case.probes,
+            cancels=True,
+        )
 
     def note(self, text: str) -> None:
         self.world.note(f"{self.world.now} {self.number} {text}")
@@ -142,7 +188,11 @@
         self.servers: dict[str, Server] = {}
         self.trouble: dict[str, tuple[str, Time]] = {}  # what ails a server, and until when
         self.load: dict[str, int] = {}
-        roles: list[tuple[Role, int]] = [("reader", case.readers), ("writer", case.writers), ("mixed", case.mixed)]
+        roles: list[tuple[Role, int]] = [
+            ("reader", case.readers),
+            ("writer", case.writers),
+            ("mixed", case.mixed),
+        ]
         for role, many in roles:
             for _ in range(many):
                 self.add(role)
@@ -152,7 +202,9 @@
         number = next(self.names)
         zone = self.case.zones[number % len(self.case.zones)]
         cell = self.case.zones.index(zone) * 10 + (0 if self.random.random() < 0.7 else 1)
-        made = Server(f"{role[0]}{number}", zone, role, cell, role, MEMORY, started=None if self.now == 0 else self.now)
+        made = Server(
+            f"{role[0]}{number}", zone, role, cell, role, MEMORY, started=None if self.now == 0 else self.now
+        )
         self.load[made.name] = 0
         self.servers[made.name] = made
         return made
@@ -178,7 +230,9 @@
         for one in self.servers.values() if some is None else some:
             own = door.servers.get(one.name)
             if own is None:
-                own = door.servers[one.name] = Server(one.name, one.zone, one.kind, one.cell, one.role, one.memory_tok)
+                own = door.servers[one.name] = Server(
+                    one.name, one.zone, one.kind, one.cell, one.role, one.memory_tok
+                )
             own.state, own.started = one.state, one.started
             if one.state != "gone" or some is not None:
                 changed.append(own)
@@ -191,8 +245,12 @@
         one, what = self.random.choice(list(self.servers.values())), self.random.random()
         some: list[Server] | None = [one]
         if what < 0.6:
-            ill = self.random.choice(("hung", "slow", "unreachable", "reset", "error", "full", "not-sent", "no-state"))
-            for each in self.random.sample(list(self.servers.values()), 1 if what < 0.55 else len(self.servers) // 3):
+            ill = self.random.choice(
+                ("hung", "slow", "unreachable", "reset", "error", "full", "not-sent", "no-state")
+            )
+            for each in self.random.sample(
+                list(self.servers.values()), 1 if what < 0.55 else len(self.servers) // 3
+            ):
                 self.trouble[each.name] = ill, self.now + self.random.randrange(SECOND // 2, 3 * SECOND)
             return
         if what < 0.7:
@@ -220,16 +278,35 @@
             if again.repeat or random.random() < 0.5:
                 return
             gives_up = self.now + random.randrange(SECOND // 2, 4 * SECOND)
-            gen = replace(again, name=f"{again.name}'", arrived=self.now, gives_up=gives_up, repeat=True, over=False, legs=[])
+            gen = replace(
+                again,
+                name=f"{again.name}'",
+                arrived=self.now,
+                gives_up=gives_up,
+                repeat=True,
+                over=False,
+                legs=[],
+            )
         else:
             self.arrivals += 1
             session = f"s{random.randrange(200)}" if random.random() < 0.8 else None
             shared = f"t{int(random.paretovariate(0.8))}" if random.random() < 0.7 else None
             prompt = int(random.lognormvariate(7.2, 0.8))
-            gen = Generation(f"g{number}", random.choices(PRODUCTS, (6, 1, 1, 1, 1))[0], None, session, shared,
-                             min(prompt, 800) if shared else 0, prompt, random.randrange(20, 800),
-                             random.randrange(SECOND) if random.random() < 0.3 else None, self.now,
-                             self.now + random.randrange(SECOND // 4, 4 * SECOND), False, False)
+            gen = Generation(
+                f"g{number}",
+                random.choices(PRODUCTS, (6, 1, 1, 1, 1))[0],
+                None,
+                session,
+                shared,
+                min(prompt, 800) if shared else 0,
+                prompt,
+                random.randrange(20, 800),
+                random.randrange(SECOND) if random.random() < 0.3 else None,
+                self.now,
+                self.now + random.randrange(SECOND // 4, 4 * SECOND),
+                False,
+                False,
+            )
         door.call(door.brain.arrived, gen)
         if random.random() < 0.02:
             self.after(random.randrange(SECOND), self.leave, door, gen)
@@ -284,8 +361,12 @@
         self.load[leg.server.name] -= 1
         gen.over = gen.over or outcome == "streamed" or leg.streaming
         kept = int(gen.prompt_tok * self.random.choice((0, 0.3, 0.9))) if outcome == "streamed" else 0
-        told = self.case.reports and self.random.random() < 0.7 and outcome not in (NEVER_RAN - {"read", "full"})
-        report = Report(min(1.0, self.load[leg.server.name] * 0.04 + self.random.random() * 0.1)) if told else None
+        told = (
+            self.case.reports and self.random.random() < 0.7 and outcome not in (NEVER_RAN - {"read", "full"})
+        )
+        report = (
+            Report(min(1.0, self.load[leg.server.name] * 0.04 + self.random.random() * 0.1)) if told else None
+        )
         door.call(door.brain.ended, leg, kept, no_state, report)
 
     # Words.
@@ -298,7 +379,7 @@
     def tell(self, door: Door, peer: int, octets: bytes) -> None:
         chance = self.random.random()
         if peer < len(self.doors) and chance < 0.95:
-            octets = octets[:self.random.randrange(len(octets))] if chance < 0.02 else octets
+            octets = octets[: self.random.randrange(len(octets))] if chance < 0.02 else octets
             self.after(self.random.randrange(1, 5 * MS), self.heard, self.doors[peer], door.number, octets)
 
     def heard(self, door: Door, peer: int, octets: bytes) -> None:
@@ -322,13 +403,18 @@
 
 def cost(sizes: list[int], rounds: int, seconds: float) -> None:
     kinds: list[tuple[str, dict[str, Any]]] = [
-        ("reports", {}), ("peers", {"peers": True, "reports": False}), ("told nothing", {"reports": False, "told": 200})]
+        ("reports", {}),
+        ("peers", {"peers": True, "reports": False}),
+        ("told nothing", {"reports": False, "told": 200}),
+    ]
     print("| case | servers | ms a generation | of the first |\n| --- | ---: | ---: | ---: |")
     for name, given in kinds:
         found: dict[int, list[float]] = {size: [] for size in sizes}
         for turn in range(rounds):
             for size in sizes:
-                case = Case(name, readers=size // 2, writers=size - size // 2, troubles=0.0, rate=40.0, **given)
+                case = Case(
+                    name, readers=size // 2, writers=size - size // 2, troubles=0.0, rate=40.0, **given
+                )
                 world = World(case, turn, lambda _: None)
                 world.play(seconds)
                 found[size].append(world.spent / world.arrivals * 1e3)
@@ -338,7 +424,9 @@
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("what", choices=("record", "cost"))
     parser.add_argument("file", nargs="?", type=Path)
     parser.add_argument("--seeds", type=int, default=4)
--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -33,12 +33,26 @@
 from stackpitch.loop.virtual import VirtualWorld
 
 ROOT = Path(__file__).parent.parent
-QUIET = structlog.wrap_logger(structlog.ReturnLogger(), wrapper_class=structlog.make_filtering_bound_logger(50))
+QUIET = structlog.wrap_logger(
+    structlog.ReturnLogger(), wrapper_class=structlog.make_filtering_bound_logger(50)
+)
 
 
 def figures(number: int, gateways: int, voters: int, file: str, ports: Sequence[int]) -> Figures:
-    return Figures("hall", number, tuple(("127.0.0.1", ports[one]) for one in range(gateways)), tuple(range(voters)), ("weights",),
-                   file, 0, 3 * SECOND, 0.01, 250 * MS, 60 * SECOND, 64)
+    return Figures(
+        "hall",
+        number,
+        tuple(("127.0.0.1", ports[one]) for one in range(gateways)),
+        tuple(range(voters)),
+        ("weights",),
+        file,
+        0,
+        3 * SECOND,
+        0.01,
+        250 * MS,
+        60 * SECOND,
+        64,
+    )
 
 
 def gateway(world: World, one: Figures, made: dict[int, Duties]) -> Coro[None]:
@@ -67,8 +81,15 @@
 
 
 def owner(made: dict[int, Duties]) -> int | None:
-    return next((number for number, one in made.items() if one.desk.ownings["weights"].candidate.stage == "owner"
-                 and one.desk.ownings["weights"].scope is not None), None)
+    return next(
+        (
+            number
+            for number, one in made.items()
+            if one.desk.ownings["weights"].candidate.stage == "owner"
+            and one.desk.ownings["weights"].scope is not None
+        ),
+        None,
+    )
 
 
 def calls(gateways: int, voters: int) -> dict[str, Any]:
@@ -105,7 +126,9 @@
             now = sent(made)
             peak, last = max(peak, now.total() - now["lost"] - last.total() + last["lost"]), now
         change = sent(made) - killed
-        found["change"] = {kind: change[kind] for kind in ("vacant", "would", "lease", "read", "write", "owner", "lost")}
+        found["change"] = {
+            kind: change[kind] for kind in ("vacant", "would", "lease", "read", "write", "owner", "lost")
+        }
         found["peak_100ms"] = peak
 
     world.run(main())
@@ -115,16 +138,33 @@
 
 def show_calls(console: Console) -> None:
     table = Table(title="Calls over the whole fleet, one duty, lease 3 s (made-up network)")
-    for name in ("gateways", "voters", "idle, a second", "s without owner after a kill", "most in 100 ms", "in the 7 s from the kill, by kind"):
+    for name in (
+        "gateways",
+        "voters",
+        "idle, a second",
+        "s without owner after a kill",
+        "most in 100 ms",
+        "in the 7 s from the kill, by kind",
+    ):
         table.add_column(name)
     for gateways, voters in ((3, 3), (30, 3), (30, 5), (230, 3), (230, 5), (230, 7)):
         found = calls(gateways, voters)
-        table.add_row(str(gateways), str(voters), f"{found['idle']:.1f}", f"{found['without']:.2f}", str(found["peak_100ms"]),
-                      " ".join(f"{kind} {count}" for kind, count in found["change"].items()))
+        table.add_row(
+            str(gateways),
+            str(voters),
+            f"{found['idle']:.1f}",
+            f"{found['without']:.2f}",
+            str(found["peak_100ms"]),
+            " ".join(f"{kind} {count}" for kind, count in found["change"].items()),
+        )
     console.print(table)
 
 
-BEFELL = (("SIGTERM", signal.SIGTERM, 0.5), ("kill -9", signal.SIGKILL, 2.0), ("SIGSTOP", signal.SIGSTOP, 2.0))
+BEFELL = (
+    ("SIGTERM", signal.SIGTERM, 0.5),
+    ("kill -9", signal.SIGKILL, 2.0),
+    ("SIGSTOP", signal.SIGSTOP, 2.0),
+)
 
 
 class Processes:
@@ -134,20 +174,50 @@
         self.folder = folder
         self.ports = [free_port() for _ in range(5)]
         self.running: dict[int, subprocess.Popen[bytes]] = {}
-        (folder / "fleet").write_text(json.dumps({"version": 1, "servers": [
-            {"name": name, "host": "127.0.0.1", "port": port, "kind": name[0]} for name, port in (("r1", 9), ("w1", 10))]}))
+        (folder / "fleet").write_text(
+            json.dumps(
+                {
+                    "version": 1,
+                    "servers": [
+                        {"name": name, "host": "127.0.0.1", "port": port, "kind": name[0]}
+                        for name, port in (("r1", 9), ("w1", 10))
+                    ],
+                }
+            )
+        )
 
     def start(self, number: int) -> None:
         path = self.folder / f"g{number}.json"
-        path.write_text(json.dumps({
-            "name": f"g{number}", "roster": str(self.folder / "fleet"), "door": {"port": 0}, "admin": {"port": self.ports[number]},
-            "module": {"gateways": 5, "number": number}, "peers": {"admin": [f"127.0.0.1:{port}" for port in self.ports]},
-            "kinds": {"r": {"role": "reader", "memory_tok": 1000}, "w": {"role": "writer", "memory_tok": 1000}},
-            "products": {"ask": {"effect": "idempotent", "slo_ms": 500, "time_limit_ms": 1000}}, "stop": {"finish_ms": 200},
-            "duties": {"fleet": "hall", "voters": [0, 1, 2], "names": ["weights"], "lease_ms": 1000, "call_ms": 200,
-                       "file": str(self.folder / f"votes{number}")}}))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": f"g{number}",
+                    "roster": str(self.folder / "fleet"),
+                    "door": {"port": 0},
+                    "admin": {"port": self.ports[number]},
+                    "module": {"gateways": 5, "number": number},
+                    "peers": {"admin": [f"127.0.0.1:{port}" for port in self.ports]},
+                    "kinds": {
+                        "r": {"role": "reader", "memory_tok": 1000},
+                        "w": {"role": "writer", "memory_tok": 1000},
+                    },
+                    "products": {"ask": {"effect": "idempotent", "slo_ms": 500, "time_limit_ms": 1000}},
+                    "stop": {"finish_ms": 200},
+                    "duties": {
+                        "fleet": "hall",
+                        "voters": [0, 1, 2],
+                        "names": ["weights"],
+                        "lease_ms": 1000,
+                        "call_ms": 200,
+                        "file": str(self.folder / f"votes{number}"),
+                    },
+                }
+            )
+        )
         with open(self.folder / f"g{number}.log", "ab") as log:
-            self.running[number] = subprocess.Popen([sys.executable, "-m", "stackpitch", "serve", "-c", str(path)], cwd=ROOT, stderr=log)
+            self.running[number] = subprocess.Popen(
+                [sys.executable, "-m", "stackpitch", "serve", "-c", str(path)], cwd=ROOT, stderr=log
+            )
 
     def owner(self) -> tuple[int, tuple[int, ...]] | None:
         """Who has read its record under the highest term."""
@@ -199,8 +269,12 @@
                         time.sleep(1.8)
                 took.sort()
                 p99 = took[min(len(took) - 1, int(0.99 * len(took)))]
-                table.add_row(name, *(f"{one:.3f}" for one in (statistics.median(took), p99, took[-1])), f"{bound:g}",
-                              f"{p99 / bound:.2f}")
+                table.add_row(
+                    name,
+                    *(f"{one:.3f}" for one in (statistics.median(took), p99, took[-1])),
+                    f"{bound:g}",
+                    f"{p99 / bound:.2f}",
+                )
         finally:
             for process in fleet.running.values():
                 process.kill()
@@ -227,7 +301,9 @@
 
 
 def record(times: int, console: Console) -> None:
-    table = Table(title=f"A record's write to 2 of 3 voters, {times} times each: one process, loopback, fdatasync")
+    table = Table(
+        title=f"A record's write to 2 of 3 voters, {times} times each: one process, loopback, fdatasync"
+    )
     for name in ("bytes", "p50 ms", "p99 ms"):
         table.add_column(name)
     for size in (100, 10_000, 250_000):
@@ -235,8 +311,14 @@
             world, ports, made = RealWorld(), [free_port() for _ in range(3)], dict[int, Duties]()
             works = [Writes(world, size, times) for _ in range(3)]
 
-            def body(group: Group, world: World = world, ports: list[int] = ports, works: list[Writes] = works,
-                     made: dict[int, Duties] = made, temporary: str = temporary) -> Coro[None]:
+            def body(
+                group: Group,
+                world: World = world,
+                ports: list[int] = ports,
+                works: list[Writes] = works,
+                made: dict[int, Duties] = made,
+                temporary: str = temporary,
+            ) -> Coro[None]:
                 for number in range(3):
                     one = figures(number, 3, 3, os.path.join(temporary, str(number)), ports)
                     duties = made[number] = Duties(world, QUIET, one, [works[number]])  # type: ignore[list-item]
@@ -259,23 +341,50 @@
     for seed in range(1, plays + 1):
         for which, (worths, waits) in found.items():
             with tempfile.TemporaryDirectory() as folder:
-                done = subprocess.run([sys.executable, "-m", "stackpitch", "rehearse", "days/voters-dead.jsonnet", "--json", "--keep", folder,
-                                       "--set", f"seed={seed}", "--set", f"duties={which}"], cwd=ROOT, capture_output=True)
+                done = subprocess.run(
+                    [
+                        sys.executable,
+                        "-m",
+                        "stackpitch",
+                        "rehearse",
+                        "days/voters-dead.jsonnet",
+                        "--json",
+                        "--keep",
+                        folder,
+                        "--set",
+                        f"seed={seed}",
+                        "--set",
+                        f"duties={which}",
+                    ],
+                    cwd=ROOT,
+                    capture_output=True,
+                )
                 worths.append(json.loads(done.stdout)["g"])
                 asked: dict[tuple[str, int], int] = {}
                 for line in (Path(folder) / "clients.jsonl").read_text().splitlines():
                     one = json.loads(line)
                     if one["what"] == "ask":
                         asked[one["key"], one["number"]] = one["at"]
-                    elif one["what"] == "end" and one["gateway"] in ("g3", "g4", "g5") and one["first"] is not None:
+                    elif (
+                        one["what"] == "end"
+                        and one["gateway"] in ("g3", "g4", "g5")
+                        and one["first"] is not None
+                    ):
                         waits.append((one["first"] - asked[one["key"], one["number"]]) / 10)
-    table = Table(title=f"All three voters of six gateways dead: {plays} days each as processes, in turn; engines are stand-ins")
+    table = Table(
+        title=f"All three voters of six gateways dead: {plays} days each as processes, in turn; engines are stand-ins"
+    )
     for name in ("duties", "G, mean", "first token p50 ms", "p99 ms", "generations"):
         table.add_column(name)
     for which, (worths, waits) in found.items():
         waits.sort()
-        table.add_row(which, f"{statistics.mean(worths):.4f}", f"{statistics.median(waits):.1f}", f"{waits[int(0.99 * len(waits))]:.1f}",
-                      str(len(waits)))
+        table.add_row(
+            which,
+            f"{statistics.mean(worths):.4f}",
+            f"{statistics.median(waits):.1f}",
+            f"{waits[int(0.99 * len(waits))]:.1f}",
+            str(len(waits)),
+        )
     console.print(table)
 
 
--- a/benchmarks/expect.py
+++ b/benchmarks/expect.py
@@ -34,8 +34,17 @@
 
 
 def fleet(size: int) -> Fleet:
-    servers = [{"name": f"{'r' if n % 5 < 2 else 'w'}{n}", "host": "127.0.0.1", "port": 9000, "zone": "z",
-                "kind": "reader" if n % 5 < 2 else "writer", "cell": 1 + n // 10} for n in range(size)]
+    servers = [
+        {
+            "name": f"{'r' if n % 5 < 2 else 'w'}{n}",
+            "host": "127.0.0.1",
+            "port": 9000,
+            "zone": "z",
+            "kind": "reader" if n % 5 < 2 else "writer",
+            "cell": 1 + n // 10,
+        }
+        for n in range(size)
+    ]
     return check(Fleet, {"version": 1, "servers": servers}, "made")
 
 
@@ -43,14 +52,23 @@
     product = {"slo_ms": 1000.0, "time_limit_ms": 5000.0}
     tree = {
         "roster": "made",
-        "products": {"ask": product | {"effect": "idempotent"}, "book": product | {"effect": "side-effecting"}},
-        "kinds": {"reader": {"role": "reader", "memory_tok": 200000}, "writer": {"role": "writer", "memory_tok": 160000}},
-        "module": {"zone": "z", "gateways": 3, "max_legs": 5}}
+        "products": {
+            "ask": product | {"effect": "idempotent"},
+            "book": product | {"effect": "side-effecting"},
+        },
+        "kinds": {
+            "reader": {"role": "reader", "memory_tok": 200000},
+            "writer": {"role": "writer", "memory_tok": 160000},
+        },
+        "module": {"zone": "z", "gateways": 3, "max_legs": 5},
+    }
     return check(Settings, tree | changed, "made")
 
 
 def book(count: int, size: int) -> Book:
-    text = "\n".join(f'statement "s{n}": {KINDS[n % len(KINDS)].format(n=n % size // 5 * 5 + 2)}' for n in range(count))
+    text = "\n".join(
+        f'statement "s{n}": {KINDS[n % len(KINDS)].format(n=n % size // 5 * 5 + 2)}' for n in range(count)
+    )
     return Book([parse(text, "made")])
 
 
@@ -83,10 +101,20 @@
     return [
         ("book may run twice", product("book", effect="idempotent"), servers),
         ("ask may not", product("ask", effect="side-effecting"), servers),
-        ("no local reads", module(local_reads=False), servers), ("two legs at most", module(max_legs=2), servers),
-        ("one leg at most", module(max_legs=1), servers), ("ask has 20 ms", product("ask", time_limit_ms=20.0), servers),
-        ("readers write", settings(kinds={"reader": {"role": "writer", "memory_tok": 9}, "writer": {
-            "role": "writer", "memory_tok": 9}}), servers),
+        ("no local reads", module(local_reads=False), servers),
+        ("two legs at most", module(max_legs=2), servers),
+        ("one leg at most", module(max_legs=1), servers),
+        ("ask has 20 ms", product("ask", time_limit_ms=20.0), servers),
+        (
+            "readers write",
+            settings(
+                kinds={
+                    "reader": {"role": "writer", "memory_tok": 9},
+                    "writer": {"role": "writer", "memory_tok": 9},
+                }
+            ),
+            servers,
+        ),
         ("all drain", made, with_servers({"state": "draining"}, {one["name"] for one in listed})),
         ("readers drain", made, with_servers({"state": "draining"}, readers)),
         ("w7 is left out", made, check(Fleet, {"version": 1, "servers": fewer}, "made")),
@@ -107,7 +135,9 @@
         took, held, count = timed(Given(settings(), fleet(size)), book(200, size), jobs)
         table.add_row(f"{size:,}", f"{held} of {count}", f"{took:.2f}", f"{count / took:.0f}")
     console.print(table)
-    table = Table(title=f"200 statements, 300 servers, broken on purpose, {jobs} process(es)", title_justify="left")
+    table = Table(
+        title=f"200 statements, 300 servers, broken on purpose, {jobs} process(es)", title_justify="left"
+    )
     for column in ("configuration", "do not hold", "seconds"):
         table.add_column(column, justify="left" if column == "configuration" else "right")
     for name, made, servers in broken():
--- a/benchmarks/floods.py
+++ b/benchmarks/floods.py
@@ -43,8 +43,16 @@
 
     def __init__(self, name: str) -> None:
         self.name, self.listener = name, socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.member = {"id": name, "host_port": f"127.0.0.1:{self.listener.getsockname()[1]}", "locality": "a",
-                       "flavor": name[0], "cell": 1, "phase": "up", "size": 1.0, "up_since_ms": 0}
+        self.member = {
+            "id": name,
+            "host_port": f"127.0.0.1:{self.listener.getsockname()[1]}",
+            "locality": "a",
+            "flavor": name[0],
+            "cell": 1,
+            "phase": "up",
+            "size": 1.0,
+            "up_since_ms": 0,
+        }
         threading.Thread(target=self.serve, daemon=True).start()
 
     def serve(self) -> None:
@@ -78,8 +86,20 @@
     if name[0] in "ef":
         one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     one.connect(("127.0.0.1", port))
-    one.sendall(codec.request("POST", "/v1/chat/completions", "a", b"{}", [
-        ("req-id", name), ("req-kind", "chat"), ("req-deadline-ms", "4000"), ("req-extra", f"prompt_len=500,max_out={most}")]))
+    one.sendall(
+        codec.request(
+            "POST",
+            "/v1/chat/completions",
+            "a",
+            b"{}",
+            [
+                ("req-id", name),
+                ("req-kind", "chat"),
+                ("req-deadline-ms", "4000"),
+                ("req-extra", f"prompt_len=500,max_out={most}"),
+            ],
+        )
+    )
     return one
 
 
@@ -115,8 +135,10 @@
 
 
 KINDS: dict[str, tuple[str, Callable[[socket.socket], None]]] = {
-    "reads nothing of wide answers": ("f", nothing), "reads 2 KB a second of wide answers": ("f", now_and_then),
-    "reads all of small events without an end": ("e", all_of_it)}
+    "reads nothing of wide answers": ("f", nothing),
+    "reads 2 KB a second of wide answers": ("f", now_and_then),
+    "reads all of small events without an end": ("e", all_of_it),
+}
 
 
 class Quiet(Discovery):
@@ -154,7 +176,9 @@
             thread.join()
 
 
-def stretch(process: "subprocess.Popen[bytes]", port: int, asks: int, first: int) -> tuple[float, float, float, str]:
+def stretch(
+    process: "subprocess.Popen[bytes]", port: int, asks: int, first: int
+) -> tuple[float, float, float, str]:
     """Most resident MB, processor seconds a second, 0.95 of asks in seconds, and how many were not served, by answer."""
     begun, used, most, took, lost = time.monotonic(), cpu(process), 0.0, list[float](), Counter[str]()
     for number in range(asks):
@@ -166,8 +190,12 @@
         most = max(most, memory_mb(process))
         time.sleep(0.02)
     took.sort()
-    return most, (cpu(process) - used) / (time.monotonic() - begun), took[int(len(took) * 0.95)] if took else 0.0, (
-        ", ".join(f"{count} {how}" for how, count in lost.items()) or "0")
+    return (
+        most,
+        (cpu(process) - used) / (time.monotonic() - begun),
+        took[int(len(took) * 0.95)] if took else 0.0,
+        (", ".join(f"{count} {how}" for how, count in lost.items()) or "0"),
+    )
 
 
 def main() -> None:
@@ -183,19 +211,43 @@
     threading.Thread(target=server.serve_forever, daemon=True).start()
     # One gateway of a fleet of two: of many, the module would take the others to be as full, and throttle.
     settings = SETTINGS | {"balancers": 2, "extra": SETTINGS["extra"] | {"kvTokens": [10**7] * 2}}  # type: ignore[operator]
-    table = Table(title=f"{asked.clients} bad clients, {asked.asks} asks beside them and without", title_justify="left")
-    for column in ("bad clients", "resident MB, without", "beside", "ratio", "CPU s/s, without", "beside",
-                   "0.95 of asks ms, without", "beside", "not served without", "beside"):
+    table = Table(
+        title=f"{asked.clients} bad clients, {asked.asks} asks beside them and without", title_justify="left"
+    )
+    for column in (
+        "bad clients",
+        "resident MB, without",
+        "beside",
+        "ratio",
+        "CPU s/s, without",
+        "beside",
+        "0.95 of asks ms, without",
+        "beside",
+        "not served without",
+        "beside",
+    ):
         table.add_column(column, justify="left" if column == "bad clients" else "right")
     with tempfile.TemporaryDirectory() as folder:
         for kind, (mark, act) in KINDS.items():
             port, path = free_port(), Path(folder) / "config.json"
-            path.write_text(json.dumps({
-                "name": "n", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{server.server_port}", "seed": "1f",
-                "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB}, "known": listed,
-                "settings": settings}))
-            process = subprocess.Popen([sys.executable, "-m", "stackpitch.platform"], stderr=subprocess.DEVNULL,
-                                       env=os.environ | {"RELAY_CONFIG": str(path)})
+            path.write_text(
+                json.dumps(
+                    {
+                        "name": "n",
+                        "listen": f"127.0.0.1:{port}",
+                        "discovery": f"127.0.0.1:{server.server_port}",
+                        "seed": "1f",
+                        "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB},
+                        "known": listed,
+                        "settings": settings,
+                    }
+                )
+            )
+            process = subprocess.Popen(
+                [sys.executable, "-m", "stackpitch.platform"],
+                stderr=subprocess.DEVNULL,
+                env=os.environ | {"RELAY_CONFIG": str(path)},
+            )
             try:
                 until = time.monotonic() + 10
                 while not ready(port) and time.monotonic() < until:
@@ -207,8 +259,18 @@
             finally:
                 process.kill()
                 process.wait()
-            table.add_row(kind, f"{alone[0]:.1f}", f"{beside[0]:.1f}", f"{beside[0] / alone[0]:.2f}", f"{alone[1]:.3f}",
-                          f"{beside[1]:.3f}", f"{alone[2] * 1e3:.0f}", f"{beside[2] * 1e3:.0f}", alone[3], beside[3])
+            table.add_row(
+                kind,
+                f"{alone[0]:.1f}",
+                f"{beside[0]:.1f}",
+                f"{beside[0] / alone[0]:.2f}",
+                f"{alone[1]:.3f}",
+                f"{beside[1]:.3f}",
+                f"{alone[2] * 1e3:.0f}",
+                f"{beside[2] * 1e3:.0f}",
+                alone[3],
+                beside[3],
+            )
     Console(width=200).print(table)
 
 
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -31,8 +31,17 @@
 
 def listed(size: int, version: int) -> str:
     """Two of five servers read; one server's weight differs from version to version."""
-    servers = [{"name": f"s{n}", "host": "127.0.0.1", "port": 1024 + n % 60000, "kind": "reader" if n % 5 < 2 else "writer",
-                "cell": n // 40, "weight": 1.0 + (version % 100) / 100 * (n == 0)} for n in range(size)]
+    servers = [
+        {
+            "name": f"s{n}",
+            "host": "127.0.0.1",
+            "port": 1024 + n % 60000,
+            "kind": "reader" if n % 5 < 2 else "writer",
+            "cell": n // 40,
+            "weight": 1.0 + (version % 100) / 100 * (n == 0),
+        }
+        for n in range(size)
+    ]
     return json.dumps({"version": version, "servers": servers})
 
 
@@ -45,11 +54,20 @@
         self.path, self.log = bed.folder / f"fleet{size}", bed.folder / f"log{size}"
         self.path.write_text(listed(size, 1))
         config = bed.folder / f"gateway{size}"
-        config.write_text(json.dumps({
-            "roster": str(self.path), "kept": str(bed.folder / f"kept{size}"), "door": {"port": self.door},
-            "admin": {"port": self.admin}, "logs": {"hog_ms": 20}, "membership": {"settle_ms": settle_ms, "poll_ms": 1000},
-            "products": {"m": {"effect": "idempotent", "slo_ms": 1000, "time_limit_ms": 5000}},
-            "kinds": {role: {"role": role, "memory_tok": 1 << 30} for role in ("reader", "writer")}}))
+        config.write_text(
+            json.dumps(
+                {
+                    "roster": str(self.path),
+                    "kept": str(bed.folder / f"kept{size}"),
+                    "door": {"port": self.door},
+                    "admin": {"port": self.admin},
+                    "logs": {"hog_ms": 20},
+                    "membership": {"settle_ms": settle_ms, "poll_ms": 1000},
+                    "products": {"m": {"effect": "idempotent", "slo_ms": 1000, "time_limit_ms": 5000}},
+                    "kinds": {role: {"role": role, "memory_tok": 1 << 30} for role in ("reader", "writer")},
+                }
+            )
+        )
         self.sink = open(self.log, "ab")  # noqa: SIM115
         self.command = ("stackpitch", "serve", "-c", str(config))
         self.process = bed.start(self.door, *self.command, errors=self.sink)
@@ -69,12 +87,16 @@
         return (time.perf_counter() - begun) * 1000
 
     def stalls(self) -> list[float]:
-        return [one["ms"] for one in map(json.loads, self.log.read_text().splitlines()) if one["event"] == "hog"]
+        return [
+            one["ms"] for one in map(json.loads, self.log.read_text().splitlines()) if one["event"] == "hog"
+        ]
 
 
 def stores(folder: Path, size: int, count: int) -> dict[str, list[float]]:
     """Milliseconds for each durable write of a list of so many servers."""
-    entries = tuple(Entry(name=f"s{n}", host="127.0.0.1", port=1024 + n % 60000, kind="reader") for n in range(size))
+    entries = tuple(
+        Entry(name=f"s{n}", host="127.0.0.1", port=1024 + n % 60000, kind="reader") for n in range(size)
+    )
     told = digest(entries)
     record = Kept(0, "file", 1, told, entries)
 
@@ -90,18 +112,25 @@
     own = Store(RealFiles(), str(folder / f"own{size}"))
     own.open()
     base = sqlite3.connect(folder / f"sqlite{size}", isolation_level=None)
-    base.executescript("pragma journal_mode=wal; pragma synchronous=full; "
-                       "create table kept (id integer primary key, raw blob)")
+    base.executescript(
+        "pragma journal_mode=wal; pragma synchronous=full; "
+        "create table kept (id integer primary key, raw blob)"
+    )
     environment = lmdb.open(str(folder / f"lmdb{size}"), map_size=1 << 30)
 
     def in_lmdb(number: int) -> None:
         with environment.begin(write=True) as transaction:
             transaction.put(number.to_bytes(8, "big"), msgspec.msgpack.encode(record))
 
-    return {"own log": timed(lambda number: own.add(record)),
-            "sqlite3, wal": timed(lambda number: base.execute(
-                "insert into kept (raw) values (?)", (msgspec.msgpack.encode(record),))),
-            "lmdb": timed(in_lmdb)}
+    return {
+        "own log": timed(lambda number: own.add(record)),
+        "sqlite3, wal": timed(
+            lambda number: base.execute(
+                "insert into kept (raw) values (?)", (msgspec.msgpack.encode(record),)
+            )
+        ),
+        "lmdb": timed(in_lmdb),
+    }
 
 
 def part(found: list[float], share: float) -> float:
@@ -114,7 +143,15 @@
     rounds = parser.parse_args().rounds
     console = Console(width=130)
     table = Table(title="From rename to in force, ms (settle_ms 20)", title_justify="left")
-    for column in ("servers", "p50", "p99", "steps over 20 ms", "longest, ms", "resident MB", "start to serving, ms"):
+    for column in (
+        "servers",
+        "p50",
+        "p99",
+        "steps over 20 ms",
+        "longest, ms",
+        "resident MB",
+        "start to serving, ms",
+    ):
         table.add_column(column, justify="right")
     with Bed() as bed:
         for size in (50, 500, 5000):
@@ -130,8 +167,15 @@
             bed.start(watched.door, *watched.command, errors=watched.sink)
             again = (time.perf_counter() - begun) * 1000
             assert watched.status()["version"] == watched.version
-            table.add_row(f"{size:,}", f"{part(found, 0.5):.0f}", f"{part(found, 0.99):.0f}", str(len(stalls)),
-                          f"{max(stalls, default=0):.0f}", f"{resident:.0f}", f"{again:.0f}")
+            table.add_row(
+                f"{size:,}",
+                f"{part(found, 0.5):.0f}",
+                f"{part(found, 0.99):.0f}",
+                str(len(stalls)),
+                f"{max(stalls, default=0):.0f}",
+                f"{resident:.0f}",
+                f"{again:.0f}",
+            )
     console.print(table)
     table = Table(title="A durable write of a list, ms", title_justify="left")
     for column in ("servers", "store", "p50", "p99"):
@@ -139,7 +183,9 @@
     with tempfile.TemporaryDirectory(prefix="stackpitch-") as folder:
         for size in (50, 5000):
             for name, times in stores(Path(folder), size, 200 if size < 1000 else 60).items():
-                table.add_row(f"{size:,}", name, f"{statistics.median(times):.2f}", f"{part(times, 0.99):.2f}")
+                table.add_row(
+                    f"{size:,}", name, f"{statistics.median(times):.2f}", f"{part(times, 0.99):.2f}"
+                )
     console.print(table)
 
 
--- a/benchmarks/outages.py
+++ b/benchmarks/outages.py
@@ -27,8 +27,10 @@
 ROOT = Path(__file__).parent.parent
 APART_S = 10.0
 CAUSES = {  # what strikes, for how long, the record that tells when
-    "SIGTERM": ("gateway-term", 1.0, "ended"), "kill -9": ("gateway-kill", 1.0, "killed"),
-    "SIGSTOP": ("gateway-stop", 5.0, "stopped"), "cut both ways": ("net-cut", 5.0, "fault"),
+    "SIGTERM": ("gateway-term", 1.0, "ended"),
+    "kill -9": ("gateway-kill", 1.0, "killed"),
+    "SIGSTOP": ("gateway-stop", 5.0, "stopped"),
+    "cut both ways": ("net-cut", 5.0, "fault"),
     "cut one way: deaf": ("net-one-way", 5.0, "fault"),
 }
 
@@ -36,11 +38,18 @@
 def day(cause: str, times: int) -> Day:
     kind, lasts, _ = CAUSES[cause]
     base = settings.read(Day, ROOT / "days/owners.jsonnet", {"seed": "1"})
-    return base.model_copy(update={
-        "name": kind, "length_s": 6 + APART_S * times, "clients": Clients(rate_per_s=2.0),
-        "duties": base.duties.model_copy(update={"names": ["weights"]}),
-        "troubles": [Trouble(kind=kind, at_s=5 + APART_S * number, for_s=lasts, names=["owner"])  # type: ignore[arg-type]
-                     for number in range(times)]})
+    return base.model_copy(
+        update={
+            "name": kind,
+            "length_s": 6 + APART_S * times,
+            "clients": Clients(rate_per_s=2.0),
+            "duties": base.duties.model_copy(update={"names": ["weights"]}),
+            "troubles": [
+                Trouble(kind=kind, at_s=5 + APART_S * number, for_s=lasts, names=["owner"])  # type: ignore[arg-type]
+                for number in range(times)
+            ],
+        }
+    )
 
 
 def outages(records: list[Record], one: Day, what: str) -> list[float]:
@@ -52,7 +61,11 @@
         if strike["what"] != what or strike.get("on") is False or strike.get("signal", 9) != 9:
             continue
         owner = next((hold for hold in held if hold.begin <= strike["at"] <= hold.end + 10 * MS), None)
-        after = [hold for hold in held if owner is not None and hold.begin > strike["at"] and hold.stamp != owner.stamp]
+        after = [
+            hold
+            for hold in held
+            if owner is not None and hold.begin > strike["at"] and hold.stamp != owner.stamp
+        ]
         if after:
             found.append((after[0].begin - strike["at"]) / MS)
     return found
@@ -65,8 +78,14 @@
             outcome = virtual.play(one, Path(folder), lambda text: None)
         else:
             outcome = director.play(RealWorld(one.seed), one, Path(folder), None, lambda text: None)
-        return cause, outages(read_all(Path(folder)), one, CAUSES[cause][2]), [
-            f"{cause}: {outcome.names[breach.rule]} {breach.key}: {breach.text}" for breach in outcome.breaches]
+        return (
+            cause,
+            outages(read_all(Path(folder)), one, CAUSES[cause][2]),
+            [
+                f"{cause}: {outcome.names[breach.rule]} {breach.key}: {breach.text}"
+                for breach in outcome.breaches
+            ],
+        )
 
 
 def main() -> None:
@@ -83,8 +102,16 @@
             bound = 500 if cause == "SIGTERM" else 4000
             found.sort()
             p99 = found[max(0, round(0.99 * len(found)) - 1)]
-            table.add_row(cause, str(len(found)), f"{statistics.median(found):.0f}", f"{p99:.0f}", f"{found[-1]:.0f}",
-                          str(bound), f"{p99 / bound:.2f}", str(len(breaches)))
+            table.add_row(
+                cause,
+                str(len(found)),
+                f"{statistics.median(found):.0f}",
+                f"{p99:.0f}",
+                f"{found[-1]:.0f}",
+                str(bound),
+                f"{p99 / bound:.2f}",
+                str(len(breaches)),
+            )
             broken += breaches
     console = Console(width=120)
     console.print(table)
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -1,9 +1,9 @@
 """The other ends of a measurement, each a process: a source of streams, bare relays, counting clients.
 
-    python -m benchmarks.peers source PORT              answers every leg at once, at the pace that the body asks for
-    python -m benchmarks.peers bare PORT TO...          a relay on our loop that decides nothing
-    python -m benchmarks.peers asyncio PORT TO...       the same on the standard library's asyncio streams
-    python -m benchmarks.peers clients PORT FILE        asks as FILE (JSON) says, prints what it measured as JSON
+python -m benchmarks.peers source PORT              answers every leg at once, at the pace that the body asks for
+python -m benchmarks.peers bare PORT TO...          a relay on our loop that decides nothing
+python -m benchmarks.peers asyncio PORT TO...       the same on the standard library's asyncio streams
+python -m benchmarks.peers clients PORT FILE        asks as FILE (JSON) says, prints what it measured as JSON
 """
 
 import asyncio
@@ -22,9 +22,11 @@
 
 def token(number: int) -> bytes:
     """One event as engines send them, with the time of its sending in it."""
-    return (b'{"id":"chatcmpl-0123456789abcdef","object":"chat.completion.chunk","created":1700000000,"model":"m","t":%d,'
-            b'"choices":[{"index":0,"delta":{"content":" w%03d"},"finish_reason":null}]}'
-            % (time.monotonic_ns(), number % 1000))
+    return (
+        b'{"id":"chatcmpl-0123456789abcdef","object":"chat.completion.chunk","created":1700000000,"model":"m","t":%d,'
+        b'"choices":[{"index":0,"delta":{"content":" w%03d"},"finish_reason":null}]}'
+        % (time.monotonic_ns(), number % 1000)
+    )
 
 
 def source(world: RealWorld, port: int) -> Coro[None]:
@@ -43,8 +45,16 @@
                     answer = engine.ReadAnswer(engine.Transfer(transfer["state_id"]), engine.Usage(100, 0))
                     stream.write(http.response(200, msgspec.json.encode(answer)))
                     continue
-                stream.write(http.head(200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked"),
-                                             (engine.STATE_HEADER, "fetched")]))
+                stream.write(
+                    http.head(
+                        200,
+                        [
+                            ("content-type", "text/event-stream"),
+                            ("transfer-encoding", "chunked"),
+                            (engine.STATE_HEADER, "fetched"),
+                        ],
+                    )
+                )
                 count, gap = tree["x_count"], int(tree["x_gap_ms"] * MS)
                 due = world.now()
                 for number in range(count):
@@ -124,8 +134,14 @@
 
     def one(number: int) -> Coro[None]:
         stream = yield from world.connect((HOST, port), 5 * SECOND)
-        stream_plan = {"model": "m", "stream": True, "x_count": plan["count"], "x_gap_ms": plan["gap_ms"],
-                       "max_tokens": plan["count"], "messages": [{"role": "user", "content": "x" * plan["prompt"]}]}
+        stream_plan = {
+            "model": "m",
+            "stream": True,
+            "x_count": plan["count"],
+            "x_gap_ms": plan["gap_ms"],
+            "max_tokens": plan["count"],
+            "messages": [{"role": "user", "content": "x" * plan["prompt"]}],
+        }
         body = msgspec.json.encode(stream_plan)
         yield from world.sleep(number * plan.get("spread_ms", 0) * MS)
         for ask in range(plan["asks"]):
@@ -150,7 +166,7 @@
                         first = False
                     if found != b"[DONE]" and (at := found.find(b'"t":')) > 0:
                         counts[0] += 1
-                        delays.append(now - int(found[at + 4:found.index(b",", at)]))
+                        delays.append(now - int(found[at + 4 : found.index(b",", at)]))
         stream.close()
 
     def body(group: Group) -> Coro[None]:
@@ -166,8 +182,14 @@
         ranked = sorted(of)
         return ranked[min(len(ranked) - 1, int(share * len(ranked)))] / 1e6 if ranked else 0.0
 
-    return {"took_s": took, "chunks": counts[0], "refused": counts[1], "asks": len(firsts),
-            "first_ms": [part(firsts, 0.5), part(firsts, 0.99)], "delay_ms": [part(delays, 0.5), part(delays, 0.99)]}
+    return {
+        "took_s": took,
+        "chunks": counts[0],
+        "refused": counts[1],
+        "asks": len(firsts),
+        "first_ms": [part(firsts, 0.5), part(firsts, 0.99)],
+        "delay_ms": [part(delays, 0.5), part(delays, 0.99)],
+    }
 
 
 def main() -> None:
--- a/benchmarks/ready.py
+++ b/benchmarks/ready.py
@@ -29,17 +29,41 @@
 
 CLASS = {"name": "chat", "effect": "free", "aimMs": 1000, "deadlineMs": 4000, "worth": 1}
 SETTINGS = {
-    "balancers": 200, "me": 0, "zone": "a", "models": ["r", "w"], "classes": [CLASS],
-    "bounds": {"connIdleMs": 30000, "connectTimeoutMs": 250, "maxAttempts": 4, "retryAfter": True, "maxRetryAfterMs": 1000},
+    "balancers": 200,
+    "me": 0,
+    "zone": "a",
+    "models": ["r", "w"],
+    "classes": [CLASS],
+    "bounds": {
+        "connIdleMs": 30000,
+        "connectTimeoutMs": 250,
+        "maxAttempts": 4,
+        "retryAfter": True,
+        "maxRetryAfterMs": 1000,
+    },
     "guarantees": {"coldFrom": 0.3, "warmUpMs": 5000, "fallMultiple": 3},
-    "extra": {"dutyByKind": ["read", "write"], "kvTokens": [100000, 100000], "releaseMs": 500, "tokenAimMs": [60, 60]},
-    "report": {"fields": ["utilization", "backlog", "x0"], "via": "piggyback"}}
+    "extra": {
+        "dutyByKind": ["read", "write"],
+        "kvTokens": [100000, 100000],
+        "releaseMs": 500,
+        "tokenAimMs": [60, 60],
+    },
+    "report": {"fields": ["utilization", "backlog", "x0"], "via": "piggyback"},
+}
 GIVE_UP_S = 60
 
 
 def member(number: int) -> dict[str, object]:
-    return {"id": f"s{number}", "host_port": f"127.0.0.1:{1024 + number}", "locality": "a", "flavor": "rw"[number % 2],
-            "cell": number // 40, "phase": "up", "size": 1.0, "up_since_ms": 0}
+    return {
+        "id": f"s{number}",
+        "host_port": f"127.0.0.1:{1024 + number}",
+        "locality": "a",
+        "flavor": "rw"[number % 2],
+        "cell": number // 40,
+        "phase": "up",
+        "size": 1.0,
+        "up_since_ms": 0,
+    }
 
 
 class Discovery(http.server.BaseHTTPRequestHandler):
@@ -79,8 +103,11 @@
 
 
 def start(config: Path) -> "subprocess.Popen[bytes]":
-    return subprocess.Popen([sys.executable, "-m", "stackpitch.platform"], stderr=subprocess.DEVNULL,
-                            env=os.environ | {"RELAY_CONFIG": str(config)})
+    return subprocess.Popen(
+        [sys.executable, "-m", "stackpitch.platform"],
+        stderr=subprocess.DEVNULL,
+        env=os.environ | {"RELAY_CONFIG": str(config)},
+    )
 
 
 def wait(ports: set[int], begun: float) -> list[float]:
@@ -143,9 +170,19 @@
 
         def configured(port: int) -> Path:
             config = Path(folder) / f"{port}.json"
-            config.write_text(json.dumps({
-                "name": f"n{port}", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{server.server_port}", "seed": "1f",
-                "limits": {"sockets": 256, "memory_mb": 64}, "known": listed, "settings": SETTINGS}))
+            config.write_text(
+                json.dumps(
+                    {
+                        "name": f"n{port}",
+                        "listen": f"127.0.0.1:{port}",
+                        "discovery": f"127.0.0.1:{server.server_port}",
+                        "seed": "1f",
+                        "limits": {"sockets": 256, "memory_mb": 64},
+                        "known": listed,
+                        "settings": SETTINGS,
+                    }
+                )
+            )
             return config
 
         for _ in range(asked.runs + 1):
@@ -155,7 +192,9 @@
             rows.append((bare * 1e3, used * 1e3, used / bare, took * 1e3))
         ports = {free_port() for _ in range(asked.together)}
         crowd = together([configured(port) for port in ports], set(ports))
-    table = Table(title=f"From exec to ready, {asked.members:,} servers, {asked.runs} pairs", title_justify="left")
+    table = Table(
+        title=f"From exec to ready, {asked.members:,} servers, {asked.runs} pairs", title_justify="left"
+    )
     for column in ("", "minimum", "median", "maximum"):
         table.add_column(column, justify="right")
     names = ("bare interpreter, CPU ms", "gateway, CPU ms", "gateway / bare, CPU", "gateway, ms by the clock")
@@ -164,8 +203,10 @@
     console = Console(width=120)
     console.print(table)
     if crowd:
-        console.print(f"{len(crowd)} at once on one core, seconds to ready: first {crowd[0]:.2f}, "
-                      f"nine in ten {crowd[math.ceil(len(crowd) * 0.9) - 1]:.2f}, last {crowd[-1]:.2f}")
+        console.print(
+            f"{len(crowd)} at once on one core, seconds to ready: first {crowd[0]:.2f}, "
+            f"nine in ten {crowd[math.ceil(len(crowd) * 0.9) - 1]:.2f}, last {crowd[-1]:.2f}"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -33,9 +33,11 @@
             port = free_port()
             ports[name] = bed.start(port, "benchmarks.peers", word, str(port), *at), port
         ports[RELAYS[3]] = bed.gateway([(f"m{one}", "mixed", one) for one in sources])
-        ports[RELAYS[4]] = bed.gateway([("r1", "reader", bed.source()), *((f"w{one}", "writer", one) for one in sources)])
+        ports[RELAYS[4]] = bed.gateway(
+            [("r1", "reader", bed.source()), *((f"w{one}", "writer", one) for one in sources)]
+        )
         for number in range(rounds):
-            names = RELAYS[number % len(RELAYS):] + RELAYS[:number % len(RELAYS)]
+            names = RELAYS[number % len(RELAYS) :] + RELAYS[: number % len(RELAYS)]
             for name in names:
                 process, port = ports[name]
                 for load, plan in (("paced", PACED), ("flood", FLOOD), ("first", FIRST)):
@@ -44,9 +46,13 @@
                     used = cpu(process) - before if process else 0.0
                     assert not seen["refused"], (name, seen)
                     figures = {
-                        f"{load} us": used / seen["chunks"] * 1e6, f"{load} per s": seen["chunks"] / seen["took_s"],
-                        f"{load} first50": seen["first_ms"][0], f"{load} first99": seen["first_ms"][1],
-                        f"{load} delay50": seen["delay_ms"][0], f"{load} delay99": seen["delay_ms"][1]}
+                        f"{load} us": used / seen["chunks"] * 1e6,
+                        f"{load} per s": seen["chunks"] / seen["took_s"],
+                        f"{load} first50": seen["first_ms"][0],
+                        f"{load} first99": seen["first_ms"][1],
+                        f"{load} delay50": seen["delay_ms"][0],
+                        f"{load} delay99": seen["delay_ms"][1],
+                    }
                     for key, value in figures.items():
                         found[name].setdefault(key, []).append(value)
     return found
@@ -55,28 +61,51 @@
 def main() -> None:
     parser = argparse.ArgumentParser()
     parser.add_argument("--rounds", type=int, default=3)
-    found = {name: {key: statistics.median(values) for key, values in figures.items()}
-             for name, figures in measure(parser.parse_args().rounds).items()}
+    found = {
+        name: {key: statistics.median(values) for key, values in figures.items()}
+        for name, figures in measure(parser.parse_args().rounds).items()
+    }
     console, direct, own = Console(width=150), found["direct"], found[RELAYS[1]]
     table = Table(title="Chunks through one process (simulated engines on one machine)", title_justify="left")
-    for column in ("relay", "CPU us a chunk, paced", "chunks a CPU second", "of bare", "of asyncio", "flood, chunks a s",
-                   "of bare", "of asyncio", "CPU us a chunk, flood"):
+    for column in (
+        "relay",
+        "CPU us a chunk, paced",
+        "chunks a CPU second",
+        "of bare",
+        "of asyncio",
+        "flood, chunks a s",
+        "of bare",
+        "of asyncio",
+        "CPU us a chunk, flood",
+    ):
         table.add_column(column, justify="left" if column == "relay" else "right")
     other = found[RELAYS[2]]
     for name in RELAYS[1:]:
         one = found[name]
-        table.add_row(name, f"{one['paced us']:.1f}", f"{1e6 / one['paced us']:.0f}",
-                      f"{own['paced us'] / one['paced us']:.2f}", f"{other['paced us'] / one['paced us']:.2f}",
-                      f"{one['flood per s']:.0f}", f"{one['flood per s'] / own['flood per s']:.2f}",
-                      f"{one['flood per s'] / other['flood per s']:.2f}", f"{one['flood us']:.1f}")
+        table.add_row(
+            name,
+            f"{one['paced us']:.1f}",
+            f"{1e6 / one['paced us']:.0f}",
+            f"{own['paced us'] / one['paced us']:.2f}",
+            f"{other['paced us'] / one['paced us']:.2f}",
+            f"{one['flood per s']:.0f}",
+            f"{one['flood per s'] / own['flood per s']:.2f}",
+            f"{one['flood per s'] / other['flood per s']:.2f}",
+            f"{one['flood us']:.1f}",
+        )
     console.print(table)
     table = Table(title="Added to what the engine asked directly takes, ms", title_justify="left")
     for column in ("relay", "first token p50", "p99", "a chunk p50", "p99"):
         table.add_column(column, justify="left" if column == "relay" else "right")
     for name in RELAYS[1:]:
         one = found[name]
-        table.add_row(name, *(f"{one[key] - direct[key]:.2f}" for key in ("first first50", "first first99",
-                                                                          "paced delay50", "paced delay99")))
+        table.add_row(
+            name,
+            *(
+                f"{one[key] - direct[key]:.2f}"
+                for key in ("first first50", "first first99", "paced delay50", "paced delay99")
+            ),
+        )
     console.print(table)
 
 
--- a/benchmarks/slow_start.py
+++ b/benchmarks/slow_start.py
@@ -66,32 +66,100 @@
 
 
 CASES = [
-    Case("one"), Case("restarted", restarted=1 / 3), Case("all-restarted", restarted=1.0),
+    Case("one"),
+    Case("restarted", restarted=1 / 3),
+    Case("all-restarted", restarted=1.0),
     Case("late-lists", told_over=4 * SECOND, restarted=1 / 3),
     Case("small-N", bears=1.5, cold=4, warm_up=30 * SECOND, after=15 * SECOND, restarted=1 / 3),
     Case("large-N", bears=80.0, servers=4, after=4 * SECOND, restarted=1 / 3),
-    Case("several", cold=6, restarted=1 / 3), Case("all-cold", cold=12, leave=12, restarted=1 / 3),
+    Case("several", cold=6, restarted=1 / 3),
+    Case("all-cold", cold=12, leave=12, restarted=1 / 3),
     Case("few-left", cold=2, leave=12, restarted=1 / 3),
     Case("few-left-late", cold=2, leave=12, restarted=1 / 3, told_over=2 * SECOND),
-    Case("few-of-many", bears=3.0, servers=40, cold=4, leave=40, restarted=1 / 3, warm_up=20 * SECOND, after=14 * SECOND),
-    Case("few-of-many-steady", bears=3.0, servers=40, cold=4, leave=40, warm_up=20 * SECOND, after=14 * SECOND),
+    Case(
+        "few-of-many",
+        bears=3.0,
+        servers=40,
+        cold=4,
+        leave=40,
+        restarted=1 / 3,
+        warm_up=20 * SECOND,
+        after=14 * SECOND,
+    ),
+    Case(
+        "few-of-many-steady", bears=3.0, servers=40, cold=4, leave=40, warm_up=20 * SECOND, after=14 * SECOND
+    ),
     Case("few-of-many-long", bears=3.0, servers=40, cold=4, leave=40, warm_up=60 * SECOND, after=30 * SECOND),
     Case("few-left-long", cold=2, leave=12, warm_up=60 * SECOND, after=30 * SECOND),
-    Case("few-of-many-all-restarted", bears=3.0, servers=40, cold=4, leave=40, restarted=1.0, warm_up=20 * SECOND,
-         after=14 * SECOND),
-    Case("few-of-many-long-restarted", bears=3.0, servers=40, cold=4, leave=40, restarted=1 / 3, warm_up=60 * SECOND,
-         after=30 * SECOND),
+    Case(
+        "few-of-many-all-restarted",
+        bears=3.0,
+        servers=40,
+        cold=4,
+        leave=40,
+        restarted=1.0,
+        warm_up=20 * SECOND,
+        after=14 * SECOND,
+    ),
+    Case(
+        "few-of-many-long-restarted",
+        bears=3.0,
+        servers=40,
+        cold=4,
+        leave=40,
+        restarted=1 / 3,
+        warm_up=60 * SECOND,
+        after=30 * SECOND,
+    ),
     Case("few-of-many-rare", bears=1.0, servers=40, cold=4, leave=40, warm_up=60 * SECOND, after=30 * SECOND),
-    Case("few-of-many-full", bears=3.0, servers=40, cold=4, leave=40, load=1.0, warm_up=60 * SECOND, after=30 * SECOND),
+    Case(
+        "few-of-many-full",
+        bears=3.0,
+        servers=40,
+        cold=4,
+        leave=40,
+        load=1.0,
+        warm_up=60 * SECOND,
+        after=30 * SECOND,
+    ),
     Case("one-of-many", bears=3.0, servers=40, cold=1, leave=40, warm_up=60 * SECOND, after=30 * SECOND),
-    Case("few-mixed-of-many", bears=3.0, servers=40, cold=4, leave=40, mixed=4, warm_up=60 * SECOND, after=30 * SECOND),
-    Case("half-mixed-of-many", bears=3.0, servers=40, cold=4, leave=40, mixed=2, warm_up=60 * SECOND, after=30 * SECOND),
-    Case("few-of-many-quiet", bears=3.0, servers=40, cold=4, leave=40, quiet=0.1, warm_up=60 * SECOND, after=30 * SECOND),
+    Case(
+        "few-mixed-of-many",
+        bears=3.0,
+        servers=40,
+        cold=4,
+        leave=40,
+        mixed=4,
+        warm_up=60 * SECOND,
+        after=30 * SECOND,
+    ),
+    Case(
+        "half-mixed-of-many",
+        bears=3.0,
+        servers=40,
+        cold=4,
+        leave=40,
+        mixed=2,
+        warm_up=60 * SECOND,
+        after=30 * SECOND,
+    ),
+    Case(
+        "few-of-many-quiet",
+        bears=3.0,
+        servers=40,
+        cold=4,
+        leave=40,
+        quiet=0.1,
+        warm_up=60 * SECOND,
+        after=30 * SECOND,
+    ),
     Case("all-cold-after-dark", cold=12, leave=12, dark=30 * SECOND, before=35 * SECOND),
-    Case("mixed", mixed=1, restarted=1 / 3), Case("mixed-all-restarted", mixed=1, restarted=1.0),
+    Case("mixed", mixed=1, restarted=1 / 3),
+    Case("mixed-all-restarted", mixed=1, restarted=1.0),
     Case("mixed-of-many", bears=3.0, servers=40, mixed=1, restarted=1 / 3),
     Case("reader-among-mixed", bears=3.0, servers=40, mixed=-39, restarted=1 / 3),
-    Case("overload", load=1.5, restarted=1 / 3), Case("multiple-2", multiple=2.0, cold_from=0.1, restarted=1 / 3),
+    Case("overload", load=1.5, restarted=1 / 3),
+    Case("multiple-2", multiple=2.0, cold_from=0.1, restarted=1 / 3),
 ]
 
 
@@ -105,8 +173,17 @@
 def fleet_of(number: int, gateways: int, cold_from: float, warm_up: Time, multiple: float) -> Fleet:
     """What the gateway of that number knows of the servers, before its first list."""
     settings = ModuleSettings(
-        number=number, gateways=gateways, zone="a", max_legs=TRIES, max_retry_after=0, fall_multiple=multiple,
-        must_ask=False, cold_from=cold_from, warm_up=warm_up, local_reads=True)
+        number=number,
+        gateways=gateways,
+        zone="a",
+        max_legs=TRIES,
+        max_retry_after=0,
+        fall_multiple=multiple,
+        must_ask=False,
+        cold_from=cold_from,
+        warm_up=warm_up,
+        local_reads=True,
+    )
     return Fleet(Silent(), number, settings)  # type: ignore[arg-type]
 
 
@@ -130,21 +207,40 @@
     def add(self, other: "Found") -> None:
         for one in fields(self):
             here, there = getattr(self, one.name), getattr(other, one.name)
-            setattr(self, one.name, max(here, there) if one.name in ("worst", "operators_worst") else here + there)
+            setattr(
+                self, one.name, max(here, there) if one.name in ("worst", "operators_worst") else here + there
+            )
 
 
 class Cluster:
     """One play of a case."""
 
     def __init__(self, case: Case, gateways: int, seed: int, window: Time, one_clock: bool = False) -> None:
-        self.case, self.count, self.window, self.random = case, gateways, window, Random(f"{case.name} {gateways} {seed}")
+        self.case, self.count, self.window, self.random = (
+            case,
+            gateways,
+            window,
+            Random(f"{case.name} {gateways} {seed}"),
+        )
         self.start = case.before
         self.events: list[tuple[Time, int, str, tuple]] = []
         self.ticket = 0
-        self.old = [Server(f"s{seed}-{number}", "a", "k", 1, "mixed" if number < -case.mixed else "reader", 100_000)
-                    for number in range(case.servers - (0 if case.leave else case.cold))]
-        self.new = [Server(f"c{seed}-{number}", "a", "k", 1, "mixed" if number < case.mixed else "reader", 100_000,
-                           started=self.start) for number in range(case.cold)]
+        self.old = [
+            Server(f"s{seed}-{number}", "a", "k", 1, "mixed" if number < -case.mixed else "reader", 100_000)
+            for number in range(case.servers - (0 if case.leave else case.cold))
+        ]
+        self.new = [
+            Server(
+                f"c{seed}-{number}",
+                "a",
+                "k",
+                1,
+                "mixed" if number < case.mixed else "reader",
+                100_000,
+                started=self.start,
+            )
+            for number in range(case.cold)
+        ]
         self.free: dict[str, Time] = {}
         self.read = 0
         self.sent: dict[str, list[Time]] = {one.name: [] for one in self.new}
@@ -172,7 +268,10 @@
     def play(self) -> Found:
         case, random = self.case, self.random
         rate = case.load * case.servers * case.bears / SECOND
-        weights = [random.choice((4.0, 0.3)) if random.random() < 0.2 else random.uniform(0.5, 1.5) for _ in range(self.count)]
+        weights = [
+            random.choice((4.0, 0.3)) if random.random() < 0.2 else random.uniform(0.5, 1.5)
+            for _ in range(self.count)
+        ]
         when, end = 0.0, self.start + case.after
         while (when := when + random.expovariate(rate * (case.quiet if when > self.start else 1))) < end:
             self.at(int(when), "arrive", random.choices(range(self.count), weights)[0])
@@ -187,7 +286,7 @@
         return self.found(self.window)
 
     def hear(self, now: Time, number: int, restarted: bool) -> None:
-        gone = {one.name for one in self.old[:self.case.leave]}
+        gone = {one.name for one in self.old[: self.case.leave]}
         if restarted:
             self.fleets[number] = self.fleet(number, now)
             self.own[number] = {one.name: replace(one) for one in self.old}
@@ -196,7 +295,21 @@
         self.fleets[number].update(now, list(own.values()), True)
 
     def arrive(self, now: Time, number: int) -> None:
-        gen = Generation(f"{now} {self.ticket}", PRODUCT, None, None, None, 0, 1000, 100, None, now, now + 40_000, False, False)
+        gen = Generation(
+            f"{now} {self.ticket}",
+            PRODUCT,
+            None,
+            None,
+            None,
+            0,
+            1000,
+            100,
+            None,
+            now,
+            now + 40_000,
+            False,
+            False,
+        )
         self.send(now, number, gen)
 
     def send(self, now: Time, number: int, gen: Generation) -> None:
@@ -205,7 +318,9 @@
         tried = {leg.server for leg in gen.legs}
         roles: tuple[Role, ...] = ("reader", "mixed")
         seats = [one for role in roles for one in fleet.usable(role, now, gen) if one.server not in tried]
-        seats = [one for one in seats if one.drawn is gen] or [one for one in seats if not fleet.cold(one, now)]
+        seats = [one for one in seats if one.drawn is gen] or [
+            one for one in seats if not fleet.cold(one, now)
+        ]
         if not seats or len(gen.legs) >= TRIES:
             return
         seat = self.random.choice(seats)
@@ -213,7 +328,7 @@
         gen.legs.append(leg)
         seat.waiting[leg] = now
         name = seat.server.name
-        if now >= self.start - self.case.dark and name in {one.name for one in self.old[:self.case.leave]}:
+        if now >= self.start - self.case.dark and name in {one.name for one in self.old[: self.case.leave]}:
             self.at(now + MS, "back", number, fleet, seat, leg, "unreachable")
             return
         if name in self.sent and now - self.start < self.case.warm_up:
@@ -221,7 +336,15 @@
         pace = self.case.bears * (self.warmth(now - self.start) if name in self.sent else 1) / SECOND
         self.free[name] = int(max(now, self.free.get(name, 0)) + self.random.expovariate(1) / pace) + 1
         done = self.free[name] + PATH
-        self.at(min(done, now + PATIENCE), "back", number, fleet, seat, leg, "read" if done <= now + PATIENCE else "time-out")
+        self.at(
+            min(done, now + PATIENCE),
+            "back",
+            number,
+            fleet,
+            seat,
+            leg,
+            "read" if done <= now + PATIENCE else "time-out",
+        )
 
     def back(self, now: Time, number: int, fleet: Fleet, seat: Seat, leg: Leg, outcome: str) -> None:
         seat.waiting.pop(leg, None)
@@ -264,8 +387,10 @@
 
 
 def rows(cases: list[Case], gateways: list[int], seeds: int, window: Time, one_clock: bool) -> None:
-    print("| case | gateways | worst ratio | windows over | servers over | worst, stricter | servers over, stricter "
-          "| variance/mean | budget used | read in time |")
+    print(
+        "| case | gateways | worst ratio | windows over | servers over | worst, stricter | servers over, stricter "
+        "| variance/mean | budget used | read in time |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for case in cases:
         for count in gateways:
@@ -273,22 +398,35 @@
             for seed in range(seeds):
                 found.add(Cluster(case, count, seed, window, one_clock).play())
             spread = variance(found.first) / max(1e-9, fmean(found.first))
-            print(f"| {case.name} | {count} | {found.operators_worst:.2f} "
-                  f"| {found.operators_windows_over} of {found.windows} "
-                  f"| {found.operators_servers_over} of {found.servers} "
-                  f"| {found.worst:.2f} | {found.servers_over} of {found.servers} "
-                  f"| {spread:.2f} | {found.sent / found.allowed:.2f} | {found.read / found.allowed:.2f} |", flush=True)
+            print(
+                f"| {case.name} | {count} | {found.operators_worst:.2f} "
+                f"| {found.operators_windows_over} of {found.windows} "
+                f"| {found.operators_servers_over} of {found.servers} "
+                f"| {found.worst:.2f} | {found.servers_over} of {found.servers} "
+                f"| {spread:.2f} | {found.sent / found.allowed:.2f} | {found.read / found.allowed:.2f} |",
+                flush=True,
+            )
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--seeds", type=int, default=200)
     parser.add_argument("--gateways", type=int, nargs="+", default=[1, 2, 5, 20, 30, 230])
     parser.add_argument("--cases", nargs="+", default=[one.name for one in CASES])
     parser.add_argument("--window", type=int, default=1000, help="fall_ms: 1000, 2000, 3000")
-    parser.add_argument("--one-clock", action="store_true", help="all state a start alike, to the tenth of a ms")
+    parser.add_argument(
+        "--one-clock", action="store_true", help="all state a start alike, to the tenth of a ms"
+    )
     given = parser.parse_args()
-    rows([one for one in CASES if one.name in given.cases], given.gateways, given.seeds, given.window * MS, given.one_clock)
+    rows(
+        [one for one in CASES if one.name in given.cases],
+        given.gateways,
+        given.seeds,
+        given.window * MS,
+        given.one_clock,
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/timers.py
+++ b/benchmarks/timers.py
@@ -1,6 +1,6 @@
 """What setting, cancelling and firing a timer costs with few and with many pending.
 
-    python -m benchmarks.timers
+python -m benchmarks.timers
 """
 
 import time
@@ -35,7 +35,9 @@
         table.add_column(column, justify="right")
     for pending in (1_000, 100_000):
         tries = [cost(pending) for _ in range(5)]
-        table.add_row(f"{pending:,}", f"{min(one for one, _ in tries):.2f}", f"{min(one for _, one in tries):.2f}")
+        table.add_row(
+            f"{pending:,}", f"{min(one for one, _ in tries):.2f}", f"{min(one for _, one in tries):.2f}"
+        )
     Console().print(table)
 
 
--- a/benchmarks/weights.py
+++ b/benchmarks/weights.py
@@ -22,13 +22,33 @@
     regions = -(-sites // 10)
     names = [[f"s{region}-{number}" for number in range(region, sites, regions)] for region in range(regions)]
     every = [name for region in names for name in region]
-    return checked({
-        "version": 1, "sites": {name: {"bytes_per_s": own, "gateways": [number]} for number, name in enumerate(every)},
-        "links": {f"u{number}": {"bytes_per_s": CAPACITY, "sites": region} for number, region in enumerate(names)},
-        "models": {f"m{number}": {"version": "1", "priority": priority, "sites": every, "origin": "127.0.0.1:9", "path": "/m",
-                                  "manifest": {"size": size, "piece": PIECE, "whole": "0" * 64,
-                                               "pieces": ["0" * 64] * -(-size // PIECE)}}
-                   for number, (priority, size) in enumerate(models)}}, "benchmark")
+    return checked(
+        {
+            "version": 1,
+            "sites": {name: {"bytes_per_s": own, "gateways": [number]} for number, name in enumerate(every)},
+            "links": {
+                f"u{number}": {"bytes_per_s": CAPACITY, "sites": region}
+                for number, region in enumerate(names)
+            },
+            "models": {
+                f"m{number}": {
+                    "version": "1",
+                    "priority": priority,
+                    "sites": every,
+                    "origin": "127.0.0.1:9",
+                    "path": "/m",
+                    "manifest": {
+                        "size": size,
+                        "piece": PIECE,
+                        "whole": "0" * 64,
+                        "pieces": ["0" * 64] * -(-size // PIECE),
+                    },
+                }
+                for number, (priority, size) in enumerate(models)
+            },
+        },
+        "benchmark",
+    )
 
 
 def bound(country: Country, size: int) -> float:
@@ -49,8 +69,10 @@
     country.run(600 * SECOND, lambda: len(country.done) == sites)
     took, least = max(country.done.values()) / SECOND, bound(country, size)
     over = [country.bytes_over(link) / size for link in country.wanted.links]
-    print(f"{sites:>5} {own // MB:>6} {took:>8.2f} {least:>7.2f} {took / least:>6.2f} {max(over):>8.3f} "
-          f"{sum(over) / len(over) * size / (CAPACITY * took):>7.2f} {len(country.over):>5}")
+    print(
+        f"{sites:>5} {own // MB:>6} {took:>8.2f} {least:>7.2f} {took / least:>6.2f} {max(over):>8.3f} "
+        f"{sum(over) / len(over) * size / (CAPACITY * took):>7.2f} {len(country.over):>5}"
+    )
 
 
 def classes(sites: int) -> None:
@@ -62,10 +84,15 @@
     tree = wanted(sites, 2 * CAPACITY, [*models, (0, 100 * MB)])
     country.renew(tree)
     country.run(600 * SECOND, lambda: len(country.done) == sites * 4)
-    ends = {name: max(at for (_, (model, _)), at in country.done.items() if model == name) / SECOND for name in tree.models}
+    ends = {
+        name: max(at for (_, (model, _)), at in country.done.items() if model == name) / SECOND
+        for name in tree.models
+    }
     total = sum(size for _, size in models) + 100 * MB
-    print(f"{sites:>5}  top {ends['m2']:.2f} (2.00)  urgent {ends['m3'] - 3:.2f} after it was wanted (1.00)  "
-          f"middle {ends['m1']:.2f} (7.00)  low {ends['m0']:.2f} ({total / CAPACITY:.2f})  over capacity {len(country.over)}")
+    print(
+        f"{sites:>5}  top {ends['m2']:.2f} (2.00)  urgent {ends['m3'] - 3:.2f} after it was wanted (1.00)  "
+        f"middle {ends['m1']:.2f} (7.00)  low {ends['m0']:.2f} ({total / CAPACITY:.2f})  over capacity {len(country.over)}"
+    )
 
 
 def plans(sites: int) -> None:
@@ -86,7 +113,9 @@
     words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     words.add_argument("--sites", type=int, nargs="+", default=[2, 10, 50])
     counts = words.parse_args().sites
-    print("1 GB to all sites, 100 MB/s shared by ten; times in s; shared: bytes over it, 1 is once per region")
+    print(
+        "1 GB to all sites, 100 MB/s shared by ten; times in s; shared: bytes over it, 1 is once per region"
+    )
     print("sites own MB/s    took   bound  ratio   shared    used  over")
     for sites in counts:
         for own in (200 * MB, 100 * MB, 40 * MB):
--- a/stackpitch/benchlink/host.py
+++ b/stackpitch/benchlink/host.py
@@ -8,12 +8,30 @@
 from stackpitch.benchlink import settings
 from stackpitch.benchlink.codec import BadField, WireError, read_lines
 from stackpitch.brain import Brain
-from stackpitch.interface import Customer, Generation, Leg, Outcome, Product, Report, Role, Server, State, Time
+from stackpitch.interface import (
+    Customer,
+    Generation,
+    Leg,
+    Outcome,
+    Product,
+    Report,
+    Role,
+    Server,
+    State,
+    Time,
+)
 from stackpitch.plausible import Doubts
 
 OUTCOMES: dict[str, Outcome] = {
-    "pass": "streamed", "prefilled": "read", "fault": "error", "no_room": "full", "too_slow": "time-out",
-    "no_route": "unreachable", "cut": "reset", "undone": "cancelled", "stale_send": "not-sent",
+    "pass": "streamed",
+    "prefilled": "read",
+    "fault": "error",
+    "no_room": "full",
+    "too_slow": "time-out",
+    "no_route": "unreachable",
+    "cut": "reset",
+    "undone": "cancelled",
+    "stale_send": "not-sent",
 }
 STATES: dict[str, State] = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
 ROSTERS = {"Partial": False, "Complete": True, "Persisted": True}
@@ -89,7 +107,11 @@
 
     def _report(self, server: str, usage: dict[str, float] | None) -> Report | None:
         self.doubts.server = server
-        return self.doubts.report(*(usage.get(one) for one in ("x0", "utilization", "backlog"))) if usage is not None else None
+        return (
+            self.doubts.report(*(usage.get(one) for one in ("x0", "utilization", "backlog")))
+            if usage is not None
+            else None
+        )
 
     def _doubted(self) -> None:
         if (told := self.doubts.due(self.now)) is not None:
@@ -124,16 +146,36 @@
         self.brain.roster(self.now, changed, ROSTERS[how])
 
     def on_ingress(
-        self, name: str, repeat: bool | None, shared_tok: int | None, product: str, prompt_tok: int,
-        session: str | None, gives_up: Time, shared: str | None, resumed: bool | None, limit_tok: int | None,
-        customer: str | None, hint: Time | None,
+        self,
+        name: str,
+        repeat: bool | None,
+        shared_tok: int | None,
+        product: str,
+        prompt_tok: int,
+        session: str | None,
+        gives_up: Time,
+        shared: str | None,
+        resumed: bool | None,
+        limit_tok: int | None,
+        customer: str | None,
+        hint: Time | None,
     ) -> None:
         if product not in self.products:
             raise BadField("type")
         gen = Generation(
-            name, self.products[product], self.customers.get(customer or ""),
-            None if session == NO_KEY else session, None if shared == NO_KEY else shared, shared_tok or 0,
-            prompt_tok, limit_tok or 0, hint, self.now, gives_up, bool(repeat), bool(resumed),
+            name,
+            self.products[product],
+            self.customers.get(customer or ""),
+            None if session == NO_KEY else session,
+            None if shared == NO_KEY else shared,
+            shared_tok or 0,
+            prompt_tok,
+            limit_tok or 0,
+            hint,
+            self.now,
+            gives_up,
+            bool(repeat),
+            bool(resumed),
         )
         self.generations[name] = gen
         self.brain.arrived(self.now, gen)
@@ -147,8 +189,15 @@
         return gen.legs[number]
 
     def on_completed(
-        self, name: str, number: int, server: str, disposition: str, wait: Time | None, over: bool | None,
-        detail: float | None, usage: dict[str, float] | None,
+        self,
+        name: str,
+        number: int,
+        server: str,
+        disposition: str,
+        wait: Time | None,
+        over: bool | None,
+        detail: float | None,
+        usage: dict[str, float] | None,
     ) -> None:
         if disposition not in OUTCOMES:
             raise BadField("disposition")
@@ -159,7 +208,11 @@
         leg.gen.over = leg.gen.over or bool(over)
         no_state = leg.outcome == "full" and detail == 1
         report = self._report(server, usage)
-        kept = self.doubts.kept(detail, leg.gen.prompt_tok) if detail and leg.outcome in ("read", "streamed") else 0
+        kept = (
+            self.doubts.kept(detail, leg.gen.prompt_tok)
+            if detail and leg.outcome in ("read", "streamed")
+            else 0
+        )
         self.brain.ended(self.now, leg, kept, no_state, report)
         self._doubted()
         self._forget(leg.gen)
@@ -188,7 +241,9 @@
         if disposition not in OUTCOMES:
             raise BadField("disposition")
         if server in self.servers:
-            self.brain.probed(self.now, self.servers[server], disposition == "pass", self._report(server, usage))
+            self.brain.probed(
+                self.now, self.servers[server], disposition == "pass", self._report(server, usage)
+            )
             self._doubted()
 
     def on_heard(self, peer: int, octets: bytes | None) -> None:
@@ -201,9 +256,14 @@
 
 
 HANDLERS: dict[str, Callable[..., None]] = {
-    "INGRESS": Instance.on_ingress, "COMPLETED": Instance.on_completed, "UNDER_WAY": Instance.on_started,
-    "LEFT": Instance.on_left, "SEAT_NEWS": Instance.on_held, "CHECK_RESULT": Instance.on_probed,
-    "REMINDER": Instance.on_reminder, "HEARD": Instance.on_heard,
+    "INGRESS": Instance.on_ingress,
+    "COMPLETED": Instance.on_completed,
+    "UNDER_WAY": Instance.on_started,
+    "LEFT": Instance.on_left,
+    "SEAT_NEWS": Instance.on_held,
+    "CHECK_RESULT": Instance.on_probed,
+    "REMINDER": Instance.on_reminder,
+    "HEARD": Instance.on_heard,
 }
 
 
--- a/stackpitch/benchlink/settings.py
+++ b/stackpitch/benchlink/settings.py
@@ -4,7 +4,11 @@
 
 from stackpitch.interface import Customer, Effect, Product, Role
 
-EFFECTS: dict[str, Effect] = {"free": "idempotent", "guarded": "deduplicated", "single_shot": "side-effecting"}
+EFFECTS: dict[str, Effect] = {
+    "free": "idempotent",
+    "guarded": "deduplicated",
+    "single_shot": "side-effecting",
+}
 MOST = 1e15  # of any figure, in the settings' own units
 ROLES: dict[str, Role] = {"read": "reader", "write": "writer", "both": "mixed"}
 
@@ -84,7 +88,9 @@
 
 def customers(config: Tree) -> dict[str, Customer]:
     return {
-        one.get("name", str): Customer(one.get("name", str), one.number("share", 0), one.number("quotaPerS", 0))
+        one.get("name", str): Customer(
+            one.get("name", str), one.number("share", 0), one.number("quotaPerS", 0)
+        )
         for one in config.trees("tenants")
     }
 
@@ -102,7 +108,7 @@
     read = extra.get("localRead", bool, False) or "read" in duties
     if "both" not in duties and not (read and "write" in duties):  # nothing could ever be answered
         raise Missing(f"{extra.path}.dutyByKind")
-    if any(duty != "read" for duty in duties[len(memory):]):
+    if any(duty != "read" for duty in duties[len(memory) :]):
         raise Missing(f"{extra.path}.kvTokens")
     return {
         name: (ROLES[duties[i]], int(memory[i]) if i < len(memory) else 0) for i, name in enumerate(names)
--- a/stackpitch/brain/__init__.py
+++ b/stackpitch/brain/__init__.py
@@ -12,7 +12,17 @@
 from stackpitch.brain.reader import Reader
 from stackpitch.brain.seats import Seat, mix
 from stackpitch.brain.writer import Writer
-from stackpitch.interface import SECOND, Gateway, Generation, Leg, Module, ModuleSettings, Report, Server, Time
+from stackpitch.interface import (
+    SECOND,
+    Gateway,
+    Generation,
+    Leg,
+    Module,
+    ModuleSettings,
+    Report,
+    Server,
+    Time,
+)
 
 __all__ = ["Brain", "Fleet", "Guard", "Home", "Seat", "mix"]
 
--- a/stackpitch/brain/admission.py
+++ b/stackpitch/brain/admission.py
@@ -27,8 +27,10 @@
         shed = vain or part - self.START > self.SPAN * self.fleet.chance()
         if shed != self.shedding and (shed or part < self.START / 2):
             self.shedding = shed
-            self.fleet.gateway.log(f"throttling {'begins' if shed else 'ends'} "
-                                   f"wait={wait / MS:.0f}ms late={late / MS:.0f}ms held={held:.2f}")
+            self.fleet.gateway.log(
+                f"throttling {'begins' if shed else 'ends'} "
+                f"wait={wait / MS:.0f}ms late={late / MS:.0f}ms held={held:.2f}"
+            )
         if shed:
             self.guard.answer(gen)
         return shed
--- a/stackpitch/brain/affinity.py
+++ b/stackpitch/brain/affinity.py
@@ -29,9 +29,13 @@
 
     def take(self, now: Time, gen: Generation) -> None:
         kept = None if gen.legs else self.valid(now, self.key(gen))
-        if (kept is None or gen.prompt_tok - kept.tok > self.NEW_TOK
-                or self.fleet.full(kept.seat, now) >= self.HELD_SHARE or self.fleet.unwell(kept.seat, now)
-                or not self.guard.may_send(now, gen, kept.seat.server)):
+        if (
+            kept is None
+            or gen.prompt_tok - kept.tok > self.NEW_TOK
+            or self.fleet.full(kept.seat, now) >= self.HELD_SHARE
+            or self.fleet.unwell(kept.seat, now)
+            or not self.guard.may_send(now, gen, kept.seat.server)
+        ):
             self.below.take(now, gen)
         elif not self.below.admission.sheds(now, gen, 0.0):
             self.below.writer.send(now, gen, kept.seat)
@@ -126,7 +130,7 @@
         kind, key, rest = octets[:1], octets[1:9], octets[9:]
         if kind in (self.TELL, self.KNOWN) and len(rest) >= self.ENTRY.size:
             server, tok, age = self.ENTRY.unpack_from(rest)
-            rest, seat = rest[self.ENTRY.size:], self.fleet.by_hash.get(server)
+            rest, seat = rest[self.ENTRY.size :], self.fleet.by_hash.get(server)
             if seat is not None:
                 self.owner.put(now, key, Kept(seat, now - age * MS, tok, 0, self.fleet.flow(seat)))
         elif kind == self.UNKNOWN:
--- a/stackpitch/brain/fleet.py
+++ b/stackpitch/brain/fleet.py
@@ -65,7 +65,8 @@
         """Shunned, or a leg has no word far longer than the role takes: hung, cut off or very slow."""
         silent = now - next(iter(seat.waiting.values()), now)
         return now < seat.shunned_until or silent > max(
-            self.SILENT_FLOOR, self.SILENT_TIMES * self.usual[seat.server.role])
+            self.SILENT_FLOOR, self.SILENT_TIMES * self.usual[seat.server.role]
+        )
 
     def strike(self, seat: Seat, now: Time, leg: Leg) -> None:
         wait = now - leg.sent
@@ -107,8 +108,16 @@
 
     def queue_wait(self, role: Role, seats: list[Seat], now: Time) -> float:
         """How long our legs that have waited a while will take at the pace at which legs get done."""
-        old = max(0, sum(now - sent > self.QUEUED_AFTER * leg.gen.product.slo_time for one in seats
-                         if one.waiting for leg, sent in one.waiting.items()) - len(seats) // 2)
+        old = max(
+            0,
+            sum(
+                now - sent > self.QUEUED_AFTER * leg.gen.product.slo_time
+                for one in seats
+                if one.waiting
+                for leg, sent in one.waiting.items()
+            )
+            - len(seats) // 2,
+        )
         return old * min(self.PACE, now - self.born) / max(1.0, faded(self.done[role], now, self.PACE))
 
     def healthy(self, role: Role, now: Time) -> list[Seat]:
--- a/stackpitch/brain/guard.py
+++ b/stackpitch/brain/guard.py
@@ -29,8 +29,12 @@
         ran, product = self.ran(gen), gen.product
         if not ran or product.effect != "deduplicated":
             return not ran or product.effect == "idempotent"
-        same = all(product.scope == "all" or leg.server.zone == server.zone
-                   and (product.scope == "zone" or leg.server.cell == server.cell) for leg in ran)
+        same = all(
+            product.scope == "all"
+            or leg.server.zone == server.zone
+            and (product.scope == "zone" or leg.server.cell == server.cell)
+            for leg in ran
+        )
         return same and now < remembered_until(ran[0].sent, product)
 
     def open(self, role: Role, now: Time, gen: Generation) -> list[Seat]:
--- a/stackpitch/brain/load.py
+++ b/stackpitch/brain/load.py
@@ -33,13 +33,13 @@
         """Our list's mark, a place in it, from there a byte a server: what a gateway holds of it, by us."""
         self.follow(now)
         start = self.said if self.said < len(self.order) else 0
-        part = self.order[start:start + self.SPOKEN]
+        part = self.order[start : start + self.SPOKEN]
         self.said, head = start + len(part), self.mark + start.to_bytes(2, "little")  # the next goes on there
         return head + bytes(min(255, round(self.SCALE * self.gateways * one.mean)) for one in part)
 
     def hear(self, now: Time, word: bytes) -> None:
         """A peer's means stand in for reports: meeting half-way again and again makes them those of all."""
-        part = self.order[(start := int.from_bytes(word[4:6], "little")):start + self.SPOKEN]
+        part = self.order[(start := int.from_bytes(word[4:6], "little")) : start + self.SPOKEN]
         if word[:4] != self.mark or len(word) != 6 + len(part):
             return
         self.follow(now)
--- a/stackpitch/brain/reader.py
+++ b/stackpitch/brain/reader.py
@@ -57,7 +57,7 @@
         few = ceil(self.SPREAD * part * sum([weight[at] for at in order if not far[at]]))
         order[:few] = sorted(order[:few], key=lambda at: mix(seats[at].hash, session))
         fresh, costs = gen.prompt_tok - gen.shared_tok, list[tuple[float, Seat]]()
-        for rank, at in enumerate(order[:self.LEAST] if self.fleet.peers else order):
+        for rank, at in enumerate(order[: self.LEAST] if self.fleet.peers else order):
             anew = fresh // 3 if rank == 0 else fresh if rank < few else gen.prompt_tok
             cost = self.fleet.wait_tok(seats[at], now, gen) + self.SPILL * anew + gen.prompt_tok * far[at]
             costs.append((cost, seats[at]))
@@ -80,7 +80,9 @@
             return False
         if leg.outcome == "read":
             self.writer.take(now, gen)
-        elif (now + max(50 * MS, self.fleet.expected(now, gen) / 2) < gen.gives_up
-              and len(gen.legs) + 2 <= self.guard.max_legs):
+        elif (
+            now + max(50 * MS, self.fleet.expected(now, gen) / 2) < gen.gives_up
+            and len(gen.legs) + 2 <= self.guard.max_legs
+        ):
             self.take(now, gen)
         return gen.out()
--- a/stackpitch/brain/seats.py
+++ b/stackpitch/brain/seats.py
@@ -50,7 +50,11 @@
 
     def __init__(self, gateway: Gateway, seed: int, settings: ModuleSettings) -> None:
         self.gateway, self.seed, self.peers, self.zone = gateway, seed, settings.peers, settings.zone
-        self.number, self.gateways, self.warm_up = settings.number, settings.gateways, max(1, settings.warm_up)
+        self.number, self.gateways, self.warm_up = (
+            settings.number,
+            settings.gateways,
+            max(1, settings.warm_up),
+        )
         self.cold_load, self.cold_from = self.COLD_CARE * settings.fall_multiple, settings.cold_from
         self.near, self.wanting = dict[int, float](), dict[int, float]()  # part written there; others to feed
         self.stay, self.whole = 1.0, 0.0  # part of our sessions for this zone; a mixed server's weight
--- a/stackpitch/brain/writer.py
+++ b/stackpitch/brain/writer.py
@@ -26,8 +26,10 @@
         aways = [one.server.zone != self.fleet.zone for one in seats]
         fars = aways if cell is None else [one.server.cell != cell for one in seats]
         slower = (self.FAR, self.FAR + self.AWAY) if self.fleet.others else (self.BLIND, self.BLIND)
-        keys = {one: (-one.reported_at * vain, self.fleet.held_share(one, now, usual) + slower[away] * far)
-                for one, away, far in zip(seats, aways, fars)}
+        keys = {
+            one: (-one.reported_at * vain, self.fleet.held_share(one, now, usual) + slower[away] * far)
+            for one, away, far in zip(seats, aways, fars)
+        }
         low = min(keys.values(), default=None)
         return min((one for one in keys if keys[one] == low), default=None, key=lambda one: mix(one.hash, by))
 
--- a/stackpitch/cli/asking.py
+++ b/stackpitch/cli/asking.py
@@ -24,7 +24,18 @@
     return found
 
 
-SET = click.option("--set", "sets", multiple=True, metavar="NAME=VALUE",
-                   help="An external variable of the template (std.extVar); may be repeated.")
-CONFIG = click.option("-c", "--config", "config", required=True, type=click.Path(path_type=Path),
-                      help="Settings, a Jsonnet file.")
+SET = click.option(
+    "--set",
+    "sets",
+    multiple=True,
+    metavar="NAME=VALUE",
+    help="An external variable of the template (std.extVar); may be repeated.",
+)
+CONFIG = click.option(
+    "-c",
+    "--config",
+    "config",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="Settings, a Jsonnet file.",
+)
--- a/stackpitch/cli/commands/fleet.py
+++ b/stackpitch/cli/commands/fleet.py
@@ -62,8 +62,10 @@
         click.echo(str(wrong), err=True)
         sys.exit(1)
     right = not read.digest or read.digest == told(read)
-    click.echo(f"{file}: {'good' if right else 'its digest is another'}; version {read.version}, {len(read.servers)} servers, "
-               f"digest {told(read)}")
+    click.echo(
+        f"{file}: {'good' if right else 'its digest is another'}; version {read.version}, {len(read.servers)} servers, "
+        f"digest {told(read)}"
+    )
     sys.exit(0 if right else 1)
 
 
--- a/stackpitch/cli/commands/rehearse.py
+++ b/stackpitch/cli/commands/rehearse.py
@@ -17,14 +17,50 @@
 @SET
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object instead of tables.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Keep records and logs in this folder.")
-@click.option("--virtual", is_flag=True, help="Play it in one process and made-up time: much faster, the same every time.")
-@click.option("--seeds", metavar="A..B", help="With --virtual: play the day with each of these seeds, one line each.")
-@click.option("--broken", type=click.Choice(["answered", "effects", "drains", "cold", "pinned", "fenceless", "leaseless",
-                                               "forgetful", "hasty", "restless", "unsynced", "ownerless", "unpaced",
-                                               "classless", "unchecked", "hurried", "babel", "across", "willful"]),
-              help="Break the gateways on purpose, to see the checker catch it.")
-def rehearse(day: Path, sets: tuple[str, ...], as_json: bool, keep: Path | None, virtual: bool, seeds: str | None,
-             broken: str | None) -> None:
+@click.option(
+    "--virtual",
+    is_flag=True,
+    help="Play it in one process and made-up time: much faster, the same every time.",
+)
+@click.option(
+    "--seeds", metavar="A..B", help="With --virtual: play the day with each of these seeds, one line each."
+)
+@click.option(
+    "--broken",
+    type=click.Choice(
+        [
+            "answered",
+            "effects",
+            "drains",
+            "cold",
+            "pinned",
+            "fenceless",
+            "leaseless",
+            "forgetful",
+            "hasty",
+            "restless",
+            "unsynced",
+            "ownerless",
+            "unpaced",
+            "classless",
+            "unchecked",
+            "hurried",
+            "babel",
+            "across",
+            "willful",
+        ]
+    ),
+    help="Break the gateways on purpose, to see the checker catch it.",
+)
+def rehearse(
+    day: Path,
+    sets: tuple[str, ...],
+    as_json: bool,
+    keep: Path | None,
+    virtual: bool,
+    seeds: str | None,
+    broken: str | None,
+) -> None:
     """Play a day with troubles on loopback and judge the five rules; exit 1 if one is broken."""
     from rich.console import Console
 
--- a/stackpitch/cli/commands/serving.py
+++ b/stackpitch/cli/commands/serving.py
@@ -37,7 +37,9 @@
 
     from stackpitch.membership.bundle import serve_lines
 
-    resource.setrlimit(resource.RLIMIT_AS, (CHECKER_BYTES, CHECKER_BYTES))  # a template that grows without end
+    resource.setrlimit(
+        resource.RLIMIT_AS, (CHECKER_BYTES, CHECKER_BYTES)
+    )  # a template that grows without end
     serve_lines(sys.stdin.buffer, sys.stdout.buffer)
 
 
--- a/stackpitch/cli/commands/settings.py
+++ b/stackpitch/cli/commands/settings.py
@@ -28,8 +28,10 @@
         click.echo("\n".join(found.problems), err=True)
         sys.exit(1)
     read = settings_package.read(Settings, config, given(sets))
-    click.echo(f"{config}: good; {len(read.products)} products, {len(read.customers)} customers; "
-               f"{read.roster}: version {found.version}, {len(found.entries)} servers; {found.guards} guards hold")
+    click.echo(
+        f"{config}: good; {len(read.products)} products, {len(read.customers)} customers; "
+        f"{read.roster}: version {found.version}, {len(found.entries)} servers; {found.guards} guards hold"
+    )
 
 
 @settings.command(epilog="Example: stackpitch settings show -c deploy/gateway.jsonnet")
--- a/stackpitch/cli/expect.py
+++ b/stackpitch/cli/expect.py
@@ -68,7 +68,9 @@
     return list(judge.all(names)), judge.touched
 
 
-def run(book: Book, given: Given, draws: int, only: tuple[str, ...], jobs: int) -> tuple[Judge, list[Verdict]]:
+def run(
+    book: Book, given: Given, draws: int, only: tuple[str, ...], jobs: int
+) -> tuple[Judge, list[Verdict]]:
     """All verdicts in the book's order; statements are dealt out to `jobs` processes, each of them stands alone."""
     for name in only:
         if name not in book.statements:
@@ -76,7 +78,7 @@
     judge, names = Judge(book, given.deployment(), draws), list(only) or list(book.statements)
     if jobs < 2 or len(names) * len(given.fleet.servers) < WORTH_SHARING:
         return judge, list(judge.all(names))
-    parts = [names[start::jobs * 4] for start in range(min(len(names), jobs * 4))]
+    parts = [names[start :: jobs * 4] for start in range(min(len(names), jobs * 4))]
     found: dict[str, Verdict] = {}
     with ProcessPoolExecutor(jobs) as pool:
         for verdicts, touched in pool.map(partial(_some, book, given, draws), parts):
@@ -93,8 +95,11 @@
         if one.passed:
             continue
         guard = " (guard)" if one.statement.guard else ""
-        console.print(f"[{colours[one.word()]}]{one.word()}[/]{guard}: [bold]{escape(one.statement.name)}[/]  "
-                      f"[dim]{one.file}:{one.statement.line}[/]", highlight=False)
+        console.print(
+            f"[{colours[one.word()]}]{one.word()}[/]{guard}: [bold]{escape(one.statement.name)}[/]  "
+            f"[dim]{one.file}:{one.statement.line}[/]",
+            highlight=False,
+        )
         console.print(f"  {escape(one.why())}", highlight=False)
         if told < causes and one.word() == "fails":
             told += 1
@@ -104,8 +109,10 @@
         both = f'"{one_name}" and "{other}"' if one_name != other else f'"{one_name}" and itself'
         console.print(f"[yellow]contradict each other[/]: {escape(both)}: {escape(text)}", highlight=False)
     counts = Counter(one.word() for one in verdicts)
-    console.print(", ".join(f"{counts[word]} {word}" for word in colours if counts[word]) or "no statement",
-                  highlight=False)
+    console.print(
+        ", ".join(f"{counts[word]} {word}" for word in colours if counts[word]) or "no statement",
+        highlight=False,
+    )
 
 
 def coverage(console: Console, book: Book, judge: Judge) -> None:
@@ -131,10 +138,22 @@
     noticed = sum(one is not None for one in found)
     share = noticed / max(1, len(changes))
     if as_json:
-        click.echo(json.dumps({"changes": len(changes), "noticed": noticed, "share": round(share, 4), "unnoticed": [
-            one.text for one, by in zip(changes, found) if by is None]}, indent=2))
+        click.echo(
+            json.dumps(
+                {
+                    "changes": len(changes),
+                    "noticed": noticed,
+                    "share": round(share, 4),
+                    "unnoticed": [one.text for one, by in zip(changes, found) if by is None],
+                },
+                indent=2,
+            )
+        )
         return share
-    table = Table(title=f"{noticed} of {len(changes)} changes noticed ({share:.0%}); these are not", title_justify="left")
+    table = Table(
+        title=f"{noticed} of {len(changes)} changes noticed ({share:.0%}); these are not",
+        title_justify="left",
+    )
     table.add_column("what")
     table.add_column("change")
     for one, by in zip(changes, found):
@@ -190,25 +209,45 @@
                 yield path
 
 
-def once(files: tuple[Path, ...], config: Path, sets: dict[str, str], fleet: Path | None, draws: int, only: tuple[str, ...],
-         against: Path | None, explain: tuple[str, ...], as_json: bool, junit: Path | None, cover: bool, jobs: int) -> bool:
+def once(
+    files: tuple[Path, ...],
+    config: Path,
+    sets: dict[str, str],
+    fleet: Path | None,
+    draws: int,
+    only: tuple[str, ...],
+    against: Path | None,
+    explain: tuple[str, ...],
+    as_json: bool,
+    junit: Path | None,
+    cover: bool,
+    jobs: int,
+) -> bool:
     """One run over all statements; whether all hold and none contradict. Raises BadStatement and BadSettings."""
     console = Console(soft_wrap=True)
     book = books(files)
-    judge, verdicts = run(book, configuration(config, sets, fleet), draws, tuple(dict.fromkeys((*only, *explain))), jobs)
+    judge, verdicts = run(
+        book, configuration(config, sets, fleet), draws, tuple(dict.fromkeys((*only, *explain))), jobs
+    )
     clashes = book.contradictions(judge.sets)
     if junit is not None:
         junit.write_text(report.as_junit(verdicts), encoding="utf-8")
     tree = report.as_json(verdicts, clashes)
     if against is not None:
-        _, before = run(book, configuration(against, sets, None), draws, tuple(dict.fromkeys((*only, *explain))), jobs)
+        _, before = run(
+            book, configuration(against, sets, None), draws, tuple(dict.fromkeys((*only, *explain))), jobs
+        )
         changed = report.differences(before, verdicts)
-        tree["differs"] = [{"name": name, "what": what, "example": example} for name, what, example in changed]
+        tree["differs"] = [
+            {"name": name, "what": what, "example": example} for name, what, example in changed
+        ]
         if not as_json:
             for name, what, example in changed:
                 console.print(f"[cyan]differs[/]: [bold]{escape(name)}[/]: {escape(what)}", highlight=False)
                 console.print(f"  {escape(example)}", highlight=False)
-            console.print(f"{len(changed)} of {len(verdicts)} statements differ from {against}", highlight=False)
+            console.print(
+                f"{len(changed)} of {len(verdicts)} statements differ from {against}", highlight=False
+            )
     if cover:
         tree["untouched"] = watchlist.untouched(book, judge.of, judge)
     if as_json:
@@ -229,15 +268,33 @@
     return all(one.passed for one in verdicts) and not clashes
 
 
-def main(files: tuple[Path, ...], config: Path, sets: dict[str, str], fleet: Path | None, draws: int, only: tuple[str, ...],
-         against: Path | None, explain: tuple[str, ...], as_json: bool, junit: Path | None, cover: bool, mutate_it: bool,
-         most: int | None, watching: bool, jobs: int) -> int:
+def main(
+    files: tuple[Path, ...],
+    config: Path,
+    sets: dict[str, str],
+    fleet: Path | None,
+    draws: int,
+    only: tuple[str, ...],
+    against: Path | None,
+    explain: tuple[str, ...],
+    as_json: bool,
+    junit: Path | None,
+    cover: bool,
+    mutate_it: bool,
+    most: int | None,
+    watching: bool,
+    jobs: int,
+) -> int:
     """Exit code. Raises BadStatement and BadSettings."""
     if mutate_it:
         given = configuration(config, sets, fleet)
-        mutations(Console(soft_wrap=True), books(files), given, SAMPLED if most is None else most, as_json, jobs)
+        mutations(
+            Console(soft_wrap=True), books(files), given, SAMPLED if most is None else most, as_json, jobs
+        )
         return 0
-    again = partial(once, files, config, sets, fleet, draws, only, against, explain, as_json, junit, cover, jobs)
+    again = partial(
+        once, files, config, sets, fleet, draws, only, against, explain, as_json, junit, cover, jobs
+    )
     if watching:
         watch(files, [config, *([fleet] if fleet else [])], partial(_ignore, again))
         return 0
--- a/stackpitch/cli/fleet.py
+++ b/stackpitch/cli/fleet.py
@@ -90,7 +90,9 @@
 
 
 def differ(old: Fleet, new: Fleet) -> Change:
-    return change({one.name: one for one in entries_of(old, {}, "")}, {one.name: one for one in entries_of(new, {}, "")})
+    return change(
+        {one.name: one for one in entries_of(old, {}, "")}, {one.name: one for one in entries_of(new, {}, "")}
+    )
 
 
 def show_change(console: Console, found: Change, before: Shares, after: Shares) -> None:
@@ -104,7 +106,9 @@
         console.print(f"and {len(found.changed) - 20} more changed", highlight=False)
     if not found:
         console.print("no difference")
-    table = Table(title=f"First turns by the module, {PLAYED} of each product in a dry world", title_justify="left")
+    table = Table(
+        title=f"First turns by the module, {PLAYED} of each product in a dry world", title_justify="left"
+    )
     for column in ("", "", "before", "after"):
         table.add_column(column, justify="right" if column else "left")
     for what in before:
@@ -118,15 +122,20 @@
 
 
 def show_status(console: Console, status: dict[str, Any]) -> None:
-    console.print(f"version {status['version']} in force, {status['servers']} servers, {len(status['draining'])} draining",
-                  highlight=False)
+    console.print(
+        f"version {status['version']} in force, {status['servers']} servers, {len(status['draining'])} draining",
+        highlight=False,
+    )
     if status["last"]:
         console.print(f"last: {status['last']}", highlight=False)
     for reason in status["reasons"]:
         console.print(f"  {escape(reason)}", highlight=False)
     for one in status["held"]:
-        console.print(f"held back: version {one['version']}, taken in {one['taken_in_ms'] / 1000:.1f} s, or by "
-                      f"stackpitch fleet confirm {one['digest'][:12]}", highlight=False)
+        console.print(
+            f"held back: version {one['version']}, taken in {one['taken_in_ms'] / 1000:.1f} s, or by "
+            f"stackpitch fleet confirm {one['digest'][:12]}",
+            highlight=False,
+        )
     for word in ("leaving", "flapping", "restart_wanted"):
         if status[word]:
             console.print(f"{word.replace('_', ' ')}: {escape(', '.join(status[word]))}", highlight=False)
--- a/stackpitch/cli/seeds.py
+++ b/stackpitch/cli/seeds.py
@@ -45,11 +45,19 @@
         if told["error"]:
             table.add_row(str(told["seed"]), "no", "", "", "", escape(told["error"][:200]))
         else:
-            table.add_row(str(told["seed"]), "yes" if told["kept"] else "[red]no[/]", f"{told['g']:.3f}",
-                          str(told["generations"]), f"{told['legs_per_generation']:.2f}",
-                          escape("; ".join(breach["text"] for breach in told["breaches"][:3])))
+            table.add_row(
+                str(told["seed"]),
+                "yes" if told["kept"] else "[red]no[/]",
+                f"{told['g']:.3f}",
+                str(told["generations"]),
+                f"{told['legs_per_generation']:.2f}",
+                escape("; ".join(breach["text"] for breach in told["breaches"][:3])),
+            )
     console.print(table)
     worth = [told["g"] for told in found if not told["error"]]
-    console.print(f"{len(found) - len(bad)} of {len(found)} seeds kept all rules; G {min(worth, default=0):.3f} to "
-                  f"{max(worth, default=0):.3f}", highlight=False)
+    console.print(
+        f"{len(found) - len(bad)} of {len(found)} seeds kept all rules; G {min(worth, default=0):.3f} to "
+        f"{max(worth, default=0):.3f}",
+        highlight=False,
+    )
     return 1 if bad else 0
--- a/stackpitch/cli/show.py
+++ b/stackpitch/cli/show.py
@@ -7,8 +7,16 @@
 from stackpitch.rehearse.judging import WORDS as DUTIES
 from stackpitch.rehearse.judging import vocabulary, weights
 
-WORDS = {1: "exactly one final answer in time", 2: "no effect twice", 3: "nothing new to a drained server",
-         4: "no cold server pushed over", 5: "nothing left pinned", **DUTIES, **weights.WORDS, **vocabulary.WORDS}
+WORDS = {
+    1: "exactly one final answer in time",
+    2: "no effect twice",
+    3: "nothing new to a drained server",
+    4: "no cold server pushed over",
+    5: "nothing left pinned",
+    **DUTIES,
+    **weights.WORDS,
+    **vocabulary.WORDS,
+}
 
 
 def show(outcome: Outcome, console: Console, stories: int = 2) -> None:
@@ -33,8 +41,10 @@
         figures.add_row(name, str(one.generations), f"{one.g:.3f}")
     console.print(figures)
     per = outcome.legs / max(1, outcome.generations)
-    console.print(f"{outcome.generations} generations, {outcome.legs} legs seen by engines ({per:.2f} a generation); "
-                  "ends of tries: " + ", ".join(f"{count} {name}" for name, count in outcome.ends.items()))
+    console.print(
+        f"{outcome.generations} generations, {outcome.legs} legs seen by engines ({per:.2f} a generation); "
+        "ends of tries: " + ", ".join(f"{count} {name}" for name, count in outcome.ends.items())
+    )
     if outcome.modes:
         console.print("logged: " + ", ".join(f"{name} {count}" for name, count in outcome.modes.items()))
     if not outcome.finished:
--- a/stackpitch/duties/carrier/desk.py
+++ b/stackpitch/duties/carrier/desk.py
@@ -43,8 +43,11 @@
     def _astray(self, call: Call) -> str | None:
         figures = self.figures
         if call.form != FORM:
-            return f"form {call.form}, this side has {FORM}: update the {'receiver' if call.form > FORM else 'sender'}" if (
-                0 < call.form < 1 << 16) else "malformed"
+            return (
+                f"form {call.form}, this side has {FORM}: update the {'receiver' if call.form > FORM else 'sender'}"
+                if (0 < call.form < 1 << 16)
+                else "malformed"
+            )
         if call.fleet != figures.fleet:
             return "another fleet"
         if call.to != figures.number:
@@ -53,7 +56,9 @@
             return "unknown sender"
         if call.duty not in figures.names and (call.kind, call.duty) != ("state", ""):
             return "unknown duty"
-        known = 0 <= terms.generation_of(call.stamp.term) < terms.GENERATIONS  # a higher one would shut out all that come
+        known = (
+            0 <= terms.generation_of(call.stamp.term) < terms.GENERATIONS
+        )  # a higher one would shut out all that come
         if not known or terms.owner_of(call.stamp.term) >= figures.gateways:
             return "malformed"
         return None
@@ -62,8 +67,15 @@
         """A call for this gateway, its own ones too. Raises msgspec.DecodeError on a body that its kind doesn't have."""
         answer = yield from self._answered(call)
         if answer.word == "older term":
-            self.log.warning("duty", word="turned down", duty=call.duty, kind=call.kind, sender=call.sender,
-                             term=terms.text(call.stamp.term), known=terms.text(answer.stamp.term))
+            self.log.warning(
+                "duty",
+                word="turned down",
+                duty=call.duty,
+                kind=call.kind,
+                sender=call.sender,
+                term=terms.text(call.stamp.term),
+                known=terms.text(answer.stamp.term),
+            )
         return answer
 
     def _answered(self, call: Call) -> Coro[Answer]:
@@ -74,7 +86,9 @@
             return owning.told(call)
         if call.stamp.term:  # an effect
             if not self.learned:
-                return Answer("not yet")  # its sender tries again; voters that are all dead have no owner either
+                return Answer(
+                    "not yet"
+                )  # its sender tries again; voters that are all dead have no owner either
             if not self.fence.admits(call.duty, call.stamp):
                 return Answer("older term", self.fence.known(call.duty))
             owning.outdone(call.stamp)
--- a/stackpitch/duties/carrier/duties.py
+++ b/stackpitch/duties/carrier/duties.py
@@ -39,14 +39,25 @@
         try:
             yield from self.world.group(self._body)
         except Exception as wrong:
-            self.log.exception("duties_broke", why=str(wrong), meaning="it serves on without duties until restarted")
+            self.log.exception(
+                "duties_broke", why=str(wrong), meaning="it serves on without duties until restarted"
+            )
 
     def _body(self, group: Group) -> Coro[None]:
         yield from ()
         figures, start = self.figures, self.world.fresh()
         for duty in figures.names:
-            self.desk.ownings[duty] = Owning(self.world, group, self.log, figures, duty, start, self.posts, self.fence,
-                                             self.works.get(duty))
+            self.desk.ownings[duty] = Owning(
+                self.world,
+                group,
+                self.log,
+                figures,
+                duty,
+                start,
+                self.posts,
+                self.fence,
+                self.works.get(duty),
+            )
         if figures.number in figures.voters:
             self.desk.voting = Voting(self.world, group, self.log, figures, self.posts)
             group.spawn(self.desk.voting.run(), "voter")
@@ -69,7 +80,9 @@
 
     def counts(self) -> Counter[tuple[str, str]]:
         """Calls by kind and what became of them; dropped ones by why."""
-        return self.posts.counts + Counter({("dropped", why): count for why, count in self.desk.dropped.items()})
+        return self.posts.counts + Counter(
+            {("dropped", why): count for why, count in self.desk.dropped.items()}
+        )
 
     # For works.
 
--- a/stackpitch/duties/carrier/learning.py
+++ b/stackpitch/duties/carrier/learning.py
@@ -27,7 +27,11 @@
         for state in heard.values():
             for duty, promise in state.promises.items():
                 stamp = promise.kept.stamp
-                if duty in figures.names and stamp.term > desk.fence.known(duty).term and desk.fence.admits(duty, stamp):
+                if (
+                    duty in figures.names
+                    and stamp.term > desk.fence.known(duty).term
+                    and desk.fence.admits(duty, stamp)
+                ):
                     desk.owners[duty] = owner_of(stamp.term)
                     desk.ownings[duty].outdone(stamp)
         if len(heard) >= majority(len(figures.voters)):
--- a/stackpitch/duties/carrier/owning.py
+++ b/stackpitch/duties/carrier/owning.py
@@ -31,8 +31,18 @@
 class Owning:
     """`serials`: of each voter, as it said last; as many entries as voters."""
 
-    def __init__(self, world: World, group: Group, log: Any, figures: Figures, duty: str, start: int, posts: Posts,
-                 fence: Fence, work: Work | None) -> None:
+    def __init__(
+        self,
+        world: World,
+        group: Group,
+        log: Any,
+        figures: Figures,
+        duty: str,
+        start: int,
+        posts: Posts,
+        fence: Fence,
+        work: Work | None,
+    ) -> None:
         self.world, self.group, self.log, self.figures, self.duty = world, group, log, figures, duty
         self.posts, self.fence, self.work = posts, fence, work
         self.candidate = Candidate(figures.number, start, figures.generation, figures.voters, figures.lease)
@@ -61,13 +71,19 @@
 
     def _one(self, asked: Round, voter: int) -> Coro[None]:
         """The round's own look: a renewal leaves only while the lease holds, a question of a campaign only in its stage."""
+
         def look() -> bool:
             if asked.kind == "release":
                 return True
             return asked.stamp == self.candidate.stamp and (
-                self.candidate.round is asked or self.candidate.holds(self.world.now()))
-
-        body = raw(Lease(self.figures.lease, asked.renewal, self.serials)) if asked.kind in ("would", "lease") else None
+                self.candidate.round is asked or self.candidate.holds(self.world.now())
+            )
+
+        body = (
+            raw(Lease(self.figures.lease, asked.renewal, self.serials))
+            if asked.kind in ("would", "lease")
+            else None
+        )
         answer = yield from self.posts.send(voter, self.duty, asked.kind, asked.stamp, body, look)
         if asked.kind == "lease" and answer is not None and answer.yes:
             try:
@@ -78,7 +94,9 @@
         then = self.candidate.heard(self.world.now(), asked, voter, answer)
         if then is not None:
             self._send(then)
-            if then.kind == "release" and before == "lease":  # half a vote: others may hold the other half, and so again
+            if (
+                then.kind == "release" and before == "lease"
+            ):  # half a vote: others may hold the other half, and so again
                 self.split += 1
                 self.rests = self.world.now() + split_rest(self.duty, self.figures.number, self.split)
         if before != "owner" and self.candidate.stage == "owner":
@@ -108,17 +126,28 @@
                 self.log.exception("duty_failed", duty=self.duty, term=term, why=why)
         self.scope = None
         why = self.why or why
-        if self.candidate.stamp == stamp and (release := self.candidate.leave(self.world.now(), why)) is not None:
+        if (
+            self.candidate.stamp == stamp
+            and (release := self.candidate.leave(self.world.now(), why)) is not None
+        ):
             self._send(release)
         self.log.info("duty", word="stepped down", duty=self.duty, term=term, why=why)
 
     def _tenure(self, group: Group, stamp: Stamp) -> Coro[None]:
-        tenure = OwnTenure(self.world, group, self.figures, self.duty, stamp, self.posts, self.candidate, self.step_down)
+        tenure = OwnTenure(
+            self.world, group, self.figures, self.duty, stamp, self.posts, self.candidate, self.step_down
+        )
         group.spawn(self._renew(stamp), f"renew {self.duty}")
         group.spawn(self._watch(tenure), f"lease of {self.duty}")
         value = yield from tenure.begin(self.fence.known(self.duty))
-        self.log.info("duty", word="record", duty=self.duty, term=terms.text(stamp.term), bytes=len(value),
-                      version=tenure.keeping.kept.version)
+        self.log.info(
+            "duty",
+            word="record",
+            duty=self.duty,
+            term=terms.text(stamp.term),
+            bytes=len(value),
+            version=tenure.keeping.kept.version,
+        )
         group.spawn(announce(self.world, self.figures, tenure, self.work), f"announce {self.duty}")
         if self.work is not None:
             yield from self.work.own(tenure, value)
@@ -138,7 +167,10 @@
         self.step_down(tenure.stamp, "its lease ran out")
 
     def step_down(self, stamp: Stamp, why: str) -> None:
-        if self.candidate.stamp == stamp and (release := self.candidate.leave(self.world.now(), why)) is not None:
+        if (
+            self.candidate.stamp == stamp
+            and (release := self.candidate.leave(self.world.now(), why)) is not None
+        ):
             self._send(release)
         if self.scope is not None and self.candidate.stamp == stamp:
             self.why = self.why or why
--- a/stackpitch/duties/carrier/posts.py
+++ b/stackpitch/duties/carrier/posts.py
@@ -23,15 +23,32 @@
         self.turns = Turns(world, figures.max_calls)
         self.counts: Counter[tuple[str, str]] = Counter()
 
-    def send(self, number: int, duty: str, kind: str, stamp: Stamp = NO_TERM, body: Any = None,
-             look: Callable[[], bool] = lambda: True) -> Coro[Answer | None]:
+    def send(
+        self,
+        number: int,
+        duty: str,
+        kind: str,
+        stamp: Stamp = NO_TERM,
+        body: Any = None,
+        look: Callable[[], bool] = lambda: True,
+    ) -> Coro[Answer | None]:
         """None if no answer came in time. `look`: taken right before the call leaves; False: it does not leave."""
         figures = self.figures
-        call = Call(FORM, figures.fleet, figures.number, number, duty, kind, stamp,
-                    body if isinstance(body, msgspec.Raw) else raw(body))
+        call = Call(
+            FORM,
+            figures.fleet,
+            figures.number,
+            number,
+            duty,
+            kind,
+            stamp,
+            body if isinstance(body, msgspec.Raw) else raw(body),
+        )
         if number == figures.number:
             return (yield from self.here(call)) if look() else None
-        request = http.request("POST", "/duty", figures.fleet, ENCODER.encode(call), [("connection", "close")])
+        request = http.request(
+            "POST", "/duty", figures.fleet, ENCODER.encode(call), [("connection", "close")]
+        )
         yield from self.turns.take()  # bounded by the calls before it, each of which ends within its limit
         try:
             if not look():
--- a/stackpitch/duties/carrier/tenure.py
+++ b/stackpitch/duties/carrier/tenure.py
@@ -19,8 +19,17 @@
 class OwnTenure:
     """`group`: that of the tenure; a round that is won goes on in it to those voters that are slower."""
 
-    def __init__(self, world: World, group: Group, figures: Figures, duty: str, stamp: Stamp, posts: Posts,
-                 candidate: Candidate, step_down: Callable[[Stamp, str], None]) -> None:
+    def __init__(
+        self,
+        world: World,
+        group: Group,
+        figures: Figures,
+        duty: str,
+        stamp: Stamp,
+        posts: Posts,
+        candidate: Candidate,
+        step_down: Callable[[Stamp, str], None],
+    ) -> None:
         self.world, self.group, self.figures, self.duty, self.stamp = world, group, figures, duty, stamp
         self.posts, self.candidate, self.step_down = posts, candidate, step_down
         self.keeping = Keeping(duty, stamp, figures.voters)
@@ -30,7 +39,11 @@
 
     def over(self, why: str) -> SteppedDown:
         """Steps down, and gives what to raise."""
-        why = self.candidate.why if self.candidate.stamp == self.stamp and self.candidate.stage == "idle" else why
+        why = (
+            self.candidate.why
+            if self.candidate.stamp == self.stamp and self.candidate.stage == "idle"
+            else why
+        )
         self.step_down(self.stamp, why)
         return SteppedDown(self.duty, terms.text(self.stamp.term), why)
 
@@ -85,7 +98,9 @@
 
     def tell(self, number: int, kind: str, body: Any) -> Coro[Answer | None]:
         if kind in GROUND:
-            raise ValueError(f"a work's call of kind {kind!r}; allowed: any but the ground's own, {', '.join(sorted(GROUND))}")
+            raise ValueError(
+                f"a work's call of kind {kind!r}; allowed: any but the ground's own, {', '.join(sorted(GROUND))}"
+            )
         return (yield from self.effect(number, kind, body))
 
     def effect(self, number: int, kind: str, body: Any) -> Coro[Answer | None]:
--- a/stackpitch/duties/carrier/voting.py
+++ b/stackpitch/duties/carrier/voting.py
@@ -47,8 +47,12 @@
 
     def __init__(self, world: World, group: Group, log: Any, figures: Figures, posts: Posts) -> None:
         self.world, self.group, self.log, self.figures, self.posts = world, group, log, figures, posts
-        self.ballots = Ballots(world.files(), figures.file, Identity(figures.fleet, figures.number, figures.generation))
-        self.voter = Voter(figures.lease, figures.drift, world.now() + voters_time(figures.lease, figures.drift))
+        self.ballots = Ballots(
+            world.files(), figures.file, Identity(figures.fleet, figures.number, figures.generation)
+        )
+        self.voter = Voter(
+            figures.lease, figures.drift, world.now() + voters_time(figures.lease, figures.drift)
+        )
         self.joined = self.opened = False
         self.older = False  # its file turned out to be an older copy
         self.seen: dict[int, int] = {}
@@ -67,7 +71,9 @@
             self.log.error("voter_out", why=str(wrong), kind=type(wrong).__name__)
             return
         self.opened = True
-        self.seen = {number: serial for number, serial in self.ballots.seen.items() if number in self.figures.voters}
+        self.seen = {
+            number: serial for number, serial in self.ballots.seen.items() if number in self.figures.voters
+        }
         if self.ballots.log.found:
             self.log.warning("voter_file", what=self.ballots.log.found)
         try:
@@ -87,7 +93,11 @@
                 continue
             if decision.promises is not None:
                 self.ballots.seen = dict(self.seen)
-                if (yield from self.world.aside(partial(self.ballots.begin, dict(decision.promises), decision.serial), QUEUE)):
+                if (
+                    yield from self.world.aside(
+                        partial(self.ballots.begin, dict(decision.promises), decision.serial), QUEUE
+                    )
+                ):
                     break
                 decision = Decision("wait", str(DiskFailed(self.figures.file, self.ballots.log.trouble)))
             if decision.why != said and self.world.now() - begun > SECOND:
@@ -98,7 +108,9 @@
                     self.log.warning("voter_waits", why=said)
             yield from self.world.sleep(JOIN)
         self.voter.promises = dict(self.ballots.promises)
-        if self.older or self.ballots.empty:  # whoever was granted a lease by what is lost has let it run out by then
+        if (
+            self.older or self.ballots.empty
+        ):  # whoever was granted a lease by what is lost has let it run out by then
             self.voter.quiet = self.world.now() + voters_time(self.figures.lease, self.figures.drift)
         self.joined = True
         self.log.info("voter_joins", serial=self.ballots.serial, duties=len(self.voter.promises))
@@ -130,7 +142,13 @@
                     group.spawn(one(number), f"state {number}")
 
         yield from self.world.group(body)
-        self._hear({number: state.serial for number, state in heard.items() if state.generation == figures.generation})
+        self._hear(
+            {
+                number: state.serial
+                for number, state in heard.items()
+                if state.generation == figures.generation
+            }
+        )
         whole = msgspec.structs.replace(mine, promises=self.ballots.promises)
         return decide(figures.voters, figures.number, figures.generation, whole, heard)
 
@@ -145,9 +163,13 @@
     def state(self, asker: int) -> State:
         """Without the records' values: they may be large together."""
         empty = not self.joined and (self.older or self.ballots.empty)
-        promises = {name: msgspec.structs.replace(one, kept=msgspec.structs.replace(one.kept, value=b""))
-                    for name, one in self.ballots.promises.items()}
-        return State(self.figures.generation, self.joined, empty, self.ballots.told, self.seen.get(asker, 0), promises)
+        promises = {
+            name: msgspec.structs.replace(one, kept=msgspec.structs.replace(one.kept, value=b""))
+            for name, one in self.ballots.promises.items()
+        }
+        return State(
+            self.figures.generation, self.joined, empty, self.ballots.told, self.seen.get(asker, 0), promises
+        )
 
     # Voting.
 
@@ -166,7 +188,9 @@
             answer = self._decided(call)
             if self.voter.dirty and answer.yes and not (yield from self._saved()):
                 return Answer("disk")
-            if self.seen != self.ballots.seen:  # a failing disk takes no lease away for it; written with what comes next
+            if (
+                self.seen != self.ballots.seen
+            ):  # a failing disk takes no lease away for it; written with what comes next
                 yield from self.world.aside(partial(self.ballots.see, dict(self.seen)), QUEUE)
                 self._disk()
         finally:
--- a/stackpitch/duties/ownership/ballots.py
+++ b/stackpitch/duties/ownership/ballots.py
@@ -71,8 +71,11 @@
             raise FileUnreadable(self.path, self.log.trouble)
         found = self.found
         if found is not None and (found.fleet, found.number) != (self.identity.fleet, self.identity.number):
-            raise FileOfAnother(self.path, f"it is that of voter {found.number} of fleet {found.fleet!r}, this is voter "
-                                           f"{self.identity.number} of {self.identity.fleet!r}")
+            raise FileOfAnother(
+                self.path,
+                f"it is that of voter {found.number} of fleet {found.fleet!r}, this is voter "
+                f"{self.identity.number} of {self.identity.fleet!r}",
+            )
 
     def _take(self, body: bytes) -> bool:
         try:
--- a/stackpitch/duties/ownership/candidate.py
+++ b/stackpitch/duties/ownership/candidate.py
@@ -17,8 +17,16 @@
     `highest` is the highest term heard of; it only rises.
     """
 
-    def __init__(self, number: int, start: int, generation: int, voters: tuple[int, ...], lease: Time) -> None:
-        self.number, self.start, self.generation, self.voters, self.lease = number, start, generation, voters, lease
+    def __init__(
+        self, number: int, start: int, generation: int, voters: tuple[int, ...], lease: Time
+    ) -> None:
+        self.number, self.start, self.generation, self.voters, self.lease = (
+            number,
+            start,
+            generation,
+            voters,
+            lease,
+        )
         self.stage = "idle"
         self.highest = 0
         self.stamp = Stamp()
@@ -49,7 +57,9 @@
         if asked.kind == "would" and asked is self.round:
             if asked.won:
                 self.stage, self.round = "lease", self._lease(now)
-                self.highest = max(self.highest, self.stamp.term)  # else its late release frees the next one's lease
+                self.highest = max(
+                    self.highest, self.stamp.term
+                )  # else its late release frees the next one's lease
                 return self.round
             if asked.lost:
                 self._idle("no majority would grant it")
--- a/stackpitch/duties/ownership/errors.py
+++ b/stackpitch/duties/ownership/errors.py
@@ -30,7 +30,9 @@
 
 
 class FileUnreadable(VoterError):
-    remedy = "Mend the disk or the rights of the folder of duties.file; what could not be read is kept beside it."
+    remedy = (
+        "Mend the disk or the rights of the folder of duties.file; what could not be read is kept beside it."
+    )
 
 
 class FileOlder(VoterError):
@@ -38,9 +40,13 @@
 
 
 class MajorityLost(VoterError):
-    remedy = ("Bring a lost file back from the disk it was on; if it can't be, raise duties.generation at all gateways: then "
-              "what the voters still have counts, and the newest records may be gone.")
+    remedy = (
+        "Bring a lost file back from the disk it was on; if it can't be, raise duties.generation at all gateways: then "
+        "what the voters still have counts, and the newest records may be gone."
+    )
 
 
 class DiskFailed(VoterError):
-    remedy = "Make room on the disk of duties.file or mend it; this voter answers again as soon as it can write."
+    remedy = (
+        "Make room on the disk of duties.file or mend it; this voter answers again as soon as it can write."
+    )
--- a/stackpitch/duties/ownership/joining.py
+++ b/stackpitch/duties/ownership/joining.py
@@ -46,19 +46,33 @@
 def merged(found: list[dict[str, Promise]]) -> dict[str, Promise]:
     """Of each duty the highest promise and the newest record."""
     duties = sorted({duty for one in found for duty in one})
-    return {duty: Promise(max((one[duty].stamp for one in found if duty in one), key=lambda stamp: (stamp.term, stamp.start)),
-                          newest([one[duty].kept for one in found if duty in one])) for duty in duties}
+    return {
+        duty: Promise(
+            max(
+                (one[duty].stamp for one in found if duty in one), key=lambda stamp: (stamp.term, stamp.start)
+            ),
+            newest([one[duty].kept for one in found if duty in one]),
+        )
+        for duty in duties
+    }
 
 
 def virgin(state: State) -> bool:
     """Has voted for nobody yet in its life or generation, so that nobody can have been granted anything with its vote."""
-    return state.empty or not any(generation_of(one.stamp.term) >= state.generation for one in state.promises.values())
+    return state.empty or not any(
+        generation_of(one.stamp.term) >= state.generation for one in state.promises.values()
+    )
 
 
-def decide(voters: tuple[int, ...], me: int, generation: int, mine: State, heard: dict[int, State]) -> Decision:
+def decide(
+    voters: tuple[int, ...], me: int, generation: int, mine: State, heard: dict[int, State]
+) -> Decision:
     """`heard`: the other voters' answers so far, by number; those of another generation don't count."""
-    others = {number: state for number, state in heard.items() if number != me and number in voters
-              and state.generation == generation}
+    others = {
+        number: state
+        for number, state in heard.items()
+        if number != me and number in voters and state.generation == generation
+    }
     needed, known = majority(len(voters)), max((state.seen for state in others.values()), default=0)
     if not mine.empty:
         if known > mine.serial:
@@ -70,9 +84,13 @@
     if len(joined) >= needed:
         return Decision("vote", promises=merged(joined), serial=known + LIFE)
     if len(others) == len(voters) - 1 and all(virgin(state) for state in others.values()):
-        return Decision("vote", promises=merged([mine.promises, *(state.promises for state in others.values())]),
-                        serial=known + LIFE if known else 0)
+        return Decision(
+            "vote",
+            promises=merged([mine.promises, *(state.promises for state in others.values())]),
+            serial=known + LIFE if known else 0,
+        )
     if len(others) == len(voters) - 1 and sum(one.empty for one in others.values()) + 1 >= needed:
-        return Decision("lost", f"{sum(one.empty for one in others.values()) + 1} of {len(voters)} voters have no file")
+        return Decision(
+            "lost", f"{sum(one.empty for one in others.values()) + 1} of {len(voters)} voters have no file"
+        )
     return Decision("wait", f"{len(joined)} of {needed} other voters that vote answered")
-
--- a/stackpitch/duties/ownership/pacing.py
+++ b/stackpitch/duties/ownership/pacing.py
@@ -5,11 +5,19 @@
 
 from stackpitch.loop import MS, SECOND, Time
 
-JOIN: Time = 200 * MS  # between two rounds of a voter that starts: some tens of them within the lease that it keeps quiet
-ROUND: Time = 100 * MS  # after an owner's round that no majority answered; its lease bounds how many there are
-SPLIT: Time = 150 * MS  # within which a candidate that lost a campaign after its pre-vote begins none: some campaigns long
+JOIN: Time = (
+    200 * MS
+)  # between two rounds of a voter that starts: some tens of them within the lease that it keeps quiet
+ROUND: Time = (
+    100 * MS
+)  # after an owner's round that no majority answered; its lease bounds how many there are
+SPLIT: Time = (
+    150 * MS
+)  # within which a candidate that lost a campaign after its pre-vote begins none: some campaigns long
 REST: Time = 10 * SECOND  # after work that broke, in which this gateway leaves the duty to others
-LEARN: Time = 300 * MS  # between two rounds of a gateway that learns the terms in service; doubles up to `LEARN_LONGEST`
+LEARN: Time = (
+    300 * MS
+)  # between two rounds of a gateway that learns the terms in service; doubles up to `LEARN_LONGEST`
 LEARN_LONGEST: Time = 10 * SECOND  # a fleet without its voters is not asked all the time
 ANNOUNCE: Time = 500 * MS  # before those that were not reached are told once more; doubles up to the period
 AT_ONCE = 8  # announcements under way from one owner: 1,024 gateways are told in some turns, and none crowds out renewals
--- a/stackpitch/duties/ownership/vacancy.py
+++ b/stackpitch/duties/ownership/vacancy.py
@@ -10,8 +10,12 @@
 from stackpitch.loop import MS, Time
 
 STEP: Time = 1200  # between two steps; a campaign takes two turns to the voters and back
-APART: Time = 30 * MS  # between candidates told in one step: the first one's campaign is over before the next begins
-MOST = 16  # told in one step: with all steps together a vacancy costs the fleet some calls a gateway, spread out
+APART: Time = (
+    30 * MS
+)  # between candidates told in one step: the first one's campaign is over before the next begins
+MOST = (
+    16  # told in one step: with all steps together a vacancy costs the fleet some calls a gateway, spread out
+)
 SLOWEST: Time = 20_000  # between two steps once everybody has been told in vain, and told again
 
 
--- a/stackpitch/duties/ownership/voter.py
+++ b/stackpitch/duties/ownership/voter.py
@@ -59,7 +59,9 @@
     promises: dict[str, Promise] = field(default_factory=dict)  # one a duty; never emptied
     running: dict[str, Running] = field(default_factory=dict)
     renewals: dict[str, Heard] = field(default_factory=dict)
-    dirty: dict[str, None] = field(default_factory=dict)  # duties whose promise is not on disk; emptied by the carrier
+    dirty: dict[str, None] = field(
+        default_factory=dict
+    )  # duties whose promise is not on disk; emptied by the carrier
 
     def promised(self, duty: str) -> Promise:
         return self.promises.get(duty, Promise())
--- a/stackpitch/duties/record/errors.py
+++ b/stackpitch/duties/record/errors.py
@@ -16,7 +16,11 @@
 
     def __init__(self, duty: str, term: str) -> None:
         self.duty, self.term = duty, term
-        super().__init__(f"record of {duty}: term {term} was seen in service and no voter knows it. {self.remedy}")
-
-    remedy = ("A majority of the voters' files was lost: bring back one of them from the disk it was on, or raise "
-              "duties.generation at all gateways to begin with what is left.")
+        super().__init__(
+            f"record of {duty}: term {term} was seen in service and no voter knows it. {self.remedy}"
+        )
+
+    remedy = (
+        "A majority of the voters' files was lost: bring back one of them from the disk it was on, or raise "
+        "duties.generation at all gateways to begin with what is left."
+    )
--- a/stackpitch/duties/record/keeping.py
+++ b/stackpitch/duties/record/keeping.py
@@ -37,7 +37,9 @@
         """Raises RecordTooLarge; the value before stands then."""
         if len(value) > LARGEST:
             raise RecordTooLarge(self.duty, len(value), LARGEST)
-        self.wanted = Kept(self.stamp, max(self.kept.version, self.wanted.version if self.wanted else 0) + 1, value)
+        self.wanted = Kept(
+            self.stamp, max(self.kept.version, self.wanted.version if self.wanted else 0) + 1, value
+        )
 
     def write(self, now: Time) -> Round | None:
         """The round to send until one is won: a lost one may have reached some voters."""
--- a/stackpitch/duties/vocabulary/acting/asked.py
+++ b/stackpitch/duties/vocabulary/acting/asked.py
@@ -13,9 +13,15 @@
 DECODERS: dict[str, msgspec.json.Decoder[object]] = {
     "logit_bias": msgspec.json.Decoder(dict[str, float]),
     "stop_token_ids": msgspec.json.Decoder(list[int]),
-    "allowed_token_ids": msgspec.json.Decoder(list[int]), "bad_words_ids": msgspec.json.Decoder(list[list[int]])}
-SHAPES = {"logit_bias": "an object from ids to numbers", "stop_token_ids": "a list of ids",
-          "allowed_token_ids": "a list of ids", "bad_words_ids": "a list of lists of ids"}
+    "allowed_token_ids": msgspec.json.Decoder(list[int]),
+    "bad_words_ids": msgspec.json.Decoder(list[list[int]]),
+}
+SHAPES = {
+    "logit_bias": "an object from ids to numbers",
+    "stop_token_ids": "a list of ids",
+    "allowed_token_ids": "a list of ids",
+    "bad_words_ids": "a list of lists of ids",
+}
 
 
 class Asked(msgspec.Struct, frozen=True):
@@ -43,7 +49,9 @@
         except msgspec.DecodeError as wrong:
             raise ParametersMalformed(name, str(wrong)[:120], SHAPES[name]) from None
         if bad := [one for one in numbers(name, value) if one < 0]:
-            raise ParametersMalformed(name, f"id {bad[0]}" if bad[0] != -1 else "what is no id", "ids from 0 on")
+            raise ParametersMalformed(
+                name, f"id {bad[0]}" if bad[0] != -1 else "what is no id", "ids from 0 on"
+            )
         if value:
             found[name] = value
     return found
--- a/stackpitch/duties/vocabulary/acting/decide.py
+++ b/stackpitch/duties/vocabulary/acting/decide.py
@@ -22,8 +22,10 @@
 
     def spoken(self) -> dict[str, dict[str, msgspec.Raw]]:
         """As a leg's request takes them."""
-        return {vocabulary: {name: msgspec.Raw(msgspec.json.encode(value)) for name, value in fields.items()}
-                for vocabulary, fields in self.fields.items()}
+        return {
+            vocabulary: {name: msgspec.Raw(msgspec.json.encode(value)) for name, value in fields.items()}
+            for vocabulary, fields in self.fields.items()
+        }
 
 
 class Acting:
@@ -45,7 +47,9 @@
         if own is None:
             if len(self.kinds) == 1:
                 return None  # all have the same
-            raise VocabularyUnstated(next(iter(one.ids)), tuple(sorted(self.seen.name(kind) for kind in self.kinds if kind)))
+            raise VocabularyUnstated(
+                next(iter(one.ids)), tuple(sorted(self.seen.name(kind) for kind in self.kinds if kind))
+            )
         fields: dict[str, dict[str, object]] = {own: {}}
         verdicts = self.known.acting(self.seen)
         if verdicts is not None and verdicts.digests.old == own:
@@ -54,23 +58,33 @@
             if wrong is None:
                 fields[new] = found
             elif new in self.kinds and own not in self.kinds:
-                raise MeaningLost(wrong[0], wrong[1].value, wrong[1].meant, wrong[1].now, wrong[1].why, wrong[1].todo)
+                raise MeaningLost(
+                    wrong[0], wrong[1].value, wrong[1].meant, wrong[1].now, wrong[1].why, wrong[1].todo
+                )
         elif verdicts is not None and own not in self.kinds and verdicts.digests.new in self.kinds:
             raise self._foreign(verdicts, one, own)
         return Narrowed(fields)
 
-    def _carried(self, verdicts: Verdicts, one: Asked) -> tuple[dict[str, object], tuple[str, Finding] | None]:
+    def _carried(
+        self, verdicts: Verdicts, one: Asked
+    ) -> tuple[dict[str, object], tuple[str, Finding] | None]:
         """Fields for the new vocabulary, or the first field that has lost its meaning. A profile stands or falls whole, as it
         was judged; where the request has ids of its own in place of the profile's, all are taken for the request's."""
         found: dict[str, object] = {}
         judged = frozenset[str]()
         profile = self.known.profiles.get(one.profile or "")
-        if profile is not None and all(field.field in one.filled for field in profile.fields if field.field in IDS):
+        if profile is not None and all(
+            field.field in one.filled for field in profile.fields if field.field in IDS
+        ):
             for field in profile.fields:
                 if field.lost and field.findings and field.field in one.filled:
                     return {}, (field.field, field.findings[0])
             judged = one.filled
-            found |= {field.field: field.translated for field in profile.fields if _matters(field) and field.field in judged}
+            found |= {
+                field.field: field.translated
+                for field in profile.fields
+                if _matters(field) and field.field in judged
+            }
         names = self.seen.name(verdicts.digests.old), self.seen.name(verdicts.digests.new)
         for name, value in one.ids.items():
             if name not in judged:
@@ -85,8 +99,14 @@
     def _foreign(self, verdicts: Verdicts, one: Asked, own: str) -> MeaningLost:
         """Ids of a vocabulary that no server has any more, and that the change in force does not speak of."""
         field, name, new = next(iter(one.ids)), self.seen.name(own), self.seen.name(verdicts.digests.new)
-        return MeaningLost(field, "ids", f"tokens of {name}", f"other tokens of {new}", f"no server has {name}",
-                           f"write the ids for {new}")
+        return MeaningLost(
+            field,
+            "ids",
+            f"tokens of {name}",
+            f"other tokens of {new}",
+            f"no server has {name}",
+            f"write the ids for {new}",
+        )
 
 
 def _matters(field: FieldVerdict) -> bool:
--- a/stackpitch/duties/vocabulary/acting/known.py
+++ b/stackpitch/duties/vocabulary/acting/known.py
@@ -17,7 +17,11 @@
     profiles: str = ""
 
     def sees(self, digests: Digests) -> bool:
-        return digests.old in self.vocabularies and digests.new in self.vocabularies and digests.profiles == self.profiles
+        return (
+            digests.old in self.vocabularies
+            and digests.new in self.vocabularies
+            and digests.profiles == self.profiles
+        )
 
     def name(self, digest: str) -> str:
         return self.vocabularies.get(digest, digest)
@@ -32,7 +36,9 @@
 
 
 def fits(change: Change, verdicts: Verdicts, digest: str) -> bool:
-    return change.summary is not None and verdicts.digests == change.digests and digest == change.summary.digest
+    return (
+        change.summary is not None and verdicts.digests == change.digests and digest == change.summary.digest
+    )
 
 
 class Known:
@@ -66,11 +72,18 @@
 
     @cached_property
     def profiles(self) -> dict[str, ProfileVerdict]:
-        return {one.name: one for one in self.told.verdicts.profiles} if self.told and self.told.verdicts else {}
+        return (
+            {one.name: one for one in self.told.verdicts.profiles} if self.told and self.told.verdicts else {}
+        )
 
     def acting(self, seen: Seen) -> Verdicts | None:
         """The verdicts, while the change lets gateways act and their digests are what is seen here."""
         told = self.told
-        if told is None or told.verdicts is None or not told.change.acting or not seen.sees(told.verdicts.digests):
+        if (
+            told is None
+            or told.verdicts is None
+            or not told.change.acting
+            or not seen.sees(told.verdicts.digests)
+        ):
             return None
         return told.verdicts
--- a/stackpitch/duties/vocabulary/acting/translating.py
+++ b/stackpitch/duties/vocabulary/acting/translating.py
@@ -19,24 +19,41 @@
     return number + runs[place].shift
 
 
-def translated(verdicts: Verdicts, field: str, value: object, names: tuple[str, str]) -> tuple[object, Finding | None]:
+def translated(
+    verdicts: Verdicts, field: str, value: object, names: tuple[str, str]
+) -> tuple[object, Finding | None]:
     """The field for the new vocabulary, or what keeps it from it. `names` of the old and the new one."""
     old, new = names
     if field == "bad_words_ids" or (isinstance(value, dict) and any(one <= BAN for one in value.values())):
-        return None, Finding("leaking", f"{len(numbers(field, value))} ids", f"a ban in {old}",
-                             f"a ban that may not hold in {new}",
-                             "bans are carried over for profiles only, where each spelling is judged",
-                             f"write the ban for {new}, or put it into a profile")
+        return None, Finding(
+            "leaking",
+            f"{len(numbers(field, value))} ids",
+            f"a ban in {old}",
+            f"a ban that may not hold in {new}",
+            "bans are carried over for profiles only, where each spelling is judged",
+            f"write the ban for {new}, or put it into a profile",
+        )
     there = {one: exact(verdicts.runs, one) for one in numbers(field, value)}
     for one, to in there.items():
         if to is None:
-            return None, Finding("gone", f"id {one}", f"token {one} of {old}",
-                                 f"no token of {new} that is known to be the same", "it has no exact counterpart there",
-                                 f"write the ids for {new}")
+            return None, Finding(
+                "gone",
+                f"id {one}",
+                f"token {one} of {old}",
+                f"no token of {new} that is known to be the same",
+                "it has no exact counterpart there",
+                f"write the ids for {new}",
+            )
     if isinstance(value, dict):
         found = {str(there[int(one)]): bias for one, bias in value.items()}
         if len(found) < len(value):
-            return None, Finding("contradictory", f"{len(value)} ids", f"tokens of {old}", f"{len(found)} tokens of {new}",
-                                 "several ids are one token there", f"write the ids for {new}")
+            return None, Finding(
+                "contradictory",
+                f"{len(value)} ids",
+                f"tokens of {old}",
+                f"{len(found)} tokens of {new}",
+                "several ids are one token there",
+                f"write the ids for {new}",
+            )
         return found, None
     return list(dict.fromkeys(to for to in there.values() if to is not None)), None
--- a/stackpitch/duties/vocabulary/acting/written.py
+++ b/stackpitch/duties/vocabulary/acting/written.py
@@ -8,7 +8,10 @@
 from stackpitch.duties.vocabulary.parameters import IDS
 from stackpitch.wire.decoding import decode
 
-PROFILE, VOCABULARY = "sampling_profile", "token_vocabulary"  # of a request's body; neither goes on to engines
+PROFILE, VOCABULARY = (
+    "sampling_profile",
+    "token_vocabulary",
+)  # of a request's body; neither goes on to engines
 
 
 class Written:
@@ -16,8 +19,10 @@
 
     def __init__(self, looked: Looked) -> None:
         self.looked = looked
-        self.parameters = {name: {field: msgspec.Raw(msgspec.json.encode(value)) for field, value in given.items()}
-                           for name, given in looked.parameters.items()}
+        self.parameters = {
+            name: {field: msgspec.Raw(msgspec.json.encode(value)) for field, value in given.items()}
+            for name, given in looked.parameters.items()
+        }
 
     def read(self, fields: dict[str, msgspec.Raw], customer: str | None, product: str) -> Asked:
         """Takes its two own fields out of the body and puts in what the profile gives and the request doesn't have. Raises
@@ -49,13 +54,19 @@
         bounds = self.looked.parameters[profile].get("max_tokens_bounds")
         for name in ("max_tokens", "max_completion_tokens"):
             if bounds is not None and name in own and not bounds["least"] <= own[name] <= bounds["most"]:
-                raise ParametersMalformed(name, str(own[name]), f"{bounds['least']} to {bounds['most']} by profile {profile!r}")
+                raise ParametersMalformed(
+                    name, str(own[name]), f"{bounds['least']} to {bounds['most']} by profile {profile!r}"
+                )
 
     def _default(self, profile: str | None, whole: bool, customer: str | None, product: str) -> str:
         """That of the profile where all ids are the profile's, else the customer's, the product's or the file's."""
         if profile is not None and whole:
             return self.looked.written_for[profile]
-        return self.looked.customers.get(customer or "") or self.looked.products.get(product) or self.looked.default
+        return (
+            self.looked.customers.get(customer or "")
+            or self.looked.products.get(product)
+            or self.looked.default
+        )
 
 
 def _has_ids(fields: dict[str, msgspec.Raw]) -> bool:
@@ -69,4 +80,3 @@
         return decode(raw, type=str | None)
     except msgspec.DecodeError:
         raise VocabularyUnknown("body", bytes(raw)[:40].decode(errors="replace"), ("a name",)) from None
-
--- a/stackpitch/duties/vocabulary/carrying/pages.py
+++ b/stackpitch/duties/vocabulary/carrying/pages.py
@@ -31,7 +31,7 @@
     if len(raw) > MOST:
         raise VerdictsTooLarge(len(raw), MOST)
     cuts = range(0, max(1, len(raw)), SIZE)
-    return [Page(digest, place, len(cuts), raw[at:at + SIZE]) for place, at in enumerate(cuts)]
+    return [Page(digest, place, len(cuts), raw[at : at + SIZE]) for place, at in enumerate(cuts)]
 
 
 class Pages:
--- a/stackpitch/duties/vocabulary/catalogue/listing.py
+++ b/stackpitch/duties/vocabulary/catalogue/listing.py
@@ -14,12 +14,16 @@
 
 class Named(Part):
     file: Annotated[str, Field(min_length=1)]  # tokenizer.json, beside the list or by its whole path
-    end: list[Annotated[str, Field(min_length=1, max_length=200)]] = []  # contents of end tokens; none: the usual names
+    end: list[
+        Annotated[str, Field(min_length=1, max_length=200)]
+    ] = []  # contents of end tokens; none: the usual names
 
 
 class Listing(Part):
     vocabularies: Annotated[dict[Name, Named], Field(min_length=1, max_length=64)]
-    samples: Annotated[list[Text], Field(max_length=1000)] = []  # texts by which limits counted in tokens are rescaled
+    samples: Annotated[
+        list[Text], Field(max_length=1000)
+    ] = []  # texts by which limits counted in tokens are rescaled
 
     def known(self, name: str, where: str) -> Named:
         """Raises VocabularyUnknown."""
--- a/stackpitch/duties/vocabulary/catalogue/reading.py
+++ b/stackpitch/duties/vocabulary/catalogue/reading.py
@@ -30,7 +30,9 @@
         with path.open("rb") as file:
             raw = file.read(MOST_BYTES + 1)
     except OSError as wrong:
-        raise VocabularyUnreadable(str(path), "(whole)", str(wrong.strerror), "a file that can be read") from None
+        raise VocabularyUnreadable(
+            str(path), "(whole)", str(wrong.strerror), "a file that can be read"
+        ) from None
     if len(raw) > MOST_BYTES:
         raise VocabularyTooLarge(str(path), "(whole)", f"more than {MOST_BYTES} bytes", f"up to {MOST_BYTES}")
     return raw
@@ -49,6 +51,7 @@
             twice = next(name for name, _ in pairs if name in seen or seen.add(name))  # type: ignore[func-returns-value]
             raise VocabularyMalformed(file, twice[:60], "the name twice in one object", "each name once")
         return found
+
     return made
 
 
@@ -79,15 +82,21 @@
     if kind not in MODELS:
         raise VocabularyMalformed(file, "model.type", repr(kind)[:60], ", ".join(MODELS))
     if kind == "Unigram" and isinstance(vocab, list):
-        pairs: Iterable[Any] = ((one[0] if isinstance(one, list) and one else None, place) for place, one in enumerate(vocab))
+        pairs: Iterable[Any] = (
+            (one[0] if isinstance(one, list) and one else None, place) for place, one in enumerate(vocab)
+        )
     elif isinstance(vocab, dict):
         pairs = vocab.items()
     else:
-        raise VocabularyMalformed(file, "model.vocab", type(vocab).__name__, "a list for Unigram, else an object")
+        raise VocabularyMalformed(
+            file, "model.vocab", type(vocab).__name__, "a list for Unigram, else an object"
+        )
     found = []
     for token, number in pairs:
         if not isinstance(token, str) or type(number) is not int or number < 0:
-            raise VocabularyMalformed(file, "model.vocab", f"{token!r:.60}: {number!r:.20}", "texts with ids from 0 on")
+            raise VocabularyMalformed(
+                file, "model.vocab", f"{token!r:.60}: {number!r:.20}", "texts with ids from 0 on"
+            )
         found.append((token, number))
     return found
 
@@ -100,7 +109,9 @@
     for place, one in enumerate(listed):
         token, number = (one.get("content"), one.get("id")) if isinstance(one, dict) else (None, None)
         if not isinstance(token, str) or type(number) is not int or number < 0:
-            raise VocabularyMalformed(file, f"added_tokens.{place}", f"{one!r:.60}", "an object with `content` and `id`")
+            raise VocabularyMalformed(
+                file, f"added_tokens.{place}", f"{one!r:.60}", "an object with `content` and `id`"
+            )
         found.append((token, number, one.get("special") is True))
     return found
 
@@ -125,17 +136,27 @@
             raise VocabularyMalformed(file, "added_tokens", f"id {number} for two tokens", "each id once")
         pieces[number] = read(token)
         if len(token) > LONGEST:
-            raise VocabularyTooLarge(file, "model.vocab", f"a token of {len(token)} letters", f"up to {LONGEST}")
+            raise VocabularyTooLarge(
+                file, "model.vocab", f"a token of {len(token)} letters", f"up to {LONGEST}"
+            )
     for token, number, _ in added:
         pieces[number] = token.encode()
     by_content = {token: number for token, number, _ in added} | dict(tokens)
     for one in ends:
         if one not in by_content:
-            raise VocabularyMalformed(file, "end", repr(one)[:60], "the content of a token that the file holds")
+            raise VocabularyMalformed(
+                file, "end", repr(one)[:60], "the content of a token that the file holds"
+            )
     specials = frozenset(number for _, number, special in added if special)
     ending = ends or tuple(token for token, number, special in added if special and token in USUAL_ENDS)
-    return Vocabulary(_digest(tree, ends), name, pieces, specials, frozenset(by_content[one] for one in ending),
-                      _encoder(raw, file))
+    return Vocabulary(
+        _digest(tree, ends),
+        name,
+        pieces,
+        specials,
+        frozenset(by_content[one] for one in ending),
+        _encoder(raw, file),
+    )
 
 
 def _encoder(raw: bytes, file: str) -> Any:
@@ -143,10 +164,14 @@
 
     try:
         made = Tokenizer.from_str(raw.decode())
-    except BaseException as wrong:  # the library raises nothing narrower, and for a panic of its own something wider
+    except (
+        BaseException
+    ) as wrong:  # the library raises nothing narrower, and for a panic of its own something wider
         if not isinstance(wrong, Exception) and type(wrong).__name__ != "PanicException":
             raise
-        raise VocabularyMalformed(file, "(whole)", str(wrong)[:200], "what the tokenizers library takes") from None
+        raise VocabularyMalformed(
+            file, "(whole)", str(wrong)[:200], "what the tokenizers library takes"
+        ) from None
     made.no_truncation()
     made.no_padding()
     return lambda text: made.encode(text, add_special_tokens=False).ids
--- a/stackpitch/duties/vocabulary/catalogue/vocabulary.py
+++ b/stackpitch/duties/vocabulary/catalogue/vocabulary.py
@@ -11,8 +11,15 @@
 class Vocabulary:
     """`pieces`: bytes by id, None where no token has it. Ids are whole numbers from 0 up to `size`."""
 
-    def __init__(self, digest: str, name: str, pieces: list[bytes | None], specials: frozenset[int], ends: frozenset[int],
-                 encode: Callable[[str], list[int]]) -> None:
+    def __init__(
+        self,
+        digest: str,
+        name: str,
+        pieces: list[bytes | None],
+        specials: frozenset[int],
+        ends: frozenset[int],
+        encode: Callable[[str], list[int]],
+    ) -> None:
         self.digest, self.name, self.pieces, self.encode = digest, name, pieces, encode
         self.specials, self.ends = specials | ends, ends
         self.size = len(pieces)
@@ -30,7 +37,11 @@
     @cached_property
     def named(self) -> dict[bytes, int]:
         """Id by content of special tokens."""
-        return {piece: one for one in sorted(self.specials, reverse=True) if (piece := self.pieces[one]) is not None}
+        return {
+            piece: one
+            for one in sorted(self.specials, reverse=True)
+            if (piece := self.pieces[one]) is not None
+        }
 
     @cached_property
     def longest(self) -> int:
@@ -45,9 +56,17 @@
         """For people: what an id is."""
         role = self.role(number)
         if role == "none":
-            return f"nothing (ids go up to {self.size - 1})" if number >= self.size else "nothing (no token has the id)"
+            return (
+                f"nothing (ids go up to {self.size - 1})"
+                if number >= self.size
+                else "nothing (no token has the id)"
+            )
         text = repr((self.pieces[number] or b"").decode("utf-8", "backslashreplace")[:80])
-        return {"ordinary": f"the text {text}", "special": f"the special token {text}", "end": f"the end of text {text}"}[role]
+        return {
+            "ordinary": f"the text {text}",
+            "special": f"the special token {text}",
+            "end": f"the end of text {text}",
+        }[role]
 
     def text(self, numbers: tuple[int, ...]) -> bytes:
         return b"".join(self.pieces[one] or b"" for one in numbers if 0 <= one < self.size)
--- a/stackpitch/duties/vocabulary/change/keeping.py
+++ b/stackpitch/duties/vocabulary/change/keeping.py
@@ -25,6 +25,6 @@
     if not raw.startswith(FORM):
         raise RecordMalformed("of another form", len(raw))
     try:
-        return DECODER.decode(raw[len(FORM):])
+        return DECODER.decode(raw[len(FORM) :])
     except msgspec.DecodeError as wrong:
         raise RecordMalformed(str(wrong)[:120], len(raw)) from None
--- a/stackpitch/duties/vocabulary/change/machine.py
+++ b/stackpitch/duties/vocabulary/change/machine.py
@@ -1,7 +1,7 @@
 """The states of a change, on the owner. Pure: each step gives the next record, or raises and nothing has changed.
 
-    announced --judged--> allowed or held --(confirmed)--> allowed --served--> mixed --none old left--> done
-    announced, held, allowed, mixed --> called off; any but called off, on other profiles --> announced, judged anew
+announced --judged--> allowed or held --(confirmed)--> allowed --served--> mixed --none old left--> done
+announced, held, allowed, mixed --> called off; any but called off, on other profiles --> announced, judged anew
 """
 
 from collections.abc import Mapping
@@ -53,8 +53,16 @@
         change = self.change
         if change is None or change.word == "called off" or change.profiles == profiles:
             return self.record
-        return self._next(replaced(change, word="announced", profiles=profiles, summary=None, confirmed="",
-                                   why="the profiles have been edited"))
+        return self._next(
+            replaced(
+                change,
+                word="announced",
+                profiles=profiles,
+                summary=None,
+                confirmed="",
+                why="the profiles have been edited",
+            )
+        )
 
     def judged(self, digests: Digests, summary: Summary) -> Record:
         """Raises OtherVerdict for a verdict on what is no longer to be judged, VerdictDiffers for one that differs from
@@ -66,13 +74,25 @@
         if before and before != summary.digest:
             raise VerdictDiffers(summary.digest, before)
         if not before:
-            kept = self.record.history[1 - HISTORY:]
+            kept = self.record.history[1 - HISTORY :]
             self.record = replaced(self.record, history=(*kept, Judged(digests, summary.digest)))
         held = summary.share > self.most_share
-        why = (f"{summary.lost} of {summary.profiles} profiles lose their meaning, {summary.share:.1%} of the revenue; "
-               f"{self.most_share:.1%} is allowed") if summary.lost else "every profile keeps its meaning"
-        return self._next(replaced(change, word="held" if held else "mixed" if change.served else "allowed",
-                                   summary=summary, why=why))
+        why = (
+            (
+                f"{summary.lost} of {summary.profiles} profiles lose their meaning, {summary.share:.1%} of the revenue; "
+                f"{self.most_share:.1%} is allowed"
+            )
+            if summary.lost
+            else "every profile keeps its meaning"
+        )
+        return self._next(
+            replaced(
+                change,
+                word="held" if held else "mixed" if change.served else "allowed",
+                summary=summary,
+                why=why,
+            )
+        )
 
     def confirm(self, verdict: str) -> Record:
         """An operator's word, on the verdict that he has seen. Raises IllegalStep, OtherVerdict."""
@@ -80,8 +100,14 @@
         stands = change.summary.digest if change.summary else ""
         if verdict != stands:
             raise OtherVerdict(verdict, stands)
-        return self._next(replaced(change, word="mixed" if change.served else "allowed", confirmed=verdict,
-                                   why=f"confirmed by an operator; {change.why}"))
+        return self._next(
+            replaced(
+                change,
+                word="mixed" if change.served else "allowed",
+                confirmed=verdict,
+                why=f"confirmed by an operator; {change.why}",
+            )
+        )
 
     def seen(self, servers: Mapping[str, int]) -> Record:
         """How many servers have which vocabulary, by digest. An empty list tells nothing."""
--- a/stackpitch/duties/vocabulary/errors.py
+++ b/stackpitch/duties/vocabulary/errors.py
@@ -16,7 +16,9 @@
 
 
 class VocabularyMalformed(FileRejected):
-    remedy = "Take the tokenizer.json that was published with the model, unchanged, and put it in place by rename."
+    remedy = (
+        "Take the tokenizer.json that was published with the model, unchanged, and put it in place by rename."
+    )
 
 
 class VocabularyTooLarge(FileRejected):
@@ -40,7 +42,9 @@
 class ProfilesRejected(VocabularyError):
     """The file of profiles is rejected whole; a line for each complaint."""
 
-    remedy = "Correct the fields named and put the file in place again; until then the last good profiles hold."
+    remedy = (
+        "Correct the fields named and put the file in place again; until then the last good profiles hold."
+    )
 
     def __init__(self, file: str, complaints: tuple[str, ...]) -> None:
         super().__init__("\n".join(complaints))
@@ -139,15 +143,26 @@
     remedy = "Say the vocabulary in the request, or set a default for the customer or the product."
 
     def __init__(self, field: str, known: tuple[str, ...]) -> None:
-        super().__init__(f"{field}: it holds token ids and no vocabulary is stated; allowed: {', '.join(known)}")
+        super().__init__(
+            f"{field}: it holds token ids and no vocabulary is stated; allowed: {', '.join(known)}"
+        )
         self.field, self.known = field, known
 
 
 class MeaningLost(VocabularyError):
     """A generation's parameters mean nothing, or something else, in every vocabulary in service; answered 400."""
 
-    remedy = "Write the parameter anew for the vocabulary in service, and say so in the request or the profile."
+    remedy = (
+        "Write the parameter anew for the vocabulary in service, and say so in the request or the profile."
+    )
 
     def __init__(self, field: str, value: str, meant: str, now: str, why: str, todo: str) -> None:
         super().__init__(f"{field}: {value} meant {meant}; it would mean {now} now ({why}); {todo}")
-        self.field, self.value, self.meant, self.now, self.why, self.todo = field, value, meant, now, why, todo
+        self.field, self.value, self.meant, self.now, self.why, self.todo = (
+            field,
+            value,
+            meant,
+            now,
+            why,
+            todo,
+        )
--- a/stackpitch/duties/vocabulary/judging/files.py
+++ b/stackpitch/duties/vocabulary/judging/files.py
@@ -34,7 +34,9 @@
     vocabularies: dict[str, str] = {}
     profiles: str = ""
     written_for: dict[str, str] = {}  # vocabulary's name by profile
-    customers: dict[str, str] = {}  # by customer, by product, of the file: whom no profile or request says otherwise for
+    customers: dict[
+        str, str
+    ] = {}  # by customer, by product, of the file: whom no profile or request says otherwise for
     products: dict[str, str] = {}
     default: str = ""
     paths: tuple[str, ...] = ()  # of all that was read
@@ -68,14 +70,24 @@
     try:
         listing, profiles = _read(files)
         beside = Path(files.listing).parent
-        digests = {name: digest_of(read_bytes(beside / one.file), str(beside / one.file), tuple(one.end))
-                   for name, one in sorted(listing.vocabularies.items())}
+        digests = {
+            name: digest_of(read_bytes(beside / one.file), str(beside / one.file), tuple(one.end))
+            for name, one in sorted(listing.vocabularies.items())
+        }
     except VocabularyError as wrong:
         return Looked(str(wrong), wrong.remedy)
-    return Looked("", "", digests, profiles.digest(), {name: profiles.written_for(name) or "" for name in profiles.profiles},
-                  profiles.customers, profiles.products, profiles.vocabulary or "",
-                  (files.listing, files.profiles, *(str(beside / one.file) for one in listing.vocabularies.values())),
-                  {name: one.parameters.given() for name, one in profiles.profiles.items()})
+    return Looked(
+        "",
+        "",
+        digests,
+        profiles.digest(),
+        {name: profiles.written_for(name) or "" for name in profiles.profiles},
+        profiles.customers,
+        profiles.products,
+        profiles.vocabulary or "",
+        (files.listing, files.profiles, *(str(beside / one.file) for one in listing.vocabularies.values())),
+        {name: one.parameters.given() for name, one in profiles.profiles.items()},
+    )
 
 
 def marks(paths: tuple[str, ...]) -> tuple[tuple[int, int, int], ...]:
@@ -115,5 +127,7 @@
     for one in verdicts:
         counts[one.word] = counts.get(one.word, 0) + 1
     gone = [one.name for one in verdicts if one.lost]
-    summary = Summary(digest(raw), len(verdicts), len(gone), judge.share(verdicts), counts, tuple(gone[:WORST]))
+    summary = Summary(
+        digest(raw), len(verdicts), len(gone), judge.share(verdicts), counts, tuple(gone[:WORST])
+    )
     return Outcome("", "", summary, raw)
--- a/stackpitch/duties/vocabulary/judging/ways.py
+++ b/stackpitch/duties/vocabulary/judging/ways.py
@@ -59,7 +59,9 @@
         """Its whole answer; empty if it broke, took too long or was too large."""
         parts, size = list[bytes](), 0
         try:
-            child, stream = self.world.spawn_piped([sys.executable, "-m", "stackpitch.duties.vocabulary.judging"])
+            child, stream = self.world.spawn_piped(
+                [sys.executable, "-m", "stackpitch.duties.vocabulary.judging"]
+            )
         except OSError:
             return b""
         try:
--- a/stackpitch/duties/vocabulary/owning.py
+++ b/stackpitch/duties/vocabulary/owning.py
@@ -57,7 +57,9 @@
         self.judging = False
         self.outcome: Outcome | None = None  # of the judging that has ended
         self.telling: set[int] = set()  # gateways that are being told
-        self.later: dict[int, Time] = {}  # by gateway that gave no answer, when it is told again; no more than gateways
+        self.later: dict[
+            int, Time
+        ] = {}  # by gateway that gave no answer, when it is told again; no more than gateways
         self.closed = False
 
     def close(self) -> None:
@@ -207,8 +209,13 @@
     def _tell_one(self, number: int, change: Change) -> Coro[None]:
         answer = yield from self.tenure.tell(number, "change", Tell(change))
         done = answer is not None and answer.yes
-        if answer is not None and answer.word == "pages" and change.summary is not None and self.verdicts is not None and (
-                self.verdicts[0] == change.digests):
+        if (
+            answer is not None
+            and answer.word == "pages"
+            and change.summary is not None
+            and self.verdicts is not None
+            and (self.verdicts[0] == change.digests)
+        ):
             done = yield from self._pages(number, change.summary.digest, self.verdicts[1])
         self.telling.discard(number)
         if done:
@@ -228,4 +235,3 @@
     """The one part of verdicts that their owner looks at."""
 
     digests: Digests
-
--- a/stackpitch/duties/vocabulary/parameters.py
+++ b/stackpitch/duties/vocabulary/parameters.py
@@ -24,12 +24,18 @@
 class Parameters(Part):
     """None: not set."""
 
-    logit_bias: Annotated[dict[IdText, Annotated[float, Field(ge=-100, le=100)]], Field(max_length=4096)] | None = None
+    logit_bias: (
+        Annotated[dict[IdText, Annotated[float, Field(ge=-100, le=100)]], Field(max_length=4096)] | None
+    ) = None
     stop_token_ids: Annotated[list[TokenId], Field(max_length=1024)] | None = None
     allowed_token_ids: Annotated[list[TokenId], Field(min_length=1, max_length=65_536)] | None = None
-    bad_words_ids: Annotated[list[Annotated[list[TokenId], Field(min_length=1, max_length=64)]],
-                             Field(max_length=1024)] | None = None
-    stop: Annotated[list[Annotated[str, Field(min_length=1, max_length=256)]], Field(max_length=16)] | None = None
+    bad_words_ids: (
+        Annotated[list[Annotated[list[TokenId], Field(min_length=1, max_length=64)]], Field(max_length=1024)]
+        | None
+    ) = None
+    stop: (
+        Annotated[list[Annotated[str, Field(min_length=1, max_length=256)]], Field(max_length=16)] | None
+    ) = None
     top_k: Annotated[int, Field(ge=-1, le=2_097_152)] | None = None  # -1 and 0: off
     top_p: Annotated[float, Field(gt=0, le=1)] | None = None
     min_p: Annotated[float, Field(ge=0, le=1)] | None = None
@@ -42,11 +48,21 @@
     def lengths_fit(self) -> "Parameters":
         bounds = self.max_tokens_bounds
         if bounds is not None and bounds.least > bounds.most:
-            raise ValueError(f"max_tokens_bounds: found least {bounds.least} above most {bounds.most}; allowed: up to it")
-        if bounds is not None and self.max_tokens is not None and not bounds.least <= self.max_tokens <= bounds.most:
-            raise ValueError(f"max_tokens: found {self.max_tokens}; allowed: {bounds.least} to {bounds.most} by its bounds")
+            raise ValueError(
+                f"max_tokens_bounds: found least {bounds.least} above most {bounds.most}; allowed: up to it"
+            )
+        if (
+            bounds is not None
+            and self.max_tokens is not None
+            and not bounds.least <= self.max_tokens <= bounds.most
+        ):
+            raise ValueError(
+                f"max_tokens: found {self.max_tokens}; allowed: {bounds.least} to {bounds.most} by its bounds"
+            )
         if self.min_tokens is not None and self.max_tokens is not None and self.min_tokens > self.max_tokens:
-            raise ValueError(f"min_tokens: found {self.min_tokens}; allowed: up to max_tokens, {self.max_tokens}")
+            raise ValueError(
+                f"min_tokens: found {self.min_tokens}; allowed: up to max_tokens, {self.max_tokens}"
+            )
         return self
 
     def given(self) -> dict[str, Any]:
--- a/stackpitch/duties/vocabulary/profiles.py
+++ b/stackpitch/duties/vocabulary/profiles.py
@@ -1,7 +1,7 @@
 """The file of sampling profiles: named sets of parameters by customer or product, and the vocabulary each was written for.
 
-    {"version": 1, "vocabulary": "base-1", "customers": {"harbour": "base-2"}, "products": {"chat": "base-1"},
-     "profiles": {"harbour-strict": {"customer": "harbour", "revenue": 3, "parameters": {"stop_token_ids": [2]}}}}
+{"version": 1, "vocabulary": "base-1", "customers": {"harbour": "base-2"}, "products": {"chat": "base-1"},
+ "profiles": {"harbour-strict": {"customer": "harbour", "revenue": 3, "parameters": {"stop_token_ids": [2]}}}}
 """
 
 from collections.abc import Collection, Mapping
@@ -55,15 +55,22 @@
         return sha256(msgspec.json.encode(self.model_dump(), order="deterministic")).hexdigest()[:32]
 
 
-def read_profiles(path: Path, vocabularies: Collection[str], customers: Collection[str] | None = None,
-                  products: Collection[str] | None = None, given: Mapping[str, str] | None = None) -> Profiles:
+def read_profiles(
+    path: Path,
+    vocabularies: Collection[str],
+    customers: Collection[str] | None = None,
+    products: Collection[str] | None = None,
+    given: Mapping[str, str] | None = None,
+) -> Profiles:
     """Raises ProfilesRejected. Names are held against those given; None: not known here, not checked."""
     try:
         size = path.stat().st_size
     except OSError as wrong:
         raise ProfilesRejected(str(path), (f"{path}: {wrong.strerror}",)) from None
     if size > MOST_BYTES:
-        raise ProfilesRejected(str(path), (f"{path}: (whole): found {size} bytes; allowed: up to {MOST_BYTES}",))
+        raise ProfilesRejected(
+            str(path), (f"{path}: (whole): found {size} bytes; allowed: up to {MOST_BYTES}",)
+        )
     try:
         found = check(Profiles, evaluate(path, given), path)
     except BadSettings as wrong:
@@ -73,22 +80,38 @@
     return found
 
 
-def unknown(found: Profiles, vocabularies: Collection[str], customers: Collection[str] | None,
-            products: Collection[str] | None) -> list[str]:
+def unknown(
+    found: Profiles,
+    vocabularies: Collection[str],
+    customers: Collection[str] | None,
+    products: Collection[str] | None,
+) -> list[str]:
     """Names that nothing has, and profiles that no vocabulary can be found for."""
     named: list[tuple[str, str, Collection[str] | None]] = []
     if found.vocabulary is not None:
         named.append(("vocabulary", found.vocabulary, vocabularies))
-    for field, table, known in (("customers", found.customers, customers), ("products", found.products, products)):
+    for field, table, known in (
+        ("customers", found.customers, customers),
+        ("products", found.products, products),
+    ):
         for name, of in table.items():
             named += [(field, name, known), (f"{field}.{name}", of, vocabularies)]
     for name, one in found.profiles.items():
-        for field, value, known in (("customer", one.customer, customers), ("product", one.product, products),
-                                    ("vocabulary", one.vocabulary, vocabularies)):
+        for field, value, known in (
+            ("customer", one.customer, customers),
+            ("product", one.product, products),
+            ("vocabulary", one.vocabulary, vocabularies),
+        ):
             if value is not None:
                 named.append((f"profiles.{name}.{field}", value, known))
-    wrong = [f"{field}: found {value!r}; allowed: {', '.join(sorted(known)[:20]) or 'none'}"
-             for field, value, known in named if known is not None and value not in known]
-    wrong += [f"profiles.{name}.vocabulary: found none; allowed: one here, or a default of its customer, product or the file"
-              for name in found.profiles if found.written_for(name) is None]
+    wrong = [
+        f"{field}: found {value!r}; allowed: {', '.join(sorted(known)[:20]) or 'none'}"
+        for field, value, known in named
+        if known is not None and value not in known
+    ]
+    wrong += [
+        f"profiles.{name}.vocabulary: found none; allowed: one here, or a default of its customer, product or the file"
+        for name in found.profiles
+        if found.written_for(name) is None
+    ]
     return wrong
--- a/stackpitch/duties/vocabulary/verdicts/__init__.py
+++ b/stackpitch/duties/vocabulary/verdicts/__init__.py
@@ -5,4 +5,14 @@
 from stackpitch.duties.vocabulary.verdicts.ratio import Ratio, measured
 from stackpitch.duties.vocabulary.verdicts.words import FieldVerdict, Finding, ProfileVerdict, Word
 
-__all__ = ["FieldVerdict", "Finding", "Judge", "Pair", "ProfileVerdict", "Ratio", "Verdicts", "Word", "measured"]
+__all__ = [
+    "FieldVerdict",
+    "Finding",
+    "Judge",
+    "Pair",
+    "ProfileVerdict",
+    "Ratio",
+    "Verdicts",
+    "Word",
+    "measured",
+]
--- a/stackpitch/duties/vocabulary/verdicts/bad_words.py
+++ b/stackpitch/duties/vocabulary/verdicts/bad_words.py
@@ -26,8 +26,16 @@
             into += [list(one) for one in new]
             words.append(_word(old, new))
             if words[-1] in ("split", "merged"):
-                notes.append(Finding(words[-1], value, f"a ban of {text.decode('utf-8', 'backslashreplace')!r}",
-                                     f"the same, as {into[-len(new):]}", f"spelt with {len(new[-1])} tokens now", "nothing"))
+                notes.append(
+                    Finding(
+                        words[-1],
+                        value,
+                        f"a ban of {text.decode('utf-8', 'backslashreplace')!r}",
+                        f"the same, as {into[-len(new) :]}",
+                        f"spelt with {len(new[-1])} tokens now",
+                        "nothing",
+                    )
+                )
     if wrong:
         return [lost(FIELD, wrong)]
     return [kept(FIELD, worst(words), f"{len(into)} sequences, each as it is spelt now", into, tuple(notes))]
--- a/stackpitch/duties/vocabulary/verdicts/bans.py
+++ b/stackpitch/duties/vocabulary/verdicts/bans.py
@@ -27,7 +27,11 @@
     def stop(self, spelt: tuple[int, ...]) -> bool:
         if not self.singles.isdisjoint(spelt):
             return True
-        return any(spelt[at:at + len(ban)] == ban for at, first in enumerate(spelt) for ban in self.longer.get(first, ()))
+        return any(
+            spelt[at : at + len(ban)] == ban
+            for at, first in enumerate(spelt)
+            for ban in self.longer.get(first, ())
+        )
 
 
 def leaks(pair: Pair, before: Bans, after: Bans, text: bytes) -> list[tuple[int, ...]]:
@@ -53,11 +57,17 @@
 
 
 def leaking(pair: Pair, value: str, text: bytes, spelt: list[tuple[int, ...]]) -> Finding:
-    shown = ", ".join("+".join(repr(pair.new.text((one,)).decode("utf-8", "backslashreplace")) for one in each)
-                      for each in spelt[:SHOWN])
+    shown = ", ".join(
+        "+".join(repr(pair.new.text((one,)).decode("utf-8", "backslashreplace")) for one in each)
+        for each in spelt[:SHOWN]
+    )
     more = f" and {len(spelt) - SHOWN} more" if len(spelt) > SHOWN else ""
     ids = ", ".join(str(list(one)) for one in spelt[:SHOWN])
-    return Finding("leaking", value, f"a ban of the text {text.decode('utf-8', 'backslashreplace')!r}",
-                   f"a ban that can be gone round as {shown}{more}",
-                   f"{len(spelt)} spellings of {pair.new.name} are not banned",
-                   f"ban these as well in bad_words_ids: {ids}{more}")
+    return Finding(
+        "leaking",
+        value,
+        f"a ban of the text {text.decode('utf-8', 'backslashreplace')!r}",
+        f"a ban that can be gone round as {shown}{more}",
+        f"{len(spelt)} spellings of {pair.new.name} are not banned",
+        f"ban these as well in bad_words_ids: {ids}{more}",
+    )
--- a/stackpitch/duties/vocabulary/verdicts/bias.py
+++ b/stackpitch/duties/vocabulary/verdicts/bias.py
@@ -21,12 +21,32 @@
         there = fate.into[0]
         if there in into and into[there][1] != value:
             other = into[there]
-            wrong.append(Finding("contradictory", named, pair.old.says(number), pair.new.says(there),
-                                 f"id {other[0]} with bias {other[1]:g} is the same token now", "keep one of the two"))
+            wrong.append(
+                Finding(
+                    "contradictory",
+                    named,
+                    pair.old.says(number),
+                    pair.new.says(there),
+                    f"id {other[0]} with bias {other[1]:g} is the same token now",
+                    "keep one of the two",
+                )
+            )
         elif pair.new.role(there) == "special" and value > 0:
-            wrong.append(Finding("without effect", named, pair.old.says(number), pair.new.says(there),
-                                 "a special token that ends nothing is never written", "take the id out"))
-        elif value <= BAN and pair.old.role(number) == "ordinary" and (spelt := case.leaks(text := pair.old.text((number,)))):
+            wrong.append(
+                Finding(
+                    "without effect",
+                    named,
+                    pair.old.says(number),
+                    pair.new.says(there),
+                    "a special token that ends nothing is never written",
+                    "take the id out",
+                )
+            )
+        elif (
+            value <= BAN
+            and pair.old.role(number) == "ordinary"
+            and (spelt := case.leaks(text := pair.old.text((number,))))
+        ):
             wrong.append(leaking(pair, named, text, spelt))
         else:
             into[there] = number, value
@@ -34,4 +54,11 @@
         return [lost(FIELD, wrong)]
     changed = sum(there != number for there, (number, _) in into.items())
     translated = {str(there): value for there, (_, value) in into.items()}
-    return [kept(FIELD, "renumbered" if changed else "same", f"{changed} of {len(into)} ids have other numbers", translated)]
+    return [
+        kept(
+            FIELD,
+            "renumbered" if changed else "same",
+            f"{changed} of {len(into)} ids have other numbers",
+            translated,
+        )
+    ]
--- a/stackpitch/duties/vocabulary/verdicts/case.py
+++ b/stackpitch/duties/vocabulary/verdicts/case.py
@@ -28,7 +28,9 @@
     def after(self) -> Bans:
         """As they would be sent: single ids where they are exact, sequences as they are spelt now."""
         singles = [fate.into for one in self.banned if (fate := self.pair.fate(one)).exact]
-        return Bans([*singles, *(one for each in self.given.bad_words_ids or [] for one in self.words(tuple(each)))])
+        return Bans(
+            [*singles, *(one for each in self.given.bad_words_ids or [] for one in self.words(tuple(each)))]
+        )
 
     @cached_property
     def may(self) -> set[int] | None:
--- a/stackpitch/duties/vocabulary/verdicts/ids.py
+++ b/stackpitch/duties/vocabulary/verdicts/ids.py
@@ -6,8 +6,14 @@
 
 def finding(pair: Pair, number: int, fate: Fate | None = None, value: str = "") -> Finding:
     fate = fate or pair.fate(number)
-    return Finding(fate.word, value or f"id {number}", pair.old.says(number), pair.new.says(number), fate.why,
-                   todo(pair, number, fate))
+    return Finding(
+        fate.word,
+        value or f"id {number}",
+        pair.old.says(number),
+        pair.new.says(number),
+        fate.why,
+        todo(pair, number, fate),
+    )
 
 
 def todo(pair: Pair, number: int, fate: Fate) -> str:
--- a/stackpitch/duties/vocabulary/verdicts/judge.py
+++ b/stackpitch/duties/vocabulary/verdicts/judge.py
@@ -14,7 +14,9 @@
 from stackpitch.duties.vocabulary.verdicts.words import ProfileVerdict, Word, worst
 
 KINDS = (bias, stops, allowed, bad_words, strings, spread, lengths)
-MOST_RUNS = 8_000  # of exact ids that go with the verdicts; with more, ids outside profiles are not translated
+MOST_RUNS = (
+    8_000  # of exact ids that go with the verdicts; with more, ids outside profiles are not translated
+)
 
 
 class Digests(msgspec.Struct, frozen=True):
@@ -49,8 +51,11 @@
         """`names`: digest by name of vocabulary. Profiles that are written for others than the old one are not judged."""
         self.pair, self.ratio, self.profiles = pair, ratio, profiles
         self.digests = Digests(pair.old.digest, pair.new.digest, profiles.digest())
-        self.mine = [name for name in sorted(profiles.profiles)
-                     if names.get(profiles.written_for(name) or "") == pair.old.digest]
+        self.mine = [
+            name
+            for name in sorted(profiles.profiles)
+            if names.get(profiles.written_for(name) or "") == pair.old.digest
+        ]
 
     def steps(self) -> Iterator[ProfileVerdict]:
         """One profile at a time."""
--- a/stackpitch/duties/vocabulary/verdicts/pair.py
+++ b/stackpitch/duties/vocabulary/verdicts/pair.py
@@ -119,7 +119,11 @@
             return Fate("another role", (), f"the same token, {there}, {turned}")
         if new.role(number) == "ordinary" or piece in new.ordinary:
             ends = ", ".join(f"{one} ({new.says(one)})" for one in sorted(new.ends)[:4])
-            return Fate("another role", (), f"the {word} is ordinary text now; {new.name} ends with {ends or 'no known token'}")
+            return Fate(
+                "another role",
+                (),
+                f"the {word} is ordinary text now; {new.name} ends with {ends or 'no known token'}",
+            )
         if number >= new.size:
             return Fate("out of range", (), f"ids of {new.name} go up to {new.size - 1}")
         return Fate("gone", (), f"{new.name} has no such {word}")
--- a/stackpitch/duties/vocabulary/verdicts/spelling.py
+++ b/stackpitch/duties/vocabulary/verdicts/spelling.py
@@ -9,8 +9,13 @@
 def spellings(new: Vocabulary, fresh: Set[int], text: bytes) -> Iterator[tuple[int, ...]]:
     """Those with long first tokens first. Their number can double with each byte: take a few."""
     size = len(text)
-    steps: list[list[tuple[int, int]]] = [[] for _ in range(size)]  # from each place: token and where it ends, longest first
-    ends, ends_fresh = [False] * size + [True], [False] * (size + 1)  # reached from there at all; with a new token
+    steps: list[list[tuple[int, int]]] = [
+        [] for _ in range(size)
+    ]  # from each place: token and where it ends, longest first
+    ends, ends_fresh = (
+        [False] * size + [True],
+        [False] * (size + 1),
+    )  # reached from there at all; with a new token
     for begin in range(size - 1, -1, -1):
         for end in range(min(size, begin + new.longest), begin, -1):
             number = new.ordinary.get(text[begin:end])
