--- a/stackpitch/duties/vocabulary/verdicts/stops.py
+++ b/stackpitch/duties/vocabulary/verdicts/stops.py
@@ -13,10 +13,21 @@
         return []
     into, wrong = moved(pair, numbers)
     for number in numbers:
-        if (fate := pair.fate(number)).exact and case.after.stop(fate.into) and not case.before.stop((number,)):
-            wrong.append(Finding("without effect", f"id {number}", f"an end of the answer, {pair.old.says(number)}",
-                                 f"{pair.new.says(fate.into[0])}, which is never written", "another parameter bans it now",
-                                 "take the ban or the stop out"))
+        if (
+            (fate := pair.fate(number)).exact
+            and case.after.stop(fate.into)
+            and not case.before.stop((number,))
+        ):
+            wrong.append(
+                Finding(
+                    "without effect",
+                    f"id {number}",
+                    f"an end of the answer, {pair.old.says(number)}",
+                    f"{pair.new.says(fate.into[0])}, which is never written",
+                    "another parameter bans it now",
+                    "take the ban or the stop out",
+                )
+            )
     if wrong:
         return [lost(FIELD, wrong)]
     same = into == numbers
--- a/stackpitch/duties/vocabulary/verdicts/words.py
+++ b/stackpitch/duties/vocabulary/verdicts/words.py
@@ -4,8 +4,19 @@
 
 import msgspec
 
-Word = Literal["same", "renumbered", "rescaled", "merged", "split", "without effect", "gone", "out of range", "another role",
-               "contradictory", "leaking"]
+Word = Literal[
+    "same",
+    "renumbered",
+    "rescaled",
+    "merged",
+    "split",
+    "without effect",
+    "gone",
+    "out of range",
+    "another role",
+    "contradictory",
+    "leaking",
+]
 RANK: dict[Word, int] = {word: place for place, word in enumerate(get_args(Word))}
 SHOWN = 8  # findings kept of one field
 
@@ -47,9 +58,13 @@
     return max(words, key=RANK.__getitem__, default="same")
 
 
-def kept(field: str, word: Word, reason: str, translated: Any, findings: tuple[Finding, ...] = ()) -> FieldVerdict:
+def kept(
+    field: str, word: Word, reason: str, translated: Any, findings: tuple[Finding, ...] = ()
+) -> FieldVerdict:
     """Its meaning is there, translated where it must be."""
-    return FieldVerdict(field, word, False, reason, translated, findings[:SHOWN], max(0, len(findings) - SHOWN))
+    return FieldVerdict(
+        field, word, False, reason, translated, findings[:SHOWN], max(0, len(findings) - SHOWN)
+    )
 
 
 def lost(field: str, findings: list[Finding]) -> FieldVerdict:
@@ -59,4 +74,6 @@
     for one in findings:
         counts[one.word] = counts.get(one.word, 0) + 1
     reason = ", ".join(f"{count} {word}" for word, count in counts.items())
-    return FieldVerdict(field, findings[0].word, True, reason, None, tuple(findings[:SHOWN]), max(0, len(findings) - SHOWN))
+    return FieldVerdict(
+        field, findings[0].word, True, reason, None, tuple(findings[:SHOWN]), max(0, len(findings) - SHOWN)
+    )
--- a/stackpitch/duties/vocabulary/work.py
+++ b/stackpitch/duties/vocabulary/work.py
@@ -21,7 +21,10 @@
 from stackpitch.wire.decoding import decode
 
 NAME = "vocabulary"
-LOOK, SAY = 50_000, 20_000  # between looks at the files; between questions to the owner while nothing is known
+LOOK, SAY = (
+    50_000,
+    20_000,
+)  # between looks at the files; between questions to the owner while nothing is known
 AGAIN = 600_000  # after which files are read though nothing tells that they have changed
 
 
@@ -30,9 +33,25 @@
 
     name = NAME
 
-    def __init__(self, world: World, ground: Ground, files: Files, way: Way, servers: Callable[[], Mapping[str, int]],
-                 log: Callable[[str], None], most_share: float = 0.0, look: Time = LOOK) -> None:
-        self.world, self.ground, self.files, self.way, self.log, self.look = world, ground, files, way, log, look
+    def __init__(
+        self,
+        world: World,
+        ground: Ground,
+        files: Files,
+        way: Way,
+        servers: Callable[[], Mapping[str, int]],
+        log: Callable[[str], None],
+        most_share: float = 0.0,
+        look: Time = LOOK,
+    ) -> None:
+        self.world, self.ground, self.files, self.way, self.log, self.look = (
+            world,
+            ground,
+            files,
+            way,
+            log,
+            look,
+        )
         self.servers, self.most_share = servers, most_share
         self.known, self.pages, self.looked = Known(), Pages(), Looked()
         self.acting, self.written = Acting(self.known), Written(self.looked)
@@ -61,7 +80,9 @@
             return (yield from self.owning.asked(asking))
         if number is None or number == self.ground.number:
             return Answer("no gateway owns the duty now; ask again in some seconds")
-        return (yield from self.ground.ask(number, NAME, "asking", asking)) or Answer("the owner gave no answer; ask again")
+        return (yield from self.ground.ask(number, NAME, "asking", asking)) or Answer(
+            "the owner gave no answer; ask again"
+        )
 
     # On every gateway.
 
@@ -106,13 +127,19 @@
 
     def _page(self, stamp: Stamp, page: Page) -> Answer:
         pending = self.pending
-        if pending is None or pending.stamp != stamp or pending.change.summary is None or (
-                pending.change.summary.digest != page.digest):
+        if (
+            pending is None
+            or pending.stamp != stamp
+            or pending.change.summary is None
+            or (pending.change.summary.digest != page.digest)
+        ):
             return Answer("not wanted")
         verdicts = self.pages.add(stamp, page)
         if verdicts is not None:
             self.pending = None
-            self.known.take(msgspec.structs.replace(pending, verdicts=verdicts), page.digest)  # `pages` holds them to it
+            self.known.take(
+                msgspec.structs.replace(pending, verdicts=verdicts), page.digest
+            )  # `pages` holds them to it
         return Answer("yes")
 
     def serve(self) -> Coro[None]:
@@ -133,7 +160,9 @@
         if found_marks == self.marks and self.world.now() < self.again:
             return
         found = yield from self.way.look(self.files)
-        self.marks = found_marks if found.problem or found.paths == paths else ()  # other files than those looked at
+        self.marks = (
+            found_marks if found.problem or found.paths == paths else ()
+        )  # other files than those looked at
         self.again = self.world.now() + AGAIN
         if found.problem and found.problem != self.looked.problem:
             self.log(f"{found.problem}; the last good files hold; {found.remedy}")
--- a/stackpitch/duties/weights/errors.py
+++ b/stackpitch/duties/weights/errors.py
@@ -49,7 +49,9 @@
     remedy = "None is needed for one; if a source gives several, compare its file with the one the manifest was made from."
 
     def __init__(self, model: str, version: str, piece: int, source: str) -> None:
-        super().__init__(f"piece {piece} of {model} {version} from {source} does not have the manifest's digest")
+        super().__init__(
+            f"piece {piece} of {model} {version} from {source} does not have the manifest's digest"
+        )
         self.model, self.version, self.piece, self.source = model, version, piece, source
 
 
@@ -57,8 +59,10 @@
     """Two bad pieces of one model came from one source: it is not asked for that model for a while."""
 
     word = "source_spoilt"
-    remedy = ("Restore the file that the manifest was made from at that source, or publish the changed weights as a new "
-              "version with its own manifest.")
+    remedy = (
+        "Restore the file that the manifest was made from at that source, or publish the changed weights as a new "
+        "version with its own manifest."
+    )
 
     def __init__(self, model: str, version: str, source: str) -> None:
         super().__init__(f"{source} gave two bad pieces of {model} {version}; another source is asked")
@@ -69,7 +73,9 @@
     """A source could not be reached, broke off, or answered with something else than the range asked for."""
 
     word = "source_failed"
-    remedy = "See that the source runs, is reachable from the site, and serves the path with Range requests (206)."
+    remedy = (
+        "See that the source runs, is reachable from the site, and serves the path with Range requests (206)."
+    )
 
     def __init__(self, source: str, address: str, why: str) -> None:
         super().__init__(f"{source} at {address}: {why}")
@@ -101,7 +107,9 @@
     remedy = "Make the manifest anew from the published file; if it was right, check the site's disk and its memory."
 
     def __init__(self, model: str, version: str, found: str) -> None:
-        super().__init__(f"{model} {version}: all pieces fit, the whole has digest {found}, which is not the manifest's")
+        super().__init__(
+            f"{model} {version}: all pieces fit, the whole has digest {found}, which is not the manifest's"
+        )
         self.model, self.version, self.found = model, version, found
 
 
@@ -120,7 +128,9 @@
     """A call on the site's disk failed. The site waits for a while and tries again; other sites go on."""
 
     word = "disk"
-    remedy = "Check the disk of the weights folder at that site; it goes on by itself once writing works again."
+    remedy = (
+        "Check the disk of the weights folder at that site; it goes on by itself once writing works again."
+    )
 
     def __init__(self, path: str, why: str) -> None:
         super().__init__(f"{path}: {why}")
--- a/stackpitch/duties/weights/grants/grant.py
+++ b/stackpitch/duties/weights/grants/grant.py
@@ -49,7 +49,9 @@
     model: str = ""
     version: str = ""
     pieces: Annotated[tuple[int, ...], msgspec.Meta(max_length=64)] = ()  # to be fetched in this order
-    address: Annotated[str, msgspec.Meta(pattern=r"^(#\d{1,4}|[0-9.]{7,15}:\d{1,5})?\Z")] = ""  # of the source; #: a gateway's
+    address: Annotated[str, msgspec.Meta(pattern=r"^(#\d{1,4}|[0-9.]{7,15}:\d{1,5})?\Z")] = (
+        ""  # of the source; #: a gateway's
+    )
     path: Annotated[str, msgspec.Meta(max_length=1024, pattern=r"^(/[!-~]*)?\Z")] = ""
 
 
--- a/stackpitch/duties/weights/grants/pace.py
+++ b/stackpitch/duties/weights/grants/pace.py
@@ -2,7 +2,9 @@
 
 from stackpitch.loop import MS, SECOND, Time
 
-BURST: Time = 100 * MS  # a lane takes at most so much of its rate at once; so the burst of a link is that of its capacity
+BURST: Time = (
+    100 * MS
+)  # a lane takes at most so much of its rate at once; so the burst of a link is that of its capacity
 SLICE: Time = 40 * MS  # asked for at a time at least, so that calls stay few
 
 
--- a/stackpitch/duties/weights/grants/shelf.py
+++ b/stackpitch/duties/weights/grants/shelf.py
@@ -27,7 +27,7 @@
         return True
 
     def take(self, stamp: Stamp, grant: Grant, now: Time) -> str:
-        """"yes", or why not."""
+        """ "yes", or why not."""
         if not self.fence(stamp):
             return "older term"
         lane = grant.lane
--- a/stackpitch/duties/weights/lastgood.py
+++ b/stackpitch/duties/weights/lastgood.py
@@ -19,7 +19,9 @@
 
     def __init__(self, files: Files, disk: Disk, path: str) -> None:
         self.disk, self.path, self.body, self.trouble = disk, path, b"", ""
-        self.log = Log(files, path, MAGIC, FORMAT, "kept wanted file", lambda: [self.body] if self.body else [], most=0)
+        self.log = Log(
+            files, path, MAGIC, FORMAT, "kept wanted file", lambda: [self.body] if self.body else [], most=0
+        )
 
     @property
     def again(self) -> bool:
--- a/stackpitch/duties/weights/links.py
+++ b/stackpitch/duties/weights/links.py
@@ -6,7 +6,9 @@
 
 from stackpitch.duties.weights.wanted import ORIGIN, Wanted
 
-Key = tuple[str, str]  # a link and a direction, "down" to the sites or "up" from them; a site's own link is "@site"
+Key = tuple[
+    str, str
+]  # a link and a direction, "down" to the sites or "up" from them; a site's own link is "@site"
 
 
 class Links:
@@ -39,7 +41,8 @@
         found = self.costs.get((source, site))
         if found is None:
             found = self.costs[source, site] = sum(
-                1 / self.capacity[key] for key in self.path(source, site) if not key[0].startswith("@"))
+                1 / self.capacity[key] for key in self.path(source, site) if not key[0].startswith("@")
+            )
         return found
 
     def cheaper(self, site: str) -> frozenset[str]:
@@ -48,7 +51,10 @@
         if found is None:
             most = self.cost(ORIGIN, site)
             found = self.cheaper_ones[site] = frozenset(
-                other for other in self.behind if other not in (site, ORIGIN) and self.cost(other, site) < most)
+                other
+                for other in self.behind
+                if other not in (site, ORIGIN) and self.cost(other, site) < most
+            )
         return found
 
     def narrowest(self, source: str, site: str) -> int:
--- a/stackpitch/duties/weights/manifest.py
+++ b/stackpitch/duties/weights/manifest.py
@@ -25,8 +25,10 @@
     def pieces_cover_the_size(self) -> "Manifest":
         needed = -(-self.size // self.piece)
         if len(self.pieces) != needed:
-            raise ValueError(f"pieces: found {len(self.pieces)}; allowed: {needed}, as size {self.size} has in pieces of "
-                             f"{self.piece}")
+            raise ValueError(
+                f"pieces: found {len(self.pieces)}; allowed: {needed}, as size {self.size} has in pieces of "
+                f"{self.piece}"
+            )
         return self
 
     @property
@@ -55,5 +57,9 @@
 
 def made(data: bytes, piece: int) -> Manifest:
     """The manifest of these bytes."""
-    return Manifest(size=len(data), piece=piece, whole=digest(data),
-                    pieces=[digest(data[at:at + piece]) for at in range(0, len(data), piece)])
+    return Manifest(
+        size=len(data),
+        piece=piece,
+        whole=digest(data),
+        pieces=[digest(data[at : at + piece]) for at in range(0, len(data), piece)],
+    )
--- a/stackpitch/duties/weights/owner.py
+++ b/stackpitch/duties/weights/owner.py
@@ -36,8 +36,16 @@
 
 
 class Owner:
-    def __init__(self, world: World, tenure: Tenure, file: WantedFile, address: Callable[[int], str],
-                 admits: Callable[[str], bool], log: Callable[..., None], waiting: Mapping[int, float]) -> None:
+    def __init__(
+        self,
+        world: World,
+        tenure: Tenure,
+        file: WantedFile,
+        address: Callable[[int], str],
+        admits: Callable[[str], bool],
+        log: Callable[..., None],
+        waiting: Mapping[int, float],
+    ) -> None:
         self.world, self.tenure, self.file, self.address = world, tenure, file, address
         self.admits, self.log, self.waiting = admits, log, waiting
         self.planner: Planner | None = None
@@ -53,7 +61,10 @@
             try:
                 self.kept = msgspec.msgpack.decode(value, type=Kept)
             except msgspec.DecodeError as wrong:
-                self.log("weights_record", why=f"the record can't be read, the longest grant is waited out: {wrong}")
+                self.log(
+                    "weights_record",
+                    why=f"the record can't be read, the longest grant is waited out: {wrong}",
+                )
                 self.kept = Kept(MOST_LASTS, (UNKNOWN,))
         for _ in range(FILE):
             if self.file.current is None:
--- a/stackpitch/duties/weights/placing/copy.py
+++ b/stackpitch/duties/weights/placing/copy.py
@@ -36,7 +36,9 @@
         try:
             for path in (self.place, self.partial):
                 disk.folder(path.rpartition("/")[0])
-            disk.sync_folder(self.place.rpartition("/")[0])  # a process that ended after its rename may have left this undone
+            disk.sync_folder(
+                self.place.rpartition("/")[0]
+            )  # a process that ended after its rename may have left this undone
             try:
                 self.descriptor, self.placed = disk.open(self.place), True
             except FileNotFoundError:
@@ -169,7 +171,9 @@
         for piece in range(self.manifest.count):
             if not (yield from self._right(piece, whole)):
                 self.have &= ~(1 << piece)
-                raise DiskCorrupt(self.partial, f"piece {piece} was right when it was written and is not when it is read")
+                raise DiskCorrupt(
+                    self.partial, f"piece {piece} was right when it was written and is not when it is read"
+                )
         if whole.hexdigest() != self.manifest.whole:
             raise WholeDiffers(self.model, self.version, whole.hexdigest())
         try:
--- a/stackpitch/duties/weights/placing/disk.py
+++ b/stackpitch/duties/weights/placing/disk.py
@@ -11,9 +11,15 @@
 QUEUE = "weights"  # of calls aside: a disk that hangs must not hold up a voter's promises
 
 KINDS: dict[int, type[DiskTrouble]] = {
-    errno.ENOSPC: DiskFull, errno.EDQUOT: DiskFull, errno.EFBIG: DiskFull,
-    errno.EROFS: DiskReadOnly, errno.EACCES: DiskReadOnly, errno.EPERM: DiskReadOnly,
-    errno.EIO: DiskCorrupt, errno.EBADMSG: DiskCorrupt, errno.EUCLEAN: DiskCorrupt,
+    errno.ENOSPC: DiskFull,
+    errno.EDQUOT: DiskFull,
+    errno.EFBIG: DiskFull,
+    errno.EROFS: DiskReadOnly,
+    errno.EACCES: DiskReadOnly,
+    errno.EPERM: DiskReadOnly,
+    errno.EIO: DiskCorrupt,
+    errno.EBADMSG: DiskCorrupt,
+    errno.EUCLEAN: DiskCorrupt,
 }
 
 
--- a/stackpitch/duties/weights/placing/folder.py
+++ b/stackpitch/duties/weights/placing/folder.py
@@ -1,9 +1,9 @@
 """Where a gateway's weights lie: a folder for each model, in it what is partial, what is placed, and which is released.
 
-    MODEL/partial/VERSION.NUMBER    being fetched by that gateway; several may share a disk, and none writes another's
-    MODEL/placed/VERSION            whole and checked
-    .wanted.NUMBER                  the last good wanted file, as that gateway saw it
-    MODEL/released                  the version in service and under which term; written beside itself and renamed
+MODEL/partial/VERSION.NUMBER    being fetched by that gateway; several may share a disk, and none writes another's
+MODEL/placed/VERSION            whole and checked
+.wanted.NUMBER                  the last good wanted file, as that gateway saw it
+MODEL/released                  the version in service and under which term; written beside itself and renamed
 """
 
 import re
@@ -122,4 +122,3 @@
     while data:
         count = disk.write(descriptor, at, data)
         at, data = at + count, data[count:]
-
--- a/stackpitch/duties/weights/plan/allocate.py
+++ b/stackpitch/duties/weights/plan/allocate.py
@@ -39,8 +39,12 @@
     now: Time
     lasts: Time
     free: dict[Key, int] = field(default_factory=dict)
-    flying: dict[tuple[str, Version], int] = field(default_factory=dict)  # pieces on their way to a site, at good speed
-    assigned: dict[tuple[str, Version], int] = field(default_factory=dict)  # pieces that a lane of this round fetches
+    flying: dict[tuple[str, Version], int] = field(
+        default_factory=dict
+    )  # pieces on their way to a site, at good speed
+    assigned: dict[tuple[str, Version], int] = field(
+        default_factory=dict
+    )  # pieces that a lane of this round fetches
     wishes: dict[Lane, Wish] = field(default_factory=dict)
     holders: dict[Version, list[tuple[str, Heard]]] = field(default_factory=dict)
 
@@ -112,16 +116,27 @@
         """Those that already send, so that lanes change seldom (what they may send never is what a cheaper one has); then
         the cheapest; of equals one with much of its own link left."""
         receiver, found = need.receiver, []
-        running = {lane.source for lane in self.lanes.sent
-                   if lane.site == need.site and lane.part == part and (newest := self.lanes.newest(lane)) is not None
-                   and (newest.grant.model, newest.grant.version) == need.version}
+        running = {
+            lane.source
+            for lane in self.lanes.sent
+            if lane.site == need.site
+            and lane.part == part
+            and (newest := self.lanes.newest(lane)) is not None
+            and (newest.grant.model, newest.grant.version) == need.version
+        }
         near, far = self.links.cheaper(need.site), receiver.spoilt(ORIGIN, need.version)
-        names = [site for site, _ in self.holders.get(need.version, ()) if site in near or (far and site != need.site)]
+        names = [
+            site
+            for site, _ in self.holders.get(need.version, ())
+            if site in near or (far and site != need.site)
+        ]
         order = self.order
         for source in [*names, ORIGIN]:
             if not receiver.spoilt(source, need.version):
                 left = 0 if source == ORIGIN else -self.free[f"@{source}", "up"]
-                turn = (order.get(source, -1) - order[need.site]) % len(order)  # a ring, so that neighbours don't pair off
+                turn = (order.get(source, -1) - order[need.site]) % len(
+                    order
+                )  # a ring, so that neighbours don't pair off
                 found.append((source not in running, self.links.cost(source, need.site), left, turn, source))
         return [one[-1] for one in sorted(found)]
 
@@ -129,10 +144,16 @@
         """The pieces that may come from this source: it has them, no lane here fetches them, and none cheaper will."""
         found = need.missing & ~self.assigned.get((need.site, need.version), 0)
         if source != ORIGIN:
-            return found & next(holder.have[need.version] for site, holder in self.holders[need.version] if site == source)
+            return found & next(
+                holder.have[need.version] for site, holder in self.holders[need.version] if site == source
+            )
         near = self.links.cheaper(need.site)
         for site, holder in self.holders.get(need.version, ()):
-            if site in near and (need.site, site) not in self.sites.limits and not need.receiver.spoilt(site, need.version):
+            if (
+                site in near
+                and (need.site, site) not in self.sites.limits
+                and not need.receiver.spoilt(site, need.version)
+            ):
                 found &= ~(holder.have[need.version] | self.flying.get((site, need.version), 0))
         return found
 
@@ -142,7 +163,11 @@
         manifest: Manifest = need.manifest
         wanted_bytes = rate * self.lasts // SECOND + manifest.piece
         newest = self.lanes.newest(lane)
-        begun = newest.grant.pieces if newest is not None and (newest.grant.model, newest.grant.version) == need.version else ()
+        begun = (
+            newest.grant.pieces
+            if newest is not None and (newest.grant.model, newest.grant.version) == need.version
+            else ()
+        )
         chosen = [piece for piece in begun if open_ones >> piece & 1]
         left, count = open_ones & ~sum(1 << piece for piece in chosen), manifest.count
         names = self.sites.wanted.models[need.version[0]].sites
--- a/stackpitch/duties/weights/plan/planner.py
+++ b/stackpitch/duties/weights/plan/planner.py
@@ -21,7 +21,9 @@
 from stackpitch.duties.weights.wanted import ORIGIN, Wanted
 from stackpitch.loop import MS, SECOND, Time
 
-TAIL: Time = 100 * MS  # beyond what the last bytes take: ways, and the pace's first slice; freed as soon as it is done
+TAIL: Time = (
+    100 * MS
+)  # beyond what the last bytes take: ways, and the pace's first slice; freed as soon as it is done
 AHEAD: Time = 150 * MS  # before its pieces run out a lane gets its next ones
 JUDGED: Time = 300 * MS  # a grant that ran for less says nothing about its source's speed
 
@@ -29,8 +31,14 @@
 class Planner:
     """`before`: the longest grant of the owner before and the gateways that it may have granted to. `waiting`: see `Sites`."""
 
-    def __init__(self, wanted: Wanted, now: Time, address: Callable[[int], str], before: tuple[Time, frozenset[int]],
-                 waiting: Mapping[int, float] = NOTHING) -> None:
+    def __init__(
+        self,
+        wanted: Wanted,
+        now: Time,
+        address: Callable[[int], str],
+        before: tuple[Time, frozenset[int]],
+        waiting: Mapping[int, float] = NOTHING,
+    ) -> None:
         self.wanted, self.address = wanted, address
         self.links, self.sites, self.lanes = Links(wanted), Sites(wanted, waiting), Lanes()
         self.serial = 0
@@ -82,8 +90,14 @@
         self.sites.forget(set(self.lanes.sent))
         if not self.ready(now):
             return []
-        waiting = [one for one in needs(self.wanted, self.sites, now) if one.receiver.report.gateway not in self.silent]
-        wishes = Deal(self.links, self.sites, self.lanes, now, self.lasts).all(waiting, self.wanted.least_share)
+        waiting = [
+            one
+            for one in needs(self.wanted, self.sites, now)
+            if one.receiver.report.gateway not in self.silent
+        ]
+        wishes = Deal(self.links, self.sites, self.lanes, now, self.lasts).all(
+            waiting, self.wanted.least_share
+        )
         found, load = [], self.lanes.load()
         for wish in wishes:
             if (grant := self._granted(now, wish, load)) is not None:
@@ -119,14 +133,19 @@
             return True
         ahead = wish.need.manifest.bytes_of(given) - grant.rate * (now - newest.planned - AHEAD) // SECOND
         more = any(not given >> piece & 1 for piece in wish.pieces)
-        return ((more and ahead <= 0) or rate < grant.rate
-                or rate > grant.rate + max(least, grant.rate // 16) or newest.until - now < grant.lasts * 2 // 5)
+        return (
+            (more and ahead <= 0)
+            or rate < grant.rate
+            or rate > grant.rate + max(least, grant.rate // 16)
+            or newest.until - now < grant.lasts * 2 // 5
+        )
 
     def _stop(self, now: Time, lane: Lane) -> Grant | None:
         return self._made(now, lane, 0, 0, ("", ""), ())
 
-    def _made(self, now: Time, lane: Lane, rate: int, lasts: Time, version: tuple[str, str],
-              pieces: tuple[int, ...]) -> Grant | None:
+    def _made(
+        self, now: Time, lane: Lane, rate: int, lasts: Time, version: tuple[str, str], pieces: tuple[int, ...]
+    ) -> Grant | None:
         """None if the lane's process is not heard any more."""
         heard = self.sites.fresh(lane.gateway, now)
         if heard is None or heard.mark.start != lane.start:
@@ -141,7 +160,9 @@
                 return None
             address, path = self.address(source.report.gateway), f"/weights/{version[0]}/{version[1]}"
         self.serial += 1
-        grant = Grant(lane, self.serial, heard.mark, now - heard.at, lasts, rate, *version, pieces, address, path)
+        grant = Grant(
+            lane, self.serial, heard.mark, now - heard.at, lasts, rate, *version, pieces, address, path
+        )
         route = self.links.path(lane.source, lane.site) if rate else ()
         self.lanes.add(now, grant, route)
         return grant
--- a/stackpitch/duties/weights/plan/sites.py
+++ b/stackpitch/duties/weights/plan/sites.py
@@ -32,8 +32,10 @@
         return self.report.mark
 
     def spoilt(self, source: str, version: Version) -> bool:
-        return any(one.source == source and (not one.model or (one.model, one.version) == version)
-                   for one in self.report.spoilt)
+        return any(
+            one.source == source and (not one.model or (one.model, one.version) == version)
+            for one in self.report.spoilt
+        )
 
 
 class Sites:
@@ -47,8 +49,12 @@
         self.heard: dict[int, Heard] = {}
         self.chosen: dict[str, int] = {}  # the receiver of each site
         self.limits: dict[tuple[str, str], int] = {}  # bytes a second that a slow pair is trusted with
-        self.misses: dict[int, tuple[int, Time]] = {}  # gateways that gave no answer: how often in a row, and when last
-        self.judged: dict[Lane, int] = {}  # the serial that was last judged; emptied with the report that drops the lane
+        self.misses: dict[
+            int, tuple[int, Time]
+        ] = {}  # gateways that gave no answer: how often in a row, and when last
+        self.judged: dict[
+            Lane, int
+        ] = {}  # the serial that was last judged; emptied with the report that drops the lane
 
     def renew(self, wanted: Wanted) -> None:
         self.wanted = wanted
@@ -113,7 +119,9 @@
         number = self.chosen.get(site)
         if number is not None and (one := self.fresh(number, now)) is not None:
             return one
-        there = [one for number in self.wanted.sites[site].gateways if (one := self.fresh(number, now)) is not None]
+        there = [
+            one for number in self.wanted.sites[site].gateways if (one := self.fresh(number, now)) is not None
+        ]
         if not there:
             return None
         best = max(there, key=lambda one: sum(have.bit_count() for have in one.have.values()))
--- a/stackpitch/duties/weights/receiving/fetch.py
+++ b/stackpitch/duties/weights/receiving/fetch.py
@@ -48,8 +48,11 @@
             self.used = False
         stream, whole = self.stream, False
         try:
-            headers = [("range", f"bytes={at}-{at + size - 1}"), ("accept-encoding", "identity"),
-                       ("user-agent", f"stackpitch gateway/{self.gateway}")]
+            headers = [
+                ("range", f"bytes={at}-{at + size - 1}"),
+                ("accept-encoding", "identity"),
+                ("user-agent", f"stackpitch gateway/{self.gateway}"),
+            ]
             stream.write(http.request("GET", path, self.address, b"", headers))
             reader, parts = http.ResponseReader(MOST_HEAD, size), list[bytes]()
             while not reader.complete:
@@ -79,6 +82,13 @@
     def _allowed(self, reader: http.ResponseReader, at: int, size: int, total: int) -> None:
         length = reader.headers.get("content-range", "").rpartition("/")[2]
         if reader.status == 416 or (length.isdecimal() and int(length) != total):
-            raise SourceChanged(self.name, self.address, f"its file has {length or 'other'} bytes, the manifest's has {total}")
-        if reader.status != 206 or reader.headers.get("content-range") != f"bytes {at}-{at + size - 1}/{total}":
-            raise SourceFailed(self.name, self.address, f"answered {reader.status} to a range of {size} bytes")
+            raise SourceChanged(
+                self.name, self.address, f"its file has {length or 'other'} bytes, the manifest's has {total}"
+            )
+        if (
+            reader.status != 206
+            or reader.headers.get("content-range") != f"bytes {at}-{at + size - 1}/{total}"
+        ):
+            raise SourceFailed(
+                self.name, self.address, f"answered {reader.status} to a range of {size} bytes"
+            )
--- a/stackpitch/duties/weights/receiving/lanes.py
+++ b/stackpitch/duties/weights/receiving/lanes.py
@@ -75,8 +75,10 @@
             task.wake()
 
     def ran(self, now: Time) -> tuple[Ran, ...]:
-        return tuple(Ran(lane, one.serial, one.took, (now if one.ended is None else one.ended) - one.begun, one.done)
-                     for lane, one in self.uses.items())
+        return tuple(
+            Ran(lane, one.serial, one.took, (now if one.ended is None else one.ended) - one.begun, one.done)
+            for lane, one in self.uses.items()
+        )
 
     def _wait(self, lane: Lane, delay: Time) -> Coro[None]:
         self.waiting[lane] = self.world.current
--- a/stackpitch/duties/weights/receiving/opening.py
+++ b/stackpitch/duties/weights/receiving/opening.py
@@ -55,7 +55,9 @@
     def again(self, entry: Entry) -> Coro[None]:
         """After a time without grants, before the first new one: what the site's disk has of it by now."""
         entry.copy.have, before = entry.pieces.have, entry.copy.descriptor
-        while not (yield from self.steps(entry, entry.copy.again(sum(1 << piece for piece in entry.pieces.begun)))):
+        while not (
+            yield from self.steps(entry, entry.copy.again(sum(1 << piece for piece in entry.pieces.begun)))
+        ):
             if self.receiver.entries.get(entry.version) is not entry:
                 return
             yield from self.world.sleep(WAIT)
@@ -66,16 +68,30 @@
             yield from self.found(entry)
 
     def found(self, entry: Entry) -> Coro[None]:
-        entry.pieces.have, entry.ready, self.receiver.changed, entry.used = entry.copy.have, True, True, self.world.now()
-        if entry.copy.placed and self.receiver.disk.releases.get(entry.model, Released()).version == entry.version[1]:
-            self.receiver.disk.outdate(entry.model, self.receiver.wanted(entry.model))  # by an earlier life of this gateway
+        entry.pieces.have, entry.ready, self.receiver.changed, entry.used = (
+            entry.copy.have,
+            True,
+            True,
+            self.world.now(),
+        )
+        if (
+            entry.copy.placed
+            and self.receiver.disk.releases.get(entry.model, Released()).version == entry.version[1]
+        ):
+            self.receiver.disk.outdate(
+                entry.model, self.receiver.wanted(entry.model)
+            )  # by an earlier life of this gateway
         if entry.copy.have == entry.manifest.full and not entry.copy.placed:
             yield from self.finish(entry)
 
     def finish(self, entry: Entry) -> Coro[None]:
         """All pieces are here."""
         entry.copy.have = entry.pieces.have
-        while not entry.copy.placed and entry.trouble is None and self.receiver.entries.get(entry.version) is entry:
+        while (
+            not entry.copy.placed
+            and entry.trouble is None
+            and self.receiver.entries.get(entry.version) is entry
+        ):
             if not (yield from self.steps(entry, entry.copy.finish())) and entry.trouble is None:
                 entry.pieces.have, self.receiver.changed = entry.copy.have, True
                 if entry.pieces.have != entry.manifest.full:
--- a/stackpitch/duties/weights/receiving/receiver.py
+++ b/stackpitch/duties/weights/receiving/receiver.py
@@ -25,8 +25,12 @@
 from stackpitch.loop import SECOND, Coro, Group, Time, World
 
 MOST_COPIES = 320  # versions known at once
-IDLE: Time = 5 * SECOND  # a version without a grant for so long is looked for on the disk before it is fetched on
-TELL: Time = 30 * SECOND  # how often engines are told again what is released: some were away, or have started since
+IDLE: Time = (
+    5 * SECOND
+)  # a version without a grant for so long is looked for on the disk before it is fetched on
+TELL: Time = (
+    30 * SECOND
+)  # how often engines are told again what is released: some were away, or have started since
 CLEAR: Time = 5 * SECOND  # how often what is not needed any more is looked for
 Log = Callable[..., None]  # a word, and fields by name
 
@@ -41,13 +45,23 @@
 class Receiver:
     """`entries` go when their version is replaced or withdrawn."""
 
-    def __init__(self, world: World, number: int, start: int, folder: Folder, engines: Engines,
-                 revenue: Callable[[], float], log: Log) -> None:
+    def __init__(
+        self,
+        world: World,
+        number: int,
+        start: int,
+        folder: Folder,
+        engines: Engines,
+        revenue: Callable[[], float],
+        log: Log,
+    ) -> None:
         self.world, self.folder, self.engines, self.revenue, self.log = world, folder, engines, revenue, log
         self.shelf, self.sources, self.site = Shelf(number, start), Sources(), ""
         self.entries: dict[tuple[str, str], Entry] = {}
         self.disk = SiteDisk(world, folder)
-        self.placings: dict[str, tuple[Stamp, int]] = {}  # the last word on each model; emptied as its entries are
+        self.placings: dict[
+            str, tuple[Stamp, int]
+        ] = {}  # the last word on each model; emptied as its entries are
         self.trouble: DiskTrouble | None = None
         self.trouble_until: Time = 0
         self.changed = True  # since the last report
@@ -71,11 +85,15 @@
         if len(self.entries) >= MOST_COPIES:
             return "too many versions"
         try:
-            manifest = Manifest(size=asked.size, piece=asked.piece, whole=asked.whole, pieces=list(asked.pieces))
+            manifest = Manifest(
+                size=asked.size, piece=asked.piece, whole=asked.whole, pieces=list(asked.pieces)
+            )
         except ValidationError:
             return "malformed"
         self.placings[asked.model] = stamp, asked.serial
-        for other in [one for one, old in self.entries.items() if one[0] == asked.model and not old.copy.placed]:
+        for other in [
+            one for one, old in self.entries.items() if one[0] == asked.model and not old.copy.placed
+        ]:
             self._drop(other)  # replaced before it was whole
         self.entries[version] = entry = Entry(Copy(self.folder, *version, manifest), manifest)
         self.group.spawn(self.opening.open(entry), f"weights {asked.model}")
@@ -88,8 +106,13 @@
         if grant.rate and self.trouble is not None:
             return "disk"
         now = self.world.now()
-        if grant.rate and entry is not None and now >= entry.used + IDLE and self.group is not None and (
-                entry.pieces.have != entry.manifest.full):
+        if (
+            grant.rate
+            and entry is not None
+            and now >= entry.used + IDLE
+            and self.group is not None
+            and (entry.pieces.have != entry.manifest.full)
+        ):
             entry.ready, self.changed = False, True  # another gateway of the site may have fetched meanwhile
             self.group.spawn(self.opening.again(entry), f"weights {grant.model}")
             return "looks again"
@@ -101,7 +124,10 @@
         return word
 
     def release(self, stamp: Stamp, asked: forms.Release) -> Coro[str]:
-        entry, last = self.entries.get((asked.model, asked.version)), self.disk.releases.get(asked.model, Released())
+        entry, last = (
+            self.entries.get((asked.model, asked.version)),
+            self.disk.releases.get(asked.model, Released()),
+        )
         if not self.shelf.fence(stamp) or (stamp, asked.serial) < (last.stamp, last.serial):
             return "older"
         if asked.version and (entry is None or not entry.copy.placed):
@@ -114,10 +140,15 @@
                 self.failed(wrong)
                 return "disk"
         self.disk.releases[asked.model] = released
-        if asked.version and self.group is not None:  # not waited for: the owner's call is short, and engines may be slow
+        if (
+            asked.version and self.group is not None
+        ):  # not waited for: the owner's call is short, and engines may be slow
             self.group.spawn(self.engines.released(asked.model, asked.version), "weights released")
-        for version in [one for one, old in self.entries.items() if one[0] == asked.model and one[1] != asked.version
-                        and (old.copy.placed or not asked.version)]:
+        for version in [
+            one
+            for one, old in self.entries.items()
+            if one[0] == asked.model and one[1] != asked.version and (old.copy.placed or not asked.version)
+        ]:
             self._drop(version)
         if not asked.version:
             self.placings.pop(asked.model, None)
@@ -129,6 +160,7 @@
 
     def serve(self) -> Coro[None]:
         """As long as the gateway runs."""
+
         def body(group: Group) -> Coro[None]:
             yield from self._look()
             self.group, told = group, self.world.now()
@@ -170,12 +202,16 @@
         entry = self.entries.pop(version)
         self.changed = True
         if entry.ready and self.group is not None:
-            self.group.spawn(self.world.aside(entry.copy.close, QUEUE), "weights close")  # after what is under way
+            self.group.spawn(
+                self.world.aside(entry.copy.close, QUEUE), "weights close"
+            )  # after what is under way
 
     def _clear(self, model: str) -> Coro[None]:
         """Removes what is neither released nor wanted nor used by an engine; partial files of this gateway's own alone."""
         try:
-            gone = yield from self.disk.clear(model, self.wanted(model), lambda version: self.engines.used(model, version))
+            gone = yield from self.disk.clear(
+                model, self.wanted(model), lambda version: self.engines.used(model, version)
+            )
         except DiskTrouble as wrong:
             self.failed(wrong)
             return
@@ -201,13 +237,33 @@
         have = []
         for entry in self.entries.values():
             found = "" if entry.copy.placed else forms.bits(entry.pieces.have)
-            have.append(forms.Have(*entry.version, entry.manifest.whole, found, entry.copy.placed,
-                                   self.disk.releases.get(entry.model, Released()).version == entry.version[1], entry.ready,
-                                   entry.trouble.word if entry.trouble is not None else ""))
+            have.append(
+                forms.Have(
+                    *entry.version,
+                    entry.manifest.whole,
+                    found,
+                    entry.copy.placed,
+                    self.disk.releases.get(entry.model, Released()).version == entry.version[1],
+                    entry.ready,
+                    entry.trouble.word if entry.trouble is not None else "",
+                )
+            )
         known = {entry.model for entry in self.entries.values()}
-        have += [forms.Have(model, version, known=False) for model, versions in self.disk.lying.items() if model not in known
-                 for version in versions]
+        have += [
+            forms.Have(model, version, known=False)
+            for model, versions in self.disk.lying.items()
+            if model not in known
+            for version in versions
+        ]
         trouble = None if self.trouble is None else forms.Trouble(self.trouble.word, str(self.trouble))
         self.changed = False
-        return forms.Report(self.site, self.shelf.gateway, Mark(self.shelf.start, now), self.revenue(), tuple(have[:1024]),
-                            self.lanes.ran(now), self.sources.closed(now), trouble)
+        return forms.Report(
+            self.site,
+            self.shelf.gateway,
+            Mark(self.shelf.start, now),
+            self.revenue(),
+            tuple(have[:1024]),
+            self.lanes.ran(now),
+            self.sources.closed(now),
+            trouble,
+        )
--- a/stackpitch/duties/weights/receiving/sitedisk.py
+++ b/stackpitch/duties/weights/receiving/sitedisk.py
@@ -22,6 +22,7 @@
     def look(self) -> Coro[list[DiskTrouble]]:
         """What is wrong with single models; it is as if nothing lay there, and the next release mends a marker. Raises
         DiskTrouble."""
+
         def looked() -> tuple[dict[str, list[str]], dict[str, Released], list[DiskTrouble]]:
             lying, releases, wrong = dict[str, list[str]](), dict[str, Released](), list[DiskTrouble]()
             for model in self.folder.models():
@@ -53,8 +54,11 @@
         if released.version and not wanted:
             return []  # after a restart, before the owner has said what it wants
         outdated = self.outdated.get(model, set())
-        gone = [self.folder.placed(model, version) for version in self.lying.get(model, ())
-                if version in outdated and version not in wanted and not used(version)]
+        gone = [
+            self.folder.placed(model, version)
+            for version in self.lying.get(model, ())
+            if version in outdated and version not in wanted and not used(version)
+        ]
         kept = {f"{version}.{self.folder.number}" for version in wanted}
 
         def clear() -> None:
@@ -65,6 +69,8 @@
                     self.folder.remove(f"{self.folder.model(model)}/partial/{name}")
 
         yield from self.world.aside(clear, QUEUE)
-        self.lying[model] = [version for version in self.lying.get(model, ()) if self.folder.placed(model, version) not in gone]
+        self.lying[model] = [
+            version for version in self.lying.get(model, ()) if self.folder.placed(model, version) not in gone
+        ]
         outdated.intersection_update(self.lying[model])
         return gone
--- a/stackpitch/duties/weights/serving.py
+++ b/stackpitch/duties/weights/serving.py
@@ -18,6 +18,7 @@
 
 def answer(world: World, receiver: Receiver, request: http.RequestReader, stream: Stream) -> Coro[bool]:
     """Writes the whole answer; whether the connection can be kept. Raises Lost."""
+
     def refused(status: int, why: str) -> bool:
         stream.write(http.response(status, why.encode(), [("connection", "keep-alive")], "text/plain"))
         return request.keep_alive
@@ -34,8 +35,12 @@
     pieces = range(first // manifest.piece, last // manifest.piece + 1)
     if not entry.copy.placed and any(not entry.pieces.have >> piece & 1 for piece in pieces):
         return refused(404, "these pieces are not here")
-    headers = [("content-type", "application/octet-stream"), ("content-length", str(last - first + 1)),
-               ("content-range", f"bytes {first}-{last}/{manifest.size}"), ("connection", "keep-alive")]
+    headers = [
+        ("content-type", "application/octet-stream"),
+        ("content-length", str(last - first + 1)),
+        ("content-range", f"bytes {first}-{last}/{manifest.size}"),
+        ("connection", "keep-alive"),
+    ]
     begun = False
     for at in range(first, last + 1, PART):
         size = min(PART, last + 1 - at)
--- a/stackpitch/duties/weights/upkeep.py
+++ b/stackpitch/duties/weights/upkeep.py
@@ -62,7 +62,9 @@
         planner = self.planner
         last = planner.sites.last(site)
         if last is None or self.tries.get(last.report.gateway, 0) >= GIVEN_UP:
-            return all(self.tries.get(number, 0) >= GIVEN_UP for number in planner.wanted.sites[site].gateways)
+            return all(
+                self.tries.get(number, 0) >= GIVEN_UP for number in planner.wanted.sites[site].gateways
+            )
         return all((name, planner.wanted.models[name].version) in last.released for name in names)
 
     def _site(self, group: Group, heard: Heard, names: list[str], now: Time) -> None:
@@ -72,8 +74,21 @@
             if version in heard.released:
                 continue
             if version not in heard.known:
-                self._tell(group, heard, "place", forms.Place(
-                    name, model.version, manifest.size, manifest.piece, manifest.whole, tuple(manifest.pieces)), now, AGAIN)
+                self._tell(
+                    group,
+                    heard,
+                    "place",
+                    forms.Place(
+                        name,
+                        model.version,
+                        manifest.size,
+                        manifest.piece,
+                        manifest.whole,
+                        tuple(manifest.pieces),
+                    ),
+                    now,
+                    AGAIN,
+                )
             elif version in heard.placed and (not model.vocabulary or self.admits(model.vocabulary)):
                 self._tell(group, heard, "service", forms.Release(name, model.version), now, AGAIN)
         for one in heard.report.have:
@@ -99,7 +114,9 @@
             self.tries[number] = self.tries.get(number, 0) + 1
             self._spawn(group, number, "begin", forms.Begin(site))
 
-    def _tell(self, group: Group, heard: Heard, kind: str, body: forms.Place | forms.Release, now: Time, every: Time) -> None:
+    def _tell(
+        self, group: Group, heard: Heard, kind: str, body: forms.Place | forms.Release, now: Time, every: Time
+    ) -> None:
         number = heard.report.gateway
         key = number, kind, body.model
         if self.calls < MOST_CALLS and now >= self.told.get(key, now - every) + every:
--- a/stackpitch/duties/weights/wanted.py
+++ b/stackpitch/duties/weights/wanted.py
@@ -38,10 +38,14 @@
 class Model(Part):
     version: Label
     priority: Annotated[int, Field(ge=0, le=99)]  # class; 0 goes before 1
-    by_unix_ms: Annotated[int, Field(ge=0)] | None = None  # wanted by; within a class the earlier first, those without last
+    by_unix_ms: Annotated[int, Field(ge=0)] | None = (
+        None  # wanted by; within a class the earlier first, those without last
+    )
     sites: Annotated[list[Label], Field(max_length=1024)]
     origin: HostPort
-    path: Annotated[str, Field(max_length=1024, pattern=r"^/[!-~]*$")]  # at the origin; no spaces, no line ends
+    path: Annotated[
+        str, Field(max_length=1024, pattern=r"^/[!-~]*$")
+    ]  # at the origin; no spaces, no line ends
     manifest: Manifest
     # Digest of the vocabulary that it comes with: it is put in service once a change to that one is allowed. Empty: at once.
     vocabulary: Annotated[str, Field(pattern=r"^([0-9a-f]{32})?$")] = ""
@@ -50,7 +54,9 @@
 class Wanted(Part):
     version: Annotated[int, Field(ge=0)]
     grant_ms: Annotated[float, Field(ge=200, le=10_000)] = 1000  # how long a grant lasts at most
-    least_share: Annotated[float, Field(ge=0, le=0.5)] = 0.0  # of each link, for classes below the highest that waits
+    least_share: Annotated[float, Field(ge=0, le=0.5)] = (
+        0.0  # of each link, for classes below the highest that waits
+    )
     links: Annotated[dict[Label, Link], Field(max_length=256)] = {}
     sites: Annotated[dict[Label, Site], Field(min_length=1, max_length=1024)]
     models: Annotated[dict[Label, Model], Field(max_length=256)]
@@ -58,13 +64,17 @@
     @model_validator(mode="after")
     def names_are_known_and_once(self) -> "Wanted":
         if ORIGIN in self.sites:
-            raise ValueError(f"sites.{ORIGIN}: found {ORIGIN!r}; allowed: any other name, as this one is the origin's")
+            raise ValueError(
+                f"sites.{ORIGIN}: found {ORIGIN!r}; allowed: any other name, as this one is the origin's"
+            )
         homes: dict[int, str] = {}
         for name, site in self.sites.items():
             for number in site.gateways:
                 if number in homes:
-                    raise ValueError(f"sites.{name}.gateways: found {number}; allowed: gateways that no other place names "
-                                     f"({homes[number]} has it)")
+                    raise ValueError(
+                        f"sites.{name}.gateways: found {number}; allowed: gateways that no other place names "
+                        f"({homes[number]} has it)"
+                    )
                 homes[number] = name
         groups = [("links", name, link.sites) for name, link in self.links.items()]
         groups += [("models", name, model.sites) for name, model in self.models.items()]
@@ -101,7 +111,9 @@
     try:
         size = path.stat().st_size
         if size > LARGEST:
-            raise WantedRejected(str(path), f"{path}: (whole): found {size} bytes; allowed: at most {LARGEST}")
+            raise WantedRejected(
+                str(path), f"{path}: (whole): found {size} bytes; allowed: at most {LARGEST}"
+            )
         return checked(evaluate(path, given), path)
     except OSError as wrong:
         raise WantedRejected(str(path), f"{path}: {wrong.strerror}") from None
--- a/stackpitch/duties/weights/wantedfile.py
+++ b/stackpitch/duties/weights/wantedfile.py
@@ -22,6 +22,7 @@
 
     def look(self) -> Coro[bool]:
         """Reads it if it has changed; whether anything is new, be it good or wrong."""
+
         def looked() -> tuple[tuple[int, ...], Wanted | WantedRejected | None, Wanted | None]:
             last = self.current if self.begun else self.kept.load()
             try:
@@ -55,7 +56,9 @@
         for name, model in wanted.models.items():
             old = self.current.models.get(name) if self.current is not None else None
             if old is not None and old.version == model.version and old.manifest != model.manifest:
-                lines.append(f"{self.path}: models.{name}.manifest: found another one for version {model.version} "
-                             f"(whole {model.manifest.whole[:16]}); allowed: the one it had (whole {old.manifest.whole[:16]}), "
-                             f"or a new version. {VersionChanged.remedy}")
+                lines.append(
+                    f"{self.path}: models.{name}.manifest: found another one for version {model.version} "
+                    f"(whole {model.manifest.whole[:16]}); allowed: the one it had (whole {old.manifest.whole[:16]}), "
+                    f"or a new version. {VersionChanged.remedy}"
+                )
         return WantedRejected(str(self.path), "\n".join(lines)) if lines else None
--- a/stackpitch/duties/weights/work.py
+++ b/stackpitch/duties/weights/work.py
@@ -46,21 +46,36 @@
 
     name = "weights"
 
-    def __init__(self, world: World, ground: Ground, settings: WeightsSettings, start: int, address: Callable[[int], str],
-                 engines: Engines | None = None, admits: Callable[[str], bool] = lambda vocabulary: True,
-                 revenue: Callable[[], float] = lambda: 0.0, log: Callable[..., None] = lambda word, **fields: None,
-                 disk: Disk | None = None) -> None:
+    def __init__(
+        self,
+        world: World,
+        ground: Ground,
+        settings: WeightsSettings,
+        start: int,
+        address: Callable[[int], str],
+        engines: Engines | None = None,
+        admits: Callable[[str], bool] = lambda vocabulary: True,
+        revenue: Callable[[], float] = lambda: 0.0,
+        log: Callable[..., None] = lambda word, **fields: None,
+        disk: Disk | None = None,
+    ) -> None:
         self.world, self.ground, self.address, self.admits, self.log = world, ground, address, admits, log
         folder = Folder(disk if disk is not None else world.volume(), settings.folder, ground.number)
-        self.file = WantedFile(world, Path(settings.wanted), LastGood(world.files(), folder.disk, folder.wanted()))
+        self.file = WantedFile(
+            world, Path(settings.wanted), LastGood(world.files(), folder.disk, folder.wanted())
+        )
         self.receiver = Receiver(world, ground.number, start, folder, engines or NoEngines(), revenue, log)
         self.owner: Owner | None = None
         self.reported: Time = 0
-        self.waiting: dict[int, float] = {}  # revenue by gateway, as the last announcement found it; emptied as tenures begin
+        self.waiting: dict[
+            int, float
+        ] = {}  # revenue by gateway, as the last announcement found it; emptied as tenures begin
 
     def own(self, tenure: Tenure, value: bytes) -> Coro[None]:
         self.waiting.clear()
-        owner = self.owner = Owner(self.world, tenure, self.file, numbered, self.admits, self.log, self.waiting)
+        owner = self.owner = Owner(
+            self.world, tenure, self.file, numbered, self.admits, self.log, self.waiting
+        )
         try:
             yield from owner.run(value)
         finally:
@@ -78,7 +93,9 @@
 
     def heard(self, sender: int, kind: str, stamp: Stamp, body: msgspec.Raw) -> Coro[Answer]:
         if kind == "report":
-            word = self.owner.report(decode(body, type=forms.Report)) if self.owner is not None else "not owner"
+            word = (
+                self.owner.report(decode(body, type=forms.Report)) if self.owner is not None else "not owner"
+            )
             return Answer(word)
         if stamp.term <= 0:
             return Answer("a term is needed")
@@ -91,7 +108,9 @@
             word = self.receiver.place(stamp, decode(body, type=forms.Place))
         elif kind == "grant":
             grant = decode(body, type=Grant)
-            if grant.address.startswith("#"):  # a neighbour is where this gateway reaches it, not where the owner does
+            if grant.address.startswith(
+                "#"
+            ):  # a neighbour is where this gateway reaches it, not where the owner does
                 grant = msgspec.structs.replace(grant, address=self.address(self._neighbour(grant.address)))
             word = self.receiver.grant(stamp, grant)
         elif kind == "service":
@@ -119,7 +138,12 @@
                     if self.file.rejected is not None:
                         wrong = self.file.rejected
                         in_force = self.file.current.version if self.file.current is not None else None
-                        self.log("weights_wanted_rejected", why=wrong.complaints, remedy=wrong.remedy, in_force=in_force)
+                        self.log(
+                            "weights_wanted_rejected",
+                            why=wrong.complaints,
+                            remedy=wrong.remedy,
+                            in_force=in_force,
+                        )
                     elif self.owner is not None:
                         self.owner.wake()
                 yield from self.world.sleep(LOOK)
--- a/stackpitch/exchange.py
+++ b/stackpitch/exchange.py
@@ -5,7 +5,9 @@
 from stackpitch.wire import http
 
 
-def answered(stream: Stream, request: bytes, max_head: int, max_body: int) -> Coro[http.ResponseReader | None]:
+def answered(
+    stream: Stream, request: bytes, max_head: int, max_body: int
+) -> Coro[http.ResponseReader | None]:
     """Writes the request and reads the answer, its body in `pieces`; None if the connection ends before. Raises Lost,
     http.BadMessage."""
     reader = http.ResponseReader(max_head, max_body)
@@ -21,8 +23,9 @@
     return reader
 
 
-def asked(world: World, address: Address, limit: Time, request: bytes, max_body: int = 1 << 16) -> Coro[
-        http.ResponseReader | None]:
+def asked(
+    world: World, address: Address, limit: Time, request: bytes, max_body: int = 1 << 16
+) -> Coro[http.ResponseReader | None]:
     """The same on a connection of its own, connecting included in the limit; None if no whole answer came."""
     try:
         with world.limit(limit):
--- a/stackpitch/expect/book.py
+++ b/stackpitch/expect/book.py
@@ -47,9 +47,13 @@
     def plan(self, name: str) -> Plan:
         """Raises BadStatement on situations that are not there or lead back to themselves."""
         file, statement = self.statements[name]
-        return Plan(statement, file, tuple(self._flat(statement.circumstances, f"{file}:{statement.line}", ())))
+        return Plan(
+            statement, file, tuple(self._flat(statement.circumstances, f"{file}:{statement.line}", ()))
+        )
 
-    def _flat(self, circumstances: Iterable[s.Circumstance], at: str, inside: tuple[str, ...]) -> Iterator[s.Circumstance]:
+    def _flat(
+        self, circumstances: Iterable[s.Circumstance], at: str, inside: tuple[str, ...]
+    ) -> Iterator[s.Circumstance]:
         for one in circumstances:
             if not isinstance(one, s.Given):
                 yield one
@@ -68,29 +72,52 @@
         for asking in asked:
             for product in asking.products:
                 if product not in of.products:
-                    raise BadStatement(f'{at}: no product "{product}" in this configuration; there are: {shown(of.products)}')
+                    raise BadStatement(
+                        f'{at}: no product "{product}" in this configuration; there are: {shown(of.products)}'
+                    )
             for customer in asking.customers or ():
                 if customer not in of.customers:
-                    raise BadStatement(f'{at}: no customer "{customer}" in this configuration; there are: '
-                                       f"{shown(of.customers)}")
+                    raise BadStatement(
+                        f'{at}: no customer "{customer}" in this configuration; there are: '
+                        f"{shown(of.customers)}"
+                    )
             if asking.customers == () and not of.customers:
                 raise BadStatement(f"{at}: every customer: this configuration has none")
         for one in plan.circumstances:
             if isinstance(one, s.While | s.Deploy):
                 names = sets.select(one.where, at)
-                if isinstance(one, s.While) and one.amount.how in ("some", "all but") and one.amount.number > len(names):
-                    raise BadStatement(f'{at}: "{one.where.text()}" means {len(names)} servers, not {one.amount.number:g}')
+                if (
+                    isinstance(one, s.While)
+                    and one.amount.how in ("some", "all but")
+                    and one.amount.number > len(names)
+                ):
+                    raise BadStatement(
+                        f'{at}: "{one.where.text()}" means {len(names)} servers, not {one.amount.number:g}'
+                    )
         for then in statement.thens:
             claim = then.claim
             if then.of is not None:
                 sets.select(then.of, at)
-            place = claim.place if isinstance(claim, s.Goes) else claim.what if isinstance(claim, s.Share) else None
+            place = (
+                claim.place
+                if isinstance(claim, s.Goes)
+                else claim.what
+                if isinstance(claim, s.Share)
+                else None
+            )
             if isinstance(place, s.Where):
                 sets.select(place, at)
-            if isinstance(place, s.Dynamic) and place.what.startswith("that ") and place.what != f"that {then.every}":
-                raise BadStatement(f'{at}: "{place.text()}": nothing says which; begin with "for every '
-                                   f'{place.what[5:]},"')
-            if isinstance(claim, s.Share) and (statement.asking is None or (statement.asking.count or 1) < 20):
+            if (
+                isinstance(place, s.Dynamic)
+                and place.what.startswith("that ")
+                and place.what != f"that {then.every}"
+            ):
+                raise BadStatement(
+                    f'{at}: "{place.text()}": nothing says which; begin with "for every {place.what[5:]},"'
+                )
+            if isinstance(claim, s.Share) and (
+                statement.asking is None or (statement.asking.count or 1) < 20
+            ):
                 raise BadStatement(f'{at}: "{claim.text()}": a share is of many; say 20 turns at least')
 
     def contradictions(self, sets: Sets) -> list[tuple[str, str, str]]:
@@ -117,9 +144,10 @@
             if ours and theirs and not ours & theirs:
                 return None
         for number, mine in enumerate(one.thens):
-            for yours in other.thens[number + 1:] if one is other else other.thens:
+            for yours in other.thens[number + 1 :] if one is other else other.thens:
                 if (mine.every, mine.of) == (yours.every, yours.of) and (
-                        clash(mine.claim, yours.claim, sets) or clash(yours.claim, mine.claim, sets)):
+                    clash(mine.claim, yours.claim, sets) or clash(yours.claim, mine.claim, sets)
+                ):
                     return f'"{mine.text()}" and "{yours.text()}"'
         return None
 
@@ -127,7 +155,9 @@
 def clash(one: s.Claim, other: s.Claim, sets: Sets) -> bool:
     """Whether no generation can do both, as far as that shows without playing it. Ask both ways round."""
     if isinstance(one, s.Ended) and isinstance(other, s.Ended):
-        return one.wanted and ((other.wanted and one.how != other.how) or (not other.wanted and one.how == other.how))
+        return one.wanted and (
+            (other.wanted and one.how != other.how) or (not other.wanted and one.how == other.how)
+        )
     if isinstance(one, s.Ended) and isinstance(other, s.Goes):
         return one.wanted and one.how == "throttled" and not other.never and other.part == "written"
     if isinstance(one, s.Goes) and isinstance(other, s.Goes) and not one.never:
@@ -136,8 +166,9 @@
             if other.never:
                 return ours <= theirs
             roles = {server.name: server.role for server in sets.of.fleet}
-            alike = one.part == other.part and (one.part != "any" or {roles[name] for name in ours} & {
-                roles[name] for name in theirs})
+            alike = one.part == other.part and (
+                one.part != "any" or {roles[name] for name in ours} & {roles[name] for name in theirs}
+            )
             return bool(alike) and not ours & theirs
         return other.never and one.place == other.place
     if isinstance(one, s.Legs) and isinstance(other, s.Legs):
@@ -147,7 +178,11 @@
     if isinstance(one, s.Resent) and isinstance(other, s.Resent):
         return one.wanted != other.wanted
     if isinstance(one, s.Share) and isinstance(other, s.Share):
-        return one.part == other.part and one.what == other.what and (one.high < other.low or other.high < one.low)
+        return (
+            one.part == other.part
+            and one.what == other.what
+            and (one.high < other.low or other.high < one.low)
+        )
     if isinstance(one, s.Fact) and isinstance(other, s.Fact):
         return one.path == other.path and one.value != other.value
     return False
--- a/stackpitch/expect/deployment.py
+++ b/stackpitch/expect/deployment.py
@@ -41,18 +41,30 @@
         return (days * DAY_MINUTES + minute - self.utc_offset) * MINUTE
 
     def servers(self) -> dict[str, Server]:
-        return {one.name: Server(one.name, one.zone, one.kind, one.cell, one.role, one.memory_tok, one.state, one.weight)
-                for one in self.fleet}
+        return {
+            one.name: Server(
+                one.name, one.zone, one.kind, one.cell, one.role, one.memory_tok, one.state, one.weight
+            )
+            for one in self.fleet
+        }
 
 
 def deployment(settings: Settings, fleet: Fleet) -> Deployment:
     """`fleet` has been checked. Starts that it states are left out: in a dry world all began long ago."""
     known = kinds(settings)
     return Deployment(
-        products(settings), customers(settings), module_arguments(settings),
-        tuple(Server(one.name, one.zone, one.kind, one.cell, *known[one.kind], one.state, one.weight)
-              for one in fleet.servers),
-        settings.seed, preferences(settings, 0).rules, settings.utc_offset_min, settings.model_dump())
+        products(settings),
+        customers(settings),
+        module_arguments(settings),
+        tuple(
+            Server(one.name, one.zone, one.kind, one.cell, *known[one.kind], one.state, one.weight)
+            for one in fleet.servers
+        ),
+        settings.seed,
+        preferences(settings, 0).rules,
+        settings.utc_offset_min,
+        settings.model_dump(),
+    )
 
 
 class Sets:
@@ -78,7 +90,9 @@
     def _term(self, term: Term, at: str, inside: tuple[str, ...]) -> frozenset[str]:
         if term.sort == "server":
             if term.name not in self.names:
-                raise BadStatement(f'{at}: no server "{term.name}" in this configuration; {self._near(term.name)}')
+                raise BadStatement(
+                    f'{at}: no server "{term.name}" in this configuration; {self._near(term.name)}'
+                )
             return frozenset((term.name,))
         if term.sort == "defined":
             if term.name in inside or len(inside) > 50:
@@ -93,7 +107,9 @@
             there = {str(getattr(server, one.field)) for server in self.of.fleet}
             if one.value not in there:
                 word = "rack" if one.field == "cell" else one.field
-                raise BadStatement(f'{at}: no {word} "{one.value}" in this configuration; there are: {shown(there)}')
+                raise BadStatement(
+                    f'{at}: no {word} "{one.value}" in this configuration; there are: {shown(there)}'
+                )
             able = [server for server in able if str(getattr(server, one.field)) == one.value]
         return frozenset(server.name for server in able)
 
@@ -110,7 +126,11 @@
 def part(names: frozenset[str], amount: Amount, mark: str) -> list[str]:
     """So many of a set, drawn by hash, so that each play of a statement may draw others."""
     ranked = sorted(names, key=lambda name: (crc32(f"{mark} {name}".encode()), name))
-    count = {"all": len(ranked), "half": (len(ranked) + 1) // 2, "some": min(len(ranked), int(amount.number)),
-             "all but": max(0, len(ranked) - int(amount.number)),
-             "percent": round(len(ranked) * amount.number / 100)}[amount.how]
+    count = {
+        "all": len(ranked),
+        "half": (len(ranked) + 1) // 2,
+        "some": min(len(ranked), int(amount.number)),
+        "all but": max(0, len(ranked) - int(amount.number)),
+        "percent": round(len(ranked) * amount.number / 100),
+    }[amount.how]
     return ranked[:count]
--- a/stackpitch/expect/dry.py
+++ b/stackpitch/expect/dry.py
@@ -15,7 +15,18 @@
 
 from stackpitch.brain import Brain
 from stackpitch.expect.deployment import Deployment
-from stackpitch.interface import NEVER_RAN, Customer, Generation, Leg, Outcome, Product, Report, Server, State, Time
+from stackpitch.interface import (
+    NEVER_RAN,
+    Customer,
+    Generation,
+    Leg,
+    Outcome,
+    Product,
+    Report,
+    Server,
+    State,
+    Time,
+)
 from stackpitch.preferences import RuledBrain
 
 MS, SECOND = 10, 10_000
@@ -23,8 +34,11 @@
 # A dry server's pace: none of it is measured, and no decision hangs on it but through the module.
 READ_PER_MS, READ_LEAST, FIRST_TOKEN, TOKEN = 20, 8 * MS, 30 * MS, 15 * MS
 ENDS: dict[str, tuple[Outcome, Time]] = {  # what may happen to a leg, and how soon the gateway sees it
-    "resets before output": ("reset", 20 * MS), "can't be reached": ("unreachable", 1 * MS), "is full": ("full", 2 * MS),
-    "loses the state": ("full", 2 * MS), "gives an error": ("error", 20 * MS),
+    "resets before output": ("reset", 20 * MS),
+    "can't be reached": ("unreachable", 1 * MS),
+    "is full": ("full", 2 * MS),
+    "loses the state": ("full", 2 * MS),
+    "gives an error": ("error", 20 * MS),
 }
 LISTED: dict[str, State] = {"drains": "draining", "gone": "gone", "ready": "ready"}
 WINDOW, FEW = 5 * SECOND, 4  # over which work at a cold server is counted; so few legs are no push
@@ -75,8 +89,15 @@
 class Dry:
     """One world, for one play. `explain` keeps the figures behind each decision."""
 
-    def __init__(self, of: Deployment, mark: str, explain: bool = False, day: int = 0, minute: int = 720,
-                 make: Callable[..., Brain] = RuledBrain) -> None:
+    def __init__(
+        self,
+        of: Deployment,
+        mark: str,
+        explain: bool = False,
+        day: int = 0,
+        minute: int = 720,
+        make: Callable[..., Brain] = RuledBrain,
+    ) -> None:
         self.of, self.mark, self.explain, self.make = of, mark, explain, make
         self.epoch = of.epoch(day, minute) - BEGIN
         self.now: Time = BEGIN
@@ -88,7 +109,11 @@
         self.texts: dict[str, set[int]] = {}  # opening to racks where it was read
         self.kept: dict[str, tuple[Server, Time | None, int]] = {}  # session to server, its start, tokens
         self.load: dict[Server, int] = {}
-        self.sent: dict[str, deque[tuple[Time, Server, int]]] = {"reader": deque(), "writer": deque(), "mixed": deque()}
+        self.sent: dict[str, deque[tuple[Time, Server, int]]] = {
+            "reader": deque(),
+            "writer": deque(),
+            "mixed": deque(),
+        }
         self.breaches: list[tuple[str, str]] = []
         self.modes: list[tuple[Time, str]] = []
         self.brain = self._made()
@@ -164,20 +189,59 @@
             return
         product = next(iter(self.of.products.values()))
         self.count += 1
-        gen = Generation(f"past-{self.count}", product, None, None, None, 0, 100, 10, None, self.now, self.now + SECOND,
-                         False, False, over=True)
+        gen = Generation(
+            f"past-{self.count}",
+            product,
+            None,
+            None,
+            None,
+            0,
+            100,
+            10,
+            None,
+            self.now,
+            self.now + SECOND,
+            False,
+            False,
+            over=True,
+        )
         leg = Leg(gen, 0, server, self.now, outcome=outcome)
         gen.legs.append(leg)
         self.brain.ended(self.now, leg, 0, False, report)
 
     # Generations.
 
-    def ask(self, product: Product, customer: Customer | None, session: str, opening: str | None, opening_tok: int,
-            prompt_tok: int, answer_tok: int, again: bool, earlier: Story | None = None, main: bool = False,
-            script: Iterable[tuple[str, str]] = (), leaves: str = "") -> Story:
+    def ask(
+        self,
+        product: Product,
+        customer: Customer | None,
+        session: str,
+        opening: str | None,
+        opening_tok: int,
+        prompt_tok: int,
+        answer_tok: int,
+        again: bool,
+        earlier: Story | None = None,
+        main: bool = False,
+        script: Iterable[tuple[str, str]] = (),
+        leaves: str = "",
+    ) -> Story:
         self.count += 1
-        gen = Generation(f"{self.mark}.{self.count}", product, customer, session, opening, opening_tok if opening else 0,
-                         prompt_tok, answer_tok, None, self.now, self.now + product.time_limit, again, False)
+        gen = Generation(
+            f"{self.mark}.{self.count}",
+            product,
+            customer,
+            session,
+            opening,
+            opening_tok if opening else 0,
+            prompt_tok,
+            answer_tok,
+            None,
+            self.now,
+            self.now + product.time_limit,
+            again,
+            False,
+        )
         story = self.stories[gen] = Story(gen, answer_tok, earlier, main, deque(script), leaves)
         story.last_back = self.now
         story.holder_cells = frozenset(self.texts.get(opening or "", ()))
@@ -214,8 +278,15 @@
         tok = gen.prompt_tok
         self.load[server] = self.load.get(server, 0) + tok
         condition, outcome, after = self.conditions[server], "", 0
-        happens = next((one for one in story.script if (one[0] == "first leg" and not leg.number)
-                        or one[0] == ("reader" if server.role == "reader" else "writer")), None)
+        happens = next(
+            (
+                one
+                for one in story.script
+                if (one[0] == "first leg" and not leg.number)
+                or one[0] == ("reader" if server.role == "reader" else "writer")
+            ),
+            None,
+        )
         if happens is not None:
             story.script.remove(happens)
             what = happens[1]
@@ -228,11 +299,18 @@
             else:
                 outcome, after = ENDS[what]
             no_state = what == "loses the state"
-            self.at(self.now + min(after, limit), lambda: self._ended(brain, story, leg, outcome, no_state=no_state))  # type: ignore[arg-type]
+            self.at(
+                self.now + min(after, limit),
+                lambda: self._ended(brain, story, leg, outcome, no_state=no_state),  # type: ignore[arg-type]
+            )
             return leg
         if condition.state != "well":
-            outcome, after = {"hangs": ("time-out", limit), "full": ENDS["is full"], "refuse": ENDS["can't be reached"],
-                              "reset": ENDS["resets before output"]}[condition.state]
+            outcome, after = {
+                "hangs": ("time-out", limit),
+                "full": ENDS["is full"],
+                "refuse": ENDS["can't be reached"],
+                "reset": ENDS["resets before output"],
+            }[condition.state]
         elif server.role == "reader":
             outcome, after = "read", int((READ_LEAST + tok * MS // READ_PER_MS) * condition.slow)
         else:
@@ -269,9 +347,13 @@
     def throttle(self, gen: Generation, retry_after: Time) -> None:
         story = self.stories[gen]
         may = self._may_have_run(gen)
-        if may and (gen.product.effect == "side-effecting"
-                    or (gen.product.effect == "deduplicated" and gen.product.scope != "all")):
-            self._breach("effects", f"{gen.product.name} is throttled though {may[0].server.name} may have run it")
+        if may and (
+            gen.product.effect == "side-effecting"
+            or (gen.product.effect == "deduplicated" and gen.product.scope != "all")
+        ):
+            self._breach(
+                "effects", f"{gen.product.name} is throttled though {may[0].server.name} may have run it"
+            )
         self._final(story, "throttled")
 
     def terminate(self, gen: Generation) -> None:
@@ -339,20 +421,29 @@
                 self.texts.setdefault(gen.shared, set()).add(leg.server.cell)
         elif outcome == "streamed":
             kept = self._keeps(story, leg.server)
-            self.kept[gen.session or gen.name] = (leg.server, leg.server.started, gen.prompt_tok + story.answer_tok)
+            self.kept[gen.session or gen.name] = (
+                leg.server,
+                leg.server.started,
+                gen.prompt_tok + story.answer_tok,
+            )
         if leg.streaming and not gen.over:
             gen.over = True
             story.finals += 1
             story.end = "streamed" if outcome == "streamed" else "terminated"
-        self._step(story, f"{leg.server.name} {'is done' if outcome in ('read', 'streamed') else outcome}",
-                   board=not gen.over)
+        self._step(
+            story,
+            f"{leg.server.name} {'is done' if outcome in ('read', 'streamed') else outcome}",
+            board=not gen.over,
+        )
         brain.ended(self.now, leg, kept, no_state, self._report(leg.server))
         self._look(story)
 
     def _report(self, server: Server) -> Report | None:
         told = self.conditions[server].report
         if told is None:
-            told = min(1.0, self.load.get(server, 0) * self.of.arguments["gateways"] / max(1, server.memory_tok))
+            told = min(
+                1.0, self.load.get(server, 0) * self.of.arguments["gateways"] / max(1, server.memory_tok)
+            )
         return Report(told, None, None)
 
     def _final(self, story: Story, how: str) -> None:
@@ -373,8 +464,11 @@
 
     @staticmethod
     def _may_have_run(gen: Generation) -> list[Leg]:
-        return [leg for leg in gen.legs if leg.outcome not in NEVER_RAN
-                and (leg.server.role != "reader" or leg.outcome is None)]
+        return [
+            leg
+            for leg in gen.legs
+            if leg.outcome not in NEVER_RAN and (leg.server.role != "reader" or leg.outcome is None)
+        ]
 
     def _check_send(self, story: Story, server: Server) -> None:
         gen, product = story.gen, story.gen.product
@@ -384,13 +478,21 @@
             self._breach("answered", f"{product.name} is sent to {server.name} after it was {story.end}")
         may = self._may_have_run(gen)
         if may and product.effect == "side-effecting":
-            self._breach("effects", f"{product.name} is sent to {server.name} though {may[0].server.name} may have run it")
+            self._breach(
+                "effects",
+                f"{product.name} is sent to {server.name} though {may[0].server.name} may have run it",
+            )
         if may and product.effect == "deduplicated":
             same = product.scope == "all" or all(
-                one.server.zone == server.zone and (product.scope == "zone" or one.server.cell == server.cell) for one in may)
+                one.server.zone == server.zone and (product.scope == "zone" or one.server.cell == server.cell)
+                for one in may
+            )
             if not same or self.now - may[0].sent > product.memory:
-                self._breach("effects", f"{product.name} is sent to {server.name}, which may not know that "
-                                        f"{may[0].server.name} may have run it")
+                self._breach(
+                    "effects",
+                    f"{product.name} is sent to {server.name}, which may not know that "
+                    f"{may[0].server.name} may have run it",
+                )
         sent = self.sent[server.role]
         sent.append((self.now, server, gen.prompt_tok))
         while sent[0][0] < self.now - WINDOW:
@@ -402,8 +504,13 @@
     def _check_cold(self, server: Server, sent: deque[tuple[Time, Server, int]], warm_up: Time) -> None:
         """Work brought to a cold server against the mean of the warm ones, allowed so many times its warmth."""
         ours = [tok for _, one, tok in sent if one is server]
-        warm = [one for one in self.servers.values() if one.role == server.role and one.state == "ready"
-                and (one.started is None or self.now - one.started >= warm_up)]
+        warm = [
+            one
+            for one in self.servers.values()
+            if one.role == server.role
+            and one.state == "ready"
+            and (one.started is None or self.now - one.started >= warm_up)
+        ]
         if len(ours) <= FEW or not warm:
             return
         mean = sum(tok for _, one, tok in sent if one in warm) / len(warm)
@@ -411,8 +518,11 @@
         warmth = self.of.arguments["cold_from"] + (1 - self.of.arguments["cold_from"]) * age
         allowed = max(mean, FEW * ours[-1]) * self.of.arguments["fall_multiple"] * warmth
         if sum(ours) > allowed:
-            self._breach("cold", f"{server.name} is cold and was sent {sum(ours)} tokens in {WINDOW // SECOND} s; "
-                                 f"{allowed:.0f} allowed")
+            self._breach(
+                "cold",
+                f"{server.name} is cold and was sent {sum(ours)} tokens in {WINDOW // SECOND} s; "
+                f"{allowed:.0f} allowed",
+            )
 
     def _look(self, story: Story) -> None:
         """What is held with no leg out is watched from one moment to the next."""
@@ -431,7 +541,10 @@
             if story.held_since is not None:
                 story.longest_held = max(story.longest_held, self.now - story.held_since + release + 1)
             if story.longest_held > release:
-                self._breach("pinned", f"what {gen.product.name} holds waits {story.longest_held / 10:.0f} ms with no leg out")
+                self._breach(
+                    "pinned",
+                    f"what {gen.product.name} holds waits {story.longest_held / 10:.0f} ms with no leg out",
+                )
             if story.end == "departed":
                 continue
             if story.finals != 1:
@@ -443,7 +556,9 @@
 
     def _step(self, story: Story, text: str, board: bool = False) -> None:
         if self.explain and story.main:
-            story.steps.append(Step(self.now, text, self.board(story) if board else [], self.queue() if board else 0.0))
+            story.steps.append(
+                Step(self.now, text, self.board(story) if board else [], self.queue() if board else 0.0)
+            )
 
     def board(self, story: Story) -> list[dict[str, Any]]:
         """What the module knows of its servers now, by its own figures; nothing is changed by looking."""
@@ -451,18 +566,43 @@
         for seat in fleet.seats.values():
             server, role = seat.server, seat.server.role
             usual = fleet.other_share(role, self.now)
-            health = "draining" if server.state == "draining" else "gone" if server.state == "gone" else (
-                "shunned" if self.now < seat.shunned_until else "silent" if fleet.unwell(seat, self.now) else "well")
-            found.append({
-                "server": server.name, "role": role, "rack": server.cell, "health": health,
-                "held": round(fleet.held_share(seat, self.now, usual), 3), "own_tok": seat.own,
-                "waiting": len(seat.waiting), "warmth": round(fleet.warmth(seat, self.now), 2),
-                "cold_turn": round(seat.turn[1], 2) if fleet.cold(seat, self.now) else None,
-                "tried": any(leg.server is server for leg in story.gen.legs)})
+            health = (
+                "draining"
+                if server.state == "draining"
+                else "gone"
+                if server.state == "gone"
+                else (
+                    "shunned"
+                    if self.now < seat.shunned_until
+                    else "silent"
+                    if fleet.unwell(seat, self.now)
+                    else "well"
+                )
+            )
+            found.append(
+                {
+                    "server": server.name,
+                    "role": role,
+                    "rack": server.cell,
+                    "health": health,
+                    "held": round(fleet.held_share(seat, self.now, usual), 3),
+                    "own_tok": seat.own,
+                    "waiting": len(seat.waiting),
+                    "warmth": round(fleet.warmth(seat, self.now), 2),
+                    "cold_turn": round(seat.turn[1], 2) if fleet.cold(seat, self.now) else None,
+                    "tried": any(leg.server is server for leg in story.gen.legs),
+                }
+            )
         found.sort(key=lambda one: (one["role"], one["health"] != "well", one["held"], one["server"]))
         return found
 
     def queue(self) -> float:
         """The module's estimate of what a new generation would wait, in ms."""
         fleet = self.brain.fleet
-        return sum(fleet.queue_wait(role, fleet.healthy(role, self.now), self.now) for role in ("reader", "writer")) / 10
+        return (
+            sum(
+                fleet.queue_wait(role, fleet.healthy(role, self.now), self.now)
+                for role in ("reader", "writer")
+            )
+            / 10
+        )
--- a/stackpitch/expect/judge.py
+++ b/stackpitch/expect/judge.py
@@ -59,7 +59,15 @@
     plays: int = 0
 
     def word(self) -> str:
-        return "can't apply" if self.error else "vacuous" if self.vacuous else "holds" if self.passed else "fails"
+        return (
+            "can't apply"
+            if self.error
+            else "vacuous"
+            if self.vacuous
+            else "holds"
+            if self.passed
+            else "fails"
+        )
 
     def why(self) -> str:
         if self.error or self.vacuous:
@@ -86,7 +94,9 @@
 class Judge:
     """One configuration and one book."""
 
-    def __init__(self, book: Book, of: Deployment, draws: int = 3, make: Callable[..., Brain] = RuledBrain) -> None:
+    def __init__(
+        self, book: Book, of: Deployment, draws: int = 3, make: Callable[..., Brain] = RuledBrain
+    ) -> None:
         self.book, self.of, self.draws, self.make = book, of, draws, make
         self.sets = Sets(of, book.definitions)
         self.touched = Touched()
@@ -106,8 +116,9 @@
 
     def variants(self, asking: s.Asking) -> Iterator[Variant]:
         products = asking.products or tuple(self.of.products)
-        customers: tuple[str | None, ...] = (None,) if asking.customers is None else (
-            asking.customers or tuple(self.of.customers))
+        customers: tuple[str | None, ...] = (
+            (None,) if asking.customers is None else (asking.customers or tuple(self.of.customers))
+        )
         for draw in range(self.draws if asking.count is None else 1):
             for product in products:
                 for customer in customers:
@@ -142,12 +153,21 @@
         claim = then.claim
         if isinstance(claim, s.Count):
             count = len(self.sets.select(claim.where, at))
-            return Finding(then, count >= claim.count if claim.least else count == claim.count, f"there are {count}")
+            return Finding(
+                then, count >= claim.count if claim.least else count == claim.count, f"there are {count}"
+            )
         if isinstance(claim, s.Each):
             names = self.sets.select(claim.where, at)
-            wrong = [one for one in self.of.fleet if one.name in names and (
-                one.state != "ready" if claim.weight is None else one.weight != claim.weight)]
-            said = [f"{one.name} {f'is {one.state}' if claim.weight is None else f'weighs {one.weight:g}'}" for one in wrong]
+            wrong = [
+                one
+                for one in self.of.fleet
+                if one.name in names
+                and (one.state != "ready" if claim.weight is None else one.weight != claim.weight)
+            ]
+            said = [
+                f"{one.name} {f'is {one.state}' if claim.weight is None else f'weighs {one.weight:g}'}"
+                for one in wrong
+            ]
             return Finding(then, not wrong, ", ".join(said[:5]))
         assert isinstance(claim, s.Fact)
         value: Any = self.of.tree
@@ -197,7 +217,9 @@
         self.dry.settle()
         self.dry.close(RELEASE)
         self._note()
-        left = min((story.script for story in self.stories), key=len)  # it is enough that it came about for one of them
+        left = min(
+            (story.script for story in self.stories), key=len
+        )  # it is enough that it came about for one of them
         if left:
             raise Vacuous(f"its {left[0][0]} never came to where it {left[0][1]}")
         if self.leaves and all(story.end != "departed" for story in self.stories):
@@ -224,16 +246,33 @@
                 raise Vacuous(f"its earlier turn was {story.end}, not streamed")
         return story
 
-    def _turn(self, number: int, earlier: Story | None, turn: int, main: bool = False, asking: s.Asking | None = None,
-              product: str | None = None, session: str = "") -> Story:
+    def _turn(
+        self,
+        number: int,
+        earlier: Story | None,
+        turn: int,
+        main: bool = False,
+        asking: s.Asking | None = None,
+        product: str | None = None,
+        session: str = "",
+    ) -> Story:
         asking = asking or self.asking
         prompt = asking.prompt_tok + turn * (asking.answer_tok + asking.adding_tok)
         customer = self.variant.customer
         return self.dry.ask(
             self.judge.of.products[product or self.variant.product],
             self.judge.of.customers[customer] if customer is not None else None,
-            session or f"{self.mark} {number}", asking.opening, asking.opening_tok, prompt, asking.answer_tok,
-            asking.again, earlier, main, self.script if main else (), self.leaves if main else "")
+            session or f"{self.mark} {number}",
+            asking.opening,
+            asking.opening_tok,
+            prompt,
+            asking.answer_tok,
+            asking.again,
+            earlier,
+            main,
+            self.script if main else (),
+            self.leaves if main else "",
+        )
 
     def _circumstance(self, one: s.Circumstance) -> None:
         dry = self.dry
@@ -260,8 +299,14 @@
             gap = round(SECOND / asking.rate) if asking.rate else 50 * MS
             for number in range(asking.count or 1):
                 for turn in range(TURNS[asking.turn] + 1):
-                    self._turn(number, None, turn, asking=asking, product=products[number % len(products)],
-                               session=f"{self.mark} before {one.line} {number}")
+                    self._turn(
+                        number,
+                        None,
+                        turn,
+                        asking=asking,
+                        product=products[number % len(products)],
+                        session=f"{self.mark} before {one.line} {number}",
+                    )
                     dry.until(dry.now + gap)
             if not asking.rate:
                 dry.settle(60 * SECOND)
@@ -274,8 +319,14 @@
         def come() -> None:
             if self.live:
                 number = next(numbers)
-                self._turn(number, None, 0, asking=asking, product=products[number % len(products)],
-                           session=f"{self.mark} load {number}")
+                self._turn(
+                    number,
+                    None,
+                    0,
+                    asking=asking,
+                    product=products[number % len(products)],
+                    session=f"{self.mark} load {number}",
+                )
                 dry.at(dry.now + round(SECOND / rate), come)
 
         come()
@@ -283,7 +334,7 @@
     def _deploy(self, one: s.Deploy) -> None:
         """Batch by batch: draining, gone, back cold."""
         dry, names = self.dry, part(self.judge.sets.select(one.where, self.plan.at), s.Amount(), self.mark)
-        batches = [names[at:at + one.size] for at in range(0, len(names), one.size)]
+        batches = [names[at : at + one.size] for at in range(0, len(names), one.size)]
         step = max(1, one.time // len(batches))
         self.deploy = dry.now, dry.now + one.time
         self.judge.touched.states |= {"drains", "gone", "cold"}
@@ -405,12 +456,19 @@
                 late = (story.answered or 0) - story.last_back
                 return Finding(then, late <= 0, f"{late / 10:.1f} ms after its last leg was back")
             took = None if story.answered is None else story.answered - gen.arrived
-            return Finding(then, took is not None and took <= claim.within,
-                           f"{'never' if took is None else f'after {took / 10:.0f} ms'}; {found}")
+            return Finding(
+                then,
+                took is not None and took <= claim.within,
+                f"{'never' if took is None else f'after {took / 10:.0f} ms'}; {found}",
+            )
         if isinstance(claim, s.Released):
             if not story.held_at_all:
                 raise Vacuous("nothing was held for it")
-            return Finding(then, story.longest_held <= claim.within, f"held {story.longest_held / 10:.0f} ms with no leg out")
+            return Finding(
+                then,
+                story.longest_held <= claim.within,
+                f"held {story.longest_held / 10:.0f} ms with no leg out",
+            )
         assert isinstance(claim, s.Rules)
         broken = [text for rule, text in self.dry.breaches if claim.name in (None, rule)]
         return Finding(then, not broken, "; ".join(broken[:3]))
@@ -423,8 +481,11 @@
             if not story.gen.over and not story.gen.legs:
                 continue
             total += 1
-            hits += story.end == claim.what if isinstance(claim.what, str) else bool(
-                self._went(story, claim.part, claim.what, bound))
+            hits += (
+                story.end == claim.what
+                if isinstance(claim.what, str)
+                else bool(self._went(story, claim.part, claim.what, bound))
+            )
         return hits, total
 
     def _share(self, then: s.Then, claim: s.Share, bound: str, bounds: int) -> Finding:
@@ -452,7 +513,10 @@
         return 0.0, 1.0
     z = NormalDist().inv_cdf(0.5 + confidence / 2)
     p, weight = hits / total, z * z / total
-    middle, half = (p + weight / 2) / (1 + weight), z / (1 + weight) * (p * (1 - p) / total + weight / total / 4) ** 0.5
+    middle, half = (
+        (p + weight / 2) / (1 + weight),
+        z / (1 + weight) * (p * (1 - p) / total + weight / total / 4) ** 0.5,
+    )
     return max(0.0, middle - half) if hits else 0.0, min(1.0, middle + half) if hits < total else 1.0
 
 
@@ -483,7 +547,7 @@
 
     at = 0
     while at < len(plan.circumstances) and tried < most:
-        fewer = replace(plan, circumstances=plan.circumstances[:at] + plan.circumstances[at + 1:])
+        fewer = replace(plan, circumstances=plan.circumstances[:at] + plan.circumstances[at + 1 :])
         if holds(fewer) is False:
             plan = fewer
         else:
@@ -495,7 +559,7 @@
 def changes(judge: Judge, plan: Plan) -> Iterator[tuple[str, Plan]]:
     """Plans one step away, smallest steps first, each with how to say it."""
     for at, one in enumerate(plan.circumstances):
-        rest = plan.circumstances[:at], plan.circumstances[at + 1:]
+        rest = plan.circumstances[:at], plan.circumstances[at + 1 :]
         yield f'without "{one.text()}"', replace(plan, circumstances=rest[0] + rest[1])
         if isinstance(one, s.While) and one.amount.how != "some":
             some = replace(one, amount=s.Amount("some", 1))
@@ -504,15 +568,25 @@
     if asking is None:
         return
     asked: list[tuple[str, s.Asking]] = [
-        (f"for {name}", replace(asking, products=(name,))) for name in judge.of.products
-        if asking.products != (name,)]
+        (f"for {name}", replace(asking, products=(name,)))
+        for name in judge.of.products
+        if asking.products != (name,)
+    ]
     if asking.opening is not None:
         asked.append(("without its opening", replace(asking, opening=None)))
     if asking.turn == "first":
         asked.append(("for a later turn", replace(asking, turn="later")))
     else:
         asked.append(("for a first turn", replace(asking, turn="first")))
-    asked += [(f"with a prompt of {asking.prompt_tok // 4} tokens", replace(asking, prompt_tok=max(1, asking.prompt_tok // 4))),
-              (f"with a prompt of {asking.prompt_tok * 4} tokens", replace(asking, prompt_tok=asking.prompt_tok * 4))]
+    asked += [
+        (
+            f"with a prompt of {asking.prompt_tok // 4} tokens",
+            replace(asking, prompt_tok=max(1, asking.prompt_tok // 4)),
+        ),
+        (
+            f"with a prompt of {asking.prompt_tok * 4} tokens",
+            replace(asking, prompt_tok=asking.prompt_tok * 4),
+        ),
+    ]
     for text, changed in asked:
         yield text, replace(plan, statement=replace(plan.statement, asking=changed))
--- a/stackpitch/expect/layout.py
+++ b/stackpitch/expect/layout.py
@@ -21,7 +21,7 @@
     out: list[str] = []
     waiting = list(page.comments)
     for line, text in _lines(page):
-        indent = text[:len(text) - len(text.lstrip())]
+        indent = text[: len(text) - len(text.lstrip())]
         beside = ""
         while waiting and line > 0 and waiting[0][0] <= line:
             at, said = waiting.pop(0)
--- a/stackpitch/expect/mutate.py
+++ b/stackpitch/expect/mutate.py
@@ -17,10 +17,22 @@
 
 Tree = dict[str, Any]
 EFFECTS = ("idempotent", "deduplicated", "side-effecting")
-PRODUCT_TIMES = {"slo_ms": (0.1, 10), "time_limit_ms": (0.1, 10), "memory_ms": (0.1, 10), "revenue": (0, 10),
-                 "late_revenue": (0, 10), "token_gap_ms": (0.1, 10)}
-MODULE = {"max_legs": (1, 2, 12), "gateways": (1, 20), "cold_from": (0.05, 1.0), "warm_up_ms": (10.0, 300000.0),
-          "fall_multiple": (0.2, 50.0), "max_retry_after_ms": (0.0,)}
+PRODUCT_TIMES = {
+    "slo_ms": (0.1, 10),
+    "time_limit_ms": (0.1, 10),
+    "memory_ms": (0.1, 10),
+    "revenue": (0, 10),
+    "late_revenue": (0, 10),
+    "token_gap_ms": (0.1, 10),
+}
+MODULE = {
+    "max_legs": (1, 2, 12),
+    "gateways": (1, 20),
+    "cold_from": (0.05, 1.0),
+    "warm_up_ms": (10.0, 300000.0),
+    "fall_multiple": (0.2, 50.0),
+    "max_retry_after_ms": (0.0,),
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,10 +116,14 @@
             other = cells[(cells.index(one.cell) + 1) % len(cells)]
             changed.append(("rack", f"in rack {other}", {"cell": other}))
         if len(zones) > 1:
-            changed.append(("zone", "in another zone", {"zone": zones[(zones.index(one.zone) + 1) % len(zones)]}))
+            changed.append(
+                ("zone", "in another zone", {"zone": zones[(zones.index(one.zone) + 1) % len(zones)]})
+            )
         changed.append(("drain", "draining", {"state": "draining"}))
         changed.append(("weight", "of another weight", {"weight": one.weight * 0.1}))
-        changed += [("kind of server", f"a {kind}", {"kind": kind}) for kind in settings.kinds if kind != one.kind]
+        changed += [
+            ("kind of server", f"a {kind}", {"kind": kind}) for kind in settings.kinds if kind != one.kind
+        ]
         for kind, text, fields in changed:
             tree = fleet.model_dump()
             if fields is None:
@@ -128,7 +144,9 @@
 
 
 def words(book: Book, settings: Settings, fleet: Fleet) -> dict[str, str]:
-    return {verdict.statement.name: verdict.word() for verdict in Judge(book, deployment(settings, fleet)).all()}
+    return {
+        verdict.statement.name: verdict.word() for verdict in Judge(book, deployment(settings, fleet)).all()
+    }
 
 
 def noticed_by(book: Book, mutation: Mutation, before: dict[str, str], order: list[str]) -> str | None:
--- a/stackpitch/expect/parse.py
+++ b/stackpitch/expect/parse.py
@@ -17,19 +17,48 @@
 from stackpitch.expect import syntax as s
 
 MOST_BYTES, MOST_ITEMS, MOST_COUNT = 100_000, 5_000, 100_000
-MOST_WORDS = 24_000  # reading takes its time by them: a file of short words alone would hold a check up for seconds
+MOST_WORDS = (
+    24_000  # reading takes its time by them: a file of short words alone would hold a check up for seconds
+)
 
 SHOWN = {
-    "NAME": "a name", "STRING": 'a "quoted name"', "NUMBER": "a number", "TURN": "first", "TURNS": "turn", "COME": "comes",
-    "DRAIN": "drains", "IS": "is", "HANG": "hangs", "REPORT": "reports", "REFUSE": "refuses", "LEG": "legs",
-    "RESET": "resets", "PART": "reader, writer or first leg", "HAPPENING": "resets before output, times out, can't be "
-    "reached, is full, loses the state, breaks mid-stream or gives an error", "LEAVING": "leaves",
-    "WEIGH": "weighs", "ENDED": "streamed, throttled or terminated", "QUANTITY": "rack, zone or server", "EVERY": "every",
-    "RULE": "answered, effects, drains, cold or pinned", "WHAT": "servers, readers, writers or mixed servers",
-    "OWNER": "the writer that served its earlier turn", "HOLDER": "the rack already holding its opening",
-    "SAME": "the rack of its reader", "OTHER_RACK": "another rack", "OTHER": "another server", "THAT": "that rack",
-    "UNIT": "ms, s or min", "RACK": "rack", "CLOCK": "a time of day as 21:30",
-    "DAY": "a day as saturday", "GUARD": "(guard)", "COLON": ":", "COMMA": ",", "PERCENT": "%",
+    "NAME": "a name",
+    "STRING": 'a "quoted name"',
+    "NUMBER": "a number",
+    "TURN": "first",
+    "TURNS": "turn",
+    "COME": "comes",
+    "DRAIN": "drains",
+    "IS": "is",
+    "HANG": "hangs",
+    "REPORT": "reports",
+    "REFUSE": "refuses",
+    "LEG": "legs",
+    "RESET": "resets",
+    "PART": "reader, writer or first leg",
+    "HAPPENING": "resets before output, times out, can't be "
+    "reached, is full, loses the state, breaks mid-stream or gives an error",
+    "LEAVING": "leaves",
+    "WEIGH": "weighs",
+    "ENDED": "streamed, throttled or terminated",
+    "QUANTITY": "rack, zone or server",
+    "EVERY": "every",
+    "RULE": "answered, effects, drains, cold or pinned",
+    "WHAT": "servers, readers, writers or mixed servers",
+    "OWNER": "the writer that served its earlier turn",
+    "HOLDER": "the rack already holding its opening",
+    "SAME": "the rack of its reader",
+    "OTHER_RACK": "another rack",
+    "OTHER": "another server",
+    "THAT": "that rack",
+    "UNIT": "ms, s or min",
+    "RACK": "rack",
+    "CLOCK": "a time of day as 21:30",
+    "DAY": "a day as saturday",
+    "GUARD": "(guard)",
+    "COLON": ":",
+    "COMMA": ",",
+    "PERCENT": "%",
     "$END": "the end of the file",
 }
 
@@ -40,8 +69,10 @@
 
 def _placed(method: Callable[["_Reader", list[Any]], Any]) -> Any:
     """Gives what a line makes the number of that line."""
+
     def make(self: "_Reader", meta: Any, parts: list[Any]) -> Any:
         return replace(method(self, parts), line=meta.line)
+
     return v_args(meta=True)(make)
 
 
@@ -109,8 +140,13 @@
         one = parts[0]
         if not isinstance(one, Token):
             return one  # type: ignore[no-any-return]
-        words = {"OWNER": "owner", "HOLDER": "holder", "SAME": "same rack", "OTHER_RACK": "another rack",
-                 "OTHER": "another server"}
+        words = {
+            "OWNER": "owner",
+            "HOLDER": "holder",
+            "SAME": "same rack",
+            "OTHER_RACK": "another rack",
+            "OTHER": "another server",
+        }
         return s.Dynamic(words.get(one.type) or " ".join(str(one).split()))  # type: ignore[arg-type]
 
     # Amounts.
@@ -141,6 +177,7 @@
     def _state(name: str) -> Any:  # type: ignore[misc]
         def make(self: "_Reader", parts: list[Any]) -> tuple[str, float]:
             return name, 0.0
+
         return make
 
     drains, gone, ready, hangs = _state("drains"), _state("gone"), _state("ready"), _state("hangs")
@@ -158,7 +195,9 @@
     @_placed
     def clock(self, parts: list[Any]) -> s.Clock:
         hour, _, minute = str(parts[0]).partition(":")
-        return s.Clock(int(hour) * 60 + int(minute), s.DAYS.index(str(parts[1])) if parts[1] is not None else 0)
+        return s.Clock(
+            int(hour) * 60 + int(minute), s.DAYS.index(str(parts[1])) if parts[1] is not None else 0
+        )
 
     @_placed
     def load(self, parts: list[Any]) -> s.Load:
@@ -388,7 +427,9 @@
 
 
 def _allowed(accepts: set[str]) -> str:
-    known = {terminal.name: getattr(terminal.pattern, "value", terminal.name) for terminal in parser().terminals}
+    known = {
+        terminal.name: getattr(terminal.pattern, "value", terminal.name) for terminal in parser().terminals
+    }
     shown = {SHOWN.get(one) or known.get(one, one) for one in accepts if one not in ("WS", "COMMENT")}
     return "; ".join(sorted(shown)) or "nothing"
 
@@ -403,13 +444,17 @@
         tree = parser().parse(text)
         items = _Reader().transform(tree)
     except UnexpectedCharacters as wrong:
-        found = text[wrong.pos_in_stream or 0:][:20].split("\n")[0]
-        raise BadStatement(f"{file}:{wrong.line}:{wrong.column}: found {found!r}; allowed: "
-                           f"{_allowed(set(wrong.allowed or ()))}") from None
+        found = text[wrong.pos_in_stream or 0 :][:20].split("\n")[0]
+        raise BadStatement(
+            f"{file}:{wrong.line}:{wrong.column}: found {found!r}; allowed: "
+            f"{_allowed(set(wrong.allowed or ()))}"
+        ) from None
     except UnexpectedToken as wrong:
         found = "the end of the file" if wrong.token.type == "$END" else repr(str(wrong.token)[:40])
-        raise BadStatement(f"{file}:{wrong.line}:{wrong.column}: found {found}; allowed: "
-                           f"{_allowed(set(wrong.accepts or wrong.expected))}") from None
+        raise BadStatement(
+            f"{file}:{wrong.line}:{wrong.column}: found {found}; allowed: "
+            f"{_allowed(set(wrong.accepts or wrong.expected))}"
+        ) from None
     except UnexpectedEOF:
         raise BadStatement(f"{file}: the file ends inside a statement") from None
     except VisitError as wrong:
--- a/stackpitch/expect/report.py
+++ b/stackpitch/expect/report.py
@@ -10,26 +10,48 @@
 
 def as_json(verdicts: list[Verdict], contradictions: list[tuple[str, str, str]]) -> dict[str, Any]:
     return {
-        "statements": [{"name": one.statement.name, "file": one.file, "line": one.statement.line,
-                        "guard": one.statement.guard, "verdict": one.word(), "why": one.why(), "plays": one.plays}
-                       for one in verdicts],
-        "held": sum(one.passed for one in verdicts), "failed": sum(not one.passed for one in verdicts),
+        "statements": [
+            {
+                "name": one.statement.name,
+                "file": one.file,
+                "line": one.statement.line,
+                "guard": one.statement.guard,
+                "verdict": one.word(),
+                "why": one.why(),
+                "plays": one.plays,
+            }
+            for one in verdicts
+        ],
+        "held": sum(one.passed for one in verdicts),
+        "failed": sum(not one.passed for one in verdicts),
         "contradictions": [{"one": one, "other": other, "text": text} for one, other, text in contradictions],
     }
 
 
 def as_junit(verdicts: list[Verdict]) -> str:
     """One test suite a file; what can't apply is an error, all else that does not hold a failure."""
-    root = ElementTree.Element("testsuites", tests=str(len(verdicts)), failures=str(
-        sum(not one.passed and not one.error for one in verdicts)), errors=str(sum(bool(one.error) for one in verdicts)))
+    root = ElementTree.Element(
+        "testsuites",
+        tests=str(len(verdicts)),
+        failures=str(sum(not one.passed and not one.error for one in verdicts)),
+        errors=str(sum(bool(one.error) for one in verdicts)),
+    )
     for file in dict.fromkeys(one.file for one in verdicts):
         ours = [one for one in verdicts if one.file == file]
         suite = ElementTree.SubElement(root, "testsuite", name=file, tests=str(len(ours)))
         for one in ours:
-            case = ElementTree.SubElement(suite, "testcase", name=one.statement.name, classname=file,
-                                          file=file, line=str(one.statement.line))
+            case = ElementTree.SubElement(
+                suite,
+                "testcase",
+                name=one.statement.name,
+                classname=file,
+                file=file,
+                line=str(one.statement.line),
+            )
             if not one.passed:
-                inner = ElementTree.SubElement(case, "error" if one.error else "failure", message=one.why(), type=one.word())
+                inner = ElementTree.SubElement(
+                    case, "error" if one.error else "failure", message=one.why(), type=one.word()
+                )
                 inner.text = "\n".join(text for _, text in one.statement.lines())
     ElementTree.indent(root)
     return ElementTree.tostring(root, encoding="unicode", xml_declaration=True) + "\n"
@@ -52,9 +74,11 @@
     for told in shown[:1]:
         begin = told.gen.arrived
         gen = told.gen
-        lines.append(f"  {gen.product.name} ({gen.product.effect}), prompt {gen.prompt_tok} tokens"
-                     + (f', opening "{gen.shared}" of {gen.shared_tok}' if gen.shared else "")
-                     + f", time limit {gen.product.time_limit / 10:g} ms")
+        lines.append(
+            f"  {gen.product.name} ({gen.product.effect}), prompt {gen.prompt_tok} tokens"
+            + (f', opening "{gen.shared}" of {gen.shared_tok}' if gen.shared else "")
+            + f", time limit {gen.product.time_limit / 10:g} ms"
+        )
         for step in told.steps:
             lines.append(f"  {(step.at - begin) / 10:9.1f} ms  {step.text}")
             lines += _board(step.board)
@@ -62,15 +86,25 @@
                 lines.append(f"                 queue: {step.queue:.0f} ms estimated")
     if len(play.stories) > 1:
         lines.append(f"  ({len(play.stories)} generations came; this is one of them)")
-    lines += [f"  {(at - play.stories[0].gen.arrived) / 10:9.1f} ms  the module logs: {text}"
-              for at, text in play.dry.modes[-5:]] if play.stories else []
+    lines += (
+        [
+            f"  {(at - play.stories[0].gen.arrived) / 10:9.1f} ms  the module logs: {text}"
+            for at, text in play.dry.modes[-5:]
+        ]
+        if play.stories
+        else []
+    )
     return lines
 
 
 def _well(play: Play, told: Any, verdict: Verdict) -> bool:
     claims = [finding.then for _, finding in verdict.failed]
     try:
-        return all(play._one(then, told, "").held for then in claims if then.every is None and hasattr(then.claim, "place"))
+        return all(
+            play._one(then, told, "").held
+            for then in claims
+            if then.every is None and hasattr(then.claim, "place")
+        )
     except Vacuous:
         return True
 
@@ -81,9 +115,15 @@
     for role in ("reader", "writer", "mixed"):
         alike: dict[str, list[str]] = {}
         for one in [one for one in rows if one["role"] == role]:
-            cold = "" if one["cold_turn"] is None else f", cold: does {one['warmth']:.0%}, next turn {one['cold_turn']:.2f}"
-            text = (f"rack {one['rack']}, {one['health']}, {one['held']:.1%} held ({one['own_tok']} tokens ours), "
-                    f"{one['waiting']} legs wait{cold}" + (", tried already" if one["tried"] else ""))
+            cold = (
+                ""
+                if one["cold_turn"] is None
+                else f", cold: does {one['warmth']:.0%}, next turn {one['cold_turn']:.2f}"
+            )
+            text = (
+                f"rack {one['rack']}, {one['health']}, {one['held']:.1%} held ({one['own_tok']} tokens ours), "
+                f"{one['waiting']} legs wait{cold}" + (", tried already" if one["tried"] else "")
+            )
             alike.setdefault(text, []).append(one["server"])
         for text, names in list(alike.items())[:BOARD]:
             some = ", ".join(names[:4]) + (f" and {len(names) - 4} more" if len(names) > 4 else "")
@@ -99,8 +139,14 @@
     if plan.statement.asking is None:
         return []
     found = shrink(judge, plan)
-    lines = [f"for it to fail it is enough: {'; '.join(found.needs)}" if found.needs else "it fails without any circumstance"]
-    lines += [f"it would hold {one}" for one in found.turns[:4]] or ["no single change that was tried makes it hold"]
+    lines = [
+        f"for it to fail it is enough: {'; '.join(found.needs)}"
+        if found.needs
+        else "it fails without any circumstance"
+    ]
+    lines += [f"it would hold {one}" for one in found.turns[:4]] or [
+        "no single change that was tried makes it hold"
+    ]
     return lines
 
 
@@ -117,8 +163,8 @@
         elif was.decisions != one.decisions:
             pairs = [(a, b) for a, b in zip(was.decisions, one.decisions) if a != b]
             many = f"{len(pairs)} of {len(one.decisions)} decisions differ"
-            example = f"{pairs[0][0]}  ->  {pairs[0][1].partition(': ')[2]}" if pairs else "their number differs"
+            example = (
+                f"{pairs[0][0]}  ->  {pairs[0][1].partition(': ')[2]}" if pairs else "their number differs"
+            )
             found.append((one.statement.name, f"{one.word()}, as before; {many}", example))
     return found
-
-
--- a/stackpitch/expect/syntax.py
+++ b/stackpitch/expect/syntax.py
@@ -25,8 +25,12 @@
 
 def name_text(name: str) -> str:
     plain = name.replace("-", "").replace(".", "").replace("_", "")
-    bare = name[:1].isalnum() and plain.isalnum() and name.isascii() and not any(
-        name == word or name.startswith(word + mark) for word in ("every",) for mark in "-.")
+    bare = (
+        name[:1].isalnum()
+        and plain.isalnum()
+        and name.isascii()
+        and not any(name == word or name.startswith(word + mark) for word in ("every",) for mark in "-.")
+    )
     return name if bare else f'"{name}"'
 
 
@@ -51,7 +55,9 @@
     filters: tuple[Filter, ...] = ()
 
     def text(self) -> str:
-        head = {"server": f"server {name_text(self.name)}", "defined": f'"{self.name}"'}.get(self.sort, self.sort)
+        head = {"server": f"server {name_text(self.name)}", "defined": f'"{self.name}"'}.get(
+            self.sort, self.sort
+        )
         return " ".join([head, *(one.text() for one in self.filters)])
 
 
@@ -71,12 +77,23 @@
 class Dynamic:
     """A place that depends on what happened before, or that a quantifier binds."""
 
-    what: Literal["owner", "holder", "same rack", "another rack", "another server", "that rack", "that zone",
-                  "that server"]
+    what: Literal[
+        "owner",
+        "holder",
+        "same rack",
+        "another rack",
+        "another server",
+        "that rack",
+        "that zone",
+        "that server",
+    ]
 
     def text(self) -> str:
-        return {"owner": "the writer that served its earlier turn", "holder": "the rack already holding its opening",
-                "same rack": "the rack of its reader"}.get(self.what, self.what)
+        return {
+            "owner": "the writer that served its earlier turn",
+            "holder": "the rack already holding its opening",
+            "same rack": "the rack of its reader",
+        }.get(self.what, self.what)
 
 
 Place = Where | Dynamic
@@ -91,8 +108,13 @@
 
     def text(self) -> str:
         number = number_text(self.number)
-        return {"all": "", "percent": f"{number}% of ", "some": f"{number} of ", "all but": f"all but {number} of ",
-                "half": "half of "}[self.how]
+        return {
+            "all": "",
+            "percent": f"{number}% of ",
+            "some": f"{number} of ",
+            "all but": f"all but {number} of ",
+            "half": "half of ",
+        }[self.how]
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,11 +144,18 @@
         many = self.amount.how != "all" or len(self.where.terms) > 1 or self.where.terms[0].sort != "server"
         ending, be = ("", "are") if many else ("s", "is")
         states = {
-            "drains": f"drain{ending}", "gone": f"{be} gone", "ready": f"{be} ready", "hangs": f"hang{ending}",
+            "drains": f"drain{ending}",
+            "gone": f"{be} gone",
+            "ready": f"{be} ready",
+            "hangs": f"hang{ending}",
             "cold": f"{be} cold" + (f" for {duration_text(int(self.number))}" if self.number else ""),
-            "shunned": f"{be} shunned", "full": f"{be} full", "slow": f"{be} slow by {number_text(self.number)} times",
-            "report": f"report{ending} {number_text(self.number)}% held", "refuse": f"refuse{ending} connections",
-            "reset": f"reset{ending} before output"}
+            "shunned": f"{be} shunned",
+            "full": f"{be} full",
+            "slow": f"{be} slow by {number_text(self.number)} times",
+            "report": f"report{ending} {number_text(self.number)}% held",
+            "refuse": f"refuse{ending} connections",
+            "reset": f"reset{ending} before output",
+        }
         return f"while {self.amount.text()}{self.where.text()} {states[self.state]}"
 
 
@@ -138,7 +167,9 @@
     day: int = 0  # 0 is a Monday
 
     def text(self) -> str:
-        return f"while it is {self.minute // 60:02}:{self.minute % 60:02}" + (f" on {DAYS[self.day]}" if self.day else "")
+        return f"while it is {self.minute // 60:02}:{self.minute % 60:02}" + (
+            f" on {DAYS[self.day]}" if self.day else ""
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,7 +187,9 @@
     time: int
 
     def text(self) -> str:
-        return f"during a deploy of {self.where.text()}, {self.size} at a time, over {duration_text(self.time)}"
+        return (
+            f"during a deploy of {self.where.text()}, {self.size} at a time, over {duration_text(self.time)}"
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,14 +241,22 @@
 
     def text(self) -> str:
         count = "a" if self.count is None else str(self.count)
-        parts = [f"{count} {self.turn} turn{'' if self.count in (None, 1) else 's'} of "
-                 + names_text(self.products, "product")]
+        parts = [
+            f"{count} {self.turn} turn{'' if self.count in (None, 1) else 's'} of "
+            + names_text(self.products, "product")
+        ]
         if self.customers is not None:
             parts.append("from " + names_text(self.customers, "customer"))
         if self.opening is not None:
-            parts.append(f'opening "{self.opening}"' + (f" of {self.opening_tok} tokens" if self.opening_tok != 500 else ""))
-        for word, number, usual in (("prompt of", self.prompt_tok, 1000), ("answer of", self.answer_tok, 100),
-                                    ("adding", self.adding_tok, 200)):
+            parts.append(
+                f'opening "{self.opening}"'
+                + (f" of {self.opening_tok} tokens" if self.opening_tok != 500 else "")
+            )
+        for word, number, usual in (
+            ("prompt of", self.prompt_tok, 1000),
+            ("answer of", self.answer_tok, 100),
+            ("adding", self.adding_tok, 200),
+        ):
             if number != usual:
                 parts.append(f"{word} {number} tokens")
         if self.rate is not None:
@@ -252,7 +293,8 @@
         if self.never:
             return f"it never goes to {self.place.text()}"
         return {"any": "it goes to", "read": "it is read by", "written": "it is written by"}[self.part] + (
-            f" {self.place.text()}")
+            f" {self.place.text()}"
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -279,7 +321,11 @@
     within: int | None
 
     def text(self) -> str:
-        return "it is answered at once" if self.within is None else f"it is answered within {duration_text(self.within)}"
+        return (
+            "it is answered at once"
+            if self.within is None
+            else f"it is answered within {duration_text(self.within)}"
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -312,12 +358,19 @@
 
     def text(self) -> str:
         low, high = number_text(self.low), number_text(self.high)
-        share = f"at most {high}%" if not self.low else f"at least {low}%" if self.high == 100 else (
-            f"between {low}% and {high}%")
+        share = (
+            f"at most {high}%"
+            if not self.low
+            else f"at least {low}%"
+            if self.high == 100
+            else (f"between {low}% and {high}%")
+        )
         if isinstance(self.what, str):
             verb = f"are {self.what}"
         else:
-            verb = {"any": "go to", "read": "are read by", "written": "are written by"}[self.part] + f" {self.what.text()}"
+            verb = {"any": "go to", "read": "are read by", "written": "are written by"}[
+                self.part
+            ] + f" {self.what.text()}"
         sure = f" with {number_text(self.confidence)}% confidence" if self.confidence != 99 else ""
         return f"{share} of them {verb}{sure}"
 
@@ -337,8 +390,13 @@
 
     def text(self) -> str:
         value = self.value
-        shown = str(value).lower() if isinstance(value, bool) else f'"{value}"' if isinstance(value, str) else (
-            number_text(value))
+        shown = (
+            str(value).lower()
+            if isinstance(value, bool)
+            else f'"{value}"'
+            if isinstance(value, str)
+            else (number_text(value))
+        )
         return f'setting "{self.path}" is {shown}'
 
 
--- a/stackpitch/expect/watchlist.py
+++ b/stackpitch/expect/watchlist.py
@@ -18,13 +18,18 @@
         plan = book.plan(name)
         wheres = [one.where for one in plan.circumstances if isinstance(one, s.While | s.Deploy)]
         for then in plan.statement.thens:
-            place = then.claim.place if isinstance(then.claim, s.Goes) else (
-                then.claim.what if isinstance(then.claim, s.Share) else None)
+            place = (
+                then.claim.place
+                if isinstance(then.claim, s.Goes)
+                else (then.claim.what if isinstance(then.claim, s.Share) else None)
+            )
             wheres += [one for one in (place, then.of) if isinstance(one, s.Where)]
             if isinstance(then.claim, s.Count | s.Each):
                 wheres.append(then.claim.where)
             if then.every is not None:
-                named |= {one.name for one in of.fleet} if then.of is None else judge.sets.select(then.of, plan.at)
+                named |= (
+                    {one.name for one in of.fleet} if then.of is None else judge.sets.select(then.of, plan.at)
+                )
         for where in wheres:
             named |= judge.sets.select(where, plan.at)
     racks = {f"{one.zone}/{one.cell}" for one in of.fleet}
--- a/stackpitch/gateway/admin.py
+++ b/stackpitch/gateway/admin.py
@@ -10,7 +10,9 @@
 
 Route = Callable[[Mapping[str, str]], Coro[tuple[int, bytes]]]  # what stood after the ?, to status and body
 Taker = Callable[[bytes], Coro[tuple[int, bytes]]]  # the request's body, to status and body
-Streamer = Callable[[http.RequestReader, Stream], Coro[bool]]  # writes a long answer; whether the connection is kept
+Streamer = Callable[
+    [http.RequestReader, Stream], Coro[bool]
+]  # writes a long answer; whether the connection is kept
 
 
 class Admin:
@@ -18,8 +20,13 @@
 
     LIMIT = 5 * SECOND
 
-    def __init__(self, world: World, routes: dict[tuple[str, str], Route], takers: dict[str, Taker] | None = None,
-                 max_body: int = 8192) -> None:
+    def __init__(
+        self,
+        world: World,
+        routes: dict[tuple[str, str], Route],
+        takers: dict[str, Taker] | None = None,
+        max_body: int = 8192,
+    ) -> None:
         """`takers`: by path, what is posted with a body. `streams`: by the beginning of the path."""
         self.world, self.routes, self.takers, self.max_body = world, routes, takers or {}, max_body
         self.streams: dict[str, Streamer] = {}
@@ -40,7 +47,9 @@
             pass
         except http.BadMessage as wrong:
             try:
-                stream.write(http.response(wrong.status, str(wrong).encode(), [("connection", "close")], "text/plain"))
+                stream.write(
+                    http.response(wrong.status, str(wrong).encode(), [("connection", "close")], "text/plain")
+                )
             except Lost:
                 pass
         finally:
@@ -55,7 +64,9 @@
                 if not data:
                     return False
                 reader.feed(data)
-            streamer = next((one for start, one in self.streams.items() if reader.path.startswith(start)), None)
+            streamer = next(
+                (one for start, one in self.streams.items() if reader.path.startswith(start)), None
+            )
             if streamer is None:
                 yield from self._short(stream, reader)
         if scope.expired or streamer is None:
--- a/stackpitch/gateway/ask.py
+++ b/stackpitch/gateway/ask.py
@@ -13,7 +13,9 @@
 from stackpitch.wire.engine import error_body
 
 DEPARTED = "departed"  # the end of a request whose client has left
-SURPLUS = 1 << 19  # bytes after a request: one more of the largest, which is refused once this one is answered
+SURPLUS = (
+    1 << 19
+)  # bytes after a request: one more of the largest, which is refused once this one is answered
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,12 +41,18 @@
         self.tasks: dict[Leg, Task] = {}  # legs out
         self.unsent: set[Leg] = set()  # of them, those whose last byte has not been handed over
         self.surplus = 0  # bytes that came after the request; none is kept
-        self.sending_ended = False  # the client closed, or half-closed and still reads: which of them can't be told
+        self.sending_ended = (
+            False  # the client closed, or half-closed and still reads: which of them can't be told
+        )
         self.begun = self.answered = False
         self.cut = False  # the stream was broken off, nothing can be written after it
-        self.closing = False  # this answer is the connection's last, and says so where its head is still to come
+        self.closing = (
+            False  # this answer is the connection's last, and says so where its head is still to come
+        )
         self.whys: dict[int, str] = {}  # by leg, what its engine or connection did, for the log
-        self.patience: Time | None = None  # for its client to take what is left of a whole answer; None: as for a small one
+        self.patience: Time | None = (
+            None  # for its client to take what is left of a whole answer; None: as for a small one
+        )
         self.end = ""  # how it ended, for counts and logs
         self.waiter: Task | None = None  # the door's task
         self.watch: Timer | None = None
@@ -75,7 +83,9 @@
         """The final answer for a client that has ended its sending: no attempt begins for it any more, but it may read."""
         nothing_ran = self.unsent.issuperset(self.gen.ran())
         status = 429 if nothing_ran else 502
-        self.refuse(status, DEPARTED, "the client ended its sending before its answer came", again=nothing_ran)
+        self.refuse(
+            status, DEPARTED, "the client ended its sending before its answer came", again=nothing_ran
+        )
 
     @property
     def flooded(self) -> bool:
@@ -129,8 +139,15 @@
 class OpenAsk(Ask):
     """An ask at the OpenAI-style door, whose legs go to engines."""
 
-    def __init__(self, gen: Generation, client: Stream, target: str, fields: dict[str, msgspec.Raw],
-                 request_id: str, streamed: bool) -> None:
+    def __init__(
+        self,
+        gen: Generation,
+        client: Stream,
+        target: str,
+        fields: dict[str, msgspec.Raw],
+        request_id: str,
+        streamed: bool,
+    ) -> None:
         super().__init__(gen, client, target)
         self.fields, self.request_id = fields, request_id
         self.collector = None if streamed else Collector(target.endswith("chat/completions"))
@@ -151,8 +168,17 @@
         """The first token is here."""
         self.begun, self.first_token = True, now
         if self.collector is None:
-            self._put(http.head(200, [("content-type", "text/event-stream"), ("cache-control", "no-cache"),
-                                      ("transfer-encoding", "chunked"), *self._headers()]))
+            self._put(
+                http.head(
+                    200,
+                    [
+                        ("content-type", "text/event-stream"),
+                        ("cache-control", "no-cache"),
+                        ("transfer-encoding", "chunked"),
+                        *self._headers(),
+                    ],
+                )
+            )
 
     def pass_on(self, pieces: Sequence[bytes]) -> bool:
         """Part of a stream's body, framed anew; False if the client is not there any more."""
@@ -177,7 +203,10 @@
             return
         headers = [*self._headers(), ("x-should-retry", "true" if again else "false")]
         if retry_after:
-            headers += [("retry-after", str(-(-retry_after // 10_000))), ("retry-after-ms", str(retry_after // 10))]
+            headers += [
+                ("retry-after", str(-(-retry_after // 10_000))),
+                ("retry-after-ms", str(retry_after // 10)),
+            ]
         self._put(http.response(status, error_body(message, code, "server_error"), headers))
         self._final(code)
 
--- a/stackpitch/gateway/connections.py
+++ b/stackpitch/gateway/connections.py
@@ -18,8 +18,17 @@
 class Connections:
     """One pool for each server. `name`: this gateway's, said in each call."""
 
-    def __init__(self, world: World, log: "Log", name: str, roster: Roster, bounds: Bounds, budget: Budget | None) -> None:
-        self.world, self.log, self.name, self.roster, self.bounds, self.budget = world, log, name, roster, bounds, budget
+    def __init__(
+        self, world: World, log: "Log", name: str, roster: Roster, bounds: Bounds, budget: Budget | None
+    ) -> None:
+        self.world, self.log, self.name, self.roster, self.bounds, self.budget = (
+            world,
+            log,
+            name,
+            roster,
+            bounds,
+            budget,
+        )
         self.pools: dict[Server, Pool] = {}  # emptied when a server is gone and its last leg is back
         self.calls = 0  # small calls under way
 
@@ -27,8 +36,15 @@
         pool = self.pools.get(server)
         if pool is None:
             bounds = self.bounds
-            pool = self.pools[server] = Pool(self.world, self.roster.addresses[server], bounds.pool, bounds.connect,
-                                             bounds.idle, bounds.rest, self.budget)
+            pool = self.pools[server] = Pool(
+                self.world,
+                self.roster.addresses[server],
+                bounds.pool,
+                bounds.connect,
+                bounds.idle,
+                bounds.rest,
+                self.budget,
+            )
         return pool
 
     def take_bounds(self, bounds: Bounds) -> None:
@@ -41,8 +57,9 @@
         if (pool := self.pools.pop(server, None)) is not None:
             pool.close()
 
-    def exchange(self, stream: Stream, method: str, target: str, name: str,
-                  body: bytes, last: bool = False) -> Coro[http.ResponseReader | None]:
+    def exchange(
+        self, stream: Stream, method: str, target: str, name: str, body: bytes, last: bool = False
+    ) -> Coro[http.ResponseReader | None]:
         """One request and its whole answer, the body in `pieces`; None if it can't be followed by another, unless it is
         the `last`."""
         request = http.request(method, target, name, body, [("x-gateway", self.name)])
@@ -60,8 +77,9 @@
         finally:
             self.calls -= 1
 
-    def call(self, server: Server, method: str, target: str, body: bytes,
-             limit: Time | None = None) -> Coro[http.ResponseReader | None]:
+    def call(
+        self, server: Server, method: str, target: str, body: bytes, limit: Time | None = None
+    ) -> Coro[http.ResponseReader | None]:
         """One small call; None if no whole answer came in time. `limit`: other than the bounds in force have it."""
         if server not in self.roster.addresses:
             return None
--- a/stackpitch/gateway/counters.py
+++ b/stackpitch/gateway/counters.py
@@ -9,7 +9,9 @@
 
 from stackpitch.interface import MS, Generation, Leg, Product, Time
 
-EDGES = [int(10 * MS * 2 ** (step / 2)) for step in range(23)]  # 10 ms to 20 s; what is longer counts with the last
+EDGES = [
+    int(10 * MS * 2 ** (step / 2)) for step in range(23)
+]  # 10 ms to 20 s; what is longer counts with the last
 QUANTILES = (0.5, 0.9, 0.99)
 PARTS = ("reader", "writer", "mixed", "all")
 CAUSES = ("late", "throttled unsent", "throttled", "terminated", "cancelled by client", "broken off")
@@ -40,14 +42,21 @@
     def __init__(self) -> None:
         self.ended = self.in_time = 0
         self.lost = dict.fromkeys(CAUSES, 0)
-        self.kept = {"readers": [0, 0], "writers": [0, 0]}  # tokens found kept, and prompt tokens, of what was read there
+        self.kept = {
+            "readers": [0, 0],
+            "writers": [0, 0],
+        }  # tokens found kept, and prompt tokens, of what was read there
         self.waits = {part: Histogram() for part in PARTS}
 
     def line(self, product: str) -> dict[str, object]:
-        return {"product": product, "ended": self.ended, "in_time": self.in_time,
-                "lost": {cause: count for cause, count in self.lost.items() if count},
-                "kept_tok": {where: both for where, both in self.kept.items() if both[1]},
-                "wait_ms": {part: found for part, of in self.waits.items() if (found := of.quantiles())}}
+        return {
+            "product": product,
+            "ended": self.ended,
+            "in_time": self.in_time,
+            "lost": {cause: count for cause, count in self.lost.items() if count},
+            "kept_tok": {where: both for where, both in self.kept.items() if both[1]},
+            "wait_ms": {part: found for part, of in self.waits.items() if (found := of.quantiles())},
+        }
 
 
 class Counters:
@@ -82,8 +91,12 @@
         if end == "streamed" and first_token is not None and first_token - gen.arrived <= gen.slo():
             found.in_time += 1
             return
-        cause = {"streamed": "late", "throttled": "throttled" if gen.legs else "throttled unsent", "terminated": "terminated",
-                 "departed": "cancelled by client"}.get(end, "broken off")
+        cause = {
+            "streamed": "late",
+            "throttled": "throttled" if gen.legs else "throttled unsent",
+            "terminated": "terminated",
+            "departed": "cancelled by client",
+        }.get(end, "broken off")
         found.lost[cause] += 1
 
     def take(self) -> list[dict[str, object]]:
--- a/stackpitch/gateway/door.py
+++ b/stackpitch/gateway/door.py
@@ -20,6 +20,7 @@
     from stackpitch.gateway.logs import Log
     from stackpitch.gateway.metrics import Metrics
 
+
 class Speaks(Protocol):
     """What becomes of token ids on servers of each vocabulary; None: there are none. Raises BadRequest."""
 
@@ -31,9 +32,25 @@
 
     takes_to_the_end = False  # whether what still comes while the gateway stops is served
 
-    def __init__(self, world: World, host: Host, log: "Log", metrics: "Metrics", reading: Reading | None, *,
-                 max_connections: int, max_bodies: int, max_body: int, max_head: int, head: Time, body: Time,
-                 idle: Time, stall: Time, margin: Time, fresh: Time | None = None) -> None:
+    def __init__(
+        self,
+        world: World,
+        host: Host,
+        log: "Log",
+        metrics: "Metrics",
+        reading: Reading | None,
+        *,
+        max_connections: int,
+        max_bodies: int,
+        max_body: int,
+        max_head: int,
+        head: Time,
+        body: Time,
+        idle: Time,
+        stall: Time,
+        margin: Time,
+        fresh: Time | None = None,
+    ) -> None:
         super().__init__(world, host, metrics, max_body, stall)
         self.log, self.reading = log, reading
         self.speaking: Speaks | None = None  # set where vocabularies matter
@@ -107,7 +124,9 @@
             return (yield from self._answer(stream, reader, began))
         except http.BadMessage as wrong:
             self.metrics.refused.labels(f"status {wrong.status}").inc()
-            yield from self._error(stream, wrong.status, "bad_message", str(wrong), again=wrong.status in (408, 503))
+            yield from self._error(
+                stream, wrong.status, "bad_message", str(wrong), again=wrong.status in (408, 503)
+            )
             return False
         finally:
             self.bodies -= held
@@ -132,7 +151,11 @@
             for limit, what in ((self.head, "head"), (self.body, "body")):
                 with self.world.limit(limit) as scope:
                     while not (reader.complete or (what == "head" and reader.head_done)):
-                        if reader.head_done and not continued and "100-continue" in reader.headers.get("expect", ""):
+                        if (
+                            reader.head_done
+                            and not continued
+                            and "100-continue" in reader.headers.get("expect", "")
+                        ):
                             stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                             continued = True
                         data = yield from stream.recv()
@@ -154,7 +177,9 @@
 
     def _last(self, reader: http.RequestReader) -> list[tuple[str, str]]:
         """What an answer says if it is its connection's last."""
-        return [] if reader.keep_alive and not reader.extra and not self.stopping else [("connection", "close")]
+        return (
+            [] if reader.keep_alive and not reader.extra and not self.stopping else [("connection", "close")]
+        )
 
     def _answer(self, stream: Stream, reader: http.RequestReader, began: Time) -> Coro[bool]:
         """`began`: when its first byte came."""
@@ -163,19 +188,31 @@
             return (yield from self._generation(stream, reader, began))
         if path == "/v1/models" and method == "GET":
             assert self.reading is not None
-            models = [{"id": name, "object": "model", "created": 0, "owned_by": "stackpitch"}
-                      for name in self.reading.models]
-            stream.write(http.response(200, msgspec.json.encode({"object": "list", "data": models}), self._last(reader)))
+            models = [
+                {"id": name, "object": "model", "created": 0, "owned_by": "stackpitch"}
+                for name in self.reading.models
+            ]
+            stream.write(
+                http.response(
+                    200, msgspec.json.encode({"object": "list", "data": models}), self._last(reader)
+                )
+            )
         elif path == "/health" and method == "GET":
             stream.write(http.response(503 if self.stopping else 200, b"{}", self._last(reader)))
         elif path in (*GENERATE, "/v1/models", "/health"):
-            yield from self._error(stream, 405, "method_not_allowed", f"{method} is not allowed on {path}", again=False)
+            yield from self._error(
+                stream, 405, "method_not_allowed", f"{method} is not allowed on {path}", again=False
+            )
             return False
         else:
             allowed = ", ".join((*GENERATE, "/v1/models"))
-            yield from self._error(stream, 404, "not_found", f"found {path[:80]!r}; allowed: {allowed}", again=False)
+            yield from self._error(
+                stream, 404, "not_found", f"found {path[:80]!r}; allowed: {allowed}", again=False
+            )
             return False
-        return (yield from self._taken(stream)) and reader.keep_alive and not reader.extra and not self.stopping
+        return (
+            (yield from self._taken(stream)) and reader.keep_alive and not reader.extra and not self.stopping
+        )
 
     def _generation(self, stream: Stream, reader: http.RequestReader, began: Time) -> Coro[bool]:
         if self.stopping and not self.takes_to_the_end:
@@ -187,7 +224,12 @@
             self.metrics.refused.labels("request").inc()
             body = error_body(str(wrong), "bad_request", "invalid_request_error")
             stream.write(http.response(400, body, [("x-should-retry", "false"), *self._last(reader)]))
-            return (yield from self._taken(stream)) and reader.keep_alive and not reader.extra and not self.stopping
+            return (
+                (yield from self._taken(stream))
+                and reader.keep_alive
+                and not reader.extra
+                and not self.stopping
+            )
         except http.BadMessage:
             raise
         except Exception as wrong:  # a request that was read is owed an answer, whatever is odd about it
@@ -202,9 +244,21 @@
         assert self.reading is not None
         facts = self.reading.read(reader.path, reader.headers, reader.body(), f"{self.mark}.{self.count}")
         now = self.world.now()
-        gen = Generation(f"{self.mark}.{self.count}", facts.product, facts.customer, facts.session, facts.shared,
-                         facts.shared_tok, facts.prompt_tok, facts.limit_tok, None, now,
-                         now + max(1, facts.time_limit - self.margin), facts.repeat, False)
+        gen = Generation(
+            f"{self.mark}.{self.count}",
+            facts.product,
+            facts.customer,
+            facts.session,
+            facts.shared,
+            facts.shared_tok,
+            facts.prompt_tok,
+            facts.limit_tok,
+            None,
+            now,
+            now + max(1, facts.time_limit - self.margin),
+            facts.repeat,
+            False,
+        )
         ask = OpenAsk(gen, stream, reader.path, facts.fields, facts.request_id, facts.streamed)
         if self.speaking is not None:
             ask.spoken = self.speaking.spoken(facts)
@@ -234,7 +288,9 @@
         if not (yield from self._taken(stream, ask.patience)):
             return False
         if ask.surplus or reader.extra:
-            yield from self._error(stream, 400, "pipelining_refused", "ask again once the answer is whole", again=True)
+            yield from self._error(
+                stream, 400, "pipelining_refused", "ask again once the answer is whole", again=True
+            )
             return False
         return reader.keep_alive and not self.stopping and not ask.closing
 
--- a/stackpitch/gateway/duties.py
+++ b/stackpitch/gateway/duties.py
@@ -16,9 +16,23 @@
 
 def figures(settings: Settings) -> Figures:
     one = settings.duties
-    addresses = tuple((host, int(port)) for host, _, port in (address.rpartition(":") for address in settings.peers.admin))
-    return Figures(one.fleet, settings.module.number, addresses, tuple(one.voters), tuple(one.names), one.file, one.generation,
-                   ticks(one.lease_ms), one.drift, ticks(one.call_ms), ticks(one.announce_ms), one.max_calls)
+    addresses = tuple(
+        (host, int(port)) for host, _, port in (address.rpartition(":") for address in settings.peers.admin)
+    )
+    return Figures(
+        one.fleet,
+        settings.module.number,
+        addresses,
+        tuple(one.voters),
+        tuple(one.names),
+        one.file,
+        one.generation,
+        ticks(one.lease_ms),
+        one.drift,
+        ticks(one.call_ms),
+        ticks(one.announce_ms),
+        one.max_calls,
+    )
 
 
 def duties(world: World, settings: Settings, log: Log, host: Host, door: Door, admin: Admin) -> Duties:
@@ -38,8 +52,9 @@
     return True
 
 
-def _vocabulary(world: World, settings: Settings, log: Log, host: Host, made: Duties, door: Door,
-                admin: Admin) -> Callable[[str], bool]:
+def _vocabulary(
+    world: World, settings: Settings, log: Log, host: Host, made: Duties, door: Door, admin: Admin
+) -> Callable[[str], bool]:
     """Gives what tells a release whether servers may run on a vocabulary."""
     from stackpitch.duties.vocabulary.judging import Files, InChild, InSteps
     from stackpitch.duties.vocabulary.work import VocabularyWork
@@ -50,8 +65,15 @@
     assert one is not None
     files = Files(one.vocabularies, one.profiles, tuple(settings.customers), tuple(settings.products))
     way = InChild(world, ticks(one.judge_ms)) if world.pipes else InSteps(world)
-    work = VocabularyWork(world, made, files, way, lambda: speaking.counted(host.roster),
-                          lambda text: log.info("vocabulary", text=text), one.most_share)
+    work = VocabularyWork(
+        world,
+        made,
+        files,
+        way,
+        lambda: speaking.counted(host.roster),
+        lambda text: log.info("vocabulary", text=text),
+        one.most_share,
+    )
     made.add(work)
     door.speaking = speaking.Speaking(work, host.roster)
     host.narrow(Tongues(host.roster, host.asks).may)
@@ -59,8 +81,15 @@
     return work.admits
 
 
-def _weights(world: World, settings: Settings, log: Log, host: Host, made: Duties, streams: dict[str, Streamer],
-             admits: Callable[[str], bool]) -> None:
+def _weights(
+    world: World,
+    settings: Settings,
+    log: Log,
+    host: Host,
+    made: Duties,
+    streams: dict[str, Streamer],
+    admits: Callable[[str], bool],
+) -> None:
     from stackpitch.duties.weights import serving
     from stackpitch.duties.weights.work import WeightsWork
     from stackpitch.gateway.loading import SiteEngines
@@ -78,8 +107,17 @@
 
     assert settings.duties.weights is not None
     engines = SiteEngines(world, host, settings.module.zone)
-    work = WeightsWork(world, made, settings.duties.weights, world.fresh(), settings.peers.admin.__getitem__, engines,
-                       admits=admits, revenue=revenue, log=say)
+    work = WeightsWork(
+        world,
+        made,
+        settings.duties.weights,
+        world.fresh(),
+        settings.peers.admin.__getitem__,
+        engines,
+        admits=admits,
+        revenue=revenue,
+        log=say,
+    )
     failures = host.metrics.weights(work.receiver.states, lambda: work.receiver.trouble is not None)
     made.add(work)
     streams[serving.PREFIX] = given
--- a/stackpitch/gateway/endings.py
+++ b/stackpitch/gateway/endings.py
@@ -14,7 +14,9 @@
 if TYPE_CHECKING:
     from stackpitch.gateway.metrics import Metrics
 
-FAREWELL = SECOND // 2  # from the half-close to the close, for a client to take the last answer and to end its side
+FAREWELL = (
+    SECOND // 2
+)  # from the half-close to the close, for a client to take the last answer and to end its side
 
 
 @dataclass(eq=False, slots=True)
@@ -29,13 +31,17 @@
 class Endings:
     """A door's part that ends connections. Tables: none beyond the connections that are open."""
 
-    told_why = 16  # connections beyond the bound: those that are told why, others being closed without a word, and
+    told_why = (
+        16  # connections beyond the bound: those that are told why, others being closed without a word, and
+    )
     # those half-closed for others to have their place
 
     def __init__(self, world: World, host: Host, metrics: "Metrics", max_body: int, stall: Time) -> None:
         self.world, self.host, self.metrics, self.max_body, self.stall = world, host, metrics, max_body, stall
         self.turned = 0  # connections that are being turned away
-        self.waiting: dict[Stream, Resting] = {}  # connections without a request; emptied by one, or by ending
+        self.waiting: dict[
+            Stream, Resting
+        ] = {}  # connections without a request; emptied by one, or by ending
         self.lingering: dict[Stream, None] = {}  # half-closed or about to be; emptied by their close
         self.stopping = False
 
@@ -72,7 +78,9 @@
         self.stopping = True
         for ask in self.host.asks.values():
             ask.closing = True
-        for stream in [one for one, rest in self.waiting.items() if rest.kept]:  # others may have a request on its way
+        for stream in [
+            one for one, rest in self.waiting.items() if rest.kept
+        ]:  # others may have a request on its way
             self._end(stream)
 
     def _answer_unasked(self, stream: Stream) -> None:
@@ -87,7 +95,9 @@
 
     def _turn_away(self, stream: Stream) -> Coro[None]:
         try:
-            yield from self._error(stream, 503, "overfull", "no connection is free here; try again", again=True)
+            yield from self._error(
+                stream, 503, "overfull", "no connection is free here; try again", again=True
+            )
         finally:
             self.turned -= 1
             stream.close()
@@ -127,4 +137,6 @@
         return (yield from taken(self.world, stream, 0, self.stall, most or self.stall))
 
     def _flooded(self, stream: Stream) -> Coro[None]:
-        yield from self._error(stream, 400, "pipelining_refused", "ask again once the answer is whole", again=False)
+        yield from self._error(
+            stream, 400, "pipelining_refused", "ask again once the answer is whole", again=False
+        )
--- a/stackpitch/gateway/engines.py
+++ b/stackpitch/gateway/engines.py
@@ -50,9 +50,13 @@
             transfer.do_remote_prefill, transfer.state_id = True, self.front.state_id(source)
             transfer.remote_host, transfer.remote_port = self.ask.states[source].pool.address
             transfer.remote_cell = source.server.cell
-        headers = [("x-request-id", http.one_line(self.ask.request_id)), ("x-leg", str(self.leg.number)),
-                   ("x-gateway", host.name), ("x-product", gen.product.name),
-                   ("x-prompt-tokens", str(gen.prompt_tok))]
+        headers = [
+            ("x-request-id", http.one_line(self.ask.request_id)),
+            ("x-leg", str(self.leg.number)),
+            ("x-gateway", host.name),
+            ("x-product", gen.product.name),
+            ("x-prompt-tokens", str(gen.prompt_tok)),
+        ]
         if gen.session is not None:
             headers.append(("x-session-id", http.one_line(gen.session)))
         fields = self.ask.fields
@@ -60,7 +64,9 @@
             fields = fields | self.ask.spoken[vocabulary]  # sent nowhere else (`tongues`)
         if vocabulary:  # against a list here that is older than the engine: its state would go to a writer of the other one
             headers.append((engine.VOCABULARY, vocabulary))
-        return engine.leg_request(self.ask.target, f"{address[0]}:{address[1]}", fields, transfer, self.part != "read", headers)
+        return engine.leg_request(
+            self.ask.target, f"{address[0]}:{address[1]}", fields, transfer, self.part != "read", headers
+        )
 
     def _exchange(self, stream: Stream, scope: Scope) -> Coro[End]:
         yield from self._write(stream, self._request())
@@ -98,7 +104,9 @@
                 kept, whole = engine.read_answer(body).usage.kept_of(self.leg.gen.prompt_tok), True
             except ValueError as wrong:
                 why = f"a reader's answer is wanted: {wrong}"  # an error by the rule of outcomes
-        outcome, no_state = answered(self.part, self.reader.status, engine.refusal(self.reader.status, body), whole)
+        outcome, no_state = answered(
+            self.part, self.reader.status, engine.refusal(self.reader.status, body), whole
+        )
         return End(outcome, self.phase[0], kept, no_state, self._load(), why)
 
     def _relay(self, stream: Stream) -> Coro[End]:
@@ -127,7 +135,12 @@
                 tail.extend(pieces)
                 self.moved += len(raw)
                 client = ask.client
-                if client is None or reader.complete or not (aligned and reader.aligned) or ask.collector is not None:
+                if (
+                    client is None
+                    or reader.complete
+                    or not (aligned and reader.aligned)
+                    or ask.collector is not None
+                ):
                     gone = not ask.pass_on(pieces)
                 else:
                     try:
@@ -154,8 +167,13 @@
         body = b"".join(tail)
         if not body.endswith(sse.DONE):
             return self._broken("garbled", "the stream ended without [DONE]")
-        usage = engine.last_usage(body[:-len(sse.DONE)])
-        return End("streamed", Phase.STREAMING, usage.kept_of(self.leg.gen.prompt_tok) if usage else 0, report=self._load())
+        usage = engine.last_usage(body[: -len(sse.DONE)])
+        return End(
+            "streamed",
+            Phase.STREAMING,
+            usage.kept_of(self.leg.gen.prompt_tok) if usage else 0,
+            report=self._load(),
+        )
 
 
 class Engines:
@@ -187,7 +205,9 @@
 
     def probe(self, server: Server) -> Coro[tuple[bool, str | None]]:
         answer = yield from self.host.call(server, "GET", HEALTH, b"")
-        return answer is not None and answer.status == 200, answer.headers.get(orca.HEADER) if answer else None
+        return answer is not None and answer.status == 200, answer.headers.get(
+            orca.HEADER
+        ) if answer else None
 
     def report(self, text: str) -> Report | None:
         fields = orca.parse(text)
@@ -213,7 +233,9 @@
             if leg is taken:
                 waiting.pool.give(waiting.stream)
             else:
-                self.host.group.spawn(self.host.counted(self._free(waiting, self.state_id(leg))), f"free {leg.gen.name}")
+                self.host.group.spawn(
+                    self.host.counted(self._free(waiting, self.state_id(leg))), f"free {leg.gen.name}"
+                )
         if ask.place is not None and ask.placed is not None:
             self._release(ask.place, self.state_id(ask.placed))
             ask.place = None
@@ -224,7 +246,9 @@
         try:
             with self.host.world.limit(self.host.bounds.call):
                 body = msgspec.json.encode(StateCall(state))
-                reader = yield from self.host.exchange(waiting.stream, "POST", STATE_RELEASE, waiting.server.name, body)
+                reader = yield from self.host.exchange(
+                    waiting.stream, "POST", STATE_RELEASE, waiting.server.name, body
+                )
                 done = reader is not None and reader.status in (200, 404)
         except (Lost, http.BadMessage):
             pass  # the engine sees the connection end, which frees the state as well
--- a/stackpitch/gateway/facts.py
+++ b/stackpitch/gateway/facts.py
@@ -43,8 +43,14 @@
 class Reading:
     """Reads requests by the deployment's products and customers."""
 
-    def __init__(self, products: Mapping[str, Product], models: Mapping[str, Product],
-                 keys: Mapping[str, Customer], bytes_per_tok: float, default_limit: int) -> None:
+    def __init__(
+        self,
+        products: Mapping[str, Product],
+        models: Mapping[str, Product],
+        keys: Mapping[str, Customer],
+        bytes_per_tok: float,
+        default_limit: int,
+    ) -> None:
         self.products, self.models, self.keys = products, models, keys
         self.bytes_per_tok, self.default_limit = bytes_per_tok, default_limit
 
@@ -60,14 +66,26 @@
         prompt, shared, shared_bytes = self._prompt(target, fields)
         cache_key = self._text(fields, "prompt_cache_key")
         session = headers.get("x-session-id") or self._text(fields, "conversation_id")
-        limit_tok = (self._whole(fields, "max_completion_tokens") or self._whole(fields, "max_tokens")
-                     or self.default_limit)
+        limit_tok = (
+            self._whole(fields, "max_completion_tokens")
+            or self._whole(fields, "max_tokens")
+            or self.default_limit
+        )
         prompt_tok = max(1, int(prompt / self.bytes_per_tok))
         return Facts(
-            fields, self._flag(fields, "stream"), product, self.keys.get(self._key(headers)), session,
-            cache_key or shared, int(shared_bytes / self.bytes_per_tok), prompt_tok, limit_tok,
-            self._time(headers, product, prompt_tok), headers.get("x-stainless-retry-count", "0") != "0",
-            headers.get("x-request-id", unnamed)[:200])
+            fields,
+            self._flag(fields, "stream"),
+            product,
+            self.keys.get(self._key(headers)),
+            session,
+            cache_key or shared,
+            int(shared_bytes / self.bytes_per_tok),
+            prompt_tok,
+            limit_tok,
+            self._time(headers, product, prompt_tok),
+            headers.get("x-stainless-retry-count", "0") != "0",
+            headers.get("x-request-id", unnamed)[:200],
+        )
 
     def _product(self, headers: Mapping[str, str], fields: dict[str, msgspec.Raw]) -> Product:
         named, model = headers.get("x-product"), self._text(fields, "model") or ""
@@ -76,7 +94,9 @@
             return found
         if named:
             raise BadRequest("x-product", f"found {named[:60]!r}; allowed: {', '.join(self.products)}")
-        raise BadRequest("model", f"found {model[:60]!r}; allowed: {', '.join(self.models) or 'header x-product'}")
+        raise BadRequest(
+            "model", f"found {model[:60]!r}; allowed: {', '.join(self.models) or 'header x-product'}"
+        )
 
     @staticmethod
     def _prompt(target: str, fields: dict[str, msgspec.Raw]) -> tuple[int, str | None, int]:
--- a/stackpitch/gateway/host/asked.py
+++ b/stackpitch/gateway/host/asked.py
@@ -22,13 +22,32 @@
 class Host(Told):
     """`interface.Gateway` in full, and the `carrier.Carrier` of its front's legs."""
 
-    def __init__(self, world: World, group: Group, log: "Log", metrics: "Metrics", name: str,
-                 roster: Roster, bounds: Bounds, front: Front, seed: int, preferences: Preferences,
-                 arguments: Mapping[str, Any], peers: Peers = NOBODY, budget: Budget | None = None) -> None:
+    def __init__(
+        self,
+        world: World,
+        group: Group,
+        log: "Log",
+        metrics: "Metrics",
+        name: str,
+        roster: Roster,
+        bounds: Bounds,
+        front: Front,
+        seed: int,
+        preferences: Preferences,
+        arguments: Mapping[str, Any],
+        peers: Peers = NOBODY,
+        budget: Budget | None = None,
+    ) -> None:
         super().__init__(world, group, log, metrics, name, roster, bounds, front, budget)
         front.host = self
-        self.words = Words(world, group, metrics, self.connections, peers,
-                           lambda peer, octets: self._tell(None, lambda now: self.brain.heard(now, peer, octets)))
+        self.words = Words(
+            world,
+            group,
+            metrics,
+            self.connections,
+            peers,
+            lambda peer, octets: self._tell(None, lambda now: self.brain.heard(now, peer, octets)),
+        )
         self.tell, self.heard = self.words.tell, self.words.heard
         self.preferences_also: Callable[[Generation, Server], bool] | None = None
         self.list_wanted: Callable[[], None] | None = None  # the module asks to hear the list
@@ -80,7 +99,9 @@
     def throttle(self, gen: Generation, retry_after: Time) -> None:
         gen.over = True
         ask = self.asks[gen]
-        ask.refuse(429, "throttled", "too much to do; another try does no harm", again=True, retry_after=retry_after)
+        ask.refuse(
+            429, "throttled", "too much to do; another try does no harm", again=True, retry_after=retry_after
+        )
         self._settle(ask)
 
     def terminate(self, gen: Generation) -> None:
@@ -103,8 +124,12 @@
         def call() -> Coro[None]:
             well, report = yield from self.front.probe(server)
             self.doubts.server = server.name
-            self._tell(None, lambda now: brain.probed(now, server, well, self._report(
-                End("streamed", Phase.HEAD, report=report))))
+            self._tell(
+                None,
+                lambda now: brain.probed(
+                    now, server, well, self._report(End("streamed", Phase.HEAD, report=report))
+                ),
+            )
 
         self.group.spawn(self.counted(call()), f"probe {server.name}")
 
--- a/stackpitch/gateway/host/front.py
+++ b/stackpitch/gateway/host/front.py
@@ -12,9 +12,13 @@
 class Front(Protocol):
     host: "Host"
 
-    def leg(self, ask: "Ask", leg: "Leg", limit: "Time") -> "Coro[None]": ...  # tells the host its start and its end
+    def leg(
+        self, ask: "Ask", leg: "Leg", limit: "Time"
+    ) -> "Coro[None]": ...  # tells the host its start and its end
     def hold(self, ask: "Ask", leg: "Leg", server: "Server") -> "Coro[bool]": ...  # whether the place is held
     def started(self, ask: "Ask", leg: "Leg", fetched: bool) -> None: ...  # what else is held is let go
     def let_go(self, ask: "Ask") -> None: ...  # whatever is or may be held
-    def probe(self, server: "Server") -> "Coro[tuple[bool, str | None]]": ...  # whether it is well; its report
+    def probe(
+        self, server: "Server"
+    ) -> "Coro[tuple[bool, str | None]]": ...  # whether it is well; its report
     def report(self, text: str) -> "Report | None": ...  # raises ValueError
--- a/stackpitch/gateway/host/told.py
+++ b/stackpitch/gateway/host/told.py
@@ -40,15 +40,27 @@
 
     brain: RuledBrain
 
-    def __init__(self, world: World, group: Group, log: "Log", metrics: "Metrics", name: str, roster: Roster, bounds: Bounds,
-                 front: Front, budget: Budget | None = None) -> None:
+    def __init__(
+        self,
+        world: World,
+        group: Group,
+        log: "Log",
+        metrics: "Metrics",
+        name: str,
+        roster: Roster,
+        bounds: Bounds,
+        front: Front,
+        budget: Budget | None = None,
+    ) -> None:
         self.world, self.group, self.logger, self.metrics, self.name = world, group, log, metrics, name
         self.roster, self.bounds, self.front, self.budget = roster, bounds, front, budget
         self.connections = Connections(world, log, name, roster, bounds, budget)
         self.pool, self.call = self.connections.pool, self.connections.call
         self.exchange, self.counted = self.connections.exchange, self.connections.counted
         self.asks: dict[Generation, Ask] = {}  # emptied once a generation is over and its last leg is back
-        self.earlier: dict[Generation, ArrivalSettings] = {}  # of those from before a reload; emptied as `asks`
+        self.earlier: dict[
+            Generation, ArrivalSettings
+        ] = {}  # of those from before a reload; emptied as `asks`
         self.doubts, self.counters = Doubts(), Counters()
         self.relayed = 0
         self.emptied: Callable[[], None] | None = None
@@ -89,7 +101,9 @@
 
     def take(self, version: int, entries: Sequence[Entry]) -> None:
         """The complete list from now on. A server that is left out and has legs out stays until they have ended."""
-        before = {server: self.roster.addresses[server] for server in self.pools if server in self.roster.addresses}
+        before = {
+            server: self.roster.addresses[server] for server in self.pools if server in self.roster.addresses
+        }
         servers = self.roster.apply(version, entries)
         for server, address in before.items():
             if self.roster.addresses.get(server) != address:
@@ -99,8 +113,12 @@
             self._tell(None, partial(self._tell_list, brain, servers))
         self._forget_servers()
         self.metrics.roster_version.set(version)
-        self.logger.info("roster", version=version, servers=len(entries),
-                         draining=sum(one.state == "draining" for one in entries))
+        self.logger.info(
+            "roster",
+            version=version,
+            servers=len(entries),
+            draining=sum(one.state == "draining" for one in entries),
+        )
 
     @staticmethod
     def _tell_list(brain: RuledBrain, servers: list[Server], now: Time) -> None:
@@ -178,7 +196,9 @@
         self.counters.started(self.world.now(), leg)
         brain = self.brain_of(leg.gen)
         self._tell(ask, lambda now: brain.started(now, leg))
-        self.metrics.first_token.labels(ask.gen.product.name).observe((self.world.now() - ask.gen.arrived) / 10_000)
+        self.metrics.first_token.labels(ask.gen.product.name).observe(
+            (self.world.now() - ask.gen.arrived) / 10_000
+        )
         return True
 
     def leg_ended(self, ask: Ask, leg: Leg, end: End) -> None:
@@ -241,9 +261,18 @@
             self.metrics.held.set(len(self.asks))
             gen = ask.gen
             self.logger.log(
-                self.bounds.request_level, "generation", id=gen.name, product=gen.product.name, end=ask.end,
-                took_ms=(self.world.now() - gen.arrived) / 10, prompt_tok=gen.prompt_tok,
+                self.bounds.request_level,
+                "generation",
+                id=gen.name,
+                product=gen.product.name,
+                end=ask.end,
+                took_ms=(self.world.now() - gen.arrived) / 10,
+                prompt_tok=gen.prompt_tok,
                 first_ms=None if ask.first_token is None else (ask.first_token - gen.arrived) / 10,
-                legs=[f"{leg.server.name} {leg.outcome} {ask.whys.get(leg.number, '')}".strip() for leg in gen.legs])
+                legs=[
+                    f"{leg.server.name} {leg.outcome} {ask.whys.get(leg.number, '')}".strip()
+                    for leg in gen.legs
+                ],
+            )
             if not self.asks and self.emptied is not None:
                 self.emptied()
--- a/stackpitch/gateway/host/words.py
+++ b/stackpitch/gateway/host/words.py
@@ -31,8 +31,15 @@
 class Words:
     """`hears`: told what a peer said, by its number."""
 
-    def __init__(self, world: World, group: Group, metrics: "Metrics", connections: Connections, peers: Peers,
-                 hears: Callable[[int, bytes], None]) -> None:
+    def __init__(
+        self,
+        world: World,
+        group: Group,
+        metrics: "Metrics",
+        connections: Connections,
+        peers: Peers,
+        hears: Callable[[int, bytes], None],
+    ) -> None:
         self.world, self.group, self.metrics, self.connections = world, group, metrics, connections
         self.peers, self.hears = peers, hears
         self.under_way = 0
@@ -44,6 +51,7 @@
             self.metrics.words.labels("not-sent").inc()
             return
         from urllib.parse import urlencode  # not at the start: a gateway of the platform has no use for it
+
         host, _, port = peers.admin[peer].rpartition(":")
         query = urlencode({"from": peers.number, "word": octets.hex()})
 
@@ -53,7 +61,9 @@
                 with self.world.limit(peers.limit):
                     stream = yield from self.world.connect((host, int(port)), peers.limit)
                     try:
-                        answer = yield from self.connections.exchange(stream, "POST", f"/peer?{query}", host, b"", last=True)
+                        answer = yield from self.connections.exchange(
+                            stream, "POST", f"/peer?{query}", host, b"", last=True
+                        )
                         end = "sent" if answer is not None and answer.status == 200 else "lost"
                     finally:
                         stream.close()
--- a/stackpitch/gateway/keeper/checker.py
+++ b/stackpitch/gateway/keeper/checker.py
@@ -27,7 +27,7 @@
                 raise Lost("the checker ended")
             self.data += part
         line = bytes(self.data[:end])
-        del self.data[:end + 1]
+        del self.data[: end + 1]
         return line
 
 
@@ -43,8 +43,9 @@
         try:
             with self.world.limit(limit) as scope:
                 if self.stream is None:
-                    self.child, self.stream = self.world.spawn_piped([sys.executable, "-m", "stackpitch", "checker"],
-                                                                     errors=self.errors)
+                    self.child, self.stream = self.world.spawn_piped(
+                        [sys.executable, "-m", "stackpitch", "checker"], errors=self.errors
+                    )
                 self.stream.write(msgspec.json.encode(Asked(str(config), dict(given))) + b"\n")
                 lines = Lines(self.stream)
                 bundle = msgspec.json.decode((yield from lines.next()), type=Bundle)
--- a/stackpitch/gateway/keeper/history.py
+++ b/stackpitch/gateway/keeper/history.py
@@ -33,8 +33,12 @@
     def lists(self) -> list[Kept]:
         return self.store.kept if self.store is not None else []
 
-    def keep(self, version: int, told: str, entries: tuple[Entry, ...], verdict: Verdict, changed: str) -> None:
-        self._add(Kept(self.world.wall_ms(), "file", version, told, entries, "; ".join(verdict.reasons), changed))
+    def keep(
+        self, version: int, told: str, entries: tuple[Entry, ...], verdict: Verdict, changed: str
+    ) -> None:
+        self._add(
+            Kept(self.world.wall_ms(), "file", version, told, entries, "; ".join(verdict.reasons), changed)
+        )
 
     def note(self, word: str, version: int, told: str, reasons: tuple[str, ...]) -> None:
         self._add(Noted(self.world.wall_ms(), "file", version, told, word, reasons[:20]))
@@ -42,10 +46,28 @@
     def rows(self) -> list[dict[str, Any]]:
         if self.store is None:
             return []
-        lists = [{"at_unix_ms": one.at_unix_ms, "word": "in force", "version": one.version, "digest": one.digest,
-                  "servers": len(one.entries), "changed": one.changed, "why": one.why} for one in self.store.kept]
-        notes = [{"at_unix_ms": one.at_unix_ms, "word": one.word, "version": one.version, "digest": one.digest,
-                  "why": "; ".join(one.reasons)} for one in self.store.noted]
+        lists = [
+            {
+                "at_unix_ms": one.at_unix_ms,
+                "word": "in force",
+                "version": one.version,
+                "digest": one.digest,
+                "servers": len(one.entries),
+                "changed": one.changed,
+                "why": one.why,
+            }
+            for one in self.store.kept
+        ]
+        notes = [
+            {
+                "at_unix_ms": one.at_unix_ms,
+                "word": one.word,
+                "version": one.version,
+                "digest": one.digest,
+                "why": "; ".join(one.reasons),
+            }
+            for one in self.store.noted
+        ]
         return sorted([*lists, *notes], key=lambda one: one["at_unix_ms"])
 
     def _add(self, record: Kept | Noted) -> None:
--- a/stackpitch/gateway/keeper/inforce.py
+++ b/stackpitch/gateway/keeper/inforce.py
@@ -17,14 +17,24 @@
 
 def figures(settings: Settings) -> Figures:
     one = settings.membership
-    return Figures(one.step_share, ticks(one.step_ms), ticks(one.persist_ms), one.flap_count, ticks(one.flap_window_ms),
-                   ticks(one.flap_calm_ms))
+    return Figures(
+        one.step_share,
+        ticks(one.step_ms),
+        ticks(one.persist_ms),
+        one.flap_count,
+        ticks(one.flap_window_ms),
+        ticks(one.flap_calm_ms),
+    )
 
 
 class InForce:
-    def __init__(self, world: World, log: Log, metrics: Metrics, host: Host, history: History, settings: Settings) -> None:
+    def __init__(
+        self, world: World, log: Log, metrics: Metrics, host: Host, history: History, settings: Settings
+    ) -> None:
         self.world, self.log, self.metrics, self.host, self.history = world, log, metrics, host, history
-        self.registrar = Registrar(figures(settings), {name: role for name, (role, _) in kinds(settings).items()})
+        self.registrar = Registrar(
+            figures(settings), {name: role for name, (role, _) in kinds(settings).items()}
+        )
         self.bad: tuple[str, ...] = ()  # what was wrong with the files, reported already
         self.last: tuple[str, tuple[str, ...]] = "", ()  # the last verdict's word and reasons
         self.version = -1
@@ -33,7 +43,12 @@
     def again(self, last: Kept) -> None:
         """What was in force before a restart; files are then judged against it as at any other time."""
         proposal = Proposal("file", last.version, last.digest, last.entries)
-        self.take(self.registrar.propose(self.world.now(), proposal, force=True), last.version, last.digest, kept=False)
+        self.take(
+            self.registrar.propose(self.world.now(), proposal, force=True),
+            last.version,
+            last.digest,
+            kept=False,
+        )
 
     def propose(self, bundle: Bundle, force: bool) -> Verdict:
         proposal = Proposal("file", bundle.version, bundle.digest, bundle.entries)
@@ -43,14 +58,23 @@
         held = [one.held.proposal for one in self.registrar.sources.values() if one.held is not None]
         verdict = self.registrar.tick(self.world.now())
         if verdict is not None:
-            version, told = (held[0].version, held[0].digest) if held and not any(
-                one.held for one in self.registrar.sources.values()) else (self.version, "")
+            version, told = (
+                (held[0].version, held[0].digest)
+                if held and not any(one.held for one in self.registrar.sources.values())
+                else (self.version, "")
+            )
             self.take(verdict, version, told)
 
     def changed(self, verdict: Verdict) -> Change:
-        return Change() if verdict.entries is None else change(self.applied, {one.name: one for one in verdict.entries})
-
-    def take(self, verdict: Verdict, version: int, told: str, kept: bool = True, changed: Change | None = None) -> None:
+        return (
+            Change()
+            if verdict.entries is None
+            else change(self.applied, {one.name: one for one in verdict.entries})
+        )
+
+    def take(
+        self, verdict: Verdict, version: int, told: str, kept: bool = True, changed: Change | None = None
+    ) -> None:
         """Applies what is in force now."""
         if verdict.entries is None:
             return
@@ -58,8 +82,14 @@
         self.applied, self.version = {one.name: one for one in verdict.entries}, version
         self.last = verdict.word, verdict.reasons
         self.metrics.lists.labels(verdict.word).inc()
-        self.log.info("list", word=verdict.word, version=version, digest=told, changed=changed.text(),
-                      why="; ".join(verdict.reasons))
+        self.log.info(
+            "list",
+            word=verdict.word,
+            version=version,
+            digest=told,
+            changed=changed.text(),
+            why="; ".join(verdict.reasons),
+        )
         self.host.take(version, verdict.entries)
         if kept and told:
             entries = tuple(self.registrar.sources["file"].entries.values())
@@ -68,7 +98,9 @@
     def held_back(self, verdict: Verdict, bundle: Bundle) -> None:
         self.last = verdict.word, verdict.reasons
         self.metrics.lists.labels(verdict.word).inc()
-        self.log.warning("list_held_back", version=bundle.version, digest=bundle.digest, why="; ".join(verdict.reasons))
+        self.log.warning(
+            "list_held_back", version=bundle.version, digest=bundle.digest, why="; ".join(verdict.reasons)
+        )
         self.history.note(verdict.word, bundle.version, bundle.digest, verdict.reasons)
 
     def unchanged(self, verdict: Verdict, version: int) -> None:
@@ -90,16 +122,30 @@
         held = [one.held for one in self.registrar.sources.values() if one.held is not None]
         word, reasons = self.last
         return {
-            "version": self.version, "servers": len(self.registrar.in_force),
-            "draining": sorted(one.name for one in self.registrar.in_force.values() if one.state == "draining"),
-            "last": word, "reasons": list(reasons), "leaving": sorted(self.registrar.leaving),
-            "held": [{"version": one.proposal.version, "digest": one.proposal.digest, "reasons": list(one.reasons),
-                      "taken_in_ms": max(0, one.until - self.world.now()) // 10} for one in held],
+            "version": self.version,
+            "servers": len(self.registrar.in_force),
+            "draining": sorted(
+                one.name for one in self.registrar.in_force.values() if one.state == "draining"
+            ),
+            "last": word,
+            "reasons": list(reasons),
+            "leaving": sorted(self.registrar.leaving),
+            "held": [
+                {
+                    "version": one.proposal.version,
+                    "digest": one.proposal.digest,
+                    "reasons": list(one.reasons),
+                    "taken_in_ms": max(0, one.until - self.world.now()) // 10,
+                }
+                for one in held
+            ],
             "flapping": sorted(name for name, one in self.registrar.flaps.items() if one.damped),
         }
 
     def confirm(self, told: str) -> str | None:
-        held = next((one.held.proposal for one in self.registrar.sources.values() if one.held is not None), None)
+        held = next(
+            (one.held.proposal for one in self.registrar.sources.values() if one.held is not None), None
+        )
         verdict = self.registrar.confirm(self.world.now(), told)
         if verdict.word == "rejected" or held is None:
             return "; ".join(verdict.reasons)
@@ -109,13 +155,20 @@
     def rollback(self, told: str) -> str | None:
         """To a list that was in force, whole and at once. It stays until the files change."""
         lists = self.history.lists
-        found = next((one for one in reversed(lists) if one.digest.startswith(told)), None) if told else (
-            lists[-2] if len(lists) > 1 else None)
+        found = (
+            next((one for one in reversed(lists) if one.digest.startswith(told)), None)
+            if told
+            else (lists[-2] if len(lists) > 1 else None)
+        )
         if found is None:
             return f"no list {told!r} is kept; kept: {', '.join(one.digest for one in lists[-5:]) or 'none'}"
         proposal = Proposal("file", found.version, found.digest, found.entries)
         verdict = self.registrar.propose(self.world.now(), proposal, force=True)
         if verdict.word == "rejected":
             return "; ".join(verdict.reasons)
-        self.take(Verdict(verdict.word, (*verdict.reasons, "rolled back"), verdict.entries), found.version, found.digest)
+        self.take(
+            Verdict(verdict.word, (*verdict.reasons, "rolled back"), verdict.entries),
+            found.version,
+            found.digest,
+        )
         return None
--- a/stackpitch/gateway/keeper/keeper.py
+++ b/stackpitch/gateway/keeper/keeper.py
@@ -38,8 +38,17 @@
 class Keeper:
     """One gateway's lists. `config` None: settings that stand in no file; lists are then read in this process."""
 
-    def __init__(self, world: World, group: Group, log: Log, metrics: Metrics, host: Host, settings: Settings,
-                 config: Path | None = None, given: Mapping[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        world: World,
+        group: Group,
+        log: Log,
+        metrics: Metrics,
+        host: Host,
+        settings: Settings,
+        config: Path | None = None,
+        given: Mapping[str, str] | None = None,
+    ) -> None:
         self.world, self.log, self.host = world, log, host
         self.settings, self.config, self.given = settings, config, dict(given or {})
         self.kept = History(world, group, log, metrics, settings.kept)
@@ -59,7 +68,9 @@
         """Raises BadSettings if neither the files nor what was kept give a list to start with."""
         last = self.kept.open()
         self.host.begin()
-        self.prints = self._prints()  # before reading: what is written meanwhile is another state of the files
+        self.prints = (
+            self._prints()
+        )  # before reading: what is written meanwhile is another state of the files
         bundle = read_set(self.config, self.given, self.settings)
         for _ in range(TRIES):
             if not bundle.unsettled:
@@ -93,8 +104,11 @@
         membership = self.settings.membership
         watch = self.world.watch() if membership.watch else None
         if membership.watch and watch is None:
-            self.log.warning("no_watch", why="this machine gives no inotify descriptor; files are looked at instead",
-                             every_ms=membership.poll_ms)
+            self.log.warning(
+                "no_watch",
+                why="this machine gives no inotify descriptor; files are looked at instead",
+                every_ms=membership.poll_ms,
+            )
         prints = self.prints
         try:
             while True:
@@ -105,7 +119,9 @@
                 now = self._prints() if self.settings.membership.watch else prints
                 if now == prints and not self.asked:
                     continue
-                if now != prints and not (yield from files.quiet(self.world, self.config, self.settings, now)):
+                if now != prints and not (
+                    yield from files.quiet(self.world, self.config, self.settings, now)
+                ):
                     self.log.debug("unsettled", ms=self.settings.membership.settle_most_ms)
                 prints, self.asked = self._prints(), False
                 yield from self.reload()
@@ -145,7 +161,9 @@
     def _checked(self) -> Coro[Bundle]:
         if self.config is None:
             return read_set(None, self.given, self.settings)
-        return (yield from self.checker.check(self.config, self.given, ticks(self.settings.membership.check_ms)))
+        return (
+            yield from self.checker.check(self.config, self.given, ticks(self.settings.membership.check_ms))
+        )
 
     def _settle(self, bundle: Bundle, force: bool, slices: bool) -> Coro[str | None]:
         """With `slices` the loop's others get their turn between its parts; a list still comes into force whole."""
@@ -201,7 +219,10 @@
 
     def status(self) -> dict[str, Any]:
         return self.in_force.status() | {
-            "restart_wanted": list(self.restart_wanted), "files": self.seen, "store": self.kept.state}
+            "restart_wanted": list(self.restart_wanted),
+            "files": self.seen,
+            "store": self.kept.state,
+        }
 
     def history(self) -> list[dict[str, Any]]:
         return self.kept.rows()
--- a/stackpitch/gateway/leg.py
+++ b/stackpitch/gateway/leg.py
@@ -85,7 +85,9 @@
                 end = self._broken("lost", str(wrong))
             except http.BadMessage as wrong:
                 end = self._broken("garbled", str(wrong))
-            except Exception as wrong:  # guards the gateway against an answer that nobody thought of: it costs its attempt
+            except (
+                Exception
+            ) as wrong:  # guards the gateway against an answer that nobody thought of: it costs its attempt
                 self.host.logger.exception("attempt_raised", server=server.name, why=str(wrong))
                 end = self._broken("garbled", str(wrong))
             finally:
@@ -167,7 +169,9 @@
         half, waits = self.host.bounds.buffer // 2, client.buffered
         self.waits = True
         try:
-            good = yield from taken(self.host.world, client, half, self.host.bounds.stall, self._owed(client, half, events))
+            good = yield from taken(
+                self.host.world, client, half, self.host.bounds.stall, self._owed(client, half, events)
+            )
         except Lost:  # it says nothing of the server, on whose connection nothing is wrong
             return False
         finally:
--- a/stackpitch/gateway/loading.py
+++ b/stackpitch/gateway/loading.py
@@ -17,8 +17,6 @@
 LOOK: Time = 5 * SECOND  # at what engines run on, no oftener than somebody asks
 
 
-
-
 class SiteEngines:
     """`runs`: model to version, as each server of the zone said last; servers that are gone go with the next look."""
 
--- a/stackpitch/gateway/logs.py
+++ b/stackpitch/gateway/logs.py
@@ -16,8 +16,10 @@
     log: Log = structlog.wrap_logger(
         structlog.WriteLogger(sys.stderr),
         processors=[
-            structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info, shown,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            shown,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
     )
--- a/stackpitch/gateway/metrics.py
+++ b/stackpitch/gateway/metrics.py
@@ -16,34 +16,67 @@
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
         registry = self.registry
-        self.generations = Counter("stackpitch_generations", "Final answers, and clients that departed",
-                                   ["product", "end"], registry=registry)
+        self.generations = Counter(
+            "stackpitch_generations",
+            "Final answers, and clients that departed",
+            ["product", "end"],
+            registry=registry,
+        )
         self.legs = Counter("stackpitch_legs", "Legs by outcome", ["role", "outcome"], registry=registry)
-        self.first_token = Histogram("stackpitch_first_token_seconds", "From arrival to the first token relayed",
-                                     ["product"], buckets=FIRST_TOKEN_S, registry=registry)
-        self.refused = Counter("stackpitch_refused", "What was not taken at the door", ["why"], registry=registry)
+        self.first_token = Histogram(
+            "stackpitch_first_token_seconds",
+            "From arrival to the first token relayed",
+            ["product"],
+            buckets=FIRST_TOKEN_S,
+            registry=registry,
+        )
+        self.refused = Counter(
+            "stackpitch_refused", "What was not taken at the door", ["why"], registry=registry
+        )
         self.releases = Counter("stackpitch_releases", "States and places let go", ["end"], registry=registry)
-        self.modes = Counter("stackpitch_log_lines", "Mode changes that the module logged", ["mode"], registry=registry)
-        self.words = Counter("stackpitch_peer_words", "Words between gateways by what became of them", ["end"],
-                             registry=registry)
+        self.modes = Counter(
+            "stackpitch_log_lines", "Mode changes that the module logged", ["mode"], registry=registry
+        )
+        self.words = Counter(
+            "stackpitch_peer_words",
+            "Words between gateways by what became of them",
+            ["end"],
+            registry=registry,
+        )
         self.hogs = Counter("stackpitch_hogs", "Steps of one task over the limit", registry=registry)
         self.relayed = Gauge("stackpitch_relayed_bytes", "Bytes of streams passed on", registry=registry)
-        self.held = Gauge("stackpitch_generations_held", "Taken and not over, or with a leg out", registry=registry)
+        self.held = Gauge(
+            "stackpitch_generations_held", "Taken and not over, or with a leg out", registry=registry
+        )
         self.connections = Gauge("stackpitch_connections", "Open connections", ["side"], registry=registry)
-        self.roster_version = Gauge("stackpitch_roster_version", "Version of the list in force", registry=registry)
+        self.roster_version = Gauge(
+            "stackpitch_roster_version", "Version of the list in force", registry=registry
+        )
         self.lists = Counter("stackpitch_lists", "Lists by what became of them", ["word"], registry=registry)
-        self.store_trouble = Gauge("stackpitch_store_trouble", "1 while lists can't be kept", registry=registry)
-        self.rejected = Counter("stackpitch_rosters_rejected", "Lists that were not applied", registry=registry)
+        self.store_trouble = Gauge(
+            "stackpitch_store_trouble", "1 while lists can't be kept", registry=registry
+        )
+        self.rejected = Counter(
+            "stackpitch_rosters_rejected", "Lists that were not applied", registry=registry
+        )
 
     def weights(self, states: Callable[[], dict[str, int]], trouble: Callable[[], bool]) -> Counter:
         """Figures of the weights at this gateway's site, where settings name them; gives the counter of errors by word."""
         registry = self.registry
-        versions = Gauge("stackpitch_weights_versions", "Versions of weights here by state", ["state"], registry=registry)
+        versions = Gauge(
+            "stackpitch_weights_versions", "Versions of weights here by state", ["state"], registry=registry
+        )
         for state in states():
             versions.labels(state).set_function(partial(_one, states, state))
-        Gauge("stackpitch_weights_disk_trouble", "1 while weights can't be written", registry=registry).set_function(
-            lambda: float(trouble()))
-        return Counter("stackpitch_weights_errors", "Errors of weights by their words in the log", ["word"], registry=registry)
+        Gauge(
+            "stackpitch_weights_disk_trouble", "1 while weights can't be written", registry=registry
+        ).set_function(lambda: float(trouble()))
+        return Counter(
+            "stackpitch_weights_errors",
+            "Errors of weights by their words in the log",
+            ["word"],
+            registry=registry,
+        )
 
     def text(self) -> bytes:
         return generate_latest(self.registry)
--- a/stackpitch/gateway/pacing.py
+++ b/stackpitch/gateway/pacing.py
@@ -4,7 +4,10 @@
 
 LEAST_BUFFER = 1 << 14  # bytes; under this a stream would wait for its client at every other read
 SLACK = 2  # what the system takes from here comes in lumps
-EVENTS_A_TOKEN, EVENTS_BESIDE = 4, 64  # one event a token is usual; beside them usage, load, end and signs of life
+EVENTS_A_TOKEN, EVENTS_BESIDE = (
+    4,
+    64,
+)  # one event a token is usual; beside them usage, load, end and signs of life
 
 
 def buffer(memory: int, clients: int, most: int) -> int:
--- a/stackpitch/gateway/pool.py
+++ b/stackpitch/gateway/pool.py
@@ -66,10 +66,24 @@
     comes back.
     """
 
-    def __init__(self, world: World, address: Address, most: int, connect: Time, idle: Time, rest: Time = 0,
-                 budget: Budget | None = None) -> None:
+    def __init__(
+        self,
+        world: World,
+        address: Address,
+        most: int,
+        connect: Time,
+        idle: Time,
+        rest: Time = 0,
+        budget: Budget | None = None,
+    ) -> None:
         self.rest, self.budget = rest, budget if budget is not None else Budget(most)
-        self.world, self.address, self.most, self.connect, self.idle_time = world, address, most, connect, idle
+        self.world, self.address, self.most, self.connect, self.idle_time = (
+            world,
+            address,
+            most,
+            connect,
+            idle,
+        )
         self.idle: deque[tuple[Stream, Time]] = deque()
         self.open = self.made = self.reused = 0
         self.closed = False
@@ -81,8 +95,12 @@
         place = self._place(fresh, call)
         if place is None:
             with self.world.limit(self.connect):
-                place = yield from self.budget.line.wait(self.world.current, lambda: self._place(fresh, call), self._back)
-            if place is None:  # asked of the place, as it may be handed over in the very turn in which the time is up
+                place = yield from self.budget.line.wait(
+                    self.world.current, lambda: self._place(fresh, call), self._back
+                )
+            if (
+                place is None
+            ):  # asked of the place, as it may be handed over in the very turn in which the time is up
                 raise NoneFree
         stream = place.stream
         while stream is not None:
--- a/stackpitch/gateway/roster.py
+++ b/stackpitch/gateway/roster.py
@@ -21,7 +21,9 @@
         self.addresses: dict[Server, Address] = {}
         self.told: dict[str, Entry] = {}  # the list in force
         self.vocabularies: dict[Server, str] = {}  # of those whose entry names one
-        self.epoch = world.wall_ms() * 10 - world.now()  # a start is stated by the wall clock, once and for all
+        self.epoch = (
+            world.wall_ms() * 10 - world.now()
+        )  # a start is stated by the wall clock, once and for all
 
     def apply(self, version: int, entries: Sequence[Entry]) -> list[Server]:
         """Takes a checked list as the complete one and gives the servers of which it says something new; those left out
@@ -29,7 +31,11 @@
         told = {one.name: one for one in entries}
         for name in self.servers.keys() - told.keys():
             self.servers[name].state = "gone"
-        found = [self._server(one) for name, one in told.items() if self.told.get(name) != one or name not in self.servers]
+        found = [
+            self._server(one)
+            for name, one in told.items()
+            if self.told.get(name) != one or name not in self.servers
+        ]
         self.told, self.version = told, version
         self.applied += 1
         return found
@@ -37,9 +43,14 @@
     def _server(self, one: Entry) -> Server:
         role, memory = self.kinds[one.kind]
         server = self.servers.get(one.name)
-        if server is not None and (server.zone, server.kind, server.cell, self.vocabularies.get(server, ""),
-                                   server.role, server.memory_tok) != (
-                one.zone, one.kind, one.cell, one.vocabulary, role, memory):
+        if server is not None and (
+            server.zone,
+            server.kind,
+            server.cell,
+            self.vocabularies.get(server, ""),
+            server.role,
+            server.memory_tok,
+        ) != (one.zone, one.kind, one.cell, one.vocabulary, role, memory):
             server.state = "gone"  # another machine under the same name; or one to which nothing that it kept means anything
             server = None
         if server is None:
