--- a/stackpitch/gateway/serve.py
+++ b/stackpitch/gateway/serve.py
@@ -37,23 +37,51 @@
 def bounds(settings: Settings) -> Bounds:
     engines, door = settings.engines, settings.door
     return Bounds(
-        pool=engines.pool, connect=ticks(engines.connect_ms), idle=ticks(engines.idle_ms), gap=ticks(engines.gap_ms),
-        call=ticks(engines.call_ms), release_tries=engines.release_tries, max_head=engines.max_head,
-        max_answer=engines.max_answer, buffer=door.buffer, stall=ticks(door.stall_ms),
-        watch=ticks(door.answer_margin_ms) // 2, request_level=logs.LEVELS[settings.logs.requests])
+        pool=engines.pool,
+        connect=ticks(engines.connect_ms),
+        idle=ticks(engines.idle_ms),
+        gap=ticks(engines.gap_ms),
+        call=ticks(engines.call_ms),
+        release_tries=engines.release_tries,
+        max_head=engines.max_head,
+        max_answer=engines.max_answer,
+        buffer=door.buffer,
+        stall=ticks(door.stall_ms),
+        watch=ticks(door.answer_margin_ms) // 2,
+        request_level=logs.LEVELS[settings.logs.requests],
+    )
 
 
 def host(world: World, group: Group, settings: Settings, log: logs.Log, metrics: Metrics) -> Host:
     load = settings.load
-    return Host(world, group, log, metrics, settings.name, Roster(world, kinds(settings)), bounds(settings),
-                Engines((load.held_share, load.slots_share, load.queued)), settings.seed,
-                preferences(settings, world.wall_ms() * 10 - world.now()), module_arguments(settings),
-                Peers(settings.peers.admin, settings.module.number, ticks(settings.peers.word_ms),
-                      settings.peers.max_words))
-
-
-def serve(world: World, settings: Settings, ready: Callable[[int, int], None] | None = None, config: Path | None = None,
-          given: Mapping[str, str] | None = None) -> Coro[None]:
+    return Host(
+        world,
+        group,
+        log,
+        metrics,
+        settings.name,
+        Roster(world, kinds(settings)),
+        bounds(settings),
+        Engines((load.held_share, load.slots_share, load.queued)),
+        settings.seed,
+        preferences(settings, world.wall_ms() * 10 - world.now()),
+        module_arguments(settings),
+        Peers(
+            settings.peers.admin,
+            settings.module.number,
+            ticks(settings.peers.word_ms),
+            settings.peers.max_words,
+        ),
+    )
+
+
+def serve(
+    world: World,
+    settings: Settings,
+    ready: Callable[[int, int], None] | None = None,
+    config: Path | None = None,
+    given: Mapping[str, str] | None = None,
+) -> Coro[None]:
     """Runs a gateway. Raises BadSettings without a list to start with, OSError on a port that is taken.
 
     SIGTERM and SIGINT: no new work; what is held is finished, and answered after `stop.finish_ms`. SIGHUP: the files
@@ -73,10 +101,21 @@
     def body(group: Group) -> Coro[None]:
         carrier = host(world, group, settings, log, metrics)
         door = Door(
-            world, carrier, log, metrics, reading(settings), max_connections=door_settings.max_connections,
-            max_bodies=door_settings.max_bodies, max_body=door_settings.max_body, max_head=door_settings.max_head,
-            head=ticks(door_settings.head_ms), body=ticks(door_settings.body_ms), idle=ticks(door_settings.idle_ms),
-            stall=ticks(door_settings.stall_ms), margin=ticks(door_settings.answer_margin_ms))
+            world,
+            carrier,
+            log,
+            metrics,
+            reading(settings),
+            max_connections=door_settings.max_connections,
+            max_bodies=door_settings.max_bodies,
+            max_body=door_settings.max_body,
+            max_head=door_settings.max_head,
+            head=ticks(door_settings.head_ms),
+            body=ticks(door_settings.body_ms),
+            idle=ticks(door_settings.idle_ms),
+            stall=ticks(door_settings.stall_ms),
+            margin=ticks(door_settings.answer_margin_ms),
+        )
         keeper = Keeper(world, group, log, metrics, carrier, settings, config, given)
 
         def take(new: Settings) -> None:
@@ -95,8 +134,12 @@
         group.spawn(admin.serve(group, admin_listener), "admin")
         group.spawn(_sweep(world, carrier), "sweep")
         group.spawn(keeper.run(), "keeper")
-        log.info("serving", door=listener.address[1], admin=admin_listener.address[1],
-                 version=carrier.roster.version)
+        log.info(
+            "serving",
+            door=listener.address[1],
+            admin=admin_listener.address[1],
+            version=carrier.roster.version,
+        )
         if ready is not None:
             ready(listener.address[1], admin_listener.address[1])
         while (number := (yield from caught())) == signal.SIGHUP:
@@ -123,7 +166,9 @@
     yield from world.group(body)
 
 
-def _duties(world: World, settings: Settings, log: logs.Log, carrier: Host, door: Door, admin: Admin) -> "Duties | None":
+def _duties(
+    world: World, settings: Settings, log: logs.Log, carrier: Host, door: Door, admin: Admin
+) -> "Duties | None":
     """None, and not even imported, unless settings name voters."""
     if not settings.duties.voters:
         return None
@@ -149,8 +194,17 @@
 
     def roster(asked: Mapping[str, str]) -> Coro[tuple[int, bytes]]:
         yield from ()
-        servers = [{"name": one.name, "kind": one.kind, "zone": one.zone, "cell": one.cell, "state": one.state,
-                    "address": list(carrier.roster.addresses[one])} for one in carrier.roster.addresses]
+        servers = [
+            {
+                "name": one.name,
+                "kind": one.kind,
+                "zone": one.zone,
+                "cell": one.cell,
+                "state": one.state,
+                "address": list(carrier.roster.addresses[one]),
+            }
+            for one in carrier.roster.addresses
+        ]
         return 200, msgspec.json.encode({"version": carrier.roster.version, "servers": servers})
 
     def status(asked: Mapping[str, str]) -> Coro[tuple[int, bytes]]:
@@ -176,9 +230,16 @@
         yield from ()
         return answered(keeper.rollback(asked.get("digest", "")))
 
-    return {("GET", "/metrics"): text, ("GET", "/roster"): roster, ("POST", "/roster/reload"): reload,
-            ("GET", "/fleet"): status, ("GET", "/fleet/history"): history, ("POST", "/fleet/confirm"): confirm,
-            ("POST", "/fleet/rollback"): rollback, ("POST", "/peer"): peer}
+    return {
+        ("GET", "/metrics"): text,
+        ("GET", "/roster"): roster,
+        ("POST", "/roster/reload"): reload,
+        ("GET", "/fleet"): status,
+        ("GET", "/fleet/history"): history,
+        ("POST", "/fleet/confirm"): confirm,
+        ("POST", "/fleet/rollback"): rollback,
+        ("POST", "/peer"): peer,
+    }
 
 
 def _sweep(world: World, carrier: Host) -> Coro[None]:
--- a/stackpitch/gateway/speaking.py
+++ b/stackpitch/gateway/speaking.py
@@ -44,8 +44,10 @@
             raise BadRequest(getattr(wrong, "field", "token ids"), f"{wrong}. {wrong.remedy}") from None
         if narrowed is None:
             return None
-        return {vocabulary: {name: msgspec.Raw(msgspec.json.encode(value)) for name, value in fields.items()}
-                for vocabulary, fields in narrowed.fields.items()}
+        return {
+            vocabulary: {name: msgspec.Raw(msgspec.json.encode(value)) for name, value in fields.items()}
+            for vocabulary, fields in narrowed.fields.items()
+        }
 
 
 def counted(roster: Roster) -> dict[str, int]:
@@ -59,9 +61,12 @@
 
 def routes(work: VocabularyWork, confirm: Route) -> dict[tuple[str, str], Route]:
     """Operators' words on a change; a confirmation comes by the route that confirms lists, told apart by its digest."""
+
     def answered(asking: Asking) -> Coro[tuple[int, bytes]]:
         answer: Answer = yield from work.ask(asking)
-        return (200 if answer.yes else 422), msgspec.json.encode({"rejected": None if answer.yes else answer.word})
+        return (200 if answer.yes else 422), msgspec.json.encode(
+            {"rejected": None if answer.yes else answer.word}
+        )
 
     def shown(asked: Any) -> Coro[tuple[int, bytes]]:
         yield from ()
@@ -76,9 +81,18 @@
 
     def confirmed(asked: Any) -> Coro[tuple[int, bytes]]:
         told, digest = work.known.told, asked.get("digest", "")
-        if told is not None and told.change.summary is not None and digest and told.change.summary.digest == digest:
+        if (
+            told is not None
+            and told.change.summary is not None
+            and digest
+            and told.change.summary.digest == digest
+        ):
             return (yield from answered(Asking("confirm", verdict=digest)))
         return (yield from confirm(asked))
 
-    return {("GET", "/vocabulary"): shown, ("POST", "/vocabulary/announce"): announce,
-            ("POST", "/vocabulary/call-off"): call_off, ("POST", "/fleet/confirm"): confirmed}
+    return {
+        ("GET", "/vocabulary"): shown,
+        ("POST", "/vocabulary/announce"): announce,
+        ("POST", "/vocabulary/call-off"): call_off,
+        ("POST", "/fleet/confirm"): confirmed,
+    }
--- a/stackpitch/gateway/tongues.py
+++ b/stackpitch/gateway/tongues.py
@@ -21,8 +21,14 @@
     def _written(self) -> frozenset[str]:
         if self.written[0] != self.roster.applied:
             known = self.roster.vocabularies
-            self.written = self.roster.applied, frozenset(
-                known.get(one, "") for one in self.roster.servers.values() if one.role != "reader" and one.state == "ready")
+            self.written = (
+                self.roster.applied,
+                frozenset(
+                    known.get(one, "")
+                    for one in self.roster.servers.values()
+                    if one.role != "reader" and one.state == "ready"
+                ),
+            )
         return self.written[1]
 
     def may(self, gen: Generation, server: Server) -> bool:
@@ -32,6 +38,12 @@
             return False
         if server.role == "reader":
             return vocabulary in self._written()
-        read = next((leg.server for leg in reversed(gen.legs)
-                     if leg.server.role == "reader" and leg.outcome in (None, "read")), None)
+        read = next(
+            (
+                leg.server
+                for leg in reversed(gen.legs)
+                if leg.server.role == "reader" and leg.outcome in (None, "read")
+            ),
+            None,
+        )
         return read is None or known.get(read, "") == vocabulary
--- a/stackpitch/interface.py
+++ b/stackpitch/interface.py
@@ -121,8 +121,11 @@
 
     def ran(self) -> list[Leg]:
         """Legs that may have had, or may yet have, their effect; at readers only those still out."""
-        return [leg for leg in self.legs if leg.outcome not in NEVER_RAN
-                and (leg.server.role != "reader" or leg.outcome is None)]
+        return [
+            leg
+            for leg in self.legs
+            if leg.outcome not in NEVER_RAN and (leg.server.role != "reader" or leg.outcome is None)
+        ]
 
 
 @dataclass(slots=True)
--- a/stackpitch/kept/log.py
+++ b/stackpitch/kept/log.py
@@ -29,7 +29,7 @@
     """Whole records with the place after each; ends at the first that is not."""
     while at + FRAME.size <= len(raw):
         size, checksum = FRAME.unpack_from(raw, at)
-        body = raw[at + FRAME.size:at + FRAME.size + size]
+        body = raw[at + FRAME.size : at + FRAME.size + size]
         if size > LARGEST or len(body) < size or crc32(body) != checksum:
             return
         at += FRAME.size + size
@@ -43,8 +43,16 @@
     after the last time. `what` names the kind of file in complaints.
     """
 
-    def __init__(self, files: Files, path: str, magic: bytes, form: int, what: str, whole: Callable[[], Iterable[bytes]],
-                 most: int = 8 << 20) -> None:
+    def __init__(
+        self,
+        files: Files,
+        path: str,
+        magic: bytes,
+        form: int,
+        what: str,
+        whole: Callable[[], Iterable[bytes]],
+        most: int = 8 << 20,
+    ) -> None:
         self.files, self.path, self.magic, self.form, self.what = files, path, magic, form, what
         self.whole, self.most = whole, most
         self.trouble, self.found = "", ""
@@ -65,14 +73,17 @@
         descriptor = self.files.open(self.path, create=True)
         try:
             raw = self._read_all(descriptor)
-            if raw and raw != head[:len(raw)] and not raw.startswith(head):
+            if raw and raw != head[: len(raw)] and not raw.startswith(head):
                 self.files.close(descriptor)
                 aside = f"{self.path}.unread"
                 self.files.rename(self.path, aside)
                 known = raw.startswith(self.magic) and len(raw) >= len(self.magic) + 2
                 form = struct.unpack_from("<H", raw, len(self.magic))[0] if known else 0
-                what = (f"of format {form}, not {self.form}" if known and form != self.form
-                        else f"no {self.what}, or its head is damaged")
+                what = (
+                    f"of format {form}, not {self.form}"
+                    if known and form != self.form
+                    else f"no {self.what}, or its head is damaged"
+                )
                 self.found = f"{self.path} was {what}; it is now {aside}"
                 descriptor, raw = self.files.open(self.path, create=True), b""
             if len(raw) < len(head):
@@ -87,7 +98,9 @@
                     break  # whole, but not of this format's kinds
                 self.good = after
             if self.good < len(raw):
-                self.found = f"{self.path}: {len(raw) - self.good} bytes at its end were not whole and are dropped"
+                self.found = (
+                    f"{self.path}: {len(raw) - self.good} bytes at its end were not whole and are dropped"
+                )
                 self.files.truncate(descriptor, self.good)
             self.descriptor = descriptor
         except BaseException:
@@ -110,7 +123,7 @@
 
     def _write(self, descriptor: int, data: bytes) -> None:
         while data:
-            data = data[self.files.write(descriptor, data):]
+            data = data[self.files.write(descriptor, data) :]
 
     def _fail(self, wrong: OSError) -> None:
         self.trouble = f"{self.path}: {wrong.strerror or wrong}"
--- a/stackpitch/loop/children.py
+++ b/stackpitch/loop/children.py
@@ -48,7 +48,9 @@
         return RealChild(world, subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=sink, stderr=sink))
 
 
-def spawn_piped(world: "RealWorld", command: Sequence[str], errors: str | None) -> tuple[RealChild, socket.socket]:
+def spawn_piped(
+    world: "RealWorld", command: Sequence[str], errors: str | None
+) -> tuple[RealChild, socket.socket]:
     """With our end of the pair that is its standard input and output."""
     ours, theirs = socket.socketpair()
     sink = open(errors, "ab") if errors is not None else None  # noqa: SIM115
--- a/stackpitch/loop/files.py
+++ b/stackpitch/loop/files.py
@@ -11,7 +11,9 @@
     def open(self, path: str, create: bool = False, empty: bool = False) -> int: ...  # to read and append
     def size(self, descriptor: int) -> int: ...
     def read(self, descriptor: int, at: int, most: int) -> bytes: ...
-    def write(self, descriptor: int, data: bytes) -> int: ...  # appends; how much of it, as a system call does
+    def write(
+        self, descriptor: int, data: bytes
+    ) -> int: ...  # appends; how much of it, as a system call does
     def sync(self, descriptor: int) -> None: ...
     def truncate(self, descriptor: int, size: int) -> None: ...
     def close(self, descriptor: int) -> None: ...
@@ -24,7 +26,13 @@
     """This machine's."""
 
     def open(self, path: str, create: bool = False, empty: bool = False) -> int:
-        flags = os.O_RDWR | os.O_APPEND | os.O_CLOEXEC | (os.O_CREAT if create else 0) | (os.O_TRUNC if empty else 0)
+        flags = (
+            os.O_RDWR
+            | os.O_APPEND
+            | os.O_CLOEXEC
+            | (os.O_CREAT if create else 0)
+            | (os.O_TRUNC if empty else 0)
+        )
         return os.open(path, flags, 0o644)
 
     def size(self, descriptor: int) -> int:
--- a/stackpitch/loop/real/world.py
+++ b/stackpitch/loop/real/world.py
@@ -85,8 +85,9 @@
                 if not connected:
                     sock.close()
         if not connected:
-            raise ConnectFailed(f"no connection in {limit / 10:.0f} ms" if code == errno.EINPROGRESS
-                                else os.strerror(code))
+            raise ConnectFailed(
+                f"no connection in {limit / 10:.0f} ms" if code == errno.EINPROGRESS else os.strerror(code)
+            )
         return RealStream(self, sock, address)
 
     def listen(self, address: Address, backlog: int = 1024) -> RealListener:
@@ -94,10 +95,14 @@
 
     def spawn_child(self, command: Sequence[str], *, output: str | None = None) -> "RealChild":
         from stackpitch.loop.children import spawn
+
         return spawn(self, command, output)
 
-    def spawn_piped(self, command: Sequence[str], *, errors: str | None = None) -> "tuple[RealChild, RealStream]":
+    def spawn_piped(
+        self, command: Sequence[str], *, errors: str | None = None
+    ) -> "tuple[RealChild, RealStream]":
         from stackpitch.loop.children import spawn_piped
+
         child, ours = spawn_piped(self, command, errors)
         return child, RealStream(self, ours, ("child", child.pid))
 
@@ -105,6 +110,7 @@
         aside = self.asides.get(queue)
         if aside is None:
             from stackpitch.loop.aside import Aside
+
             aside = self.asides[queue] = Aside(self)
         found: list[T] = []
         wrong: list[Exception] = []
@@ -132,6 +138,7 @@
 
     def watch(self) -> "RealWatch | None":
         from stackpitch.loop.watching import watching
+
         return watching(self)
 
     def signals(self, *numbers: int) -> Callable[[], Coro[int]]:
--- a/stackpitch/loop/task.py
+++ b/stackpitch/loop/task.py
@@ -47,8 +47,9 @@
             self.timer = self.world.at(self.world.now() + max(0, self.limit), self._expire)
         return self
 
-    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None,
-                 trace: TracebackType | None) -> bool:
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> bool:
         assert self.task is not None and self.task.scopes[-1] is self, "scopes are left in the order of entry"
         self.task.scopes.pop()
         if self.cancelled:
--- a/stackpitch/loop/virtual/disk.py
+++ b/stackpitch/loop/virtual/disk.py
@@ -21,8 +21,8 @@
 
     def lose(self, random: Random) -> None:
         """Appended bytes stay up to some byte; a change of another kind stays or doesn't."""
-        if self.data[:len(self.safe)] == self.safe:
-            del self.data[random.randint(len(self.safe), len(self.data)):]
+        if self.data[: len(self.safe)] == self.safe:
+            del self.data[random.randint(len(self.safe), len(self.data)) :]
         elif random.random() < 0.5:
             self.data = bytearray(self.safe)
         self.safe = bytes(self.data)
@@ -44,7 +44,9 @@
         self.disk = disk
         self.opened: dict[int, Inode] = {}
         self.dirty: dict[Inode, None] = {}
-        self.moves: list[dict[str, Inode | None]] = []  # what names stood for before each change that is not synced
+        self.moves: list[
+            dict[str, Inode | None]
+        ] = []  # what names stood for before each change that is not synced
 
     def _inode(self, descriptor: int) -> Inode:
         if descriptor not in self.opened:
@@ -70,7 +72,7 @@
         return len(self._inode(descriptor).data)
 
     def read(self, descriptor: int, at: int, most: int) -> bytes:
-        return bytes(self._inode(descriptor).data[at:at + most])
+        return bytes(self._inode(descriptor).data[at : at + most])
 
     def write(self, descriptor: int, data: bytes) -> int:
         inode = self._inode(descriptor)
@@ -121,7 +123,7 @@
         random = self.disk.random
         for inode in self.dirty:
             inode.lose(random)
-        for before in reversed(self.moves[random.randint(0, len(self.moves)):]):
+        for before in reversed(self.moves[random.randint(0, len(self.moves)) :]):
             for name, was in before.items():
                 if was is None:
                     self.disk.names.pop(name, None)
--- a/stackpitch/loop/virtual/listener.py
+++ b/stackpitch/loop/virtual/listener.py
@@ -13,13 +13,17 @@
 
 
 class VirtualListener:
-    def __init__(self, world: "VirtualWorld", address: Address, backlog: int, process: Process | None) -> None:
+    def __init__(
+        self, world: "VirtualWorld", address: Address, backlog: int, process: Process | None
+    ) -> None:
         self.world, self.address, self.backlog, self.process = world, address, backlog, process
         self.queue: deque[VirtualStream] = deque()
         self.waiter: Task | None = None
         self.choked = self.closed = self.finishing = False
         self.late = 0  # by so much connections come about later
-        self.window: int | None = None  # bytes that its connections take before they are read; None: the usual
+        self.window: int | None = (
+            None  # bytes that its connections take before they are read; None: the usual
+        )
         if process is not None:
             process.things[self] = None
 
--- a/stackpitch/loop/virtual/process.py
+++ b/stackpitch/loop/virtual/process.py
@@ -107,8 +107,14 @@
 
     __slots__ = ("process",)
 
-    def __init__(self, world: "VirtualWorld", coro: Coro[Any], name: str, done: Callable[[Task], None],
-                 process: Process) -> None:
+    def __init__(
+        self,
+        world: "VirtualWorld",
+        coro: Coro[Any],
+        name: str,
+        done: Callable[[Task], None],
+        process: Process,
+    ) -> None:
         super().__init__(world, coro, name, done)
         self.process = process
 
--- a/stackpitch/loop/virtual/world.py
+++ b/stackpitch/loop/virtual/world.py
@@ -24,8 +24,9 @@
 
     pipes = False
 
-    def __init__(self, seed: int = 0, latency: Time = 2, programs: Program | None = None,
-                 volume: Volume | None = None) -> None:
+    def __init__(
+        self, seed: int = 0, latency: Time = 2, programs: Program | None = None, volume: Volume | None = None
+    ) -> None:
         super().__init__(seed)
         self.time: Time = 1_000_000
         self.latency, self.programs, self.one_volume = latency, programs, volume
@@ -162,7 +163,9 @@
         self._begin(process, coro, f"process {process.pid}", ended)
         return VirtualChild(process)
 
-    def spawn_piped(self, command: Sequence[str], *, errors: str | None = None) -> tuple[VirtualChild, Stream]:
+    def spawn_piped(
+        self, command: Sequence[str], *, errors: str | None = None
+    ) -> tuple[VirtualChild, Stream]:
         raise OSError(38, "no pipes in a made-up world")
 
     def files(self) -> VirtualFiles:
--- a/stackpitch/loop/watching.py
+++ b/stackpitch/loop/watching.py
@@ -11,8 +11,17 @@
 if TYPE_CHECKING:
     from stackpitch.loop.real import RealWorld
 
-WATCHED = (flags.CREATE | flags.DELETE | flags.MOVED_FROM | flags.MOVED_TO | flags.CLOSE_WRITE | flags.MODIFY
-           | flags.ATTRIB | flags.DELETE_SELF | flags.MOVE_SELF)
+WATCHED = (
+    flags.CREATE
+    | flags.DELETE
+    | flags.MOVED_FROM
+    | flags.MOVED_TO
+    | flags.CLOSE_WRITE
+    | flags.MODIFY
+    | flags.ATTRIB
+    | flags.DELETE_SELF
+    | flags.MOVE_SELF
+)
 
 
 class RealWatch:
--- a/stackpitch/loop/world.py
+++ b/stackpitch/loop/world.py
@@ -41,11 +41,17 @@
 
     def write(self, data: bytes) -> None: ...  # raises Lost
     def drain(self, below: int = 0) -> Coro[None]: ...  # until no more than so much is buffered; raises Lost
-    def attend(self, task: Task | None) -> None: ...  # wakes the task with True once there is something to recv
+    def attend(
+        self, task: Task | None
+    ) -> None: ...  # wakes the task with True once there is something to recv
     def close(self) -> None: ...  # what is buffered is dropped
     def abort(self) -> None: ...  # the other side sees a reset
-    def unacknowledged(self) -> int: ...  # bytes that the other side's system has not taken; 0 if that isn't known
-    def finish(self) -> None: ...  # half-close once what is buffered has been handed over: no more is written from here
+    def unacknowledged(
+        self,
+    ) -> int: ...  # bytes that the other side's system has not taken; 0 if that isn't known
+    def finish(
+        self,
+    ) -> None: ...  # half-close once what is buffered has been handed over: no more is written from here
 
 
 class Listener(Protocol):
@@ -71,8 +77,12 @@
 class Watch(Protocol):
     """Hints that something happened in folders. They may come for nothing and some may be lost: look as well."""
 
-    def aim(self, folders: Sequence[str]) -> None: ...  # these from now on; those that are not there are left out
-    def happened(self) -> Coro[None]: ...  # waits for a hint since the last call; one is enough for any number
+    def aim(
+        self, folders: Sequence[str]
+    ) -> None: ...  # these from now on; those that are not there are left out
+    def happened(
+        self,
+    ) -> Coro[None]: ...  # waits for a hint since the last call; one is enough for any number
     def close(self) -> None: ...
 
 
@@ -103,9 +113,11 @@
     @abstractmethod
     def wall_ms(self) -> int:
         """Milliseconds since 1970, for what other machines say of times; nothing is timed by it."""
+
     @abstractmethod
     def poll(self, until: Time | None) -> None:
         """Waits for something to happen, at most until then; wakes whom it concerns."""
+
     @abstractmethod
     def connect(self, address: Address, limit: Time) -> Coro[Stream]: ...
     @abstractmethod
@@ -115,13 +127,16 @@
     @abstractmethod
     def spawn_piped(self, command: Sequence[str], *, errors: str | None = None) -> tuple[Child, Stream]:
         """A child whose standard input and output are a stream's other end."""
+
     @abstractmethod
     def aside(self, call: Callable[[], T], queue: str = "") -> Coro[T]:
         """Runs a call that blocks (files, no more) where it holds up nobody; those of one queue one at a time, in order.
         A disk that is slow holds up its own queue alone."""
+
     @abstractmethod
     def watch(self) -> Watch | None:
         """None if this machine has none to give; then looking must do."""
+
     @abstractmethod
     def signals(self, *numbers: int) -> Callable[[], Coro[int]]:
         """Catches these from now on; what is returned waits for the next one and gives its number."""
--- a/stackpitch/membership/bundle.py
+++ b/stackpitch/membership/bundle.py
@@ -68,7 +68,9 @@
     unknown = [name for name in weights if name not in names]
     if unknown:
         raise BadSettings(f"{path}: {', '.join(unknown[:5])}: not in the fleet's file")
-    return tuple(Entry(**(one.model_dump() | {"weight": weights.get(one.name, one.weight)})) for one in fleet.servers)
+    return tuple(
+        Entry(**(one.model_dump() | {"weight": weights.get(one.name, one.weight)})) for one in fleet.servers
+    )
 
 
 def meaning(fleet: Fleet, settings: Settings) -> list[str]:
@@ -103,7 +105,9 @@
         entries = entries_of(fleet, weights, settings.weights)
         told = digest(entries)
         if fleet.digest and fleet.digest != (plain := digest(entries_of(fleet, {}, ""))):
-            problems.append(f"{settings.roster}: digest: found {fleet.digest!r}; that of these servers is {plain!r}")
+            problems.append(
+                f"{settings.roster}: digest: found {fleet.digest!r}; that of these servers is {plain!r}"
+            )
         if not problems:
             wrong, bundle.guards = guards(settings, fleet, entries)
             problems += wrong
@@ -121,12 +125,24 @@
     if not settings.statements:
         return [], 0
     book = Book([read_page(path) for path in statements_of(settings)])
-    weighed = check(Fleet, {"version": fleet.version, "servers": [
-        Listed(**{name: getattr(one, name) for name in Entry.__struct_fields__}).model_dump() for one in entries]}, "list")
+    weighed = check(
+        Fleet,
+        {
+            "version": fleet.version,
+            "servers": [
+                Listed(**{name: getattr(one, name) for name in Entry.__struct_fields__}).model_dump()
+                for one in entries
+            ],
+        },
+        "list",
+    )
     judge = Judge(book, deployment(settings, weighed))
     names = [name for name, (_, one) in book.statements.items() if one.guard]
-    return [f'{one.file}:{one.statement.line}: guard "{one.statement.name}" {one.word()}: {one.why()}'
-            for one in judge.all(names) if not one.passed], len(names)
+    return [
+        f'{one.file}:{one.statement.line}: guard "{one.statement.name}" {one.word()}: {one.why()}'
+        for one in judge.all(names)
+        if not one.passed
+    ], len(names)
 
 
 class Asked(msgspec.Struct):
@@ -143,7 +159,7 @@
         asked = msgspec.json.decode(line, type=Asked)
         bundle = read_set(Path(asked.config), asked.given)
         entries, bundle.entries = bundle.entries, ()
-        slices = [entries[at:at + SLICE] for at in range(0, len(entries), SLICE)]
+        slices = [entries[at : at + SLICE] for at in range(0, len(entries), SLICE)]
         bundle.more = len(slices)
         sink.write(b"".join(msgspec.json.encode(one) + b"\n" for one in (bundle, *slices)))
         sink.flush()
--- a/stackpitch/membership/entries.py
+++ b/stackpitch/membership/entries.py
@@ -39,7 +39,9 @@
 
 def digest(entries: Iterable[Entry]) -> str:
     """Of what the entries say, whatever the order or the form that they were written in."""
-    from hashlib import sha256  # loads OpenSSL, which a gateway that is told its list by discovery does without
+    from hashlib import (
+        sha256,
+    )  # loads OpenSSL, which a gateway that is told its list by discovery does without
 
     told = sha256()
     for one in sorted(entries, key=lambda one: one.name):
@@ -59,7 +61,11 @@
         return bool(self.added or self.removed or self.changed)
 
     def text(self) -> str:
-        parts = [f"{len(names)} {word}" for word, names in (("added", self.added), ("removed", self.removed)) if names]
+        parts = [
+            f"{len(names)} {word}"
+            for word, names in (("added", self.added), ("removed", self.removed))
+            if names
+        ]
         parts += [f"{len(self.changed)} changed"] if self.changed else []
         return ", ".join(parts) or "nothing"
 
@@ -69,7 +75,12 @@
     for name in sorted(old.keys() & new.keys()):
         one, other = old[name], new[name]
         if one != other:
-            fields = [f"{field} {getattr(one, field)} -> {getattr(other, field)}" for field in Entry.__struct_fields__
-                      if getattr(one, field) != getattr(other, field)]
+            fields = [
+                f"{field} {getattr(one, field)} -> {getattr(other, field)}"
+                for field in Entry.__struct_fields__
+                if getattr(one, field) != getattr(other, field)
+            ]
             changed.append((name, ", ".join(fields)))
-    return Change(tuple(sorted(new.keys() - old.keys())), tuple(sorted(old.keys() - new.keys())), tuple(changed))
+    return Change(
+        tuple(sorted(new.keys() - old.keys())), tuple(sorted(old.keys() - new.keys())), tuple(changed)
+    )
--- a/stackpitch/membership/registrar.py
+++ b/stackpitch/membership/registrar.py
@@ -27,7 +27,9 @@
     step_share: float
     step_time: Time
     persist: Time
-    flap_count: int  # changes of a server between there and not there, within `flap_window`, that make it flap
+    flap_count: (
+        int  # changes of a server between there and not there, within `flap_window`, that make it flap
+    )
     flap_window: Time
     flap_calm: Time  # without a change, after which it is taken back
 
@@ -66,14 +68,18 @@
     order: int
     version: int = -1
     digest: str = ""
-    entries: dict[str, Entry] = field(default_factory=dict)  # wanted by its last list that was not held or rejected
+    entries: dict[str, Entry] = field(
+        default_factory=dict
+    )  # wanted by its last list that was not held or rejected
     held: Held | None = None
 
 
 class Registrar:
     """The fleet as one gateway has it. All tables are bounded by what lists name; `flaps` empties by calm."""
 
-    def __init__(self, figures: Figures, roles: Mapping[str, Role], sources: Iterable[str] = ("file",)) -> None:
+    def __init__(
+        self, figures: Figures, roles: Mapping[str, Role], sources: Iterable[str] = ("file",)
+    ) -> None:
         self.figures, self.roles = figures, roles
         self.sources = {name: Source(order) for order, name in enumerate(sources)}
         self.in_force: dict[str, Entry] = {}
@@ -93,9 +99,15 @@
             if source.held is not None and proposal.digest == source.held.proposal.digest:
                 return Verdict("repeated", source.held.reasons)
             if proposal.version < source.version:
-                return Verdict("rejected", (f"version {proposal.version} is older than {source.version}, which is in force",))
-        reasons = [] if proposal.version != source.version or force else [
-            f"version {proposal.version} again, with other content"]
+                return Verdict(
+                    "rejected",
+                    (f"version {proposal.version} is older than {source.version}, which is in force",),
+                )
+        reasons = (
+            []
+            if proposal.version != source.version or force
+            else [f"version {proposal.version} again, with other content"]
+        )
         source.held = None
         wrong = self._meaning(proposal, force)
         if wrong:
@@ -158,7 +170,11 @@
         wrong += [f"{name}: listed {count} times" for name, count in names.items() if count > 1]
         if not proposal.entries:
             wrong.append("no server is listed")
-        elif not (self.in_force or force or {"writer", "mixed"} & {self.roles.get(one.kind) for one in proposal.entries}):
+        elif not (
+            self.in_force
+            or force
+            or {"writer", "mixed"} & {self.roles.get(one.kind) for one in proposal.entries}
+        ):
             wrong.append("no server that writes is listed")  # later lists without one are doubted, not wrong
         return wrong
 
@@ -184,8 +200,11 @@
         doubts: list[str] = []
         if not missing:
             return doubts
-        for what, of in (("role", lambda one: self.roles[one.kind]), ("cell", lambda one: one.cell),
-                         ("zone", lambda one: one.zone)):
+        for what, of in (
+            ("role", lambda one: self.roles[one.kind]),
+            ("cell", lambda one: one.cell),
+            ("zone", lambda one: one.zone),
+        ):
             left = {of(one) for one in target.values()}
             for value in sorted({of(one) for one in missing} - left, key=str):
                 count = sum(of(one) == value for one in missing)
@@ -211,7 +230,9 @@
 
     # What comes into force.
 
-    def _take(self, now: Time, source: Source, proposal: Proposal, reasons: list[str], at_once: bool) -> Verdict:
+    def _take(
+        self, now: Time, source: Source, proposal: Proposal, reasons: list[str], at_once: bool
+    ) -> Verdict:
         clashes = []
         for one in proposal.entries:
             for name, other in self.sources.items():
@@ -238,7 +259,9 @@
             gone: Counter[Role] = Counter()
             for one in sorted(missing, key=lambda one: crc32(one.name.encode())):
                 role = self.roles[one.kind]
-                if one.state == "ready" and gone[role] + 1 > max(1, int(self.figures.step_share * ready[role])):
+                if one.state == "ready" and gone[role] + 1 > max(
+                    1, int(self.figures.step_share * ready[role])
+                ):
                     stay.append(one)
                 elif one.state == "ready":
                     gone[role] += 1
@@ -253,5 +276,7 @@
             reasons = [*reasons, f"come and go, so kept out until calm: {', '.join(damped[:8])}"]
         if self.leaving:
             seconds = self.figures.step_time / 10_000
-            return Verdict("in steps", (*reasons, f"{len(self.leaving)} more leave, a step each {seconds:g} s"), entries)
+            return Verdict(
+                "in steps", (*reasons, f"{len(self.leaving)} more leave, a step each {seconds:g} s"), entries
+            )
         return Verdict("accepted", tuple(reasons), entries)
--- a/stackpitch/membership/store.py
+++ b/stackpitch/membership/store.py
@@ -55,7 +55,9 @@
 class Store:
     """One file. Holds `lists` lists and `notes` notes."""
 
-    def __init__(self, files: Files, path: str, lists: int = 20, notes: int = 200, most_bytes: int = 8 << 20) -> None:
+    def __init__(
+        self, files: Files, path: str, lists: int = 20, notes: int = 200, most_bytes: int = 8 << 20
+    ) -> None:
         self.lists, self.notes = lists, notes
         self.kept: list[Kept] = []
         self.noted: list[Noted] = []
@@ -97,11 +99,11 @@
 
     def _remember(self, record: Record) -> None:
         if isinstance(record, Kept):
-            self.kept = [*self.kept[1 - self.lists:], record] if self.lists > 1 else [record]
+            self.kept = [*self.kept[1 - self.lists :], record] if self.lists > 1 else [record]
             while len(self.kept) > 2 and sum(len(one.entries) for one in self.kept) > MOST_ENTRIES:
                 del self.kept[0]
         elif isinstance(record, Noted):
-            self.noted = [*self.noted[1 - self.notes:], record]
+            self.noted = [*self.noted[1 - self.notes :], record]
         else:
             self.state = record
 
--- a/stackpitch/platform/ask.py
+++ b/stackpitch/platform/ask.py
@@ -11,8 +11,15 @@
 class PlatformAsk(Ask):
     """`headers`: the request's fields that go on to the servers with it."""
 
-    def __init__(self, gen: Generation, client: Stream, method: str, target: str, headers: Sequence[tuple[str, str]],
-                 body: bytes) -> None:
+    def __init__(
+        self,
+        gen: Generation,
+        client: Stream,
+        method: str,
+        target: str,
+        headers: Sequence[tuple[str, str]],
+        body: bytes,
+    ) -> None:
         super().__init__(gen, client, target)
         self.method, self.headers, self.body = method, headers, body
         self.written: Leg | None = None  # the newest leg whose request has been handed over whole
@@ -25,7 +32,11 @@
 
     def begin(self, now: Time) -> None:
         self.begun, self.first_token = True, now
-        self._put(http.head(200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked"), *self._last()]))
+        self._put(
+            http.head(
+                200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked"), *self._last()]
+            )
+        )
 
     def pass_on(self, pieces: Sequence[bytes]) -> bool:
         return self._put(b"".join(http.chunk(one) for one in pieces if one))
@@ -40,7 +51,11 @@
         if self.answered:
             return
         headers = [("retry-after", f"{retry_after / 10_000:.3f}")] if again and retry_after else []
-        self._put(http.response(429 if again else 502, b"%b\n" % code.encode(), [*headers, *self._last()], "text/plain"))
+        self._put(
+            http.response(
+                429 if again else 502, b"%b\n" % code.encode(), [*headers, *self._last()], "text/plain"
+            )
+        )
         self._final(code)
 
     def break_off(self, code: str, message: str) -> None:
--- a/stackpitch/platform/config.py
+++ b/stackpitch/platform/config.py
@@ -11,7 +11,9 @@
 
 LEAST = {"sockets": 32, "memory_mb": 24}  # under these there is no room to work
 LACKS = "missing, of the wrong kind or out of range"
-BYTES = frozenset(map(str, range(256)))  # as addresses are commonly written; a long list is read several times quicker
+BYTES = frozenset(
+    map(str, range(256))
+)  # as addresses are commonly written; a long list is read several times quicker
 
 
 class BadConfig(Exception):
@@ -34,8 +36,9 @@
 def address(text: str, field: str) -> Address:
     host, _, port = text.rpartition(":")
     parts = host.split(".")
-    numeric = len(parts) == 4 and (BYTES.issuperset(parts) or all(
-        one.isascii() and one.isdigit() and int(one) < 256 for one in parts))
+    numeric = len(parts) == 4 and (
+        BYTES.issuperset(parts) or all(one.isascii() and one.isdigit() and int(one) < 256 for one in parts)
+    )
     if not numeric or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65_536:
         raise BadConfig(f"{field}: found {text[:60]!r}; an IPv4 address with a port is wanted")
     return host, int(port)
@@ -74,11 +77,15 @@
             if (found := limits.number(field, least)) < least:
                 raise BadConfig(f"limits.{field}: found {found}; {least} at least are wanted")
         return Config(
-            name, address(top.get("listen", str, given.get("RELAY_LISTEN")), "listen"),
+            name,
+            address(top.get("listen", str, given.get("RELAY_LISTEN")), "listen"),
             address(top.get("discovery", str, given.get("RELAY_DISCOVERY")), "discovery"),
-            seeded(seed) if isinstance(seed, str) else seed, int(limits.number("sockets", 1024)),
-            int(limits.number("memory_mb", 128)), known(top.values.get("known", {})),
-            top.tree("settings"))
+            seeded(seed) if isinstance(seed, str) else seed,
+            int(limits.number("sockets", 1024)),
+            int(limits.number("memory_mb", 128)),
+            known(top.values.get("known", {})),
+            top.tree("settings"),
+        )
     except Missing as lack:
         raise BadConfig(f"{lack}: {LACKS}") from None
     except ValueError as wrong:  # a number of thousands of digits
--- a/stackpitch/platform/discovery.py
+++ b/stackpitch/platform/discovery.py
@@ -38,10 +38,14 @@
     `said`: causes that were logged since the last list; emptied by the next.
     """
 
-    def __init__(self, world: World, host: Host, log: "Log", target: Address, known: platform.Listed, times: Times) -> None:
+    def __init__(
+        self, world: World, host: Host, log: "Log", target: Address, known: platform.Listed, times: Times
+    ) -> None:
         self.world, self.host, self.log, self.target, self.times = world, host, log, target, times
         self.entries: dict[str, Entry] = {}
-        self.unknown: dict[str, Entry] = {}  # members of kinds that the settings don't know; emptied as `entries`
+        self.unknown: dict[
+            str, Entry
+        ] = {}  # members of kinds that the settings don't know; emptied as `entries`
         self.revision: int | None = None  # None: the whole list is wanted
         self.fresh = False  # something has come since the start
         self.tried: Time | None = None  # when the last try began
@@ -82,9 +86,17 @@
         except BadConfig as wrong:
             self.log.warning("bad_member", why=str(wrong))
             return before.get(one.id) if one.phase == "up" else None
-        entry = Entry(name=one.id, host=host, port=port, kind=one.flavor, zone=one.locality, cell=one.cell,
-                      state="ready" if one.phase == "up" else "draining", weight=one.size,
-                      started_unix_ms=one.up_since_ms or None)
+        entry = Entry(
+            name=one.id,
+            host=host,
+            port=port,
+            kind=one.flavor,
+            zone=one.locality,
+            cell=one.cell,
+            state="ready" if one.phase == "up" else "draining",
+            weight=one.size,
+            started_unix_ms=one.up_since_ms or None,
+        )
         if self._known(entry):
             return entry
         self.unknown[one.id] = entry
@@ -112,7 +124,9 @@
                     yield from self._follow(stream)
                 except (Lost, ConnectFailed, BadAnswer) as wrong:
                     self._failed(wrong)
-                except Exception as wrong:  # guards the gateway against a list that nobody thought of: it costs its call
+                except (
+                    Exception
+                ) as wrong:  # guards the gateway against a list that nobody thought of: it costs its call
                     self.log.exception("discovery_raised", why=str(wrong))
 
     def _failed(self, wrong: Exception) -> None:
@@ -123,7 +137,9 @@
         if len(self.said) < MOST_SAID:
             self.said.add(why)
             if isinstance(wrong, BadAnswer):
-                self.log.warning("discovery_bad_answer", found=why, allowed=BadAnswer.allowed, remedy=BadAnswer.remedy)
+                self.log.warning(
+                    "discovery_bad_answer", found=why, allowed=BadAnswer.allowed, remedy=BadAnswer.remedy
+                )
             else:
                 self.log.info("discovery_lost", why=why)
 
@@ -152,7 +168,9 @@
             under_way: deque[Task] = deque()
             place = 0
             if self.tried is not None:
-                yield from self.world.sleep(max(self.times.pause, self.tried + self.times.gap(0) - self.world.now()))
+                yield from self.world.sleep(
+                    max(self.times.pause, self.tried + self.times.gap(0) - self.world.now())
+                )
             while True:
                 under_way = deque(task for task in under_way if not task.ended)
                 if len(under_way) >= TRIES:
@@ -213,8 +231,14 @@
                     self.revision = None  # a version that goes back: what changed since is not known
                 if not keeps:
                     stream.close()
-                if since is not None and told.revision <= since and self.world.now() - asked < self.times.rest:
-                    yield from self.world.sleep(self.times.rest)  # guards against answers that come at once for ever
+                if (
+                    since is not None
+                    and told.revision <= since
+                    and self.world.now() - asked < self.times.rest
+                ):
+                    yield from self.world.sleep(
+                        self.times.rest
+                    )  # guards against answers that come at once for ever
         finally:
             stream.close()
 
--- a/stackpitch/platform/door.py
+++ b/stackpitch/platform/door.py
@@ -49,22 +49,43 @@
         if reader.path in (platform.READY, platform.WELL) and reader.method == "GET":
             well = reader.path == platform.WELL or (self.ready and not self.stopping)
             stream.write(http.response(200 if well else 503, b"{}", self._last(reader)))
-            return (yield from self._taken(stream)) and reader.keep_alive and not reader.extra and not self.stopping
+            return (
+                (yield from self._taken(stream))
+                and reader.keep_alive
+                and not reader.extra
+                and not self.stopping
+            )
         raise http.BadMessage(404, f"found {reader.method} {reader.path[:80]!r}")
 
     def _ask(self, stream: Stream, reader: http.RequestReader, began: Time) -> Ask:
         facts = platform.facts(reader.headers)
         product = self.products.get(facts.product)
         if product is None:
-            raise http.BadMessage(400, f"req-kind: found {facts.product[:30]!r}; allowed: {', '.join(self.products)}")
+            raise http.BadMessage(
+                400, f"req-kind: found {facts.product[:30]!r}; allowed: {', '.join(self.products)}"
+            )
         if any(gen.name == facts.name for gen in self.host.asks):
             raise http.BadMessage(409, "req-id: it is that of a request still open here")
         if not reader.body_size:
             raise http.BadMessage(400, "a body is wanted")  # servers turn it down, each of them
         now = self.world.now()
         gives_up = max(now + 1, began + facts.time_limit_ms * 10 - self.margin)
-        gen = Generation(facts.name, product, self.customers.get(facts.customer or ""), facts.session, facts.shared,
-                         facts.shared_tok, facts.prompt_tok, facts.limit_tok, None, now, gives_up, facts.repeat,
-                         facts.resumed)
-        headers = [(name, value) for name, value in http.end_to_end(reader.headers) if name != platform.DEADLINE]
+        gen = Generation(
+            facts.name,
+            product,
+            self.customers.get(facts.customer or ""),
+            facts.session,
+            facts.shared,
+            facts.shared_tok,
+            facts.prompt_tok,
+            facts.limit_tok,
+            None,
+            now,
+            gives_up,
+            facts.repeat,
+            facts.resumed,
+        )
+        headers = [
+            (name, value) for name, value in http.end_to_end(reader.headers) if name != platform.DEADLINE
+        ]
         return PlatformAsk(gen, stream, reader.method, reader.url.decode("latin-1"), headers, reader.body())
--- a/stackpitch/platform/leases.py
+++ b/stackpitch/platform/leases.py
@@ -82,5 +82,3 @@
             return pool.idle[-1][1] if pool is not None and pool.idle else -1
 
         return max(open_to, default=None, key=last_good)
-
-
--- a/stackpitch/platform/leg.py
+++ b/stackpitch/platform/leg.py
@@ -39,8 +39,9 @@
     def _request(self) -> bytes:
         ask, host, port = self.ask, *self.host.roster.addresses[self.leg.server]
         left = max(1, self.time_left() // MS)
-        return http.request(ask.method, ask.target, f"{host}:{port}", ask.body, [
-            *ask.headers, (platform.DEADLINE, str(left))])
+        return http.request(
+            ask.method, ask.target, f"{host}:{port}", ask.body, [*ask.headers, (platform.DEADLINE, str(left))]
+        )
 
     def _exchange(self, stream: Stream, scope: Scope) -> Coro[End]:
         yield from self._write(stream, self._request())
@@ -50,7 +51,11 @@
             yield from self._more(stream)
         self.phase[0] = Phase.HEAD
         kind = reader.headers.get("content-type", "")
-        if self.leg.server.role == "reader" or reader.status != 200 or not kind.startswith("text/event-stream"):
+        if (
+            self.leg.server.role == "reader"
+            or reader.status != 200
+            or not kind.startswith("text/event-stream")
+        ):
             return (yield from self._whole(stream))
         whole = self.events.feed(reader.pieces)
         while not self.events.events:
@@ -76,7 +81,14 @@
         kept = platform.read_kept(body) if reader.status == 202 else None
         declined = reader.headers.get("srv-declined") == "1"
         outcome, no_state = platform.answered(self.leg.server.role, reader.status, declined, kept is not None)
-        return End(outcome, self.phase[0], 0 if kept is None else kept, no_state, self._load(), f"status {reader.status}")
+        return End(
+            outcome,
+            self.phase[0],
+            0 if kept is None else kept,
+            no_state,
+            self._load(),
+            f"status {reader.status}",
+        )
 
     def _relay(self, stream: Stream, whole: bytes) -> Coro[End]:
         """Passes whole events on as they come; a client that is slow holds up its stream, not the memory."""
@@ -88,9 +100,16 @@
                 if whole and not ask.pass_on([whole]):
                     host.departed(ask)
                     return self._broken("cancelled", "the client has left")
-                whole, reader.pieces = b"", []  # else a read's bytes would be held thrice while the client is waited for
+                whole, reader.pieces = (
+                    b"",
+                    [],
+                )  # else a read's bytes would be held thrice while the client is waited for
                 client, behind = ask.client, host.bounds.buffer
-                if client is not None and client.buffered > behind and not (yield from self._patience(client, events.events)):
+                if (
+                    client is not None
+                    and client.buffered > behind
+                    and not (yield from self._patience(client, events.events))
+                ):
                     host.departed(ask)
                     return self._broken("cancelled", "the client has left, or took too little")
                 if reader.complete:
--- a/stackpitch/platform/lines.py
+++ b/stackpitch/platform/lines.py
@@ -17,7 +17,9 @@
 
     def __init__(self, gateway: str) -> None:
         self.gateway = gateway
-        self.ends: dict[str, dict[str, int]] = {}  # since the start or `begin_anew`; as many as products and kinds of ends
+        self.ends: dict[
+            str, dict[str, int]
+        ] = {}  # since the start or `begin_anew`; as many as products and kinds of ends
         self.said = 0
 
     def _write(self, level: str, event: str, fields: dict[str, Any]) -> None:
@@ -43,9 +45,14 @@
         came = {product: sum(of.values()) for product, of in self.ends.items()}
         if sum(came.values()) != self.said:
             self.said = sum(came.values())
-            self._write("info", "classes", {
-                f"class {product}" if product in OWN else product: {"came": came[product], **of}
-                for product, of in self.ends.items()})
+            self._write(
+                "info",
+                "classes",
+                {
+                    f"class {product}" if product in OWN else product: {"came": came[product], **of}
+                    for product, of in self.ends.items()
+                },
+            )
 
     def begin_anew(self) -> None:
         """Tells what came of each product so far; the products of the next settings are others, also by the same name."""
--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -23,12 +23,15 @@
 
 SAY = 30 * SECOND  # between two lines that tell what became of each product
 COUNT = 10 * SECOND  # between two that tell what each product met
-HEARTBEAT = 100 * MS  # so exactly is known how long a request may have waited for the process; servers are told within 150
+HEARTBEAT = (
+    100 * MS
+)  # so exactly is known how long a request may have waited for the process; servers are told within 150
 STILL_COMING = 7 * SECOND // 10  # after SIGTERM connections still come
 
 
-def serve(world: World, given: Mapping[str, str],
-          ready: Callable[[Host, PlatformDoor], None] | None = None) -> Coro[None]:
+def serve(
+    world: World, given: Mapping[str, str], ready: Callable[[Host, PlatformDoor], None] | None = None
+) -> Coro[None]:
     """Runs a gateway. Raises BadConfig, and OSError on an address that is taken.
 
     SIGTERM: not ready any more; what comes within 0.7 s is taken, what is taken is answered. SIGHUP: the configuration
@@ -42,15 +45,41 @@
 
     def body(group: Group) -> Coro[None]:
         budget = Budget(plan.engines)
-        host = Host(world, group, log, counts, conf.name, Roster(world, plan.kinds), plan.bounds, Servers(), conf.seed,
-                    Preferences(), plan.arguments, budget=budget)
+        host = Host(
+            world,
+            group,
+            log,
+            counts,
+            conf.name,
+            Roster(world, plan.kinds),
+            plan.bounds,
+            Servers(),
+            conf.seed,
+            Preferences(),
+            plan.arguments,
+            budget=budget,
+        )
         door = PlatformDoor(
-            world, host, log, counts, None, max_connections=plan.clients, max_bodies=plan.bodies, max_body=MAX_BODY,
-            max_head=MAX_HEAD, head=SECOND * 7 // 10, body=SECOND * 7 // 10, idle=10 * SECOND, stall=GAP,
-            margin=10 * MS, fresh=SECOND * 12 // 10)
+            world,
+            host,
+            log,
+            counts,
+            None,
+            max_connections=plan.clients,
+            max_bodies=plan.bodies,
+            max_body=MAX_BODY,
+            max_head=MAX_HEAD,
+            head=SECOND * 7 // 10,
+            body=SECOND * 7 // 10,
+            idle=10 * SECOND,
+            stall=GAP,
+            margin=10 * MS,
+            fresh=SECOND * 12 // 10,
+        )
         door.products, door.customers = plan.products, plan.customers
-        discovery = Discovery(world, host, log, conf.discovery, conf.known,
-                              watching.times(watching.share(conf.name, conf.seed)))
+        discovery = Discovery(
+            world, host, log, conf.discovery, conf.known, watching.times(watching.share(conf.name, conf.seed))
+        )
         reloading = Reloading(world, log, given, plan, host, budget, door, discovery)
         host.begin()
         listener = world.listen(conf.listen)
@@ -61,9 +90,14 @@
         group.spawn(_each(world, COUNT, lambda: log.counters(host.counters)), "counters")
         group.spawn(_each(world, HEARTBEAT, _nothing), "heartbeat")
         group.spawn(_ready(world, door, discovery), "ready")
-        log.info("serving", descriptors=plan.sockets, clients=plan.clients, engines=plan.engines,
-                 servers=len(discovery.entries),
-                 **{part: conf.settings.values.get(part) for part in ("report", "bounds", "guarantees")})
+        log.info(
+            "serving",
+            descriptors=plan.sockets,
+            clients=plan.clients,
+            engines=plan.engines,
+            servers=len(discovery.entries),
+            **{part: conf.settings.values.get(part) for part in ("report", "bounds", "guarantees")},
+        )
         if ready is not None:
             ready(host, door)
         # What the program itself consists of need not be looked at each second. Nor is it now: a look would cost as
--- a/stackpitch/platform/watching.py
+++ b/stackpitch/platform/watching.py
@@ -52,4 +52,11 @@
     """`spread`: from 0 to 1, the gateway's own. Tries of different gateways drift apart by it."""
     part = BOUND // 30
     gaps = tuple(int(count * part * (LEAST_SHARE + (1 - LEAST_SHARE) * spread)) for count in (1, 2, 4))
-    return Times(wait=9 * part, grace=3 * part, pause=int(part * spread / 2), gaps=gaps, answer=5 * part, rest=part // 4)
+    return Times(
+        wait=9 * part,
+        grace=3 * part,
+        pause=int(part * spread / 2),
+        gaps=gaps,
+        answer=5 * part,
+        rest=part // 4,
+    )
--- a/stackpitch/plausible.py
+++ b/stackpitch/plausible.py
@@ -27,7 +27,9 @@
     """Counts since the start. `server` is whose word is judged now."""
 
     def __init__(self) -> None:
-        self.counts = dict.fromkeys(("load_clipped", "load_dropped", "load_unread", "kept_clipped", "kept_dropped"), 0)
+        self.counts = dict.fromkeys(
+            ("load_clipped", "load_dropped", "load_unread", "kept_clipped", "kept_dropped"), 0
+        )
         self.server, self.last = "", ""
         self.said, self.said_at = 0, -SAY
 
--- a/stackpitch/preferences.py
+++ b/stackpitch/preferences.py
@@ -30,7 +30,9 @@
     def at(self, day: int, minute: int) -> bool:
         if self.begin < self.end:
             return day in self.days and self.begin <= minute < self.end
-        return (day in self.days and minute >= self.begin) or ((day - 1) % 7 in self.days and minute < self.end)
+        return (day in self.days and minute >= self.begin) or (
+            (day - 1) % 7 in self.days and minute < self.end
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,9 +46,16 @@
     roles: frozenset[str] = frozenset()
 
     def __contains__(self, server: Server) -> bool:
-        return all(not wanted or found in wanted for wanted, found in (
-            (self.names, server.name), (self.cells, server.cell), (self.zones, server.zone), (self.kinds, server.kind),
-            (self.roles, server.role)))
+        return all(
+            not wanted or found in wanted
+            for wanted, found in (
+                (self.names, server.name),
+                (self.cells, server.cell),
+                (self.zones, server.zone),
+                (self.kinds, server.kind),
+                (self.roles, server.role),
+            )
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,9 +76,11 @@
 
     def meets(self, gen: Generation, day: int, minute: int) -> bool:
         customer = gen.customer.name if gen.customer is not None else None
-        return ((not self.products or gen.product.name in self.products)
-                and (not self.customers or customer in self.customers)
-                and (not self.hours or any(one.at(day, minute) for one in self.hours)))
+        return (
+            (not self.products or gen.product.name in self.products)
+            and (not self.customers or customer in self.customers)
+            and (not self.hours or any(one.at(day, minute) for one in self.hours))
+        )
 
 
 @dataclass(slots=True)
@@ -80,10 +91,16 @@
     rules: tuple[Rule, ...] = ()
     epoch: Time = 0
     utc_offset: int = 0
-    roles: dict[str, frozenset[Role]] = field(default_factory=dict)  # that a rule speaks of, also once all there are lost
-    heaviest: dict[Role, float] = field(default_factory=dict)  # weight by role; empty while all weigh the same
+    roles: dict[str, frozenset[Role]] = field(
+        default_factory=dict
+    )  # that a rule speaks of, also once all there are lost
+    heaviest: dict[Role, float] = field(
+        default_factory=dict
+    )  # weight by role; empty while all weigh the same
     last: tuple[Generation, Time, list[Rule]] | None = None
-    also: Callable[[Generation, Server], bool] | None = None  # binds every leg as "only" does; None: says nothing
+    also: Callable[[Generation, Server], bool] | None = (
+        None  # binds every leg as "only" does; None: says nothing
+    )
 
     def listed(self, servers: Iterable[Server]) -> None:
         """Takes the present list."""
@@ -118,26 +135,34 @@
             return False
         if self.last is None or self.last[:2] != (gen, now):
             self.last = gen, now, self.meeting(now, gen, hard=True)
-        return all((server in rule.where) is (rule.how == "only") for rule in self.last[2]
-                   if rule.how == "never" or server.role in self.roles.get(rule.name, ()))
+        return all(
+            (server in rule.where) is (rule.how == "only")
+            for rule in self.last[2]
+            if rule.how == "never" or server.role in self.roles.get(rule.name, ())
+        )
 
     def narrow(self, now: Time, gen: Generation, role: Role, seats: list[Seat]) -> list[Seat]:
         """What "prefer", "avoid" and weights leave, each as far as it leaves anything."""
         for rule in self.meeting(now, gen, hard=False):
             if role in self.roles.get(rule.name, ()):
-                seats = [one for one in seats if (one.server in rule.where) is (rule.how == "prefer")] or seats
+                seats = [
+                    one for one in seats if (one.server in rule.where) is (rule.how == "prefer")
+                ] or seats
         heaviest = self.heaviest.get(role)
         if heaviest is not None:
             mark = crc32((gen.session or gen.name).encode())
-            seats = [one for one in seats if mix(one.hash, mark) < one.server.weight / heaviest * 2**32] or seats
+            seats = [
+                one for one in seats if mix(one.hash, mark) < one.server.weight / heaviest * 2**32
+            ] or seats
         return seats
 
 
 class WeighingGuard(Guard):
     """The guard of the chain, with fewer servers to choose from where that leaves any."""
 
-    def __init__(self, fleet: Fleet, max_legs: int, max_retry_after: Time, release: Time,
-                 preferences: Preferences) -> None:
+    def __init__(
+        self, fleet: Fleet, max_legs: int, max_retry_after: Time, release: Time, preferences: Preferences
+    ) -> None:
         super().__init__(fleet, max_legs, max_retry_after, release)
         self.preferences = preferences
 
--- a/stackpitch/rehearse/broken/gateways.py
+++ b/stackpitch/rehearse/broken/gateways.py
@@ -21,7 +21,9 @@
         if not lost():
             finish(self)
 
-    def refuse_some(self: OpenAsk, status: int, code: str, message: str, again: bool, retry_after: Time = 0) -> None:
+    def refuse_some(
+        self: OpenAsk, status: int, code: str, message: str, again: bool, retry_after: Time = 0
+    ) -> None:
         if not lost():
             refuse(self, status, code, message, again, retry_after)
 
--- a/stackpitch/rehearse/broken/owners.py
+++ b/stackpitch/rehearse/broken/owners.py
@@ -44,7 +44,9 @@
 def hasty() -> None:
     """A voter that starts votes at once by what its file holds, however little that is."""
 
-    def at_once(voters: tuple[int, ...], me: int, generation: int, mine: State, heard: dict[int, State]) -> Decision:
+    def at_once(
+        voters: tuple[int, ...], me: int, generation: int, mine: State, heard: dict[int, State]
+    ) -> Decision:
         return Decision("vote", promises=mine.promises)
 
     voting.decide = at_once  # type: ignore[attr-defined]
--- a/stackpitch/rehearse/broken/vocabulary.py
+++ b/stackpitch/rehearse/broken/vocabulary.py
@@ -14,6 +14,7 @@
 
 def babel() -> None:
     """Token ids go to any engine as they came."""
+
     def unsaid(self: OpenAsk) -> None:
         return None
 
@@ -57,13 +58,15 @@
     def judged(self: Owning, machine: Machine, change: Change, outcome: Outcome) -> None:
         assert outcome.summary is not None, outcome.problem
         found = msgspec.json.decode(outcome.verdicts, type=Verdicts)
-        found = replaced(found, runs=found.runs[self.work.ground.number + 1:])
+        found = replaced(found, runs=found.runs[self.work.ground.number + 1 :])
         summary = replaced(outcome.summary, digest=found.digest())
         if change.word == "announced":
             machine.record = replaced(machine.record, history=())
             machine.judged(found.digests, summary)
         else:
-            machine.record = replaced(machine.record, change=replaced(change, summary=summary, version=change.version + 1))
+            machine.record = replaced(
+                machine.record, change=replaced(change, summary=summary, version=change.version + 1)
+            )
         self.verdicts = found.digests, found.encoded()
 
     Owning._have, Owning._judged = mine_alone, judged  # type: ignore[method-assign]
--- a/stackpitch/rehearse/broken/weights.py
+++ b/stackpitch/rehearse/broken/weights.py
@@ -22,7 +22,10 @@
 
     def reversed_ones(*told: object) -> list[Need]:
         found = needs(*told)  # type: ignore[arg-type]
-        return sorted((need._replace(order=(99 - need.priority, *need.order[1:])) for need in found), key=lambda one: one.order)
+        return sorted(
+            (need._replace(order=(99 - need.priority, *need.order[1:])) for need in found),
+            key=lambda one: one.order,
+        )
 
     planner.needs = reversed_ones  # type: ignore[assignment, attr-defined]
 
--- a/stackpitch/rehearse/clients/asking.py
+++ b/stackpitch/rehearse/clients/asking.py
@@ -47,28 +47,62 @@
             last = gateway
             if how in ("refused", "broken"):
                 self.dead[gateway] = self.world.now()
-            again = how in ("throttled", "refused", "turned-away") or (how == "broken" and (
-                turn.product.effect == "idempotent"
-                or (turn.product.effect == "deduplicated" and turn.product.scope == "all")))
+            again = how in ("throttled", "refused", "turned-away") or (
+                how == "broken"
+                and (
+                    turn.product.effect == "idempotent"
+                    or (turn.product.effect == "deduplicated" and turn.product.scope == "all")
+                )
+            )
             if not again:
                 return False
             yield from self.world.sleep(max(wait, int(self.set.backoff_ms * random.uniform(0.5, 1.5) * 10)))
         return False
 
-    def ask(self, turn: Turn, number: int, gateway: str, limit_ms: float, impatient: bool, departs: bool,
-            random: Random, begun: Time) -> Coro[tuple[str, Time]]:
+    def ask(
+        self,
+        turn: Turn,
+        number: int,
+        gateway: str,
+        limit_ms: float,
+        impatient: bool,
+        departs: bool,
+        random: Random,
+        begun: Time,
+    ) -> Coro[tuple[str, Time]]:
         """One try; how it ended and how long the gateway asks to wait."""
         seen = Seen()
         note = self.recorder.note
-        note("ask", key=turn.key, number=number, gateway=gateway, product=turn.product.name, customer=turn.customer,
-             limit_ms=round(limit_ms, 1), first_asked=begun,
-             prompt_tok=sum(len(one["content"]) for one in turn.messages) // 4)
-        body = msgspec.json.encode({
-            "model": turn.product.name, "messages": turn.messages, "stream": True, "max_tokens": turn.product.limit_tok,
-            "x_answer_tok": turn.answer_tok, **turn.fields})
-        headers = [("x-request-id", turn.key), ("x-session-id", turn.session), ("x-stainless-retry-count", str(number)),
-                   ("x-time-limit-ms", str(max(1, int(limit_ms)))), ("x-product", turn.product.name),
-                   ("authorization", f"Bearer {turn.customer}"), *turn.headers]
+        note(
+            "ask",
+            key=turn.key,
+            number=number,
+            gateway=gateway,
+            product=turn.product.name,
+            customer=turn.customer,
+            limit_ms=round(limit_ms, 1),
+            first_asked=begun,
+            prompt_tok=sum(len(one["content"]) for one in turn.messages) // 4,
+        )
+        body = msgspec.json.encode(
+            {
+                "model": turn.product.name,
+                "messages": turn.messages,
+                "stream": True,
+                "max_tokens": turn.product.limit_tok,
+                "x_answer_tok": turn.answer_tok,
+                **turn.fields,
+            }
+        )
+        headers = [
+            ("x-request-id", turn.key),
+            ("x-session-id", turn.session),
+            ("x-stainless-retry-count", str(number)),
+            ("x-time-limit-ms", str(max(1, int(limit_ms)))),
+            ("x-product", turn.product.name),
+            ("authorization", f"Bearer {turn.customer}"),
+            *turn.headers,
+        ]
         limit = int(limit_ms * 10)
         if impatient:
             limit = int(limit * random.uniform(0.02, 0.3))
@@ -88,8 +122,19 @@
         except (http.BadMessage, ValueError, msgspec.DecodeError) as wrong:
             how, seen.why = "garbled", str(wrong)
         turn.answer = "".join(seen.words)
-        note("end", key=turn.key, number=number, gateway=gateway, product=turn.product.name, how=how,
-             first=seen.first, tok=len(seen.words), status=seen.status, code=seen.code, why=seen.why)
+        note(
+            "end",
+            key=turn.key,
+            number=number,
+            gateway=gateway,
+            product=turn.product.name,
+            how=how,
+            first=seen.first,
+            tok=len(seen.words),
+            status=seen.status,
+            code=seen.code,
+            why=seen.why,
+        )
         if stream is not None and how in ("streamed", "throttled", "terminated"):
             yield from self.linger(stream, turn, number, gateway)
         if stream is not None:
@@ -101,8 +146,13 @@
         try:
             with self.world.limit(self.LINGER):
                 if data := (yield from stream.recv()):
-                    self.recorder.note("after", key=turn.key, number=number, gateway=gateway,
-                                       data=data[:80].decode("latin-1"))
+                    self.recorder.note(
+                        "after",
+                        key=turn.key,
+                        number=number,
+                        gateway=gateway,
+                        data=data[:80].decode("latin-1"),
+                    )
         except Lost:
             pass
 
@@ -137,4 +187,8 @@
         seen.retry_after = int(reader.headers.get("retry-after-ms", "0")) * MS
         if reader.status == 429:
             return "throttled"
-        return "turned-away" if reader.status == 503 and reader.headers.get("x-should-retry") == "true" else "terminated"
+        return (
+            "turned-away"
+            if reader.status == 503 and reader.headers.get("x-should-retry") == "true"
+            else "terminated"
+        )
--- a/stackpitch/rehearse/clients/sessions.py
+++ b/stackpitch/rehearse/clients/sessions.py
@@ -33,13 +33,18 @@
 
     def surge(self, kind: str) -> Surge | None:
         at = (self.world.now() - self.set.start) / SECOND
-        return next((one for one in self.set.surges if one.kind == kind and one.at_s <= at < one.at_s + one.for_s), None)
+        return next(
+            (one for one in self.set.surges if one.kind == kind and one.at_s <= at < one.at_s + one.for_s),
+            None,
+        )
 
     def arrive(self, group: Group) -> Coro[None]:
         random = self.world.chance("arrivals")
         products, shares = self.set.products, [one.share for one in self.set.products]
         turns = sum(one.turns * one.share for one in products) / sum(shares)
-        weights = [one.share / one.turns for one in products]  # shares are of generations, draws are of sessions
+        weights = [
+            one.share / one.turns for one in products
+        ]  # shares are of generations, draws are of sessions
         session_rate = self.set.rate_per_s / turns
         yield from self.world.sleep(self.set.start - self.world.now())
         end = self.set.start + int(self.set.length_s * SECOND)
@@ -56,7 +61,9 @@
     def session(self, name: str, product: ProductTraffic) -> Coro[None]:
         random = self.world.chance(f"session {name}")
         customers = list(self.set.customers)
-        customer = random.choices(customers, [self.set.customers[one] for one in customers])[0] if customers else ""
+        customer = (
+            random.choices(customers, [self.set.customers[one] for one in customers])[0] if customers else ""
+        )
         messages: list[dict[str, str]] = []
         hot = self.surge("hot-text")
         if hot is not None and random.random() < hot.part:
@@ -66,14 +73,18 @@
             number = min(int(random.paretovariate(1.0)) - 1, product.openings - 1)
             opening = self.text(self.world.chance(f"opening {product.name} {number}"), product.opening_tok)
             messages.append({"role": "system", "content": opening})
-        count = min(12, 1 + int(random.expovariate(1 / max(1e-6, product.turns - 1)))) if product.turns > 1 else 1
+        count = (
+            min(12, 1 + int(random.expovariate(1 / max(1e-6, product.turns - 1)))) if product.turns > 1 else 1
+        )
         for number in range(count):
             tok = product.new_tok * random.lognormvariate(-0.18, 0.6)
             heavy = self.surge("heavy-tail")
             if heavy is not None and random.random() < heavy.part:
                 tok *= heavy.strength
             messages = [*messages, {"role": "user", "content": self.text(random, tok)}]
-            answer = max(1, min(product.limit_tok, int(product.answer_tok * random.lognormvariate(-0.18, 0.6))))
+            answer = max(
+                1, min(product.limit_tok, int(product.answer_tok * random.lognormvariate(-0.18, 0.6)))
+            )
             prompt_tok = sum(len(one["content"]) for one in messages) / 4
             limit = product.time_limit_ms + 2 * product.slo_ms_per_ktok * prompt_tok / 1000
             turn = Turn(f"{name}.{number}", product, customer, name, messages, answer, limit)
--- a/stackpitch/rehearse/clients/settings.py
+++ b/stackpitch/rehearse/clients/settings.py
@@ -40,7 +40,9 @@
     named: float  # that name a vocabulary, any of them
     lost: float  # with ids whose text is no token of another vocabulary
     profiled: float  # that name a sampling profile instead
-    profiles: dict[str, dict[str, Any]]  # those that nobody edits: their fields that hold token ids, of the vocabulary `old`
+    profiles: dict[
+        str, dict[str, Any]
+    ]  # those that nobody edits: their fields that hold token ids, of the vocabulary `old`
 
 
 class ClientSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
--- a/stackpitch/rehearse/clients/speech.py
+++ b/stackpitch/rehearse/clients/speech.py
@@ -7,7 +7,10 @@
 from stackpitch.rehearse.clients.turn import Turn
 from stackpitch.rehearse.meaning import FIELDS, Meaning
 
-VOCABULARY, PROFILE = "token_vocabulary", "sampling_profile"  # of a body: what its ids are written for, what fills them in
+VOCABULARY, PROFILE = (
+    "token_vocabulary",
+    "sampling_profile",
+)  # of a body: what its ids are written for, what fills them in
 BYTES = 258  # ids under it are single bytes and special tokens: nobody bans those by hand, but for the end of text
 
 
@@ -17,7 +20,9 @@
     def __init__(self, settings: Speaking) -> None:
         self.set = settings
         self.meanings = {name: Meaning(path) for name, path in settings.files.items()}
-        texts = {name: [one.text([number]) for number in range(one.size)] for name, one in self.meanings.items()}
+        texts = {
+            name: [one.text([number]) for number in range(one.size)] for name, one in self.meanings.items()
+        }
         self.kept: dict[str, list[int]] = {}
         self.lost: dict[str, list[int]] = {}
         for name, own in texts.items():
@@ -44,7 +49,12 @@
         turn.fields = stated | fields | {"x_meant": self.meant(written, fields)}
 
     def meant(self, written: str, fields: dict[str, Any], profile: str = "") -> dict[str, Any]:
-        return {"written": written, "asked": fields, "meant": self.meanings[written].said(fields), "profile": profile}
+        return {
+            "written": written,
+            "asked": fields,
+            "meant": self.meanings[written].said(fields),
+            "profile": profile,
+        }
 
     def fields(self, random: Random, written: str, names: list[str], loses: bool) -> dict[str, Any]:
         def some(count: int) -> list[int]:
--- a/stackpitch/rehearse/clients/turn.py
+++ b/stackpitch/rehearse/clients/turn.py
@@ -11,8 +11,16 @@
 class Turn:
     """One generation that a client wants, over all its tries."""
 
-    def __init__(self, key: str, product: ProductTraffic, customer: str, session: str,
-                 messages: list[dict[str, str]], answer_tok: int, limit_ms: float) -> None:
+    def __init__(
+        self,
+        key: str,
+        product: ProductTraffic,
+        customer: str,
+        session: str,
+        messages: list[dict[str, str]],
+        answer_tok: int,
+        limit_ms: float,
+    ) -> None:
         self.key, self.product, self.customer, self.session = key, product, customer, session
         self.messages, self.answer_tok, self.limit_ms = messages, answer_tok, limit_ms
         self.answer = ""
--- a/stackpitch/rehearse/day.py
+++ b/stackpitch/rehearse/day.py
@@ -24,11 +24,34 @@
 Share = Annotated[float, Field(ge=0, le=1)]
 Seconds = Annotated[float, Field(ge=0)]
 
-ENGINE_TROUBLES = ("hang", "silent", "slow", "slow-by-turns", "vanish", "deploy", "drain", "lose-answer", "refuse",
-                   "cut", "garble", "tail", "slow-handshake", "slow-link", "fail-at-once")
+ENGINE_TROUBLES = (
+    "hang",
+    "silent",
+    "slow",
+    "slow-by-turns",
+    "vanish",
+    "deploy",
+    "drain",
+    "lose-answer",
+    "refuse",
+    "cut",
+    "garble",
+    "tail",
+    "slow-handshake",
+    "slow-link",
+    "fail-at-once",
+)
 GATEWAY_TROUBLES = ("gateway-kill", "gateway-roll", "gateway-term", "gateway-stop")
 VOTER_TROUBLES = ("voter-empty", "voter-older", "voter-twin")
-NETWORK_TROUBLES = ("net-cut", "net-one-way", "net-slow", "net-hold", "net-repeat", "net-reorder", "net-half-close")
+NETWORK_TROUBLES = (
+    "net-cut",
+    "net-one-way",
+    "net-slow",
+    "net-hold",
+    "net-repeat",
+    "net-reorder",
+    "net-half-close",
+)
 VOCABULARY_TROUBLES = ("vocabulary-roll", "vocabulary-profiles", "vocabulary-word")
 WEIGHTS_TROUBLES = ("origin-corrupt", "origin-slow", "origin-refuse", "disk-full")
 TRAFFIC_TROUBLES = ("burst", "heavy-tail", "hot-text")
@@ -92,12 +115,48 @@
     on `pairs`.
     """
 
-    kind: Literal["hang", "silent", "slow", "slow-by-turns", "vanish", "deploy", "drain", "lose-answer", "refuse", "cut",
-                  "garble", "tail", "slow-handshake", "slow-link", "fail-at-once", "gateway-kill", "gateway-roll",
-                  "gateway-term", "gateway-stop", "edits", "voter-empty", "voter-older", "voter-twin", "net-cut",
-                  "net-one-way", "net-slow", "net-hold", "net-repeat", "net-reorder", "net-half-close", "origin-corrupt",
-                  "origin-slow", "origin-refuse", "disk-full", "burst", "heavy-tail", "hot-text",
-                  "vocabulary-roll", "vocabulary-profiles", "vocabulary-word"]
+    kind: Literal[
+        "hang",
+        "silent",
+        "slow",
+        "slow-by-turns",
+        "vanish",
+        "deploy",
+        "drain",
+        "lose-answer",
+        "refuse",
+        "cut",
+        "garble",
+        "tail",
+        "slow-handshake",
+        "slow-link",
+        "fail-at-once",
+        "gateway-kill",
+        "gateway-roll",
+        "gateway-term",
+        "gateway-stop",
+        "edits",
+        "voter-empty",
+        "voter-older",
+        "voter-twin",
+        "net-cut",
+        "net-one-way",
+        "net-slow",
+        "net-hold",
+        "net-repeat",
+        "net-reorder",
+        "net-half-close",
+        "origin-corrupt",
+        "origin-slow",
+        "origin-refuse",
+        "disk-full",
+        "burst",
+        "heavy-tail",
+        "hot-text",
+        "vocabulary-roll",
+        "vocabulary-profiles",
+        "vocabulary-word",
+    ]
     at_s: Seconds
     for_s: Seconds = 5.0
     part: Share = 0.1
@@ -136,9 +195,13 @@
     # Without `edits` gateways are told of each list, and doubt none.
     membership: Membership = Membership(watch=False, step_share=1.0, persist_ms=0)
     load: Load = Load()
-    duties: Duties = Duties()  # `file` is the director's; calls between gateways then pass through a stand-in network
+    duties: Duties = (
+        Duties()
+    )  # `file` is the director's; calls between gateways then pass through a stand-in network
     vocabulary: Vocabularies | None = None
-    weights: Weights | None = None  # with `weights` among the duties' names: the director makes the files and the origin
+    weights: Weights | None = (
+        None  # with `weights` among the duties' names: the director makes the files and the origin
+    )
     reports: bool = True
     products: dict[Name, Product] = Field(min_length=1)
     traffic: dict[Name, Traffic] = Field(min_length=1)
--- a/stackpitch/rehearse/dayweights.py
+++ b/stackpitch/rehearse/dayweights.py
@@ -80,5 +80,9 @@
 
     def rate(self, link: str, at: float) -> int:
         """The last edit by then."""
-        done = [edit for edit in sorted(self.edits, key=lambda one: one.at_s) if edit.link == link and edit.at_s <= at]
+        done = [
+            edit
+            for edit in sorted(self.edits, key=lambda one: one.at_s)
+            if edit.link == link and edit.at_s <= at
+        ]
         return done[-1].bytes_per_s if done else self.links[link].bytes_per_s
--- a/stackpitch/rehearse/director/calls.py
+++ b/stackpitch/rehearse/director/calls.py
@@ -7,8 +7,9 @@
 from stackpitch.wire import http
 
 
-def call(world: World, address: tuple[str, int], target: str, body: bytes, method: str = "POST") -> Coro[
-        http.ResponseReader | None]:
+def call(
+    world: World, address: tuple[str, int], target: str, body: bytes, method: str = "POST"
+) -> Coro[http.ResponseReader | None]:
     """The whole answer, its body in `pieces`; None if none came."""
     request = http.request(method, target, "director", body, [("connection", "close")])
     return (yield from asked(world, address, 2 * SECOND, request, 1 << 22))
--- a/stackpitch/rehearse/director/lists.py
+++ b/stackpitch/rehearse/director/lists.py
@@ -20,10 +20,24 @@
         self.stage, self.version = stage, 1
 
     def fleet(self) -> dict[str, Any]:
-        return {"version": self.version, "servers": [
-            {"name": one.name, "host": HOST, "port": one.port, "kind": one.kind, "zone": one.zone, "cell": one.cell,
-             "state": one.state, "started_unix_ms": one.started_unix_ms, **self.spoken(one)}
-            for one in self.stage.seats.values() if one.state != "gone"]}
+        return {
+            "version": self.version,
+            "servers": [
+                {
+                    "name": one.name,
+                    "host": HOST,
+                    "port": one.port,
+                    "kind": one.kind,
+                    "zone": one.zone,
+                    "cell": one.cell,
+                    "state": one.state,
+                    "started_unix_ms": one.started_unix_ms,
+                    **self.spoken(one),
+                }
+                for one in self.stage.seats.values()
+                if one.state != "gone"
+            ],
+        }
 
     def spoken(self, seat: Seat) -> dict[str, str]:
         made = self.stage.vocabularies
@@ -52,7 +66,9 @@
         What is ready counts as told from before the call: the gateway may use it before its answer is here. What
         drains or is gone counts from the answer on. Calls to one gateway don't overlap: each stands for its own list.
         """
-        yield from self.stage.world.sleep(int(self.stage.day.notice_s * self.stage.random.uniform(0.6, 1.4) * SECOND))
+        yield from self.stage.world.sleep(
+            int(self.stage.day.notice_s * self.stage.random.uniform(0.6, 1.4) * SECOND)
+        )
         child = post.child
         post.news += 1
         news = post.news
@@ -71,7 +87,9 @@
                 if answer is not None and answer.status == 200:
                     self.note_told(post)
                     return
-                self.stage.recorder.note("untold", gateway=post.name, status=None if answer is None else answer.status)
+                self.stage.recorder.note(
+                    "untold", gateway=post.name, status=None if answer is None else answer.status
+                )
                 yield from self.stage.world.sleep(250 * MS)
             raise RuntimeError(f"{post.name} did not take list {self.version} in {TELL_TRIES} calls")
         finally:
--- a/stackpitch/rehearse/director/play.py
+++ b/stackpitch/rehearse/director/play.py
@@ -97,7 +97,9 @@
             finished = bool((yield from stage.world.group(self._body)))
         finally:
             stage.stopping = True
-            children = [one.child for one in stage.posts.values()] + [one.child for one in stage.seats.values()]
+            children = [one.child for one in stage.posts.values()] + [
+                one.child for one in stage.seats.values()
+            ]
             children += [stage.trap.child] if stage.trap is not None else []
             children += [stage.origin.child] if stage.origin is not None else []
             children += [stage.net.child] if stage.net is not None else []
@@ -118,7 +120,9 @@
             group.spawn(self.weights.edit(), "wanted")
             group.spawn(self.weights.watch(), "places")
         finished = False
-        with stage.world.limit(stage.start - stage.world.now() + int((stage.day.length_s + stage.day.tail_s) * SECOND)):
+        with stage.world.limit(
+            stage.start - stage.world.now() + int((stage.day.length_s + stage.day.tail_s) * SECOND)
+        ):
             finished = (yield from clients.wait()) == 0
         if not finished:
             clients.signal(signal.SIGKILL)
@@ -137,14 +141,22 @@
             self.stage.say(f"{at:.0f} of {self.stage.day.length_s:g} s")
 
 
-def play(world: World, day: Day, keep: Path | None, broken: str | None, say: Callable[[str], None]) -> Outcome:
+def play(
+    world: World, day: Day, keep: Path | None, broken: str | None, say: Callable[[str], None]
+) -> Outcome:
     """Plays a day and judges it. Records stay in `keep`, else they go."""
     check(day)
     with tempfile.TemporaryDirectory(prefix="stackpitch-") as temporary:
         folder = keep or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        for old in [*folder.glob("*.jsonl"), *folder.glob("*.fleet"), *folder.glob("*.kept"), *folder.glob("*.log"),
-                    *folder.glob("*.votes*"), *folder.glob("*.bytes")]:
+        for old in [
+            *folder.glob("*.jsonl"),
+            *folder.glob("*.fleet"),
+            *folder.glob("*.kept"),
+            *folder.glob("*.log"),
+            *folder.glob("*.votes*"),
+            *folder.glob("*.bytes"),
+        ]:
             old.unlink()
         for old in folder.glob("site-*"):
             shutil.rmtree(old)
--- a/stackpitch/rehearse/director/processes.py
+++ b/stackpitch/rehearse/director/processes.py
@@ -1,6 +1,5 @@
 """The processes of a day, started each with a file of settings beside its records."""
 
-
 import msgspec
 
 from stackpitch.loop import Child, Coro
@@ -20,8 +19,9 @@
     def run(self, name: str, told: dict[str, object], *words: str) -> Child:
         path = self.stage.folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(told))
-        return self.stage.world.spawn_child(self.stage.command(*words, str(path)),
-                                            output=str(self.stage.folder / f"{name}.log"))
+        return self.stage.world.spawn_child(
+            self.stage.command(*words, str(path)), output=str(self.stage.folder / f"{name}.log")
+        )
 
     def start_engine(self, seat: Seat) -> None:
         seat.started_unix_ms = self.stage.world.wall_ms() if seat.cold else None
--- a/stackpitch/rehearse/director/stage.py
+++ b/stackpitch/rehearse/director/stage.py
@@ -24,7 +24,9 @@
 class Stage:
     """One day in one folder."""
 
-    def __init__(self, world: World, day: Day, folder: Path, broken: str | None, say: Callable[[str], None]) -> None:
+    def __init__(
+        self, world: World, day: Day, folder: Path, broken: str | None, say: Callable[[str], None]
+    ) -> None:
         self.world, self.day, self.folder, self.broken, self.say = world, day, folder, broken, say
         self.random = world.chance("director")
         self.recorder = Recorder(world, folder / "director.jsonl", "director")
@@ -58,24 +60,38 @@
             for number in range(group.count):
                 counts[letter] = counts.get(letter, 0) + 1
                 name = f"{letter}{counts[letter]}"
-                self.seats[name] = Seat(name, group.kind, made_of, group.cells[number % len(group.cells)], group.zone,
-                                        self.port(), self.port(), group.born_cold)
+                self.seats[name] = Seat(
+                    name,
+                    group.kind,
+                    made_of,
+                    group.cells[number % len(group.cells)],
+                    group.zone,
+                    self.port(),
+                    self.port(),
+                    group.born_cold,
+                )
         if any(one.kind == "edits" for one in self.day.troubles):
             kind = next(name for name, one in self.day.kinds.items() if one.role == "writer")
             self.trap = Seat(TRAP, kind, self.day.kinds[kind], 1, "", self.port(), self.port(), False)
         if self.day.vocabulary is not None:
             from stackpitch.rehearse.director import vocabularies
 
-            self.vocabularies = vocabularies.Vocabularies(self.day, self.world.chance("vocabularies"), self.folder)
+            self.vocabularies = vocabularies.Vocabularies(
+                self.day, self.world.chance("vocabularies"), self.folder
+            )
             self.vocabularies.lay_out()
         for number in range(self.day.gateways):
-            self.posts[f"g{number}"] = Post(f"g{number}", number, self.port(), self.port(),
-                                            votes=str(self.folder / f"g{number}.votes"))
+            self.posts[f"g{number}"] = Post(
+                f"g{number}", number, self.port(), self.port(), votes=str(self.folder / f"g{number}.votes")
+            )
         if self.day.weights is not None:
             self.origin = Source(self.port(), self.port())
         if self.day.duties.voters:
             numbers = range(self.day.gateways)
-            self.net = Net(self.port(), {(one, other): self.port() for one in numbers for other in numbers if one != other})
+            self.net = Net(
+                self.port(),
+                {(one, other): self.port() for one in numbers for other in numbers if one != other},
+            )
 
     def command(self, *words: str) -> list[str]:
         return [sys.executable, "-m", "stackpitch", *words]
@@ -88,8 +104,11 @@
     def struck(self, trouble: Trouble) -> list[Seat]:
         if trouble.names:
             return [self.seats[name] for name in trouble.names]
-        able = [one for one in self.seats.values() if trouble.role in ("any", one.made_of.role)
-                and trouble.cell in (None, one.cell)]
+        able = [
+            one
+            for one in self.seats.values()
+            if trouble.role in ("any", one.made_of.role) and trouble.cell in (None, one.cell)
+        ]
         if trouble.cell is not None and trouble.part >= 1:
             return able
         return self.random.sample(able, max(1, min(len(able), round(trouble.part * len(able)))))
--- a/stackpitch/rehearse/director/troubles/change.py
+++ b/stackpitch/rehearse/director/troubles/change.py
@@ -52,7 +52,11 @@
         target = f"/vocabulary/{trouble.word.replace(' ', '-')}?old=old&new=new"
         if trouble.word == "confirm":
             told = yield from call(self.stage.world, admin, "/vocabulary", b"", "GET")
-            change = msgspec.json.decode(b"".join(told.pieces)) if told is not None and told.status == 200 else None
+            change = (
+                msgspec.json.decode(b"".join(told.pieces))
+                if told is not None and told.status == 200
+                else None
+            )
             if not change or change["word"] != "held":
                 return f"not held: {change['word'] if change else 'no change'}"
             target = f"/fleet/confirm?digest={change['summary']['digest']}"
@@ -65,14 +69,16 @@
         """Listed as draining, drained, stopped, back with the other tokenizer and listed with it. `part` of those that are
         not on it yet, in the order of their names: a later roll to the same vocabulary goes on where one stopped."""
         seats = [one for one in self.stage.seats.values() if one.vocabulary != trouble.vocabulary]
-        seats = seats[:max(1, round(trouble.part * len(seats)))] if seats else []
+        seats = seats[: max(1, round(trouble.part * len(seats)))] if seats else []
         self.stage.say(f"{len(seats)} servers change to the {trouble.vocabulary} vocabulary")
         for seat in seats:
             began = self.stage.world.now()
             seat.state = "draining"
             self.lists.tell(group)
             yield from self.servers.control(seat, "drain", 1.0, True)
-            yield from self.stage.world.sleep(max(int(1.6 * self.stage.day.notice_s * SECOND), lasts // len(seats) // 2))
+            yield from self.stage.world.sleep(
+                max(int(1.6 * self.stage.day.notice_s * SECOND), lasts // len(seats) // 2)
+            )
             self.stage.kill(seat, signal.SIGTERM)
             seat.vocabulary = trouble.vocabulary
             yield from self.processes.back(seat)
--- a/stackpitch/rehearse/director/troubles/editor.py
+++ b/stackpitch/rehearse/director/troubles/editor.py
@@ -51,12 +51,20 @@
 
     def listed(self) -> list[dict[str, Any]]:
         fleet = self.lists.fleet()["servers"]
-        return [one | {"state": "draining" if one["name"] in self.draining else one["state"],
-                       "weight": self.weights.get(one["name"], 1.0)}
-                for one in fleet if one["name"] not in self.left_out]
+        return [
+            one
+            | {
+                "state": "draining" if one["name"] in self.draining else one["state"],
+                "weight": self.weights.get(one["name"], 1.0),
+            }
+            for one in fleet
+            if one["name"] not in self.left_out
+        ]
 
     def text(self, servers: list[dict[str, Any]], version: int | None = None) -> bytes:
-        return msgspec.json.encode({"version": self.version if version is None else version, "servers": servers})
+        return msgspec.json.encode(
+            {"version": self.version if version is None else version, "servers": servers}
+        )
 
     def write(self, data: bytes, how: str) -> Coro[None]:
         """`grows` writes in place, bit by bit; `link` swaps a symbolic link, as configuration folders are updated."""
@@ -68,7 +76,7 @@
             with open(self.path, "wb") as sink:
                 step = max(1, len(data) // 6) if how == "grows" else len(data)
                 for at in range(0, len(data), step):
-                    sink.write(data[at:at + step])
+                    sink.write(data[at : at + step])
                     sink.flush()
                     if how == "grows":
                         yield from self.world.sleep(20 * MS)
@@ -85,7 +93,11 @@
 
     def good(self, calm: bool = False) -> Coro[None]:
         names = [one["name"] for one in self.lists.fleet()["servers"]]
-        kind = "same" if calm else self.random.choice(("weight", "weight", "drain", "ready", "out", "back", "same"))
+        kind = (
+            "same"
+            if calm
+            else self.random.choice(("weight", "weight", "drain", "ready", "out", "back", "same"))
+        )
         name = self.random.choice(names)
         if kind == "weight":
             self.weights[name] = self.random.choice((0.5, 1.0, 2.0))
@@ -99,7 +111,10 @@
             self.left_out.clear()
         if kind != "same" or calm:
             self.version += 1
-        states = {name: "gone" if name in self.left_out else "draining" if name in self.draining else "ready" for name in names}
+        states = {
+            name: "gone" if name in self.left_out else "draining" if name in self.draining else "ready"
+            for name in names
+        }
         self.post.listed = states
         self.lists.note_told(self.post, "ready")  # it may be read from now on
         yield from self.write(self.text(self.listed()), self.random.choice(WRITES))
@@ -110,7 +125,13 @@
     def broken(self) -> Coro[None]:
         kind = self.random.choice(BROKEN)
         assert self.stage.trap is not None
-        trap = {"name": TRAP, "host": HOST, "port": self.stage.trap.port, "kind": self.stage.trap.kind, "cell": 1}
+        trap = {
+            "name": TRAP,
+            "host": HOST,
+            "port": self.stage.trap.port,
+            "kind": self.stage.trap.kind,
+            "cell": 1,
+        }
         servers, version = [*self.listed(), trap], self.version + 1
         if kind == "twice":
             servers.append(servers[0])
@@ -122,14 +143,18 @@
             version = 0
         data = self.text(servers, version)
         if kind == "half":
-            data = data[:self.random.randrange(len(data) // 4, len(data) - 2)]
+            data = data[: self.random.randrange(len(data) // 4, len(data) - 2)]
         elif kind in ("text", "grows"):
             data = data[:-2] + b", and so on]}"
         yield from self.write(data, "grows" if kind == "grows" else self.random.choice(WRITES))
         self.count(f"broken: {kind}")
         if self.random.random() < 0.8:  # the others are overwritten at once
             told_as = sha256(data).hexdigest()[:32]
-            if (yield from self.seen(lambda told: told["last"] == "rejected" and told["files"].get(str(self.path)) == told_as)):
+            if (
+                yield from self.seen(
+                    lambda told: told["last"] == "rejected" and told["files"].get(str(self.path)) == told_as
+                )
+            ):
                 self.count("broken and rejected")
 
     def count(self, what: str) -> None:
@@ -150,5 +175,7 @@
             yield from self.world.sleep(GLANCE)
         if child is None or child is not self.post.child or child.code() is not None:
             return False
-        raise RuntimeError(f"{self.post.name} did not come to what stands in its file (version {self.version}); it says "
-                           f"{msgspec.json.encode(told).decode()[:600]}")
+        raise RuntimeError(
+            f"{self.post.name} did not come to what stands in its file (version {self.version}); it says "
+            f"{msgspec.json.encode(told).decode()[:600]}"
+        )
--- a/stackpitch/rehearse/director/troubles/network.py
+++ b/stackpitch/rehearse/director/troubles/network.py
@@ -13,8 +13,14 @@
 from stackpitch.rehearse.network.settings import Fault, Kind
 
 KINDS: dict[str, Kind] = {
-    "net-cut": "cut", "net-one-way": "cut", "net-slow": "slow", "net-hold": "hold", "net-repeat": "repeat",
-    "net-reorder": "reorder", "net-half-close": "half-close"}
+    "net-cut": "cut",
+    "net-one-way": "cut",
+    "net-slow": "slow",
+    "net-hold": "hold",
+    "net-repeat": "repeat",
+    "net-reorder": "reorder",
+    "net-half-close": "half-close",
+}
 
 
 class Network:
@@ -25,7 +31,9 @@
 
     def bring(self, trouble: Trouble, lasts: Time) -> Coro[None]:
         posts = [] if trouble.pairs else (yield from gateways(self.stage, trouble))
-        paths = [(self.stage.posts[one].number, self.stage.posts[other].number) for one, other in trouble.pairs]
+        paths = [
+            (self.stage.posts[one].number, self.stage.posts[other].number) for one, other in trouble.pairs
+        ]
         paths = paths or self.paths(posts, trouble)
         name = f"{trouble.kind} {next(self.numbers)}"
         fault = Fault(name, True, KINDS[trouble.kind], paths, trouble.strength, trouble.share)
@@ -42,11 +50,17 @@
         ours = [one.number for one in posts]
         others = [one.number for one in self.stage.posts.values() if one.number not in ours]
         found = [(one, other) for one in ours for other in others]
-        return (found if way != "in" else []) + ([(other, one) for one, other in found] if way != "out" else [])
+        return (found if way != "in" else []) + (
+            [(other, one) for one, other in found] if way != "out" else []
+        )
 
     def tell(self, fault: Fault) -> Coro[None]:
         """Raises RuntimeError if the network does not take it."""
         assert self.stage.net is not None
-        answer = yield from call(self.stage.world, (HOST, self.stage.net.port), "/fault", msgspec.json.encode(fault))
+        answer = yield from call(
+            self.stage.world, (HOST, self.stage.net.port), "/fault", msgspec.json.encode(fault)
+        )
         if answer is None or answer.status != 200:
-            raise RuntimeError(f"the network did not take {fault.name}: {'no answer' if answer is None else answer.status}")
+            raise RuntimeError(
+                f"the network did not take {fault.name}: {'no answer' if answer is None else answer.status}"
+            )
--- a/stackpitch/rehearse/director/troubles/servers.py
+++ b/stackpitch/rehearse/director/troubles/servers.py
@@ -55,7 +55,9 @@
         seats = self.stage.struck(trouble)
         self.stage.say(f"{trouble.kind} at {', '.join(one.name for one in seats)}")
         for seat in seats:
-            if trouble.kind == "silent":  # cut off as far as others can tell; the process goes on to record its legs
+            if (
+                trouble.kind == "silent"
+            ):  # cut off as far as others can tell; the process goes on to record its legs
                 self.stage.recorder.note("killed", name=seat.name, signal=0)
                 yield from self.control(seat, "silent", 1.0, True)
             else:
@@ -76,7 +78,7 @@
         """Replaces servers in batches: listed as draining, drained, stopped, back cold. `strength`: a batch's size."""
         seats = self.stage.struck(trouble)
         size = max(1, int(trouble.strength))
-        batches = [seats[at:at + size] for at in range(0, len(seats), size)]
+        batches = [seats[at : at + size] for at in range(0, len(seats), size)]
         self.stage.say(f"deploy of {len(seats)} servers, {size} at a time")
         for batch in batches:
             began = self.stage.world.now()
@@ -85,7 +87,9 @@
             self.lists.tell(group)
             for seat in batch:
                 yield from self.control(seat, "drain", 1.0, True)
-            yield from self.stage.world.sleep(max(int(1.6 * self.stage.day.notice_s * SECOND), lasts // len(batches) // 2))
+            yield from self.stage.world.sleep(
+                max(int(1.6 * self.stage.day.notice_s * SECOND), lasts // len(batches) // 2)
+            )
             for seat in batch:
                 self.stage.kill(seat, signal.SIGTERM)
                 yield from self.processes.back(seat)
--- a/stackpitch/rehearse/director/troubles/struck.py
+++ b/stackpitch/rehearse/director/troubles/struck.py
@@ -29,7 +29,9 @@
 def owner(stage: Stage, duty: str) -> Coro[str]:
     assert stage.net is not None
     answer = yield from call(stage.world, (HOST, stage.net.port), "/owner", b"")
-    known = msgspec.json.decode(b"".join(answer.pieces)) if answer is not None and answer.status == 200 else {}
+    known = (
+        msgspec.json.decode(b"".join(answer.pieces)) if answer is not None and answer.status == 200 else {}
+    )
     return f"g{known.get(duty, 0)}"
 
 
@@ -37,5 +39,7 @@
     """The first of its gateways that runs, as the owner takes them too."""
     assert stage.day.weights is not None
     names = [f"g{number}" for number in stage.day.weights.sites[site].gateways]
-    running = [name for name in names if (child := stage.posts[name].child) is not None and child.code() is None]
+    running = [
+        name for name in names if (child := stage.posts[name].child) is not None and child.code() is None
+    ]
     return (running or names)[0]
--- a/stackpitch/rehearse/director/troubles/supply.py
+++ b/stackpitch/rehearse/director/troubles/supply.py
@@ -33,8 +33,11 @@
             self.fill(trouble.names, False)
         else:
             kind = KINDS[trouble.kind]
-            strength = {"spoil": round(trouble.strength * 1000), "slow": round(trouble.strength),
-                        "refuse": round(trouble.strength) if trouble.strength >= 400 else UNAVAILABLE}[kind]
+            strength = {
+                "spoil": round(trouble.strength * 1000),
+                "slow": round(trouble.strength),
+                "refuse": round(trouble.strength) if trouble.strength >= 400 else UNAVAILABLE,
+            }[kind]
             numbers = [self.stage.posts[name].number for name in trouble.names]
             yield from self.tell(OriginTrouble(kind, strength, numbers))
             yield from self.stage.world.sleep(lasts)
@@ -61,6 +64,10 @@
     def tell(self, trouble: OriginTrouble) -> Coro[None]:
         """Raises RuntimeError if the origin does not take it."""
         assert self.stage.origin is not None
-        answer = yield from call(self.stage.world, (HOST, self.stage.origin.control), "/trouble", msgspec.json.encode(trouble))
+        answer = yield from call(
+            self.stage.world, (HOST, self.stage.origin.control), "/trouble", msgspec.json.encode(trouble)
+        )
         if answer is None or answer.status != 200:
-            raise RuntimeError(f"the origin did not take {trouble.kind}: {'no answer' if answer is None else answer.status}")
+            raise RuntimeError(
+                f"the origin did not take {trouble.kind}: {'no answer' if answer is None else answer.status}"
+            )
--- a/stackpitch/rehearse/director/troubles/voters.py
+++ b/stackpitch/rehearse/director/troubles/voters.py
@@ -68,7 +68,7 @@
     files.close(source)
     sink = files.open(beside, create=True, empty=True)
     while data:
-        data = data[files.write(sink, data):]
+        data = data[files.write(sink, data) :]
     files.sync(sink)
     files.close(sink)
     files.sync_folder(os.path.dirname(beside))
--- a/stackpitch/rehearse/director/vocabularies.py
+++ b/stackpitch/rehearse/director/vocabularies.py
@@ -29,9 +29,15 @@
     made = Tokenizer(models.BPE())
     made.pre_tokenizer = pre_tokenizers.ByteLevel(add_prefix_space=False)
     made.decoder = decoders.ByteLevel()
-    made.train_from_iterator([" ".join(words)], trainers.BpeTrainer(
-        vocab_size=MOST_IDS, special_tokens=specials, show_progress=False,
-        initial_alphabet=sorted(pre_tokenizers.ByteLevel.alphabet())))
+    made.train_from_iterator(
+        [" ".join(words)],
+        trainers.BpeTrainer(
+            vocab_size=MOST_IDS,
+            special_tokens=specials,
+            show_progress=False,
+            initial_alphabet=sorted(pre_tokenizers.ByteLevel.alphabet()),
+        ),
+    )
     return made.to_str().encode()
 
 
@@ -53,7 +59,7 @@
         words = self.random.sample(WORDS, self.set.words)
         common = round(self.set.words * self.set.common)
         own = (self.set.words - common) // 2
-        for which, some in (("old", words[:common + own]), ("new", words[:common] + words[common + own:])):
+        for which, some in (("old", words[: common + own]), ("new", words[:common] + words[common + own :])):
             repeated = [word for word in some for _ in range(self.random.randrange(2, 9))]
             self.random.shuffle(repeated)
             raw = trained(repeated, SPECIALS[which])  # type: ignore[index]
@@ -62,8 +68,16 @@
             self.files[which] = str(path)  # type: ignore[index]
             self.digests[which] = digest_of(raw, path.name, (END,))  # type: ignore[index]
         samples = [" ".join(self.random.choices(words, k=40)) for _ in range(8)]
-        Path(self.listing).write_bytes(msgspec.json.encode({
-            "vocabularies": {which: {"file": path, "end": [END]} for which, path in self.files.items()}, "samples": samples}))
+        Path(self.listing).write_bytes(
+            msgspec.json.encode(
+                {
+                    "vocabularies": {
+                        which: {"file": path, "end": [END]} for which, path in self.files.items()
+                    },
+                    "samples": samples,
+                }
+            )
+        )
         self.write_profiles()
 
     def write_profiles(self) -> None:
@@ -75,10 +89,22 @@
         profiles = self.made
         if self.edits > 1:
             mask = {"allowed_token_ids": self.random.sample(self.lost, min(3, len(self.lost)))}
-            profiles = profiles | {"lost": {"product": next(iter(self.day.products)), "vocabulary": "old", "revenue": 1000,
-                                            "parameters": mask}}
-        text = msgspec.json.encode({"version": self.edits, "vocabulary": "old",
-                                    "products": dict.fromkeys(self.set.new_products, "new"), "profiles": profiles})
+            profiles = profiles | {
+                "lost": {
+                    "product": next(iter(self.day.products)),
+                    "vocabulary": "old",
+                    "revenue": 1000,
+                    "parameters": mask,
+                }
+            }
+        text = msgspec.json.encode(
+            {
+                "version": self.edits,
+                "vocabulary": "old",
+                "products": dict.fromkeys(self.set.new_products, "new"),
+                "profiles": profiles,
+            }
+        )
         beside = Path(self.profiles + ".new")
         beside.write_bytes(text)
         beside.replace(self.profiles)
@@ -89,19 +115,34 @@
         kept = [number for number in range(WORDS_FROM, own.size) if own.text([number]) in known]
         self.lost = [number for number in range(WORDS_FROM, own.size) if number not in kept]
         for number in range(self.set.profiles):
-            whose = ({"product": self.random.choice(list(self.day.products))} if number % 2 or not self.day.customers
-                     else {"customer": self.random.choice(list(self.day.customers))})
+            whose = (
+                {"product": self.random.choice(list(self.day.products))}
+                if number % 2 or not self.day.customers
+                else {"customer": self.random.choice(list(self.day.customers))}
+            )
             some = self.random.sample(kept, 6)
-            parameters: dict[str, Any] = self.random.choice((
-                {"logit_bias": {str(one): 3.0 for one in some[:2]}}, {"stop_token_ids": [END_ID, some[0]]},
-                {"allowed_token_ids": [END_ID, *some]}, {"temperature": 0.7, "top_p": 0.9}))
+            parameters: dict[str, Any] = self.random.choice(
+                (
+                    {"logit_bias": {str(one): 3.0 for one in some[:2]}},
+                    {"stop_token_ids": [END_ID, some[0]]},
+                    {"allowed_token_ids": [END_ID, *some]},
+                    {"temperature": 0.7, "top_p": 0.9},
+                )
+            )
             self.made[f"p{number}"] = whose | {"vocabulary": "old", "revenue": 10, "parameters": parameters}
-        ban = {"bad_words_ids": [[self.random.choice(kept)], [self.random.choice(kept), self.random.choice(self.lost)]]}
+        ban = {
+            "bad_words_ids": [
+                [self.random.choice(kept)],
+                [self.random.choice(kept), self.random.choice(self.lost)],
+            ]
+        }
         self.made["ban"] = {"product": next(iter(self.day.products)), "vocabulary": "old", "parameters": ban}
 
     @property
     def lasting(self) -> dict[str, dict[str, Any]]:
         """Of profiles that no edit changes: the fields with token ids."""
-        found = {name: {field: value for field, value in one["parameters"].items() if field in FIELDS}
-                 for name, one in self.made.items()}
+        found = {
+            name: {field: value for field, value in one["parameters"].items() if field in FIELDS}
+            for name, one in self.made.items()
+        }
         return {name: one for name, one in found.items() if one}
--- a/stackpitch/rehearse/director/weights.py
+++ b/stackpitch/rehearse/director/weights.py
@@ -1,9 +1,9 @@
 """Models of a day: their bytes, the wanted file as it changes, and what comes into place at the sites.
 
-    wanted: version, grant_ms, links, sites, models    as the file says from then on, without the pieces' digests
-    placed: site, model, version, whole                the digest of what was seen in a place, whenever it is another one
-    gone: site, model, version                         nothing lies there any more
-    lies: as placed, for all that lies there at the day's end
+wanted: version, grant_ms, links, sites, models    as the file says from then on, without the pieces' digests
+placed: site, model, version, whole                the digest of what was seen in a place, whenever it is another one
+gone: site, model, version                         nothing lies there any more
+lies: as placed, for all that lies there at the day's end
 """
 
 import os
@@ -54,14 +54,27 @@
         for name, model in weights.models.items():
             version = model.version(at)
             if version is not None:
-                models[name] = {"version": version, "priority": model.priority, "sites": model.sites,
-                                "by_unix_ms": None if model.by_s is None else began + round(model.by_s * 1000),
-                                "origin": f"{HOST}:{origin.port}", "path": f"/{name}/{version}",
-                                "manifest": self.manifests[name, version], "vocabulary": self.vocabulary(name, version)}
-        return {"version": self.version, "grant_ms": weights.grant_ms, "least_share": weights.least_share,
-                "links": {name: {"bytes_per_s": weights.rate(name, at), "sites": link.sites}
-                          for name, link in weights.links.items()},
-                "sites": {name: site.model_dump() for name, site in weights.sites.items()}, "models": models}
+                models[name] = {
+                    "version": version,
+                    "priority": model.priority,
+                    "sites": model.sites,
+                    "by_unix_ms": None if model.by_s is None else began + round(model.by_s * 1000),
+                    "origin": f"{HOST}:{origin.port}",
+                    "path": f"/{name}/{version}",
+                    "manifest": self.manifests[name, version],
+                    "vocabulary": self.vocabulary(name, version),
+                }
+        return {
+            "version": self.version,
+            "grant_ms": weights.grant_ms,
+            "least_share": weights.least_share,
+            "links": {
+                name: {"bytes_per_s": weights.rate(name, at), "sites": link.sites}
+                for name, link in weights.links.items()
+            },
+            "sites": {name: site.model_dump() for name, site in weights.sites.items()},
+            "models": models,
+        }
 
     def vocabulary(self, model: str, version: str) -> str:
         assert self.stage.day.weights is not None
@@ -76,11 +89,24 @@
         beside = self.stage.folder / f"{WANTED}.new"
         beside.write_bytes(msgspec.json.encode(tree))
         os.replace(beside, self.stage.folder / WANTED)
-        models = {name: {"version": one["version"], "priority": one["priority"], "sites": one["sites"],
-                         "vocabulary": one["vocabulary"], **{key: one["manifest"][key] for key in ("size", "piece", "whole")}}
-                  for name, one in tree["models"].items()}
-        self.stage.recorder.note("wanted", version=self.version, grant_ms=tree["grant_ms"], links=tree["links"],
-                                 sites=tree["sites"], models=models)
+        models = {
+            name: {
+                "version": one["version"],
+                "priority": one["priority"],
+                "sites": one["sites"],
+                "vocabulary": one["vocabulary"],
+                **{key: one["manifest"][key] for key in ("size", "piece", "whole")},
+            }
+            for name, one in tree["models"].items()
+        }
+        self.stage.recorder.note(
+            "wanted",
+            version=self.version,
+            grant_ms=tree["grant_ms"],
+            links=tree["links"],
+            sites=tree["sites"],
+            models=models,
+        )
 
     def edit(self) -> Coro[None]:
         assert self.stage.day.weights is not None
--- a/stackpitch/rehearse/engine/answers.py
+++ b/stackpitch/rehearse/engine/answers.py
@@ -14,11 +14,20 @@
         kind = "chat.completion.chunk"
     else:
         choice, kind = f'{{"index":0,"text":"{word}","finish_reason":{end}}}', "text_completion"
-    return (f'{{"id":"{work.key}","object":"{kind}","created":{created},"model":"{work.product}",'
-            f'"choices":[{choice}]}}').encode()
+    return (
+        f'{{"id":"{work.key}","object":"{kind}","created":{created},"model":"{work.product}",'
+        f'"choices":[{choice}]}}'
+    ).encode()
 
 
 def usage(work: Work, created: int) -> bytes:
-    return msgspec.json.encode({"id": work.key, "object": "chat.completion.chunk", "created": created,
-                                "model": work.product, "choices": [], "usage": engine.Usage(
-                                    work.prompt_tok, work.made, engine.Details(work.kept))})
+    return msgspec.json.encode(
+        {
+            "id": work.key,
+            "object": "chat.completion.chunk",
+            "created": created,
+            "model": work.product,
+            "choices": [],
+            "usage": engine.Usage(work.prompt_tok, work.made, engine.Details(work.kept)),
+        }
+    )
--- a/stackpitch/rehearse/engine/door.py
+++ b/stackpitch/rehearse/engine/door.py
@@ -54,13 +54,17 @@
         if path in engine.GENERATE:
             return (yield from self.legs.leg(stream, reader, ours))
         if path.startswith("/v1/state/fetch/"):
-            yield from self.legs.transfer.served(stream, path.rpartition("/")[2], reader.headers.get("x-cell", ""))
+            yield from self.legs.transfer.served(
+                stream, path.rpartition("/")[2], reader.headers.get("x-cell", "")
+            )
             return True
         if "hang" in machine.ill or machine.fallen:
             yield from hung(stream)
             return False
         if path == engine.HEALTH:
-            stream.write(http.response(200, b"{}", [(orca.HEADER, machine.report())] if machine.set.reports else []))
+            stream.write(
+                http.response(200, b"{}", [(orca.HEADER, machine.report())] if machine.set.reports else [])
+            )
         elif path == engine.WEIGHTS:
             if reader.method == "POST":
                 call = msgspec.json.decode(reader.body(), type=engine.WeightsCall)
@@ -69,12 +73,19 @@
         elif path in (engine.STATE_RELEASE, engine.STATE_HOLD):
             state = msgspec.json.decode(reader.body(), type=engine.StateCall)
             if path == engine.STATE_HOLD:
-                held = (not machine.waiting and len(machine.running) + len(machine.places) < machine.set.slots
-                        and machine.memory() + state.tok <= machine.set.memory_tok)
+                held = (
+                    not machine.waiting
+                    and len(machine.running) + len(machine.places) < machine.set.slots
+                    and machine.memory() + state.tok <= machine.set.memory_tok
+                )
                 if held:
                     machine.places[state.state_id] = (state.tok, machine.world.now())
-                    machine.recorder.note("held", state=state.state_id, kind="place",
-                                          gateway=reader.headers.get("x-gateway", ""))
+                    machine.recorder.note(
+                        "held",
+                        state=state.state_id,
+                        kind="place",
+                        gateway=reader.headers.get("x-gateway", ""),
+                    )
                 stream.write(http.response(200, msgspec.json.encode(engine.HoldAnswer(held))))
             else:
                 known = machine.free(state.state_id, "released")
@@ -83,6 +94,8 @@
                     machine.recorder.note("freed", state=state.state_id, how="released", kind="place")
                 stream.write(http.response(200 if known else 404, b"{}"))
         else:
-            stream.write(http.response(404, engine.error_body("no such path", "not_found", "invalid_request_error")))
+            stream.write(
+                http.response(404, engine.error_body("no such path", "not_found", "invalid_request_error"))
+            )
         yield from stream.drain()
         return True
--- a/stackpitch/rehearse/engine/kept.py
+++ b/stackpitch/rehearse/engine/kept.py
@@ -18,7 +18,7 @@
     def chain(text: str) -> list[int]:
         data, hashes, last = text.encode(), [], 0
         for at in range(0, len(data) - BLOCK + 1, BLOCK):
-            last = xxhash.xxh3_64_intdigest(data[at:at + BLOCK], seed=last)
+            last = xxhash.xxh3_64_intdigest(data[at : at + BLOCK], seed=last)
             hashes.append(last)
         return hashes
 
--- a/stackpitch/rehearse/engine/legs.py
+++ b/stackpitch/rehearse/engine/legs.py
@@ -26,14 +26,32 @@
         transfer = msgspec.convert(fields["kv_transfer_params"], engine.Transfer)
         part = "read" if transfer.do_remote_decode else "write" if transfer.do_remote_prefill else "whole"
         limit = fields.get("max_completion_tokens") or fields.get("max_tokens") or 256
-        work = Work(reader.headers.get("x-request-id", "?"), int(reader.headers.get("x-leg", "0")),
-                    reader.headers.get("x-gateway", "?"), part, reader.headers.get("x-product", "?"),
-                    canonical(fields), limit, transfer, "messages" in fields, now)
+        work = Work(
+            reader.headers.get("x-request-id", "?"),
+            int(reader.headers.get("x-leg", "0")),
+            reader.headers.get("x-gateway", "?"),
+            part,
+            reader.headers.get("x-product", "?"),
+            canonical(fields),
+            limit,
+            transfer,
+            "messages" in fields,
+            now,
+        )
         # How long the answer is: the stand-in client's wish, as no model says so here.
         work.answer_tok = max(1, min(limit, int(fields.get("x_answer_tok", limit))))
         work.task = machine.world.current
-        machine.recorder.note("leg", key=work.key, leg=work.leg, gateway=work.gateway, part=part, state=transfer.state_id,
-                            product=work.product, session=reader.headers.get("x-session-id"), tok=work.prompt_tok)
+        machine.recorder.note(
+            "leg",
+            key=work.key,
+            leg=work.leg,
+            gateway=work.gateway,
+            part=part,
+            state=transfer.state_id,
+            product=work.product,
+            session=reader.headers.get("x-session-id"),
+            tok=work.prompt_tok,
+        )
         meant = reader.headers.get(engine.VOCABULARY)
         other = meant is not None and meant != machine.set.vocabulary
         spoken(machine, work, fields, refused=other, guarded=meant is not None)
@@ -47,7 +65,9 @@
             if machine.fallen or "hang" in machine.ill:
                 outcome = yield from hung(stream)
                 return False
-            if machine.draining or len(machine.waiting) >= machine.set.queue + max(0, machine.set.slots - len(machine.running)):
+            if machine.draining or len(machine.waiting) >= machine.set.queue + max(
+                0, machine.set.slots - len(machine.running)
+            ):
                 outcome = "refused"
                 self.refuse(stream, work, engine.DRAINING if machine.draining else engine.FULL)
                 yield from stream.drain()
@@ -62,8 +82,15 @@
             machine.kick()
             if work.ready:
                 outcome = "whole"
-            machine.recorder.note("leg-end", key=work.key, leg=work.leg, gateway=work.gateway, outcome=outcome,
-                                made=work.made, kept=work.kept)
+            machine.recorder.note(
+                "leg-end",
+                key=work.key,
+                leg=work.leg,
+                gateway=work.gateway,
+                outcome=outcome,
+                made=work.made,
+                kept=work.kept,
+            )
 
     def refuse(self, stream: Stream, work: Work, code: str) -> None:
         machine = self.machine
@@ -84,10 +111,15 @@
         if "lose-answer" in machine.ill and machine.random.random() < machine.ill["lose-answer"]:
             yield from hung(stream)
             return False
-        body = msgspec.json.encode(engine.ReadAnswer(
-            engine.Transfer(state, do_remote_prefill=True),
-            engine.Usage(work.prompt_tok, 0, engine.Details(work.kept))))
-        stream.write(http.response(200, body, [(orca.HEADER, machine.report())] if machine.set.reports else []))
+        body = msgspec.json.encode(
+            engine.ReadAnswer(
+                engine.Transfer(state, do_remote_prefill=True),
+                engine.Usage(work.prompt_tok, 0, engine.Details(work.kept)),
+            )
+        )
+        stream.write(
+            http.response(200, body, [(orca.HEADER, machine.report())] if machine.set.reports else [])
+        )
         yield from stream.drain()
         return True
 
@@ -120,8 +152,11 @@
                 continue
             if not sent and work.tokens:
                 state = [(engine.STATE_HEADER, "fetched" if work.fetched else "missing")]
-                stream.write(http.head(200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked"),
-                                             *state]))
+                stream.write(
+                    http.head(
+                        200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked"), *state]
+                    )
+                )
             while work.tokens:
                 if sent == cut:
                     stream.abort()
@@ -135,7 +170,11 @@
                 yield from stream.drain(1 << 15)
             if work.ready:
                 break
-        trailer = f"0\r\n{orca.HEADER}: {machine.report()}\r\n\r\n".encode() if machine.set.reports else http.LAST_CHUNK
+        trailer = (
+            f"0\r\n{orca.HEADER}: {machine.report()}\r\n\r\n".encode()
+            if machine.set.reports
+            else http.LAST_CHUNK
+        )
         stream.write(http.chunk(sse.event(usage(work, created))) + http.chunk(sse.DONE) + trailer)
         yield from stream.drain()
         if "tail" in machine.ill:
--- a/stackpitch/rehearse/engine/machine.py
+++ b/stackpitch/rehearse/engine/machine.py
@@ -26,7 +26,9 @@
         self.born = world.now()
         self.waiting: deque[Work] = deque()
         self.running: list[Work] = []
-        self.states: dict[str, tuple[Work, Time]] = {}  # waiting at this reader, while their connection is open
+        self.states: dict[
+            str, tuple[Work, Time]
+        ] = {}  # waiting at this reader, while their connection is open
         self.places: dict[str, tuple[int, Time]] = {}  # held ahead at this writer
         self.kept = Kept(settings.kept_tok)
         self.pushed: deque[tuple[Time, float]] = deque()  # work that came lately; emptied by age
@@ -72,22 +74,31 @@
             budget = self.set.fall_multiple * self.warmth() * self.set.fall_ms / 1000 + slack
             if came > budget:
                 self.fallen = True
-                self.recorder.note("fell", came=round(came, 3), budget=round(budget, 3), warmth=round(self.warmth(), 3))
+                self.recorder.note(
+                    "fell", came=round(came, 3), budget=round(budget, 3), warmth=round(self.warmth(), 3)
+                )
 
     def memory(self) -> int:
-        return (sum(one.held() for one in self.running) + sum(one.prompt_tok for one, _ in self.states.values())
-                + sum(tok for tok, _ in self.places.values()))
+        return (
+            sum(one.held() for one in self.running)
+            + sum(one.prompt_tok for one, _ in self.states.values())
+            + sum(tok for tok, _ in self.places.values())
+        )
 
     def report(self) -> str:
         now = self.world.now()
         if now - self.report_at >= self.set.report_period_ms * 10:
             self.report_at = now
             noise = 1 + self.random.uniform(-self.set.report_noise, self.set.report_noise)
-            self.report_text = orca.as_json({
-                "application_utilization": min(1.0, len(self.running) / self.set.slots),
-                "named_metrics.kv_cache_usage_perc": min(1.0, self.memory() / self.set.memory_tok * noise),
-                "named_metrics.num_requests_waiting": float(len(self.waiting)),
-            })
+            self.report_text = orca.as_json(
+                {
+                    "application_utilization": min(1.0, len(self.running) / self.set.slots),
+                    "named_metrics.kv_cache_usage_perc": min(
+                        1.0, self.memory() / self.set.memory_tok * noise
+                    ),
+                    "named_metrics.num_requests_waiting": float(len(self.waiting)),
+                }
+            )
         return self.report_text
 
     @staticmethod
@@ -101,6 +112,7 @@
 
     def load(self, model: str, version: str) -> None:
         """It runs on the version before until the new one is there."""
+
         def loaded() -> None:
             self.weights[model] = version
             self.recorder.note("weights", model=model, version=version)
--- a/stackpitch/rehearse/engine/run.py
+++ b/stackpitch/rehearse/engine/run.py
@@ -26,8 +26,13 @@
     def body(group: Group) -> Coro[None]:
         made.control = world.listen((settings.host, settings.control_port))
         made.listener = world.listen((settings.host, settings.port))
-        recorder.note("up", role=settings.role, cell=settings.cell, cold=settings.born_cold,
-                      **({"vocabulary": settings.vocabulary} if settings.vocabulary else {}))
+        recorder.note(
+            "up",
+            role=settings.role,
+            cell=settings.cell,
+            cold=settings.born_cold,
+            **({"vocabulary": settings.vocabulary} if settings.vocabulary else {}),
+        )
         group.spawn(control.controlled(group), "controlled")
         group.spawn(door.serve(group), "serve")
         group.spawn(steps.work(), "work")
--- a/stackpitch/rehearse/engine/spoken.py
+++ b/stackpitch/rehearse/engine/spoken.py
@@ -14,6 +14,18 @@
     told = fields.get("x_meant") or {"written": "", "asked": {}, "meant": {}, "profile": ""}
     said = machine.meaning.said(fields)
     if said or told["meant"]:
-        machine.recorder.note("spoke", key=work.key, leg=work.leg, gateway=work.gateway, vocabulary=machine.set.vocabulary,
-                              refused=refused, guarded=guarded, said=said, ids={name: fields[name] for name in said},
-                              written=told["written"], asked=told["asked"], meant=told["meant"], profile=told["profile"])
+        machine.recorder.note(
+            "spoke",
+            key=work.key,
+            leg=work.leg,
+            gateway=work.gateway,
+            vocabulary=machine.set.vocabulary,
+            refused=refused,
+            guarded=guarded,
+            said=said,
+            ids={name: fields[name] for name in said},
+            written=told["written"],
+            asked=told["asked"],
+            meant=told["meant"],
+            profile=told["profile"],
+        )
--- a/stackpitch/rehearse/engine/steps.py
+++ b/stackpitch/rehearse/engine/steps.py
@@ -32,7 +32,11 @@
                     budget -= take
                     read += take
             writing = [one for one in machine.running if not one.to_read and one.part != "read"]
-            cost = machine.set.step_ms + machine.set.per_seq_ms * len(writing) + read / machine.set.read_per_s * 1000
+            cost = (
+                machine.set.step_ms
+                + machine.set.per_seq_ms * len(writing)
+                + read / machine.set.read_per_s * 1000
+            )
             if not writing:
                 cost = max(0.5, read / machine.set.read_per_s * 1000)
             yield from machine.world.sleep(int(cost * machine.slowness() * 10))
@@ -75,5 +79,7 @@
         if one.made >= one.answer_tok:
             one.ready = True
             machine.running.remove(one)
-            machine.kept.add(f"{one.text}assistant\n{''.join(one.words)}\n" if one.chat else one.text + "".join(one.words))
+            machine.kept.add(
+                f"{one.text}assistant\n{''.join(one.words)}\n" if one.chat else one.text + "".join(one.words)
+            )
         machine.wake(one)
--- a/stackpitch/rehearse/engine/transfer.py
+++ b/stackpitch/rehearse/engine/transfer.py
@@ -23,7 +23,9 @@
                 stream = yield from machine.world.connect(address, 250 * MS)
                 try:
                     target = f"/v1/state/fetch/{transfer.state_id}"
-                    stream.write(http.request("GET", target, "reader", b"", [("x-cell", str(machine.set.cell))]))
+                    stream.write(
+                        http.request("GET", target, "reader", b"", [("x-cell", str(machine.set.cell))])
+                    )
                     reader = http.ResponseReader(8192, 8192)
                     while not reader.complete:
                         data = yield from stream.recv()
@@ -31,8 +33,14 @@
                             return False
                         reader.feed(data)
                     if reader.status == 200 and machine.set.vocabulary:
-                        machine.recorder.note("took", state=transfer.state_id, vocabulary=machine.set.vocabulary, key=work.key,
-                                              leg=work.leg, gateway=work.gateway)
+                        machine.recorder.note(
+                            "took",
+                            state=transfer.state_id,
+                            vocabulary=machine.set.vocabulary,
+                            key=work.key,
+                            leg=work.leg,
+                            gateway=work.gateway,
+                        )
                     return reader.status == 200
                 finally:
                     stream.close()
@@ -50,7 +58,9 @@
             stream.write(http.response(404, b"{}"))
             return
         near = cell == str(machine.set.cell)
-        speed = (machine.set.near_per_s if near else machine.set.far_per_s) / machine.ill.get("slow-link", 1.0)
+        speed = (machine.set.near_per_s if near else machine.set.far_per_s) / machine.ill.get(
+            "slow-link", 1.0
+        )
         begin = max(machine.world.now(), machine.link_busy[near])
         machine.link_busy[near] = begin + int(found[0].prompt_tok / speed * SECOND)
         yield from machine.world.sleep(machine.link_busy[near] - machine.world.now())
--- a/stackpitch/rehearse/engine/work.py
+++ b/stackpitch/rehearse/engine/work.py
@@ -10,8 +10,19 @@
 class Work:
     """One leg at this engine."""
 
-    def __init__(self, key: str, leg: int, gateway: str, part: str, product: str, text: str, limit: int,
-                 transfer: engine.Transfer, chat: bool, now: Time) -> None:
+    def __init__(
+        self,
+        key: str,
+        leg: int,
+        gateway: str,
+        part: str,
+        product: str,
+        text: str,
+        limit: int,
+        transfer: engine.Transfer,
+        chat: bool,
+        now: Time,
+    ) -> None:
         self.key, self.leg, self.gateway, self.part, self.product = key, leg, gateway, part, product
         self.text, self.limit, self.transfer, self.chat, self.came = text, limit, transfer, chat, now
         self.prompt_tok = max(1, len(text) // 4)
--- a/stackpitch/rehearse/exploring/__main__.py
+++ b/stackpitch/rehearse/exploring/__main__.py
@@ -16,7 +16,13 @@
     asked = parser.parse_args()
     size = Size(**{one.name: getattr(asked, one.name) for one in fields(Size)})
     found = explore(size, frozenset(asked.bug), asked.most, asked.seconds)
-    end = "a breach" if found.story else "none unexplored, no breach" if found.whole else "not explored to the end"
+    end = (
+        "a breach"
+        if found.story
+        else "none unexplored, no breach"
+        if found.whole
+        else "not explored to the end"
+    )
     print(f"{size}: {found.states} states, depth {found.depth}, {found.seconds:.1f} s: {end}")
     for number, line in enumerate(found.story or (), 1):
         print(f"{number:4} {line}")
--- a/stackpitch/rehearse/exploring/runners.py
+++ b/stackpitch/rehearse/exploring/runners.py
@@ -39,7 +39,7 @@
 
 
 def put(state: State, number: int, runner: Runner) -> State:
-    return state._replace(runners=(*state.runners[:number], runner, *state.runners[number + 1:]))
+    return state._replace(runners=(*state.runners[:number], runner, *state.runners[number + 1 :]))
 
 
 def asks(state: State, number: int, kind: str, told: Paper = Paper()) -> State:  # noqa: B008
@@ -60,8 +60,18 @@
         then = candidate.heard(NOW, asked, voter, Answer("yes"))
         if then is not None:
             break
-    state = put(state, number, runner._replace(stage=candidate.stage, stamp=(candidate.stamp.term, candidate.stamp.start),
-                                               left=runner.left - 1, rounds=(), phase="", found=Paper()))
+    state = put(
+        state,
+        number,
+        runner._replace(
+            stage=candidate.stage,
+            stamp=(candidate.stamp.term, candidate.stamp.start),
+            left=runner.left - 1,
+            rounds=(),
+            phase="",
+            found=Paper(),
+        ),
+    )
     return asks(state, number, "lease")
 
 
@@ -79,7 +89,11 @@
 
 def dies(state: State, number: int) -> State:
     runner = state.runners[number]
-    return put(state, number, Runner(left=runner.left, renewals=runner.renewals, acts=runner.acts, start=runner.start + 10))
+    return put(
+        state,
+        number,
+        Runner(left=runner.left, renewals=runner.renewals, acts=runner.acts, start=runner.start + 10),
+    )
 
 
 def hears(state: State, number: int, voter: int, said: Said, bugs: frozenset[str]) -> State:
@@ -93,7 +107,9 @@
     if voter in asked.yes:
         return state
     before = asked.won
-    state = state._replace(seats=(*state.seats[:voter], seat._replace(counted=seat.counted | {said}), *state.seats[voter + 1:]))
+    state = state._replace(
+        seats=(*state.seats[:voter], seat._replace(counted=seat.counted | {said}), *state.seats[voter + 1 :])
+    )
     if kind == "lease":
         candidate = real(state, number)
         if candidate.stage == "lease":
@@ -130,8 +146,12 @@
 def ready(state: State, number: int) -> State:
     runner = state.runners[number]
     if runner.found.value < state.committed:
-        raise Breach(f"a record that a majority had was lost: {state.committed}; {number} goes on from {runner.found.value}")
-    return put(state, number, runner._replace(phase="ready"))._replace(committed=max(state.committed, runner.found.value))
+        raise Breach(
+            f"a record that a majority had was lost: {state.committed}; {number} goes on from {runner.found.value}"
+        )
+    return put(state, number, runner._replace(phase="ready"))._replace(
+        committed=max(state.committed, runner.found.value)
+    )
 
 
 def _written(state: State, number: int, which: int) -> State:
--- a/stackpitch/rehearse/exploring/search.py
+++ b/stackpitch/rehearse/exploring/search.py
@@ -11,8 +11,19 @@
 from stackpitch.rehearse.exploring.runners import Breach
 from stackpitch.rehearse.exploring.state import NONE, Runner, Seat, State, aged, canonical, older, stamp
 
-BUGS = ("no sync", "forgets", "late lease", "no look", "no fence", "hasty", "no write-back", "late writes", "anyone releases",
-        "learns from one", "disturbs")
+BUGS = (
+    "no sync",
+    "forgets",
+    "late lease",
+    "no look",
+    "no fence",
+    "hasty",
+    "no write-back",
+    "late writes",
+    "anyone releases",
+    "learns from one",
+    "disturbs",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +38,9 @@
 
     def first(self) -> State:
         runner = Runner(left=self.campaigns, renewals=self.renewals, acts=self.acts)
-        return State((Seat(),) * self.voters, (runner,) * self.candidates, restarts=self.restarts, losses=self.losses)
+        return State(
+            (Seat(),) * self.voters, (runner,) * self.candidates, restarts=self.restarts, losses=self.losses
+        )
 
 
 @dataclass(slots=True)
@@ -40,7 +53,7 @@
 
 
 def swapped(state: State, voter: int, seat: Seat) -> State:
-    return state._replace(seats=(*state.seats[:voter], seat, *state.seats[voter + 1:]))
+    return state._replace(seats=(*state.seats[:voter], seat, *state.seats[voter + 1 :]))
 
 
 def holds(runner: Runner, bugs: frozenset[str]) -> bool:
@@ -62,7 +75,9 @@
         fence.highest["d"] = stamp(state.fence)
         if "no fence" in bugs or fence.admits("d", stamp(told)):
             if told[0] < state.fence[0]:
-                raise Breach(f"an effect under term {terms.text(told[0])} was taken after {terms.text(state.fence[0])}")
+                raise Breach(
+                    f"an effect under term {terms.text(told[0])} was taken after {terms.text(state.fence[0])}"
+                )
             yield f"effect under {terms.text(told[0])} is taken", state._replace(fence=told)
 
 
@@ -72,8 +87,10 @@
             for ask in state.asks:
                 got = voters.gets(seat, ask, bugs)
                 if got != seat:
-                    yield (f"voter {voter} gets {ask.kind} of candidate {ask.candidate} under {terms.text(ask.stamp[0])}",
-                           swapped(state, voter, got))
+                    yield (
+                        f"voter {voter} gets {ask.kind} of candidate {ask.candidate} under {terms.text(ask.stamp[0])}",
+                        swapped(state, voter, got),
+                    )
             if state.restarts:
                 again = swapped(state, voter, voters.restarts(seat, bugs))
                 yield f"voter {voter} restarts", again._replace(restarts=state.restarts - 1)
@@ -83,7 +100,10 @@
         elif seat.word == "lost":
             others = [one for place, one in enumerate(state.seats) if place != voter and one.word == "votes"]
             if len(others) == len(state.seats) - 1:
-                yield f"voter {voter} learns from the others", swapped(state, voter, voters.learns(seat, others, bugs))
+                yield (
+                    f"voter {voter} learns from the others",
+                    swapped(state, voter, voters.learns(seat, others, bugs)),
+                )
         else:
             yield f"voter {voter} votes again", swapped(state, voter, voters.joins(seat, bugs))
         for said in seat.answers:
@@ -97,7 +117,10 @@
         if runner.stage == "idle":
             if runner.left:
                 for known in sorted({seat.promise.stamp[0] for seat in state.seats}):
-                    yield f"candidate {number} campaigns, knowing {terms.text(known)}", runners.campaigns(state, number, known)
+                    yield (
+                        f"candidate {number} campaigns, knowing {terms.text(known)}",
+                        runners.campaigns(state, number, known),
+                    )
             continue
         yield f"candidate {number} lets go", runners.leaves(state, number)
         if runner.left:
@@ -108,14 +131,19 @@
             yield f"candidate {number} renews", runners.renews(state, number)
         if runner.phase == "ready":
             if runner.stamp not in state.effects:
-                yield f"candidate {number} sends an effect", state._replace(effects=state.effects | {runner.stamp})
+                yield (
+                    f"candidate {number} sends an effect",
+                    state._replace(effects=state.effects | {runner.stamp}),
+                )
             if runner.acts:
                 yield f"candidate {number} writes", runners.writes(state, number)
 
 
 def check(state: State, bugs: frozenset[str]) -> None:
     """Raises Breach."""
-    owners = [number for number, runner in enumerate(state.runners) if runner.stage == "owner" and runner.until > 0]
+    owners = [
+        number for number, runner in enumerate(state.runners) if runner.stage == "owner" and runner.until > 0
+    ]
     if len(owners) > 1:
         raise Breach(f"candidates {owners} hold a lease at one time")
     stamps = [runner.stamp for runner in state.runners if runner.stage == "owner" and runner.stamp != NONE]
@@ -123,7 +151,9 @@
         raise Breach("one term has two owners")
 
 
-def explore(size: Size, bugs: frozenset[str] = frozenset(), most: int = 5_000_000, seconds: float = 3600) -> Outcome:
+def explore(
+    size: Size, bugs: frozenset[str] = frozenset(), most: int = 5_000_000, seconds: float = 3600
+) -> Outcome:
     """Breadth first, so that a breach is met by its shortest story."""
     clock = RealWorld().now
     begun, first = clock(), canonical(size.first(), bugs)
@@ -142,7 +172,13 @@
                     check(after, bugs)
                     front.append((after, depth + 1))
         except Breach as wrong:
-            return Outcome(len(came), depth + 1, (clock() - begun) / SECOND, [*_story(came, state), said, str(wrong)], True)
+            return Outcome(
+                len(came),
+                depth + 1,
+                (clock() - begun) / SECOND,
+                [*_story(came, state), said, str(wrong)],
+                True,
+            )
     return Outcome(len(came), depth, (clock() - begun) / SECOND, None, True)
 
 
--- a/stackpitch/rehearse/exploring/state.py
+++ b/stackpitch/rehearse/exploring/state.py
@@ -84,7 +84,6 @@
     losses: int = 0  # of voters' files that are left
 
 
-
 @cache
 def place(seat: Seat) -> str:
     return repr(seat)
@@ -107,14 +106,18 @@
 
 @cache
 def aged(seat: Seat) -> Seat:
-    running = None if seat.running is None or seat.running[1] <= STEP else (seat.running[0], seat.running[1] - STEP)
+    running = (
+        None if seat.running is None or seat.running[1] <= STEP else (seat.running[0], seat.running[1] - STEP)
+    )
     return seat._replace(quiet=max(0, seat.quiet - STEP), running=running)
 
 
 @cache
 def older(runner: Runner) -> Runner:
-    return runner._replace(until=max(0, runner.until - STEP),
-                           rounds=tuple((which, kind, min(LEASE, age + STEP)) for which, kind, age in runner.rounds))
+    return runner._replace(
+        until=max(0, runner.until - STEP),
+        rounds=tuple((which, kind, min(LEASE, age + STEP)) for which, kind, age in runner.rounds),
+    )
 
 
 @cache
@@ -131,7 +134,11 @@
 def _heard(seat: Seat, open_ones: frozenset[tuple[int, int]]) -> Seat:
     answers = frozenset(one for one in seat.answers - seat.counted if (one.candidate, one.round) in open_ones)
     counted = frozenset(one for one in seat.counted if (one.candidate, one.round) in open_ones)
-    return seat if (answers, counted) == (seat.answers, seat.counted) else seat._replace(answers=answers, counted=counted)
+    return (
+        seat
+        if (answers, counted) == (seat.answers, seat.counted)
+        else seat._replace(answers=answers, counted=counted)
+    )
 
 
 def stamp(told: tuple[int, int]) -> Stamp:
@@ -140,5 +147,9 @@
 
 def paper(promise: Promise) -> Paper:
     kept = promise.kept
-    return Paper((promise.stamp.term, promise.stamp.start), (kept.stamp.term, kept.stamp.start), kept.version,
-                 int(kept.value or b"0"))
+    return Paper(
+        (promise.stamp.term, promise.stamp.start),
+        (kept.stamp.term, kept.stamp.start),
+        kept.version,
+        int(kept.value or b"0"),
+    )
--- a/stackpitch/rehearse/exploring/voters.py
+++ b/stackpitch/rehearse/exploring/voters.py
@@ -38,7 +38,11 @@
     after = paper(voter.promised(DUTY))
     disk = after if "no sync" not in bugs or after == seat.promise else seat.promise
     running = voter.running.get(DUTY)
-    held = None if running is None or running.until <= NOW else ((running.stamp.term, running.stamp.start), running.until - NOW)
+    held = (
+        None
+        if running is None or running.until <= NOW
+        else ((running.stamp.term, running.stamp.start), running.until - NOW)
+    )
     last = voter.renewals.get(DUTY)
     heard = seat.heard if last is None else ((last.stamp.term, last.stamp.start), last.renewal, last.released)
     if heard[0] < after.stamp:  # shut out by its term
@@ -78,11 +82,15 @@
 def restarts(seat: Seat, bugs: frozenset[str]) -> Seat:
     """What was not on disk is gone, and so are the leases that it knew of; what it had answered goes on its way."""
     back = Paper() if "forgets" in bugs else seat.disk
-    return seat._replace(promise=back, disk=back, running=None, heard=(NONE, 0, False), quiet=0 if "hasty" in bugs else QUIET)
+    return seat._replace(
+        promise=back, disk=back, running=None, heard=(NONE, 0, False), quiet=0 if "hasty" in bugs else QUIET
+    )
 
 
 def loses(seat: Seat) -> Seat:
-    return seat._replace(word="lost", promise=Paper(), disk=Paper(), running=None, heard=(NONE, 0, False), quiet=0)
+    return seat._replace(
+        word="lost", promise=Paper(), disk=Paper(), running=None, heard=(NONE, 0, False), quiet=0
+    )
 
 
 def learns(seat: Seat, others: list[Seat], bugs: frozenset[str]) -> Seat:
--- a/stackpitch/rehearse/judging/acts.py
+++ b/stackpitch/rehearse/judging/acts.py
@@ -47,8 +47,16 @@
         what, at = one["what"], one["at"]
         if what == "call" and "kind" in one:
             term, start = one["stamp"]
-            acts[one["call"]] = Act(one["call"], one["sender"], one["to"], one["duty"], one["kind"], (term, start), at,
-                                    one.get("ticks", 0))
+            acts[one["call"]] = Act(
+                one["call"],
+                one["sender"],
+                one["to"],
+                one["duty"],
+                one["kind"],
+                (term, start),
+                at,
+                one.get("ticks", 0),
+            )
             continue
         act = acts.get(one.get("call", 0))
         if act is None:
--- a/stackpitch/rehearse/judging/agreed.py
+++ b/stackpitch/rehearse/judging/agreed.py
@@ -28,9 +28,18 @@
                 key = one["profile"], one["written"], one["vocabulary"], field, msgspec.json.encode(asked)
                 before = first.setdefault(key, one)
                 if before["ids"].get(field) != sent and before["gateway"] != one["gateway"]:
-                    found.append(Breach(rule, one["key"], f"{one['gateway']} makes {sent} of {field} {asked}, "
-                                        f"{before['gateway']} makes {before['ids'].get(field)}",
-                                        [f"{at['at'] / 10:.1f} ms: {at['gateway']} to {at['who']}" for at in (before, one)]))
+                    found.append(
+                        Breach(
+                            rule,
+                            one["key"],
+                            f"{one['gateway']} makes {sent} of {field} {asked}, "
+                            f"{before['gateway']} makes {before['ids'].get(field)}",
+                            [
+                                f"{at['at'] / 10:.1f} ms: {at['gateway']} to {at['who']}"
+                                for at in (before, one)
+                            ],
+                        )
+                    )
         elif one["what"] == "call" and "verdict" in one:
             calls[one["call"]] = one
         elif one["what"] == "answered" and one.get("word") in TAKEN and one["call"] in calls:
@@ -38,6 +47,13 @@
             digests, content = tuple(call["digests"]), call["verdict"]
             known = taken.setdefault(digests, (content, call))
             if known[0] != content:
-                found.append(Breach(rule, "vocabulary", f"g{call['to']} took verdict {content}, g{known[1]['to']} took "
-                                    f"{known[0]} of the same digests {', '.join(digests)}", [f"call {call['call']}"]))
+                found.append(
+                    Breach(
+                        rule,
+                        "vocabulary",
+                        f"g{call['to']} took verdict {content}, g{known[1]['to']} took "
+                        f"{known[0]} of the same digests {', '.join(digests)}",
+                        [f"call {call['call']}"],
+                    )
+                )
     return found
--- a/stackpitch/rehearse/judging/calm.py
+++ b/stackpitch/rehearse/judging/calm.py
@@ -69,17 +69,24 @@
     return [one for one in found if one[0] < one[1]]
 
 
-def not_whole(lives: Lives, pairs: dict[tuple[int, int], list[Span]], voters: tuple[int, ...],
-              last: Time) -> dict[int, list[Span]]:
+def not_whole(
+    lives: Lives, pairs: dict[tuple[int, int], list[Span]], voters: tuple[int, ...], last: Time
+) -> dict[int, list[Span]]:
     """Of each voter whose file was harmed: until it could have learnt from a majority of voters other than itself."""
     found: dict[int, list[Span]] = {number: [] for number in voters}
     for number in voters:
         for begin, end in lives.hurt[number]:
             until: Time = FOREVER
             for others in combinations([one for one in voters if one != number], len(voters) // 2 + 1):
-                spans = [one for other in others for one in lives.away(other) + pairs[min(number, other), max(number, other)]]
+                spans = [
+                    one
+                    for other in others
+                    for one in lives.away(other) + pairs[min(number, other), max(number, other)]
+                ]
                 spans += lives.down[number] + lives.stopped[number] + [(0, end)]
-                until = min([until, *(one + LEARNS for one, over in free(spans, last) if over - one >= LEARNS)])
+                until = min(
+                    [until, *(one + LEARNS for one, over in free(spans, last) if over - one >= LEARNS)]
+                )
             found[number].append((begin, until))
     return found
 
@@ -92,7 +99,9 @@
     return next((begin for begin, _ in free(spans, last)), last)
 
 
-def read(records: list[Record], lives: Lives, voters: tuple[int, ...], gateways: int, last: Time) -> list[Calm]:
+def read(
+    records: list[Record], lives: Lives, voters: tuple[int, ...], gateways: int, last: Time
+) -> list[Calm]:
     seen = faults(records)
     pairs = seen.pairs
     unlearnt = not_whole(lives, pairs, voters, last)
@@ -101,7 +110,9 @@
         for candidate in range(gateways):
             there = sorted({*some, candidate})
             spans = [one for number in there for one in lives.down[number] + lives.stopped[number]]
-            spans += [one for number in some for one in lives.hurt[number] + unlearnt[number] + seen.late[number]]
+            spans += [
+                one for number in some for one in lives.hurt[number] + unlearnt[number] + seen.late[number]
+            ]
             spans += [one for two in combinations(there, 2) for one in pairs[two]]
             found += [Calm(some, candidate, begin, end) for begin, end in free(spans, last)]
     return found
--- a/stackpitch/rehearse/judging/fences.py
+++ b/stackpitch/rehearse/judging/fences.py
@@ -16,7 +16,9 @@
 from stackpitch.rehearse.judging.lives import Lives
 from stackpitch.rehearse.rules import Breach
 
-NO_EFFECTS = frozenset({"would", "release", "state", "vacant"})  # change nothing that an older term could harm
+NO_EFFECTS = frozenset(
+    {"would", "release", "state", "vacant"}
+)  # change nothing that an older term could harm
 DURABLE = frozenset({"lease", "read", "write"})  # taken by voters, who must not forget over a restart
 
 
@@ -39,7 +41,11 @@
         since: Time = 0  # what a receiver holds in memory alone ends with its process
         for passed, _, act in sorted(passings, key=lambda one: (one[0], one[1])):
             if durable and (harmed := lives.harmed_before(receiver, passed)) > since:
-                won = [one for _, answered, one in answers if answered < harmed and (one.duty, one.stamp) in served]
+                won = [
+                    one
+                    for _, answered, one in answers
+                    if answered < harmed and (one.duty, one.stamp) in served
+                ]
                 since, by = harmed, max(won, key=lambda one: one.stamp[0], default=None)
                 newest = by.stamp if by is not None else (0, 0)
             elif not durable and (start := lives.started_before(receiver, passed)) > since:
@@ -49,9 +55,19 @@
                 at += 1
                 if answered >= since and other.stamp[0] > newest[0]:
                     newest, by = other.stamp, other
-            if by is not None and (act.stamp[0] < newest[0] or (act.stamp[0] == newest[0] and act.stamp != newest)):
-                found.append(Breach(rule, duty, f"g{receiver} took {act.kind} of g{act.sender} under term {act.stamp[0]} "
-                                    f"(start {act.stamp[1]}) after {by.kind} of g{by.sender} under {newest[0]} "
-                                    f"(start {newest[1]})",
-                                    [f"{passed / 10:.1f} ms: call {act.number} passed, after the yes of call {by.number}"]))
+            if by is not None and (
+                act.stamp[0] < newest[0] or (act.stamp[0] == newest[0] and act.stamp != newest)
+            ):
+                found.append(
+                    Breach(
+                        rule,
+                        duty,
+                        f"g{receiver} took {act.kind} of g{act.sender} under term {act.stamp[0]} "
+                        f"(start {act.stamp[1]}) after {by.kind} of g{by.sender} under {newest[0]} "
+                        f"(start {newest[1]})",
+                        [
+                            f"{passed / 10:.1f} ms: call {act.number} passed, after the yes of call {by.number}"
+                        ],
+                    )
+                )
     return found
--- a/stackpitch/rehearse/judging/holds.py
+++ b/stackpitch/rehearse/judging/holds.py
@@ -74,13 +74,20 @@
         if act.stamp[0]:
             by_stamp[act.duty, act.stamp, act.sender].append(act)
         if act.kind == "lease":
-            given[act.to, act.duty] += [(copy.answered, act.stamp[0]) for copy in act.copies.values()
-                                        if copy.word == "yes" and copy.answered is not None]
+            given[act.to, act.duty] += [
+                (copy.answered, act.stamp[0])
+                for copy in act.copies.values()
+                if copy.word == "yes" and copy.answered is not None
+            ]
     holds: list[Hold] = []
     for (duty, stamp, owner), ours in by_stamp.items():
         groups = rounds([one for one in ours if one.kind == "lease"])
         own = owner in voters
-        outvoted = min((at for at, term in given[owner, duty] if term > stamp[0]), default=FOREVER) if own else FOREVER
+        outvoted = (
+            min((at for at, term in given[owner, duty] if term > stamp[0]), default=FOREVER)
+            if own
+            else FOREVER
+        )
         shown = min((one.came for one in ours if one.kind not in ASKING), default=FOREVER)
         if len(groups) > 1:
             shown = min(shown, groups[1][0].came)
@@ -111,11 +118,20 @@
     for hold in (one for one in holds if one.shown):
         before = latest.get(hold.duty)
         if before is not None and hold.begin < min(before.sure, hold.sure):
-            found.append(Breach(rule, hold.duty, f"g{hold.owner} held it under term {hold.stamp[0]} for "
-                                f"{(min(before.sure, hold.sure) - hold.begin) / 10:.1f} ms while g{before.owner} did under "
-                                f"{before.stamp[0]}",
-                                [f"{one.begin / 10:.1f} to {one.sure / 10:.1f} ms: g{one.owner}, term {one.stamp[0]}, start "
-                                 f"{one.stamp[1]}" for one in (before, hold)]))
+            found.append(
+                Breach(
+                    rule,
+                    hold.duty,
+                    f"g{hold.owner} held it under term {hold.stamp[0]} for "
+                    f"{(min(before.sure, hold.sure) - hold.begin) / 10:.1f} ms while g{before.owner} did under "
+                    f"{before.stamp[0]}",
+                    [
+                        f"{one.begin / 10:.1f} to {one.sure / 10:.1f} ms: g{one.owner}, term {one.stamp[0]}, start "
+                        f"{one.stamp[1]}"
+                        for one in (before, hold)
+                    ],
+                )
+            )
         if before is None or hold.sure > before.sure:
             latest[hold.duty] = hold
     return found
@@ -131,8 +147,18 @@
         if act.kind in ASKING or not act.stamp[0] or key in found:
             continue
         late = act.came - ends.get(key, 0)
-        if late > LATE and not any(begin <= act.came <= end + AFTER_STOP for begin, end in lives.stopped[act.sender]):
-            why = f"{late / 10:.0f} ms after its lease was over" if key in ends else "and was never granted a lease"
-            found[key] = Breach(rule, act.duty, f"g{act.sender} sent {act.kind} to g{act.to} under term {act.stamp[0]} {why}",
-                                [f"{act.came / 10:.1f} ms: call {act.number}"])
+        if late > LATE and not any(
+            begin <= act.came <= end + AFTER_STOP for begin, end in lives.stopped[act.sender]
+        ):
+            why = (
+                f"{late / 10:.0f} ms after its lease was over"
+                if key in ends
+                else "and was never granted a lease"
+            )
+            found[key] = Breach(
+                rule,
+                act.duty,
+                f"g{act.sender} sent {act.kind} to g{act.to} under term {act.stamp[0]} {why}",
+                [f"{act.came / 10:.1f} ms: call {act.number}"],
+            )
     return list(found.values())
--- a/stackpitch/rehearse/judging/manned.py
+++ b/stackpitch/rehearse/judging/manned.py
@@ -28,11 +28,23 @@
     """When the owner was told to end (SIGTERM), if it let go for that."""
     if before is None or not before.released:
         return None
-    return next((at for at, signal in lives.kills[before.owner] if signal == 15 and begin - SECOND <= at <= begin), None)
+    return next(
+        (at for at, signal in lives.kills[before.owner] if signal == 15 and begin - SECOND <= at <= begin),
+        None,
+    )
 
 
-def unmanned(duties: Iterable[str], holds: list[Hold], calms: list[Calm], lives: Lives, founded: Time, last: Time,
-             crash: Time, handover: Time, rule: int) -> list[Breach]:
+def unmanned(
+    duties: Iterable[str],
+    holds: list[Hold],
+    calms: list[Calm],
+    lives: Lives,
+    founded: Time,
+    last: Time,
+    crash: Time,
+    handover: Time,
+    rule: int,
+) -> list[Breach]:
     """`founded`: nobody is owed to a new fleet before its voters have all been there once. `crash`: allowed after anything
     but a handover. A voter that began within that time may have to keep quiet for a lease that it doesn't know of: then it
     is allowed after a handover too."""
@@ -48,15 +60,27 @@
             allowed = crash
             told = left(before, begin, lives)
             for calm in calms:
-                if told is not None and before is not None and calm.begin <= told - crash and (
-                        before.owner not in (*calm.voters, calm.candidate)):
+                if (
+                    told is not None
+                    and before is not None
+                    and calm.begin <= told - crash
+                    and (before.owner not in (*calm.voters, calm.candidate))
+                ):
                     length = min(end, calm.end) - told
                     if length > max(handover, worst[0]):
                         allowed, worst = handover, (length, calm)
             if worst[1] is not None and worst[0] > allowed:
                 text = ", ".join(f"g{number}" for number in worst[1].voters)
-                found.append(Breach(rule, duty, f"no owner for {worst[0] / 10:.0f} ms while voters {text} and "
-                                    f"g{worst[1].candidate} could talk; allowed: {allowed / 10:.0f}",
-                                    [f"{begin / 10:.1f} to {end / 10:.1f} ms; before: "
-                                     + (f"g{before.owner}, term {before.stamp[0]}" if before is not None else "nobody")]))
+                found.append(
+                    Breach(
+                        rule,
+                        duty,
+                        f"no owner for {worst[0] / 10:.0f} ms while voters {text} and "
+                        f"g{worst[1].candidate} could talk; allowed: {allowed / 10:.0f}",
+                        [
+                            f"{begin / 10:.1f} to {end / 10:.1f} ms; before: "
+                            + (f"g{before.owner}, term {before.stamp[0]}" if before is not None else "nobody")
+                        ],
+                    )
+                )
     return found
--- a/stackpitch/rehearse/judging/meant.py
+++ b/stackpitch/rehearse/judging/meant.py
@@ -19,8 +19,16 @@
         for field in sorted({*one["meant"], *one["said"]}):
             meant, said = one["meant"].get(field, []), one["said"].get(field, [])
             if meant != said:
-                found.append(Breach(rule, one["key"], f"{one['gateway']} sent {one['who']} {field} that says {said[:8]} there; "
-                                    f"meant was {meant[:8]}",
-                                    [f"{one['at'] / 10:.1f} ms: leg {one['leg']}, written for {one['written']}, ids "
-                                     f"{one['ids'].get(field)}, engine's vocabulary {one['vocabulary']}"]))
+                found.append(
+                    Breach(
+                        rule,
+                        one["key"],
+                        f"{one['gateway']} sent {one['who']} {field} that says {said[:8]} there; "
+                        f"meant was {meant[:8]}",
+                        [
+                            f"{one['at'] / 10:.1f} ms: leg {one['leg']}, written for {one['written']}, ids "
+                            f"{one['ids'].get(field)}, engine's vocabulary {one['vocabulary']}"
+                        ],
+                    )
+                )
     return found
--- a/stackpitch/rehearse/judging/owners.py
+++ b/stackpitch/rehearse/judging/owners.py
@@ -9,8 +9,11 @@
 
 FENCED, ALONE, MANNED = 11, 12, 13
 NAMES = {FENCED: "O1", ALONE: "O2", MANNED: "O3"}
-WORDS = {FENCED: "effects taken never go back in term", ALONE: "one owner at a time",
-         MANNED: "an owner whenever a majority can talk"}
+WORDS = {
+    FENCED: "effects taken never go back in term",
+    ALONE: "one owner at a time",
+    MANNED: "an owner whenever a majority can talk",
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +34,11 @@
     held = holds.read(calls, known, figures.voters)
     founded = calm.founded(records, known, figures.voters, last)
     able = calm.read(records, known, figures.voters, figures.gateways, last)
-    return [*fences.out_of_order(calls, known, FENCED), *holds.overlapping(held, ALONE),
-            *holds.without_a_lease(calls, held, known, ALONE),
-            *manned.unmanned(figures.duties, held, able, known, founded, last, figures.crash, figures.handover,
-                              MANNED)]
+    return [
+        *fences.out_of_order(calls, known, FENCED),
+        *holds.overlapping(held, ALONE),
+        *holds.without_a_lease(calls, held, known, ALONE),
+        *manned.unmanned(
+            figures.duties, held, able, known, founded, last, figures.crash, figures.handover, MANNED
+        ),
+    ]
--- a/stackpitch/rehearse/judging/states.py
+++ b/stackpitch/rehearse/judging/states.py
@@ -16,7 +16,13 @@
         elif one["what"] == "took":
             gave = given.pop(one["state"], None)
             if gave is not None and gave["vocabulary"] != one["vocabulary"]:
-                found.append(Breach(rule, one["key"], f"{one['gateway']} had {one['who']} ({one['vocabulary']}) take over a "
-                                    f"state that {gave['who']} read under {gave['vocabulary']}",
-                                    [f"{one['at'] / 10:.1f} ms: state {one['state']}"]))
+                found.append(
+                    Breach(
+                        rule,
+                        one["key"],
+                        f"{one['gateway']} had {one['who']} ({one['vocabulary']}) take over a "
+                        f"state that {gave['who']} read under {gave['vocabulary']}",
+                        [f"{one['at'] / 10:.1f} ms: state {one['state']}"],
+                    )
+                )
     return found
--- a/stackpitch/rehearse/judging/weights/able.py
+++ b/stackpitch/rehearse/judging/weights/able.py
@@ -14,7 +14,9 @@
 from stackpitch.rehearse.judging.weights.country import Country
 from stackpitch.rehearse.records import Record
 
-SETTLES: Time = 5 * SECOND  # after trouble with a gateway: another receiver is taken, or the same one heard again
+SETTLES: Time = (
+    5 * SECOND
+)  # after trouble with a gateway: another receiver is taken, or the same one heard again
 DISK: Time = 17 * SECOND  # after a full disk: a receiver tries again every 10 s, and looks every 5
 SPOILT: Time = 62 * SECOND  # a source that gave wrong bytes is left alone for a minute
 FAILED: Time = 2 * SECOND  # one that refused, for this, doubled each time in a row
@@ -30,7 +32,9 @@
         self.owners: list[Span] = []
         self.gateways: dict[int, list[Span]] = defaultdict(list)
         for number, site in country.editions[-1].home.items():
-            self.gateways[number] = [(begin, min(end + SETTLES, FOREVER)) for begin, end in lives.away(number)]
+            self.gateways[number] = [
+                (begin, min(end + SETTLES, FOREVER)) for begin, end in lives.away(number)
+            ]
             self.sites[site] += self.gateways[number]
         for pair, spans in calm.faults(records).pairs.items():
             for number in pair:
@@ -64,7 +68,9 @@
                 if one["strength"]:
                     ill[one["kind"]] = at, one["gateways"] or list(country.editions[-1].home)
             elif one["what"] == "served" and one["spoilt"]:
-                self.models[country.site(one["to"]) or "", one["path"].strip("/").split("/")[0]].append((at, at + SPOILT))
+                self.models[country.site(one["to"]) or "", one["path"].strip("/").split("/")[0]].append(
+                    (at, at + SPOILT)
+                )
             elif one["what"] == "turned away":
                 site = country.site(one["to"]) or ""
                 before = refusals[site] = [*(when for when in refusals[site] if at - when < SPOILT), at]
@@ -83,8 +89,11 @@
         for number, (begin, owner) in enumerate(terms):
             end = terms[number + 1][0] if number + 1 < len(terms) else FOREVER
             self.owners.append((begin - OWNED if number else 0, begin + OWNED))
-            self.owners += [(since, min(until, end + OWNED)) for since, until in self.gateways[owner]
-                            if since < end and until > begin]
+            self.owners += [
+                (since, min(until, end + OWNED))
+                for since, until in self.gateways[owner]
+                if since < end and until > begin
+            ]
         if not terms:
             self.owners.append((0, FOREVER))
 
--- a/stackpitch/rehearse/judging/weights/capacity.py
+++ b/stackpitch/rehearse/judging/weights/capacity.py
@@ -29,5 +29,12 @@
             allowed = rate * (SECOND + burst) // SECOND
             if sums[key] > allowed and sums[key] / max(1, allowed) > worst.get(key, (0.0,))[0]:
                 worst[key] = sums[key] / max(1, allowed), sums[key], allowed, one.at
-    return [Breach(rule, f"{key[0]} {key[1]}", f"{key[0]} ({key[1]}) carried {carried} bytes in a second; allowed: {allowed}",
-                   [f"the second up to {at / 10:.1f} ms"]) for key, (_, carried, allowed, at) in sorted(worst.items())]
+    return [
+        Breach(
+            rule,
+            f"{key[0]} {key[1]}",
+            f"{key[0]} ({key[1]}) carried {carried} bytes in a second; allowed: {allowed}",
+            [f"the second up to {at / 10:.1f} ms"],
+        )
+        for key, (_, carried, allowed, at) in sorted(worst.items())
+    ]
--- a/stackpitch/rehearse/judging/weights/country.py
+++ b/stackpitch/rehearse/judging/weights/country.py
@@ -71,15 +71,34 @@
     for one in records:
         if one["what"] != "wanted":
             continue
-        models = {name: Model(model["version"], model["priority"], tuple(model["sites"]), model["size"], model["piece"],
-                              model["whole"]) for name, model in one["models"].items()}
+        models = {
+            name: Model(
+                model["version"],
+                model["priority"],
+                tuple(model["sites"]),
+                model["size"],
+                model["piece"],
+                model["whole"],
+            )
+            for name, model in one["models"].items()
+        }
         rates = {name: link["bytes_per_s"] for name, link in one["links"].items()}
         rates |= {f"@{name}": site["bytes_per_s"] for name, site in one["sites"].items()}
-        found.editions.append(Edition(
-            one["at"], round(one["grant_ms"] * MS), rates, {name: tuple(link["sites"]) for name, link in one["links"].items()},
-            {number: name for name, site in one["sites"].items() for number in site["gateways"]}, models))
+        found.editions.append(
+            Edition(
+                one["at"],
+                round(one["grant_ms"] * MS),
+                rates,
+                {name: tuple(link["sites"]) for name, link in one["links"].items()},
+                {number: name for name, site in one["sites"].items() for number in site["gateways"]},
+                models,
+            )
+        )
         found.classes |= {name: model.priority for name, model in models.items()}
-        found.vocabularies |= {(name, model["version"]): model["vocabulary"] for name, model in one["models"].items()
-                               if model.get("vocabulary")}
+        found.vocabularies |= {
+            (name, model["version"]): model["vocabulary"]
+            for name, model in one["models"].items()
+            if model.get("vocabulary")
+        }
         found.wholes |= {(name, model.version): model.whole for name, model in models.items()}
     return found
--- a/stackpitch/rehearse/judging/weights/order.py
+++ b/stackpitch/rehearse/judging/weights/order.py
@@ -23,13 +23,17 @@
 
 
 class Order:
-    def __init__(self, transfers: list[Transfer], country: Country, able: Able, records: Iterable[Record], told: Time) -> None:
+    def __init__(
+        self, transfers: list[Transfer], country: Country, able: Able, records: Iterable[Record], told: Time
+    ) -> None:
         self.transfers, self.country, self.able, self.told = transfers, country, able, told
         self.placed: dict[tuple[str, str, str], Time] = {}
         for one in records:
             if one["what"] == "placed":
                 self.placed.setdefault((one["site"], one["model"], one["version"]), one["at"])
-        self.crossed: dict[tuple[str, str, str], set[int]] = defaultdict(set)  # link, model, version: pieces begun
+        self.crossed: dict[tuple[str, str, str], set[int]] = defaultdict(
+            set
+        )  # link, model, version: pieces begun
         self.recent: list[Transfer] = []
 
     def class_of(self, one: Transfer) -> int:
@@ -47,37 +51,55 @@
             for link in [name for name, way in one.path if way == "down" and not name.startswith("@")]:
                 for name, site in self.unused(link, one, now):
                     key = link, name, site
-                    carried[key] = [*(old for old in carried[key] if old[0] > one.at - SECOND), (one.at, one.size)]
+                    carried[key] = [
+                        *(old for old in carried[key] if old[0] > one.at - SECOND),
+                        (one.at, one.size),
+                    ]
                     share = sum(size for _, size in carried[key]) / max(1, now.rates.get(link, 0))
                     if share > max(SLACK, worst.get(key, (0.0,))[0]):
                         worst[key] = share, one.at, one.model
                 model = now.models.get(one.model)
                 if model is not None:
                     self.crossed[link, one.model, one.version].add(one.first // model.piece)
-        return [Breach(rule, link, f"{link} carried {share:.0%} of its capacity in a second for {lower} while {site} could "
-                       f"have had more of {name} over it", [f"the second up to {at / 10:.1f} ms"])
-                for (link, name, site), (share, at, lower) in sorted(worst.items())]
+        return [
+            Breach(
+                rule,
+                link,
+                f"{link} carried {share:.0%} of its capacity in a second for {lower} while {site} could "
+                f"have had more of {name} over it",
+                [f"the second up to {at / 10:.1f} ms"],
+            )
+            for (link, name, site), (share, at, lower) in sorted(worst.items())
+        ]
 
     def unused(self, link: str, one: Transfer, now: Edition) -> list[tuple[str, str]]:
         """Higher models, and sites, that could have had this part's place."""
         mine, found = self.class_of(one), []
         for name, model in now.models.items():
             if model.priority < mine and self.left(link, name, model, now):
-                found += [(name, site) for site in model.sites
-                          if site in now.behind.get(link, ()) and self.could(name, model, site, one.at, now)]
+                found += [
+                    (name, site)
+                    for site in model.sites
+                    if site in now.behind.get(link, ()) and self.could(name, model, site, one.at, now)
+                ]
         return found
 
     def left(self, link: str, name: str, model: Model, now: Edition) -> bool:
         """More pieces have still to cross than running grants may hold: one grant's time of each site's own link, and one
         piece."""
         pieces = -(-model.size // model.piece) - len(self.crossed[link, name, model.version])
-        held = sum(now.rates[f"@{site}"] * now.grant // SECOND + model.piece for site in model.sites
-                   if site in now.behind.get(link, ()))
+        held = sum(
+            now.rates[f"@{site}"] * now.grant // SECOND + model.piece
+            for site in model.sites
+            if site in now.behind.get(link, ())
+        )
         return pieces * model.piece > held
 
     def could(self, name: str, model: Model, site: str, at: Time, now: Edition) -> bool:
         since = at - now.grant - PLANS
-        if self.placed.get((site, name, model.version), at) < at or not self.able.through(site, name, since, at):
+        if self.placed.get((site, name, model.version), at) < at or not self.able.through(
+            site, name, since, at
+        ):
             return False
         for edition in reversed(self.country.editions):  # the same file has been known for long enough
             if edition.at <= at and edition.at + self.told + OPENS > since:
@@ -89,5 +111,9 @@
                 break
         else:
             return False
-        room = sum(other.size for other in self.recent if other.site == site and self.class_of(other) <= model.priority)
+        room = sum(
+            other.size
+            for other in self.recent
+            if other.site == site and self.class_of(other) <= model.priority
+        )
         return room < FULL * now.rates[f"@{site}"]
--- a/stackpitch/rehearse/judging/weights/places.py
+++ b/stackpitch/rehearse/judging/weights/places.py
@@ -13,10 +13,15 @@
     found: dict[tuple[str, str, str], Breach] = {}
     for one in records:
         if one["what"] in ("placed", "lies"):
-            key, right = (one["site"], one["model"], one["version"]), country.wholes.get((one["model"], one["version"]))
+            key, right = (
+                (one["site"], one["model"], one["version"]),
+                country.wholes.get((one["model"], one["version"])),
+            )
             if one["whole"] != right and key not in found:
-                text = (f"{key[0]} has {key[1]} {key[2]} in place with digest {one['whole'][:16]}; the origin's is "
-                        f"{str(right)[:16]}")
+                text = (
+                    f"{key[0]} has {key[1]} {key[2]} in place with digest {one['whole'][:16]}; the origin's is "
+                    f"{str(right)[:16]}"
+                )
                 found[key] = Breach(rule, " ".join(key), text, [f"seen at {one['at'] / 10:.1f} ms"])
     return list(found.values())
 
@@ -33,7 +38,15 @@
                 break
             since = edition.at
         if end - since >= place:
-            found += [Breach(rule, f"{site} {name}", f"{site} has no {name} {model.version} in place at the end, which was "
-                             f"wanted for {(end - since) / 10_000:.0f} s", []) for site in model.sites
-                      if (site, name, model.version) not in lies]
+            found += [
+                Breach(
+                    rule,
+                    f"{site} {name}",
+                    f"{site} has no {name} {model.version} in place at the end, which was "
+                    f"wanted for {(end - since) / 10_000:.0f} s",
+                    [],
+                )
+                for site in model.sites
+                if (site, name, model.version) not in lies
+            ]
     return found
--- a/stackpitch/rehearse/judging/weights/service.py
+++ b/stackpitch/rehearse/judging/weights/service.py
@@ -38,9 +38,16 @@
             found.append(breach(rule, at, site, model, version, "which did not lie in place"))
         vocabulary = country.vocabularies.get((model, version), "")
         if vocabulary and allowed.get(vocabulary, at + LATE + 1) > at + LATE:
-            found.append(breach(rule, at, site, model, version, f"while a change to {vocabulary[:16]} was not allowed"))
+            found.append(
+                breach(rule, at, site, model, version, f"while a change to {vocabulary[:16]} was not allowed")
+            )
     return found
 
 
 def breach(rule: int, at: Time, site: str, model: str, version: str, why: str) -> Breach:
-    return Breach(rule, f"{site} {model}", f"{site} was told to serve {model} {version}, {why}", [f"taken at {at / 10:.1f} ms"])
+    return Breach(
+        rule,
+        f"{site} {model}",
+        f"{site} was told to serve {model} {version}, {why}",
+        [f"taken at {at / 10:.1f} ms"],
+    )
--- a/stackpitch/rehearse/judging/weights/verdict.py
+++ b/stackpitch/rehearse/judging/weights/verdict.py
@@ -12,8 +12,12 @@
 
 CAPACITY, ORDER, PLACES, SERVICE = 21, 22, 23, 24
 NAMES = {CAPACITY: "W1", ORDER: "W2", PLACES: "W3", SERVICE: "W4"}
-WORDS = {CAPACITY: "links within capacity and burst", ORDER: "higher classes before lower",
-         PLACES: "in place: byte for byte the origin's", SERVICE: "in service once in place and allowed"}
+WORDS = {
+    CAPACITY: "links within capacity and burst",
+    ORDER: "higher classes before lower",
+    PLACES: "in place: byte for byte the origin's",
+    SERVICE: "in service once in place and allowed",
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +36,10 @@
         return []
     passed = transfers.read(records, land)
     able = Able(records, acts.read(records), lives.read(records, names), land)
-    return [*capacity.over(passed, land, figures.told, figures.burst, CAPACITY),
-            *Order(passed, land, able, records, figures.told).verdict(ORDER),
-            *places.wrong(records, land, PLACES), *places.missing(records, land, figures.place, PLACES),
-            *service.early(records, land, SERVICE)]
+    return [
+        *capacity.over(passed, land, figures.told, figures.burst, CAPACITY),
+        *Order(passed, land, able, records, figures.told).verdict(ORDER),
+        *places.wrong(records, land, PLACES),
+        *places.missing(records, land, figures.place, PLACES),
+        *service.early(records, land, SERVICE),
+    ]
--- a/stackpitch/rehearse/memorydisk.py
+++ b/stackpitch/rehearse/memorydisk.py
@@ -64,16 +64,18 @@
 
     def read(self, descriptor: int, at: int, most: int) -> bytes:
         self._call()
-        return bytes(self.opened[descriptor].data[at:at + most])
+        return bytes(self.opened[descriptor].data[at : at + most])
 
     def write(self, descriptor: int, at: int, data: bytes) -> int:
         file = self.opened[descriptor]
         try:
             self._call(True)
         except Cut:
-            self._put(file, at, data[:len(data) // 2])
+            self._put(file, at, data[: len(data) // 2])
             raise
-        if at + len(data) > len(file.data) and any(self.paths[descriptor].startswith(f"{one}/") for one in self.full):
+        if at + len(data) > len(file.data) and any(
+            self.paths[descriptor].startswith(f"{one}/") for one in self.full
+        ):
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
         if self.room is not None:
             free = self.room - sum(len(one.data) for one in self.all()) + max(0, len(file.data) - at)
@@ -86,7 +88,7 @@
     def _put(self, file: File, at: int, data: bytes) -> None:
         if len(file.data) < at:
             file.data.extend(bytes(at - len(file.data)))
-        file.data[at:at + len(data)] = data
+        file.data[at : at + len(data)] = data
         file.written.append((at, len(data)))
 
     def truncate(self, descriptor: int, size: int) -> None:
@@ -158,7 +160,9 @@
             if path and (above not in left or name not in left[above]):
                 continue  # its folder was not kept
             kept = self.kept.get(path, {})
-            left[path] = dict(self.folders[path] if chance.random() < 0.5 else kept)  # `folder` is durable in itself
+            left[path] = dict(
+                self.folders[path] if chance.random() < 0.5 else kept
+            )  # `folder` is durable in itself
         self.folders = left
         for folder in left.values():
             for name, one in list(folder.items()):
@@ -188,5 +192,5 @@
         if chance.random() < 0.5:
             if len(data) < at:
                 data.extend(bytes(at - len(data)))
-            data[at:at + size] = file.data[at:at + size]
+            data[at : at + size] = file.data[at : at + size]
     return File(data, bytes(data))
--- a/stackpitch/rehearse/network/control.py
+++ b/stackpitch/rehearse/network/control.py
@@ -12,7 +12,9 @@
 class Control:
     """`change` is told each fault; `owners` gives who was last seen to act as owner, by duty."""
 
-    def __init__(self, world: World, change: Callable[[Fault], None], owners: Callable[[], dict[str, int]]) -> None:
+    def __init__(
+        self, world: World, change: Callable[[Fault], None], owners: Callable[[], dict[str, int]]
+    ) -> None:
         self.world, self.change, self.owners = world, change, owners
 
     def serve(self, group: Group, listener: Listener) -> Coro[None]:
@@ -29,7 +31,9 @@
                     return
                 reader.feed(data)
             if reader.path == "/owner":
-                stream.write(http.response(200, msgspec.json.encode(self.owners()), [("connection", "close")]))
+                stream.write(
+                    http.response(200, msgspec.json.encode(self.owners()), [("connection", "close")])
+                )
                 yield from stream.drain()
                 return
             try:
--- a/stackpitch/rehearse/network/passing.py
+++ b/stackpitch/rehearse/network/passing.py
@@ -31,7 +31,9 @@
         self.under_way = 0
         self.waiting: dict[Task, None] = {}
         self.pieces = Pieces(world, settings, recorder, weather, self.arrives, self.numbers)
-        self.owners: dict[str, int] = {}  # who was last seen to act as owner; one entry a duty that gateways know
+        self.owners: dict[
+            str, int
+        ] = {}  # who was last seen to act as owner; one entry a duty that gateways know
 
     def changed(self) -> None:
         """The weather has: whoever waits looks again."""
@@ -66,10 +68,22 @@
             number, path = next(self.numbers), (link.sender, link.to)
             fate = self.weather.fate(path)
             seen = sight.of_call(reader.path, reader.body())
-            self.recorder.note("call", call=number, sender=link.sender, to=link.to, path=reader.path,
-                               suffered=list(fate.suffered), **seen)
-            request = http.request(reader.method, reader.url.decode("latin-1"), "network", reader.body(),
-                                   [("connection", "close")])
+            self.recorder.note(
+                "call",
+                call=number,
+                sender=link.sender,
+                to=link.to,
+                path=reader.path,
+                suffered=list(fate.suffered),
+                **seen,
+            )
+            request = http.request(
+                reader.method,
+                reader.url.decode("latin-1"),
+                "network",
+                reader.body(),
+                [("connection", "close")],
+            )
             if fate.repeat and not fate.lost:
                 self.under_way += 1
                 group.spawn(self.again(link, number, reader.path, request, fate), "again")
@@ -117,7 +131,9 @@
         late = bool(fate.delay or fate.held)  # a cut that came meanwhile takes what is under way with it
         return not (late and self.weather.lies("cut", path))
 
-    def passed(self, link: Link, number: int, copy: int, path: str, request: bytes, fate: Fate) -> Coro[bytes | None]:
+    def passed(
+        self, link: Link, number: int, copy: int, path: str, request: bytes, fate: Fate
+    ) -> Coro[bytes | None]:
         """The receiver's answer as it came, if it gave one in time. Raises Broken."""
         begun = self.world.now()
         if not (yield from self.arrives((link.sender, link.to), fate)):
@@ -140,7 +156,9 @@
                         reader.feed(data)
                         raw += data
                         body += b"".join(reader.pieces)
-                    self.recorder.note("answered", call=number, copy=copy, **sight.of_answer(path, reader.status, body))
+                    self.recorder.note(
+                        "answered", call=number, copy=copy, **sight.of_answer(path, reader.status, body)
+                    )
                     return raw
                 finally:
                     stream.close()
@@ -160,7 +178,7 @@
             self.recorder.note("lost", call=number, copy=0, way="answer", suffered=list(fate.suffered))
             return False
         try:
-            stream.write(answer[:len(answer) // 2] if fate.half else answer)
+            stream.write(answer[: len(answer) // 2] if fate.half else answer)
             yield from stream.drain()
         except Lost:
             self.recorder.note("lost", call=number, copy=0, way="answer", suffered=[*fate.suffered, "late"])
--- a/stackpitch/rehearse/network/pieces.py
+++ b/stackpitch/rehearse/network/pieces.py
@@ -1,7 +1,7 @@
 """Pieces of weights between neighbours: long answers, passed on as they come and recorded in parts.
 
-    part: call, sender (who asked), to (who gives), path, first, size, status    bytes of an answer's body, as they were
-                                                                                 handed on; `first`: their place in the file
+part: call, sender (who asked), to (who gives), path, first, size, status    bytes of an answer's body, as they were
+                                                                             handed on; `first`: their place in the file
 """
 
 import re
@@ -21,8 +21,15 @@
 class Pieces:
     """A caller's connection carries one request after another. A cut that comes on the answer's way stops it there."""
 
-    def __init__(self, world: World, settings: NetworkSettings, recorder: Recorder, weather: Weather,
-                 arrives: Callable[[tuple[int, int], Fate], Coro[bool]], numbers: Iterator[int]) -> None:
+    def __init__(
+        self,
+        world: World,
+        settings: NetworkSettings,
+        recorder: Recorder,
+        weather: Weather,
+        arrives: Callable[[tuple[int, int], Fate], Coro[bool]],
+        numbers: Iterator[int],
+    ) -> None:
         self.world, self.set, self.recorder, self.weather = world, settings, recorder, weather
         self.arrives, self.numbers = arrives, numbers
 
@@ -53,10 +60,22 @@
         except ConnectFailed:
             return False
         try:
-            headers = [(name, value) for name, value in reader.headers.items() if name in ("range", "user-agent")]
-            giver.write(http.request(reader.method, reader.url.decode("latin-1"), "network", b"",
-                                     [*headers, ("connection", "close")]))
-            answer, asked = http.ResponseReader(MOST_HEAD, MOST_BODY), RANGE.match(reader.headers.get("range", ""))
+            headers = [
+                (name, value) for name, value in reader.headers.items() if name in ("range", "user-agent")
+            ]
+            giver.write(
+                http.request(
+                    reader.method,
+                    reader.url.decode("latin-1"),
+                    "network",
+                    b"",
+                    [*headers, ("connection", "close")],
+                )
+            )
+            answer, asked = (
+                http.ResponseReader(MOST_HEAD, MOST_BODY),
+                RANGE.match(reader.headers.get("range", "")),
+            )
             first = int(asked[1]) if asked is not None else 0
             with self.world.limit(int(self.set.patience_ms * MS)) as scope:
                 while not answer.complete:
@@ -69,8 +88,16 @@
                     size = sum(map(len, answer.pieces))
                     answer.pieces.clear()
                     if size:
-                        self.recorder.note("part", call=number, sender=link.sender, to=link.to, path=reader.path, first=first,
-                                           size=size, status=answer.status)
+                        self.recorder.note(
+                            "part",
+                            call=number,
+                            sender=link.sender,
+                            to=link.to,
+                            path=reader.path,
+                            first=first,
+                            size=size,
+                            status=answer.status,
+                        )
                         first += size
                     stream.write(data)
                     yield from stream.drain(PART)
--- a/stackpitch/rehearse/network/sight.py
+++ b/stackpitch/rehearse/network/sight.py
@@ -52,8 +52,12 @@
         call = CALL.decode(body)
     except msgspec.DecodeError:
         return {"unread": len(body)}
-    found: dict[str, Any] = {"duty": call.duty, "kind": call.kind, "stamp": [call.stamp.term, call.stamp.start],
-                             "said": [call.sender, call.to]}
+    found: dict[str, Any] = {
+        "duty": call.duty,
+        "kind": call.kind,
+        "stamp": [call.stamp.term, call.stamp.start],
+        "said": [call.sender, call.to],
+    }
     if call.kind == "lease":
         try:
             found["ticks"] = msgspec.json.decode(call.body, type=_Lease).ticks
