--- a/stackpitch/rehearse/origin/serving.py
+++ b/stackpitch/rehearse/origin/serving.py
@@ -96,16 +96,22 @@
             return self._refused(stream, status, whom, request.path)
         first, last = int(asked[1]), min(int(asked[2]), len(whole) - 1)
         if first > last:
-            return self._refused(stream, 416, whom, request.path, [("content-range", f"bytes */{len(whole)}")])
-        data, spoilt = bytearray(whole[first:last + 1]), self._drawn("spoil", self._ill("spoil", whom))
+            return self._refused(
+                stream, 416, whom, request.path, [("content-range", f"bytes */{len(whole)}")]
+            )
+        data, spoilt = bytearray(whole[first : last + 1]), self._drawn("spoil", self._ill("spoil", whom))
         if spoilt:
             data[self.count % len(data)] ^= 0x55
-        stream.write(http.head(206, [("content-length", str(len(data))),
-                                     ("content-range", f"bytes {first}-{last}/{len(whole)}")]))
+        stream.write(
+            http.head(
+                206,
+                [("content-length", str(len(data))), ("content-range", f"bytes {first}-{last}/{len(whole)}")],
+            )
+        )
         upto = len(data) // 2 if self._drawn("break", self._ill("breaks", whom)) else len(data)
         slow = self._ill("slow", whom)
         for at in range(0, upto, PART):
-            part = bytes(data[at:min(at + PART, upto)])
+            part = bytes(data[at : min(at + PART, upto)])
             stream.write(part)
             self._gave(Served(self.world.now(), request.path, first + at, len(part), spoilt), whom)
             if slow:
--- a/stackpitch/rehearse/rules/answered.py
+++ b/stackpitch/rehearse/rules/answered.py
@@ -26,7 +26,10 @@
             continue  # a stopped process can keep no time limit; what it does on waking is judged by the other rules
         elif how == "late" or (how in ("throttled", "terminated") and end.get("first") is None and late > 0):
             yield Breach(1, key, f"{name}: no final answer within {ask['limit_ms']} ms")
-        elif how == "streamed" and (end["first"] or 0) - ask["at"] > ask["limit_ms"] * 10 + day.figures.answer_slack:
+        elif (
+            how == "streamed"
+            and (end["first"] or 0) - ask["at"] > ask["limit_ms"] * 10 + day.figures.answer_slack
+        ):
             yield Breach(1, key, f"{name}: first token after the time limit")
         elif how == "broken" and not day.was_down(ask["gateway"], ask["at"], end["at"]):
             yield Breach(1, key, f"{name}: the connection broke without a final answer ({end.get('why')})")
--- a/stackpitch/rehearse/rules/checker.py
+++ b/stackpitch/rehearse/rules/checker.py
@@ -13,8 +13,13 @@
 class Checker:
     """Reads all records once, then judges each rule."""
 
-    def __init__(self, records: list[Record], figures: RuleFigures, products: dict[str, Effects],
-                 places: dict[str, tuple[str, int]]) -> None:
+    def __init__(
+        self,
+        records: list[Record],
+        figures: RuleFigures,
+        products: dict[str, Effects],
+        places: dict[str, tuple[str, int]],
+    ) -> None:
         self.seen = Seen(records, figures, products, places)
 
     def verdict(self) -> list[Breach]:
--- a/stackpitch/rehearse/rules/pinned.py
+++ b/stackpitch/rehearse/rules/pinned.py
@@ -30,5 +30,9 @@
         if free > day.figures.release:
             how = freed["how"] if freed else "never freed"
             key = ours[0].key if ours else gen
-            yield Breach(5, key, f"{begun['kind']} {begun['state']} at {begun['who']} lay {free / 10:.0f} ms with no leg "
-                                 f"out ({how})")
+            yield Breach(
+                5,
+                key,
+                f"{begun['kind']} {begun['state']} at {begun['who']} lay {free / 10:.0f} ms with no leg "
+                f"out ({how})",
+            )
--- a/stackpitch/rehearse/rules/seen.py
+++ b/stackpitch/rehearse/rules/seen.py
@@ -11,13 +11,20 @@
 class Seen:
     """`down` and `halted`: by process, when it was not there or stopped; `legs` as engines saw them."""
 
-    def __init__(self, records: list[Record], figures: RuleFigures, products: dict[str, Effects],
-                 places: dict[str, tuple[str, int]]) -> None:
+    def __init__(
+        self,
+        records: list[Record],
+        figures: RuleFigures,
+        products: dict[str, Effects],
+        places: dict[str, tuple[str, int]],
+    ) -> None:
         self.records, self.figures, self.products = records, figures, products
         self.places = places  # engine to zone and cell
         self.last = records[-1]["at"] if records else 0
         self.down: dict[str, list[tuple[int, int]]] = defaultdict(list)  # process to when it was not there
-        self.halted: dict[str, list[tuple[int, int]]] = defaultdict(list)  # process to when it was stopped (SIGSTOP)
+        self.halted: dict[str, list[tuple[int, int]]] = defaultdict(
+            list
+        )  # process to when it was stopped (SIGSTOP)
         self.legs: list[Leg] = []
         self.asks: dict[tuple[str, int], list[Record]] = defaultdict(list)
         self.by_key: dict[str, list[Record]] = defaultdict(list)
@@ -54,7 +61,15 @@
                 for server, state in one["states"].items():
                     self.told[one["gateway"], server].append((at, state))
             elif what == "leg":
-                leg = Leg(who, one["key"], one["state"].rpartition("-")[0], one["leg"], one["gateway"], one["part"], at)
+                leg = Leg(
+                    who,
+                    one["key"],
+                    one["state"].rpartition("-")[0],
+                    one["leg"],
+                    one["gateway"],
+                    one["part"],
+                    at,
+                )
                 self.legs.append(leg)
                 open_legs[who, one["key"], one["leg"], one["gateway"]].append(leg)
             elif what in ("refused", "leg-end"):
--- a/stackpitch/rehearse/rules/servers.py
+++ b/stackpitch/rehearse/rules/servers.py
@@ -11,7 +11,11 @@
         if leg.engine == "trap":
             yield Breach(3, leg.key, f"{leg.gateway} sent to {leg.engine}, which only broken lists name")
     came = [(leg.gateway, leg.engine, leg.at, leg.key) for leg in day.legs]
-    came += [(one["gateway"], one["who"], one["at"], one["state"]) for one, _, _ in day.held if one["kind"] == "place"]
+    came += [
+        (one["gateway"], one["who"], one["at"], one["state"])
+        for one, _, _ in day.held
+        if one["kind"] == "place"
+    ]
     for gateway, engine, at, key in came:
         state, since = "ready", 0
         for told_at, told in day.told.get((gateway, engine), ()):
@@ -20,9 +24,13 @@
             if told != state:
                 state, since = told, told_at
         if state != "ready" and at > since + day.figures.drain_grace:
-            yield Breach(3, key, f"{gateway} sent to {engine} {(at - since) / 10:.0f} ms after it was told: {state}")
+            yield Breach(
+                3, key, f"{gateway} sent to {engine} {(at - since) / 10:.0f} ms after it was told: {state}"
+            )
 
 
 def cold(day: Seen) -> Iterable[Breach]:
     for one in day.fell:
-        yield Breach(4, one["who"], f"{one['who']} fell over: {one['came']} s of work came, {one['budget']} allowed")
+        yield Breach(
+            4, one["who"], f"{one['who']} fell over: {one['came']} s of work came, {one['budget']} allowed"
+        )
--- a/stackpitch/rehearse/sites.py
+++ b/stackpitch/rehearse/sites.py
@@ -45,24 +45,39 @@
         return self.offset + now + now * self.drift // 1000
 
     def report(self, now: Time, wanted: Wanted) -> Report:
-        have = [Have(name, model.version, model.manifest.whole, forms.bits(found), found == model.manifest.full)
-                for name, model in wanted.models.items()
-                for found in [self.have.get((name, model.version), 0)]]
-        return Report(self.site, self.number, Mark(self.start, self.clock(now)), self.revenue, tuple(have),
-                      tuple(self.ran.values()), self.spoilt)
+        have = [
+            Have(name, model.version, model.manifest.whole, forms.bits(found), found == model.manifest.full)
+            for name, model in wanted.models.items()
+            for found in [self.have.get((name, model.version), 0)]
+        ]
+        return Report(
+            self.site,
+            self.number,
+            Mark(self.start, self.clock(now)),
+            self.revenue,
+            tuple(have),
+            tuple(self.ran.values()),
+            self.spoilt,
+        )
 
 
 class Country:
     """All of it. `owner` plans; the ones before it may be woken (`late`): their grants are sent as they were planned."""
 
-    def __init__(self, wanted: Wanted, seed: int = 0, delay: Time = 10 * MS, loss: float = 0.0, drift: int = 0) -> None:
+    def __init__(
+        self, wanted: Wanted, seed: int = 0, delay: Time = 10 * MS, loss: float = 0.0, drift: int = 0
+    ) -> None:
         self.chance, self.delay, self.loss = Random(seed), delay, loss
         self.now: Time = 0
         self.wanted, self.links = wanted, Links(wanted)
         self.older: list[Links] = []
-        self.gateways = {number: Gateway(number, site, number + 1, self.chance.randrange(10**6),
-                                         self.chance.randint(-drift, drift))
-                         for site, one in wanted.sites.items() for number in one.gateways}
+        self.gateways = {
+            number: Gateway(
+                number, site, number + 1, self.chance.randrange(10**6), self.chance.randint(-drift, drift)
+            )
+            for site, one in wanted.sites.items()
+            for number in one.gateways
+        }
         self.mail: list[tuple[Time, int, Callable[[], None]]] = []
         self.count, self.woken = 0, False
         self.owner: Planner | None = None
@@ -198,9 +213,14 @@
         budget = int(grant.rate * gateway.speed) * STEP
         took, finished, source = 0, False, None
         if grant.lane.source != ORIGIN:
-            source = next((one for one in self.gateways.values() if str(one.number) == grant.address and not one.dead), None)
+            source = next(
+                (one for one in self.gateways.values() if str(one.number) == grant.address and not one.dead),
+                None,
+            )
         for piece in grant.pieces:
-            there = grant.lane.source == ORIGIN or (source is not None and source.have.get(version, 0) >> piece & 1)
+            there = grant.lane.source == ORIGIN or (
+                source is not None and source.have.get(version, 0) >> piece & 1
+            )
             if gateway.have.get(version, 0) >> piece & 1 or (version, piece) in busy or not there:
                 continue
             size, had = model.manifest.span(piece)[1] * SECOND, gateway.parts.get((version, piece), 0)
@@ -220,12 +240,18 @@
             self.crossed[key, grant.model] = self.crossed.get((key, grant.model), 0) + took
         ran = gateway.ran[grant.lane]
         done = all(gateway.have.get(version, 0) >> piece & 1 for piece in grant.pieces)
-        gateway.ran[grant.lane] = Ran(grant.lane, grant.serial, ran.took + took // SECOND, ran.lasted + STEP, done)
+        gateway.ran[grant.lane] = Ran(
+            grant.lane, grant.serial, ran.took + took // SECOND, ran.lasted + STEP, done
+        )
         if done:
             gateway.shelf.done(grant.lane, grant.serial)
         return finished
 
     def bytes_over(self, link: str, model: str | None = None) -> int:
         """Down a link, of one model or of all."""
-        found = sum(one for (key, name), one in self.crossed.items() if key == (link, "down") and model in (None, name))
+        found = sum(
+            one
+            for (key, name), one in self.crossed.items()
+            if key == (link, "down") and model in (None, name)
+        )
         return found // SECOND
--- a/stackpitch/rehearse/stopping.py
+++ b/stackpitch/rehearse/stopping.py
@@ -16,7 +16,9 @@
     """Once, at the nth call of a kind to another gateway: connected, looked, and not a byte of it sent yet."""
     answered, count = exchange.answered, [0]
 
-    def late(stream: Stream, request: bytes, max_head: int, max_body: int) -> Coro[http.ResponseReader | None]:
+    def late(
+        stream: Stream, request: bytes, max_head: int, max_body: int
+    ) -> Coro[http.ResponseReader | None]:
         if b'"kind":"%b"' % kind.encode() in request:
             count[0] += 1
             if count[0] == nth:
@@ -27,8 +29,10 @@
 
 
 STOPS: dict[str, Callable[[], None]] = {
-    **{f"stop-at-{kind}": partial(stop_at, kind, 1) for kind in ("write", "release", "lease", "grant", "service", "report",
-                                                            "verdict")},
+    **{
+        f"stop-at-{kind}": partial(stop_at, kind, 1)
+        for kind in ("write", "release", "lease", "grant", "service", "report", "verdict")
+    },
     "stop-at-owner": partial(stop_at, "owner", 4),  # once all have been told that it owns the duty
     "stop-at-renewal": partial(stop_at, "lease", 5),
 }
--- a/stackpitch/rehearse/virtual.py
+++ b/stackpitch/rehearse/virtual.py
@@ -29,9 +29,14 @@
 
     def programs(command: Sequence[str]) -> Coro[Any]:
         """What `Director.command` starts: the words after the interpreter, -m and the package."""
-        run: dict[str, Callable[..., Coro[Any]]] = {"serve": gateway, "engine": engine, "clients": clients,
-                                                    "network": network, "origin": origin,
-                                                    "broken": gateway}
+        run: dict[str, Callable[..., Coro[Any]]] = {
+            "serve": gateway,
+            "engine": engine,
+            "clients": clients,
+            "network": network,
+            "origin": origin,
+            "broken": gateway,
+        }
         if command[3] == "broken" and command[4] not in APPLIED:
             APPLIED.append(command[4])
             BREAKS[command[4]]()
--- a/stackpitch/settings/load.py
+++ b/stackpitch/settings/load.py
@@ -41,7 +41,9 @@
         for one in wrong.errors(include_url=False):
             field = ".".join(str(part) for part in one["loc"] if part != "[key]") or "(whole)"
             if one["type"] == "extra_forbidden":
-                lines.append(f"{path}: {field}: unknown field; allowed beside it: {_beside(model, one['loc'])}")
+                lines.append(
+                    f"{path}: {field}: unknown field; allowed beside it: {_beside(model, one['loc'])}"
+                )
             elif one["type"] == "missing":
                 lines.append(f"{path}: {field}: missing")
             else:
@@ -53,7 +55,11 @@
     """The fields that the model has where an unknown one was found."""
     here: Any = model
     for step in place[:-1]:
-        field = here.model_fields.get(str(step)) if isinstance(here, type) and issubclass(here, BaseModel) else None
+        field = (
+            here.model_fields.get(str(step))
+            if isinstance(here, type) and issubclass(here, BaseModel)
+            else None
+        )
         kind = field.annotation if field is not None else here
         args = [one for one in getattr(kind, "__args__", ()) if isinstance(one, type)]
         models = [one for one in [kind, *args] if isinstance(one, type) and issubclass(one, BaseModel)]
--- a/stackpitch/settings/model/module.py
+++ b/stackpitch/settings/model/module.py
@@ -25,6 +25,8 @@
 class Peers(Part):
     """The other gateways. Words between them are small, may be lost, and come in at each gateway's admin port."""
 
-    admin: list[HostPort] = []  # address:port of each gateway's admin port, by `module.number`, our own too; empty: none
+    admin: list[
+        HostPort
+    ] = []  # address:port of each gateway's admin port, by `module.number`, our own too; empty: none
     word_ms: Some = 50  # for a word, connecting included, after which it is lost
     max_words: Count = 64  # under way at once; more are dropped
--- a/stackpitch/settings/model/whole.py
+++ b/stackpitch/settings/model/whole.py
@@ -42,22 +42,32 @@
     def rules_name_what_is_there(self) -> "Settings":
         listed = len(self.peers.admin)
         if listed and (listed != self.module.gateways or self.module.number >= listed):
-            raise ValueError(f"peers.admin: found {listed} entries; allowed: none, or one for each of module.gateways "
-                             f"({self.module.gateways}), with module.number ({self.module.number}) among them")
+            raise ValueError(
+                f"peers.admin: found {listed} entries; allowed: none, or one for each of module.gateways "
+                f"({self.module.gateways}), with module.number ({self.module.number}) among them"
+            )
         duties = self.duties
         if duties.voters and (not listed or max(duties.voters) >= listed):
-            raise ValueError(f"duties.voters: found {duties.voters}; allowed: under {listed}, as many as peers.admin has")
+            raise ValueError(
+                f"duties.voters: found {duties.voters}; allowed: under {listed}, as many as peers.admin has"
+            )
         if self.module.number in duties.voters and not duties.file:
-            raise ValueError(f"duties.file: missing; gateway {self.module.number} is a voter and has to keep its word")
+            raise ValueError(
+                f"duties.file: missing; gateway {self.module.number} is a voter and has to keep its word"
+            )
         seen = set[str]()
         for number, rule in enumerate(self.rules):
             if rule.name in seen:
                 raise ValueError(f"rules.{number}.name: {rule.name!r} stands there twice")
             seen.add(rule.name)
-            for field, named, known in (("products", rule.products, list(self.products)),
-                                        ("customers", rule.customers, list(self.customers)),
-                                        ("where.kinds", rule.where.kinds, list(self.kinds))):
+            for field, named, known in (
+                ("products", rule.products, list(self.products)),
+                ("customers", rule.customers, list(self.customers)),
+                ("where.kinds", rule.where.kinds, list(self.kinds)),
+            ):
                 for one in named:
                     if one not in known:
-                        raise ValueError(f"rules.{number}.{field}: found {one!r}; allowed: {', '.join(known) or 'none'}")
+                        raise ValueError(
+                            f"rules.{number}.{field}: found {one!r}; allowed: {', '.join(known) or 'none'}"
+                        )
         return self
--- a/stackpitch/wire/collect.py
+++ b/stackpitch/wire/collect.py
@@ -42,8 +42,13 @@
             text = "".join(self.parts[index])
             body = {"message": {"role": "assistant", "content": text}} if self.chat else {"text": text}
             choices.append({"index": index, **body, "finish_reason": self.reasons[index], "logprobs": None})
-        return msgspec.json.encode({
-            "id": self.first.get("id", ""), "object": "chat.completion" if self.chat else "text_completion",
-            "created": self.first.get("created", 0), "model": self.first.get("model", ""), "choices": choices,
-            "usage": self.usage,
-        })
+        return msgspec.json.encode(
+            {
+                "id": self.first.get("id", ""),
+                "object": "chat.completion" if self.chat else "text_completion",
+                "created": self.first.get("created", 0),
+                "model": self.first.get("model", ""),
+                "choices": choices,
+                "usage": self.usage,
+            }
+        )
--- a/stackpitch/wire/engine.py
+++ b/stackpitch/wire/engine.py
@@ -39,7 +39,13 @@
     def kept(self) -> object:
         """What is told of tokens found kept, as told (`plausible.Doubts.kept`)."""
         details = self.prompt_tokens_details
-        return details.get("cached_tokens", 0) if isinstance(details, dict) else 0 if details is None else details
+        return (
+            details.get("cached_tokens", 0)
+            if isinstance(details, dict)
+            else 0
+            if details is None
+            else details
+        )
 
     def kept_of(self, prompt_tok: int) -> object:
         """Where the prompt's length is our own reckoning from bytes: what fits the engine's own is no cause for doubt."""
@@ -99,8 +105,14 @@
 REFUSALS = {FULL, NO_STATE, DRAINING, OTHER_VOCABULARY}  # codes of a 503 that prove the leg never ran
 
 
-def leg_request(target: str, host: str, fields: dict[str, msgspec.Raw], transfer: Transfer, streamed: bool,
-                headers: http.Headers) -> bytes:
+def leg_request(
+    target: str,
+    host: str,
+    fields: dict[str, msgspec.Raw],
+    transfer: Transfer,
+    streamed: bool,
+    headers: http.Headers,
+) -> bytes:
     """One leg's request: the client's body with the transfer's fields put in."""
     body = dict(fields)
     body["kv_transfer_params"] = msgspec.Raw(msgspec.json.encode(transfer))
--- a/stackpitch/wire/http.py
+++ b/stackpitch/wire/http.py
@@ -10,19 +10,46 @@
 import httptools
 
 REASONS = {
-    200: "OK", 400: "Bad Request", 401: "Unauthorized", 404: "Not Found", 405: "Method Not Allowed",
-    408: "Request Timeout", 413: "Content Too Large", 414: "URI Too Long", 422: "Unprocessable Content",
-    429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-    502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    414: "URI Too Long",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
 }
 Headers = Collection[tuple[str, str]]
 # Fields that speak of one connection, or of how this message is framed on it; and of what whoever passes it on can read.
-NOT_PASSED_ON = frozenset({
-    "accept-encoding", "connection", "content-length", "expect", "host", "keep-alive", "proxy-authenticate",
-    "proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade"})
+NOT_PASSED_ON = frozenset(
+    {
+        "accept-encoding",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
 LAST_CHUNK = b"0\r\n\r\n"
 MAX_URL = 2048
-MAX_FIELDS = 128  # of a head and its trailers: a head of a thousand small ones costs the others milliseconds each
+MAX_FIELDS = (
+    128  # of a head and its trailers: a head of a thousand small ones costs the others milliseconds each
+)
 
 
 class BadMessage(Exception):
@@ -219,7 +246,9 @@
     if any("\n" in value or "\r" in value for value in headers.values()):
         raise BadMessage(400, "a field's value goes over a line's end")
     named = {one.strip().lower() for one in headers.get("connection", "").split(",")}
-    return [(name, value) for name, value in headers.items() if name not in NOT_PASSED_ON and name not in named]
+    return [
+        (name, value) for name, value in headers.items() if name not in NOT_PASSED_ON and name not in named
+    ]
 
 
 def request(method: str, target: str, host: str, body: bytes, headers: Headers = ()) -> bytes:
--- a/stackpitch/wire/platform.py
+++ b/stackpitch/wire/platform.py
@@ -72,10 +72,24 @@
     shared = extra.get("prefix")
     if shared is not None and not NAME.fullmatch(shared):
         raise BadMessage(400, "req-extra: prefix is no word")
-    lengths = [_whole(f"req-extra {key}", extra.get(key, "0"), MOST_TOK) for key in ("prefix_len", "prompt_len", "max_out")]
+    lengths = [
+        _whole(f"req-extra {key}", extra.get(key, "0"), MOST_TOK)
+        for key in ("prefix_len", "prompt_len", "max_out")
+    ]
     asked = headers.get("req-retry", "0")
-    return Facts(name, product, _named(headers, "req-owner"), _named(headers, "req-key"), limit, shared,
-                 lengths[0] if shared is not None else 0, lengths[1], lengths[2], asked == "1", asked == "again")
+    return Facts(
+        name,
+        product,
+        _named(headers, "req-owner"),
+        _named(headers, "req-key"),
+        limit,
+        shared,
+        lengths[0] if shared is not None else 0,
+        lengths[1],
+        lengths[2],
+        asked == "1",
+        asked == "again",
+    )
 
 
 def answered(role: Role, status: int, declined: bool, whole: bool) -> tuple[Outcome, bool]:
@@ -154,7 +168,7 @@
         if one.startswith(b":"):
             self.comments += 1
             if one.startswith(LOAD_COMMENT):
-                self.load = one[len(LOAD_COMMENT):].decode("latin-1").strip()
+                self.load = one[len(LOAD_COMMENT) :].decode("latin-1").strip()
             return
         if one == b"data: [DONE]":
             self.done = True
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,7 +13,9 @@
 def pytest_configure(config: pytest.Config) -> None:
     config.pluginmanager.register(KnownRed(config, read(config.rootpath / "KNOWN-RED.txt")), "known-red")
     config.addinivalue_line("markers", "waiting: mostly waits for processes of its own")
-    config.addinivalue_line("markers", "plays(which): days that the test judges, by its parameters; see tests/played_days.py")
+    config.addinivalue_line(
+        "markers", "plays(which): days that the test judges, by its parameters; see tests/played_days.py"
+    )
 
 
 @pytest.hookimpl(tryfirst=True)  # before -m takes tests out
--- a/tests/duties_life.py
+++ b/tests/duties_life.py
@@ -40,7 +40,9 @@
         self.fence = Fence()  # soft at gateways that keep no file
         self.candidate = candidates.Candidate(self.number, life.chance.getrandbits(48), 0, life.voters, LEASE)
         self.keeping, self.value, self.joined = None, None, False
-        self.voter = Voter(LEASE, DRIFT, self.now() + (0 if "hasty" in life.bugs else voters_time(LEASE, DRIFT)))
+        self.voter = Voter(
+            LEASE, DRIFT, self.now() + (0 if "hasty" in life.bugs else voters_time(LEASE, DRIFT))
+        )
         self.vacancy, self.vacant = Vacancy(order(DUTY, len(life.nodes) or life.size)), False
         if self.number in life.voters:
             self.join()
@@ -66,7 +68,12 @@
 
         for number in self.life.voters:
             if number != self.number:
-                self.life.call(self, number, lambda node: node.state(self.number), lambda answer, number=number: answer and heard.update({number: answer}))
+                self.life.call(
+                    self,
+                    number,
+                    lambda node: node.state(self.number),
+                    lambda answer, number=number: answer and heard.update({number: answer}),
+                )
         self.later(2 * CALL, done)
 
     def tell(self):
@@ -76,13 +83,17 @@
             if not self.vacant:
                 self.vacancy.begin(now, None)
             for number in self.vacancy.next(now):
-                self.life.call(self, number, lambda node: node.told(self.voter.promised(DUTY).stamp), lambda answer: None)
+                self.life.call(
+                    self, number, lambda node: node.told(self.voter.promised(DUTY).stamp), lambda answer: None
+                )
         self.vacant = self.voter.vacant(now, DUTY)
         self.later(300, self.tell)
 
     def later(self, delay, call):
         epoch = self.epoch
-        self.life.at(self.life.time + delay, self, lambda: call() if self.up and self.epoch == epoch else None)
+        self.life.at(
+            self.life.time + delay, self, lambda: call() if self.up and self.epoch == epoch else None
+        )
 
     # As a voter.
 
@@ -90,9 +101,13 @@
         if not self.joined:
             return Answer("not voting yet")
         now = self.now()
-        answer = {"would": lambda: self.voter.would(now, DUTY, stamp, LEASE), "lease": lambda: self.voter.grant(now, DUTY, stamp, LEASE, renewal),
-                  "release": lambda: self.voter.release(now, DUTY, stamp), "read": lambda: self.voter.read(DUTY, stamp),
-                  "write": lambda: self.voter.write(DUTY, stamp, body)}[kind]()
+        answer = {
+            "would": lambda: self.voter.would(now, DUTY, stamp, LEASE),
+            "lease": lambda: self.voter.grant(now, DUTY, stamp, LEASE, renewal),
+            "release": lambda: self.voter.release(now, DUTY, stamp),
+            "read": lambda: self.voter.read(DUTY, stamp),
+            "write": lambda: self.voter.write(DUTY, stamp, body),
+        }[kind]()
         if self.voter.dirty and not ("no sync" in self.life.bugs and self.life.chance.random() < 0.9):
             self.disk, self.serial = dict(self.voter.promises), self.serial + 1
             self.voter.dirty.clear()
@@ -107,7 +122,12 @@
 
     def send(self, asked, body=None, then=None):
         for voter in asked.voters if asked else ():
-            self.life.call(self, voter, lambda node: node.vote(asked.kind, asked.stamp, body, asked.renewal), lambda answer, voter=voter: self.heard(asked, voter, answer, then))
+            self.life.call(
+                self,
+                voter,
+                lambda node: node.vote(asked.kind, asked.stamp, body, asked.renewal),
+                lambda answer, voter=voter: self.heard(asked, voter, answer, then),
+            )
 
     def heard(self, asked, voter, answer, then):
         if asked.kind in ("read", "write"):
@@ -144,7 +164,9 @@
 
     def ready(self, committed):
         self.value = int(self.keeping.kept.value or b"0")
-        assert self.value >= committed, f"a record that a majority had was lost: {committed}, found {self.value}"
+        assert self.value >= committed, (
+            f"a record that a majority had was lost: {committed}, found {self.value}"
+        )
         self.life.committed = max(self.life.committed, self.value)  # whoever has read it acts by it
         stamp = self.candidate.stamp
         self.later(self.life.chance.randrange(0, 2 * LEASE), lambda: self.work(stamp))
@@ -152,10 +174,12 @@
     def write(self, then):
         wanted, asked = self.keeping.wanted, self.keeping.write(self.now())
         if wanted is not None and self.looks(asked.stamp):
+
             def done():
                 if self.keeping.wanted is wanted:
                     self.keeping.written(wanted)
                     then()
+
             self.send(asked, wanted, done)
             self.later(CALL, lambda: self.keeping.wanted is wanted and self.write(then))
 
@@ -172,6 +196,7 @@
                 self.value = value
                 self.life.committed = max(self.life.committed, value)
                 self.later(self.life.chance.randrange(100, 3_000), lambda: self.work(stamp))
+
             self.write(done)
 
     def renew(self, stamp):
@@ -237,13 +262,19 @@
         return not self.calm and one is not other and (cut or self.chance.random() < 0.05)
 
     def delay(self):
-        return self.chance.randrange(2, 300) if self.calm or self.chance.random() < 0.97 else self.chance.randrange(300, 4 * LEASE)
+        return (
+            self.chance.randrange(2, 300)
+            if self.calm or self.chance.random() < 0.97
+            else self.chance.randrange(300, 4 * LEASE)
+        )
 
     def wins(self, node, stamp):
         assert self.won.setdefault(stamp.term, stamp) == stamp, "one term was won by two starts"
         self.owners += 1
         for other in self.nodes:
-            assert other is node or not (other.up and other.candidate.holds(other.now())), "two leases at one time"
+            assert other is node or not (other.up and other.candidate.holds(other.now())), (
+                "two leases at one time"
+            )
 
     def trouble(self):
         if self.calm:
@@ -253,14 +284,25 @@
             node.until = self.time + self.chance.randrange(1_000, 3 * LEASE)  # stopped
         elif what < 0.55 and node.up:
             node.up = False
-            others = sum(not one.blank and one.joined for one in self.nodes[:len(self.voters)] if one is not node)
+            others = sum(
+                not one.blank and one.joined for one in self.nodes[: len(self.voters)] if one is not node
+            )
             if node.number in self.voters and self.chance.random() < 0.3 and others > len(self.voters) // 2:
                 node.disk, node.blank, node.serial = {}, True, 0
             if "forgets" in self.bugs and node.number in self.voters:
                 node.disk = {}
-            self.at(self.time + self.chance.choice((200, 500, LEASE, 2 * LEASE)), None, lambda: node.up or node.start())
+            self.at(
+                self.time + self.chance.choice((200, 500, LEASE, 2 * LEASE)),
+                None,
+                lambda: node.up or node.start(),
+            )
         elif what < 0.75:
-            self.cuts = {(one, other) for one in range(self.size) for other in range(self.size) if self.chance.random() < 0.25}
+            self.cuts = {
+                (one, other)
+                for one in range(self.size)
+                for other in range(self.size)
+                if self.chance.random() < 0.25
+            }
         else:
             self.cuts = set()
         self.at(self.time + self.chance.randrange(500, 2 * LEASE), None, self.trouble)
@@ -275,7 +317,9 @@
             when, _, node, call = heapq.heappop(self.heap)
             self.time = max(self.time, when)
             if node is not None and node.until > self.time:
-                self.at(node.until, node, call)  # its process is stopped: it goes on with all of it when woken
+                self.at(
+                    node.until, node, call
+                )  # its process is stopped: it goes on with all of it when woken
             else:
                 call()
         return [node for node in self.nodes if node.up and node.candidate.holds(node.now())]
--- a/tests/duties_stage.py
+++ b/tests/duties_stage.py
@@ -46,16 +46,39 @@
 class Fleet:
     """`ports`: admin ports by number. `seen`: lets a stand-in lie in between, by (from, to)."""
 
-    def __init__(self, folder: Path, gateways: int, voters: list[int], names=("weights",), broken: str | None = None, **duties):
-        self.folder, self.voters, self.names, self.broken, self.duties = folder, voters, list(names), broken, duties
+    def __init__(
+        self,
+        folder: Path,
+        gateways: int,
+        voters: list[int],
+        names=("weights",),
+        broken: str | None = None,
+        **duties,
+    ):
+        self.folder, self.voters, self.names, self.broken, self.duties = (
+            folder,
+            voters,
+            list(names),
+            broken,
+            duties,
+        )
         base = free_block()
         self.ports = [base + 2 * number for number in range(gateways)]
         self.beside = base + BLOCK - 1  # for one more process
         self.processes: dict[int, subprocess.Popen] = {}
         self.starts: Counter[int] = Counter()  # of each gateway
         self.paths: dict[tuple[int, int], int] = {}
-        (folder / "fleet").write_text(json.dumps({"version": 1, "servers": [
-            {"name": "r1", "host": "127.0.0.1", "port": 9, "kind": "r"}, {"name": "w1", "host": "127.0.0.1", "port": 10, "kind": "w"}]}))
+        (folder / "fleet").write_text(
+            json.dumps(
+                {
+                    "version": 1,
+                    "servers": [
+                        {"name": "r1", "host": "127.0.0.1", "port": 9, "kind": "r"},
+                        {"name": "w1", "host": "127.0.0.1", "port": 10, "kind": "w"},
+                    ],
+                }
+            )
+        )
 
     def __enter__(self):
         return self
@@ -63,21 +86,48 @@
     def between(self) -> None:
         """A stand-in network between all admin ports, a port for each pair and direction; before any gateway starts."""
         size = len(self.ports)
-        self.paths = {(one, other): self.ports[0] + 2 * size + 1 + one * size + other for one in range(size) for other in range(size) if one != other}
+        self.paths = {
+            (one, other): self.ports[0] + 2 * size + 1 + one * size + other
+            for one in range(size)
+            for other in range(size)
+            if one != other
+        }
         self.control = self.ports[0] + 2 * size
         path = self.folder / "network.json"
-        path.write_text(json.dumps({"port": self.control, "records": str(self.folder / "network.jsonl"), "links": [
-            {"sender": one, "to": other, "port": port, "target": ["127.0.0.1", self.ports[other]]} for (one, other), port in self.paths.items()]}))
-        self.processes[-1] = subprocess.Popen([sys.executable, "-m", "stackpitch", "network", str(path)], cwd=ROOT)
+        path.write_text(
+            json.dumps(
+                {
+                    "port": self.control,
+                    "records": str(self.folder / "network.jsonl"),
+                    "links": [
+                        {"sender": one, "to": other, "port": port, "target": ["127.0.0.1", self.ports[other]]}
+                        for (one, other), port in self.paths.items()
+                    ],
+                }
+            )
+        )
+        self.processes[-1] = subprocess.Popen(
+            [sys.executable, "-m", "stackpitch", "network", str(path)], cwd=ROOT
+        )
 
     def fault(self, name: str, paths: list[tuple[int, int]], kind: str = "cut", on: bool = True) -> None:
         body = json.dumps({"name": name, "on": on, "kind": kind, "paths": paths}).encode()
-        urllib.request.urlopen(urllib.request.Request(f"http://127.0.0.1:{self.control}/fault", body), timeout=3).read()
+        urllib.request.urlopen(
+            urllib.request.Request(f"http://127.0.0.1:{self.control}/fault", body), timeout=3
+        ).read()
 
     def seen(self, what: str, **facts) -> list[dict]:
         """What the network recorded."""
-        lines = [json.loads(line) for line in (self.folder / "network.jsonl").read_text().splitlines() if line.endswith("}")]
-        return [one for one in lines if one["what"] == what and all(one.get(name) == fact for name, fact in facts.items())]
+        lines = [
+            json.loads(line)
+            for line in (self.folder / "network.jsonl").read_text().splitlines()
+            if line.endswith("}")
+        ]
+        return [
+            one
+            for one in lines
+            if one["what"] == what and all(one.get(name) == fact for name, fact in facts.items())
+        ]
 
     def __exit__(self, *_):
         for process in self.processes.values():
@@ -86,13 +136,32 @@
 
     def settings(self, number: int) -> dict:
         return {
-            "name": f"g{number}", "roster": str(self.folder / "fleet"), "door": {"port": self.ports[number] + 1},
-            "admin": {"port": self.ports[number]}, "module": {"gateways": len(self.ports), "number": number},
-            "peers": {"admin": [f"127.0.0.1:{self.paths.get((number, other), port)}" for other, port in enumerate(self.ports)]},
-            "kinds": {"r": {"role": "reader", "memory_tok": 1000}, "w": {"role": "writer", "memory_tok": 1000}},
-            "products": {"ask": {"effect": "idempotent", "slo_ms": 500, "time_limit_ms": 1000}}, "stop": {"finish_ms": 500},
-            "duties": {"fleet": "hall", "voters": self.voters, "names": self.names, "lease_ms": LEASE_MS, "call_ms": 200,
-                       "file": str(self.folder / f"votes{number}")} | self.duties,
+            "name": f"g{number}",
+            "roster": str(self.folder / "fleet"),
+            "door": {"port": self.ports[number] + 1},
+            "admin": {"port": self.ports[number]},
+            "module": {"gateways": len(self.ports), "number": number},
+            "peers": {
+                "admin": [
+                    f"127.0.0.1:{self.paths.get((number, other), port)}"
+                    for other, port in enumerate(self.ports)
+                ]
+            },
+            "kinds": {
+                "r": {"role": "reader", "memory_tok": 1000},
+                "w": {"role": "writer", "memory_tok": 1000},
+            },
+            "products": {"ask": {"effect": "idempotent", "slo_ms": 500, "time_limit_ms": 1000}},
+            "stop": {"finish_ms": 500},
+            "duties": {
+                "fleet": "hall",
+                "voters": self.voters,
+                "names": self.names,
+                "lease_ms": LEASE_MS,
+                "call_ms": 200,
+                "file": str(self.folder / f"votes{number}"),
+            }
+            | self.duties,
         }
 
     def start(self, *numbers: int, broken: str | None = None) -> None:
@@ -102,7 +171,9 @@
             words = ["serve", "-c", str(path)] if broken is None else ["broken", broken, "-c", str(path)]
             self.starts[number] += 1
             with open(self.folder / f"g{number}.log", "ab") as log:
-                self.processes[number] = subprocess.Popen([sys.executable, "-m", "stackpitch", *words], cwd=ROOT, stderr=log, stdout=log)
+                self.processes[number] = subprocess.Popen(
+                    [sys.executable, "-m", "stackpitch", *words], cwd=ROOT, stderr=log, stdout=log
+                )
 
     def signal(self, number: int, what: int) -> None:
         self.processes[number].send_signal(what)
@@ -110,7 +181,9 @@
             self.processes[number].wait()
 
     def stopped(self, number: int) -> bool:
-        return Path(f"/proc/{self.processes[number].pid}/stat").read_text().rpartition(")")[2].split()[0] == "T"
+        return (
+            Path(f"/proc/{self.processes[number].pid}/stat").read_text().rpartition(")")[2].split()[0] == "T"
+        )
 
     def log(self, number: int) -> list[dict]:
         path = self.folder / f"g{number}.log"
@@ -125,8 +198,12 @@
 
     def words(self, event: str = "duty", duty: str = "weights") -> list[tuple[str, int, dict]]:
         """All gateways' lines on a duty by time: (word, number, line)."""
-        found = [(line.get("word", ""), number, line) for number in range(len(self.ports)) for line in self.log(number)
-                 if line.get("event") == event and line.get("duty", duty) == duty]
+        found = [
+            (line.get("word", ""), number, line)
+            for number in range(len(self.ports))
+            for line in self.log(number)
+            if line.get("event") == event and line.get("duty", duty) == duty
+        ]
         return sorted(found, key=lambda one: one[2]["timestamp"])
 
     def owner(self, duty: str = "weights") -> tuple[int, str] | None:
@@ -137,8 +214,14 @@
                 now[line["term"]] = number
             elif word == "stepped down":
                 now.pop(line["term"], None)
-        alive = {term: number for term, number in now.items() if number in self.processes and self.processes[number].poll() is None}
-        return max(((number, term) for term, number in alive.items()), key=lambda one: order(one[1]), default=None)
+        alive = {
+            term: number
+            for term, number in now.items()
+            if number in self.processes and self.processes[number].poll() is None
+        }
+        return max(
+            ((number, term) for term, number in alive.items()), key=lambda one: order(one[1]), default=None
+        )
 
     def wait(self, what, limit: float = 8.0, why: str = ""):
         end = time.monotonic() + limit
@@ -150,21 +233,52 @@
 
     def new_owner(self, but: str | None = None, limit: float = 8.0, duty: str = "weights") -> tuple[int, str]:
         """Once one owns it under a later term than `but`, with its record read."""
+
         def there():
             found = self.owner(duty)
             if found and (but is None or order(found[1]) > order(but)):
-                return found if any(word == "record" and line["term"] == found[1] for word, _, line in self.words(duty=duty)) else None
+                return (
+                    found
+                    if any(
+                        word == "record" and line["term"] == found[1]
+                        for word, _, line in self.words(duty=duty)
+                    )
+                    else None
+                )
             return None
+
         return self.wait(there, limit, f"no owner of {duty} after {but}")
 
     def tail(self) -> str:
-        return "\n".join(json.dumps(line) for number in range(len(self.ports)) for line in self.log(number)[-8:])
-
-    def call(self, to: int, kind: str, term: int = 0, start: int = 0, duty: str = "weights", sender: int | None = None, body=None,
-             fleet: str = "hall", form: int = FORM, addressed: int | None = None) -> Answer | str:
+        return "\n".join(
+            json.dumps(line) for number in range(len(self.ports)) for line in self.log(number)[-8:]
+        )
+
+    def call(
+        self,
+        to: int,
+        kind: str,
+        term: int = 0,
+        start: int = 0,
+        duty: str = "weights",
+        sender: int | None = None,
+        body=None,
+        fleet: str = "hall",
+        form: int = FORM,
+        addressed: int | None = None,
+    ) -> Answer | str:
         """As another gateway would send it; the text of what is wrong if it was dropped."""
         sender = sender if sender is not None else (to + 1) % len(self.ports)
-        call = Call(form, fleet, sender, addressed if addressed is not None else to, duty, kind, Stamp(term, start), raw(body))
+        call = Call(
+            form,
+            fleet,
+            sender,
+            addressed if addressed is not None else to,
+            duty,
+            kind,
+            Stamp(term, start),
+            raw(body),
+        )
         return self.post(to, msgspec.json.encode(call))
 
     def post(self, to: int, data: bytes) -> Answer | str:
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -38,11 +38,15 @@
             continue
         parts = [part.strip() for part in line.split("|")]
         if len(parts) != 3 or not all(parts) or "::" not in parts[0]:
-            raise pytest.UsageError(f"{path.name}, line {number}: found {line!r}; `test id | cause | issue` is wanted")
+            raise pytest.UsageError(
+                f"{path.name}, line {number}: found {line!r}; `test id | cause | issue` is wanted"
+            )
         if parts[0] in found:
             raise pytest.UsageError(f"{path.name}, line {number}: {parts[0]} is there already")
         if len(found) == MOST:
-            raise pytest.UsageError(f"{path.name}, line {number}: {MOST} tests at most may be listed; mend one first")
+            raise pytest.UsageError(
+                f"{path.name}, line {number}: {MOST} tests at most may be listed; mend one first"
+            )
         found[parts[0]] = Entry(*parts)
     return found
 
@@ -66,21 +70,31 @@
     def _collected_whole(self, file: Path, files: set[Path]) -> bool:
         """Whether `file` would have been collected if it were there: it is asked for as a whole, or the suite is."""
         option = self.config.option
-        asked = [(self.config.invocation_params.dir / one).resolve() for one in self.config.args if "::" not in one]
+        asked = [
+            (self.config.invocation_params.dir / one).resolve() for one in self.config.args if "::" not in one
+        ]
         if file in files or not (option.ignore or option.ignore_glob or getattr(option, "lf", False)):
-            suite = [self.config.rootpath / one for one in self.config.getini("testpaths")] or [self.config.rootpath]
+            suite = [self.config.rootpath / one for one in self.config.getini("testpaths")] or [
+                self.config.rootpath
+            ]
             wanted = [[file.resolve()], suite]
-            return any(all(any(path.is_relative_to(one) for one in asked) for path in paths) for paths in wanted)
+            return any(
+                all(any(path.is_relative_to(one) for one in asked) for path in paths) for paths in wanted
+            )
         return False
 
     @pytest.hookimpl(wrapper=True, tryfirst=True)  # outermost: after xfail has had its say
-    def pytest_runtest_makereport(self, item: pytest.Item) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    def pytest_runtest_makereport(
+        self, item: pytest.Item
+    ) -> Generator[None, pytest.TestReport, pytest.TestReport]:
         report = yield
         entry = self.entries.get(item.nodeid)
         if entry is not None:
             if report.failed:
                 crash = getattr(report.longrepr, "reprcrash", None)
-                entry.failure = entry.failure or f"{report.when}: {crash.message if crash else report.longreprtext}"
+                entry.failure = (
+                    entry.failure or f"{report.when}: {crash.message if crash else report.longreprtext}"
+                )
                 entry.outcomes.append(RED)
                 # As expected failures are kept from the exit code and from --maxfail.
                 report.outcome, report.wasxfail = "skipped", f"{RED}: {entry.cause}"
@@ -103,7 +117,9 @@
                 terminalreporter.line(f"fails, passed over: {one.test} | {one.cause} | {one.issue}")
                 terminalreporter.line(f"    {one.failure.splitlines()[0][:200]}")
             elif one.outcomes == ["passed"] * 3:
-                terminalreporter.line(f"passes again, take its line out: {one.test} | {one.cause} | {one.issue}")
+                terminalreporter.line(
+                    f"passes again, take its line out: {one.test} | {one.cause} | {one.issue}"
+                )
             else:
                 how = "skipped" if "skipped" in one.outcomes else "not in this run"
                 terminalreporter.line(f"{how}: {one.test} | {one.cause} | {one.issue}")
--- a/tests/platform_discovery.py
+++ b/tests/platform_discovery.py
@@ -46,8 +46,11 @@
                     if stream.eof:
                         return
                 whole = since < 0 or since > self.revision
-                found = list(self.members.values()) if whole else [
-                    one for revision, one in self.news if revision > since]
+                found = (
+                    list(self.members.values())
+                    if whole
+                    else [one for revision, one in self.news if revision > since]
+                )
                 if spoil == "part":
                     found, whole = found[:1], False
                 yield from self.spoilt(stream, spoil, json.dumps(self.listing(found, whole)).encode())
@@ -62,19 +65,27 @@
         member alone, as if it were news."""
         good = http.response(200, body, [("connection", "close")] if spoil == "last" else [])
         if spoil == "cut":
-            stream.write(good[:len(good) // 2])
+            stream.write(good[: len(good) // 2])
             yield from self.world.sleep(5 * MS)
             stream.abort()
         elif spoil == "trickle":
             for at in range(len(good)):
-                stream.write(good[at:at + 1])
+                stream.write(good[at : at + 1])
                 yield from self.world.sleep(SECOND)
         else:
-            stream.write({
-                "deep": http.response(200, b'{"revision":99,"complete":true,"members":[' + b"[" * 9000 + b"]" * 9000 + b"]}"),
-                "noise": b"\x07\x80noise\r\n", "text": http.response(200, b"no list"), "status": http.response(500, b"{}"),
-                "endless": http.head(200, [("transfer-encoding", "chunked")]) + http.chunk(b"x" * 65536) * 17,
-                "large": http.head(200, [("content-length", "2000000")])}.get(spoil, good))
+            stream.write(
+                {
+                    "deep": http.response(
+                        200, b'{"revision":99,"complete":true,"members":[' + b"[" * 9000 + b"]" * 9000 + b"]}"
+                    ),
+                    "noise": b"\x07\x80noise\r\n",
+                    "text": http.response(200, b"no list"),
+                    "status": http.response(500, b"{}"),
+                    "endless": http.head(200, [("transfer-encoding", "chunked")])
+                    + http.chunk(b"x" * 65536) * 17,
+                    "large": http.head(200, [("content-length", "2000000")]),
+                }.get(spoil, good)
+            )
 
     def do_discovery(self, how: str, *spoils: str) -> None:
         self.silent = how == "silent"
--- a/tests/platform_expect.py
+++ b/tests/platform_expect.py
@@ -52,7 +52,9 @@
 
     def expect_passed_on(self, name: str, *fields: str) -> None:
         """With every attempt; `-name`: that field with none."""
-        heads = [head for server in self.servers.values() for head in server.fields.get(self.clients[name].id, [])]
+        heads = [
+            head for server in self.servers.values() for head in server.fields.get(self.clients[name].id, [])
+        ]
         assert heads, "no attempt"
         for head in heads:
             for field, _, value in (one.partition(":") for one in fields):
@@ -69,7 +71,12 @@
 
     def expect_half_written(self, name: str, role: str, count: str, or_none: str = "") -> None:
         mark = f"req-id: {self.clients[name].id}".encode()
-        found = [(one.name[0], came[1]) for one in self.servers.values() for came in one.came if mark in came[0] and not came[2]]
+        found = [
+            (one.name[0], came[1])
+            for one in self.servers.values()
+            for came in one.came
+            if mark in came[0] and not came[2]
+        ]
         assert found == [(role, int(count))] or (or_none and not found), f"{found}"
 
     def expect_served_or_refused(self, name: str) -> Coro[None]:
@@ -77,7 +84,9 @@
         client = self.clients[name]
         yield from self.until(3000, lambda: client.end is not None, "no end came")
         assert client.end in ("streamed", "503"), f"ended as {client.end!r}: {client.why}"
-        assert client.end == "streamed" or not self.called("POST", name), f"sent on to {self.called('POST', name)}"
+        assert client.end == "streamed" or not self.called("POST", name), (
+            f"sent on to {self.called('POST', name)}"
+        )
 
     def expect_answered_or_unread(self, name: str) -> Coro[None]:
         client = self.clients[name]
@@ -118,7 +127,9 @@
     def expect_believes(self, name: str, held: str) -> None:
         """What others hold and we hold together, as the last report had it."""
         seat, server = self.seat(name), next(one for one in self.host.roster.addresses if one.name == name)
-        assert isinstance(server, Server) and abs(seat.others - float(held)) < 0.02, f"others hold {seat.others:.3f}"
+        assert isinstance(server, Server) and abs(seat.others - float(held)) < 0.02, (
+            f"others hold {seat.others:.3f}"
+        )
 
     def expect_servers(self, *names: str, seats: str | None = None) -> None:
         """`seats`: those that the module in force knows, where one from before has others."""
@@ -129,7 +140,11 @@
 
     def expect_told(self, ms: str, *names: str) -> Coro[None]:
         def found() -> list[str]:
-            return sorted(one.name + "*" * (one.started is not None) for one in self.host.roster.addresses if one.state == "ready")
+            return sorted(
+                one.name + "*" * (one.started is not None)
+                for one in self.host.roster.addresses
+                if one.state == "ready"
+            )
 
         yield from self.until(20_000, lambda: found() == sorted(names), lambda: f"servers {found()}")
         took = (self.world.now() - self.told_at) // MS
@@ -157,9 +172,17 @@
 
     def expect_tables(self, most: str) -> None:
         brain, host = self.host.brain, self.host
-        sizes = {"asks": len(host.asks), "pools": len(host.pools), "seats": len(brain.fleet.seats),
-                 "pinned": len(brain.guard.pinned), "plan": len(brain.writer.plan), "waiting": len(self.door.waiting),
-                 "owners": len(brain.owner.table), "servers": len(host.roster.servers), "timers": len(self.world.timers)}
+        sizes = {
+            "asks": len(host.asks),
+            "pools": len(host.pools),
+            "seats": len(brain.fleet.seats),
+            "pinned": len(brain.guard.pinned),
+            "plan": len(brain.writer.plan),
+            "waiting": len(self.door.waiting),
+            "owners": len(brain.owner.table),
+            "servers": len(host.roster.servers),
+            "timers": len(self.world.timers),
+        }
         assert sum(sizes.values()) <= int(most), str(sizes)
 
     def expect_deadline(self, name: str, ms: str) -> None:
@@ -180,7 +203,9 @@
         own = self.clients[name].sent
         for fields, body in self.got(name):
             of_attempt = {"host", "req-deadline-ms", "content-type", "content-length"}
-            assert {field: value for field, value in fields.items() if field not in of_attempt} == own, f"{fields}, sent {own}"
+            assert {field: value for field, value in fields.items() if field not in of_attempt} == own, (
+                f"{fields}, sent {own}"
+            )
             assert of_attempt <= set(fields), f"{fields}"
             assert self.bodies[self.clients[name].id].startswith(body), f"{body!r}"
 
@@ -193,20 +218,34 @@
 
     def expect_behind(self, name: str, status: str) -> Coro[None]:
         yield from self.until(500, lambda: bool(self.clients[name].after), "nothing came")
-        assert self.clients[name].after.startswith(f"HTTP/1.1 {status} ".encode()), f"{self.clients[name].after[:60]!r}"
+        assert self.clients[name].after.startswith(f"HTTP/1.1 {status} ".encode()), (
+            f"{self.clients[name].after[:60]!r}"
+        )
 
     def expect_facts(self, name: str, **facts: str) -> None:
         gen = next((one for one in self.host.asks if one.name == self.clients[name].id), None)
         assert gen is not None, "it is not under way"
         of, customer = gen.product, gen.customer
-        found = {"product": of.name, "effect": of.effect, "scope": of.scope, "memory": of.memory // MS, "slo": of.slo_time // MS,
-                 "gap": of.token_gap // MS, "limit": of.time_limit // MS, "worth": of.revenue,
-                 "owner": customer and customer.name, "quota": customer and customer.quota_per_s, "share": customer and customer.share}
+        found = {
+            "product": of.name,
+            "effect": of.effect,
+            "scope": of.scope,
+            "memory": of.memory // MS,
+            "slo": of.slo_time // MS,
+            "gap": of.token_gap // MS,
+            "limit": of.time_limit // MS,
+            "worth": of.revenue,
+            "owner": customer and customer.name,
+            "quota": customer and customer.quota_per_s,
+            "share": customer and customer.share,
+        }
         found = {key: str(found[key]) for key in facts}
         assert found == facts, f"{found}"
 
     def expect_module(self, how: str) -> None:
-        assert (self.modules[-1]() is self.host.brain) is (how == "kept"), "it is another" if how == "kept" else "it is the same"
+        assert (self.modules[-1]() is self.host.brain) is (how == "kept"), (
+            "it is another" if how == "kept" else "it is the same"
+        )
 
     def expect_modules(self, count: str) -> None:
         used = self.host.brains()
@@ -226,7 +265,9 @@
 
     def expect_idle(self) -> Coro[None]:
         host = self.host
-        yield from self.until(1500, lambda: not host.asks and not host.calls, lambda: f"{len(host.asks)} asks left")
+        yield from self.until(
+            1500, lambda: not host.asks and not host.calls, lambda: f"{len(host.asks)} asks left"
+        )
         yield from self.world.sleep(20 * MS)
         assert not host.brain.guard.pinned and not host.brain.writer.plan
         assert not host.earlier, "generations of an earlier module are left"
--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -45,8 +45,14 @@
             stream.settimeout(limit)
             call = stream.recv(4096)
             if call.startswith(b"GET /api/targets HTTP"):
-                stream.sendall(http.response(200, json.dumps(
-                    {"revision": self.revision, "complete": True, "members": self.members}).encode()))
+                stream.sendall(
+                    http.response(
+                        200,
+                        json.dumps(
+                            {"revision": self.revision, "complete": True, "members": self.members}
+                        ).encode(),
+                    )
+                )
                 call = stream.recv(4096)
             if f"since={self.revision}&".encode() in call:
                 return stream
@@ -76,17 +82,35 @@
 class Gateway:
     """With so many descriptors; `sockets`: what its configuration says of them; `port`: 0 for any that is free."""
 
-    def __init__(self, folder: Path, agent: Agent, sockets: int = MOST, most: int = MOST, port: int = 0,
-                 **settings: object) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        agent: Agent,
+        sockets: int = MOST,
+        most: int = MOST,
+        port: int = 0,
+        **settings: object,
+    ) -> None:
         self.port = port or free_port()
-        (folder / "c").write_text(json.dumps({
-            "name": "n", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{agent.port}", "seed": "1f",
-            "limits": {"sockets": sockets, "memory_mb": 64}, "settings": SETTINGS | settings,
-            "known": {"revision": 1, "complete": True, "members": agent.members}}))
+        (folder / "c").write_text(
+            json.dumps(
+                {
+                    "name": "n",
+                    "listen": f"127.0.0.1:{self.port}",
+                    "discovery": f"127.0.0.1:{agent.port}",
+                    "seed": "1f",
+                    "limits": {"sockets": sockets, "memory_mb": 64},
+                    "settings": SETTINGS | settings,
+                    "known": {"revision": 1, "complete": True, "members": agent.members},
+                }
+            )
+        )
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "stackpitch.platform"], stderr=subprocess.DEVNULL,
+            [sys.executable, "-m", "stackpitch.platform"],
+            stderr=subprocess.DEVNULL,
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (most, most)),
-            env={**os.environ, "RELAY_CONFIG": str(folder / "c")})
+            env={**os.environ, "RELAY_CONFIG": str(folder / "c")},
+        )
         self.over = threading.Event()
         self.threads: list[threading.Thread] = []
         self.peak = 0
@@ -116,6 +140,7 @@
 
     def starve(self, still: float, runs: float) -> None:
         """Lets it run for `runs` after each `still` in which it doesn't."""
+
         def pulse() -> None:
             os.kill(self.process.pid, signal.SIGSTOP)
             time.sleep(still)
@@ -148,8 +173,16 @@
         self.answer, self.go = answer, threading.Event()
         self.got: list[tuple[str, str, float]] = []
         self.listener = socket.create_server(("127.0.0.1", 0))
-        self.member = {"id": name, "host_port": f"127.0.0.1:{self.listener.getsockname()[1]}", "locality": "a",
-                       "flavor": name[0], "cell": 1, "phase": "up", "size": 1.0, "up_since_ms": 0}
+        self.member = {
+            "id": name,
+            "host_port": f"127.0.0.1:{self.listener.getsockname()[1]}",
+            "locality": "a",
+            "flavor": name[0],
+            "cell": 1,
+            "phase": "up",
+            "size": 1.0,
+            "up_since_ms": 0,
+        }
         threading.Thread(target=self.serve, daemon=True).start()
 
     def serve(self) -> None:
@@ -182,7 +215,18 @@
     if small:
         one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     one.connect(("127.0.0.1", port))
-    one.sendall(http.request("POST", "/v1/chat/completions", "a", b'{"stream":true}', [
-        ("req-id", name), ("req-kind", product), ("req-deadline-ms", str(limit_ms)),
-        ("req-extra", "prompt_len=500,max_out=50")]))
+    one.sendall(
+        http.request(
+            "POST",
+            "/v1/chat/completions",
+            "a",
+            b'{"stream":true}',
+            [
+                ("req-id", name),
+                ("req-kind", product),
+                ("req-deadline-ms", str(limit_ms)),
+                ("req-extra", "prompt_len=500,max_out=50"),
+            ],
+        )
+    )
     return one
--- a/tests/platform_script.py
+++ b/tests/platform_script.py
@@ -12,17 +12,43 @@
 BODY = b'{"stream":true}'
 DISCOVERY, DOOR, ID = 7000, 5000, "0123456789abcdef"
 SETTINGS: dict[str, Any] = {
-    "balancers": 2, "me": 0, "zone": "a", "models": ["r", "w"],
-    "bounds": {"connIdleMs": 30000, "connectTimeoutMs": 250, "maxAttempts": 4, "retryAfter": True, "maxRetryAfterMs": 1000,
-               "secondCopies": True, "cancel": True},
-    "classes": [{"name": "chat", "effect": "free", "aimMs": 1000, "deadlineMs": 4000, "worth": 1},
-                {"name": "pay", "effect": "guarded", "dedupScope": "all", "keyTtlMs": 400, "aimMs": 1000,
-                 "deadlineMs": 4000, "worth": 1},
-                {"name": "order", "effect": "single_shot", "aimMs": 2500, "deadlineMs": 9000, "worth": 1}],
+    "balancers": 2,
+    "me": 0,
+    "zone": "a",
+    "models": ["r", "w"],
+    "bounds": {
+        "connIdleMs": 30000,
+        "connectTimeoutMs": 250,
+        "maxAttempts": 4,
+        "retryAfter": True,
+        "maxRetryAfterMs": 1000,
+        "secondCopies": True,
+        "cancel": True,
+    },
+    "classes": [
+        {"name": "chat", "effect": "free", "aimMs": 1000, "deadlineMs": 4000, "worth": 1},
+        {
+            "name": "pay",
+            "effect": "guarded",
+            "dedupScope": "all",
+            "keyTtlMs": 400,
+            "aimMs": 1000,
+            "deadlineMs": 4000,
+            "worth": 1,
+        },
+        {"name": "order", "effect": "single_shot", "aimMs": 2500, "deadlineMs": 9000, "worth": 1},
+    ],
     "guarantees": {"coldFrom": 0.3, "warmUpMs": 5000, "fallMultiple": 3},
-    "extra": {"aimUsPer1000PromptTokens": [4e4, 4e4], "dutyByKind": ["read", "write"], "kvTokens": [100000, 100000],
-              "localRead": True, "releaseMs": 500, "tokenAimMs": [60, 60]},
-    "report": {"fields": ["utilization", "backlog", "x0"], "via": "piggyback"}}
+    "extra": {
+        "aimUsPer1000PromptTokens": [4e4, 4e4],
+        "dutyByKind": ["read", "write"],
+        "kvTokens": [100000, 100000],
+        "localRead": True,
+        "releaseMs": 500,
+        "tokenAimMs": [60, 60],
+    },
+    "report": {"fields": ["utilization", "backlog", "x0"], "via": "piggyback"},
+}
 
 
 def event(word: str) -> bytes:
@@ -30,24 +56,51 @@
     return http.chunk(sse.event(json.dumps({"choices": [choice]}).encode()))
 
 
-USAGE = http.chunk(sse.event(b'{"choices":[],"usage":{"prompt_tokens":9,"prompt_tokens_details":{"cached_tokens":7}}}'))
+USAGE = http.chunk(
+    sse.event(b'{"choices":[],"usage":{"prompt_tokens":9,"prompt_tokens_details":{"cached_tokens":7}}}')
+)
 HEAD = http.head(200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked")])
 LAST = http.chunk(sse.DONE) + http.chunk(b": Srv-Load: queue=1,util=0.5,x0=0.3\n\n") + http.LAST_CHUNK
 STREAM = HEAD + event("w") + USAGE + LAST
 READ = http.response(202, b'{"cached_tokens":4}')
-WHOLE: dict[str, bytes] = {  # acts that are bytes, after which the connection stays open; a part after | comes later
-    "noise": b"\x07\x80\xffnoise\r\n" * 9, "bad-head": b"HTTP/1.1 2x0 OK\r\n\r\n", "long-head": b"HTTP/1.1 200 OK\r\na: " + b"x" * 40000,
-    "error": http.response(500, b"{}"), "declined": http.response(503, b"", [("srv-declined", "1")]),
-    "over": http.response(504, b"", [("srv-declined", "1")]), "no-state": http.response(410, b"", [("srv-declined", "1")]),
-    "unmarked": http.response(503, b""), "no-event": HEAD + http.chunk(b"\x01\x02\x03" * 9), "empty": HEAD + http.LAST_CHUNK,
-    "bad-chunk": HEAD + event("w") + b"|" + b"zz\r\nnoise", "unfit-chunk": HEAD + event("w") + b"|" + b"2\r\nabcdef\r\n",
-    "huge-chunk": HEAD + event("w") + b"|" + b"c0000000\r\ndata: " + b"x" * 100_000, "no-done": HEAD + event("w") + b"|" + http.LAST_CHUNK,
-    "early": b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n" + STREAM, "second": STREAM + READ,
+WHOLE: dict[
+    str, bytes
+] = {  # acts that are bytes, after which the connection stays open; a part after | comes later
+    "noise": b"\x07\x80\xffnoise\r\n" * 9,
+    "bad-head": b"HTTP/1.1 2x0 OK\r\n\r\n",
+    "long-head": b"HTTP/1.1 200 OK\r\na: " + b"x" * 40000,
+    "error": http.response(500, b"{}"),
+    "declined": http.response(503, b"", [("srv-declined", "1")]),
+    "over": http.response(504, b"", [("srv-declined", "1")]),
+    "no-state": http.response(410, b"", [("srv-declined", "1")]),
+    "unmarked": http.response(503, b""),
+    "no-event": HEAD + http.chunk(b"\x01\x02\x03" * 9),
+    "empty": HEAD + http.LAST_CHUNK,
+    "bad-chunk": HEAD + event("w") + b"|" + b"zz\r\nnoise",
+    "unfit-chunk": HEAD + event("w") + b"|" + b"2\r\nabcdef\r\n",
+    "huge-chunk": HEAD + event("w") + b"|" + b"c0000000\r\ndata: " + b"x" * 100_000,
+    "no-done": HEAD + event("w") + b"|" + http.LAST_CHUNK,
+    "early": b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n" + STREAM,
+    "second": STREAM + READ,
     "deep-read": http.response(202, b'{"cached_tokens":' + b"[" * 9000 + b"]" * 9000 + b"}"),
-    "odd-read": http.response(202, b'{"cached_tokens":"many"}'), "huge-read": http.response(202, b'{"cached_tokens":1%b}' % (b"0" * 30)),
-    "odd-load": HEAD + event("w") + http.chunk(sse.DONE) + http.chunk(b": Srv-Load: queue=1e30,util=500,x0=-40\n\n") + http.LAST_CHUNK,
-    "over-load": HEAD + event("w") + http.chunk(sse.DONE) + http.chunk(b": Srv-Load: queue=1,util=500,x0=1.2\n\n") + http.LAST_CHUNK,
-    "bad-load": HEAD + event("w") + http.chunk(sse.DONE) + http.chunk(b": Srv-Load: queue=x,,=\n\n") + http.LAST_CHUNK}
+    "odd-read": http.response(202, b'{"cached_tokens":"many"}'),
+    "huge-read": http.response(202, b'{"cached_tokens":1%b}' % (b"0" * 30)),
+    "odd-load": HEAD
+    + event("w")
+    + http.chunk(sse.DONE)
+    + http.chunk(b": Srv-Load: queue=1e30,util=500,x0=-40\n\n")
+    + http.LAST_CHUNK,
+    "over-load": HEAD
+    + event("w")
+    + http.chunk(sse.DONE)
+    + http.chunk(b": Srv-Load: queue=1,util=500,x0=1.2\n\n")
+    + http.LAST_CHUNK,
+    "bad-load": HEAD
+    + event("w")
+    + http.chunk(sse.DONE)
+    + http.chunk(b": Srv-Load: queue=x,,=\n\n")
+    + http.LAST_CHUNK,
+}
 
 
 class ScriptedServer:
@@ -58,7 +111,9 @@
         self.calls: list[tuple[str, str]] = []
         self.blind = 0  # so long after it came about a connection is not read
         self.fields: dict[str, list[dict[str, str]]] = {}  # by id: of each attempt's head
-        self.deadlines: dict[str, list[tuple[int, int]]] = {}  # by id: ms that an attempt told, and when it was whole here
+        self.deadlines: dict[
+            str, list[tuple[int, int]]
+        ] = {}  # by id: ms that an attempt told, and when it was whole here
         self.came: list[list[Any]] = []  # of each request the first bytes, how many came, whether it is whole
         self.listener = stage.world.listen(("127.0.0.1", port))
         stage.group.spawn(self.serve(), name)
@@ -95,9 +150,13 @@
                 if reader.path.startswith("/kv/"):
                     stream.write(http.response(204 if reader.method == "DELETE" else 200, b""))
                     continue
-                assert reader.headers["req-deadline-ms"].isdigit() and reader.body() == self.stage.bodies.get(name, BODY), "not as it came"
+                assert reader.headers["req-deadline-ms"].isdigit() and reader.body() == self.stage.bodies.get(
+                    name, BODY
+                ), "not as it came"
                 self.fields.setdefault(name, []).append(reader.headers)
-                self.deadlines.setdefault(name, []).append((int(reader.headers["req-deadline-ms"]), self.stage.world.now()))
+                self.deadlines.setdefault(name, []).append(
+                    (int(reader.headers["req-deadline-ms"]), self.stage.world.now())
+                )
                 act, _, number = (self.acts.pop(0) if len(self.acts) > 1 else self.acts[0]).partition(":")
                 if stale:
                     stream.abort()
@@ -123,7 +182,14 @@
             # `wide:COUNT`, `small:COUNT`: events of 4,000 or 400 bytes, as quickly as they are taken; events or comments without an end
             stream.write(HEAD + event("w"))
             for _ in range(number - 1 if number else 1 << 20):
-                stream.write({"wide": event("w" * 4000), "small": event("w" * 400), "endless": event("w"), "pings": http.chunk(b": ping\n\n")}[act])
+                stream.write(
+                    {
+                        "wide": event("w" * 4000),
+                        "small": event("w" * 400),
+                        "endless": event("w"),
+                        "pings": http.chunk(b": ping\n\n"),
+                    }[act]
+                )
                 if number:
                     yield from stream.drain(1 << 16)
                 else:
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -1,64 +1,64 @@
 """A gateway of the platform among scripted servers, clients and a discovery, in the virtual world.
 
-    config sockets=64 restart=0     of the configuration, before anything else
-    fleet r1 w1 w2                  scripted servers; the letter tells the role
-    server w1 reset ok              what it does with its next legs, the last for all that follow; see `act`
-    server w1 takes 300 400         so many bytes of each request; the rest 400 ms after its connection came about
-    server w1 dead | cut-off | back whether connections to it come about: refused, or never up; `up-after 150`: so late
-    list w1 draining | removed | up discovery has something to tell; `list whole` tells all there is, a version back
-    settings discovery=on_request   of the settings, before the fleet
-    discovery silent | speaks | moves       to another address, which the configuration's file then names
-    discovery forgets               calls under way are never answered, later ones are
-    discovery down | up | cut-off | back    refused and reset, or connections that never come up
-    discovery next never cut ok     what becomes of its next calls; see `spoilt`
-    starve 300 100                  the gateway's process runs 100 ms after each 300 in which it doesn't
-    ask a chat with=idempotency-key:7f,x-a:1    and so further fields; `> passed-on a idempotency-key:7f` to each server that it came to
-    ask a chat limit=900 extra=...  a client asks, chat, pay or order; retry=1; id=b that of another; key=s a session; pad=900 bytes more; reads=1/3000 a byte each 3 s
-    raw a POST /v1 HTTP/1.1\\r\\n   bytes on a connection of their own; {id} is a fresh id, {mb} a megabyte
-    then a chat                     asks again on the same connection once the last answer was whole; `again`: at once
-    ask a chat owner=acme           of a tenant; `then` and `again` take the same words
-    reload settings.bounds.maxAttempts=2 settings.classes.0=gone    changes the file by path, as JSON without blanks, and sends SIGHUP; then=term: both signals at once
-    quiet a                         a connection that says nothing
-    open a                          a connection that neither asks nor reads until `again a chat`
-    leave a | leave a half | leave a reset      closes its connection, ends its sending, breaks it
-    more a 500                      so many bytes after its request; `second a`: a whole second request
-    budget 1                        so many connections to servers may be open from now on
-    bytes a POST /v1 ...            as raw, further ones on that connection
-    rest a -3                       until its rest is over, and so many ticks longer
-    meanwhile quiet d               goes on at once
-    wait 100 | ticks 3 | signal hup | term | stop | cont
-    file {not json                  the configuration gets this text
-    module hold a w1                what the module may ask for, asked for here
-    many 300 chat                   so many asks, each after the last one's answer
-    > a streamed | throttled 0.5 | failed | broken | 400 | closed      how it ended, and how it was told to come again
-    > words a 5 | legs a r1 w1 | released a | held a w1 | nothing-after a | exit 0
-    > ready-within 510              ms from the gateway's start until it said that it was ready
-    > attempts a 1                  so many, wherever
-    > outcomes a read not-sent      of its attempts, in order, once it is over
-    > deadlines a 2 15              so many attempts, each telling its server at most what the client has left and 15 ms
-    > half-written a w 300 or-none  of its request so many bytes came to one server of that letter, never the whole, or none if that will do
-    > clean a                       its connection ended by an end, not by a reset
-    > answered-or-unread a          a whole answer, that tells of a shutdown; or a clean end, and nothing was sent on
-    > within 900                    ms since the last ask, raw or quiet
-    > told 5000 r1 w2*              the servers (*: with a start), so many ms at most after the last change, or after discovery was back
-    > called 10                     calls of discovery since the last change or return, at most
-    > said discovery_lost 1 [WORD]  lines of the log by event, and a word that the last one has
-    > believes w1 held=0.3          the module's word on what others hold there
-    > deadline a 900                the longest that a server of its was told it has, in ms, or up to 120 fewer
-    > sent-on a                     its servers got its own head and body, and no field beside
-    > fields a content-type content-length      of its last answer's head, all of them
-    > echoed a                      its last answer holds its own id, and no other
-    > behind a 400                  status of a further answer behind the last
-    > facts a product=chat effect=idempotent owner=acme quota=5     what it is carried with, while it is under way
-    > module kept | new             since the last reload
-    > modules 2                     in use; earlier ones are forgotten, down to their last object
-    > server w1 mixed 5000          role and memory
-    > reused w1 2                   connections to it that served again, at least
-    > idle                          no generation, call, leg or client's request is left
-    > buffered 132000               bytes that wait here for the slowest client, at most, and some do
-    > sockets 40                    connections the gateway has open, at most
-    > open clients 4                connections of clients
-    > tables 60                     rows in all tables of host and module, at most
+config sockets=64 restart=0     of the configuration, before anything else
+fleet r1 w1 w2                  scripted servers; the letter tells the role
+server w1 reset ok              what it does with its next legs, the last for all that follow; see `act`
+server w1 takes 300 400         so many bytes of each request; the rest 400 ms after its connection came about
+server w1 dead | cut-off | back whether connections to it come about: refused, or never up; `up-after 150`: so late
+list w1 draining | removed | up discovery has something to tell; `list whole` tells all there is, a version back
+settings discovery=on_request   of the settings, before the fleet
+discovery silent | speaks | moves       to another address, which the configuration's file then names
+discovery forgets               calls under way are never answered, later ones are
+discovery down | up | cut-off | back    refused and reset, or connections that never come up
+discovery next never cut ok     what becomes of its next calls; see `spoilt`
+starve 300 100                  the gateway's process runs 100 ms after each 300 in which it doesn't
+ask a chat with=idempotency-key:7f,x-a:1    and so further fields; `> passed-on a idempotency-key:7f` to each server that it came to
+ask a chat limit=900 extra=...  a client asks, chat, pay or order; retry=1; id=b that of another; key=s a session; pad=900 bytes more; reads=1/3000 a byte each 3 s
+raw a POST /v1 HTTP/1.1\\r\\n   bytes on a connection of their own; {id} is a fresh id, {mb} a megabyte
+then a chat                     asks again on the same connection once the last answer was whole; `again`: at once
+ask a chat owner=acme           of a tenant; `then` and `again` take the same words
+reload settings.bounds.maxAttempts=2 settings.classes.0=gone    changes the file by path, as JSON without blanks, and sends SIGHUP; then=term: both signals at once
+quiet a                         a connection that says nothing
+open a                          a connection that neither asks nor reads until `again a chat`
+leave a | leave a half | leave a reset      closes its connection, ends its sending, breaks it
+more a 500                      so many bytes after its request; `second a`: a whole second request
+budget 1                        so many connections to servers may be open from now on
+bytes a POST /v1 ...            as raw, further ones on that connection
+rest a -3                       until its rest is over, and so many ticks longer
+meanwhile quiet d               goes on at once
+wait 100 | ticks 3 | signal hup | term | stop | cont
+file {not json                  the configuration gets this text
+module hold a w1                what the module may ask for, asked for here
+many 300 chat                   so many asks, each after the last one's answer
+> a streamed | throttled 0.5 | failed | broken | 400 | closed      how it ended, and how it was told to come again
+> words a 5 | legs a r1 w1 | released a | held a w1 | nothing-after a | exit 0
+> ready-within 510              ms from the gateway's start until it said that it was ready
+> attempts a 1                  so many, wherever
+> outcomes a read not-sent      of its attempts, in order, once it is over
+> deadlines a 2 15              so many attempts, each telling its server at most what the client has left and 15 ms
+> half-written a w 300 or-none  of its request so many bytes came to one server of that letter, never the whole, or none if that will do
+> clean a                       its connection ended by an end, not by a reset
+> answered-or-unread a          a whole answer, that tells of a shutdown; or a clean end, and nothing was sent on
+> within 900                    ms since the last ask, raw or quiet
+> told 5000 r1 w2*              the servers (*: with a start), so many ms at most after the last change, or after discovery was back
+> called 10                     calls of discovery since the last change or return, at most
+> said discovery_lost 1 [WORD]  lines of the log by event, and a word that the last one has
+> believes w1 held=0.3          the module's word on what others hold there
+> deadline a 900                the longest that a server of its was told it has, in ms, or up to 120 fewer
+> sent-on a                     its servers got its own head and body, and no field beside
+> fields a content-type content-length      of its last answer's head, all of them
+> echoed a                      its last answer holds its own id, and no other
+> behind a 400                  status of a further answer behind the last
+> facts a product=chat effect=idempotent owner=acme quota=5     what it is carried with, while it is under way
+> module kept | new             since the last reload
+> modules 2                     in use; earlier ones are forgotten, down to their last object
+> server w1 mixed 5000          role and memory
+> reused w1 2                   connections to it that served again, at least
+> idle                          no generation, call, leg or client's request is left
+> buffered 132000               bytes that wait here for the slowest client, at most, and some do
+> sockets 40                    connections the gateway has open, at most
+> open clients 4                connections of clients
+> tables 60                     rows in all tables of host and module, at most
 """
 
 import json
@@ -101,7 +101,9 @@
 
     def __init__(self, folder: Path) -> None:
         self.file = folder / "config.json"
-        self.world = VirtualWorld(7, programs=lambda command: serve(self.world, {"RELAY_CONFIG": str(self.file)}, self.ready))
+        self.world = VirtualWorld(
+            7, programs=lambda command: serve(self.world, {"RELAY_CONFIG": str(self.file)}, self.ready)
+        )
         self.servers: dict[str, ScriptedServer] = {}
         self.members: dict[str, dict[str, Any]] = {}
         self.clients: dict[str, Client] = {}
@@ -157,7 +159,11 @@
 
     def line(self, text: str) -> Coro[None]:
         plain = text.startswith(("raw ", "bytes ", "file "))
-        words = text.split(" ", 2 if not text.startswith("file ") else 1) if plain else [one for one in text.split() if "=" not in one]
+        words = (
+            text.split(" ", 2 if not text.startswith("file ") else 1)
+            if plain
+            else [one for one in text.split() if "=" not in one]
+        )
         given = {} if plain else dict(one.split("=", 1) for one in text.split() if "=" in one)
         if words[0] == ">":
             name = "expect_" + words.pop(1).replace("-", "_")
@@ -177,8 +183,15 @@
         self.file.write_text(text)
 
     def configured(self) -> dict[str, Any]:
-        found = {"name": "n0", "listen": f"127.0.0.1:{DOOR}", "discovery": f"127.0.0.1:{self.port}", "seed": "1f",
-                "limits": self.limits, "known": self.listing(list(self.members.values())), "settings": self.settings}
+        found = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{DOOR}",
+            "discovery": f"127.0.0.1:{self.port}",
+            "seed": "1f",
+            "limits": self.limits,
+            "known": self.listing(list(self.members.values())),
+            "settings": self.settings,
+        }
         return changed(found, self.changes)
 
     def do_reload(self, then: str = "", **changes: str) -> Coro[None]:
@@ -201,8 +214,16 @@
         self.ready_after = self.world.now() - begun
 
     def member(self, name: str) -> dict[str, Any]:
-        return {"id": name, "host_port": f"127.0.0.1:{self.servers[name].port}", "locality": "a", "flavor": name[0], "cell": 1,
-                "phase": "up", "size": 1.0, "up_since_ms": 0}
+        return {
+            "id": name,
+            "host_port": f"127.0.0.1:{self.servers[name].port}",
+            "locality": "a",
+            "flavor": name[0],
+            "cell": 1,
+            "phase": "up",
+            "size": 1.0,
+            "up_since_ms": 0,
+        }
 
     def do_settings(self, **given: str) -> None:
         self.settings = SETTINGS | given
@@ -223,9 +244,14 @@
             yield from self.world.sleep(20 * MS)
             return
         if name not in self.members:
-            self.servers[name] = self.servers.get(name) or ScriptedServer(self, name, 6000 + len(self.servers))
+            self.servers[name] = self.servers.get(name) or ScriptedServer(
+                self, name, 6000 + len(self.servers)
+            )
             self.members[name] = self.member(name)
-        self.members[name] |= odd | {"phase": phase, "up_since_ms": EPOCH_MS + self.world.time // 10 - int(started) if started else 0}
+        self.members[name] |= odd | {
+            "phase": phase,
+            "up_since_ms": EPOCH_MS + self.world.time // 10 - int(started) if started else 0,
+        }
         self.revision += 1
         self.told_at, self.calls = self.world.now(), 0
         self.news.append((self.revision, dict(self.members[name])))
@@ -261,7 +287,11 @@
         self.group.spawn(self.line(" ".join((what, *words))), what)
 
     def do_signal(self, which: str) -> None:
-        self.child.signal({"hup": signal.SIGHUP, "term": signal.SIGTERM, "stop": signal.SIGSTOP, "cont": signal.SIGCONT}[which])
+        self.child.signal(
+            {"hup": signal.SIGHUP, "term": signal.SIGTERM, "stop": signal.SIGSTOP, "cont": signal.SIGCONT}[
+                which
+            ]
+        )
 
     def connect(self, name: str) -> Coro[Client]:
         self.asked_at, self.count = self.world.now(), self.count + 1
@@ -293,17 +323,39 @@
         client = yield from self.connect(name)
         self.ask(client, name, product, **given)
 
-    def ask(self, client: Client, name: str, product: str, limit: str = "3000", id: str | None = None, key: str | None = None,
-            extra: str = "prompt_len=500,max_out=50", retry: str = "0", pad: str = "0",
-            reads: str = "65536/0", owner: str | None = None, **more: str) -> None:
+    def ask(
+        self,
+        client: Client,
+        name: str,
+        product: str,
+        limit: str = "3000",
+        id: str | None = None,
+        key: str | None = None,
+        extra: str = "prompt_len=500,max_out=50",
+        retry: str = "0",
+        pad: str = "0",
+        reads: str = "65536/0",
+        owner: str | None = None,
+        **more: str,
+    ) -> None:
         client.asked, client.limit = self.world.now(), int(limit)
         client.fields, client.text = [], ""
         client.pace = int(reads.partition("/")[0]), int(reads.partition("/")[2]) * MS
         client.id = self.clients[id].id if id else client.id
         body = self.bodies[client.id] = BODY + b" " * int(pad)
-        headers = [("req-id", client.id), ("req-kind", product), ("req-deadline-ms", limit), ("req-extra", extra),
-                   ("req-retry", retry), *([("req-key", key)] if key else []), *([("req-owner", owner)] if owner else []),
-                   *((name, value) for name, _, value in (one.partition(":") for one in more.get("with", "").split(",") if one))]
+        headers = [
+            ("req-id", client.id),
+            ("req-kind", product),
+            ("req-deadline-ms", limit),
+            ("req-extra", extra),
+            ("req-retry", retry),
+            *([("req-key", key)] if key else []),
+            *([("req-owner", owner)] if owner else []),
+            *(
+                (name, value)
+                for name, _, value in (one.partition(":") for one in more.get("with", "").split(",") if one)
+            ),
+        ]
         client.sent = {field: value for field, value in headers if field != "req-deadline-ms"}
         client.stream.write(http.request("POST", "/v1/chat/completions", "backend.local", body, headers))
         self.group.spawn(self.take(client), name)
@@ -326,7 +378,9 @@
 
     def do_second(self, name: str) -> None:
         headers = [("req-id", "f" * 16), ("req-kind", "chat"), ("req-deadline-ms", "3000")]
-        self.clients[name].stream.write(http.request("POST", "/v1/chat/completions", "backend.local", BODY, headers))
+        self.clients[name].stream.write(
+            http.request("POST", "/v1/chat/completions", "backend.local", BODY, headers)
+        )
 
     def do_leave(self, name: str, how: str = "close") -> None:
         stream = self.clients[name].stream
@@ -357,14 +411,16 @@
                 if reader.status == 200:
                     client.words += sum(b'"delta"' in one for one in events.feed(b"".join(reader.pieces)))
             client.again = reader.headers.get("retry-after", "")
-            client.end = {200: "streamed", 429: "throttled", 502: "failed"}.get(reader.status, str(reader.status))
+            client.end = {200: "streamed", 429: "throttled", 502: "failed"}.get(
+                reader.status, str(reader.status)
+            )
             client.fields = sorted(reader.headers)
             client.last = reader.headers.get("connection") == "close"
             client.ended = self.world.now()
             with self.world.limit(100 * MS):
                 client.after = yield from client.stream.recv()
             if reader.extra:  # it came with the end of the answer
-                client.after = data[max(0, data.rfind(b"HTTP/1.1 ")):]
+                client.after = data[max(0, data.rfind(b"HTTP/1.1 ")) :]
         except (Lost, http.BadMessage) as wrong:
             client.why = str(wrong)
             client.end = client.end or ("broken" if reader.status else "closed")
--- a/tests/play.py
+++ b/tests/play.py
@@ -1,18 +1,18 @@
 """Plays scenarios: small texts in the project's own notation, each line an input or an expectation.
 
-    with max_legs=2 local_reads=0         arguments of the module, before anything else
-    fleet r1 r2 w1 m1                     readers, writers and mixed servers in one cell
-    server w2 cell=2 zone=b memory=TOK started=MS      one with facts of its own, now or later
-    list w1 draining | gone | ready started=MS         the list changes
-    at 120                                the clock, in ms
-    gen a chat session=s shared=p prompt=2000 limit=200 gives_up=4000      chat, book or order, see PRODUCTS
-    heard 1 knows a w2 tok=900 age=50      a peer's word on a's session, with its means; or asks, tells, unknown, junk
-    probed w1 held=0.9 | probed w1          the answer to a probe, with a report or without
-    start a | end a full no_state=1 | end a#0 read | end a streamed kept=9 | depart a | fail | wait
-    > send a r1                           the next thing asked for; a scenario ends with nothing left
-    read a chat r1 w1 prompt=2000         gen, read by r1, sent to w1
-    each-second 30 chat r1 w1             so many, one a second, each read in 90 ms and streamed after 900
-    turn a chat r1 w1 session=s           the same, started and streamed; with one server, by that alone
+with max_legs=2 local_reads=0         arguments of the module, before anything else
+fleet r1 r2 w1 m1                     readers, writers and mixed servers in one cell
+server w2 cell=2 zone=b memory=TOK started=MS      one with facts of its own, now or later
+list w1 draining | gone | ready started=MS         the list changes
+at 120                                the clock, in ms
+gen a chat session=s shared=p prompt=2000 limit=200 gives_up=4000      chat, book or order, see PRODUCTS
+heard 1 knows a w2 tok=900 age=50      a peer's word on a's session, with its means; or asks, tells, unknown, junk
+probed w1 held=0.9 | probed w1          the answer to a probe, with a report or without
+start a | end a full no_state=1 | end a#0 read | end a streamed kept=9 | depart a | fail | wait
+> send a r1                           the next thing asked for; a scenario ends with nothing left
+read a chat r1 w1 prompt=2000         gen, read by r1, sent to w1
+each-second 30 chat r1 w1             so many, one a second, each read in 90 ms and streamed after 900
+turn a chat r1 w1 session=s           the same, started and streamed; with one server, by that alone
 """
 
 from pathlib import Path
@@ -22,16 +22,31 @@
 from stackpitch.interface import Customer, Generation, Leg, Product, Report, Server
 
 ARGUMENTS: dict[str, Any] = {
-    "number": 0, "gateways": 1, "zone": "a", "max_legs": 4, "max_retry_after": 0, "local_reads": True,
-    "must_ask": False, "peers": False, "probes": False, "cancels": True, "cold_from": 0.3, "warm_up": 130_000, "fall_multiple": 2.5,
+    "number": 0,
+    "gateways": 1,
+    "zone": "a",
+    "max_legs": 4,
+    "max_retry_after": 0,
+    "local_reads": True,
+    "must_ask": False,
+    "peers": False,
+    "probes": False,
+    "cancels": True,
+    "cold_from": 0.3,
+    "warm_up": 130_000,
+    "fall_multiple": 2.5,
 }
 
 
 PRODUCTS = {
     name: Product(name, effect, scope, 20_000, 10_000, 400, 600, 40_000, revenue, 0.1)
     for name, effect, scope, revenue in [
-        ("chat", "idempotent", "all", 1.0), ("order", "side-effecting", "all", 1.0),
-        ("book", "deduplicated", "cell", 1.0), ("note", "deduplicated", "all", 1.0), ("cheap", "idempotent", "all", 0.5)]
+        ("chat", "idempotent", "all", 1.0),
+        ("order", "side-effecting", "all", 1.0),
+        ("book", "deduplicated", "cell", 1.0),
+        ("note", "deduplicated", "all", 1.0),
+        ("cheap", "idempotent", "all", 0.5),
+    ]
 }
 WORDS = {b"?": "asks", b"!": "tells", b"=": "knows", b"-": "unknown"}
 ROLES = {"r": "reader", "w": "writer", "m": "mixed"}
@@ -62,25 +77,43 @@
         self.asked.append(f"send {gen.name} {server.name}")
         return leg
 
-    def hold(self, gen, server): self.asked.append(f"hold {gen.name} {server.name}")
-    def release(self, gen): self.asked.append(f"release {gen.name}")
-    def cancel(self, leg): self.asked.append(f"cancel {leg.gen.name}#{leg.number}")
-    def probe(self, server): self.asked.append(f"probe {server.name}")
+    def hold(self, gen, server):
+        self.asked.append(f"hold {gen.name} {server.name}")
+
+    def release(self, gen):
+        self.asked.append(f"release {gen.name}")
+
+    def cancel(self, leg):
+        self.asked.append(f"cancel {leg.gen.name}#{leg.number}")
+
+    def probe(self, server):
+        self.asked.append(f"probe {server.name}")
+
     def tell(self, peer, octets):
         self.words.append(octets)
         self.asked.append(f"tell {peer} {WORDS[octets[:1]]}")
 
-    def subscribe(self): self.asked.append("subscribe")
-    def wake(self, delay, call): self.timers.append((self.now + delay, call))
-    def log(self, text): pass
+    def subscribe(self):
+        self.asked.append("subscribe")
+
+    def wake(self, delay, call):
+        self.timers.append((self.now + delay, call))
+
+    def log(self, text):
+        pass
 
     def _final(self, word, gen):
         gen.over = True
         self.asked.append(f"{word} {gen.name}")
 
-    def throttle(self, gen, retry_after): self._final("throttle", gen)
-    def terminate(self, gen): self._final("terminate", gen)
-    def move(self, gen): self._final("move", gen)
+    def throttle(self, gen, retry_after):
+        self._final("throttle", gen)
+
+    def terminate(self, gen):
+        self._final("terminate", gen)
+
+    def move(self, gen):
+        self._final("move", gen)
 
     def line(self, text: str) -> None:
         words = [word for word in text.split() if "=" not in word]
@@ -97,8 +130,17 @@
 
     def do_server(self, name, cell="1", zone="a", memory="100000", started=None):
         role = ROLES[name[0]]
-        self.servers[name] = Server(name, zone, role, int(cell), role, int(memory), "ready", 1.0,
-                                    None if started is None else int(started) * 10)
+        self.servers[name] = Server(
+            name,
+            zone,
+            role,
+            int(cell),
+            role,
+            int(memory),
+            "ready",
+            1.0,
+            None if started is None else int(started) * 10,
+        )
         if self.made is not None:
             self.brain.roster(self.now, [self.servers[name]], False)
 
@@ -132,13 +174,36 @@
             self.servers[name].started = int(started) * 10
         self.brain.roster(self.now, [self.servers[name]], False)
 
-    def do_at(self, ms): self.now = int(float(ms) * 10)
-
-    def generation(self, name, product, session=None, shared=None, prompt="1000", limit="100", gives_up="9000",
-                   customer=None, repeat="0"):
+    def do_at(self, ms):
+        self.now = int(float(ms) * 10)
+
+    def generation(
+        self,
+        name,
+        product,
+        session=None,
+        shared=None,
+        prompt="1000",
+        limit="100",
+        gives_up="9000",
+        customer=None,
+        repeat="0",
+    ):
         return Generation(
-            name, PRODUCTS[product], self.customers.setdefault(customer, Customer(customer, 1.0, 1.0)), session, shared, 500 if shared else 0,
-            int(prompt), int(limit), None, self.now, int(gives_up) * 10, repeat == "1", False)
+            name,
+            PRODUCTS[product],
+            self.customers.setdefault(customer, Customer(customer, 1.0, 1.0)),
+            session,
+            shared,
+            500 if shared else 0,
+            int(prompt),
+            int(limit),
+            None,
+            self.now,
+            int(gives_up) * 10,
+            repeat == "1",
+            False,
+        )
 
     def do_gen(self, name, product, **given):
         self.gens[name] = self.generation(name, product, **given)
@@ -160,7 +225,11 @@
 
     def do_heard(self, peer, what, name="", server=None, tok="1000", age="0", held="0"):
         brain, kind = self.brain, next((one for one, word in WORDS.items() if word == what), b"~")
-        entry = brain.home.ENTRY.pack(brain.fleet.seats[self.servers[server]].hash, int(tok), int(age)) if server else b""
+        entry = (
+            brain.home.ENTRY.pack(brain.fleet.seats[self.servers[server]].hash, int(tok), int(age))
+            if server
+            else b""
+        )
         means = brain.fleet.mark + bytes(2) + bytes([int(float(held) * 100)] * len(brain.fleet.order))
         key = brain.owner.key(self.gens[name]) if name else b""
         brain.heard(self.now, int(peer), kind + key + entry + means)
@@ -173,9 +242,11 @@
         self.gens[name].over = True
         self.brain.departed(self.now, self.gens[name])
 
-    def do_granted(self, name, server): self.brain.held(self.now, self.gens[name], self.servers[server], True)
+    def do_granted(self, name, server):
+        self.brain.held(self.now, self.gens[name], self.servers[server], True)
 
-    def do_fail(self): self.brain.roster_failed(self.now)
+    def do_fail(self):
+        self.brain.roster_failed(self.now)
 
     def do_wait(self):
         due = sorted((one for one in self.timers if one[0] <= self.now), key=lambda one: one[0])
--- a/tests/played_days.py
+++ b/tests/played_days.py
@@ -77,7 +77,9 @@
         return []
     callspec = getattr(item, "callspec", None)
     (which,) = mark.args
-    found: list[Play] = which(**{name: value for name, value in (callspec.params if callspec else {}).items()})
+    found: list[Play] = which(
+        **{name: value for name, value in (callspec.params if callspec else {}).items()}
+    )
     return found
 
 
@@ -126,7 +128,9 @@
         with self.lock:
             if self.over:
                 raise RuntimeError("the session is over")
-            process = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+            process = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=subprocess.PIPE, stderr=subprocess.PIPE
+            )
             self.under_way.add(process)
         try:
             printed, complaints = process.communicate(timeout=LONGEST)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -1,31 +1,31 @@
 """A gateway on loopback sockets between scripted engines and clients, played from small texts.
 
-    fleet r1 w1 w2                  scripted engines; the letter tells the role
-    settings door.buffer=65536      settings of the gateway, before anything else
-    engine w1 reset ok              what it does with its next legs, the last for all that follow; see ACTS
-    ask a order limit=900           a client asks; chat, order or note; tok=N words wanted, whole=1 without a stream
-    then a                          asks again on the same connection once the last answer was whole
-    wait 100                        ms
-    module cancel a | move a | hold a w1 | probe w1     what the module may ask for, asked for here
-    stop                            what is held is answered at once
-    begin-again                     a new gateway starts with the kept list, as the fleet's file is broken
-    leave a | stop-reading a | read-on a
-    list w1 gone | draining | ready | started=MS_AGO      the fleet's file changes and is read anew
-    file {not json                  the fleet's file gets this text and is read anew
-    raw a GET /nowhere HTTP/1.1\\r\\n\\r\\n      bytes on a connection of their own
-    > a terminated                  how the ask ended: streamed, throttled, terminated, broken, or STATUS CODE
-    > legs a r1 w1                  which engines got a leg of it, in order
-    > words a 5                     how many tokens the client got
-    > held r1 1                     how many states r1 has ever held
-    > freed r1 400                  no state waits at r1 within so many ms
-    > nothing-after a               no byte came after its final answer
-    > buffered 300000               bytes that wait for clients, at most
-    peer silent | knows w2 | unknown        a second gateway, the home of s0 and s1: before anything else
-    word 1 a1b2 times=1             a word from gateway 1 comes in at the admin port; in hex, so often over
-    > words-dropped 2 | words-lost 1        words that were not used, or did not arrive
-    > asked 1                       how often the peer was asked for an owner
-    > roster 1 | servers r1 w1      version in force; servers in the list
-    > idle                          no generation, call or client's task is left
+fleet r1 w1 w2                  scripted engines; the letter tells the role
+settings door.buffer=65536      settings of the gateway, before anything else
+engine w1 reset ok              what it does with its next legs, the last for all that follow; see ACTS
+ask a order limit=900           a client asks; chat, order or note; tok=N words wanted, whole=1 without a stream
+then a                          asks again on the same connection once the last answer was whole
+wait 100                        ms
+module cancel a | move a | hold a w1 | probe w1     what the module may ask for, asked for here
+stop                            what is held is answered at once
+begin-again                     a new gateway starts with the kept list, as the fleet's file is broken
+leave a | stop-reading a | read-on a
+list w1 gone | draining | ready | started=MS_AGO      the fleet's file changes and is read anew
+file {not json                  the fleet's file gets this text and is read anew
+raw a GET /nowhere HTTP/1.1\\r\\n\\r\\n      bytes on a connection of their own
+> a terminated                  how the ask ended: streamed, throttled, terminated, broken, or STATUS CODE
+> legs a r1 w1                  which engines got a leg of it, in order
+> words a 5                     how many tokens the client got
+> held r1 1                     how many states r1 has ever held
+> freed r1 400                  no state waits at r1 within so many ms
+> nothing-after a               no byte came after its final answer
+> buffered 300000               bytes that wait for clients, at most
+peer silent | knows w2 | unknown        a second gateway, the home of s0 and s1: before anything else
+word 1 a1b2 times=1             a word from gateway 1 comes in at the admin port; in hex, so often over
+> words-dropped 2 | words-lost 1        words that were not used, or did not arrive
+> asked 1                       how often the peer was asked for an owner
+> roster 1 | servers r1 w1      version in force; servers in the list
+> idle                          no generation, call or client's task is left
 """
 
 import json
@@ -49,12 +49,20 @@
 
 PRODUCT = {"slo_ms": 500, "token_gap_ms": 60, "time_limit_ms": 3000}
 SETTINGS = {
-    "name": "g0", "products": {
-        "chat": {"effect": "idempotent", **PRODUCT}, "order": {"effect": "side-effecting", **PRODUCT},
-        "note": {"effect": "deduplicated", "scope": "cell", "memory_ms": 5000, **PRODUCT}},
-    "kinds": {"r": {"role": "reader", "memory_tok": 100000}, "w": {"role": "writer", "memory_tok": 100000},
-              "m": {"role": "mixed", "memory_tok": 100000}},
-    "door": {"stall_ms": 400, "head_ms": 300, "body_ms": 300}, "engines": {"gap_ms": 400}, "logs": {"level": "error"},
+    "name": "g0",
+    "products": {
+        "chat": {"effect": "idempotent", **PRODUCT},
+        "order": {"effect": "side-effecting", **PRODUCT},
+        "note": {"effect": "deduplicated", "scope": "cell", "memory_ms": 5000, **PRODUCT},
+    },
+    "kinds": {
+        "r": {"role": "reader", "memory_tok": 100000},
+        "w": {"role": "writer", "memory_tok": 100000},
+        "m": {"role": "mixed", "memory_tok": 100000},
+    },
+    "door": {"stall_ms": 400, "head_ms": 300, "body_ms": 300},
+    "engines": {"gap_ms": 400},
+    "logs": {"level": "error"},
     "module": {"max_legs": 4},
 }
 
@@ -137,20 +145,34 @@
             self.states.add(transfer["state_id"])
             self.held += 1
             ours.add(transfer["state_id"])
-            stream.write(http.response(200, msgspec.json.encode(
-                engine.ReadAnswer(engine.Transfer(transfer["state_id"]), engine.Usage(10, 0, engine.Details(3))))))
+            stream.write(
+                http.response(
+                    200,
+                    msgspec.json.encode(
+                        engine.ReadAnswer(
+                            engine.Transfer(transfer["state_id"]), engine.Usage(10, 0, engine.Details(3))
+                        )
+                    ),
+                )
+            )
             return True
         return (yield from self.stream_answer(stream, act, int(number or 0), tree.get("x_tok", 5)))
 
     def stream_answer(self, stream: Stream, act: str, number: int, count: int) -> Coro[bool]:
-        head = http.head(200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked"),
-                               (engine.STATE_HEADER, "fetched")])
+        head = http.head(
+            200,
+            [
+                ("content-type", "text/event-stream"),
+                ("transfer-encoding", "chunked"),
+                (engine.STATE_HEADER, "fetched"),
+            ],
+        )
         if act == "split":
             events = [{"choices": [{"index": 0, "delta": {"content": f"w{at}"}}]} for at in range(count)]
             body = b"".join(http.chunk(sse.event(json.dumps(one).encode())) for one in events)
             body += http.chunk(sse.DONE) + http.LAST_CHUNK
             for at in range(0, len(head + body), number):
-                stream.write((head + body)[at:at + number])
+                stream.write((head + body)[at : at + number])
                 yield from self.stage.world.sleep(MS // 2)
             return True
         stream.write(head)
@@ -161,8 +183,13 @@
         for at in range(count):
             if act in ("cut", "end-early", "stall", "garble") and at == number:
                 break
-            body = {"id": "i", "object": "chat.completion.chunk", "created": 1, "model": "m",
-                    "choices": [{"index": 0, "delta": {"content": f"w{at}{pad}"}, "finish_reason": None}]}
+            body = {
+                "id": "i",
+                "object": "chat.completion.chunk",
+                "created": 1,
+                "model": "m",
+                "choices": [{"index": 0, "delta": {"content": f"w{at}{pad}"}, "finish_reason": None}],
+            }
             stream.write(http.chunk(sse.event(json.dumps(body).encode())))
             yield from stream.drain(1 << 16)
             yield from self.stage.world.sleep(2 * MS if not pad else 0)
@@ -231,8 +258,11 @@
         else:
             words = [word for word in text.split() if "=" not in word]
             given = dict(word.split("=") for word in text.split() if "=" in word)
-            name = "expect_" + words.pop(1).replace("-", "_") if words[0] == ">" and hasattr(
-                self, "expect_" + words[1].replace("-", "_")) else "do_" + words[0].replace(">", "end").replace("-", "_")
+            name = (
+                "expect_" + words.pop(1).replace("-", "_")
+                if words[0] == ">" and hasattr(self, "expect_" + words[1].replace("-", "_"))
+                else "do_" + words[0].replace(">", "end").replace("-", "_")
+            )
             result = getattr(self, name)(*words[1:], **given)
             if result is not None:
                 yield from result
@@ -255,7 +285,9 @@
             return 200, b"{}"
 
         if how != "silent":
-            self.group.spawn(Admin(self.world, {("POST", "/peer"): heard}).serve(self.group, self.peer), "peer")
+            self.group.spawn(
+                Admin(self.world, {("POST", "/peer"): heard}).serve(self.group, self.peer), "peer"
+            )
 
     def do_word(self, number: str, word: str, times: str = "1") -> Coro[None]:
         stream = yield from self.world.connect(self.admin.address, SECOND)
@@ -270,7 +302,9 @@
         self.counted("dropped", count)
 
     def expect_words_lost(self, count: str) -> Coro[None]:
-        yield from self.until(500, lambda: self.words("lost") == int(count), lambda: f"{self.words('lost')} lost")
+        yield from self.until(
+            500, lambda: self.words("lost") == int(count), lambda: f"{self.words('lost')} lost"
+        )
 
     def counted(self, end: str, count: str) -> None:
         assert self.words(end) == int(count), f"{self.words(end)} {end}"
@@ -293,15 +327,28 @@
         tree = {key: dict(value) if isinstance(value, dict) else value for key, value in SETTINGS.items()}
         for part, values in self.over.items():
             tree[part] = {**tree.get(part, {}), **values}
-        settings = check(Settings, {**tree, "roster": str(self.folder / "fleet"), "kept": str(self.folder / "kept")}, "x")
+        settings = check(
+            Settings, {**tree, "roster": str(self.folder / "fleet"), "kept": str(self.folder / "kept")}, "x"
+        )
         self.settings = settings
         log, metrics, door = logs.make("g0", "error", "json"), Metrics(), settings.door
         self.gateway = host(self.world, self.group, settings, log, metrics)
         self.door = Door(
-            self.world, self.gateway, log, metrics, reading(settings), max_connections=door.max_connections,
-            max_bodies=door.max_bodies, max_body=door.max_body, max_head=door.max_head, head=ticks(door.head_ms),
-            body=ticks(door.body_ms), idle=ticks(door.idle_ms), stall=ticks(door.stall_ms),
-            margin=ticks(door.answer_margin_ms))
+            self.world,
+            self.gateway,
+            log,
+            metrics,
+            reading(settings),
+            max_connections=door.max_connections,
+            max_bodies=door.max_bodies,
+            max_body=door.max_body,
+            max_head=door.max_head,
+            head=ticks(door.head_ms),
+            body=ticks(door.body_ms),
+            idle=ticks(door.idle_ms),
+            stall=ticks(door.stall_ms),
+            margin=ticks(door.answer_margin_ms),
+        )
         self.keeper = Keeper(self.world, self.group, log, metrics, self.gateway, settings)
         self.keeper.begin()
         if "peers" in self.over:
@@ -312,8 +359,11 @@
         yield from self.world.pause()
 
     def write_list(self) -> None:
-        servers = [{"name": name, "host": "127.0.0.1", "port": self.engines[name].port, "kind": name[0], **state}
-                   for name, state in self.states.items() if state["state"] != "gone"]
+        servers = [
+            {"name": name, "host": "127.0.0.1", "port": self.engines[name].port, "kind": name[0], **state}
+            for name, state in self.states.items()
+            if state["state"] != "gone"
+        ]
         (self.folder / "fleet").write_text(json.dumps({"version": self.version, "servers": servers}))
 
     def do_engine(self, name: str, *acts: str) -> None:
@@ -339,8 +389,15 @@
         stream.write(text.encode().decode("unicode_escape").encode("latin-1"))
         self.group.spawn(self.take(client), name)
 
-    def do_ask(self, name: str, product: str, tok: str = "5", limit: str = "2000", whole: str = "0",
-               session: str | None = None) -> Coro[None]:
+    def do_ask(
+        self,
+        name: str,
+        product: str,
+        tok: str = "5",
+        limit: str = "2000",
+        whole: str = "0",
+        session: str | None = None,
+    ) -> Coro[None]:
         try:
             stream = yield from self.world.connect(self.listener.address, SECOND)
         except ConnectFailed:
@@ -348,9 +405,17 @@
         client = self.clients[name] = Client(stream)
         self.ask(client, name, product, tok, limit, whole, session)
 
-    def ask(self, client: Client, name: str, product: str, tok: str, limit: str, whole: str, session: str | None) -> None:
-        body = msgspec.json.encode({"model": "m", "messages": [{"role": "user", "content": "tell me"}], "x_tok": int(tok),
-                                    "stream": whole == "0"})
+    def ask(
+        self, client: Client, name: str, product: str, tok: str, limit: str, whole: str, session: str | None
+    ) -> None:
+        body = msgspec.json.encode(
+            {
+                "model": "m",
+                "messages": [{"role": "user", "content": "tell me"}],
+                "x_tok": int(tok),
+                "stream": whole == "0",
+            }
+        )
         headers = [("x-request-id", name), ("x-product", product), ("x-time-limit-ms", limit)]
         headers += [("x-session-id", session)] if session else []
         client.stream.write(http.request("POST", "/v1/chat/completions", "g", body, headers))
@@ -422,14 +487,20 @@
                             client.words.append(json.loads(one)["choices"][0]["delta"]["content"])
             if reader.status != 200:
                 code = json.loads(body)["error"]["code"]
-                client.end = code if reader.status in (429, 502, 503) and code != "overfull" else f"{reader.status} {code}"
+                client.end = (
+                    code
+                    if reader.status in (429, 502, 503) and code != "overfull"
+                    else f"{reader.status} {code}"
+                )
                 again = reader.headers.get("x-should-retry") == "true"
                 never = code == "stopping" or reader.status in (400, 404, 405, 413, 414, 431, 502)
                 assert again != never, "x-should-retry"
             elif client.end is None:
                 client.end = "whole " + json.loads(body)["choices"][0]["message"]["content"]
             with self.world.limit(100 * MS):
-                client.after = (yield from client.stream.recv()) if reader.status == 200 and not client.gone else b""
+                client.after = (
+                    (yield from client.stream.recv()) if reader.status == 200 and not client.gone else b""
+                )
         except (Lost, http.BadMessage) as wrong:
             client.end = client.end or f"broken {wrong}"
 
@@ -457,7 +528,9 @@
         yield from self.until(int(ms), lambda: not one.states, lambda: f"still waiting: {one.states}")
 
     def expect_held(self, name: str, count: str) -> Coro[None]:
-        yield from self.until(1000, lambda: self.engines[name].held == int(count), lambda: f"held {self.engines[name].held}")
+        yield from self.until(
+            1000, lambda: self.engines[name].held == int(count), lambda: f"held {self.engines[name].held}"
+        )
 
     def expect_nothing_after(self, name: str) -> Coro[None]:
         yield from self.world.sleep(120 * MS)
@@ -479,6 +552,8 @@
 
     def expect_idle(self) -> Coro[None]:
         gateway = self.gateway
-        yield from self.until(1500, lambda: not gateway.asks and not gateway.calls, lambda: f"{len(gateway.asks)} asks left")
+        yield from self.until(
+            1500, lambda: not gateway.asks and not gateway.calls, lambda: f"{len(gateway.asks)} asks left"
+        )
         assert not gateway.brain.guard.pinned and not gateway.brain.writer.plan
         assert all(pool.open == len(pool.idle) for pool in gateway.pools.values()), "a connection is lost"
--- a/tests/test_announced.py
+++ b/tests/test_announced.py
@@ -49,13 +49,27 @@
 
     def programs(command):
         number, world = int(command[0]), worlds[0]
-        figures = Figures("hall", number, tuple(("127.0.0.1", 1000 + one) for one in range(SIZE)), (0, 1, 2), ("weights",),
-                          f"/votes{number}", 0, SECOND, 0.01, 200 * MS, ANNOUNCE, 64)
+        figures = Figures(
+            "hall",
+            number,
+            tuple(("127.0.0.1", 1000 + one) for one in range(SIZE)),
+            (0, 1, 2),
+            ("weights",),
+            f"/votes{number}",
+            0,
+            SECOND,
+            0.01,
+            200 * MS,
+            ANNOUNCE,
+            64,
+        )
         duties = made[number] = Duties(world, QUIET, figures, [works[number]])
         listener = world.listen(figures.addresses[number])
 
         def body(group):
-            group.spawn(Admin(world, {}, {"/duty": duties.take}, Duties.LARGEST).serve(group, listener), "admin")
+            group.spawn(
+                Admin(world, {}, {"/duty": duties.take}, Duties.LARGEST).serve(group, listener), "admin"
+            )
             group.spawn(duties.run(), "duties")
             yield from world.sleep(1000 * SECOND)
 
@@ -65,7 +79,9 @@
     worlds.append(world)
 
     def owner():
-        return next(number for number, one in made.items() if one.desk.ownings["weights"].candidate.stage == "owner")
+        return next(
+            number for number, one in made.items() if one.desk.ownings["weights"].candidate.stage == "owner"
+        )
 
     def main():
         children = [world.spawn_child([str(number)]) for number in range(SIZE)]
@@ -87,12 +103,21 @@
 def test_revenue_that_waits_is_that_of_all_gateways_of_the_site(tmp_path):
     world = VirtualWorld(1)
     told = WeightsSettings(wanted=str(tmp_path / "wanted"), folder=str(tmp_path))
-    work = WeightsWork(world, SimpleNamespace(number=1, gateways=4), told, 1, str,
-                       revenue=lambda: 2.5, disk=MemoryDisk())
+    work = WeightsWork(
+        world, SimpleNamespace(number=1, gateways=4), told, 1, str, revenue=lambda: 2.5, disk=MemoryDisk()
+    )
     assert work.present() == forms.Present(2.5)
-    wanted = Wanted.model_validate({
-        "version": 1, "links": {"up": {"bytes_per_s": 2000, "sites": ["a", "b"]}}, "models": {},
-        "sites": {"a": {"bytes_per_s": 2000, "gateways": [1, 3]}, "b": {"bytes_per_s": 2000, "gateways": [2]}}})
+    wanted = Wanted.model_validate(
+        {
+            "version": 1,
+            "links": {"up": {"bytes_per_s": 2000, "sites": ["a", "b"]}},
+            "models": {},
+            "sites": {
+                "a": {"bytes_per_s": 2000, "gateways": [1, 3]},
+                "b": {"bytes_per_s": 2000, "gateways": [2]},
+            },
+        }
+    )
     sites = Sites(wanted, work.waiting)
     heard = Heard(forms.Report("a", 1, forms.Mark(1, 0), 4.0), 0)
     for number, revenue in ((1, 3.0), (2, 9.0), (3, 5.0)):
--- a/tests/test_attempt_writes.py
+++ b/tests/test_attempt_writes.py
@@ -37,7 +37,9 @@
         raise KeyError("odd")
 
 
-def attempted(meanwhile: Callable[[Task], None], kind: type[WritingAttempt] = WritingAttempt) -> tuple[str, bytes]:
+def attempted(
+    meanwhile: Callable[[Task], None], kind: type[WritingAttempt] = WritingAttempt
+) -> tuple[str, bytes]:
     """The outcome of an attempt, and what its server got; `meanwhile` happens while its connection comes about, seen by the
     loop in the same turn as the connection."""
     world, ends = RealWorld(), list[End]()
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -73,12 +73,19 @@
         try:
             scene(point)
         except AssertionError as wrong:
-            raise AssertionError(f"at point {chosen}, {(*point.names, 'the last')[chosen]}: {wrong}") from None
+            raise AssertionError(
+                f"at point {chosen}, {(*point.names, 'the last')[chosen]}: {wrong}"
+            ) from None
     return unacted.count
 
 
-STRAYS = {"half a line": b"HTTP/1.1 202 Acc", "a whole answer": http.response(202, b"{}"),
-          "half a line, then the end": b"HTTP/1.1 2", "the end": b"", "a reset": b""}
+STRAYS = {
+    "half a line": b"HTTP/1.1 202 Acc",
+    "a whole answer": http.response(202, b"{}"),
+    "half a line, then the end": b"HTTP/1.1 2",
+    "the end": b"",
+    "a reset": b"",
+}
 
 
 def stray(far: socket.socket, kind: str) -> None:
@@ -96,13 +103,17 @@
 @pytest.mark.parametrize("kind", STRAYS)
 def test_bytes_on_a_resting_connection_to_a_server(kind: str, step: str) -> None:
     """What came before the look that goes with its use is never read as an answer; whatever comes, no place is lost."""
+
     def scene(point: Points) -> None:
         world, budget = RealWorld(), Budget(1 if step == "makes way" else 4)
         listener, other = (socket.create_server(("127.0.0.1", 0)) for _ in range(2))
         near: list[Stream] = []
 
         def main() -> Coro[None]:
-            pools = [Pool(world, one.getsockname(), 4, SECOND // 4, SECOND, 5 * MS, budget) for one in (listener, other)]
+            pools = [
+                Pool(world, one.getsockname(), 4, SECOND // 4, SECOND, 5 * MS, budget)
+                for one in (listener, other)
+            ]
             pool = pools[0]
             first = yield from pool.take([Phase.QUEUED])
             far, _ = listener.accept()
@@ -128,7 +139,9 @@
             else:
                 near.append((yield from pools[step == "makes way"].take([Phase.QUEUED], fresh="new" in step)))
                 if near[0] is first:
-                    assert not point.came_by("it is kept") and not point.came_by("before recv"), "it is used with bytes on it"
+                    assert not point.came_by("it is kept") and not point.came_by("before recv"), (
+                        "it is used with bytes on it"
+                    )
                 else:
                     assert step != "taken" or point.chosen >= 0, "nothing came, and it was not used"
                     near[0].write(b"x")  # it is a good one
@@ -148,20 +161,31 @@
     assert searched(scene) >= 7
 
 
-COME = {"a whole request": request("beef" * 4), "half a line": b"POST /v1/cha", "the end": b"",
-        "a whole request, then the end": request("beef" * 4)}
+COME = {
+    "a whole request": request("beef" * 4),
+    "half a line": b"POST /v1/cha",
+    "the end": b"",
+    "a whole request, then the end": request("beef" * 4),
+}
 
 
 @pytest.mark.parametrize("step", ["SIGTERM", "its rest is over", "its place is wanted"])
 @pytest.mark.parametrize("kind", COME)
 def test_bytes_as_a_resting_client_is_half_closed(kind: str, step: str) -> None:
     """Served whole, or an end without an answer and nobody heard of it; a reset only to what comes after the close."""
+
     def scene(point: Points) -> None:
         world, host = RealWorld(), Answering()
 
         def body(group: Group) -> Coro[None]:
-            made = door(world, host, max_connections=1 if "place" in step else 50, idle=50 * MS if "rest" in step else SECOND,
-                        head=20 * MS, body=20 * MS)
+            made = door(
+                world,
+                host,
+                max_connections=1 if "place" in step else 50,
+                idle=50 * MS if "rest" in step else SECOND,
+                head=20 * MS,
+                body=20 * MS,
+            )
             listener = world.listen(("127.0.0.1", 0))
             group.spawn(made.serve(group, listener), "door")
             client = yield from world.connect(listener.address, SECOND)
@@ -195,13 +219,19 @@
                     got.append((yield from answer(client)))
                     assert got[1] is None, "a second answer"
             except Lost as wrong:
-                assert "after close" in point.names and not point.came_by("after close"), f"no clean end: {wrong}"
+                assert "after close" in point.names and not point.came_by("after close"), (
+                    f"no clean end: {wrong}"
+                )
             client.close()
             taken = host.taken.count("beef" * 4)
-            if point.came_by("it rests") and "before recv" not in point.names[:point.chosen]:
+            if point.came_by("it rests") and "before recv" not in point.names[: point.chosen]:
                 # One that has ended its sending counts as gone, and may still read: it is answered, and nobody hears of it.
                 status = got[0].status if got and got[0] is not None else None
-                wanted = {"a whole request": 200, "half a line": 408, "a whole request, then the end": 429}.get(kind)
+                wanted = {
+                    "a whole request": 200,
+                    "half a line": 408,
+                    "a whole request, then the end": 429,
+                }.get(kind)
                 assert status == wanted, f"it was there, unseen: {status}"
             assert taken == sum(one is not None and one.status == 200 for one in got), f"taken {taken} times"
             yield from world.sleep(30 * MS)
@@ -218,8 +248,11 @@
 @pytest.mark.parametrize("made", [RealWorld, lambda: VirtualWorld(3)], ids=["real", "virtual"])
 @pytest.mark.parametrize("finished", [False, True])
 @pytest.mark.parametrize("who", ["near", "far"])
-def test_what_is_buffered_at_a_reset_was_not_taken(who: str, finished: bool, made: Callable[[], World]) -> None:
+def test_what_is_buffered_at_a_reset_was_not_taken(
+    who: str, finished: bool, made: Callable[[], World]
+) -> None:
     """Whoever waits for the other side to take all hears that it did not."""
+
     def main(world: World) -> Coro[bool]:
         listener = world.listen(("127.0.0.1", 0))
         near = yield from world.connect(listener.address, SECOND)
@@ -242,6 +275,7 @@
 @pytest.mark.parametrize("late", [0, 20 * MS])
 def test_a_half_close_behind_what_is_buffered(late: Any) -> None:
     """The client takes all of it, then sees the end, though it sends on meanwhile."""
+
     def main(world: RealWorld) -> Coro[tuple[int, bytes]]:
         listener = world.listen(("127.0.0.1", 0))
         near = yield from world.connect(listener.address, SECOND)
@@ -263,6 +297,7 @@
 
 def test_connections_that_wait_in_the_accept_queue_as_the_listener_closes_are_answered() -> None:
     """More than are accepted in one go; each has sent its request, and one waits without any. A plain close resets them."""
+
     def body(group: Group) -> Coro[list[int | None]]:
         made, listener = door(world, host), world.listen(("127.0.0.1", 0))
         group.spawn(made.serve(group, listener), "door")
--- a/tests/test_counters.py
+++ b/tests/test_counters.py
@@ -10,12 +10,15 @@
 
 CHAT = Product("chat", "idempotent", "all", 0, SECOND, 400, 600, 4 * SECOND, 1.0, 0.1)
 SERVERS: dict[str, Server] = {
-    role: Server(role, "a", role, 1, role, 1000) for role in ("reader", "writer", "mixed")}  # type: ignore[arg-type]
+    role: Server(role, "a", role, 1, role, 1000) for role in ("reader", "writer", "mixed")
+}  # type: ignore[arg-type]
 
 
 def generation(*legs: tuple[str, Any], product: Product = CHAT, prompt: int = 1000) -> Generation:
     gen = Generation("g", product, None, None, None, 0, prompt, 100, None, 100, 5 * SECOND, False, False)
-    gen.legs += [Leg(gen, number, SERVERS[role], 200, outcome=outcome) for number, (role, outcome) in enumerate(legs)]
+    gen.legs += [
+        Leg(gen, number, SERVERS[role], 200, outcome=outcome) for number, (role, outcome) in enumerate(legs)
+    ]
     return gen
 
 
@@ -39,28 +42,58 @@
     assert of.quantiles()[0] == 10
 
 
-@pytest.mark.parametrize("legs, end, first, cause", [
-    ([("reader", "read"), ("writer", "streamed")], "streamed", 100 + CHAT.slo_time + 400, None),  # 40 ms for 1,000 tokens
-    ([("reader", "read"), ("writer", "streamed")], "streamed", 101 + CHAT.slo_time + 400, "late"),
-    ([], "throttled", None, "throttled unsent"), ([("reader", "time-out")], "throttled", None, "throttled"),
-    ([("writer", "reset")], "terminated", None, "terminated"), ([("reader", "read")], "departed", None, "cancelled by client"),
-    ([("writer", "reset")], "stream_broken", 500, "broken off"), ([], "stopping", None, "broken off"),
-])
+@pytest.mark.parametrize(
+    "legs, end, first, cause",
+    [
+        (
+            [("reader", "read"), ("writer", "streamed")],
+            "streamed",
+            100 + CHAT.slo_time + 400,
+            None,
+        ),  # 40 ms for 1,000 tokens
+        ([("reader", "read"), ("writer", "streamed")], "streamed", 101 + CHAT.slo_time + 400, "late"),
+        ([], "throttled", None, "throttled unsent"),
+        ([("reader", "time-out")], "throttled", None, "throttled"),
+        ([("writer", "reset")], "terminated", None, "terminated"),
+        ([("reader", "read")], "departed", None, "cancelled by client"),
+        ([("writer", "reset")], "stream_broken", 500, "broken off"),
+        ([], "stopping", None, "broken off"),
+    ],
+)
 def test_what_is_lost_to_which_cause(legs: list, end: str, first: int | None, cause: str | None) -> None:
     counters = Counters()
     counters.over(generation(*legs), end, first)
-    line, = counters.take()
-    assert (line["ended"], line["in_time"], line["lost"]) == (1, int(cause is None), {cause: 1} if cause else {})
+    (line,) = counters.take()
+    assert (line["ended"], line["in_time"], line["lost"]) == (
+        1,
+        int(cause is None),
+        {cause: 1} if cause else {},
+    )
     assert cause is None or cause in CAUSES
 
 
 def test_kept_tokens_against_what_was_read_where() -> None:
     counters = Counters()
-    read, alone, mixed, lost = ("reader", "read"), ("writer", "streamed"), ("mixed", "streamed"), ("reader", "time-out")
-    for legs, kept in (([read], 700), ([read], 0), ([read, alone], 900), ([alone], 800), ([mixed], 100), ([lost], 0),
-                       ([lost, alone], 0)):
+    read, alone, mixed, lost = (
+        ("reader", "read"),
+        ("writer", "streamed"),
+        ("mixed", "streamed"),
+        ("reader", "time-out"),
+    )
+    for legs, kept in (
+        ([read], 700),
+        ([read], 0),
+        ([read, alone], 900),
+        ([alone], 800),
+        ([mixed], 100),
+        ([lost], 0),
+        ([lost, alone], 0),
+    ):
         counters.leg_ended(400, generation(*legs).legs[-1], kept)
-    assert counters.take()[0]["kept_tok"] == {"readers": [700, 2000], "writers": [900, 3000]}  # what was fetched is left out
+    assert counters.take()[0]["kept_tok"] == {
+        "readers": [700, 2000],
+        "writers": [900, 3000],
+    }  # what was fetched is left out
 
 
 def test_waits_by_part() -> None:
@@ -70,17 +103,27 @@
     gen.legs[1].sent = 600
     counters.started(600 + 15 * MS, gen.legs[1])
     counters.started(200 + 300 * MS, generation(("mixed", None)).legs[0])
-    assert counters.take()[0]["wait_ms"] == {"reader": [40] * 3, "writer": [20] * 3, "mixed": [320] * 3, "all": [80, 320, 320]}
+    assert counters.take()[0]["wait_ms"] == {
+        "reader": [40] * 3,
+        "writer": [20] * 3,
+        "mixed": [320] * 3,
+        "all": [80, 320, 320],
+    }
 
 
 def test_memory_stays_and_nothing_seen_tells_nothing() -> None:
-    counters, products = Counters(), [Product(name, "idempotent", "all", 0, SECOND, 0, 0, 0, 1.0, 0.1) for name in "abc"]
+    counters, products = (
+        Counters(),
+        [Product(name, "idempotent", "all", 0, SECOND, 0, 0, 0, 1.0, 0.1) for name in "abc"],
+    )
     for number in range(30_000):
         gen = generation(("writer", "streamed"), product=products[number % 3])
         counters.started(number, gen.legs[0])
         counters.leg_ended(number, gen.legs[0], 5)
         counters.over(gen, "streamed", number)
     assert len(counters.classes) == 3
-    assert sum(len(one.counts) for of in counters.classes.values() for one in of.waits.values()) == 3 * 4 * len(EDGES)
+    assert sum(
+        len(one.counts) for of in counters.classes.values() for one in of.waits.values()
+    ) == 3 * 4 * len(EDGES)
     assert [line["ended"] for line in counters.take()] == [10_000] * 3
     assert counters.take() == [] and not counters.classes
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -32,8 +32,17 @@
 
 def door(world: World, host: Any, **odd: Any) -> PlatformDoor:
     given: dict[str, Any] = {
-        "max_connections": 50, "max_bodies": 1 << 20, "max_body": 1 << 18, "max_head": 1 << 14, "head": SECOND // 5,
-        "body": SECOND // 5, "idle": SECOND, "stall": SECOND, "margin": MS, "fresh": SECOND // 5} | odd
+        "max_connections": 50,
+        "max_bodies": 1 << 20,
+        "max_body": 1 << 18,
+        "max_head": 1 << 14,
+        "head": SECOND // 5,
+        "body": SECOND // 5,
+        "idle": SECOND,
+        "stall": SECOND,
+        "margin": MS,
+        "fresh": SECOND // 5,
+    } | odd
     log: Any = SimpleNamespace(exception=lambda event, **fields: print(event, fields))
     made = PlatformDoor(world, host, log, NoCounts(), None, **given)  # type: ignore[arg-type]
     made.products = {"chat": CHAT}
@@ -41,8 +50,13 @@
 
 
 def request(name: str, body: bytes = b"{}") -> bytes:
-    return http.request("POST", "/v1/chat/completions", "h", body, [
-        ("req-id", name), ("req-kind", "chat"), ("req-deadline-ms", "900")])
+    return http.request(
+        "POST",
+        "/v1/chat/completions",
+        "h",
+        body,
+        [("req-id", name), ("req-kind", "chat"), ("req-deadline-ms", "900")],
+    )
 
 
 def answer(stream: Stream) -> Coro[http.ResponseReader | None]:
@@ -75,7 +89,10 @@
 
 def test_bytes_before_and_after_a_resting_connection_is_shut() -> None:
     """In turn: the request is in the kernel as the gateway looks; it comes on the half-closed connection; both."""
-    def body(world: RealWorld, group: Group, made: PlatformDoor, host: Answering, address: Any) -> Coro[list[Any]]:
+
+    def body(
+        world: RealWorld, group: Group, made: PlatformDoor, host: Answering, address: Any
+    ) -> Coro[list[Any]]:
         seen = []
         for when in ("before", "after", "both"):
             made.stopping = False
@@ -96,7 +113,13 @@
             seen.append((when, first is not None, second and second.headers.get("connection"), end))
             stream.close()
             yield from world.sleep(5 * MS)
-        return [seen, host.taken.count("beef" * 4), host.taken.count("dead" * 4), made.connections, len(made.lingering)]
+        return [
+            seen,
+            host.taken.count("beef" * 4),
+            host.taken.count("dead" * 4),
+            made.connections,
+            len(made.lingering),
+        ]
 
     seen, before, after, left, lingering = played(body)
     assert before == 2 and after == 0, "what came before is served, what comes after the half-close never"
@@ -108,6 +131,7 @@
 
 def test_an_answer_before_a_close_is_not_lost_to_a_reset() -> None:
     """The client goes on sending while the last answer of its connection is on its way to it."""
+
     def body(world: RealWorld, group: Group, made: PlatformDoor, host: Answering, address: Any) -> Coro[int]:
         whole = 0
         for number in range(20):
@@ -145,6 +169,7 @@
 
 def test_one_that_sends_on_behind_its_last_answer_is_read_no_further_than_a_body() -> None:
     """At full speed for half a second it would take the others' time; 16 MB leave room for what systems buffer."""
+
     def body(world: RealWorld, group: Group, made: PlatformDoor, host: Answering, address: Any) -> Coro[int]:
         stream, sent = (yield from world.connect(address, SECOND)), 0
         stream.write(b"GET /elsewhere HTTP/1.1\r\n\r\n")
@@ -163,16 +188,24 @@
 
 
 BAD: dict[str, bytes] = {  # sent over and over, a piece each millisecond, by one that never reads
-    "says nothing": b"", "a head without an end": b"x", "a head over its bound": b"x" * 4000,
+    "says nothing": b"",
+    "a head without an end": b"x",
+    "a head over its bound": b"x" * 4000,
     "a body without an end": request("0" * 16)[:-1].replace(b"content-length: 2", b"content-length: 200000"),
-    "trailers without an end": b"POST /v1 HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n" + b"a: b\r\n" * 500,
-    "bytes after its request": request("0" * 16) + b"x" * 9000, "noise": b"\x07\x80\xff" * 3000,
-    "one request after another": request("0" * 16)}
+    "trailers without an end": b"POST /v1 HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n"
+    + b"a: b\r\n" * 500,
+    "bytes after its request": request("0" * 16) + b"x" * 9000,
+    "noise": b"\x07\x80\xff" * 3000,
+    "one request after another": request("0" * 16),
+}
 
 
 def test_others_are_served_among_many_that_are_bad() -> None:
     """Ten of each kind, each coming again as it is shut out; fifty good requests among them, one every 20 ms."""
-    def body(world: RealWorld, group: Group, made: PlatformDoor, host: Answering, address: Any) -> Coro[dict[str, int]]:
+
+    def body(
+        world: RealWorld, group: Group, made: PlatformDoor, host: Answering, address: Any
+    ) -> Coro[dict[str, int]]:
         most = {"connections": 0, "bodies": 0, "lingering": 0, "waiting": 0, "late": 0, "lost": 0}
 
         def bad(kind: str) -> Coro[None]:
@@ -219,7 +252,10 @@
 
 def test_a_request_whose_facts_raise_is_answered() -> None:
     """An error that nobody thought of costs its request alone, which is still owed an answer."""
-    def body(world: RealWorld, group: Group, made: PlatformDoor, host: Answering, address: Any) -> Coro[list[int | None]]:
+
+    def body(
+        world: RealWorld, group: Group, made: PlatformDoor, host: Answering, address: Any
+    ) -> Coro[list[int | None]]:
         class Odd(dict[str, Product]):
             def get(self, *_: Any) -> Any:
                 raise KeyError("odd")
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -25,6 +25,7 @@
 
 def owned(fleet, first):
     """Its term, once it owns the duty. Another that was quicker, as on a busy machine, hands over: the order begins with it."""
+
     def there():
         found = fleet.owner()
         if found is not None and found[0] != first:
@@ -32,6 +33,7 @@
             fleet.processes[found[0]].wait()
             fleet.start(found[0])
         return [line["term"] for word, number, line in fleet.words() if word == "owner" and number == first]
+
     return fleet.wait(there, 20)[0]
 
 
@@ -55,15 +57,31 @@
         assert later != first and order(its_term) > order(term)
         time.sleep(0.3)
         before = promises(fleet, but=(first,))
-        assert all(one.stamp.term == number_of(its_term) == one.kept.stamp.term for one in before.values()), before
+        assert all(one.stamp.term == number_of(its_term) == one.kept.stamp.term for one in before.values()), (
+            before
+        )
         fleet.signal(first, signal.SIGCONT)
         down = {"owner": "owner", "write": "write", "release": "release", "renewal": "lease"}[kind]
-        refused = fleet.wait(lambda: [line for word, _, line in fleet.words() if word == "turned down" and line["sender"] == first
-                                      and line["term"] == term and line["kind"] == down], 5, "nobody turned its late call down")
+        refused = fleet.wait(
+            lambda: [
+                line
+                for word, _, line in fleet.words()
+                if word == "turned down"
+                and line["sender"] == first
+                and line["term"] == term
+                and line["kind"] == down
+            ],
+            5,
+            "nobody turned its late call down",
+        )
         assert refused[0]["known"] == its_term
-        fleet.wait(lambda: any(word == "stepped down" and line["term"] == term for word, _, line in fleet.words()), 5)
+        fleet.wait(
+            lambda: any(word == "stepped down" and line["term"] == term for word, _, line in fleet.words()), 5
+        )
         time.sleep(LEASE_MS / 1000)
-        assert promises(fleet, but=(first,)) == before and fleet.owner() == (later, its_term), "its successor was disturbed"
+        assert promises(fleet, but=(first,)) == before and fleet.owner() == (later, its_term), (
+            "its successor was disturbed"
+        )
 
 
 def test_an_owner_that_ends_is_killed_or_stopped_is_followed_in_time(tmp_path):
@@ -91,7 +109,11 @@
         after, later = fleet.new_owner(term)
         assert after != number and time.monotonic() - begun < LEASE_MS / 1000 + 1
         fleet.signal(number, signal.SIGCONT)
-        down = fleet.wait(lambda: [line for word, _, line in fleet.words() if word == "stepped down" and line["term"] == term])
+        down = fleet.wait(
+            lambda: [
+                line for word, _, line in fleet.words() if word == "stepped down" and line["term"] == term
+            ]
+        )
         assert down[0]["why"] == "its lease ran out"
         time.sleep(0.5)
         assert fleet.owner() == (after, later)
@@ -101,7 +123,9 @@
     """Whether its last start votes; one that doesn't serve yet has not joined, though the one before it had."""
     lines = fleet.log(number)
     last = [at for at, line in enumerate(lines) if line["event"] == "serving"]
-    return len(last) == fleet.starts[number] and any(line["event"] == "voter_joins" for line in lines[last[-1]:])
+    return len(last) == fleet.starts[number] and any(
+        line["event"] == "voter_joins" for line in lines[last[-1] :]
+    )
 
 
 def test_a_voter_without_its_file_does_not_vote_while_another_is_dead(tmp_path):
@@ -114,7 +138,9 @@
         fleet.signal(empty, signal.SIGKILL)
         (tmp_path / f"votes{empty}").unlink()
         fleet.start(empty)
-        fleet.wait(lambda: any(word == "stepped down" and line["term"] == term for word, _, line in fleet.words()), 5)
+        fleet.wait(
+            lambda: any(word == "stepped down" and line["term"] == term for word, _, line in fleet.words()), 5
+        )
         fleet.wait(lambda: any(line["event"] == "voter_waits" for line in fleet.log(empty)), 5)
         time.sleep(2 * LEASE_MS / 1000)
         assert fleet.owner() is None and not joined(fleet, empty)
@@ -133,8 +159,15 @@
             fleet.signal(one, signal.SIGKILL)
             (tmp_path / f"votes{one}").unlink()
         fleet.start(*lost)
-        said = fleet.wait(lambda: [line for one in lost for line in fleet.log(one) if line["event"] == "voter_waits"
-                                   and "raise duties.generation" in line["why"]], 6)
+        said = fleet.wait(
+            lambda: [
+                line
+                for one in lost
+                for line in fleet.log(one)
+                if line["event"] == "voter_waits" and "raise duties.generation" in line["why"]
+            ],
+            6,
+        )
         assert "2 of 3 voters have no file" in said[0]["why"]
         time.sleep(LEASE_MS / 1000)
         assert fleet.owner() is None
@@ -166,7 +199,9 @@
         fleet.wait(lambda: joined(fleet, copied), 6)
         fleet.wait(lambda: all(one.stamp.term >= number_of(term) for one in promises(fleet).values()), 4)
 
-        spare = Fleet(tmp_path, 3, [0, 1, 2])  # voter 0 once more, as another process that was given the same file
+        spare = Fleet(
+            tmp_path, 3, [0, 1, 2]
+        )  # voter 0 once more, as another process that was given the same file
         assert spare.ports[0] != fleet.ports[0], "the first fleet listens on its own"
         path = tmp_path / "twin.json"
         settings = spare.settings(0)
@@ -174,10 +209,16 @@
         path.write_text(msgspec.json.encode(settings).decode())
         log = tmp_path / "twin.log"
         with open(log, "ab") as sink:
-            twin = subprocess.Popen([sys.executable, "-m", "stackpitch", "serve", "-c", str(path)], cwd=ROOT, stderr=sink)
+            twin = subprocess.Popen(
+                [sys.executable, "-m", "stackpitch", "serve", "-c", str(path)], cwd=ROOT, stderr=sink
+            )
         try:
             fleet.wait(lambda: b"voter_out" in log.read_bytes(), 6)
-            assert b"FileTaken" in log.read_bytes() and b"give each its own duties.file" in log.read_bytes() and twin.poll() is None
+            assert (
+                b"FileTaken" in log.read_bytes()
+                and b"give each its own duties.file" in log.read_bytes()
+                and twin.poll() is None
+            )
         finally:
             twin.kill()
             twin.wait()
@@ -228,7 +269,9 @@
         said = fleet.wait(lambda: [line for line in fleet.log(copied) if line["event"] == "voter_older"], 6)
         assert "others heard" in said[0]["why"]
         time.sleep(2 * LEASE_MS / 1000)
-        assert not any(word == "owner" and order(line["term"]) > order(term) for word, _, line in fleet.words()), "two that may vote are not there"
+        assert not any(
+            word == "owner" and order(line["term"]) > order(term) for word, _, line in fleet.words()
+        ), "two that may vote are not there"
 
 
 def test_what_is_astray_malformed_or_from_another_fleet_is_dropped(tmp_path):
@@ -237,22 +280,46 @@
         number, term = fleet.new_owner()
         other = 1 - number
         known = number_of(term)
-        fleet.wait(lambda: fleet.call(other, "owner", 1, 1).stamp.term == known, 3, "the owner has told it of its term")
+        fleet.wait(
+            lambda: fleet.call(other, "owner", 1, 1).stamp.term == known,
+            3,
+            "the owner has told it of its term",
+        )
         for said, wrong in {
-            "another fleet": {"fleet": "other"}, "update the receiver": {"form": FORM + 1}, "update the sender": {"form": FORM - 1}, "malformed   ": {"form": -1},
-            "for another gateway": {"addressed": 7}, "unknown sender": {"sender": 9}, "unknown duty": {"duty": "lunch"},
-            "malformed": {"kind": "lease", "body": {"ticks": -1, "renewal": 1}}, "malformed ": {"kind": "lease", "body": {"ticks": "long", "renewal": 1}},
-            "malformed  ": {"kind": "lease", "body": {"ticks": 10_000, "renewal": -1}}, "   malformed": {"kind": "lease", "body": {"ticks": 10_000}},
-            " malformed": {"term": 1 << 59}, "  malformed": {"term": -1}}.items():
+            "another fleet": {"fleet": "other"},
+            "update the receiver": {"form": FORM + 1},
+            "update the sender": {"form": FORM - 1},
+            "malformed   ": {"form": -1},
+            "for another gateway": {"addressed": 7},
+            "unknown sender": {"sender": 9},
+            "unknown duty": {"duty": "lunch"},
+            "malformed": {"kind": "lease", "body": {"ticks": -1, "renewal": 1}},
+            "malformed ": {"kind": "lease", "body": {"ticks": "long", "renewal": 1}},
+            "malformed  ": {"kind": "lease", "body": {"ticks": 10_000, "renewal": -1}},
+            "   malformed": {"kind": "lease", "body": {"ticks": 10_000}},
+            " malformed": {"term": 1 << 59},
+            "  malformed": {"term": -1},
+        }.items():
             to, said = 0 if wrong.get("kind") else other, said.strip()
-            answer = fleet.call(to, wrong.pop("kind", "owner"), wrong.pop("term", known + (1 << 10)), 1, **wrong)
+            answer = fleet.call(
+                to, wrong.pop("kind", "owner"), wrong.pop("term", known + (1 << 10)), 1, **wrong
+            )
             assert isinstance(answer, str) and said in answer, (said, answer)
-        assert "malformed" in fleet.post(other, b"{") and fleet.post(other, b" " * 600_000).split()[0] in ("body", "closed:")
+        assert "malformed" in fleet.post(other, b"{") and fleet.post(other, b" " * 600_000).split()[0] in (
+            "body",
+            "closed:",
+        )
         assert fleet.call(other, "owner", known - (1 << 10), 1).word == "older term"
-        assert fleet.call(other, "owner", known, 12345).word == "older term", "the same term from another start"
+        assert fleet.call(other, "owner", known, 12345).word == "older term", (
+            "the same term from another start"
+        )
         higher = fleet.call(number, "owner", known + (5 << 10), 7)
         assert higher.yes
-        down = fleet.wait(lambda: [line for word, _, line in fleet.words() if word == "stepped down" and line["term"] == term])
+        down = fleet.wait(
+            lambda: [
+                line for word, _, line in fleet.words() if word == "stepped down" and line["term"] == term
+            ]
+        )
         assert "was heard of" in down[0]["why"]
         assert order(fleet.new_owner(term)[1]) > order(term)
 
@@ -269,14 +336,26 @@
         fleet.fault("halves", [pair for pair in fleet.paths if (pair[0] in small) != (pair[1] in small)])
         later, its_term = fleet.new_owner(term)
         assert later in large and time.monotonic() - begun < LEASE_MS / 1000 + 1
-        fleet.wait(lambda: any(word == "stepped down" and line["term"] == term for word, _, line in fleet.words()), 2)
+        fleet.wait(
+            lambda: any(word == "stepped down" and line["term"] == term for word, _, line in fleet.words()), 2
+        )
         time.sleep(1.5)
-        campaigns = len(fleet.seen("call", kind="lease", sender=other)) + len(fleet.seen("call", kind="lease", sender=number))
+        campaigns = len(fleet.seen("call", kind="lease", sender=other)) + len(
+            fleet.seen("call", kind="lease", sender=number)
+        )
         fleet.fault("halves", [], on=False)
         time.sleep(2 * LEASE_MS / 1000)
         assert fleet.owner() == (later, its_term), "those that come back depose nobody"
-        assert len(fleet.seen("call", kind="lease", sender=other)) + len(fleet.seen("call", kind="lease", sender=number)) == campaigns
-        known = [one for one in fleet.seen("answered", word="yes") if one.get("knows", [0])[0] > number_of(its_term)]
+        assert (
+            len(fleet.seen("call", kind="lease", sender=other))
+            + len(fleet.seen("call", kind="lease", sender=number))
+            == campaigns
+        )
+        known = [
+            one
+            for one in fleet.seen("answered", word="yes")
+            if one.get("knows", [0])[0] > number_of(its_term)
+        ]
         assert not known, "no term was promised over that of an owner that is well"
 
 
@@ -291,8 +370,17 @@
         fleet.fault("one way", [pair for pair in fleet.paths if pair[1 if deaf else 0] == number])
         later, _ = fleet.new_owner(term)
         assert later != number and time.monotonic() - begun < LEASE_MS / 1000 + 1
-        down = fleet.wait(lambda: [line for word, _, line in fleet.words() if word == "stepped down" and line["term"] == term], 2)
+        down = fleet.wait(
+            lambda: [
+                line for word, _, line in fleet.words() if word == "stepped down" and line["term"] == term
+            ],
+            2,
+        )
         assert down[0]["why"] == "its lease ran out"
-        late = [one for one in fleet.seen("call", kind="owner", sender=number) if one["stamp"][0] == number_of(term)
-                and one["at"] > fleet.seen("call", kind="owner", sender=later)[0]["at"]]
+        late = [
+            one
+            for one in fleet.seen("call", kind="owner", sender=number)
+            if one["stamp"][0] == number_of(term)
+            and one["at"] > fleet.seen("call", kind="owner", sender=later)[0]["at"]
+        ]
         assert not late, "the older acted after the newer"
--- a/tests/test_duties_pure.py
+++ b/tests/test_duties_pure.py
@@ -64,17 +64,25 @@
             value = b"x" * int(words[1][1:]) if words[1][0] == "+" else words[1].encode()
             answer = voter.write("d", who, Kept(who, int(words[0]), value))
         else:
-            answer = {"lease": lambda: voter.grant(self.now, "d", who, lease, renewal), "would": lambda: voter.would(self.now, "d", who, lease),
-                      "release": lambda: voter.release(self.now, "d", who), "read": lambda: voter.read("d", who)}[kind]()
+            answer = {
+                "lease": lambda: voter.grant(self.now, "d", who, lease, renewal),
+                "would": lambda: voter.would(self.now, "d", who, lease),
+                "release": lambda: voter.release(self.now, "d", who),
+                "read": lambda: voter.read("d", who),
+            }[kind]()
         if kind == "lease":
             self.renewals[who] = max(renewal, self.renewals.get(who, 0))
-        said = [*answer.word.split(), shown(answer.stamp)] if answer.word == "older term" else answer.word.split()
+        said = (
+            [*answer.word.split(), shown(answer.stamp)]
+            if answer.word == "older term"
+            else answer.word.split()
+        )
         if answer.word == "leased":
             said.append(str(-(-voter.free_in(self.now, "d", who) // MS)))
         if kind == "read" and answer.yes:
             kept = of(answer)
             said.append(f"{shown(kept.stamp)}.{kept.version}={kept.value.decode()}" if kept.version else "-")
-        assert said[:len(wanted)] == wanted, said
+        assert said[: len(wanted)] == wanted, said
 
 
 def promises(words):
@@ -96,8 +104,14 @@
     def state(self, words):
         facts = dict(word.split("=") for word in words if "=" in word)
         serial = next((int(word) for word in words if word.isdigit()), 0)
-        return State(int(facts.get("generation", self.generation)), "joined" in words, "empty" in words, serial, int(facts.get("seen", 0)),
-                     promises(words))
+        return State(
+            int(facts.get("generation", self.generation)),
+            "joined" in words,
+            "empty" in words,
+            serial,
+            int(facts.get("seen", 0)),
+            promises(words),
+        )
 
     def line(self, line):
         kind, *words = line.split()
@@ -142,9 +156,17 @@
     assert owners > 300, "too little happened"
 
 
-@pytest.mark.parametrize("bug,first,said", [
-    ("no sync", 0, "lost"), ("forgets", 0, "lost"), ("late lease", 0, "two leases"), ("no fence", 0, "took"),
-    ("hasty", 65, "two leases"), ("no write-back", 120, "lost")])
+@pytest.mark.parametrize(
+    "bug,first,said",
+    [
+        ("no sync", 0, "lost"),
+        ("forgets", 0, "lost"),
+        ("late lease", 0, "two leases"),
+        ("no fence", 0, "took"),
+        ("hasty", 65, "two leases"),
+        ("no write-back", 120, "lost"),
+    ],
+)
 def test_a_bug_put_in_on_purpose_is_found(bug, first, said):
     for seed in range(first, first + 250):
         try:
@@ -166,7 +188,10 @@
 
 def test_a_campaign_that_was_lost_after_its_pre_vote_is_not_repeated_under_its_term():
     """Nobody had answered, so nobody told it a term; its release is still on its way and must not free a later lease."""
-    candidate, voters = Candidate(3, 7, 0, (0, 1, 2), 3000 * MS), [Voter(3000 * MS, 0.01, 0) for _ in range(2)]
+    candidate, voters = (
+        Candidate(3, 7, 0, (0, 1, 2), 3000 * MS),
+        [Voter(3000 * MS, 0.01, 0) for _ in range(2)],
+    )
 
     def campaign(now, answer):
         asked, then = candidate.campaign(now), None
@@ -191,7 +216,9 @@
     vacancy.begin(0, last=0)
     while len(set(told)) < candidates:
         some = vacancy.next(now)
-        assert len(some) <= 16 and (len(told) or some[0] != 0 or candidates == 1), "whose lease ran out is told last"
+        assert len(some) <= 16 and (len(told) or some[0] != 0 or candidates == 1), (
+            "whose lease ran out is told last"
+        )
         told += some
         now, rounds = vacancy.due, rounds + 1
     assert now < 10_000 * 10 and len(told) < candidates + 16
@@ -206,7 +233,14 @@
         wanted = pacing.next(now)
         rounds.append((now // MS, list(wanted)))
         now += pacing.told(now, [2] if 2 in wanted and now < 3_000 * MS else [])
-    assert rounds == [(0, [0, 1, 2]), (500, [2]), (1_500, [2]), (3_500, [2]), (60_000, [0, 1, 2]), (120_000, [0, 1, 2])]
+    assert rounds == [
+        (0, [0, 1, 2]),
+        (500, [2]),
+        (1_500, [2]),
+        (3_500, [2]),
+        (60_000, [0, 1, 2]),
+        (120_000, [0, 1, 2]),
+    ]
 
 
 def test_what_decides_on_times_stands_outside_the_carrier():
@@ -214,8 +248,11 @@
     for path in (Path(__file__).parent.parent / "stackpitch/duties/carrier").glob("*.py"):
         for one in ast.parse(path.read_text()).body:
             value = one.value if isinstance(one, (ast.Assign, ast.AnnAssign)) else None
-            tuned = value is not None and any((isinstance(part, ast.Constant) and type(part.value) in (int, float)) or
-                                              (isinstance(part, ast.Name) and part.id in ("MS", "SECOND")) for part in ast.walk(value))
+            tuned = value is not None and any(
+                (isinstance(part, ast.Constant) and type(part.value) in (int, float))
+                or (isinstance(part, ast.Name) and part.id in ("MS", "SECOND"))
+                for part in ast.walk(value)
+            )
             assert not tuned, (path.name, one.lineno)
 
 
@@ -235,7 +272,9 @@
                 ballots.open()
                 assert ballots.begin({})
                 for term in range(1, 25):
-                    assert ballots.save("weights", Promise(Stamp(term, 1), Kept(Stamp(term, 1), term, b"v" * 40)))
+                    assert ballots.save(
+                        "weights", Promise(Stamp(term, 1), Kept(Stamp(term, 1), term, b"v" * 40))
+                    )
                     answered = term
             except Cut:
                 pass
@@ -263,7 +302,9 @@
         Ballots(RealFiles(), str(tmp_path / "none" / "votes"), IDENTITY).open()
     later = Ballots(RealFiles(), str(tmp_path / "votes"), Identity("hall", 1, 1))
     later.open()
-    assert later.empty and later.promises["weights"].stamp.term == 5, "of an older generation: what it holds is told, not trusted"
+    assert later.empty and later.promises["weights"].stamp.term == 5, (
+        "of an older generation: what it holds is told, not trusted"
+    )
 
 
 def test_what_it_heard_of_other_voters_outlives_it_and_is_no_write_of_its_own(tmp_path):
@@ -271,8 +312,14 @@
     files = CutFiles(fail=errno.ENOSPC)
     ballots = Ballots(files, path, IDENTITY, most=300)
     ballots.open()
-    assert ballots.begin({}) and ballots.save("weights", Promise(Stamp(1, 1))) and ballots.see({0: 7, 2: 1 << 40})
-    assert (ballots.serial, ballots.told) == (1, 1), "voters that tell each other of their writes would never end"
+    assert (
+        ballots.begin({})
+        and ballots.save("weights", Promise(Stamp(1, 1)))
+        and ballots.see({0: 7, 2: 1 << 40})
+    )
+    assert (ballots.serial, ballots.told) == (1, 1), (
+        "voters that tell each other of their writes would never end"
+    )
     for term in range(2, 30):
         assert ballots.save("weights", Promise(Stamp(term, 1))), "the file is written anew meanwhile"
     files.failing = True
--- a/tests/test_duties_weights.py
+++ b/tests/test_duties_weights.py
@@ -45,7 +45,12 @@
             self.models[name] = priority
         self.wanted(1, self.models)
         with open(folder / "origin.log", "ab") as log:
-            self.origin = subprocess.Popen([sys.executable, "-c", ORIGIN, str(folder / "origin"), str(self.port)], cwd=ROOT, stdout=log, stderr=log)
+            self.origin = subprocess.Popen(
+                [sys.executable, "-c", ORIGIN, str(folder / "origin"), str(self.port)],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+            )
 
     def __exit__(self, *_):
         super().__exit__()
@@ -53,30 +58,59 @@
         self.origin.wait()
 
     def wanted(self, version, models):
-        listed = {name: {"version": "v1", "priority": priority, "sites": list(self.sites), "origin": f"127.0.0.1:{self.port}",
-                         "path": f"/{name}", "manifest": made((self.folder / "origin" / name).read_bytes(), 1 << 16).model_dump()}
-                  for name, priority in models.items()}
+        listed = {
+            name: {
+                "version": "v1",
+                "priority": priority,
+                "sites": list(self.sites),
+                "origin": f"127.0.0.1:{self.port}",
+                "path": f"/{name}",
+                "manifest": made((self.folder / "origin" / name).read_bytes(), 1 << 16).model_dump(),
+            }
+            for name, priority in models.items()
+        }
         beside = self.folder / "wanted.new"
-        beside.write_text(json.dumps({
-            "version": version, "links": {"up": {"bytes_per_s": self.shared, "sites": list(self.sites)}},
-            "sites": {name: {"bytes_per_s": self.own, "gateways": numbers} for name, numbers in self.sites.items()}, "models": listed}))
+        beside.write_text(
+            json.dumps(
+                {
+                    "version": version,
+                    "links": {"up": {"bytes_per_s": self.shared, "sites": list(self.sites)}},
+                    "sites": {
+                        name: {"bytes_per_s": self.own, "gateways": numbers}
+                        for name, numbers in self.sites.items()
+                    },
+                    "models": listed,
+                }
+            )
+        )
         beside.rename(self.folder / "wanted")
 
     def settings(self, number):
         found = super().settings(number)
         site = next(name for name, numbers in self.sites.items() if number in numbers)
         found["module"]["zone"] = site
-        found["duties"]["weights"] = {"wanted": str(self.folder / "wanted"), "folder": str(self.folder / f"models-{site}")}
+        found["duties"]["weights"] = {
+            "wanted": str(self.folder / "wanted"),
+            "folder": str(self.folder / f"models-{site}"),
+        }
         return found
 
     def placed(self, site, name):
-        return any(one.is_file() and one.stat().st_size == (self.folder / "origin" / name).stat().st_size
-                   and one.read_bytes() == (self.folder / "origin" / name).read_bytes()
-                   for one in (self.folder / f"models-{site}").rglob("*") if "part" not in one.name)
+        return any(
+            one.is_file()
+            and one.stat().st_size == (self.folder / "origin" / name).stat().st_size
+            and one.read_bytes() == (self.folder / "origin" / name).read_bytes()
+            for one in (self.folder / f"models-{site}").rglob("*")
+            if "part" not in one.name
+        )
 
     def given(self):
         """What the origin gave: (when, path, first, size)."""
-        return [json.loads(line) for line in (self.folder / "origin.log").read_text().splitlines() if line.startswith("[")]
+        return [
+            json.loads(line)
+            for line in (self.folder / "origin.log").read_text().splitlines()
+            if line.startswith("[")
+        ]
 
     def most_a_second(self):
         rows = self.given()
@@ -85,6 +119,7 @@
 
 def random_bytes(size, seed):
     import random
+
     return random.Random(seed).randbytes(size)
 
 
@@ -92,7 +127,9 @@
 def test_an_owner_stopped_at_its_grant_and_woken_after_its_successor_planned(tmp_path, kind):
     """Its grant is turned down, the shared link's sum holds across the change, and all that is wanted comes into place."""
     sites = {"north": [0], "south": [1], "hall": [2, 3]}
-    with Sites(tmp_path, sites, {"large": (3_000_000, 1), "small": (600_000, 0)}, shared=600_000, own=500_000) as fleet:
+    with Sites(
+        tmp_path, sites, {"large": (3_000_000, 1), "small": (600_000, 0)}, shared=600_000, own=500_000
+    ) as fleet:
         first = 1  # of the duty's order
         fleet.start(0, 2, 3)
         for number in (0, 2, 3):
@@ -106,25 +143,49 @@
         later, its_term = fleet.new_owner(term)
         fleet.wait(lambda: len(fleet.given()) > 8, 8, "its successor granted nothing")
         fleet.signal(first, signal.SIGCONT)
-        refused = fleet.wait(lambda: [line for word, _, line in fleet.words() if word == "turned down" and line["sender"] == first
-                                      and line["kind"] == kind], 5)
+        refused = fleet.wait(
+            lambda: [
+                line
+                for word, _, line in fleet.words()
+                if word == "turned down" and line["sender"] == first and line["kind"] == kind
+            ],
+            5,
+        )
         assert refused[0]["term"] == term and order(refused[0]["known"]) >= order(its_term)
-        fleet.wait(lambda: all(fleet.placed(site, name) for site in sites for name in fleet.models), 40, "not all came into place")
+        fleet.wait(
+            lambda: all(fleet.placed(site, name) for site in sites for name in fleet.models),
+            40,
+            "not all came into place",
+        )
         for number in range(4):
+
             def rows(number: int = number) -> dict[str, str]:
-                text = urllib.request.urlopen(f"http://127.0.0.1:{fleet.ports[number]}/metrics", timeout=3).read().decode()
-                return dict(line.rsplit(" ", 1) for line in text.splitlines() if line.startswith("stackpitch_weights_"))
+                text = (
+                    urllib.request.urlopen(f"http://127.0.0.1:{fleet.ports[number]}/metrics", timeout=3)
+                    .read()
+                    .decode()
+                )
+                return dict(
+                    line.rsplit(" ", 1)
+                    for line in text.splitlines()
+                    if line.startswith("stackpitch_weights_")
+                )
 
             def there(rows=rows) -> bool:
                 found = rows()
-                states = [float(found[f'stackpitch_weights_versions{{state="{state}"}}']) for state in ("placed", "released")]
+                states = [
+                    float(found[f'stackpitch_weights_versions{{state="{state}"}}'])
+                    for state in ("placed", "released")
+                ]
                 return sum(states) == (2 if number < 3 else 0)  # noqa: B023 (called in this turn)
 
             fleet.wait(there, 5, "the metrics don't tell what lies on the disk")
             found = rows()
             assert found["stackpitch_weights_disk_trouble"] == "0.0", (number, found)
             assert found['stackpitch_weights_versions{state="failed"}'] == "0.0", found
-        assert fleet.most_a_second() <= 600_000 * 1.15 + (1 << 17), "a second's bytes over the shared link, and a burst"
+        assert fleet.most_a_second() <= 600_000 * 1.15 + (1 << 17), (
+            "a second's bytes over the shared link, and a burst"
+        )
         once = sum(size for _, _, _, size in fleet.given())
         assert once <= 1.5 * 3_600_000, f"once a region: {once}"
         assert later != first
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,9 +12,19 @@
 def test_fifty_streams_on_a_server_that_is_dropped_and_back(tmp_path: Path) -> None:
     """It comes back a second later with another start: all fifty end well, and no leg is sent twice."""
     names = [f"a{number}" for number in range(50)]
-    Stage(tmp_path).play([
-        "fleet r1 w1 w2", *(f"ask {name} order tok=120 limit=9000" for name in names), "wait 300", "list w1 gone", "wait 1000",
-        "list w1 started=5", *(f"> {name} streamed" for name in names), "> servers r1 w1 w2", "> idle"])
+    Stage(tmp_path).play(
+        [
+            "fleet r1 w1 w2",
+            *(f"ask {name} order tok=120 limit=9000" for name in names),
+            "wait 300",
+            "list w1 gone",
+            "wait 1000",
+            "list w1 started=5",
+            *(f"> {name} streamed" for name in names),
+            "> servers r1 w1 w2",
+            "> idle",
+        ]
+    )
 
 
 @pytest.mark.parametrize("lines", [lines for _, lines in ALL], ids=[title for title, _ in ALL])
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -7,7 +7,8 @@
 import pytest
 
 pytest_plugins = "pytester"
-SUITE = {"test_a.py": """
+SUITE = {
+    "test_a.py": """
 import pytest
 @pytest.fixture
 def broken(): raise OSError("no room")
@@ -25,7 +26,9 @@
 def test_unexpected(): pass
 @pytest.mark.skip
 def test_skipped(): pass
-""", "test_b.py": "def test_other(): pass\n"}
+""",
+    "test_b.py": "def test_other(): pass\n",
+}
 GOOD = "test_good or test_other"
 A = "tests/test_a.py::"
 
@@ -48,10 +51,16 @@
     return done.ret, f"{done.stdout}\n{done.stderr}"
 
 
-@pytest.mark.parametrize("test, failure", [
-    ("test_red", "call: AssertionError: real fault"), ("test_setup", "setup: OSError: no room"),
-    ("test_teardown", "teardown: OSError: left over"), ("test_one_of[2]", "call: assert 2 == 1"),
-    ("test_unexpected", "call: [XPASS(strict)]")])
+@pytest.mark.parametrize(
+    "test, failure",
+    [
+        ("test_red", "call: AssertionError: real fault"),
+        ("test_setup", "setup: OSError: no room"),
+        ("test_teardown", "teardown: OSError: left over"),
+        ("test_one_of[2]", "call: assert 2 == 1"),
+        ("test_unexpected", "call: [XPASS(strict)]"),
+    ],
+)
 def test_its_failure_is_passed_over_and_told(suite: pytest.Pytester, test: str, failure: str) -> None:
     listed = f"# why\n\n{A}{test} | the cause | #12\n"
     code, out = run(suite, listed, "-k", f"{GOOD} or {test.partition('[')[0]}", "--maxfail=1")
@@ -62,7 +71,9 @@
 @pytest.mark.parametrize("listed", [None, "", "# none\n", f"{A}test_one_of[2] | c | #1"])
 def test_any_other_failure_fails(suite: pytest.Pytester, listed: str | None) -> None:
     code, out = run(suite, listed)
-    assert code == 1 and "FAILED tests/test_a.py::test_red" in out and "ERROR tests/test_a.py::test_setup" in out
+    assert (
+        code == 1 and "FAILED tests/test_a.py::test_red" in out and "ERROR tests/test_a.py::test_setup" in out
+    )
 
 
 def test_one_that_passes_again_is_told_and_one_not_run(suite: pytest.Pytester) -> None:
@@ -72,31 +83,63 @@
     assert f"not in this run: {A}test_red" in out and f"skipped: {A}test_skipped" in out
 
 
-@pytest.mark.parametrize("listed, told", [
-    (f"{A}test_red | cause", "line 1: found"), (f"{A}test_red | | #1", "line 1: found"), ("all | c | #1", "line 1: found"),
-    (f"{A}test_red | c | #1 | more", "line 1: found"), (f"{A}test_red | c | #1\n{A}test_red | d | #2", "line 2: "),
-    ("".join(f"{A}test_{name} | c | #1\n" for name in ("red", "setup", "teardown", "good")), "line 4: 3 tests at most"),
-    (f"{A}test_gone | c | #1", "no test has the id"), ("tests/test_gone.py::test_red | c | #1", "no test has the id"),
-    ("elsewhere/test_a.py::test_red | c | #1", "no test has the id"), (f"{A}test_one_of | c | #1", "no test has the id")])
+@pytest.mark.parametrize(
+    "listed, told",
+    [
+        (f"{A}test_red | cause", "line 1: found"),
+        (f"{A}test_red | | #1", "line 1: found"),
+        ("all | c | #1", "line 1: found"),
+        (f"{A}test_red | c | #1 | more", "line 1: found"),
+        (f"{A}test_red | c | #1\n{A}test_red | d | #2", "line 2: "),
+        (
+            "".join(f"{A}test_{name} | c | #1\n" for name in ("red", "setup", "teardown", "good")),
+            "line 4: 3 tests at most",
+        ),
+        (f"{A}test_gone | c | #1", "no test has the id"),
+        ("tests/test_gone.py::test_red | c | #1", "no test has the id"),
+        ("elsewhere/test_a.py::test_red | c | #1", "no test has the id"),
+        (f"{A}test_one_of | c | #1", "no test has the id"),
+    ],
+)
 def test_a_list_that_is_wrong_ends_the_run(suite: pytest.Pytester, listed: str, told: str) -> None:
     code, out = run(suite, listed, "-k", GOOD)
-    assert code == 4 and "ERROR: KNOWN-RED.txt" in out and told in out and "passed" not in out and "Traceback" not in out
-
-
-@pytest.mark.parametrize("listed, args, code", [
-    (f"{A}test_gone | c | #1", ("tests/test_b.py",), 0), (f"{A}test_gone | c | #1", (A + "test_good",), 0),
-    (f"{A}test_gone | c | #1", ("tests/test_a.py", "-k", GOOD), 4),
-    ("tests/test_b.py::test_gone | c | #1", ("tests/test_a.py", "-k", GOOD), 0),
-    (f"{A}test_red | c | #1", ("--ignore=tests/test_a.py",), 0), (f"{A}test_gone | c | #1", ("tests", "-k", GOOD), 4)])
-def test_only_what_was_collected_whole_is_missed(suite: pytest.Pytester, listed: str, args: tuple[str, ...], code: int) -> None:
+    assert (
+        code == 4
+        and "ERROR: KNOWN-RED.txt" in out
+        and told in out
+        and "passed" not in out
+        and "Traceback" not in out
+    )
+
+
+@pytest.mark.parametrize(
+    "listed, args, code",
+    [
+        (f"{A}test_gone | c | #1", ("tests/test_b.py",), 0),
+        (f"{A}test_gone | c | #1", (A + "test_good",), 0),
+        (f"{A}test_gone | c | #1", ("tests/test_a.py", "-k", GOOD), 4),
+        ("tests/test_b.py::test_gone | c | #1", ("tests/test_a.py", "-k", GOOD), 0),
+        (f"{A}test_red | c | #1", ("--ignore=tests/test_a.py",), 0),
+        (f"{A}test_gone | c | #1", ("tests", "-k", GOOD), 4),
+    ],
+)
+def test_only_what_was_collected_whole_is_missed(
+    suite: pytest.Pytester, listed: str, args: tuple[str, ...], code: int
+) -> None:
     found, out = run(suite, listed, *args)
     assert found == code, out
 
 
-@pytest.mark.parametrize("hook, code, told", [
-    ("pytest_runtest_call(item): raise KeyboardInterrupt", 2, "Interrupt"),
-    ("pytest_runtest_logreport(report): raise ValueError", 3, "INTERNALERROR")])
-def test_what_is_no_failure_of_the_test_is_not_passed_over(suite: pytest.Pytester, hook: str, code: int, told: str) -> None:
+@pytest.mark.parametrize(
+    "hook, code, told",
+    [
+        ("pytest_runtest_call(item): raise KeyboardInterrupt", 2, "Interrupt"),
+        ("pytest_runtest_logreport(report): raise ValueError", 3, "INTERNALERROR"),
+    ],
+)
+def test_what_is_no_failure_of_the_test_is_not_passed_over(
+    suite: pytest.Pytester, hook: str, code: int, told: str
+) -> None:
     suite.makepyfile(stopping=f"def {hook}")
     suite.syspathinsert()
     found, out = run(suite, f"{A}test_red | c | #1", "-p", "stopping", "-k", "test_red")
--- a/tests/test_loop_turns.py
+++ b/tests/test_loop_turns.py
@@ -36,9 +36,12 @@
 @pytest.mark.parametrize("what", ["accepts a full queue", "reads what never ends"])
 def test_one_that_never_has_to_wait_lets_the_others_run(what: str) -> None:
     """A flood gives it something in each step; a task that only pauses meanwhile has to get its turn all the same."""
+
     def main(world: RealWorld) -> Coro[tuple[int, int]]:
         listener, turns, took = world.listen(("127.0.0.1", 0)), 0, 0
-        knocking = [socket.create_connection(listener.address) for _ in range(320 if "accepts" in what else 1)]
+        knocking = [
+            socket.create_connection(listener.address) for _ in range(320 if "accepts" in what else 1)
+        ]
 
         def busy(group: Group) -> Coro[None]:
             nonlocal took
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -24,14 +24,26 @@
 
 def entry(word: str) -> Entry:
     """`w1`, `w1-` draining, `w1@2` in cell 2, `w1*0.5` of that weight, `w1:9` at port 9, `w1^7` started at 7."""
-    fields = {"cell": 1, "weight": 1.0, "port": int(word[1:].rstrip("-").split("@")[0].split("*")[0].split(":")[0].split("^")[0]) + (
-        1000 if word[0] == "r" else 2000), "started_unix_ms": None}
+    fields = {
+        "cell": 1,
+        "weight": 1.0,
+        "port": int(word[1:].rstrip("-").split("@")[0].split("*")[0].split(":")[0].split("^")[0])
+        + (1000 if word[0] == "r" else 2000),
+        "started_unix_ms": None,
+    }
     name = word.rstrip("-")
-    for mark, field, kind in (("^", "started_unix_ms", int), (":", "port", int), ("*", "weight", float), ("@", "cell", int)):
+    for mark, field, kind in (
+        ("^", "started_unix_ms", int),
+        (":", "port", int),
+        ("*", "weight", float),
+        ("@", "cell", int),
+    ):
         name, found, value = name.partition(mark)
         if found:
             fields[field] = kind(value)
-    return Entry(name=name, host="h", kind=word[0], state="draining" if word.endswith("-") else "ready", **fields)
+    return Entry(
+        name=name, host="h", kind=word[0], state="draining" if word.endswith("-") else "ready", **fields
+    )
 
 
 class Scene:
@@ -47,15 +59,32 @@
     """
 
     def __init__(self):
-        self.figures = {"step": "1", "step_ms": "1000", "persist": "5000", "flaps": "4", "window": "10000", "calm": "3000"}
+        self.figures = {
+            "step": "1",
+            "step_ms": "1000",
+            "persist": "5000",
+            "flaps": "4",
+            "window": "10000",
+            "calm": "3000",
+        }
         self.now, self.made, self.verdict, self.digests = 0, None, None, {}
 
     @property
     def registrar(self):
         if self.made is None:
             one = self.figures
-            self.made = Registrar(Figures(float(one["step"]), int(one["step_ms"]) * MS, int(one["persist"]) * MS, int(one["flaps"]),
-                                          int(one["window"]) * MS, int(one["calm"]) * MS), ROLES, ("file", "other"))
+            self.made = Registrar(
+                Figures(
+                    float(one["step"]),
+                    int(one["step_ms"]) * MS,
+                    int(one["persist"]) * MS,
+                    int(one["flaps"]),
+                    int(one["window"]) * MS,
+                    int(one["calm"]) * MS,
+                ),
+                ROLES,
+                ("file", "other"),
+            )
         return self.made
 
     def line(self, text):
@@ -71,11 +100,16 @@
             entries = tuple(map(entry, words[2:]))
             told = self.digests[words[1]] = digest(entries)
             source = "other" if words[0] == "other" else "file"
-            self.verdict = self.registrar.propose(self.now, Proposal(source, int(words[1]), told, entries), words[0] == "force")
+            self.verdict = self.registrar.propose(
+                self.now, Proposal(source, int(words[1]), told, entries), words[0] == "force"
+            )
         elif words[0] == "confirm":
             self.verdict = self.registrar.confirm(self.now, self.digests.get(words[1], words[1]))
         elif words[1] == "fleet":
-            found = {f"{one.name}{'-' if one.state == 'draining' else ''}" for one in self.registrar.in_force.values()}
+            found = {
+                f"{one.name}{'-' if one.state == 'draining' else ''}"
+                for one in self.registrar.in_force.values()
+            }
             assert found == set(words[2:]), sorted(found)
         elif words[1] == "weight":
             assert self.registrar.in_force[words[2]].weight == float(words[3])
@@ -84,7 +118,9 @@
             assert ("never" if due is None else str(due // MS)) == words[2], due
         else:
             said = f"{self.verdict.word} {'; '.join(self.verdict.reasons)}"
-            assert text[2:] in said or (said.startswith(words[1]) and all(word in said for word in words[1:])), said
+            assert text[2:] in said or (
+                said.startswith(words[1]) and all(word in said for word in words[1:])
+            ), said
 
 
 @pytest.mark.parametrize("lines", [lines for _, lines in ALL], ids=[title for title, _ in ALL])
@@ -106,8 +142,12 @@
         for _ in range(40):
             now += chance.randrange(1, 20_000)
             if chance.random() < 0.6:
-                words = [f"{kind}{number}{chance.choice(['', '', '-'])}" for kind in "rw" for number in range(1, 6)
-                         if chance.random() < 0.8]
+                words = [
+                    f"{kind}{number}{chance.choice(['', '', '-'])}"
+                    for kind in "rw"
+                    for number in range(1, 6)
+                    if chance.random() < 0.8
+                ]
                 entries = tuple(map(entry, words))
                 version += chance.choice((0, 1, 1, 1, -1))
                 before = dict(registrar.in_force)
@@ -120,7 +160,9 @@
                     assert registrar.in_force == before
             else:
                 registrar.tick(now)
-            assert set(registrar.in_force) <= named | {one.name for one in registrar.sources["file"].entries.values()}
+            assert set(registrar.in_force) <= named | {
+                one.name for one in registrar.sources["file"].entries.values()
+            }
             assert any(one.kind == "w" for one in registrar.in_force.values()) or not registrar.in_force
             assert (due := registrar.due()) is None or due > 0
         now = 10**9
@@ -134,7 +176,11 @@
 def test_what_changed_between_lists():
     found = change({"a": entry("w1"), "b": entry("w2")}, {"b": entry("w2*0.5"), "c": entry("w3")})
     assert (found.added, found.removed, found.changed) == (("c",), ("a",), (("b", "weight 1.0 -> 0.5"),))
-    assert digest([entry("w1"), entry("w2")]) == digest([entry("w2"), entry("w1")]) != digest([entry("w1"), entry("w2-")])
+    assert (
+        digest([entry("w1"), entry("w2")])
+        == digest([entry("w2"), entry("w1")])
+        != digest([entry("w1"), entry("w2-")])
+    )
 
 
 # The store.
@@ -159,11 +205,11 @@
         self.calls += 1
         if self.cut is not None and self.calls >= self.cut:
             if name == "write" and self.calls == self.cut:
-                super().write(args[0], args[1][:int(self.part * len(args[1]))])
+                super().write(args[0], args[1][: int(self.part * len(args[1]))])
             raise Cut
         if self.failing and name in ("write", "sync", "rename", "open"):
             if name == "write":
-                super().write(args[0], args[1][:len(args[1]) // 2])  # a full disk takes some of it
+                super().write(args[0], args[1][: len(args[1]) // 2])  # a full disk takes some of it
             raise OSError(self.fail, os.strerror(self.fail))
         return getattr(RealFiles, name)(self, *args)
 
@@ -172,14 +218,29 @@
         self.open_ones.append(found)
         return found
 
-    def write(self, *args): return self._call("write", *args)
-    def sync(self, *args): return self._call("sync", *args)
-    def truncate(self, *args): return self._call("truncate", *args)
-    def close(self, *args): return self._call("close", *args)
-    def rename(self, *args): return self._call("rename", *args)
-    def sync_folder(self, *args): return self._call("sync_folder", *args)
-    def read(self, *args): return self._call("read", *args)
-    def size(self, *args): return self._call("size", *args)
+    def write(self, *args):
+        return self._call("write", *args)
+
+    def sync(self, *args):
+        return self._call("sync", *args)
+
+    def truncate(self, *args):
+        return self._call("truncate", *args)
+
+    def close(self, *args):
+        return self._call("close", *args)
+
+    def rename(self, *args):
+        return self._call("rename", *args)
+
+    def sync_folder(self, *args):
+        return self._call("sync_folder", *args)
+
+    def read(self, *args):
+        return self._call("read", *args)
+
+    def size(self, *args):
+        return self._call("size", *args)
 
 
 def life(files, path):
@@ -233,7 +294,7 @@
     raw = header() + framed(kept(1)) + framed(kept(2)) + framed(kept(3))
     ends = [len(header()), len(header() + framed(kept(1))), len(header() + framed(kept(1)) + framed(kept(2)))]
     for at in range(len(raw)):
-        path.write_bytes(raw[:at] + bytes([raw[at] ^ 0x55]) + raw[at + 1:])
+        path.write_bytes(raw[:at] + bytes([raw[at] ^ 0x55]) + raw[at + 1 :])
         store = Store(RealFiles(), str(path))
         store.open()
         left = sum(end <= at for end in ends) - 1
@@ -242,15 +303,25 @@
         (tmp_path / "store.unread").unlink(missing_ok=True)
 
 
-@pytest.mark.parametrize("content,said", [
-    (header()[:17] + (FORMAT + 1).to_bytes(2, "little") + b"1234newer things", f"of format {FORMAT + 1}, not {FORMAT}"),
-    (b"PNG\r\n not ours at all", "no store"), (b"\0" * 4096, "no store")])
+@pytest.mark.parametrize(
+    "content,said",
+    [
+        (
+            header()[:17] + (FORMAT + 1).to_bytes(2, "little") + b"1234newer things",
+            f"of format {FORMAT + 1}, not {FORMAT}",
+        ),
+        (b"PNG\r\n not ours at all", "no store"),
+        (b"\0" * 4096, "no store"),
+    ],
+)
 def test_what_is_not_ours_is_set_aside(tmp_path, content, said):
     path = tmp_path / "store"
     path.write_bytes(content)
     store = Store(RealFiles(), str(path))
     store.open()
-    assert said in store.found and store.last() is None and (tmp_path / "store.unread").read_bytes() == content
+    assert (
+        said in store.found and store.last() is None and (tmp_path / "store.unread").read_bytes() == content
+    )
     assert store.add(kept(1))
 
 
@@ -280,7 +351,7 @@
     assert "No such file" in store.trouble and not store.add(kept(1)) and store.last() == kept(1)
 
 
-WRITER = r'''
+WRITER = r"""
 import os, sys
 sys.path.insert(0, sys.argv[2])
 from test_membership import kept
@@ -294,7 +365,7 @@
     version += 1
     store.add(kept(version, 40))
     os.write(1, b"%d\n" % version)
-'''
+"""
 
 
 def test_kill_in_the_middle_of_updates_200_times(tmp_path):
@@ -304,8 +375,12 @@
     script.write_text(WRITER)
     environment = os.environ | {"PYTHONPATH": str(ROOT)}
     for _ in range(10):  # twenty lives in a row from each process, which spares their starts
-        child = subprocess.Popen([sys.executable, "-c", FORKS, str(script), str(path), str(ROOT / "tests"), str(chance.random())],
-                                 stdout=subprocess.PIPE, env=environment, text=True)
+        child = subprocess.Popen(
+            [sys.executable, "-c", FORKS, str(script), str(path), str(ROOT / "tests"), str(chance.random())],
+            stdout=subprocess.PIPE,
+            env=environment,
+            text=True,
+        )
         for line in child.stdout:
             word, _, number = line.strip().partition(" ")
             if word == "begun":
@@ -316,10 +391,14 @@
         assert child.wait() == 0
     store = Store(RealFiles(), str(path))
     store.open()
-    assert store.last().version in (said, said + 1) and store.last() == kept(store.last().version, 40) and said > 400
+    assert (
+        store.last().version in (said, said + 1)
+        and store.last() == kept(store.last().version, 40)
+        and said > 400
+    )
 
 
-FORKS = '''
+FORKS = """
 import os, random, signal, sys, time
 chance = random.Random(float(sys.argv[4]))
 source = open(sys.argv[1]).read()
@@ -334,7 +413,7 @@
     time.sleep(0.004 + 0.03 * chance.random())
     os.kill(child, signal.SIGKILL)
     os.waitpid(child, 0)
-'''
+"""
 
 
 # Watching, in this process: the keeper with real files.
@@ -358,7 +437,9 @@
         begun = world.now()
         with world.limit(20 * MS):
             yield from world.aside(slow)
-        assert (yield from world.aside(lambda: 8, "votes")) == 8 and world.now() - begun < 45 * MS, "another lane doesn't wait"
+        assert (yield from world.aside(lambda: 8, "votes")) == 8 and world.now() - begun < 45 * MS, (
+            "another lane doesn't wait"
+        )
         watch = world.watch()
         watch.aim([str(tmp_path), str(tmp_path / "none")])
         (tmp_path / "one").write_text("x")
--- a/tests/test_mixed_workers.py
+++ b/tests/test_mixed_workers.py
@@ -17,8 +17,18 @@
 
 def fleet(roles: list[Role], peers: bool = False) -> Fleet:
     settings = ModuleSettings(
-        number=0, gateways=4, zone="a", max_legs=5, max_retry_after=0, fall_multiple=3.0, must_ask=False,
-        cold_from=0.3, warm_up=10 * SECOND, local_reads=True, peers=peers)
+        number=0,
+        gateways=4,
+        zone="a",
+        max_legs=5,
+        max_retry_after=0,
+        fall_multiple=3.0,
+        must_ask=False,
+        cold_from=0.3,
+        warm_up=10 * SECOND,
+        local_reads=True,
+        peers=peers,
+    )
     found = Fleet(Silent(), 1, settings)  # type: ignore[arg-type]
     found.update(
         0, [Server(f"{role}{number}", "a", role, 1, role, MEMORY) for number, role in enumerate(roles)], True
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -36,8 +36,13 @@
     def __init__(self, world, folder):
         self.world, self.told = world, []
         self.taken, self.listeners = {0: [], 1: []}, {}
-        self.settings = NetworkSettings(port=100, records=str(folder / "network.jsonl"), seed=7, patience_ms=20_000, links=[
-            Link(0, 1, 101, (HOST, 201)), Link(1, 0, 110, (HOST, 200))])
+        self.settings = NetworkSettings(
+            port=100,
+            records=str(folder / "network.jsonl"),
+            seed=7,
+            patience_ms=20_000,
+            links=[Link(0, 1, 101, (HOST, 201)), Link(1, 0, 110, (HOST, 200))],
+        )
 
     def gateway(self, number):
         listener = self.listeners[number] = self.world.listen((HOST, 200 + number))
@@ -88,7 +93,9 @@
 
     def fault(self, name, on, kind="cut", strength=100.0, *paths):
         stream = yield from self.world.connect((HOST, 100), SECOND)
-        stream.write(http.request("POST", "/fault", "d", ENCODER.encode(Fault(name, on, kind, list(paths), strength))))
+        stream.write(
+            http.request("POST", "/fault", "d", ENCODER.encode(Fault(name, on, kind, list(paths), strength)))
+        )
         assert (yield from whole(stream, http.ResponseReader(8192, 8192))) == b"{}"
         stream.close()
 
@@ -104,7 +111,9 @@
             yield from self.fault(rest[0], False)
         else:
             paths = [(int(one[0]), int(one[2])) for one in rest[1:] if ">" in one]
-            yield from self.fault(rest[0], True, what, float(next((one for one in rest[1:] if ">" not in one), 100)), *paths)
+            yield from self.fault(
+                rest[0], True, what, float(next((one for one in rest[1:] if ">" not in one), 100)), *paths
+            )
 
     def run(self, lines):
         def day(group):
@@ -130,8 +139,11 @@
         if line.startswith("noted"):
             _, count, what, *facts = line.split()
             wanted = dict(fact.split("=") for fact in facts)
-            same = [one for one in records if one["what"] == what
-                    and all(str(one.get(name)) == text for name, text in wanted.items())]
+            same = [
+                one
+                for one in records
+                if one["what"] == what and all(str(one.get(name)) == text for name, text in wanted.items())
+            ]
             assert len(same) == int(count), [line, records]
         else:
             assert line in found, [line, found]
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -26,8 +26,18 @@
         self.calls += 1
         term, _, start = stamp.partition(".")
         facts = {"ticks": 30_000} if kind == "lease" else {}
-        self.note(at, "network", "call", call=self.calls, sender=sender, to=to, duty="weights", kind=kind,
-                  stamp=[int(term), int(start or 1)], **facts)
+        self.note(
+            at,
+            "network",
+            "call",
+            call=self.calls,
+            sender=sender,
+            to=to,
+            duty="weights",
+            kind=kind,
+            stamp=[int(term), int(start or 1)],
+            **facts,
+        )
         words = list(rest) or ["yes", float(at) + 2, float(at) + 4]
         passed, copy = float(at) + 1, 0
         while words:
@@ -36,7 +46,9 @@
                 copy, passed = copy + 1, float(answered)
                 word, answered, *words = words
             self.note(passed, "network", "passed", call=self.calls, copy=copy)
-            self.note(answered, "network", "answered", call=self.calls, copy=copy, word=word.replace("_", " "))
+            self.note(
+                answered, "network", "answered", call=self.calls, copy=copy, word=word.replace("_", " ")
+            )
             if words and words[0] != "again":
                 self.note(words.pop(0), "network", "delivered", call=self.calls)
 
@@ -53,7 +65,16 @@
                     self.call(at, int(rest[0]), to, what, rest[1])
         elif what in ("cut", "hold", "slow", "repeat", "off"):
             paths = [(int(one[0]), int(one[2])) for one in rest[1:]]
-            self.note(at, "network", "fault", name=rest[0], on=what != "off", kind=what, paths=paths, strength=2000.0)
+            self.note(
+                at,
+                "network",
+                "fault",
+                name=rest[0],
+                on=what != "off",
+                kind=what,
+                paths=paths,
+                strength=2000.0,
+            )
         elif what == "end":
             self.note(at, "director", "over")
         else:
