--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -52,7 +52,9 @@
 
 @pytest.mark.parametrize("ticks", range(-8, 9))
 @pytest.mark.parametrize("step", ["signal term", "rest a", "meanwhile quiet d"])
-def test_bytes_in_the_moment_in_which_a_resting_connection_ends(step: str, ticks: int, tmp_path: Path) -> None:
+def test_bytes_in_the_moment_in_which_a_resting_connection_ends(
+    step: str, ticks: int, tmp_path: Path
+) -> None:
     """Before, between and after each step, as one way takes 1 to 3 ticks: it is told to stop, its rest is over, its
     place is wanted."""
     if step == "rest a":
@@ -61,48 +63,102 @@
         moment = ["again a chat", f"ticks {-ticks}", step]
     else:
         moment = [step, f"ticks {ticks}", "again a chat"]
-    Stage(tmp_path).play(["config sockets=32", "fleet r1 w1", "ask a chat", "> a streamed", "wait 110", "quiet b",
-                          "quiet c", *moment, "> answered-or-unread a"])
+    Stage(tmp_path).play(
+        [
+            "config sockets=32",
+            "fleet r1 w1",
+            "ask a chat",
+            "> a streamed",
+            "wait 110",
+            "quiet b",
+            "quiet c",
+            *moment,
+            "> answered-or-unread a",
+        ]
+    )
 
 
 @pytest.mark.parametrize("ticks", range(90, 116))
 def test_a_request_in_the_moment_in_which_its_new_connection_ends(ticks: int, tmp_path: Path) -> None:
     """No request has come on it for 1.2 s, that is 12,000 ticks."""
-    Stage(tmp_path).play(["fleet r1 w1", "open a", "wait 1190", f"ticks {ticks}", "again a chat", "> served-or-refused a", "> idle"])
+    Stage(tmp_path).play(
+        [
+            "fleet r1 w1",
+            "open a",
+            "wait 1190",
+            f"ticks {ticks}",
+            "again a chat",
+            "> served-or-refused a",
+            "> idle",
+        ]
+    )
 
 
 @pytest.mark.parametrize("ticks", [*range(0, 30, 3), 300, 1000])
 @pytest.mark.parametrize("behind", ["wait 0", "second a", "more a 60, wait 5", "second a, wait 5"])
 @pytest.mark.parametrize("how", ["close", "half", "reset"])
 @pytest.mark.parametrize("role", ["r", "w"])
-def test_a_client_that_goes_while_its_attempt_is_half_written(role: str, how: str, behind: str, ticks: int, tmp_path: Path) -> None:
+def test_a_client_that_goes_while_its_attempt_is_half_written(
+    role: str, how: str, behind: str, ticks: int, tmp_path: Path
+) -> None:
     """The servers take 300 bytes and read on after 400 ms; an attempt that were still there would then be whole."""
     begun = 0 if role == "r" else 45  # a read takes some 30 to 40 ticks
-    Stage(tmp_path).play(["fleet r1 r2 w1 w2", *(f"server {role}{number} takes 300 400" for number in (1, 2)),
-                          "ask a order pad=900 limit=5000", f"ticks {begun + ticks}", *behind.split(", "), f"leave a {how}",
-                          *(["> released a r1 r2"] if role == "w" else []), "wait 1000", "> legs a" + " r1" * (role == "w"),
-                          "> half-written a " + role + " 300" + " or-none" * (ticks < 30), "> idle",
-                          *(["> outcomes a " + "read " * (role == "w") + "not-sent"] if ticks > 30 else [])])
-
-
-@pytest.mark.parametrize("row, outcome, no_state", [
-    (("reader", 202, False, True), "read", False), (("reader", 202, False, False), "error", False),
-    (("reader", 200, False, True), "error", False), (("writer", 202, False, True), "error", False),
-    (("writer", 200, False, True), "streamed", False), (("writer", 200, False, False), "error", False),
-    (("writer", 503, True, True), "full", False), (("reader", 504, True, True), "full", False),
-    (("writer", 410, True, True), "full", True), (("writer", 410, False, True), "error", False),
-    (("writer", 503, False, True), "error", False), (("writer", 500, True, True), "error", False),
-])
+    Stage(tmp_path).play(
+        [
+            "fleet r1 r2 w1 w2",
+            *(f"server {role}{number} takes 300 400" for number in (1, 2)),
+            "ask a order pad=900 limit=5000",
+            f"ticks {begun + ticks}",
+            *behind.split(", "),
+            f"leave a {how}",
+            *(["> released a r1 r2"] if role == "w" else []),
+            "wait 1000",
+            "> legs a" + " r1" * (role == "w"),
+            "> half-written a " + role + " 300" + " or-none" * (ticks < 30),
+            "> idle",
+            *(["> outcomes a " + "read " * (role == "w") + "not-sent"] if ticks > 30 else []),
+        ]
+    )
+
+
+@pytest.mark.parametrize(
+    "row, outcome, no_state",
+    [
+        (("reader", 202, False, True), "read", False),
+        (("reader", 202, False, False), "error", False),
+        (("reader", 200, False, True), "error", False),
+        (("writer", 202, False, True), "error", False),
+        (("writer", 200, False, True), "streamed", False),
+        (("writer", 200, False, False), "error", False),
+        (("writer", 503, True, True), "full", False),
+        (("reader", 504, True, True), "full", False),
+        (("writer", 410, True, True), "full", True),
+        (("writer", 410, False, True), "error", False),
+        (("writer", 503, False, True), "error", False),
+        (("writer", 500, True, True), "error", False),
+    ],
+)
 def test_what_an_answer_means(row: tuple, outcome: str, no_state: bool) -> None:
     assert platform.answered(*row) == (outcome, no_state)
 
 
-@pytest.mark.parametrize("phase, how, outcome", [
-    (Phase.QUEUED, "lost", "not-sent"), (Phase.CONNECTING, "lost", "unreachable"), (Phase.CONNECTING, "time-out", "unreachable"),
-    (Phase.CONNECTING, "cancelled", "not-sent"), (Phase.WRITING, "cancelled", "not-sent"), (Phase.SENT, "cancelled", "cancelled"),
-    (Phase.WRITING, "lost", "unreachable"), (Phase.SENT, "lost", "reset"), (Phase.SENT, "time-out", "time-out"),
-    (Phase.HEAD, "garbled", "error"), (Phase.STREAMING, "garbled", "error"), (Phase.STREAMING, "time-out", "reset"),
-])
+@pytest.mark.parametrize(
+    "phase, how, outcome",
+    [
+        (Phase.QUEUED, "lost", "not-sent"),
+        (Phase.CONNECTING, "lost", "unreachable"),
+        (Phase.CONNECTING, "time-out", "unreachable"),
+        (Phase.CONNECTING, "cancelled", "not-sent"),
+        (Phase.WRITING, "cancelled", "not-sent"),
+        (Phase.SENT, "cancelled", "cancelled"),
+        (Phase.WRITING, "lost", "unreachable"),
+        (Phase.SENT, "lost", "reset"),
+        (Phase.SENT, "time-out", "time-out"),
+        (Phase.HEAD, "garbled", "error"),
+        (Phase.STREAMING, "garbled", "error"),
+        (Phase.STREAMING, "time-out", "reset"),
+    ],
+)
 def test_what_a_broken_leg_means(phase: Phase, how: str, outcome: str) -> None:
     assert broken(phase, how) == outcome
 
@@ -113,14 +169,25 @@
     def until(effect: str, *legs: tuple[str, int, str | None]) -> int | None:
         product = Product("p", effect, "all", 4000, 0, 0, 0, 0, 0, 0)  # type: ignore[arg-type]
         gen = Generation("g", product, None, None, None, 0, 0, 0, None, 0, 0, False, False)
-        gen.legs += [Leg(gen, at, servers[role], sent, outcome=outcome)  # type: ignore[arg-type]
-                     for at, (role, sent, outcome) in enumerate(legs)]
+        gen.legs += [
+            Leg(gen, at, servers[role], sent, outcome=outcome)  # type: ignore[arg-type]
+            for at, (role, sent, outcome) in enumerate(legs)
+        ]
         return latest(gen.legs[-1])
 
     new = ("writer", 900, None)
     assert until("deduplicated", new) is None
     assert until("deduplicated", ("writer", 100, "reset"), ("writer", 50, None), new) == 3650
-    assert until("deduplicated", ("writer", 100, "unreachable"), ("reader", 50, "time-out"), ("reader", 20, "read"), new) is None
+    assert (
+        until(
+            "deduplicated",
+            ("writer", 100, "unreachable"),
+            ("reader", 50, "time-out"),
+            ("reader", 20, "read"),
+            new,
+        )
+        is None
+    )
     assert until("deduplicated", ("reader", 70, None), new) == 3670  # still out
     assert until("idempotent", ("writer", 100, "reset"), new) is None
 
@@ -132,20 +199,38 @@
         assert one * clients <= memory_mb << 17 and one <= MAX_BODY
     # 20 KB in events of 200 bytes, a token every 60 ms: 100 tokens, owed in 6 s.
     assert pacing.time_to_take(20_000, 400_000, 2000, 600) == 2 * 6 * SECOND
-    assert pacing.time_to_take(20_000, 400_000, 2000, 0) is None and pacing.time_to_take(20_000, 0, 0, 600) is None
+    assert (
+        pacing.time_to_take(20_000, 400_000, 2000, 0) is None
+        and pacing.time_to_take(20_000, 0, 0, 600) is None
+    )
     assert pacing.most_events(50) == 264 and pacing.most_events(0) is None
 
 
 def test_facts_of_a_head() -> None:
-    found = platform.facts({
-        "req-id": "9b1f03aa5c7e2d41", "req-kind": "chat", "req-owner": "acme", "req-key": "7f3a", "req-deadline-ms": "4800",
-        "req-extra": "prefix=5c0f,prompt_len=5120,prefix_len=2048,max_out=800", "req-retry": "again"})
-    assert found == platform.Facts("9b1f03aa5c7e2d41", "chat", "acme", "7f3a", 4800, "5c0f", 2048, 5120, 800, False, True)
-
-
-@pytest.mark.parametrize("text, found", [
-    ("inflight=7,queue=2,util=0.61", (None, 0.61, 2)), ("x0=0.3,utilization=0.5,backlog=4", (0.3, 0.5, 4)), ("inflight=7", None),
-])
+    found = platform.facts(
+        {
+            "req-id": "9b1f03aa5c7e2d41",
+            "req-kind": "chat",
+            "req-owner": "acme",
+            "req-key": "7f3a",
+            "req-deadline-ms": "4800",
+            "req-extra": "prefix=5c0f,prompt_len=5120,prefix_len=2048,max_out=800",
+            "req-retry": "again",
+        }
+    )
+    assert found == platform.Facts(
+        "9b1f03aa5c7e2d41", "chat", "acme", "7f3a", 4800, "5c0f", 2048, 5120, 800, False, True
+    )
+
+
+@pytest.mark.parametrize(
+    "text, found",
+    [
+        ("inflight=7,queue=2,util=0.61", (None, 0.61, 2)),
+        ("x0=0.3,utilization=0.5,backlog=4", (0.3, 0.5, 4)),
+        ("inflight=7", None),
+    ],
+)
 def test_a_load_line(text: str, found: tuple | None) -> None:
     report = platform.report(text, Doubts())
     assert (report and (report.held_share, report.slots_share, report.queued)) == found
@@ -161,8 +246,10 @@
 def test_events_as_they_came(step: int) -> None:
     body = b'data: {"a":1}\n\n: Srv-Load: queue=1\n\ndata: {"usage":{}}\n\ndata: [DONE]\n\n'
     events = platform.Events()
-    passed = b"".join(events.feed([body[at:at + step]]) for at in range(0, len(body), step))
-    assert passed == body and events.done and events.load == "queue=1" and events.events == 3 and not events.rest
+    passed = b"".join(events.feed([body[at : at + step]]) for at in range(0, len(body), step))
+    assert (
+        passed == body and events.done and events.load == "queue=1" and events.events == 3 and not events.rest
+    )
 
 
 @pytest.mark.parametrize("body", [b"\x01\x02\n\n", b"noise", b"data: noise\n\n", b"data: " + b"x" * 70_000])
@@ -171,14 +258,29 @@
         platform.Events().feed([body])
 
 
-@pytest.mark.parametrize("part, value, named", [
-    ("listen", "x:1", "listen"), ("discovery", 7, "discovery"), ("seed", "xyz", "xyz"), ("limits", None, "limits"),
-    ("known", {"members": 3}, "members"), ("settings", None, "settings"),
-    ("limits", {"sockets": 30}, "limits.sockets: found 30"), ("limits", {"memory_mb": 8}, "limits.memory_mb: found 8"),
-])
+@pytest.mark.parametrize(
+    "part, value, named",
+    [
+        ("listen", "x:1", "listen"),
+        ("discovery", 7, "discovery"),
+        ("seed", "xyz", "xyz"),
+        ("limits", None, "limits"),
+        ("known", {"members": 3}, "members"),
+        ("settings", None, "settings"),
+        ("limits", {"sockets": 30}, "limits.sockets: found 30"),
+        ("limits", {"memory_mb": 8}, "limits.memory_mb: found 8"),
+    ],
+)
 def test_a_configuration_that_cannot_be_used(tmp_path: Path, part: str, value: object, named: str) -> None:
-    good = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1f", "limits": {"sockets": 64},
-            "known": {"revision": 1, "complete": True, "members": []}, "settings": SETTINGS}
+    good = {
+        "name": "n",
+        "listen": "127.0.0.1:1",
+        "discovery": "127.0.0.1:2",
+        "seed": "1f",
+        "limits": {"sockets": 64},
+        "known": {"revision": 1, "complete": True, "members": []},
+        "settings": SETTINGS,
+    }
     (tmp_path / "c").write_text(json.dumps(good))
     assert config.read({"RELAY_CONFIG": str(tmp_path / "c")}).seed == 31
     (tmp_path / "c").write_text(json.dumps(good | {part: value}))
@@ -188,27 +290,70 @@
 
 def test_what_became_of_each_product_is_told(capsys: pytest.CaptureFixture[str]) -> None:
     lines = Lines("n0")
-    for end, legs in (("streamed", ["r1 read", "w1 streamed"]), ("throttled", ["r1 time-out no word in time"]), ("throttled", [])):
+    for end, legs in (
+        ("streamed", ["r1 read", "w1 streamed"]),
+        ("throttled", ["r1 time-out no word in time"]),
+        ("throttled", []),
+    ):
         lines.log(0, "generation", product="chat", end=end, legs=legs)
     lines.classes()
     lines.classes()  # nothing came since
     told = [json.loads(line) for line in capsys.readouterr().err.splitlines()]
     assert [one["chat"] for one in told] == [
-        {"came": 3, "streamed": 1, "throttled after time-out": 1, "throttled unsent": 1}]
+        {"came": 3, "streamed": 1, "throttled after time-out": 1, "throttled unsent": 1}
+    ]
 
 
 def test_the_start_brings_in_nothing_that_it_has_no_use_for() -> None:
     """Many gateways restart at once on few cores, each with a sliver of one: imports are what their start consists of."""
-    unwanted = {"asyncio", "concurrent.futures", "ctypes", "inotify_simple", "json", "logging", "pathlib", "prometheus_client",
-                "pydantic", "shutil", "stackpitch.duties", "structlog", "subprocess", "tempfile", "threading", "urllib.parse"}
-    done = subprocess.run([sys.executable, "-S", "-c", f"import sys; sys.path = {sys.path!r}; import stackpitch.platform.serve; "
-                           f"print(sorted({unwanted!r} & set(sys.modules)))"], capture_output=True, text=True, check=True)
+    unwanted = {
+        "asyncio",
+        "concurrent.futures",
+        "ctypes",
+        "inotify_simple",
+        "json",
+        "logging",
+        "pathlib",
+        "prometheus_client",
+        "pydantic",
+        "shutil",
+        "stackpitch.duties",
+        "structlog",
+        "subprocess",
+        "tempfile",
+        "threading",
+        "urllib.parse",
+    }
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-S",
+            "-c",
+            f"import sys; sys.path = {sys.path!r}; import stackpitch.platform.serve; "
+            f"print(sorted({unwanted!r} & set(sys.modules)))",
+        ],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
     assert done.stdout.strip() == "[]"
 
 
-@pytest.mark.parametrize("text, good", [
-    ("10.0.255.1:80", True), ("10.0.0.01:80", True), ("10.0.0.256:80", False), ("10.0.0:80", False), ("10.0.0.0.1:80", False),
-    ("10.0.0.+1:80", False), ("10.0.0.²:80", False), ("10.0.0.:80", False), ("10.0.0.1:0", False), ("10.0.0.1:65536", False)])
+@pytest.mark.parametrize(
+    "text, good",
+    [
+        ("10.0.255.1:80", True),
+        ("10.0.0.01:80", True),
+        ("10.0.0.256:80", False),
+        ("10.0.0:80", False),
+        ("10.0.0.0.1:80", False),
+        ("10.0.0.+1:80", False),
+        ("10.0.0.²:80", False),
+        ("10.0.0.:80", False),
+        ("10.0.0.1:0", False),
+        ("10.0.0.1:65536", False),
+    ],
+)
 def test_an_address(text: str, good: bool) -> None:
     if good:
         host, _, port = text.rpartition(":")
@@ -220,9 +365,22 @@
 
 def test_the_module_is_told_of_no_messages_that_this_front_does_not_carry(tmp_path: Path) -> None:
     """Settings may allow words between gateways and probes; a module that counts on them waits for what never comes."""
-    allowed = {"bounds": {**SETTINGS["bounds"], "peers": True, "probes": True}, "report": {"fields": ["x0"], "via": "pull"}}
-    (tmp_path / "c").write_text(json.dumps({
-        "name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1f", "limits": {"sockets": 64},
-        "known": {"revision": 1, "complete": True, "members": []}, "settings": SETTINGS | allowed}))
+    allowed = {
+        "bounds": {**SETTINGS["bounds"], "peers": True, "probes": True},
+        "report": {"fields": ["x0"], "via": "pull"},
+    }
+    (tmp_path / "c").write_text(
+        json.dumps(
+            {
+                "name": "n",
+                "listen": "127.0.0.1:1",
+                "discovery": "127.0.0.1:2",
+                "seed": "1f",
+                "limits": {"sockets": 64},
+                "known": {"revision": 1, "complete": True, "members": []},
+                "settings": SETTINGS | allowed,
+            }
+        )
+    )
     arguments = planned(config.read({"RELAY_CONFIG": str(tmp_path / "c")}), 1024).arguments
     assert arguments["peers"] is False and arguments["probes"] is False
--- a/tests/test_platform_descriptors.py
+++ b/tests/test_platform_descriptors.py
@@ -44,7 +44,8 @@
 
 @pytest.mark.parametrize("sockets", [MOST, 4 * MOST], ids=["as many as configured", "fewer than configured"])
 def test_a_starved_process_takes_up_discovery_and_lets_go_while_idle_clients_fill_its_descriptors(
-        tmp_path: Path, sockets: int) -> None:
+    tmp_path: Path, sockets: int
+) -> None:
     """It runs a quarter of the time. The read's connection ends with its answer, so the release needs a new one; it is owed
     within 0.8 s of the read's end, and may wait once until the process runs again."""
     read = http.response(202, b'{"cached_tokens":4}', [("connection", "close")])
@@ -74,7 +75,9 @@
         while not released and time.monotonic() - ended < 3:
             time.sleep(0.01)
             released = [one for server in servers for one in server.got if one[0] == "DELETE"]
-        assert released and released[0][2] - ended < 1.1 and released[0][1].endswith("00aa"), "its state stayed"
+        assert released and released[0][2] - ended < 1.1 and released[0][1].endswith("00aa"), (
+            "its state stayed"
+        )
         assert took < 5.6 and gateway.peak < MOST, f"told after {took:.1f} s, {gateway.peak} descriptors"
         assert gateway.process.poll() is None
     for one in crowd:
@@ -83,6 +86,7 @@
 
 def test_a_full_queue_that_is_accepted_in_one_go_keeps_to_the_bound() -> None:
     """The listener gives connection after connection without a wait, so no task runs that would close one."""
+
     class Accepted:
         closed = False
 
@@ -108,8 +112,22 @@
     came: list[Accepted] = []
     most: list[int] = []
     host = SimpleNamespace(name="n")
-    door = PlatformDoor(VirtualWorld(1), host, None, NoCounts(), None, max_connections=20, max_bodies=1, max_body=1, max_head=1,
-                        head=1, body=1, idle=1, stall=1, margin=1)
+    door = PlatformDoor(
+        VirtualWorld(1),
+        host,
+        None,
+        NoCounts(),
+        None,
+        max_connections=20,
+        max_bodies=1,
+        max_body=1,
+        max_head=1,
+        head=1,
+        body=1,
+        idle=1,
+        stall=1,
+        margin=1,
+    )
     assert list(door.serve(Spawned(), Queue())) == []
     assert max(most) == 20 + door.told_why + 1 and len(came) == 300
 
@@ -119,7 +137,9 @@
 
 
 @pytest.mark.parametrize("kept", [True, False], ids=["given back", "dropped"])
-def test_a_place_that_comes_free_at_one_server_serves_a_leg_or_release_that_waits_at_another(kept: bool) -> None:
+def test_a_place_that_comes_free_at_one_server_serves_a_leg_or_release_that_waits_at_another(
+    kept: bool,
+) -> None:
     world, budget, got = VirtualWorld(1), Budget(1), list[int]()
     ports = [world.listen(("127.0.0.1", port)).address for port in (6000, 6001)]
     ours, other = (Pool(world, address, 4, SECOND // 4, SECOND, 0, budget) for address in ports)
@@ -144,21 +164,39 @@
 Act = tuple[int, str]  # ms after the last one, and `name pool [for]`, `free` or `cancel name`
 
 
-@pytest.mark.parametrize("acts, order", [
-    ([(1, "b B"), (1, "a A"), (1, "free"), (5, "free")], "b a"),  # the pools were made as A, B
-    ([(1, "b B"), (1, "a A"), (1, "c B"), (1, "free"), (5, "free"), (5, "free")], "b a c"),
-    ([(1, "b B"), (1, "a O"), (1, "free"), (5, "free")], "b a"),  # also where the place is one of another's own server
-    ([(1, "b B"), (1, "free"), (0, "a O"), (5, "free")], "b a"),  # one that comes as it is woken takes nothing from it
-    ([(1, "b B"), (1, "a A"), (1, "free"), (0, "cancel b")], "a"),  # woken and ended at once: the place is another's
-    ([(1, "b B"), (1, "a A"), (0, "cancel b"), (0, "free")], "a"),
-    ([(1, "b B"), (1, "a A"), (249, "free")], "a"),  # handed over in the turn in which its time is up: it is another's
-    ([(1, "b B"), (0, "a A"), (250, "free")], ""),
-], ids=str)
+@pytest.mark.parametrize(
+    "acts, order",
+    [
+        ([(1, "b B"), (1, "a A"), (1, "free"), (5, "free")], "b a"),  # the pools were made as A, B
+        ([(1, "b B"), (1, "a A"), (1, "c B"), (1, "free"), (5, "free"), (5, "free")], "b a c"),
+        (
+            [(1, "b B"), (1, "a O"), (1, "free"), (5, "free")],
+            "b a",
+        ),  # also where the place is one of another's own server
+        (
+            [(1, "b B"), (1, "free"), (0, "a O"), (5, "free")],
+            "b a",
+        ),  # one that comes as it is woken takes nothing from it
+        (
+            [(1, "b B"), (1, "a A"), (1, "free"), (0, "cancel b")],
+            "a",
+        ),  # woken and ended at once: the place is another's
+        ([(1, "b B"), (1, "a A"), (0, "cancel b"), (0, "free")], "a"),
+        (
+            [(1, "b B"), (1, "a A"), (249, "free")],
+            "a",
+        ),  # handed over in the turn in which its time is up: it is another's
+        ([(1, "b B"), (0, "a A"), (250, "free")], ""),
+    ],
+    ids=str,
+)
 @pytest.mark.parametrize("kept", [True, False], ids=["given back", "dropped"])
 def test_a_place_goes_to_whoever_has_waited_longest(kept: bool, acts: list[Act], order: str) -> None:
     world, budget, got, tasks = VirtualWorld(1), Budget(1), list[str](), dict[str, Task]()
-    pools = {name: Pool(world, world.listen(("127.0.0.1", 6000 + at)).address, 4, SECOND // 4, SECOND, 0, budget)
-             for at, name in enumerate("OAB")}
+    pools = {
+        name: Pool(world, world.listen(("127.0.0.1", 6000 + at)).address, 4, SECOND // 4, SECOND, 0, budget)
+        for at, name in enumerate("OAB")
+    }
     held: list[tuple[Pool, Stream]] = []
 
     def one(name: str, pool: Pool) -> Coro[None]:
--- a/tests/test_platform_floods.py
+++ b/tests/test_platform_floods.py
@@ -19,14 +19,16 @@
     """Answers without an end whoever has an id that begins with f, others at once."""
 
     def respond(self, stream: socket.socket, name: str) -> None:
-        stream.sendall(HEAD + WIDE[:len(WIDE) // 4])
+        stream.sendall(HEAD + WIDE[: len(WIDE) // 4])
         while name.startswith("f"):
             stream.sendall(WIDE)
         stream.sendall(LAST)
 
 
 def resident_mb(pid: int) -> float:
-    line = next(one for one in Path(f"/proc/{pid}/status").read_text().splitlines() if one.startswith("VmRSS"))
+    line = next(
+        one for one in Path(f"/proc/{pid}/status").read_text().splitlines() if one.startswith("VmRSS")
+    )
     return int(line.split()[1]) / 1024
 
 
@@ -50,7 +52,9 @@
     agent = Agent()
     agent.members = [reader.member, writer.member]
     slow: list[socket.socket] = []
-    with Gateway(tmp_path, agent, SOCKETS, SOCKETS, extra=SETTINGS["extra"] | {"kvTokens": [10**7] * 2}) as gateway:
+    with Gateway(
+        tmp_path, agent, SOCKETS, SOCKETS, extra=SETTINGS["extra"] | {"kvTokens": [10**7] * 2}
+    ) as gateway:
         agent.told(10)
         pid = gateway.process.pid
         alone = sorted(served(gateway.port, number) for number in range(20))[18]
@@ -70,12 +74,16 @@
             time.sleep(0.02)
         got = sum(path.startswith("/v1/") for _, path, _ in writer.got) - len(took) - 20
         took.sort()
-        print(f"{got} answers without an end, resident {base:.1f} to {most:.1f} MB, {gateway.peak} descriptors, "
-              f"0.95 of others in {took[int(len(took) * 0.95)] * 1e3:.0f} ms, {alone * 1e3:.0f} alone")
+        print(
+            f"{got} answers without an end, resident {base:.1f} to {most:.1f} MB, {gateway.peak} descriptors, "
+            f"0.95 of others in {took[int(len(took) * 0.95)] * 1e3:.0f} ms, {alone * 1e3:.0f} alone"
+        )
         assert got > SLOW * 0.9, "they were not let in"
         assert most < MEMORY_MB * 7 / 8, f"{base:.1f} to {most:.1f} MB"
         assert took[int(len(took) * 0.95)] < 1, f"others waited {took}"
         assert gateway.peak <= SOCKETS
-        assert waited(lambda: gateway.held() <= before + 4, 9), f"{gateway.held()} descriptors stay, {before} before"
+        assert waited(lambda: gateway.held() <= before + 4, 9), (
+            f"{gateway.held()} descriptors stay, {before} before"
+        )
     for one in slow:
         one.close()
--- a/tests/test_played_days.py
+++ b/tests/test_played_days.py
@@ -55,7 +55,9 @@
     days.begin([*virtual, *real, alone, *virtual])
     days.told.set()
     assert days.outcome(alone).exit == 0 and days.outcome(virtual[0]).found == {"exit": 0}
-    assert days.played[-1] == alone and sorted(days.played, key=repr) == sorted([*virtual, *real, alone], key=repr)
+    assert days.played[-1] == alone and sorted(days.played, key=repr) == sorted(
+        [*virtual, *real, alone], key=repr
+    )
     assert days.most <= 2 + 3, "of eight processors two for made-up days, and three days as processes"
 
 
--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -48,24 +48,57 @@
 @pytest.fixture
 def ports(tmp_path: Path) -> Iterator[tuple[int, Path]]:
     """A gateway and two stand-in engines; yields the door's port and the engines' records."""
-    blocks = [16_400 + (os.getpid() + step) % 150 * 10 for step in range(150)]  # below those of days, above those of duties
+    blocks = [
+        16_400 + (os.getpid() + step) % 150 * 10 for step in range(150)
+    ]  # below those of days, above those of duties
     base = next(one for one in blocks if all(map(free, range(one, one + 10))))
     names = {"r1": "reader", "w1": "writer"}
     records, processes = tmp_path / "records", []
     for number, (name, role) in enumerate(names.items()):
-        (tmp_path / name).write_text(json.dumps({"name": name, "port": base + 2 * number, "role": role,
-                                                 "control_port": base + 2 * number + 1, "records": str(records)}))
+        (tmp_path / name).write_text(
+            json.dumps(
+                {
+                    "name": name,
+                    "port": base + 2 * number,
+                    "role": role,
+                    "control_port": base + 2 * number + 1,
+                    "records": str(records),
+                }
+            )
+        )
     kinds = {role: {"role": role, "memory_tok": 100000} for role in names.values()}
     product = {"slo_ms": 1000, "time_limit_ms": 1500}
-    (tmp_path / "fleet").write_text(json.dumps({"version": 1, "servers": [
-        {"name": name, "host": "127.0.0.1", "port": base + 2 * number, "kind": role}
-        for number, (name, role) in enumerate(names.items())]}))
-    (tmp_path / "gateway").write_text(json.dumps({
-        "roster": str(tmp_path / "fleet"), "kinds": kinds, "door": {"port": base + 9}, "admin": {"port": base + 8},
-        "products": {"ask": {"effect": "idempotent", "models": ["ask"], **product},
-                     "order": {"effect": "side-effecting", "models": ["order"], **product}}}))
+    (tmp_path / "fleet").write_text(
+        json.dumps(
+            {
+                "version": 1,
+                "servers": [
+                    {"name": name, "host": "127.0.0.1", "port": base + 2 * number, "kind": role}
+                    for number, (name, role) in enumerate(names.items())
+                ],
+            }
+        )
+    )
+    (tmp_path / "gateway").write_text(
+        json.dumps(
+            {
+                "roster": str(tmp_path / "fleet"),
+                "kinds": kinds,
+                "door": {"port": base + 9},
+                "admin": {"port": base + 8},
+                "products": {
+                    "ask": {"effect": "idempotent", "models": ["ask"], **product},
+                    "order": {"effect": "side-effecting", "models": ["order"], **product},
+                },
+            }
+        )
+    )
     stackpitch = [sys.executable, "-m", "stackpitch"]
-    for words in (["engine", tmp_path / "r1"], ["engine", tmp_path / "w1"], ["serve", "-c", tmp_path / "gateway"]):
+    for words in (
+        ["engine", tmp_path / "r1"],
+        ["engine", tmp_path / "w1"],
+        ["serve", "-c", tmp_path / "gateway"],
+    ):
         processes.append(subprocess.Popen([*stackpitch, *words], cwd=ROOT))
     try:
         for port in (base, base + 2, base + 9):
@@ -91,7 +124,9 @@
     raise AssertionError(f"nothing listens on {port}")
 
 
-def test_a_published_client_library_streams_and_does_not_repeat_what_was_terminated(ports: tuple[int, Path]) -> None:
+def test_a_published_client_library_streams_and_does_not_repeat_what_was_terminated(
+    ports: tuple[int, Path],
+) -> None:
     base, records = ports
     client = openai.OpenAI(base_url=f"http://127.0.0.1:{base + 9}/v1", api_key="k", max_retries=3)
     say = [{"role": "system", "content": "be brief"}, {"role": "user", "content": "hello"}]
@@ -108,10 +143,15 @@
 
     trouble = json.dumps({"name": "lose-answer", "strength": 1.0, "on": True}).encode()
     import urllib.request
-    urllib.request.urlopen(urllib.request.Request(f"http://127.0.0.1:{base + 3}/t", trouble), timeout=5).read()
+
+    urllib.request.urlopen(
+        urllib.request.Request(f"http://127.0.0.1:{base + 3}/t", trouble), timeout=5
+    ).read()
     with pytest.raises(openai.InternalServerError) as caught:
         client.chat.completions.create(model="order", messages=say, stream=True, max_tokens=5)
     assert caught.value.status_code == 502 and caught.value.code == "terminated"
     lines = [json.loads(line) for line in records.read_text().splitlines()]
     assert sum(one["what"] == "ran" and one["product"] == "order" for one in lines) == 1
-    assert sum(one["what"] == "leg" and one["product"] == "order" and one["who"] == "w1" for one in lines) == 1
+    assert (
+        sum(one["what"] == "leg" and one["product"] == "order" and one["who"] == "w1" for one in lines) == 1
+    )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,8 +10,11 @@
 
 ALL = scenarios(Path(__file__).parent / "scenarios_rules")
 FIGURES = RuleFigures(answer_slack=600, drain_grace=10_000, release=5000, connect=2500, max_legs=4)
-PRODUCTS = {"chat": Effects("idempotent", "all", 0), "order": Effects("side-effecting", "all", 0),
-            "note": Effects("deduplicated", "cell", 50_000)}
+PRODUCTS = {
+    "chat": Effects("idempotent", "all", 0),
+    "order": Effects("side-effecting", "all", 0),
+    "note": Effects("deduplicated", "cell", 50_000),
+}
 PLACES = {"r1": ("a", 1), "w1": ("a", 1), "w2": ("a", 1), "w9": ("a", 2)}
 NUMBERS = ("leg", "number", "limit_ms", "came", "budget")
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -55,11 +55,15 @@
     found = {}
     for round, hot in enumerate(("old", "new")):
         for number in range(90):
-            where = read_at(play, f"{hot}{number}", hot if number % 3 == 0 else f"text{number}.{round}", f"{hot}{number}")
+            where = read_at(
+                play, f"{hot}{number}", hot if number % 3 == 0 else f"text{number}.{round}", f"{hot}{number}"
+            )
             found.setdefault(hot if number % 3 == 0 else "", []).append(where)
     for hot in ("old", "new"):
         assert len(set(found[hot][-10:])) >= 5, "a third of all traffic is more than one reader bears"
-    assert len({read_at(play, f"again{number}", "old", f"again{number}") for number in range(2)}) == 1, "it is rare now"
+    assert len({read_at(play, f"again{number}", "old", f"again{number}") for number in range(2)}) == 1, (
+        "it is rare now"
+    )
 
 
 def test_a_writer_planned_for_a_read_that_failed_is_let_go_of() -> None:
@@ -67,10 +71,17 @@
     play.line("fleet r1 r2 r3 w1 w2 w3 w4")
     for number in range(12):
         play.now += 100_000
-        play.do_gen(f"g{number}", "chat", session=f"s{number}", prompt="2000", gives_up=str(play.now // 10 + 9000))
+        play.do_gen(
+            f"g{number}", "chat", session=f"s{number}", prompt="2000", gives_up=str(play.now // 10 + 9000)
+        )
         play.do_end(f"g{number}", "unreachable")
         play.do_end(f"g{number}", "read")
         play.do_start(f"g{number}")
         play.do_end(f"g{number}", "streamed")
-    assert len({leg.server.name for gen in play.gens.values() for leg in gen.legs if leg.server.role == "writer"}) > 1
+    assert (
+        len(
+            {leg.server.name for gen in play.gens.values() for leg in gen.legs if leg.server.role == "writer"}
+        )
+        > 1
+    )
     assert [seat.own for seat in play.brain.fleet.seats.values()] == [0] * 7
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -13,10 +13,29 @@
 GATEWAYS = (1, 2, 5, 20, 30, 230)
 WINDOWS = (SECOND, 2 * SECOND, 3 * SECOND)
 KINDS = [
-    "one", "several", "small-N", "large-N", "all-cold", "restarted", "all-restarted", "few-left", "few-left-long",
-    "few-of-many", "few-of-many-steady", "few-of-many-long", "few-of-many-all-restarted",
-    "few-of-many-long-restarted", "few-of-many-rare", "few-of-many-full", "one-of-many",
-    "mixed", "mixed-all-restarted", "mixed-of-many", "few-mixed-of-many", "half-mixed-of-many", "reader-among-mixed",
+    "one",
+    "several",
+    "small-N",
+    "large-N",
+    "all-cold",
+    "restarted",
+    "all-restarted",
+    "few-left",
+    "few-left-long",
+    "few-of-many",
+    "few-of-many-steady",
+    "few-of-many-long",
+    "few-of-many-all-restarted",
+    "few-of-many-long-restarted",
+    "few-of-many-rare",
+    "few-of-many-full",
+    "one-of-many",
+    "mixed",
+    "mixed-all-restarted",
+    "mixed-of-many",
+    "few-mixed-of-many",
+    "half-mixed-of-many",
+    "reader-among-mixed",
 ]
 
 
@@ -27,10 +46,22 @@
     return all_of
 
 
-@pytest.mark.parametrize(("name", "gateways", "used"), [
-    ("restarted", 30, 0.15), ("restarted", 230, 0.1), ("small-N", 30, 0.1), ("several", 20, 0.12), ("all-cold", 30, 0.12),
-    ("few-left", 2, 0.25), ("few-of-many", 30, 0.25), ("few-of-many-steady", 2, 0.25), ("mixed", 30, 0.15), ("mixed", 230, 0.1),
-    ("reader-among-mixed", 230, 0.1)])
+@pytest.mark.parametrize(
+    ("name", "gateways", "used"),
+    [
+        ("restarted", 30, 0.15),
+        ("restarted", 230, 0.1),
+        ("small-N", 30, 0.1),
+        ("several", 20, 0.12),
+        ("all-cold", 30, 0.12),
+        ("few-left", 2, 0.25),
+        ("few-of-many", 30, 0.25),
+        ("few-of-many-steady", 2, 0.25),
+        ("mixed", 30, 0.15),
+        ("mixed", 230, 0.1),
+        ("reader-among-mixed", 230, 0.1),
+    ],
+)
 def test_cold_servers_bear_what_all_send_and_are_used(name: str, gateways: int, used: float) -> None:
     """`used`: of what they may be sent; cold servers that get nothing cost service."""
     all_of = found(name, gateways, 3)
@@ -53,12 +84,22 @@
     cluster.play()
     for window in WINDOWS:
         found = cluster.found(window)
-        assert found.operators_worst <= 1, f"{found.operators_servers_over} of {found.servers} servers, {window // 10} ms"
-
-
-@pytest.mark.parametrize(("name", "gateways", "used"), [
-    ("few-left-long", 1, 0.2), ("few-of-many-long", 1, 0.2), ("few-of-many-long", 230, 0.2), ("one-of-many", 20, 0.2),
-    ("all-cold-after-dark", 1, 0.04), ("all-cold-after-dark", 20, 0.04)])
+        assert found.operators_worst <= 1, (
+            f"{found.operators_servers_over} of {found.servers} servers, {window // 10} ms"
+        )
+
+
+@pytest.mark.parametrize(
+    ("name", "gateways", "used"),
+    [
+        ("few-left-long", 1, 0.2),
+        ("few-of-many-long", 1, 0.2),
+        ("few-of-many-long", 230, 0.2),
+        ("one-of-many", 20, 0.2),
+        ("all-cold-after-dark", 1, 0.04),
+        ("all-cold-after-dark", 20, 0.04),
+    ],
+)
 def test_the_few_that_are_left_or_come_back_cold_are_used(name: str, gateways: int, used: float) -> None:
     all_of = found(name, gateways, 2)
     assert all_of.sent / all_of.allowed > used
@@ -67,10 +108,18 @@
 def looked_up(number: int, gateways: int, warm: int, cold: list[str], started: int, times: int = 1) -> Fleet:
     """A gateway with its first list, after so many generations."""
     fleet = fleet_of(number, gateways, 0.3, 13 * SECOND, 3.0)
-    fleet.update(0, [Server(f"r{one}", "a", "k", 1, "reader", 1000) for one in range(warm)]
-                 + [Server(name, "a", "k", 1, "reader", 1000, started=started) for name in cold], True)
+    fleet.update(
+        0,
+        [Server(f"r{one}", "a", "k", 1, "reader", 1000) for one in range(warm)]
+        + [Server(name, "a", "k", 1, "reader", 1000, started=started) for name in cold],
+        True,
+    )
     for _ in range(times):
-        fleet.usable("reader", 0, Generation("a", PRODUCT, None, None, None, 0, 1000, 100, None, 0, 40_000, False, False))
+        fleet.usable(
+            "reader",
+            0,
+            Generation("a", PRODUCT, None, None, None, 0, 1000, 100, None, 0, 40_000, False, False),
+        )
     return fleet
 
 
@@ -105,7 +154,9 @@
         self.fleet.update(self.now, [self.cold], True)
 
     def generation(self) -> Generation:
-        return Generation("a", PRODUCT, None, None, None, 0, 1000, 100, None, self.now, self.now + 40_000, False, False)
+        return Generation(
+            "a", PRODUCT, None, None, None, 0, 1000, 100, None, self.now, self.now + 40_000, False, False
+        )
 
     def look_up(self) -> None:
         self.fleet.usable("reader", self.now, self.generation())
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -145,7 +145,10 @@
         def server():
             world = made[0]
             listener = world.listen(ADDRESS)
-            world.at(world.now() + SECOND, lambda: world.at(world.now() + MS, lambda: seen.append(("chain", world.now()))))
+            world.at(
+                world.now() + SECOND,
+                lambda: world.at(world.now() + MS, lambda: seen.append(("chain", world.now()))),
+            )
             stream = yield from listener.accept()
             with world.limit(2 * SECOND) as scope:
                 seen.append(((yield from stream.recv()), world.now()))
@@ -253,10 +256,17 @@
 
 def records(played):
     assert played.exit == 0, played.printed
-    return {path.name: hashlib.sha256(path.read_bytes()).hexdigest() for path in sorted(played.folder.glob("*.jsonl"))}
+    return {
+        path.name: hashlib.sha256(path.read_bytes()).hexdigest()
+        for path in sorted(played.folder.glob("*.jsonl"))
+    }
 
 
-@plays(lambda: [made_up(MASS, f"seed={seed}", hash_seed=hashes) for seed, hashes in ((1, "1"), (1, "77"), (2, "1"))])
+@plays(
+    lambda: [
+        made_up(MASS, f"seed={seed}", hash_seed=hashes) for seed, hashes in ((1, "1"), (1, "77"), (2, "1"))
+    ]
+)
 def test_the_same_seed_gives_the_same_records_byte_for_byte(played):
     """Whatever the hash seed of the interpreter, which orders its sets; and another seed gives others."""
     one, other, another = map(records, played)
--- a/tests/test_vocabulary.py
+++ b/tests/test_vocabulary.py
@@ -22,7 +22,16 @@
 from stackpitch.duties.vocabulary.owning import Asking
 from stackpitch.duties.vocabulary.parameters import Parameters
 from stackpitch.duties.vocabulary.profiles import Profiles, read_profiles
-from stackpitch.duties.vocabulary.verdicts import FieldVerdict, Finding, Judge, Pair, ProfileVerdict, Ratio, Verdicts, measured
+from stackpitch.duties.vocabulary.verdicts import (
+    FieldVerdict,
+    Finding,
+    Judge,
+    Pair,
+    ProfileVerdict,
+    Ratio,
+    Verdicts,
+    measured,
+)
 from stackpitch.duties.vocabulary.verdicts.judge import Digests
 from stackpitch.duties.vocabulary.verdicts.pair import Run
 from stackpitch.duties.vocabulary.work import VocabularyWork
@@ -39,18 +48,51 @@
     """Ids in order: `</s>!` an end, `<pad>*` special, `_` a space. Merges from the tokens that two others make."""
     bare = [word.rstrip("!*").replace("_", " ") or word for word in words]
     letters = ["".join(LETTER[byte] for byte in word.encode()) for word in bare]
-    plain = {letter: place for place, (letter, word) in enumerate(zip(letters, words)) if word[-1] not in "!*" or len(word) == 1}
+    plain = {
+        letter: place
+        for place, (letter, word) in enumerate(zip(letters, words))
+        if word[-1] not in "!*" or len(word) == 1
+    }
     merges = []
     for token in sorted(plain, key=len):
         ways = [(token[:cut], token[cut:]) for cut in range(len(token) - 1, 0, -1)]
         merges += [way for way in ways if way[0] in plain and way[1] in plain][:1]
-    tree = {"version": "1.0", "added_tokens": [
-                {"id": place, "content": bare[place], "special": True, "single_word": False, "lstrip": False, "rstrip": False,
-                 "normalized": False} for place, word in enumerate(words) if word[-1] in "!*" and len(word) > 1],
-            "normalizer": None, "pre_tokenizer": {"type": "ByteLevel", "add_prefix_space": False, "trim_offsets": True, "use_regex": False},
-            "post_processor": None, "decoder": {"type": "ByteLevel", "add_prefix_space": True, "trim_offsets": True, "use_regex": True},
-            "model": {"type": "BPE", "dropout": None, "unk_token": None, "continuing_subword_prefix": None, "end_of_word_suffix": None,
-                      "fuse_unk": False, "byte_fallback": False, "vocab": plain, "merges": [list(one) for one in merges]}}
+    tree = {
+        "version": "1.0",
+        "added_tokens": [
+            {
+                "id": place,
+                "content": bare[place],
+                "special": True,
+                "single_word": False,
+                "lstrip": False,
+                "rstrip": False,
+                "normalized": False,
+            }
+            for place, word in enumerate(words)
+            if word[-1] in "!*" and len(word) > 1
+        ],
+        "normalizer": None,
+        "pre_tokenizer": {
+            "type": "ByteLevel",
+            "add_prefix_space": False,
+            "trim_offsets": True,
+            "use_regex": False,
+        },
+        "post_processor": None,
+        "decoder": {"type": "ByteLevel", "add_prefix_space": True, "trim_offsets": True, "use_regex": True},
+        "model": {
+            "type": "BPE",
+            "dropout": None,
+            "unk_token": None,
+            "continuing_subword_prefix": None,
+            "end_of_word_suffix": None,
+            "fuse_unk": False,
+            "byte_fallback": False,
+            "vocab": plain,
+            "merges": [list(one) for one in merges],
+        },
+    }
     return json.dumps(tree).encode()
 
 
@@ -71,19 +113,28 @@
         self.known, self.words, self.given, self.samples, self.judged = {}, {}, {}, [], None
 
     def sequence(self, word):
-        return [self.words["old"].index(one) for one in ([word] if word in self.words["old"] else word.split("+"))]
+        return [
+            self.words["old"].index(one) for one in ([word] if word in self.words["old"] else word.split("+"))
+        ]
 
     def line(self, text):
         what, _, rest = text.partition(" ")
         words = rest.split()
         if what in ("old", "new"):
-            self.known[what], self.words[what] = made(what, words), [word.rstrip("!*") or word for word in words]
+            self.known[what], self.words[what] = (
+                made(what, words),
+                [word.rstrip("!*") or word for word in words],
+            )
         elif what == "samples":
             self.samples = [words[0]] * int(words[1])
         elif what == "bias":
-            self.given["logit_bias"] = {str(self.sequence(one.split("=")[0])[0]): float(one.split("=")[1]) for one in words}
+            self.given["logit_bias"] = {
+                str(self.sequence(one.split("=")[0])[0]): float(one.split("=")[1]) for one in words
+            }
         elif what in ("stop", "allow"):
-            self.given[{"stop": "stop_token_ids", "allow": "allowed_token_ids"}[what]] = [self.sequence(one)[0] for one in words]
+            self.given[{"stop": "stop_token_ids", "allow": "allowed_token_ids"}[what]] = [
+                self.sequence(one)[0] for one in words
+            ]
         elif what == "id-stop":
             self.given["stop_token_ids"] += map(int, words)
         elif what == "word":
@@ -101,7 +152,9 @@
         if self.judged is None:
             old, new = self.known["old"], self.known["new"]
             ratio = measured(old, new, self.samples) if self.samples else Ratio()
-            self.judged = Judge(Pair(old, new), ratio, Profiles(), {}).one("p", Parameters.model_validate(self.given))
+            self.judged = Judge(Pair(old, new), ratio, Profiles(), {}).one(
+                "p", Parameters.model_validate(self.given)
+            )
         field, rest = first.split(" ", 1)
         if field == "worst":
             assert self.judged.word == rest
@@ -121,7 +174,11 @@
         at = self.words["new"].index
         if field == "logit_bias":
             return {str(at(one.split("=")[0])): float(one.split("=")[1]) for one in words}
-        return [[at(one) for one in word.split("+")] for word in words] if field == "bad_words_ids" else [at(one) for one in words]
+        return (
+            [[at(one) for one in word.split("+")] for word in words]
+            if field == "bad_words_ids"
+            else [at(one) for one in words]
+        )
 
 
 class Changing:
@@ -136,19 +193,32 @@
     def line(self, text):
         what, *words = text.split()
         machine, self.wrong = self.machine, None if what != "!" else self.wrong
-        calls = {"announce": machine.announce, "edited": machine.edited, "confirm": machine.confirm,
-                 "call-off": lambda *words: machine.call_off(" ".join(words)),
-                 "seen": lambda *words: machine.seen({one[0]: int(one[2:]) for one in words}),
-                 "judged": lambda of, verdict, share: machine.judged(Digests(machine.change.old, machine.change.new, of), Summary(verdict, 10, int(10 * float(share)), float(share)))}
+        calls = {
+            "announce": machine.announce,
+            "edited": machine.edited,
+            "confirm": machine.confirm,
+            "call-off": lambda *words: machine.call_off(" ".join(words)),
+            "seen": lambda *words: machine.seen({one[0]: int(one[2:]) for one in words}),
+            "judged": lambda of, verdict, share: machine.judged(
+                Digests(machine.change.old, machine.change.new, of),
+                Summary(verdict, 10, int(10 * float(share)), float(share)),
+            ),
+        }
         if what == "limit":
             machine.most_share = float(words[0])
         elif what == "!":
-            assert type(self.wrong).__name__ == words[0] and " ".join(words[1:]) in str(self.wrong) and self.wrong.remedy, self.wrong
+            assert (
+                type(self.wrong).__name__ == words[0]
+                and " ".join(words[1:]) in str(self.wrong)
+                and self.wrong.remedy
+            ), self.wrong
         elif what == ">":
             change = machine.change
             told = f"{change.word} {change.summary or 'none'} {change.new} {change.why}"
             assert told.startswith(words[0]) and all(word in told for word in words), told
-            assert change.admits(change.old) and change.admits(change.new) is (change.word in ("allowed", "mixed", "done"))
+            assert change.admits(change.old) and change.admits(change.new) is (
+                change.word in ("allowed", "mixed", "done")
+            )
         else:
             before = machine.record
             try:
@@ -175,7 +245,9 @@
     def line(self, text):
         what, *words = text.split()
         if what == "servers":
-            self.acting.listed({name: kind or None for name, _, kind in (one.partition("=") for one in words)})
+            self.acting.listed(
+                {name: kind or None for name, _, kind in (one.partition("=") for one in words)}
+            )
         elif what == "see":
             self.acting.seen = Seen({"A": "a", "B": "b"}, words[0])
         elif what == "told":
@@ -183,17 +255,47 @@
             said = dict(one.split("=") for one in words[2:] if "=" in one)
             verdicts = verdicts_on(Digests("A", "B", "P1"))
             digest = "0" * 32 if "forged" in words else verdicts.digest()
-            change = Change(1, words[0].replace("_", " "), "A", "B", "P1", Summary(digest, 1, 0, 0.0), version=int(said.get("version", self.version)))
+            change = Change(
+                1,
+                words[0].replace("_", " "),
+                "A",
+                "B",
+                "P1",
+                Summary(digest, 1, 0, 0.0),
+                version=int(said.get("version", self.version)),
+            )
             self.known.take(Told(Stamp(int(said["stamp"])), change, verdicts))
         elif what == "gen":
             named = dict(one.split("=", 1) for one in words[1:] if "=" in one)
             profile = named.pop("profile", None)
             try:
-                ids = asked({name: msgspec.Raw(value.encode()) for name, value in named.items() if name != "own"})
-                filled = frozenset({"good": ("bad_words_ids", "min_tokens"), "bad": ("stop_token_ids",), "two": ("stop_token_ids", "bad_words_ids")}.get(profile, ())) - {named.get("own")}
-                found = self.acting.decide(Asked(ids, None if words[0] == "-" else words[0], profile, filled, {"max_tokens": 100} if "limit" in words else {}))
-                self.answer = "untouched" if found is None else " ".join(
-                    f"{kind} {msgspec.json.encode(fields, order='deterministic').decode()}" for kind, fields in found.fields.items())
+                ids = asked(
+                    {name: msgspec.Raw(value.encode()) for name, value in named.items() if name != "own"}
+                )
+                filled = frozenset(
+                    {
+                        "good": ("bad_words_ids", "min_tokens"),
+                        "bad": ("stop_token_ids",),
+                        "two": ("stop_token_ids", "bad_words_ids"),
+                    }.get(profile, ())
+                ) - {named.get("own")}
+                found = self.acting.decide(
+                    Asked(
+                        ids,
+                        None if words[0] == "-" else words[0],
+                        profile,
+                        filled,
+                        {"max_tokens": 100} if "limit" in words else {},
+                    )
+                )
+                self.answer = (
+                    "untouched"
+                    if found is None
+                    else " ".join(
+                        f"{kind} {msgspec.json.encode(fields, order='deterministic').decode()}"
+                        for kind, fields in found.fields.items()
+                    )
+                )
             except errors.VocabularyError as wrong:
                 self.answer = f"{type(wrong).__name__} {wrong}"
                 assert wrong.remedy
@@ -204,11 +306,32 @@
 
 
 def verdicts_on(digests, mark="same"):
-    lost = FieldVerdict("stop_token_ids", "another role", True, "", None, (Finding("another role", "id 0", "the end of text", "the text 'b'", "why", "todo"),))
-    good = FieldVerdict("bad_words_ids", "split", False, mark, [[8], [9]]), FieldVerdict("min_tokens", "rescaled", False, "", 6)
-    two = FieldVerdict("bad_words_ids", "split", False, "", [[8]]), FieldVerdict("stop_token_ids", "renumbered", False, "", [13])
-    return Verdicts(digests, Ratio(10, 12), (ProfileVerdict("two", "split", False, two), ProfileVerdict("bad", "another role", True, (lost,)), ProfileVerdict("good", "split", False, good)),
-                    (Run(0, 3, 0), Run(3, 3, 10)))
+    lost = FieldVerdict(
+        "stop_token_ids",
+        "another role",
+        True,
+        "",
+        None,
+        (Finding("another role", "id 0", "the end of text", "the text 'b'", "why", "todo"),),
+    )
+    good = (
+        FieldVerdict("bad_words_ids", "split", False, mark, [[8], [9]]),
+        FieldVerdict("min_tokens", "rescaled", False, "", 6),
+    )
+    two = (
+        FieldVerdict("bad_words_ids", "split", False, "", [[8]]),
+        FieldVerdict("stop_token_ids", "renumbered", False, "", [13]),
+    )
+    return Verdicts(
+        digests,
+        Ratio(10, 12),
+        (
+            ProfileVerdict("two", "split", False, two),
+            ProfileVerdict("bad", "another role", True, (lost,)),
+            ProfileVerdict("good", "split", False, good),
+        ),
+        (Run(0, 3, 0), Run(3, 3, 10)),
+    )
 
 
 class Narrowed(Play):
@@ -222,7 +345,9 @@
     @property
     def brain(self):
         if self.made is None:
-            self.made = RuledBrain(self, 7, Preferences(also=Tongues(self.roster, self).may), **self.arguments)
+            self.made = RuledBrain(
+                self, 7, Preferences(also=Tongues(self.roster, self).may), **self.arguments
+            )
             self.made.begin(self.now)
             self.made.roster(self.now, list(self.servers.values()), True)
         return self.made
@@ -238,7 +363,9 @@
 
     def do_gen(self, name, product, ids=None, **given):
         self.asks[name] = OpenAsk(None, None, "", {}, name, False)
-        self.asks[name].spoken = decide.Narrowed({one: {} for one in ids.split(",")}).spoken() if ids else None
+        self.asks[name].spoken = (
+            decide.Narrowed({one: {} for one in ids.split(",")}).spoken() if ids else None
+        )
         super().do_gen(name, product, **given)
 
     def get(self, gen):
@@ -249,7 +376,9 @@
 ALL = scenarios(Path(__file__).parent / "scenarios_vocabulary")
 
 
-@pytest.mark.parametrize("kind, lines", [(title.split(":")[0], lines) for title, lines in ALL], ids=[title for title, _ in ALL])
+@pytest.mark.parametrize(
+    "kind, lines", [(title.split(":")[0], lines) for title, lines in ALL], ids=[title for title, _ in ALL]
+)
 def test_scenes(kind, lines):
     scene = SCENES[kind]()
     for number, line in enumerate(lines, 1):
@@ -271,9 +400,22 @@
     before = catalogue.digest_of(raw, "x")
     other = json.loads(raw) | {"truncation": {"max_length": 5}}
     other["model"] |= {"merges": ["a b"], "vocab": dict(reversed(other["model"]["vocab"].items()))}
-    assert catalogue.digest_of(json.dumps(other, indent=3).encode(), "x") == before == catalogue.vocabulary(raw, "x").digest
+    assert (
+        catalogue.digest_of(json.dumps(other, indent=3).encode(), "x")
+        == before
+        == catalogue.vocabulary(raw, "x").digest
+    )
     other["model"]["vocab"] |= {"a": 2, "b": 1}
-    assert len({catalogue.digest_of(json.dumps(other).encode(), "x"), catalogue.digest_of(raw, "x", ("</s>",)), before}) == 3
+    assert (
+        len(
+            {
+                catalogue.digest_of(json.dumps(other).encode(), "x"),
+                catalogue.digest_of(raw, "x", ("</s>",)),
+                before,
+            }
+        )
+        == 3
+    )
 
 
 def spoilt(**changed):
@@ -282,22 +424,37 @@
     return json.dumps(found)
 
 
-@pytest.mark.parametrize("text, kind, words", [
-    ("{", errors.VocabularyMalformed, "JSON"),
-    ("[" * 100_000, errors.VocabularyMalformed, "(whole)"),
-    ('{"model": 3}', errors.VocabularyMalformed, "model"),
-    ('{"model": {"type": "BPE", "vocab": {"a": 0, "a": 1}}}', errors.VocabularyMalformed, "twice"),
-    (spoilt(type="Magic"), errors.VocabularyMalformed, "'Magic'; allowed: BPE"),
-    (spoilt(vocab=[]), errors.VocabularyMalformed, "found list"),
-    (spoilt(vocab={"a": 1, "b": 1}), errors.VocabularyMalformed, "id 1 for two tokens"),
-    (spoilt(vocab={"a": 0, "b": 1}, merges=[]), errors.VocabularyMalformed, "added_tokens: found id 0 for two"),
-    (spoilt(vocab={"a": 1.5}), errors.VocabularyMalformed, "1.5"),
-    (spoilt(vocab={"a": True}), errors.VocabularyMalformed, "True"),
-    (spoilt(vocab={"a": 1 << 30}, merges=[]), errors.VocabularyTooLarge, "id 1073741824; allowed: ids up to"),
-    (spoilt(vocab={"a" * 5000: 1}, merges=[]), errors.VocabularyTooLarge, "5000 letters"),
-    (spoilt(merges=[["a", "zz"]]), errors.VocabularyMalformed, "tokenizers library"),
-    (json.dumps(tree() | {"added_tokens": [{"id": -1, "content": "x"}]}), errors.VocabularyMalformed, "added_tokens.0"),
-])
+@pytest.mark.parametrize(
+    "text, kind, words",
+    [
+        ("{", errors.VocabularyMalformed, "JSON"),
+        ("[" * 100_000, errors.VocabularyMalformed, "(whole)"),
+        ('{"model": 3}', errors.VocabularyMalformed, "model"),
+        ('{"model": {"type": "BPE", "vocab": {"a": 0, "a": 1}}}', errors.VocabularyMalformed, "twice"),
+        (spoilt(type="Magic"), errors.VocabularyMalformed, "'Magic'; allowed: BPE"),
+        (spoilt(vocab=[]), errors.VocabularyMalformed, "found list"),
+        (spoilt(vocab={"a": 1, "b": 1}), errors.VocabularyMalformed, "id 1 for two tokens"),
+        (
+            spoilt(vocab={"a": 0, "b": 1}, merges=[]),
+            errors.VocabularyMalformed,
+            "added_tokens: found id 0 for two",
+        ),
+        (spoilt(vocab={"a": 1.5}), errors.VocabularyMalformed, "1.5"),
+        (spoilt(vocab={"a": True}), errors.VocabularyMalformed, "True"),
+        (
+            spoilt(vocab={"a": 1 << 30}, merges=[]),
+            errors.VocabularyTooLarge,
+            "id 1073741824; allowed: ids up to",
+        ),
+        (spoilt(vocab={"a" * 5000: 1}, merges=[]), errors.VocabularyTooLarge, "5000 letters"),
+        (spoilt(merges=[["a", "zz"]]), errors.VocabularyMalformed, "tokenizers library"),
+        (
+            json.dumps(tree() | {"added_tokens": [{"id": -1, "content": "x"}]}),
+            errors.VocabularyMalformed,
+            "added_tokens.0",
+        ),
+    ],
+)
 def test_a_file_that_is_wrong_is_rejected_whole(text, kind, words, tmp_path):
     path = tmp_path / "tokenizer.json"
     path.write_text(text)
@@ -319,22 +476,45 @@
 
 def test_other_published_forms():
     """Metaspace with bytes, word pieces and whole words; `old` has the letter a twice, as itself and as a byte."""
-    metaspace = Tokenizer(models.BPE({"<unk>": 0, "<0x61>": 1, "a": 2, "\u2581a": 3, "\u2581": 4}, [("\u2581", "a")], unk_token="<unk>", byte_fallback=True))
-    metaspace.pre_tokenizer, metaspace.decoder = pre_tokenizers.Metaspace(), decoders.Sequence([decoders.Replace("\u2581", " "), decoders.ByteFallback()])
+    metaspace = Tokenizer(
+        models.BPE(
+            {"<unk>": 0, "<0x61>": 1, "a": 2, "\u2581a": 3, "\u2581": 4},
+            [("\u2581", "a")],
+            unk_token="<unk>",
+            byte_fallback=True,
+        )
+    )
+    metaspace.pre_tokenizer, metaspace.decoder = (
+        pre_tokenizers.Metaspace(),
+        decoders.Sequence([decoders.Replace("\u2581", " "), decoders.ByteFallback()]),
+    )
     pieces = Tokenizer(models.WordPiece({"[UNK]": 0, "a": 1, "##b": 2}, unk_token="[UNK]"))
     words = Tokenizer(models.WordLevel({"[UNK]": 0, "a": 1}, unk_token="[UNK]"))
     read = [catalogue.vocabulary(one.to_str().encode(), "f") for one in (metaspace, pieces, words)]
     assert [one.pieces[1:] for one in read] == [[b"a", b"a", b" a", b" "], [b" a", b"b"], [b" a"]]
-    assert [one.canonical(b" a") for one in read] == [(3,), (1,), (1,)] and read[0].canonical(b"a") == (1,) and read[1].canonical(b" ab") == (1, 2)
-    one = Judge(Pair(read[0], made("new", ["a"])), Ratio(), Profiles(), {}).one("p", Parameters(logit_bias={"1": 5.0, "2": 6.0}))
+    assert (
+        [one.canonical(b" a") for one in read] == [(3,), (1,), (1,)]
+        and read[0].canonical(b"a") == (1,)
+        and read[1].canonical(b" ab") == (1, 2)
+    )
+    one = Judge(Pair(read[0], made("new", ["a"])), Ratio(), Profiles(), {}).one(
+        "p", Parameters(logit_bias={"1": 5.0, "2": 6.0})
+    )
     assert one.word == "contradictory" and "id 1 with bias 5 is the same token now" in str(one)
 
 
 def test_profiles_say_their_vocabulary_or_take_a_default(tmp_path):
     path = tmp_path / "profiles.json"
-    tree = {"vocabulary": "one", "customers": {"c": "two"}, "products": {"p": "three"}, "profiles": {
-        "a": {"customer": "c", "parameters": {}}, "b": {"product": "p", "vocabulary": "one", "parameters": {"top_k": 5}},
-        "d": {"product": "q", "parameters": {}}}}
+    tree = {
+        "vocabulary": "one",
+        "customers": {"c": "two"},
+        "products": {"p": "three"},
+        "profiles": {
+            "a": {"customer": "c", "parameters": {}},
+            "b": {"product": "p", "vocabulary": "one", "parameters": {"top_k": 5}},
+            "d": {"product": "q", "parameters": {}},
+        },
+    }
     path.write_text(json.dumps(tree))
     read = read_profiles(path, ("one", "two", "three"), ("c",), ("p", "q"))
     assert [read.written_for(one) for one in "abd"] == ["two", "one", "one"]
@@ -344,14 +524,25 @@
     assert read_profiles(path, ("one", "two", "three")).digest() != read.digest()
 
 
-@pytest.mark.parametrize("changed, words", [
-    ({"parameters": {"top_p": 2}}, "profiles.a.parameters.top_p"), ({"parameters": {"bad": 2}}, "unknown field"),
-    ({"parameters": {"logit_bias": {"x": 1.0}}}, "logit_bias.x"), ({"parameters": {"min_tokens": 9, "max_tokens": 3}}, "min_tokens: found 9"),
-    ({"parameters": {"allowed_token_ids": []}}, "allowed_token_ids"), ({"vocabulary": "none"}, "profiles.a.vocabulary: found 'none'; allowed: one"),
-    ({"customer": "x"}, "customer or a product"), ({"product": "x"}, "profiles.a.product: found 'x'; allowed: p"), ({"revenue": -1}, "revenue")])
+@pytest.mark.parametrize(
+    "changed, words",
+    [
+        ({"parameters": {"top_p": 2}}, "profiles.a.parameters.top_p"),
+        ({"parameters": {"bad": 2}}, "unknown field"),
+        ({"parameters": {"logit_bias": {"x": 1.0}}}, "logit_bias.x"),
+        ({"parameters": {"min_tokens": 9, "max_tokens": 3}}, "min_tokens: found 9"),
+        ({"parameters": {"allowed_token_ids": []}}, "allowed_token_ids"),
+        ({"vocabulary": "none"}, "profiles.a.vocabulary: found 'none'; allowed: one"),
+        ({"customer": "x"}, "customer or a product"),
+        ({"product": "x"}, "profiles.a.product: found 'x'; allowed: p"),
+        ({"revenue": -1}, "revenue"),
+    ],
+)
 def test_profiles_that_are_wrong_are_rejected_whole(changed, words, tmp_path):
     path = tmp_path / "profiles.json"
-    path.write_text(json.dumps({"vocabulary": "one", "profiles": {"a": {"product": "p", "parameters": {}} | changed}}))
+    path.write_text(
+        json.dumps({"vocabulary": "one", "profiles": {"a": {"product": "p", "parameters": {}} | changed}})
+    )
     with pytest.raises(errors.ProfilesRejected) as wrong:
         read_profiles(path, ("one",), ("c",), ("p",))
     assert words in str(wrong.value) and str(path) in str(wrong.value)
@@ -359,13 +550,26 @@
 
 def test_a_retrained_vocabulary_is_judged_without_a_false_exact():
     """Byte-level, trained on two texts: an id that is called exact has the same bytes; what is split is spelt the same."""
-    texts = ["the ferry to the island leaves at noon, the plane leaves later " * 20, "islands and planes: the later ferry is no plane " * 20]
+    texts = [
+        "the ferry to the island leaves at noon, the plane leaves later " * 20,
+        "islands and planes: the later ferry is no plane " * 20,
+    ]
     read = []
     for number, text in enumerate(texts):
         one = Tokenizer(models.BPE())
-        one.pre_tokenizer, one.decoder = pre_tokenizers.ByteLevel(add_prefix_space=False), decoders.ByteLevel()
-        one.train_from_iterator([text], trainers.BpeTrainer(vocab_size=320 + 10 * number, special_tokens=["<|end|>"], show_progress=False,
-                                                           initial_alphabet=pre_tokenizers.ByteLevel.alphabet()))
+        one.pre_tokenizer, one.decoder = (
+            pre_tokenizers.ByteLevel(add_prefix_space=False),
+            decoders.ByteLevel(),
+        )
+        one.train_from_iterator(
+            [text],
+            trainers.BpeTrainer(
+                vocab_size=320 + 10 * number,
+                special_tokens=["<|end|>"],
+                show_progress=False,
+                initial_alphabet=pre_tokenizers.ByteLevel.alphabet(),
+            ),
+        )
         read.append(catalogue.vocabulary(one.to_str().encode(), "f"))
     pair, words = Pair(*read), set()
     for number in range(read[0].size):
@@ -375,7 +579,11 @@
             assert read[1].text(fate.into) == read[0].pieces[number] and fate.exact is (len(fate.into) == 1)
     assert {"same", "renumbered", "split"} <= words
     assert sum(one.count for one in pair.runs) == sum(there >= 0 for there in pair.table)
-    assert all(pair.table[one.begin + at] == one.begin + at + one.shift for one in pair.runs for at in range(one.count))
+    assert all(
+        pair.table[one.begin + at] == one.begin + at + one.shift
+        for one in pair.runs
+        for at in range(one.count)
+    )
     assert measured(*read, texts).new != measured(*read, texts).old
     with pytest.raises(errors.SamplesTooFew):
         measured(*read, ["a"])
@@ -406,7 +614,9 @@
                     machine.edited(profiles)
                 elif what in (2, 3) and change:
                     verdicts = verdicts_on(change.digests, mark)
-                    machine.judged(change.digests, Summary(verdicts.digest(), 2, 1, chance.choice((0.2, 0.7))))
+                    machine.judged(
+                        change.digests, Summary(verdicts.digest(), 2, 1, chance.choice((0.2, 0.7)))
+                    )
                 elif what == 4 and change and change.summary:
                     machine.confirm(change.summary.digest)
                 elif what == 5:
@@ -443,25 +653,55 @@
     millisecond, those of gateways in `cut` never."""
 
     def __init__(self, world, folder, way=InSteps):
-        say = SimpleNamespace(**{word: lambda *_, **__: None for word in ("debug", "info", "warning", "error", "exception")})
+        say = SimpleNamespace(
+            **{word: lambda *_, **__: None for word in ("debug", "info", "warning", "error", "exception")}
+        )
         addresses = tuple(("127.0.0.1", one + 1) for one in range(3))
         self.world, self.cut, self.logs, self.servers, self.judged, self.tells = world, set(), [], {}, 0, 0
         self.files = Files(str(folder / "vocabularies.json"), str(folder / "profiles.json"))
-        self.duties = [Duties(world, say, Figures("hall", one, addresses, (0, 1, 2), ("vocabulary",), f"votes{one}", 0, 10_000, 0.01,
-                                                  2_000, 5_000, 64)) for one in range(3)]
+        self.duties = [
+            Duties(
+                world,
+                say,
+                Figures(
+                    "hall",
+                    one,
+                    addresses,
+                    (0, 1, 2),
+                    ("vocabulary",),
+                    f"votes{one}",
+                    0,
+                    10_000,
+                    0.01,
+                    2_000,
+                    5_000,
+                    64,
+                ),
+            )
+            for one in range(3)
+        ]
         self.works = [self.made(number, way) for number in range(3)]
         for number, one in enumerate(self.duties):
             one.posts.send = partial(self.send, number)
 
     def made(self, number, way=InSteps):
         """A gateway's work that knows nothing."""
-        work = VocabularyWork(self.world, self.duties[number], self.files, way(self.world), lambda: self.servers,
-                              self.logs.append, 0.4, SECOND)
+        work = VocabularyWork(
+            self.world,
+            self.duties[number],
+            self.files,
+            way(self.world),
+            lambda: self.servers,
+            self.logs.append,
+            0.4,
+            SECOND,
+        )
         judge = work.way.judge
 
         def counted(task):
             self.judged += 1
             return judge(task)
+
         work.way.judge = counted
         self.duties[number].add(work)
         return work
@@ -474,23 +714,35 @@
         if sender != number and {sender, number} & self.cut:
             return None
         body = body if isinstance(body, msgspec.Raw) else raw(body)
-        return (yield from self.duties[number].desk.heard(Call(FORM, "hall", sender, number, duty, kind, stamp, body)))
+        return (
+            yield from self.duties[number].desk.heard(
+                Call(FORM, "hall", sender, number, duty, kind, stamp, body)
+            )
+        )
 
     def owner(self):
-        found, = (number for number, one in enumerate(self.works) if one.owning is not None)
+        (found,) = (number for number, one in enumerate(self.works) if one.owning is not None)
         return found
 
     def words(self):
-        return [(one.known.told.change.word if one.known.told else "", one.known.acting(one.acting.seen) is not None) for one in self.works]
+        return [
+            (
+                one.known.told.change.word if one.known.told else "",
+                one.known.acting(one.acting.seen) is not None,
+            )
+            for one in self.works
+        ]
 
     def play(self, day):
         """`day(group)`, after there is an owner."""
+
         def body(group):
             for one in self.duties:
                 group.spawn(one.run(), "duties")
             yield from self.world.sleep(5 * SECOND)
             yield from day(group)
             group.cancel()
+
         self.world.run(self.world.group(body))
 
 
@@ -498,10 +750,29 @@
     """Two vocabularies whose end differs, and a profile by each."""
     for name, words in (("old", "</s>! _ a b d ab"), ("new", "_ </s>! a b d ab ad")):
         (folder / f"{name}.json").write_bytes(tokenizer(words.split()))
-    (folder / "vocabularies.json").write_text(json.dumps({"vocabularies": {"old": {"file": "old.json"}, "new": {"file": "new.json"}}, "samples": ["abad " * 99]}))
-    (folder / "profiles.json").write_text(json.dumps({"version": version, "vocabulary": "old", "profiles": {
-        "ends": {"product": "p", "parameters": {"stop_token_ids": [0 if stop == "</s>" else 9]}},
-        **{f"p{one}": {"product": "p", "parameters": {"logit_bias": {"1": one / 50}}} for one in range(5)}}}))
+    (folder / "vocabularies.json").write_text(
+        json.dumps(
+            {
+                "vocabularies": {"old": {"file": "old.json"}, "new": {"file": "new.json"}},
+                "samples": ["abad " * 99],
+            }
+        )
+    )
+    (folder / "profiles.json").write_text(
+        json.dumps(
+            {
+                "version": version,
+                "vocabulary": "old",
+                "profiles": {
+                    "ends": {"product": "p", "parameters": {"stop_token_ids": [0 if stop == "</s>" else 9]}},
+                    **{
+                        f"p{one}": {"product": "p", "parameters": {"logit_bias": {"1": one / 50}}}
+                        for one in range(5)
+                    },
+                },
+            }
+        )
+    )
 
 
 def test_owner_and_gateways_through_a_whole_change(tmp_path, monkeypatch):
@@ -524,15 +795,23 @@
         assert (yield from fleet.works[near].ask(Asking("announce", "old", "new"))).yes
         yield from world.sleep(3 * SECOND)
         words = fleet.words()
-        assert [words[one] for one in (first, near, far)] == [("allowed", True), ("allowed", True), ("", False)] and fleet.judged == 1
-        assert fleet.works[near].known.profiles["ends"].field("stop_token_ids").translated == [1], "the end of text has moved from 0 to 1"
+        assert [words[one] for one in (first, near, far)] == [
+            ("allowed", True),
+            ("allowed", True),
+            ("", False),
+        ] and fleet.judged == 1
+        assert fleet.works[near].known.profiles["ends"].field("stop_token_ids").translated == [1], (
+            "the end of text has moved from 0 to 1"
+        )
         fleet.cut = {first}
         assert fleet.works[near].admits(new) and not fleet.works[far].admits(new)
         fleet.servers = {old: 1, new: 1}
         yield from world.sleep(6 * SECOND)
         fleet.cut.clear()
         yield from world.sleep(4 * SECOND)
-        assert fleet.owner() != first and fleet.words() == [("mixed", True)] * 3 and fleet.judged <= 2, "only by one that had no verdict"
+        assert fleet.owner() != first and fleet.words() == [("mixed", True)] * 3 and fleet.judged <= 2, (
+            "only by one that had no verdict"
+        )
         told = fleet.tells
         yield from world.sleep(10 * SECOND)
         assert fleet.tells == told, "who knows it is not told again"
@@ -544,7 +823,9 @@
         yield from world.sleep(4 * SECOND)
         assert fleet.words() == [("mixed", True)] * 3, "one profile of six is under the limit"
         laid(tmp_path, stop="gone", version=1)
-        (tmp_path / "profiles.json").write_text((tmp_path / "profiles.json").read_text().replace('"1": 0.', '"9": 0.'))
+        (tmp_path / "profiles.json").write_text(
+            (tmp_path / "profiles.json").read_text().replace('"1": 0.', '"9": 0.')
+        )
         yield from world.sleep(4 * SECOND)
         assert fleet.words() == [("held", False)] * 3
         stands = fleet.works[0].known.told.change.summary.digest
@@ -554,7 +835,9 @@
         assert fleet.words() == [("mixed", True)] * 3
         assert (yield from fleet.works[1].ask(Asking("call off", why="complaints"))).yes
         yield from world.sleep(2 * SECOND)
-        assert fleet.words() == [("called off", False)] * 3 and [fleet.works[0].admits(one) for one in (old, new)] == [True, False]
+        assert fleet.words() == [("called off", False)] * 3 and [
+            fleet.works[0].admits(one) for one in (old, new)
+        ] == [True, False]
         (tmp_path / "profiles.json").write_text("{")
         yield from world.sleep(2 * SECOND)
         assert any("the last good files hold" in line for line in fleet.logs)
@@ -593,21 +876,49 @@
 
 def test_what_a_request_is_written_for_and_what_its_profile_gives():
     parameters = {"p1": {"stop_token_ids": [4], "top_k": 5, "max_tokens_bounds": {"least": 1, "most": 9}}}
-    written = Written(Looked(vocabularies={"one": "A", "two": "B"}, written_for={"p1": "two"}, customers={"c": "one"}, parameters=parameters))
+    written = Written(
+        Looked(
+            vocabularies={"one": "A", "two": "B"},
+            written_for={"p1": "two"},
+            customers={"c": "one"},
+            parameters=parameters,
+        )
+    )
 
     def read(customer="c", **fields):
         body = {name: msgspec.Raw(json.dumps(value).encode()) for name, value in fields.items()}
         found = written.read(body, customer, "p")
-        return found.vocabulary, sorted(found.filled), {name: json.loads(bytes(value)) for name, value in body.items()}
+        return (
+            found.vocabulary,
+            sorted(found.filled),
+            {name: json.loads(bytes(value)) for name, value in body.items()},
+        )
+
     assert read(model="x") == (None, [], {"model": "x"})
-    assert read(stop_token_ids=[1])[0] == "A" and read(stop_token_ids=[1], token_vocabulary="two") == ("B", [], {"stop_token_ids": [1]})
+    assert read(stop_token_ids=[1])[0] == "A" and read(stop_token_ids=[1], token_vocabulary="two") == (
+        "B",
+        [],
+        {"stop_token_ids": [1]},
+    )
     assert read("other", stop_token_ids=[1])[0] is None
-    assert read(sampling_profile="p1", top_k=9) == ("B", ["max_tokens_bounds", "stop_token_ids"], {"top_k": 9, "stop_token_ids": [4]})
+    assert read(sampling_profile="p1", top_k=9) == (
+        "B",
+        ["max_tokens_bounds", "stop_token_ids"],
+        {"top_k": 9, "stop_token_ids": [4]},
+    )
     assert read(sampling_profile="p1", stop_token_ids=[1])[0] == "A"
-    with pytest.raises(errors.ParametersMalformed, match="max_tokens: found 10; allowed: 1 to 9 by profile 'p1'"):
+    with pytest.raises(
+        errors.ParametersMalformed, match="max_tokens: found 10; allowed: 1 to 9 by profile 'p1'"
+    ):
         read(sampling_profile="p1", max_tokens=10)
-    assert written.read({"max_tokens": msgspec.Raw(b"7"), "stop_token_ids": msgspec.Raw(b"[1]")}, "c", "p").limits == {"max_tokens": 7}
-    for wrong in ({"sampling_profile": "p2"}, {"token_vocabulary": "three", "stop_token_ids": [1]}, {"sampling_profile": 7}):
+    assert written.read(
+        {"max_tokens": msgspec.Raw(b"7"), "stop_token_ids": msgspec.Raw(b"[1]")}, "c", "p"
+    ).limits == {"max_tokens": 7}
+    for wrong in (
+        {"sampling_profile": "p2"},
+        {"token_vocabulary": "three", "stop_token_ids": [1]},
+        {"sampling_profile": 7},
+    ):
         with pytest.raises(errors.VocabularyUnknown):
             read(**wrong)
 
@@ -628,7 +939,11 @@
 
     def watch():
         while True:
-            acted.update(verdicts.digests.profiles for one in fleet.works if (verdicts := one.known.acting(one.acting.seen)) is not None)
+            acted.update(
+                verdicts.digests.profiles
+                for one in fleet.works
+                if (verdicts := one.known.acting(one.acting.seen)) is not None
+            )
             yield from world.sleep(100)
 
     def day(group):
@@ -642,7 +957,9 @@
         assert fleet.words() == [("allowed", True)] * 3 and acted == {second} != {first} and fleet.judged == 2
         laid(tmp_path, version=2)
         yield from world.sleep(2 * SECOND)
-        assert (yield from fleet.works[2].ask(Asking("call off"))).yes, "not held up by the judging that goes on"
+        assert (yield from fleet.works[2].ask(Asking("call off"))).yes, (
+            "not held up by the judging that goes on"
+        )
         yield from world.sleep(5 * SECOND)
         assert fleet.words() == [("called off", False)] * 3 and acted == {second}
 
@@ -656,12 +973,22 @@
     def both():
         found = []
         for way in (InSteps(world), InChild(world)):
-            found += [(yield from way.look(files)), (yield from way.judge(Task(files, "old", "new"))), (yield from way.judge(Task(files, "old", "odd")))]
+            found += [
+                (yield from way.look(files)),
+                (yield from way.judge(Task(files, "old", "new"))),
+                (yield from way.judge(Task(files, "old", "odd"))),
+            ]
         late = yield from InChild(world, 10).judge(Task(files, "old", "new"))
         return found, late
+
     world = RealWorld()
     found, late = world.run(both())
-    assert found[:3] == found[3:] and found[0].vocabularies and found[1].summary.lost == 0 and "odd" in found[2].problem
+    assert (
+        found[:3] == found[3:]
+        and found[0].vocabularies
+        and found[1].summary.lost == 0
+        and "odd" in found[2].problem
+    )
     assert late.problem and not late.verdicts
 
 
@@ -681,9 +1008,16 @@
         pages.paged(verdicts.encoded(), verdicts.digest())
 
 
-@pytest.mark.parametrize("kind, body, stamp", [
-    ("change", {"change": {}}, Stamp(1)), ("page", {"digest": "x", "number": 3, "of": 2, "part": ""}, Stamp(1)),
-    ("change", None, Stamp()), ("odd", None, Stamp(1)), ("asking", {"kind": 3}, Stamp())])
+@pytest.mark.parametrize(
+    "kind, body, stamp",
+    [
+        ("change", {"change": {}}, Stamp(1)),
+        ("page", {"digest": "x", "number": 3, "of": 2, "part": ""}, Stamp(1)),
+        ("change", None, Stamp()),
+        ("odd", None, Stamp(1)),
+        ("asking", {"kind": 3}, Stamp()),
+    ],
+)
 def test_calls_that_are_malformed_are_told_from_others(kind, body, stamp, tmp_path):
     work = Fleet(VirtualWorld(1), tmp_path).works[0]
     work.pending = Told(Stamp(1), Change(1, "allowed", "A", "B", "P", Summary("x", 1, 0, 0.0)))
--- a/tests/test_vocabulary_days.py
+++ b/tests/test_vocabulary_days.py
@@ -30,27 +30,66 @@
 def record(at: int, line: str) -> list[dict]:
     if leg := LEG.fullmatch(line):
         gateway, engine, known, field, written, asked, sent, meant, said, refused, unguarded = leg.groups()
-        return [{"at": at, "who": engine, "what": "spoke", "key": f"s{at}", "leg": 0, "gateway": gateway, "vocabulary": known,
-                 "refused": bool(refused), "guarded": not unguarded, "profile": "",
-                 "written": written, "asked": by_field(field, asked, int),
-                 "ids": by_field(field, sent, int), "meant": by_field(field, meant, str), "said": by_field(field, said, str)}]
+        return [
+            {
+                "at": at,
+                "who": engine,
+                "what": "spoke",
+                "key": f"s{at}",
+                "leg": 0,
+                "gateway": gateway,
+                "vocabulary": known,
+                "refused": bool(refused),
+                "guarded": not unguarded,
+                "profile": "",
+                "written": written,
+                "asked": by_field(field, asked, int),
+                "ids": by_field(field, sent, int),
+                "meant": by_field(field, meant, str),
+                "said": by_field(field, said, str),
+            }
+        ]
     who, what, *rest = line.split()
     if who == "verdict":
         word = rest[2].replace("_", " ") if len(rest) > 2 else "yes"
-        return [{"at": at, "who": "network", "what": "call", "call": at, "to": int(what),
-                 "verdict": rest[0], "digests": rest[1].split(",")},
-                {"at": at, "who": "network", "what": "answered", "call": at, "copy": 0, "word": word}]
-    return [{"at": at, "who": who, "what": what, "vocabulary": rest[0], "state": rest[1], "key": "s", "leg": 0,
-             "gateway": "g0"}]
+        return [
+            {
+                "at": at,
+                "who": "network",
+                "what": "call",
+                "call": at,
+                "to": int(what),
+                "verdict": rest[0],
+                "digests": rest[1].split(","),
+            },
+            {"at": at, "who": "network", "what": "answered", "call": at, "copy": 0, "word": word},
+        ]
+    return [
+        {
+            "at": at,
+            "who": who,
+            "what": what,
+            "vocabulary": rest[0],
+            "state": rest[1],
+            "key": "s",
+            "leg": 0,
+            "gateway": "g0",
+        }
+    ]
 
 
 @pytest.mark.parametrize("lines", [lines for _, lines in ALL], ids=[title for title, _ in ALL])
 def test_judged(lines: list[str]) -> None:
     told = [one for one in lines if not one.startswith(("#", ">"))]
     breaches = judge_vocabulary([made for at, line in enumerate(told) for made in record(at, line)])
-    found = {name: count for rule, name in vocabulary.NAMES.items() if (count := sum(one.rule == rule for one in breaches))}
+    found = {
+        name: count
+        for rule, name in vocabulary.NAMES.items()
+        if (count := sum(one.rule == rule for one in breaches))
+    }
     assert found == {one.split()[1]: int(one.split()[2]) for one in lines if one.startswith(">")}, breaches
 
+
 def test_token_ids_wait_for_the_files_that_say_what_they_mean() -> None:
     """Found by a day as processes: a gateway that had just started sent ids on as they came."""
     written = Written(Looked())
@@ -64,13 +103,19 @@
     """All rules, and that the day caused what it is for."""
     assert found["exit"] == 0 and not any(found["rules"].values()), found["breaches"]
     assert set(found["rules"]) >= {"O1", "O2", "O3", "V1", "V2", "V3"}
-    records = [json.loads(line) for path in sorted(folder.glob("*.jsonl")) for line in path.read_text().splitlines()]
+    records = [
+        json.loads(line) for path in sorted(folder.glob("*.jsonl")) for line in path.read_text().splitlines()
+    ]
     words = {one["change"] for one in records if one["what"] == "call" and "change" in one}
     assert words >= {"allowed", "mixed", "called off", "done"}
     assert all(one["taken"] for one in records if one["what"] == "word")
-    assert any(one["what"] == "end" and one["status"] == 400 for one in records), "what lost its meaning is refused"
+    assert any(one["what"] == "end" and one["status"] == 400 for one in records), (
+        "what lost its meaning is refused"
+    )
     spoke = [one for one in records if one["what"] == "spoke"]
-    assert any(one["ids"] == one["asked"] for one in spoke) and any(one["ids"] != one["asked"] for one in spoke)
+    assert any(one["ids"] == one["asked"] for one in spoke) and any(
+        one["ids"] != one["asked"] for one in spoke
+    )
 
 
 @plays(lambda seed: [made_up(SHORT, "play=made up", f"seed={seed}")])
@@ -98,10 +143,20 @@
     assert found["rules"][BROKEN[name]] > 0 and found["exit"] == 1, found["rules"]
 
 
-@pytest.mark.parametrize("wrong, said", [
-    ({"vocabulary": {"new_products": ["none"]}}, "vocabulary.new_products: found 'none'; allowed: aviso, consulta"),
-    ({"duties": {}}, "vocabulary: found without its duty"),
-    ({"vocabulary": None}, "troubles.0.kind: found 'vocabulary-word'; allowed where the day has vocabulary")])
+@pytest.mark.parametrize(
+    "wrong, said",
+    [
+        (
+            {"vocabulary": {"new_products": ["none"]}},
+            "vocabulary.new_products: found 'none'; allowed: aviso, consulta",
+        ),
+        ({"duties": {}}, "vocabulary: found without its duty"),
+        (
+            {"vocabulary": None},
+            "troubles.0.kind: found 'vocabulary-word'; allowed where the day has vocabulary",
+        ),
+    ],
+)
 def test_days_that_can_not_be_played_say_so(wrong: dict, said: str) -> None:
     told = settings.evaluate(ROOT / SHORT, {"play": "made up", "seed": "1"})
     with pytest.raises(ValueError, match=re.escape(said)):
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -25,10 +25,17 @@
         self.version = 1
         self.path.write_text(self.text())
         tree = {
-            "roster": str(self.path), "kept": str(folder / "kept"), "door": {"port": 0},
-            "kinds": {"r": {"role": "reader", "memory_tok": 1000}, "w": {"role": "writer", "memory_tok": 1000}},
+            "roster": str(self.path),
+            "kept": str(folder / "kept"),
+            "door": {"port": 0},
+            "kinds": {
+                "r": {"role": "reader", "memory_tok": 1000},
+                "w": {"role": "writer", "memory_tok": 1000},
+            },
             "products": {"chat": {"effect": "idempotent", "slo_ms": 1000, "time_limit_ms": 4000}},
-            "membership": {"settle_ms": 30, "poll_ms": 300, "persist_ms": 1500} | settings.pop("membership", {})} | settings
+            "membership": {"settle_ms": 30, "poll_ms": 300, "persist_ms": 1500}
+            | settings.pop("membership", {}),
+        } | settings
         self.config = folder / "gateway.jsonnet"
         self.config.write_text(json.dumps(tree))
         self.tree = tree
@@ -37,7 +44,9 @@
     def begin(self):
         self.log = open(self.folder / "log", "ab")  # noqa: SIM115
         start = self.log.tell()
-        self.process = subprocess.Popen([sys.executable, "-m", "stackpitch", "serve", "-c", str(self.config)], stderr=self.log, cwd=ROOT)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "stackpitch", "serve", "-c", str(self.config)], stderr=self.log, cwd=ROOT
+        )
         end = time.monotonic() + 20
         while time.monotonic() < end and self.process.poll() is None:
             for line in (self.folder / "log").read_bytes()[start:].splitlines():
@@ -48,9 +57,19 @@
         raise AssertionError((self.folder / "log").read_text())
 
     def text(self, count=6, version=None, **more):
-        servers = [{"name": f"{kind}{number}", "host": "127.0.0.1", "port": (1000 if kind == "r" else 20000) + number, "kind": kind}
-                   for kind in "rw" for number in range(1, count + 1)]
-        return json.dumps({"version": self.version if version is None else version, "servers": servers} | more)
+        servers = [
+            {
+                "name": f"{kind}{number}",
+                "host": "127.0.0.1",
+                "port": (1000 if kind == "r" else 20000) + number,
+                "kind": kind,
+            }
+            for kind in "rw"
+            for number in range(1, count + 1)
+        ]
+        return json.dumps(
+            {"version": self.version if version is None else version, "servers": servers} | more
+        )
 
     def next(self, **more):
         """A list that differs from the one before."""
@@ -67,7 +86,11 @@
         return json.load(urllib.request.urlopen(f"http://127.0.0.1:{self.admin}/fleet", timeout=5))
 
     def events(self, name):
-        return [one for one in map(json.loads, (self.folder / "log").read_text().splitlines()) if one["event"] == name]
+        return [
+            one
+            for one in map(json.loads, (self.folder / "log").read_text().splitlines())
+            if one["event"] == name
+        ]
 
     def comes_to(self, enough, within=6):
         end, told = time.monotonic() + within, {}
@@ -79,7 +102,9 @@
         raise AssertionError(f"{told}\n{(self.folder / 'log').read_text()[-1500:]}")
 
     def takes(self, version=None):
-        return self.comes_to(lambda told: told["version"] == (version or self.version) and told["last"] != "rejected")
+        return self.comes_to(
+            lambda told: told["version"] == (version or self.version) and told["last"] != "rejected"
+        )
 
     def rejects(self, words):
         return self.comes_to(lambda told: told["last"] == "rejected" and words in "\n".join(told["reasons"]))
@@ -113,7 +138,7 @@
         text = gateway.next()
         with open(path, "w") as sink:
             for at in range(0, len(text), 200):
-                sink.write(text[at:at + 200])
+                sink.write(text[at : at + 200])
                 sink.flush()
                 time.sleep(0.01)
 
@@ -151,19 +176,29 @@
     def two_editors():
         one, other = gateway.next(), gateway.next()
         first, second = open(path, "w"), open(path, "r+")  # noqa: SIM115
-        first.write(one[:len(one) // 2])
+        first.write(one[: len(one) // 2])
         first.flush()
         second.write(other)
         second.truncate()
         second.flush()
-        first.write(one[len(one) // 2:])
+        first.write(one[len(one) // 2 :])
         first.flush()
         time.sleep(0.3)
         first.close()
         second.close()
         path.write_text(other)
 
-    for way in (rename, in_place, in_pieces, folder_replaced, removed_and_back, a_clock_set_back, two_editors, swapped_link, rename):
+    for way in (
+        rename,
+        in_place,
+        in_pieces,
+        folder_replaced,
+        removed_and_back,
+        a_clock_set_back,
+        two_editors,
+        swapped_link,
+        rename,
+    ):
         way()
         gateway.takes()
     assert len(gateway.events("roster_rejected")) >= 1
@@ -171,12 +206,16 @@
 
 def test_what_is_broken_is_reported_once_and_changes_nothing(gateway):
     for text, words in [
-        ("{", "fleet.json"), (gateway.text()[:-40], "fleet.json"), (gateway.text(version=5).replace('"r2"', '"r1"'), "stands in servers.0 already"),
-        (json.dumps({"version": 5, "servers": []}), "found none"), (gateway.text(count=7, version=0), "older than 1"),
+        ("{", "fleet.json"),
+        (gateway.text()[:-40], "fleet.json"),
+        (gateway.text(version=5).replace('"r2"', '"r1"'), "stands in servers.0 already"),
+        (json.dumps({"version": 5, "servers": []}), "found none"),
+        (gateway.text(count=7, version=0), "older than 1"),
         (gateway.text(version=5).replace('"kind": "r"', '"kind": "x"', 1), "found 'x'; allowed: r, w"),
         (gateway.text(version=5, digest="0" * 32), "that of these servers is"),
         (gateway.text(version=5).replace("20001", "20002"), "is the address of 'w1' already"),
-        ("import 'fleet.json'", "fleet.json"), ("local f(x) = f(x + 1) + 1; f(1)", "fleet.json"),
+        ("import 'fleet.json'", "fleet.json"),
+        ("local f(x) = f(x + 1) + 1; f(1)", "fleet.json"),
     ]:
         before = len(gateway.events("roster_rejected"))
         gateway.put(text)
@@ -201,11 +240,17 @@
 
 
 def test_lists_that_are_held_back_confirmed_rolled_back(tmp_path):
-    gateway = Gateway(tmp_path, membership={"persist_ms": 60_000, "step_ms": 200})  # held for as long as the commands take
+    gateway = Gateway(
+        tmp_path, membership={"persist_ms": 60_000, "step_ms": 200}
+    )  # held for as long as the commands take
 
     def begun(*words):
-        return subprocess.Popen([sys.executable, "-m", "stackpitch", "fleet", *words, "--admin", f"127.0.0.1:{gateway.admin}"],
-                                stdout=subprocess.PIPE, text=True, cwd=ROOT)
+        return subprocess.Popen(
+            [sys.executable, "-m", "stackpitch", "fleet", *words, "--admin", f"127.0.0.1:{gateway.admin}"],
+            stdout=subprocess.PIPE,
+            text=True,
+            cwd=ROOT,
+        )
 
     def ended(process):
         said, _ = process.communicate(timeout=60)
@@ -216,10 +261,15 @@
 
     gateway.version = 2
     text = json.loads(gateway.text())
-    only_writers = json.dumps({"version": 2, "servers": [one for one in text["servers"] if one["kind"] == "w"]})
+    only_writers = json.dumps(
+        {"version": 2, "servers": [one for one in text["servers"] if one["kind"] == "w"]}
+    )
     gateway.put(only_writers)
     told = gateway.comes_to(lambda told: told["held"])
-    assert told["version"] == 1 and "role 'reader' would have no server: all 6 are missing" in told["held"][0]["reasons"]
+    assert (
+        told["version"] == 1
+        and "role 'reader' would have no server: all 6 are missing" in told["held"][0]["reasons"]
+    )
     status, nothing = begun("status"), begun("confirm", "nothing")
     code, said = ended(status)
     assert code == 1 and "held back" in said and "fleet confirm" in said
@@ -296,7 +346,9 @@
     end = time.monotonic() + 2
     text, writes = gateway.text(), 0
     while time.monotonic() < end:
-        with gateway.path.open("r+") as file:  # in place: some disks take 90 ms over a file cut and written anew
+        with gateway.path.open(
+            "r+"
+        ) as file:  # in place: some disks take 90 ms over a file cut and written anew
             file.write(text)
         writes += 1
         time.sleep(0.0008)
@@ -318,7 +370,8 @@
     hook = tmp_path / "hook"
     hook.mkdir()
     (hook / "sitecustomize.py").write_text(
-        "import inotify_simple\ndef none(*a, **k): raise OSError(24, 'too many')\ninotify_simple.INotify = none\n")
+        "import inotify_simple\ndef none(*a, **k): raise OSError(24, 'too many')\ninotify_simple.INotify = none\n"
+    )
     before = os.environ.get("PYTHONPATH")
     os.environ["PYTHONPATH"] = str(hook)
     try:
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -25,7 +25,12 @@
 
 
 def manifest(name, size):
-    return {"size": size, "piece": PIECE, "whole": manifests.digest(name.encode()), "pieces": ["0" * 64] * -(-size // PIECE)}
+    return {
+        "size": size,
+        "piece": PIECE,
+        "whole": manifests.digest(name.encode()),
+        "pieces": ["0" * 64] * -(-size // PIECE),
+    }
 
 
 class Scene:
@@ -64,7 +69,9 @@
             setattr(self.first(site), name, value)
 
     def first(self, site):
-        return min((one for one in self.country.gateways.values() if one.site == site), key=lambda one: one.number)
+        return min(
+            (one for one in self.country.gateways.values() if one.site == site), key=lambda one: one.number
+        )
 
     def line(self, text):
         words = text.split()
@@ -82,9 +89,14 @@
                 more = dict(word.split("=") for word in rest if "=" in word)
                 version = more.get("v", "1")
                 self.tree["models"][name] = {
-                    "version": version, "priority": int(priority), "sites": [word for word in rest if "=" not in word],
-                    "by_unix_ms": int(more["by"]) if "by" in more else None, "origin": "127.0.0.1:9", "path": f"/{name}",
-                    "manifest": manifest(name + version, int(float(size) * MB))}
+                    "version": version,
+                    "priority": int(priority),
+                    "sites": [word for word in rest if "=" not in word],
+                    "by_unix_ms": int(more["by"]) if "by" in more else None,
+                    "origin": "127.0.0.1:9",
+                    "path": f"/{name}",
+                    "manifest": manifest(name + version, int(float(size) * MB)),
+                }
             case ["withdraw", name]:
                 del self.tree["models"][name]
             case ["gone", name]:
@@ -158,8 +170,9 @@
     for seed in range(30):
         chance = random.Random(seed)
         scene, _ = drawn(chance)
-        country = scene.country = Country(checked(scene.tree, "w"), seed, chance.randrange(1, 400),
-                                          chance.choice((0, 0.05, 0.3)), 4)
+        country = scene.country = Country(
+            checked(scene.tree, "w"), seed, chance.randrange(1, 400), chance.choice((0, 0.05, 0.3)), 4
+        )
         country.own()
         before = []
         for step in range(1, 13):
@@ -179,7 +192,9 @@
                 case 4:
                     one.dead = True
                 case 5:
-                    country.gateways[one.number] = Gateway(one.number, one.site, one.start + 1000, chance.randrange(10**6), 3)
+                    country.gateways[one.number] = Gateway(
+                        one.number, one.site, one.start + 1000, chance.randrange(10**6), 3
+                    )
                 case 6:
                     one.deaf = not one.deaf
                 case 7:
@@ -225,9 +240,13 @@
                     if len(there) == model.manifest.count:
                         continue
                     for what, upto in (("order", model.priority), ("room", 2)):
-                        room = [country.links.capacity[key] * 31 // 32 - rates.get((key, upto), 0)
-                                for key in ((link, "down"), (f"@{site}", "down"))]
-                        lower = rates.get(((link, "down"), 2), 0) > rates.get(((link, "down"), model.priority), 0)
+                        room = [
+                            country.links.capacity[key] * 31 // 32 - rates.get((key, upto), 0)
+                            for key in ((link, "down"), (f"@{site}", "down"))
+                        ]
+                        lower = rates.get(((link, "down"), 2), 0) > rates.get(
+                            ((link, "down"), model.priority), 0
+                        )
                         if min(room) > 0 and (what == "room" or lower):
                             now.add((what, site, name))
             for one in now:
@@ -240,7 +259,9 @@
         for number in range(3):
             country.run((number + 1) * 20_000)
             sites = chance.sample(names, chance.randint(1, len(names)))
-            scene.line(f"model late{number} {chance.randrange(3)} {chance.choice((10, 100))} {' '.join(sites)}")
+            scene.line(
+                f"model late{number} {chance.randrange(3)} {chance.choice((10, 100))} {' '.join(sites)}"
+            )
             scene.made()
         total = sum(len(model.sites) for model in country.wanted.models.values())
         country.run(200 * SECOND, lambda country=country, total=total: len(country.done) == total)
@@ -248,8 +269,14 @@
         for link in country.wanted.links:
             for name, model in country.wanted.models.items():
                 if any(country.links.behind[site] == (link,) for site in model.sites):
-                    sites = len(country.wanted.links[link].sites)  # each may lose its place in the middle of a piece
-                    assert country.bytes_over(link, name) <= model.manifest.size * 1.03 + PIECE * sites, (seed, link, name)
+                    sites = len(
+                        country.wanted.links[link].sites
+                    )  # each may lose its place in the middle of a piece
+                    assert country.bytes_over(link, name) <= model.manifest.size * 1.03 + PIECE * sites, (
+                        seed,
+                        link,
+                        name,
+                    )
 
 
 LANE = Lane("a", 3, 77, "origin")
@@ -263,36 +290,60 @@
     shelf, term = Shelf(3, 77), Stamp(2, 5)
     assert shelf.take(term, given(1), 1100) == "yes" and [one.ends for one in shelf.running(1100)] == [11_050]
     assert shelf.take(term, given(1), 1200) == "repeated", "a copy does not begin it anew"
-    assert shelf.take(term, given(3, lasts=5_000), 3000) == "yes" and [one.ends for one in shelf.running(3000)] == [6_050]
-    assert shelf.take(term, given(2), 3100) == "repeated" and len(shelf.running(3100)) == 1, "overtaken on its way"
+    assert shelf.take(term, given(3, lasts=5_000), 3000) == "yes" and [
+        one.ends for one in shelf.running(3000)
+    ] == [6_050]
+    assert shelf.take(term, given(2), 3100) == "repeated" and len(shelf.running(3100)) == 1, (
+        "overtaken on its way"
+    )
     assert shelf.running(6_049) and not shelf.running(6_050)
-    assert shelf.take(term, given(4), 11_060) == "yes" and not shelf.running(11_060), "it took longer than it lasts"
+    assert shelf.take(term, given(4), 11_060) == "yes" and not shelf.running(11_060), (
+        "it took longer than it lasts"
+    )
     assert shelf.take(term, given(5, mark=9000), 11_060) == "yes" and shelf.running(11_060)
-    assert shelf.take(term, given(6, rate=0), 11_070) == "yes" and not shelf.running(11_070), "a rate of 0 stops"
-
-
-@pytest.mark.parametrize("stamp,grant,word", [
-    (Stamp(1, 9), given(9), "older term"), (Stamp(2, 4), given(9), "older term"),
-    (Stamp(2, 5), given(9, start=78), "another process"),
-    (Stamp(2, 5), given(9, lane=Lane("a", 3, 76, "origin")), "another process"),
-    (Stamp(2, 5), given(9, lane=Lane("a", 4, 77, "origin")), "another process"),
-    (Stamp(2, 5), given(9, mark=2001), "not possible"), (Stamp(2, 5), given(9, age=-1), "not possible")])
+    assert shelf.take(term, given(6, rate=0), 11_070) == "yes" and not shelf.running(11_070), (
+        "a rate of 0 stops"
+    )
+
+
+@pytest.mark.parametrize(
+    "stamp,grant,word",
+    [
+        (Stamp(1, 9), given(9), "older term"),
+        (Stamp(2, 4), given(9), "older term"),
+        (Stamp(2, 5), given(9, start=78), "another process"),
+        (Stamp(2, 5), given(9, lane=Lane("a", 3, 76, "origin")), "another process"),
+        (Stamp(2, 5), given(9, lane=Lane("a", 4, 77, "origin")), "another process"),
+        (Stamp(2, 5), given(9, mark=2001), "not possible"),
+        (Stamp(2, 5), given(9, age=-1), "not possible"),
+    ],
+)
 def test_grants_that_are_not_taken(stamp, grant, word):
     shelf = Shelf(3, 77)
     assert shelf.take(Stamp(2, 5), given(1), 2000) == "yes"
     assert shelf.take(stamp, grant, 2000) == word and len(shelf.running(2000)) == 1
     assert shelf.take(Stamp(3, 1), given(1, lane=Lane("a", 3, 77, "b")), 2000) == "yes"
-    assert [one.grant.lane.source for one in shelf.running(2000)] == ["b"], "a higher term ends what the older ones granted"
+    assert [one.grant.lane.source for one in shelf.running(2000)] == ["b"], (
+        "a higher term ends what the older ones granted"
+    )
 
 
 def test_the_owner_counts_longer_than_any_clock_within_the_drift_lets_a_receiver_run():
     for seed in range(500):
         chance = random.Random(seed)
-        age, lasts, gain = chance.randrange(MOST_AGE), chance.randrange(1, 100_000), chance.uniform(-1, 1) / DRIFT
+        age, lasts, gain = (
+            chance.randrange(MOST_AGE),
+            chance.randrange(1, 100_000),
+            chance.uniform(-1, 1) / DRIFT,
+        )
         heard = chance.randrange(10**6)
         grant = given(1, age=age, lasts=lasts)
-        ends = heard + (age + lasts) / (1 + gain)  # the receiver's clock does age + lasts, as the owner's sees it
-        assert ends <= counted_until(heard + age, grant) + lasts / DRIFT**2 + 1 and counted_until(0, grant) <= longest(lasts)
+        ends = heard + (age + lasts) / (
+            1 + gain
+        )  # the receiver's clock does age + lasts, as the owner's sees it
+        assert ends <= counted_until(heard + age, grant) + lasts / DRIFT**2 + 1 and counted_until(
+            0, grant
+        ) <= longest(lasts)
 
 
 def test_the_pace_never_gives_more_than_rate_and_burst():
@@ -318,26 +369,56 @@
                 assert total <= rate * (max(0, min(at, ends) - begun) + BURST) / SECOND + 1, (seed, begun, at)
 
 
-GOOD = {"version": 1, "links": {"up": {"bytes_per_s": MB, "sites": ["a", "b"]}},
-        "sites": {"a": {"bytes_per_s": MB, "gateways": [0, 1]}, "b": {"bytes_per_s": MB, "gateways": [2]}},
-        "models": {"m": {"version": "1", "priority": 0, "sites": ["a"], "origin": "127.0.0.1:80", "path": "/m",
-                         "manifest": manifest("m", 5 * MB)}}}
-
-
-@pytest.mark.parametrize("field,value,said", [
-    ("models.m.sites", ["c"], "models.m.sites: found 'c'; allowed: a, b"), ("models.m.sites", ["a", "a"], "found 'a' twice"),
-    ("links.up.sites", ["a", "x"], "links.up.sites: found 'x'; allowed: a, b"),
-    ("links.up.bytes_per_s", 0, "links.up.bytes_per_s: "),
-    ("sites.b.gateways", [1], "sites.b.gateways: found 1; allowed: gateways that no other place names (a has it)"),
-    ("sites.origin", {"bytes_per_s": 10**6, "gateways": [5]}, "sites.origin: found 'origin'; allowed: any other name"),
-    ("models.m.version", "..", "models.m.version: "), ("models.m.version", "a/b", "models.m.version: "),
-    ("models.m.path", "/a b", "models.m.path: "), ("models.m.path", "/a\r\nx: y", "models.m.path: "),
-    ("models.m.origin", "host:80", "models.m.origin: "), ("models.m.manifest.size", 9 * MB, "pieces: found 2; allowed: 3"),
-    ("models.m.manifest.whole", "ABC", "models.m.manifest.whole: "),
-    ("models.m.manifest.pieces", [], "models.m.manifest.pieces: "),
-    ("models.m.manifest.piece", 1 << 40, "models.m.manifest.piece: "),
-    ("models.m.what", 1, "unknown field; allowed beside it: "), ("grant_ms", 10, "grant_ms: "),
-    ("least_share", 0.9, "least_share: "), ("sites", {}, "sites: "), ("version", "1", "version: ")])
+GOOD = {
+    "version": 1,
+    "links": {"up": {"bytes_per_s": MB, "sites": ["a", "b"]}},
+    "sites": {"a": {"bytes_per_s": MB, "gateways": [0, 1]}, "b": {"bytes_per_s": MB, "gateways": [2]}},
+    "models": {
+        "m": {
+            "version": "1",
+            "priority": 0,
+            "sites": ["a"],
+            "origin": "127.0.0.1:80",
+            "path": "/m",
+            "manifest": manifest("m", 5 * MB),
+        }
+    },
+}
+
+
+@pytest.mark.parametrize(
+    "field,value,said",
+    [
+        ("models.m.sites", ["c"], "models.m.sites: found 'c'; allowed: a, b"),
+        ("models.m.sites", ["a", "a"], "found 'a' twice"),
+        ("links.up.sites", ["a", "x"], "links.up.sites: found 'x'; allowed: a, b"),
+        ("links.up.bytes_per_s", 0, "links.up.bytes_per_s: "),
+        (
+            "sites.b.gateways",
+            [1],
+            "sites.b.gateways: found 1; allowed: gateways that no other place names (a has it)",
+        ),
+        (
+            "sites.origin",
+            {"bytes_per_s": 10**6, "gateways": [5]},
+            "sites.origin: found 'origin'; allowed: any other name",
+        ),
+        ("models.m.version", "..", "models.m.version: "),
+        ("models.m.version", "a/b", "models.m.version: "),
+        ("models.m.path", "/a b", "models.m.path: "),
+        ("models.m.path", "/a\r\nx: y", "models.m.path: "),
+        ("models.m.origin", "host:80", "models.m.origin: "),
+        ("models.m.manifest.size", 9 * MB, "pieces: found 2; allowed: 3"),
+        ("models.m.manifest.whole", "ABC", "models.m.manifest.whole: "),
+        ("models.m.manifest.pieces", [], "models.m.manifest.pieces: "),
+        ("models.m.manifest.piece", 1 << 40, "models.m.manifest.piece: "),
+        ("models.m.what", 1, "unknown field; allowed beside it: "),
+        ("grant_ms", 10, "grant_ms: "),
+        ("least_share", 0.9, "least_share: "),
+        ("sites", {}, "sites: "),
+        ("version", "1", "version: "),
+    ],
+)
 def test_a_wanted_file_is_taken_whole_or_not_at_all(tmp_path, field, value, said):
     tree = msgspec.json.decode(msgspec.json.encode(GOOD))
     *above, last = field.split(".")
@@ -354,7 +435,9 @@
     assert read(path).models["m"].manifest.count == 2
 
 
-@pytest.mark.parametrize("content,said", [(b"{", "wanted.json"), (b"\xff", "not UTF-8 at byte 0"), (None, "No such file")])
+@pytest.mark.parametrize(
+    "content,said", [(b"{", "wanted.json"), (b"\xff", "not UTF-8 at byte 0"), (None, "No such file")]
+)
 def test_a_wanted_file_that_is_none(tmp_path, content, said):
     path = tmp_path / "wanted.json"
     if content is not None:
@@ -368,6 +451,13 @@
 
 
 def test_nothing_of_it_is_imported_without_need():
-    code = ("import sys, stackpitch.platform, stackpitch.gateway.serve, stackpitch.cli.main\n"
-            "print([name for name in sys.modules if 'weights' in name or name == 'blake3'])")
-    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.strip() == "[]"
+    code = (
+        "import sys, stackpitch.platform, stackpitch.gateway.serve, stackpitch.cli.main\n"
+        "print([name for name in sys.modules if 'weights' in name or name == 'blake3'])"
+    )
+    assert (
+        subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, check=True
+        ).stdout.strip()
+        == "[]"
+    )
--- a/tests/test_weights_placing.py
+++ b/tests/test_weights_placing.py
@@ -28,8 +28,8 @@
     for piece in order:
         if not copy.have >> piece & 1:
             at, size = MANIFEST.span(piece)
-            copy.write(at, DATA[at:at + size // 2])
-            copy.write(at + size // 2, DATA[at + size // 2:at + size])
+            copy.write(at, DATA[at : at + size // 2])
+            copy.write(at + size // 2, DATA[at + size // 2 : at + size])
             copy.have |= 1 << piece
     if not copy.placed:
         for _ in copy.finish():
@@ -61,7 +61,9 @@
                     disk.opened.clear()
                 there = disk.look("root/m/placed/1")
                 assert there in (None, DATA), (seed, cut)
-                assert there == DATA or "placed" not in reports, f"it was reported as placed, and is not: {seed} {cut}"
+                assert there == DATA or "placed" not in reports, (
+                    f"it was reported as placed, and is not: {seed} {cut}"
+                )
                 after_rename += there == DATA and "placed" not in reports
                 if "released" in reports:
                     assert folder.released("m") == Released("1", Stamp(7, 1), 3)
@@ -76,13 +78,13 @@
     disk = MemoryDisk()
     first, second = (Copy(Folder(disk, "root", number), "m", "1", MANIFEST) for number in (1, 2))
     first.open()
-    first.write(0, DATA[:3 * 1024] + b"x" * 1024)
+    first.write(0, DATA[: 3 * 1024] + b"x" * 1024)
     again = Copy(first.folder, "m", "1", MANIFEST)
     again.open()
     assert [*again.recheck()] and again.have == 0b111
     second.open()
     assert [*second.recheck()] and second.have == 0b111
-    second.write(3 * 1024, DATA[3 * 1024:])
+    second.write(3 * 1024, DATA[3 * 1024 :])
     assert [*second.finish()] and disk.look("root/m/placed/1") == DATA
     first.write(0, b"y" * 10)  # woken late: its own file, nobody else's
     assert disk.look("root/m/placed/1") == DATA
@@ -111,7 +113,12 @@
     disk.spoil("root/m/placed/1", 2000)
     copy = Copy(folder, "m", "1", MANIFEST)
     copy.open()
-    assert [*copy.recheck()] and not copy.placed and copy.have == 0b111101 and disk.look("root/m/placed/1") is None
+    assert (
+        [*copy.recheck()]
+        and not copy.placed
+        and copy.have == 0b111101
+        and disk.look("root/m/placed/1") is None
+    )
     copy.write(1024, DATA[1024:2048])
     copy.have = MANIFEST.full
     disk.spoil("root/m/partial/1.1", 5 * 1024)
@@ -130,15 +137,25 @@
         wrong.write(0, DATA)
 
 
-@pytest.mark.parametrize("code,kind", [(errno.ENOSPC, errors.DiskFull), (errno.EROFS, errors.DiskReadOnly),
-                                       (errno.EIO, errors.DiskCorrupt), (errno.ENODEV, errors.DiskTrouble)])
+@pytest.mark.parametrize(
+    "code,kind",
+    [
+        (errno.ENOSPC, errors.DiskFull),
+        (errno.EROFS, errors.DiskReadOnly),
+        (errno.EIO, errors.DiskCorrupt),
+        (errno.ENODEV, errors.DiskTrouble),
+    ],
+)
 def test_each_trouble_with_the_disk_has_its_error(code, kind):
     disk = MemoryDisk()
     copy = Copy(Folder(disk, "root", 1), "m", "1", MANIFEST)
     copy.open()
     disk.fail = code
-    for call in (lambda: copy.write(0, DATA), lambda: copy.folder.release("m", Released()), lambda: Copy(
-            copy.folder, "m", "2", MANIFEST).open()):
+    for call in (
+        lambda: copy.write(0, DATA),
+        lambda: copy.folder.release("m", Released()),
+        lambda: Copy(copy.folder, "m", "2", MANIFEST).open(),
+    ):
         with pytest.raises(kind) as raised:
             call()
         assert type(raised.value) is kind and raised.value.remedy and raised.value.path.startswith("root/m/")
@@ -152,7 +169,11 @@
     folder = Folder(disk, str(tmp_path / "new" / "weights"), 3)
     life(folder, [])
     assert (tmp_path / "new" / "weights" / "m" / "placed" / "1").read_bytes() == DATA
-    assert folder.versions("m") == ["1"] and folder.models() == ["m"] and folder.released("m").stamp == Stamp(7, 1)
+    assert (
+        folder.versions("m") == ["1"]
+        and folder.models() == ["m"]
+        and folder.released("m").stamp == Stamp(7, 1)
+    )
     folder.remove(folder.placed("m", "1"))
     folder.remove(folder.placed("m", "1"))
     assert folder.versions("m") == [] and disk.names(str(tmp_path / "none")) == []
--- a/tests/test_weights_sites.py
+++ b/tests/test_weights_sites.py
@@ -22,9 +22,18 @@
 def tree(regions=1, **models):
     """Two sites behind each shared link, with two gateways each: 0 and 1 are at s0, 2 and 3 at s1."""
     names = [f"s{number}" for number in range(2 * regions)]
-    return {"version": 1, "models": models, "links": {
-        f"u{number}": {"bytes_per_s": RATE, "sites": names[2 * number:2 * number + 2]} for number in range(regions)}, "sites": {
-        name: {"bytes_per_s": 4 * RATE, "gateways": [2 * number, 2 * number + 1]} for number, name in enumerate(names)}}
+    return {
+        "version": 1,
+        "models": models,
+        "links": {
+            f"u{number}": {"bytes_per_s": RATE, "sites": names[2 * number : 2 * number + 2]}
+            for number in range(regions)
+        },
+        "sites": {
+            name: {"bytes_per_s": 4 * RATE, "gateways": [2 * number, 2 * number + 1]}
+            for number, name in enumerate(names)
+        },
+    }
 
 
 def played(folder, tree, files, script, seed=1):
@@ -51,7 +60,9 @@
         yield from stage.until(lambda: stage.nodes[0].engines.told and stage.nodes[2].engines.told)
         assert stage.world.now() - begun < 2.2 * SECOND
         assert stage.placed(0, "m") == stage.placed(2, "m") == DATA
-        assert sum(one.size for one in stage.origin.served) <= 1.1 * len(DATA), "neighbours give each other what they have"
+        assert sum(one.size for one in stage.origin.served) <= 1.1 * len(DATA), (
+            "neighbours give each other what they have"
+        )
         assert stage.served and all(path == "/weights/m/1" for _, path, _ in stage.served)
         within(stage.origin.served, RATE)
 
@@ -65,10 +76,14 @@
         yield from stage.world.sleep(5 * SECOND)
         assert ("m", "1") not in stage.nodes[0].engines.told + stage.nodes[2].engines.told
         stage.admitted.add("f" * 32)
-        yield from stage.until(lambda: ("m", "1") in stage.nodes[0].engines.told and ("m", "1") in stage.nodes[2].engines.told)
+        yield from stage.until(
+            lambda: ("m", "1") in stage.nodes[0].engines.told and ("m", "1") in stage.nodes[2].engines.told
+        )
 
     new = model(DATA, ["s0", "s1"]) | {"vocabulary": "f" * 32}
-    played(tmp_path, tree(m=new, plain=model(OTHER, ["s0"], name="plain")), {"/m": DATA, "/plain": OTHER}, script)
+    played(
+        tmp_path, tree(m=new, plain=model(OTHER, ["s0"], name="plain")), {"/m": DATA, "/plain": OTHER}, script
+    )
 
 
 def test_the_same_on_sockets_and_this_machines_disk(tmp_path):
@@ -159,7 +174,9 @@
         assert stage.nodes[1].work.receiver.report().have[0].pieces == ""
         stage.nodes[0].child.signal(9)
         stage.nodes[0].work = None
-        copy = stage.nodes[1].work.receiver.entries["m", "1"].copy  # the site was at rest: it is asked each half minute
+        copy = (
+            stage.nodes[1].work.receiver.entries["m", "1"].copy
+        )  # the site was at rest: it is asked each half minute
         yield from stage.until(lambda: stage.nodes[1].engines.told and copy.placed, 90 * SECOND)
         assert len(stage.origin.served) == before and stage.nodes[1].work.receiver.report().have[0].placed
         assert stage.nodes[1].disk.names("weights/m/partial") == []
@@ -189,6 +206,7 @@
 
 def test_the_origins_file_changes_under_the_same_name(tmp_path):
     """Its pieces are thrown away, and after two of them a neighbour is asked, though that is further away."""
+
     def script(stage):
         stage.own(3)
         yield from stage.until(lambda: stage.placed(0, "m"))
@@ -204,8 +222,14 @@
     played(tmp_path, tree(2, m=model(DATA, ["s0"])), {"/m": DATA}, script)
 
 
-@pytest.mark.parametrize("change,word", [({"files": {"/m": DATA + b"x"}}, "weights_source_changed"),
-                                         ({"refuse": 503}, "weights_source_failed"), ({"files": {}}, "weights_source_failed")])
+@pytest.mark.parametrize(
+    "change,word",
+    [
+        ({"files": {"/m": DATA + b"x"}}, "weights_source_changed"),
+        ({"refuse": 503}, "weights_source_failed"),
+        ({"files": {}}, "weights_source_failed"),
+    ],
+)
 def test_an_origin_that_gives_something_else_is_named_and_tried_again(tmp_path, change, word):
     def script(stage):
         for name, value in change.items():
@@ -233,9 +257,14 @@
         played(tmp_path, tree(m=model(DATA, ["s0", "s1"])), {"/m": DATA}, script, seed)
 
 
-@pytest.mark.parametrize("trouble,word", [
-    (("room", 500_000), "weights_disk_full"), (("fail", errno.EROFS), "weights_disk_read_only"),
-    (("fail", errno.EIO), "weights_disk_corrupt")])
+@pytest.mark.parametrize(
+    "trouble,word",
+    [
+        (("room", 500_000), "weights_disk_full"),
+        (("fail", errno.EROFS), "weights_disk_read_only"),
+        (("fail", errno.EIO), "weights_disk_corrupt"),
+    ],
+)
 def test_a_site_with_trouble_on_its_disk_waits_and_others_go_on(tmp_path, trouble, word):
     def script(stage):
         disk = stage.nodes[0].disk
@@ -299,6 +328,7 @@
 
 def test_an_owner_stopped_between_its_look_and_its_send(tmp_path):
     """Woken after its successor has begun: its grants and its release are turned down, and it steps down."""
+
     def script(stage):
         first = stage.own(1)
         yield from stage.until(lambda: len(stage.origin.served) > 5)
@@ -310,7 +340,10 @@
         first.paused = False
         yield from stage.until(lambda: "stepped down" in first.words, 2 * SECOND)
         assert ("grant", "older term") in first.words
-        assert all(one.stamp.term == 2 for one in stage.nodes[0].work.receiver.shelf.held.values()) and held is not None
+        assert (
+            all(one.stamp.term == 2 for one in stage.nodes[0].work.receiver.shelf.held.values())
+            and held is not None
+        )
         yield from stage.until(lambda: stage.nodes[0].engines.told)
         assert stage.placed(0, "m") == DATA
         release = raw(forms.Release("m", "1", 99))
@@ -335,7 +368,10 @@
         yield from stage.until(lambda: stage.nodes[3].words("weights_wanted_rejected"))
         said = stage.nodes[3].words("weights_wanted_rejected")[0]
         assert "models.m.manifest: found another one for version 1" in said["why"] and said["remedy"]
-        assert stage.nodes[3].work.file.current.models["m"].manifest.whole == model(DATA, [])["manifest"]["whole"]
+        assert (
+            stage.nodes[3].work.file.current.models["m"].manifest.whole
+            == model(DATA, [])["manifest"]["whole"]
+        )
         stage.nodes[0].kill()  # and a gateway that knew only the other one is not mixed up
         stage.nodes[0].start()
         yield from stage.world.sleep(5 * SECOND)
@@ -347,18 +383,40 @@
 def test_calls_that_are_malformed_are_dropped_and_others_answered(tmp_path):
     def script(stage):
         work = stage.nodes[0].work
-        for kind, body in [("place", {"model": "../x"}), ("place", {"model": "m", "version": ".."}), ("grant", 7),
-                           ("begin", {}), ("service", {"model": "m", "version": "a/b"}),
-                           ("service", {"model": "m\n", "version": ""}), ("report", [])]:
+        for kind, body in [
+            ("place", {"model": "../x"}),
+            ("place", {"model": "m", "version": ".."}),
+            ("grant", 7),
+            ("begin", {}),
+            ("service", {"model": "m", "version": "a/b"}),
+            ("service", {"model": "m\n", "version": ""}),
+            ("report", []),
+        ]:
             if kind == "report":
                 stage.own(0)
                 yield from stage.until(lambda: work.owner is not None)
             with pytest.raises(msgspec.ValidationError):
                 yield from work.heard(3, kind, Stamp(9 if kind != "report" else 0), raw(body))
-        good = {"lane": {"site": "s0", "gateway": 0, "start": 1, "source": "origin"}, "serial": 1,
-                "mark": {"start": 1, "at": 1}, "age": 0, "lasts": 10, "rate": 10, "address": "127.0.0.1:9", "path": "/m"}
-        for change in ({"path": "/m HTTP/1.1\r\nx: y"}, {"path": "/m\n"}, {"address": "host:80"}, {"rate": -1},
-                       {"lasts": 10**6}, {"serial": 0}, {"pieces": [1] * 65}, {"age": 10**6}):
+        good = {
+            "lane": {"site": "s0", "gateway": 0, "start": 1, "source": "origin"},
+            "serial": 1,
+            "mark": {"start": 1, "at": 1},
+            "age": 0,
+            "lasts": 10,
+            "rate": 10,
+            "address": "127.0.0.1:9",
+            "path": "/m",
+        }
+        for change in (
+            {"path": "/m HTTP/1.1\r\nx: y"},
+            {"path": "/m\n"},
+            {"address": "host:80"},
+            {"rate": -1},
+            {"lasts": 10**6},
+            {"serial": 0},
+            {"pieces": [1] * 65},
+            {"age": 10**6},
+        ):
             with pytest.raises(msgspec.ValidationError):
                 yield from work.heard(3, "grant", Stamp(9), raw(good | change))
         assert (yield from work.heard(3, "grant", Stamp(9), raw(good))).word == "not known"
@@ -384,13 +442,17 @@
         stage.nodes[0].engines.told.clear()
         count = len(stage.origin.served)
         yield from stage.until(lambda: stage.nodes[0].engines.told, 60 * SECOND)
-        assert stage.placed(0, "m") == DATA and len(stage.origin.served) == count, "from its neighbour, though that was at rest"
+        assert stage.placed(0, "m") == DATA and len(stage.origin.served) == count, (
+            "from its neighbour, though that was at rest"
+        )
         for node in (stage.nodes[0], stage.nodes[1]):
             node.kill()
         yield from stage.world.sleep(100 * SECOND)
         calls = stage.calls
         yield from stage.world.sleep(300 * SECOND)
-        assert stage.calls - calls <= 110, "a site that is gone is asked every eight seconds, and keeps nobody from rest"
+        assert stage.calls - calls <= 110, (
+            "a site that is gone is asked every eight seconds, and keeps nobody from rest"
+        )
 
     played(tmp_path, tree(m=model(DATA, ["s0", "s1"])), {"/m": DATA}, script)
 
@@ -437,7 +499,10 @@
 
 def test_a_wanted_file_that_cannot_be_kept_is_said_and_in_force_all_the_same(tmp_path):
     """Once the folder can be written it is kept, without another word from operators."""
-    wanted, blocked = checked(tree(m=model(DATA, ["s0"]) | {"origin": "127.0.0.1:9"}), "wanted"), tmp_path / "weights"
+    wanted, blocked = (
+        checked(tree(m=model(DATA, ["s0"]) | {"origin": "127.0.0.1:9"}), "wanted"),
+        tmp_path / "weights",
+    )
     blocked.write_text("a file where the folder should be")
     kept = LastGood(RealFiles(), RealDisk(), str(blocked / ".wanted.0"))
     assert kept.load() is None
@@ -448,12 +513,15 @@
     assert not kept.trouble and LastGood(RealFiles(), RealDisk(), str(blocked / ".wanted.0")).load() == wanted
     for version in range(20):
         kept.save(wanted.model_copy(update={"version": version}))
-    assert (blocked / ".wanted.0").stat().st_size < 5 * len(wanted.model_dump_json()), "written anew, and not for ever longer"
+    assert (blocked / ".wanted.0").stat().st_size < 5 * len(wanted.model_dump_json()), (
+        "written anew, and not for ever longer"
+    )
 
 
 def test_random_lives_end_with_all_in_place_and_the_link_never_over(tmp_path):
     """Processes killed and started anew, deaf ones, owners that change while the old one still sends, an origin that spoils,
     breaks off and refuses, disks that fill up, versions replaced: then a calm time, in which all must come right."""
+
     def script(stage, chance):
         contents, killed = {"a": bytes_of(7, 900_000), "b": bytes_of(8, 400_000)}, 0
         stage.own(3)
@@ -470,7 +538,9 @@
                     node.deaf = not node.deaf
                 case 2:
                     stage.tenures[-1].paused = chance.random() < 0.5
-                    stage.own(chance.choice([number for number in stage.nodes if number != stage.owner_number]))
+                    stage.own(
+                        chance.choice([number for number in stage.nodes if number != stage.owner_number])
+                    )
                     for old in stage.tenures[:-1]:
                         old.paused = old.paused and chance.random() < 0.5
                 case 3:
@@ -486,12 +556,15 @@
                     contents[name] = bytes_of(turn, chance.choice((50_000, 600_000)))
                     stage.origin.files[f"/{name}{version}"] = contents[name]
                     stage.tree["models"][name] = model(
-                        contents[name], ["s0", "s1"], chance.randrange(3), version, name + version, 37_000)
+                        contents[name], ["s0", "s1"], chance.randrange(3), version, name + version, 37_000
+                    )
                     stage.write()
             for number, name in ((number, name) for number in stage.nodes for name in contents):
                 for version in stage.nodes[number].disk.names(f"weights/{name}/placed"):
                     found = stage.placed(number, name, version)
-                    assert found == stage.origin.files.get(f"/{name}{version}", found), "whole and right, or not there"
+                    assert found == stage.origin.files.get(f"/{name}{version}", found), (
+                        "whole and right, or not there"
+                    )
         stage.origin.spoil = stage.origin.breaks = stage.origin.refuse = 0
         for node in stage.nodes.values():
             node.deaf, node.disk.room, node.disk.fail = False, None, 0
@@ -500,9 +573,15 @@
 
         def right():
             versions = {name: one["version"] for name, one in stage.tree["models"].items()}
-            return all(any(stage.placed(number, name, versions[name]) == contents[name]
-                           and (name, versions[name]) in stage.nodes[number].engines.told for number in site)
-                       for site in ((0, 1), (2, 3)) for name in versions)
+            return all(
+                any(
+                    stage.placed(number, name, versions[name]) == contents[name]
+                    and (name, versions[name]) in stage.nodes[number].engines.told
+                    for number in site
+                )
+                for site in ((0, 1), (2, 3))
+                for name in versions
+            )
 
         yield from stage.until(right, 150 * SECOND)
         within(stage.origin.served, RATE // 4)
@@ -510,6 +589,9 @@
     for seed in range(12):
         chance = random.Random(seed)
         files = {"/a1": bytes_of(7, 900_000), "/b1": bytes_of(8, 400_000)}
-        wanted = tree(a=model(files["/a1"], ["s0", "s1"], 1, "1", "a1"), b=model(files["/b1"], ["s0", "s1"], 0, "1", "b1"))
+        wanted = tree(
+            a=model(files["/a1"], ["s0", "s1"], 1, "1", "a1"),
+            b=model(files["/b1"], ["s0", "s1"], 0, "1", "b1"),
+        )
         wanted["links"]["u0"]["bytes_per_s"] = RATE // 4
         played(tmp_path, wanted, files, lambda stage, chance=chance: script(stage, chance), seed)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -12,8 +12,12 @@
 from stackpitch.wire import engine, http, orca, sse
 from stackpitch.wire.decoding import decode
 
-ANSWER = (http.head(200, [("transfer-encoding", "chunked")]) + http.chunk(b"data: a\n\n") + http.chunk(b"data: b\n\n")
-          + b"0\r\nendpoint-load-metrics: TEXT a=1\r\n\r\n")
+ANSWER = (
+    http.head(200, [("transfer-encoding", "chunked")])
+    + http.chunk(b"data: a\n\n")
+    + http.chunk(b"data: b\n\n")
+    + b"0\r\nendpoint-load-metrics: TEXT a=1\r\n\r\n"
+)
 
 
 @pytest.mark.parametrize("step", [1, 2, 7, 1000])
@@ -21,7 +25,7 @@
     reader, body = http.ResponseReader(1000, 1000), b""
     for at in range(0, len(ANSWER), step):
         assert not reader.complete
-        reader.feed(ANSWER[at:at + step])
+        reader.feed(ANSWER[at : at + step])
         body += b"".join(reader.pieces)
     assert reader.complete and not reader.extra and body == b"data: a\n\ndata: b\n\n"
     assert orca.parse(reader.trailers[orca.HEADER]) == {"a": 1.0}
@@ -29,28 +33,40 @@
     assert reader.extra
 
 
-@pytest.mark.parametrize("text, status", [
-    (b"NONSENSE\r\n\r\n", 400),
-    (b"GET /" + b"a" * 3000 + b" HTTP/1.1\r\n\r\n", 414),
-    (b"GET / HTTP/1.1\r\na: " + b"b" * 5000 + b"\r\n", 431),
-    (b"POST / HTTP/1.1\r\ncontent-length: 1001\r\n\r\n", 413),
-    (b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n3e9\r\n" + b"x" * 1001, 413),
-    (b"POST / HTTP/1.1\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n", 400),
-    (b"POST / HTTP/1.1\r\ncontent-length: x\r\n\r\n", 400),
-    (b"GET / HTTP/1.1\r\nupgrade: h2c\r\nconnection: upgrade\r\n\r\n", 400),
-])
+@pytest.mark.parametrize(
+    "text, status",
+    [
+        (b"NONSENSE\r\n\r\n", 400),
+        (b"GET /" + b"a" * 3000 + b" HTTP/1.1\r\n\r\n", 414),
+        (b"GET / HTTP/1.1\r\na: " + b"b" * 5000 + b"\r\n", 431),
+        (b"POST / HTTP/1.1\r\ncontent-length: 1001\r\n\r\n", 413),
+        (b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n3e9\r\n" + b"x" * 1001, 413),
+        (b"POST / HTTP/1.1\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\ncontent-length: x\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nupgrade: h2c\r\nconnection: upgrade\r\n\r\n", 400),
+    ],
+)
 def test_what_is_no_request_is_refused_with_its_status(text: bytes, status: int) -> None:
     with pytest.raises(http.BadMessage) as caught:
         reader = http.RequestReader(4096, 1000)
         for at in range(0, len(text), 512):
-            reader.feed(text[at:at + 512])
+            reader.feed(text[at : at + 512])
     assert caught.value.status == status
 
 
-@pytest.mark.parametrize("beside", [b"0\r\nx: ", b"0\r\n" + (b"a: " + b"b" * 20 + b"\r\n") * 100, b"2;x="],
-                         ids=["a trailer", "trailers", "an extension"])
-@pytest.mark.parametrize("head", [b"POST /v1 HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n",
-                                  b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"], ids=["request", "answer"])
+@pytest.mark.parametrize(
+    "beside",
+    [b"0\r\nx: ", b"0\r\n" + (b"a: " + b"b" * 20 + b"\r\n") * 100, b"2;x="],
+    ids=["a trailer", "trailers", "an extension"],
+)
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"POST /v1 HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+    ],
+    ids=["request", "answer"],
+)
 def test_what_is_neither_head_nor_body_is_bounded(head: bytes, beside: bytes) -> None:
     reader = (http.RequestReader if head[0] == ord("P") else http.ResponseReader)(1000, 1000)
     reader.feed(head)
@@ -62,17 +78,24 @@
 
 def test_events_in_pieces() -> None:
     events, found = sse.Events(100), []
-    for one in (b"data: {\"a\"", b":1}\n", b"\nevent: x\r\ndata: b\r\n\r\n: remark\n\n", sse.DONE):
+    for one in (b'data: {"a"', b":1}\n", b"\nevent: x\r\ndata: b\r\n\r\n: remark\n\n", sse.DONE):
         found += events.feed(one)
     assert found == [b'{"a":1}', b"b", b"[DONE]"]
     with pytest.raises(ValueError, match="over 100 bytes"):
         events.feed(b"data: " + b"x" * 200)
 
 
-@pytest.mark.parametrize("text, named", [
-    ("BIN xyz", "form is 'BIN'"), ("TEXT a", "'a' is no name=value"), ("TEXT a=nan", "a is 'nan'"),
-    ("JSON [1]", "not a JSON object"), ("JSON {", "not JSON"), ('JSON {"named_metrics":{"q":"x"}}', "named_metrics.q is 'x'"),
-])
+@pytest.mark.parametrize(
+    "text, named",
+    [
+        ("BIN xyz", "form is 'BIN'"),
+        ("TEXT a", "'a' is no name=value"),
+        ("TEXT a=nan", "a is 'nan'"),
+        ("JSON [1]", "not a JSON object"),
+        ("JSON {", "not JSON"),
+        ('JSON {"named_metrics":{"q":"x"}}', "named_metrics.q is 'x'"),
+    ],
+)
 def test_bad_load_reports_name_the_field(text: str, named: str) -> None:
     with pytest.raises(orca.BadReport, match=named.replace("[", r"\[")):
         orca.parse(text)
@@ -83,29 +106,48 @@
     assert orca.parse(orca.as_json(fields)) == fields == orca.parse(orca.as_text(fields))
 
 
-@pytest.mark.parametrize("phase, how, outcome", [
-    (Phase.QUEUED, "time-out", "not-sent"), (Phase.CONNECTING, "lost", "unreachable"),
-    (Phase.WRITING, "lost", "unreachable"), (Phase.WRITING, "time-out", "unreachable"), (Phase.SENT, "lost", "reset"),
-    (Phase.SENT, "time-out", "time-out"), (Phase.HEAD, "time-out", "time-out"), (Phase.SENT, "garbled", "error"),
-    (Phase.STREAMING, "time-out", "reset"), (Phase.STREAMING, "garbled", "error"), (Phase.SENT, "cancelled", "cancelled"),
-])
+@pytest.mark.parametrize(
+    "phase, how, outcome",
+    [
+        (Phase.QUEUED, "time-out", "not-sent"),
+        (Phase.CONNECTING, "lost", "unreachable"),
+        (Phase.WRITING, "lost", "unreachable"),
+        (Phase.WRITING, "time-out", "unreachable"),
+        (Phase.SENT, "lost", "reset"),
+        (Phase.SENT, "time-out", "time-out"),
+        (Phase.HEAD, "time-out", "time-out"),
+        (Phase.SENT, "garbled", "error"),
+        (Phase.STREAMING, "time-out", "reset"),
+        (Phase.STREAMING, "garbled", "error"),
+        (Phase.SENT, "cancelled", "cancelled"),
+    ],
+)
 def test_a_broken_leg_may_have_run_once_its_last_byte_was_sent(phase: Phase, how: str, outcome: str) -> None:
     assert broken(phase, how) == outcome  # type: ignore[arg-type]
 
 
-@pytest.mark.parametrize("status, body, outcome", [
-    (503, engine.error_body("", engine.FULL, ""), ("full", False)),
-    (503, engine.error_body("", engine.NO_STATE, ""), ("full", True)),
-    (503, engine.error_body("", "something", ""), ("error", False)),
-    (503, b"not json", ("error", False)), (500, engine.error_body("", engine.FULL, ""), ("error", False)),
-])
-def test_only_a_refusal_with_its_code_proves_that_a_leg_never_ran(status: int, body: bytes, outcome: tuple) -> None:
+@pytest.mark.parametrize(
+    "status, body, outcome",
+    [
+        (503, engine.error_body("", engine.FULL, ""), ("full", False)),
+        (503, engine.error_body("", engine.NO_STATE, ""), ("full", True)),
+        (503, engine.error_body("", "something", ""), ("error", False)),
+        (503, b"not json", ("error", False)),
+        (500, engine.error_body("", engine.FULL, ""), ("error", False)),
+    ],
+)
+def test_only_a_refusal_with_its_code_proves_that_a_leg_never_ran(
+    status: int, body: bytes, outcome: tuple
+) -> None:
     assert answered("write", status, engine.refusal(status, body), False) == outcome
 
 
 PRODUCT = Product("chat", "idempotent", "all", 0, 1000, 100, 60, 40_000, 1.0, 0.1)
 READING = Reading({"chat": PRODUCT}, {"m": PRODUCT}, {}, 4.0, 100)
-CHAT = {"model": "m", "messages": [{"role": "system", "content": "s" * 400}, {"role": "user", "content": "u" * 40}]}
+CHAT = {
+    "model": "m",
+    "messages": [{"role": "system", "content": "s" * 400}, {"role": "user", "content": "u" * 40}],
+}
 
 
 def facts(headers: dict, **fields: object) -> object:
@@ -113,40 +155,73 @@
 
 
 def test_what_a_request_says_of_its_generation() -> None:
-    found = facts({"x-session-id": "s", "x-stainless-retry-count": "1", "x-time-limit-ms": "900"}, max_tokens=7, stream=True)
-    assert (found.session, found.repeat, found.time_limit, found.limit_tok, found.streamed) == ("s", True, 9000, 7, True)
+    found = facts(
+        {"x-session-id": "s", "x-stainless-retry-count": "1", "x-time-limit-ms": "900"},
+        max_tokens=7,
+        stream=True,
+    )
+    assert (found.session, found.repeat, found.time_limit, found.limit_tok, found.streamed) == (
+        "s",
+        True,
+        9000,
+        7,
+        True,
+    )
     assert found.shared is not None and 100 <= found.shared_tok < found.prompt_tok < 150
-    assert found.shared == facts({}, messages=[CHAT["messages"][0], {"role": "user", "content": "other"}]).shared
+    assert (
+        found.shared == facts({}, messages=[CHAT["messages"][0], {"role": "user", "content": "other"}]).shared
+    )
     assert facts({}, prompt_cache_key="k", conversation_id="c").shared == "k"
     assert facts({}, conversation_id="c").session == "c"
 
 
-@pytest.mark.parametrize("headers, fields, named", [
-    ({"x-product": "nope"}, {}, "x-product: found 'nope'; allowed: chat"),
-    ({}, {"model": "z"}, "model: found 'z'; allowed: m"), ({}, {"messages": []}, "messages: found none"),
-    ({}, {"max_tokens": -1}, "max_tokens: found -1; allowed: 1 to"), ({}, {"stream": 1}, "stream: found 1; allowed"),
-    ({"x-time-limit-ms": "soon"}, {}, "x-time-limit-ms: found 'soon'"), ({}, {"conversation_id": 3}, "conversation_id"),
-    ({}, {"kv_transfer_params": {}}, "kv_transfer_params"),
-])
+@pytest.mark.parametrize(
+    "headers, fields, named",
+    [
+        ({"x-product": "nope"}, {}, "x-product: found 'nope'; allowed: chat"),
+        ({}, {"model": "z"}, "model: found 'z'; allowed: m"),
+        ({}, {"messages": []}, "messages: found none"),
+        ({}, {"max_tokens": -1}, "max_tokens: found -1; allowed: 1 to"),
+        ({}, {"stream": 1}, "stream: found 1; allowed"),
+        ({"x-time-limit-ms": "soon"}, {}, "x-time-limit-ms: found 'soon'"),
+        ({}, {"conversation_id": 3}, "conversation_id"),
+        ({}, {"kv_transfer_params": {}}, "kv_transfer_params"),
+    ],
+)
 def test_a_bad_request_names_field_value_and_what_is_allowed(headers: dict, fields: dict, named: str) -> None:
     with pytest.raises(BadRequest, match=named):
         facts(headers, **fields)
 
 
-@pytest.mark.parametrize("text, named", [
-    ("{ roster: 'f' }", "products: missing"), ("{ a: 1,, }", "syntax error"),
-    ("{ dor: {} }", "dor: unknown field; allowed beside it: name, seed"),
-    ("{ door: { port: '8' } }", "door.port: Input should be a valid integer; found '8'"),
-    ("{ door: { prt: 8 } }", "door.prt: unknown field; allowed beside it: host, port"),
-    ("{ products: { a: { effect: 'x' } } }", "products.a.effect: Input should be 'idempotent', 'deduplicated' or"),
-    ("{ peers: { admin: ['gw1.example:80'] } }", "peers.admin.0: Value error, allowed: an IPv4 address, a colon and a port"),
-    ("{ peers: { admin: ['10.0.0.1:99999'] } }", "peers.admin.0: Value error, allowed: an IPv4 address, a colon and a port"),
-    ("{ roster: 'f', kinds: { w: { role: 'writer', memory_tok: 9 } }, products: { a: { effect: 'idempotent', slo_ms: 9, "
-     "time_limit_ms: 9 } }, peers: { admin: ['10.0.0.1:1', '10.0.0.2:2'] } }",
-     "peers.admin: found 2 entries; allowed: none, or one for"),
-    ("{ peers: { word_ms: 0 } }", "peers.word_ms: Input should be greater than 0"),
-    ("{ module: { probes: 'yes' } }", "module.probes: Input should be a valid boolean; found 'yes'"),
-])
+@pytest.mark.parametrize(
+    "text, named",
+    [
+        ("{ roster: 'f' }", "products: missing"),
+        ("{ a: 1,, }", "syntax error"),
+        ("{ dor: {} }", "dor: unknown field; allowed beside it: name, seed"),
+        ("{ door: { port: '8' } }", "door.port: Input should be a valid integer; found '8'"),
+        ("{ door: { prt: 8 } }", "door.prt: unknown field; allowed beside it: host, port"),
+        (
+            "{ products: { a: { effect: 'x' } } }",
+            "products.a.effect: Input should be 'idempotent', 'deduplicated' or",
+        ),
+        (
+            "{ peers: { admin: ['gw1.example:80'] } }",
+            "peers.admin.0: Value error, allowed: an IPv4 address, a colon and a port",
+        ),
+        (
+            "{ peers: { admin: ['10.0.0.1:99999'] } }",
+            "peers.admin.0: Value error, allowed: an IPv4 address, a colon and a port",
+        ),
+        (
+            "{ roster: 'f', kinds: { w: { role: 'writer', memory_tok: 9 } }, products: { a: { effect: 'idempotent', slo_ms: 9, "
+            "time_limit_ms: 9 } }, peers: { admin: ['10.0.0.1:1', '10.0.0.2:2'] } }",
+            "peers.admin: found 2 entries; allowed: none, or one for",
+        ),
+        ("{ peers: { word_ms: 0 } }", "peers.word_ms: Input should be greater than 0"),
+        ("{ module: { probes: 'yes' } }", "module.probes: Input should be a valid boolean; found 'yes'"),
+    ],
+)
 def test_bad_settings_name_file_field_and_what_is_allowed(text: str, named: str, tmp_path: Path) -> None:
     path = tmp_path / "gateway.jsonnet"
     path.write_text(text)
@@ -168,7 +243,9 @@
 
 @pytest.mark.parametrize("fields", [http.MAX_FIELDS - 2, http.MAX_FIELDS + 1])
 @pytest.mark.parametrize("where", ["head", "trailers"])
-@pytest.mark.parametrize("first", [b"POST /v1 HTTP/1.1\r\n", b"HTTP/1.1 200 OK\r\n"], ids=["request", "answer"])
+@pytest.mark.parametrize(
+    "first", [b"POST /v1 HTTP/1.1\r\n", b"HTTP/1.1 200 OK\r\n"], ids=["request", "answer"]
+)
 def test_fields_are_bounded_in_number(first: bytes, where: str, fields: int) -> None:
     """Thousands of short ones fit in the bytes of a head, and cost whoever reads them milliseconds."""
     reader = (http.RequestReader if first[0] == ord("P") else http.ResponseReader)(1 << 16, 1000)
--- a/tests/traffic.py
+++ b/tests/traffic.py
@@ -69,14 +69,18 @@
             self.reads.append((gen, server))
             kept = self.look(gen, server)
             self.finds[leg] = kept
-            done = self.free[server] = max(self.now, self.free.get(server, 0)) + (gen.prompt_tok - kept) * MS // PACE
+            done = self.free[server] = (
+                max(self.now, self.free.get(server, 0)) + (gen.prompt_tok - kept) * MS // PACE
+            )
             self.later(*((done, "read") if done <= self.now + limit else (self.now + limit, "time-out")), leg)
         else:
             tok = gen.prompt_tok + int(GROWTH * gen.limit_tok)
             self.held[server] += tok
             self.fullest = max(self.fullest, self.share(server))
             self.later(self.now + START, "start", leg)
-            self.later(self.now + START + int(GROWTH * gen.limit_tok) * gen.product.token_gap // 2, "streamed", leg)
+            self.later(
+                self.now + START + int(GROWTH * gen.limit_tok) * gen.product.token_gap // 2, "streamed", leg
+            )
         return leg
 
     def cancel(self, leg: Leg) -> None:
@@ -120,8 +124,17 @@
 
     # Lines.
 
-    def do_traffic(self, number: str, products: str, prompt: str = "1000", openings: str = "0", opening: str = "500",
-                   every: str = "20", limit: str = "100", hot: str | None = None) -> None:
+    def do_traffic(
+        self,
+        number: str,
+        products: str,
+        prompt: str = "1000",
+        openings: str = "0",
+        opening: str = "500",
+        every: str = "20",
+        limit: str = "100",
+        hot: str | None = None,
+    ) -> None:
         before = {text: set(where) for text, where in self.places.items()}
         self.clear()
         names, prompts, begin = turns(products), turns(prompt), self.now
@@ -131,7 +144,11 @@
             self.serial += 1
             name, text = f"t{self.serial}", str(self.draw.randrange(int(openings))) if int(openings) else None
             text = hot if hot is not None and place % 3 == 0 else text
-            of: dict[str, Any] = {"session": f"of {name}", "prompt": prompts[place % len(prompts)], "limit": limit}
+            of: dict[str, Any] = {
+                "session": f"of {name}",
+                "prompt": prompts[place % len(prompts)],
+                "limit": limit,
+            }
             gen = self.made_of(name, names[place % len(names)], text, int(opening), of)
             self.crowd.append(gen)
             self.brain.arrived(self.now, gen)
@@ -144,7 +161,12 @@
 
     def made_of(self, name: str, product: str, text: str | None, size: int, of: dict[str, Any]) -> Generation:
         self.gens[name] = gen = self.generation(
-            name, product, shared=None if text is None else f"opening {text}", gives_up=(self.now + PATIENCE) // MS, **of)
+            name,
+            product,
+            shared=None if text is None else f"opening {text}",
+            gives_up=(self.now + PATIENCE) // MS,
+            **of,
+        )
         gen.shared_tok = size if gen.shared is not None else 0
         return gen
 
@@ -161,7 +183,9 @@
         check(*words[1:]) if check is not None else super().do_expect(*words)
 
     def expect_kept(self, least: str) -> None:
-        assert self.found >= float(least) * self.openings, f"{self.found} of {self.openings} tokens were found kept"
+        assert self.found >= float(least) * self.openings, (
+            f"{self.found} of {self.openings} tokens were found kept"
+        )
 
     def expect_most(self, most: str) -> None:
         counts = Counter(server.name for _, server in self.reads)
--- a/tests/weights_stage.py
+++ b/tests/weights_stage.py
@@ -39,7 +39,13 @@
     """`paused`: calls wait here until it is over, as of a process stopped between its look and its send."""
 
     def __init__(self, stage, number, term):
-        self.stage, self.number, self.stamp, self.paused, self.words = stage, number, Stamp(term, term), False, []
+        self.stage, self.number, self.stamp, self.paused, self.words = (
+            stage,
+            number,
+            Stamp(term, term),
+            False,
+            [],
+        )
 
     def holds(self):
         return self.stage.term == self.stamp.term
@@ -96,10 +102,18 @@
 
     def run(self):
         stage = self.stage
-        self.work = WeightsWork(stage.world, Ground(stage, self.number), WeightsSettings(wanted=stage.path, folder=self.folder),
-                                stage.world.fresh(), stage.address, self.engines,
-                                lambda vocabulary: vocabulary in stage.admitted, revenue=lambda: 1.0 * self.number,
-                                log=lambda word, **fields: self.log.append((word, fields)), disk=self.disk)
+        self.work = WeightsWork(
+            stage.world,
+            Ground(stage, self.number),
+            WeightsSettings(wanted=stage.path, folder=self.folder),
+            stage.world.fresh(),
+            stage.address,
+            self.engines,
+            lambda vocabulary: vocabulary in stage.admitted,
+            revenue=lambda: 1.0 * self.number,
+            log=lambda word, **fields: self.log.append((word, fields)),
+            disk=self.disk,
+        )
         listener = stage.world.listen(("127.0.0.1", 0 if stage.real else 9000 + self.number))
         self.port = listener.address[1]
 
@@ -140,10 +154,15 @@
         self.folder, self.real = folder, real
         self.path, self.tree, self.served, self.record = str(folder / "wanted.json"), tree, [], b""
         self.term, self.owner_number, self.calls = 0, None, 0
-        self.world = RealWorld() if real else VirtualWorld(
-            seed, latency=5, programs=lambda command: self.nodes[int(command[1])].run())
+        self.world = (
+            RealWorld()
+            if real
+            else VirtualWorld(seed, latency=5, programs=lambda command: self.nodes[int(command[1])].run())
+        )
         self.origin = Origin(self.world, files)
-        self.nodes = {number: Node(self, number) for site in tree["sites"].values() for number in site["gateways"]}
+        self.nodes = {
+            number: Node(self, number) for site in tree["sites"].values() for number in site["gateways"]
+        }
         self.group, self.tenures = None, []
 
     def address(self, number):
@@ -190,7 +209,10 @@
     def until(self, what, limit=30 * SECOND):
         end = self.world.now() + limit
         while not what():
-            assert self.world.now() < end, (what, {number: node.log[-4:] for number, node in self.nodes.items()})
+            assert self.world.now() < end, (
+                what,
+                {number: node.log[-4:] for number, node in self.nodes.items()},
+            )
             yield from self.world.sleep(20 * MS)
 
     def placed(self, number, model, version="1"):
@@ -223,13 +245,20 @@
 
 def raw_of(data):
     from msgspec import Raw
+
     return Raw(data)
 
 
 def model(data, sites, priority=0, version="1", name="m", piece=100_000):
     one = manifests.made(data, piece)
-    return {"version": version, "priority": priority, "sites": sites, "origin": "127.0.0.1:8000", "path": f"/{name}",
-            "manifest": one.model_dump()}
+    return {
+        "version": version,
+        "priority": priority,
+        "sites": sites,
+        "origin": "127.0.0.1:8000",
+        "path": f"/{name}",
+        "manifest": one.model_dump(),
+    }
 
 
 def bytes_of(seed, size=1_000_000):
