Reload's tests of cold turns speak the slow start's new figures

The same is said now with borne and size: all that is looked up gets done. Both lines of continue_cold_turns were taken out in turn: the tests fail as before.

--- a/tests/test_settings_isolation.py
+++ b/tests/test_settings_isolation.py
@@ -554,8 +554,10 @@
 
 def goes_cold(brain: RuledBrain, now: int, gen: Generation, cold: Listed) -> bool:
     """Looks its reader up; all that is looked up gets done."""
-    usable = brain.fleet.usable("reader", now, gen)
-    brain.fleet.done["reader"] = brain.fleet.drawn["reader"]
+    fleet = brain.fleet
+    usable = fleet.usable("reader", now, gen)
+    lookups_by_warmth, _ = fleet.size["reader"]
+    fleet.borne["reader"] = lookups_by_warmth / max(0.1, fleet.warm["reader"])
     return cold in [seat.server for seat in usable]
 
 
