--- a/tests/test_crossings_answered.py
+++ b/tests/test_crossings_answered.py
@@ -260,7 +260,7 @@
 
 
 class Flood:
-    """Others' bad requests and idle connections, for as long as it is entered."""
+    """Others' bad requests and idle connections; each `renew` replaces eight of them."""
 
     KINDS = (
         b"",
