--- a/Makefile
+++ b/Makefile
@@ -11,9 +11,10 @@
 demo: .venv/ready
 	.venv/bin/python -m stackpitch rehearse $(DAY)
 
-# All three to their ends, beside each other; the output of each in one piece.
+# The first three to their ends, beside each other, the output of each in one piece; then what has to run alone.
 test: .venv/ready
 	$(MAKE) --no-print-directory -j 3 -k -O checks tests-waiting tests-others
+	$(MAKE) --no-print-directory tests-alone
 
 checks:
 	.venv/bin/ruff format --check stackpitch tests benchmarks
@@ -25,7 +26,10 @@
 	.venv/bin/python -m pytest -q -p no:cacheprovider -m waiting
 
 tests-others:
-	.venv/bin/python -m pytest -q -p no:cacheprovider -m "not waiting"
+	.venv/bin/python -m pytest -q -p no:cacheprovider -m "not waiting and not alone"
+
+tests-alone:
+	.venv/bin/python -m pytest -q -p no:cacheprovider -m alone
 
 measure: .venv/ready
 	.venv/bin/python -m benchmarks.relay
@@ -42,4 +46,4 @@
 	.venv/bin/python -m stackpitch.rehearse.exploring --restarts 0 --acts 0
 	.venv/bin/python -m stackpitch.rehearse.exploring --restarts 1 --acts 0
 
-.PHONY: checks demo explore measure test tests-others tests-waiting
+.PHONY: checks demo explore measure test tests-alone tests-others tests-waiting
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,11 +8,14 @@
 
 # Their tests mostly wait for processes that they start: `make test` runs them beside all others, in a session of their own.
 WAITING = {"test_duties.py", "test_duties_weights.py", "test_watch.py"}
+# Their tests hold a real process to tenths of a second: `make test` runs them when nothing else runs.
+ALONE = "test_crossings_"
 
 
 def pytest_configure(config: pytest.Config) -> None:
     config.pluginmanager.register(KnownRed(config, read(config.rootpath / "KNOWN-RED.txt")), "known-red")
     config.addinivalue_line("markers", "waiting: mostly waits for processes of its own")
+    config.addinivalue_line("markers", "alone: holds a process to bounds that a busy machine would break")
     config.addinivalue_line(
         "markers", "plays(which): days that the test judges, by its parameters; see tests/played_days.py"
     )
@@ -23,6 +26,8 @@
     for item in items:
         if item.path.name in WAITING:
             item.add_marker("waiting")
+        elif item.path.name.startswith(ALONE):
+            item.add_marker("alone")
 
 
 @pytest.fixture(scope="session", autouse=True)
