--- a/tests/crossing_gateway.py
+++ b/tests/crossing_gateway.py
@@ -41,6 +41,27 @@
         if wait:
             self.discovery.taken()
 
+    def replace(self) -> None:
+        """Kills the process; another one, of the same configuration, takes up the list and serves."""
+        self.process.kill()
+        self.process.wait()
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "stackpitch.platform"],
+            stderr=subprocess.DEVNULL,
+            env={**os.environ, "RELAY_CONFIG": str(self.folder / "c")},
+        )
+        wait_for(self._is_ready, "the successor is not ready")
+
+    def _is_ready(self) -> bool:
+        try:
+            one = self.client()
+        except ConnectionRefusedError:
+            return False
+        one.send(b"GET /-/ready HTTP/1.1\r\nhost: a\r\n\r\n")
+        status = one.answer().status
+        one.close()
+        return status == 200
+
     def client(self, small: bool = False) -> Client:
         return Client(self.port, small)
 
