Failing tests: short reads and writes, clock steps; a preloaded library of faults

Seen: with one recv or send in five of a gateway process cut to 1 to 40 bytes, 13 of the 14 tests of test_crossings_servers fail (none without). A worker that started 0.1 s before it was told of is taken to do all its work at once, or to be cold for an hour, after steps of any machine's clock by 30 s or an hour (16 of 42 cases).

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,8 @@
 	$(MAKE) --no-print-directory tests-alone
 
 checks:
-	.venv/bin/ruff format --check stackpitch tests benchmarks
-	.venv/bin/ruff check stackpitch tests benchmarks
+	.venv/bin/ruff format --check stackpitch tests benchmarks soak
+	.venv/bin/ruff check stackpitch tests benchmarks soak
 	.venv/bin/mypy
 	.venv/bin/lint-imports
 
--- a/tests/crossing_gateway.py
+++ b/tests/crossing_gateway.py
@@ -16,7 +16,7 @@
 from crossing_discovery import ListDiscovery
 from crossing_sockets import GRACE, PATIENCE, listening_port, wait_for
 from crossing_workers import Attempt, Worker
-from platform_process import Gateway
+from platform_process import FAULTS, Gateway
 
 LEAST_DESCRIPTORS = 64  # that the process may hold, whatever its configuration says of them
 
@@ -48,7 +48,7 @@
         self.process = subprocess.Popen(
             [sys.executable, "-m", "stackpitch.platform"],
             stderr=subprocess.DEVNULL,
-            env={**os.environ, "RELAY_CONFIG": str(self.folder / "c")},
+            env={**os.environ, **FAULTS, "RELAY_CONFIG": str(self.folder / "c")},
         )
         wait_for(self._is_ready, "the successor is not ready")
 
--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -9,7 +9,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -19,6 +19,7 @@
 from stackpitch.wire import http
 
 MOST = 64  # descriptors that the process may hold
+FAULTS: dict[str, str] = {}  # what the option --faults has each gateway process started with
 
 
 class Agent:
@@ -89,6 +90,7 @@
         sockets: int = MOST,
         most: int = MOST,
         port: int = 0,
+        environment: Mapping[str, str] = {},
         **settings: object,
     ) -> None:
         self.port = port or free_port()
@@ -109,7 +111,7 @@
             [sys.executable, "-m", "stackpitch.platform"],
             stderr=subprocess.DEVNULL,
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (most, most)),
-            env={**os.environ, "RELAY_CONFIG": str(folder / "c")},
+            env={**os.environ, **FAULTS, **environment, "RELAY_CONFIG": str(folder / "c")},
         )
         self.over = threading.Event()
         self.threads: list[threading.Thread] = []
--- /dev/null
+++ b/tests/test_clock_steps.py
@@ -0,0 +1,90 @@
+"""The wall clocks of this machine and of the workers' machines may be stepped: what a new worker is sent follows
+from when this process was first told of it."""
+
+import itertools
+
+from benchmarks.slow_start import fleet_of
+from stackpitch.brain import Fleet
+from stackpitch.gateway.roster import Roster
+from stackpitch.loop import SECOND, Time
+from stackpitch.loop.virtual import VirtualWorld
+from stackpitch.membership.entries import Entry
+
+WARM_UP, COLD_FROM = 13 * SECOND, 0.3
+KINDS = {"m": ("writer", 1000)}
+ALLOWED = 1  # seconds that a worker may be taken for older than it is
+STEPS = [-3_600_000, -30_000, -1_000, 0, 1_000, 30_000, 3_600_000]  # milliseconds
+
+
+class SteppedWorld(VirtualWorld):
+    """Its clocks are moved by the test."""
+
+    wall_step = 0  # milliseconds that the wall clock is ahead
+
+    def true_wall_ms(self) -> int:
+        return super().wall_ms()
+
+    def wall_ms(self) -> int:
+        return self.true_wall_ms() + self.wall_step
+
+    def later(self, delay: Time) -> None:
+        self.time += delay
+
+
+def entry(name: str, started_unix_ms: int | None) -> Entry:
+    return Entry(name=name, host="127.0.0.1", port=1, kind="m", started_unix_ms=started_unix_ms)
+
+
+class Stage:
+    """A gateway's list of workers and what it takes their warmth to be."""
+
+    def __init__(self, wall_step: int) -> None:
+        self.world = SteppedWorld()
+        self.world.wall_step = wall_step
+        self.roster = Roster(self.world, KINDS)  # type: ignore[arg-type]
+        self.fleet: Fleet = fleet_of(0, 1, COLD_FROM, WARM_UP, 3.0)
+        self.version = 0
+        self.entries: dict[str, Entry] = {}
+
+    def tell(self, *entries: Entry) -> None:
+        self.version += 1
+        self.entries |= {one.name: one for one in entries}
+        servers = self.roster.apply(self.version, list(self.entries.values()))
+        self.fleet.update(self.world.now(), servers, False)
+
+    def warmth(self, name: str) -> float:
+        return self.fleet.warmth(self.fleet.seats[self.roster.servers[name]], self.world.now())
+
+
+def expected(age: Time) -> float:
+    return COLD_FROM + (1 - COLD_FROM) * (age / WARM_UP) ** 2
+
+
+def too_warm_or_cold(step: int, restarted: bool, whose: str) -> list[str]:
+    """What is wrong with the warmth of a worker that started, or restarted, 0.1 s before it was told of."""
+    stage, wrong = Stage(step if whose == "ours, before the start" else 0), list[str]()
+    stage.tell(entry("old", None), *([entry("one", 1_600_000_000_000)] if restarted else []))
+    stage.world.later(20 * SECOND)
+    stage.tell()
+    if stage.warmth("old") < 1:
+        wrong.append("an old one is cold")
+    start, claimed = stage.world.now(), stage.world.true_wall_ms() + (step if whose == "the worker's" else 0)
+    stage.world.wall_step = step if whose.startswith("ours") else 0
+    stage.world.later(SECOND // 10)
+    stage.tell(entry("one", claimed))
+    for seconds in (1, 4, 8):
+        stage.world.later(start + seconds * SECOND - stage.world.now())
+        if not COLD_FROM <= stage.warmth("one") <= expected((seconds + ALLOWED) * SECOND):
+            wrong.append(f"{stage.warmth('one'):.2f} of its work {seconds} s after its start")
+    stage.world.later(WARM_UP)
+    if stage.warmth("one") < 1:
+        wrong.append("it stays cold for longer than it takes to get warm")
+    return wrong
+
+
+def test_a_worker_that_has_just_started_is_cold_and_warms_up_in_time() -> None:
+    cases = itertools.product(
+        STEPS, (False, True), ("the worker's", "ours, before the start", "ours, after the start")
+    )
+    wrong = {case: found for case in cases if (found := too_warm_or_cold(*case))}
+    assert not wrong, "\n".join(f"{case}: {found}" for case, found in wrong.items())
