Slow start counts from when a worker was told of, not by wall clocks

Cause: gateway/roster.py held a start told in wall time to a difference of clocks fixed at its own start; SlowStart.warmth squares an age that may be negative. Change: gateway/starts.py. A member or restart told of after a current list was there counts from when it was told of. Only what was there when this process came is taken at its word, and as no later than now. A member that comes back unchanged within a minute has not restarted. Other uses of the wall clock: marks of request ids, times in the membership history and hours of operators' rules, which are fixed at the start. Ruled out: a window in which claims are believed, as a step by a second or two would pass it.

--- a/stackpitch/brain/slow_start.py
+++ b/stackpitch/brain/slow_start.py
@@ -10,7 +10,7 @@
 
     def warmth(self, seat: Seat, now: Time) -> float:
         """The part of its work that a server is taken to do, on the low side."""
-        age = (now - (seat.server.started or 0)) / self.warm_up
+        age = max(0, now - (seat.server.started or 0)) / self.warm_up  # squared: none is below 0
         return self.cold_from + (1 - self.cold_from) * age * age if self.cold(seat, now) else 1.0
 
     def draw(self, seat: Seat, now: Time, gen: Generation) -> bool:
--- a/stackpitch/gateway/host/told.py
+++ b/stackpitch/gateway/host/told.py
@@ -99,12 +99,13 @@
     def begin(self) -> None:
         self.brain.begin(self.world.now())
 
-    def take(self, version: int, entries: Sequence[Entry]) -> None:
-        """The complete list from now on. A server that is left out and has legs out stays until they have ended."""
+    def take(self, version: int, entries: Sequence[Entry], current: bool = True) -> None:
+        """The complete list from now on. A server that is left out and has legs out stays until they have ended.
+        `current`: not one that may be old, as the one known at the start."""
         before = {
             server: self.roster.addresses[server] for server in self.pools if server in self.roster.addresses
         }
-        servers = self.roster.apply(version, entries)
+        servers = self.roster.apply(version, entries, current)
         for server, address in before.items():
             if self.roster.addresses.get(server) != address:
                 self.connections.close(server)
--- a/stackpitch/gateway/roster.py
+++ b/stackpitch/gateway/roster.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 
+from stackpitch.gateway.starts import Starts
 from stackpitch.interface import Role, Server
 from stackpitch.loop import World
 from stackpitch.loop.world import Address
@@ -21,13 +22,11 @@
         self.addresses: dict[Server, Address] = {}
         self.told: dict[str, Entry] = {}  # the list in force
         self.vocabularies: dict[Server, str] = {}  # of those whose entry names one
-        self.epoch = (
-            world.wall_ms() * 10 - world.now()
-        )  # a start is stated by the wall clock, once and for all
+        self.starts = Starts(world)
 
-    def apply(self, version: int, entries: Sequence[Entry]) -> list[Server]:
+    def apply(self, version: int, entries: Sequence[Entry], current: bool = True) -> list[Server]:
         """Takes a checked list as the complete one and gives the servers of which it says something new; those left out
-        are now gone."""
+        are now gone. `current`: not one that may be old."""
         told = {one.name: one for one in entries}
         for name in self.servers.keys() - told.keys():
             self.servers[name].state = "gone"
@@ -36,6 +35,9 @@
             for name, one in told.items()
             if self.told.get(name) != one or name not in self.servers
         ]
+        self.starts.keep(told)
+        if current:
+            self.starts.confirm()
         self.told, self.version = told, version
         self.applied += 1
         return found
@@ -58,7 +60,7 @@
             if one.vocabulary:
                 self.vocabularies[server] = one.vocabulary
         server.state, server.weight = one.state, one.weight
-        server.started = None if one.started_unix_ms is None else one.started_unix_ms * 10 - self.epoch
+        server.started = self.starts.take(one.name, one.started_unix_ms)
         self.addresses[server] = one.address
         return server
 
--- /dev/null
+++ b/stackpitch/gateway/starts.py
@@ -0,0 +1,61 @@
+"""When members started, whatever the machines' wall clocks say. Pure but for the look at this machine's clocks."""
+
+from collections.abc import Container
+from dataclasses import dataclass
+
+from stackpitch.loop import SECOND, Time, World
+
+REMEMBERED = 60 * SECOND  # a member that comes back unchanged within this has not restarted
+
+
+@dataclass(slots=True)
+class Start:
+    """A member's latest start: as the list claims it, and when this process takes it to have been."""
+
+    claimed_unix_ms: int
+    taken: Time
+    left: Time | None = None  # since when no list has named it
+
+
+class Starts:
+    """When members started, by this process's monotonic clock.
+
+    Lists tell starts in wall time, and any machine's wall clock may be wrong or be stepped. So a member, or a
+    restart, that is told of after a current list had been taken started when it was told of: there was none
+    before. Only what was there when this process came is taken at its word, as no later than now.
+
+    Emptied of a member `REMEMBERED` after the last list that named it.
+    """
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.epoch = world.wall_ms() * 10 - world.now()  # steps of the clock from now on change nothing
+        self.current = False  # a list has been taken that was current then
+        self.by_name: dict[str, Start] = {}
+
+    def take(self, name: str, claimed_unix_ms: int | None) -> Time | None:
+        """None: long ago."""
+        if claimed_unix_ms is None:
+            self.by_name.pop(name, None)
+            return None
+        known, now = self.by_name.get(name), self.world.now()
+        if known is not None and known.claimed_unix_ms == claimed_unix_ms:
+            return known.taken
+        taken = now if self.current else min(now, claimed_unix_ms * 10 - self.epoch)
+        self.by_name[name] = Start(claimed_unix_ms, taken)
+        return taken
+
+    def confirm(self) -> None:
+        """The list in force is current: whoever is told of from now on is new."""
+        self.current = True
+
+    def keep(self, named: Container[str]) -> None:
+        """The list names these alone; forgets those that left long ago."""
+        now = self.world.now()
+        for name, start in list(self.by_name.items()):
+            if name in named:
+                start.left = None
+            elif start.left is None:
+                start.left = now
+            elif now - start.left > REMEMBERED:
+                del self.by_name[name]
--- a/stackpitch/platform/discovery.py
+++ b/stackpitch/platform/discovery.py
@@ -60,8 +60,9 @@
             if self.scope is not None:
                 self.scope.cancel()
 
-    def take(self, told: platform.Listed) -> None:
-        """A member that can't be used is left out; one that is known keeps the entry it had, as nothing is told of it."""
+    def take(self, told: platform.Listed, current: bool = False) -> None:
+        """A member that can't be used is left out; one that is known keeps the entry it had, as nothing is told of it.
+        `current`: as discovery has it now."""
         before = dict(self.entries)
         if told.complete:
             self.entries, self.unknown = {}, {}
@@ -78,7 +79,7 @@
         if told.complete and before and not self.entries:
             self.log.warning("empty_list", revision=told.revision, before=len(before), bad=len(told.bad))
         if self.entries != before:
-            self.host.take(told.revision, list(self.entries.values()))
+            self.host.take(told.revision, list(self.entries.values()), current)
 
     def _entry(self, one: platform.Member, before: dict[str, Entry]) -> Entry | None:
         try:
@@ -114,7 +115,7 @@
         listed = [*self.entries.values(), *self.unknown.values()]
         self.entries = {one.name: one for one in listed if self._known(one)}
         self.unknown = {one.name: one for one in listed if one.kind not in kinds}
-        self.host.take(self.host.roster.version, list(self.entries.values()))
+        self.host.take(self.host.roster.version, list(self.entries.values()), current=self.fresh)
 
     def run(self) -> Coro[None]:
         while True:
@@ -207,7 +208,8 @@
         if self.said:
             self.said.clear()
             self.log.info("discovery_back", revision=told.revision)
-        self.take(told)
+        self.take(told, current=True)
+        self.host.roster.starts.confirm()  # also where it says what was known
         self.revision, self.fresh = told.revision, True
 
     def _follow(self, stream: Stream) -> Coro[None]:
