A fault of the disk at a start loses no kept file; a failed sync counts for nothing

Cause: Log.open noted the trouble alone, and add after trouble writes the file anew from what is in memory. Change: a file whose content is not known is never written; the store and the last good weights file read it again at the next record, in its order. Trouble after the reading only has the file written anew. The same elsewhere: a weights copy whose sync failed was synced again and placed; now all of it is fetched again, also by a later process. A short read of a weights folder's release file was taken for a corrupt one.

--- a/stackpitch/duties/weights/lastgood.py
+++ b/stackpitch/duties/weights/lastgood.py
@@ -54,5 +54,7 @@
         elif body != self.body or self.trouble:
             if self.trouble:
                 self._folder()
+            if not self.log.read:  # it is replaced once it is known what it is
+                self.log.open(self._take)
             self.body = body
             self.trouble = "" if self.log.add(body) else self.log.trouble
--- a/stackpitch/duties/weights/placing/copy.py
+++ b/stackpitch/duties/weights/placing/copy.py
@@ -13,7 +13,7 @@
 from stackpitch.duties.weights.errors import DiskCorrupt, Gone, WholeDiffers
 from stackpitch.duties.weights.manifest import Manifest
 from stackpitch.duties.weights.placing.disk import trouble
-from stackpitch.duties.weights.placing.folder import Folder, write_all
+from stackpitch.duties.weights.placing.folder import Folder, read_all, write_all
 
 PART = 4 << 20  # bytes read, written and hashed in one step
 SYNC = 64 << 20  # bytes written, after which they are synced, so that the last sync is short
@@ -99,7 +99,7 @@
                 if not (self.have | but) >> piece & 1:
                     found = blake3()
                     for at, size in self._parts(piece):
-                        data = disk.read(descriptor, at, size)
+                        data = read_all(disk, descriptor, at, size)
                         if len(data) < size:
                             break  # it ends here
                         found.update(data)
@@ -145,11 +145,7 @@
         """Less at the end of the file."""
         file = self._file()
         try:
-            parts, got = [], 0
-            while got < size and (part := self.folder.disk.read(file, at + got, size - got)):
-                parts.append(part)
-                got += len(part)
-            return b"".join(parts)
+            return read_all(self.folder.disk, file, at, size)
         except OSError as wrong:
             raise trouble(wrong, self.partial) from None
 
@@ -159,11 +155,22 @@
             write_all(self.folder.disk, file, at, data)
             self.unsynced += len(data)
             if self.unsynced >= SYNC:
-                self.folder.disk.sync(file)
-                self.unsynced = 0
+                self._sync(file)
         except OSError as wrong:
             raise trouble(wrong, self.partial) from None
 
+    def _sync(self, file: int) -> None:
+        """Guards against a second sync that says nothing of what the first one lost: after a failed one every piece is to
+        be fetched again, also by a process that starts later."""
+        try:
+            self.folder.disk.sync(file)
+        except OSError:
+            self.have = 0
+            self.folder.disk.truncate(file, 0)
+            raise
+        finally:
+            self.unsynced = 0
+
     def finish(self) -> Iterator[None]:
         """Checks the whole, then syncs and renames. Raises WholeDiffers; DiskCorrupt if a piece that was right when it
         came is not any more: that one is to be fetched again."""
@@ -177,7 +184,7 @@
         if whole.hexdigest() != self.manifest.whole:
             raise WholeDiffers(self.model, self.version, whole.hexdigest())
         try:
-            disk.sync(self._file())
+            self._sync(self._file())
             yield
             self._file()
             disk.rename(self.partial, self.place)
--- a/stackpitch/duties/weights/placing/folder.py
+++ b/stackpitch/duties/weights/placing/folder.py
@@ -79,7 +79,7 @@
         try:
             descriptor = self.disk.open(path)
             try:
-                return RELEASED.decode(self.disk.read(descriptor, 0, 4096))
+                return RELEASED.decode(read_all(self.disk, descriptor, 0, 4096))
             finally:
                 self.disk.close(descriptor)
         except FileNotFoundError:
@@ -117,6 +117,15 @@
             raise trouble(wrong, path) from None
 
 
+def read_all(disk: Disk, descriptor: int, at: int, size: int) -> bytes:
+    """Less at the end of the file. Raises OSError."""
+    parts, got = [], 0
+    while got < size and (part := disk.read(descriptor, at + got, size - got)):
+        parts.append(part)
+        got += len(part)
+    return b"".join(parts)
+
+
 def write_all(disk: Disk, descriptor: int, at: int, data: bytes) -> None:
     """Raises OSError."""
     while data:
--- a/stackpitch/kept/log.py
+++ b/stackpitch/kept/log.py
@@ -56,60 +56,79 @@
         self.files, self.path, self.magic, self.form, self.what = files, path, magic, form, what
         self.whole, self.most = whole, most
         self.trouble, self.found = "", ""
+        self.read = False  # what the file holds is known; until then it is not written
         self.descriptor: int | None = None
         self.good = 0  # bytes that are known to be whole
         self.rewritten = 0  # bytes right after the last rewriting
 
     def open(self, take: Callable[[bytes], bool]) -> None:
-        """Reads what is there; `take` is given each record, and says whether it is of a known kind. What can't be read
-        is set aside under another name, never overwritten."""
+        """Reads what is there; `take` is given each record, and says whether it is of a known kind. What is no such log
+        is set aside under another name, never overwritten. A file that could not be read for now may be opened again."""
         try:
-            self._open(take)
+            descriptor = self.files.open(self.path, create=True)
         except OSError as wrong:
             self._fail(wrong)
-
-    def _open(self, take: Callable[[bytes], bool]) -> None:
-        head = header(self.magic, self.form)
-        descriptor = self.files.open(self.path, create=True)
+            return
         try:
             raw = self._read_all(descriptor)
-            if raw and raw != head[: len(raw)] and not raw.startswith(head):
+            if self._is_ours(raw):
+                self.descriptor = descriptor
+            else:
+                self._set_aside(raw)
                 self.files.close(descriptor)
-                aside = f"{self.path}.unread"
-                self.files.rename(self.path, aside)
-                known = raw.startswith(self.magic) and len(raw) >= len(self.magic) + 2
-                form = struct.unpack_from("<H", raw, len(self.magic))[0] if known else 0
-                what = (
-                    f"of format {form}, not {self.form}"
-                    if known and form != self.form
-                    else f"no {self.what}, or its head is damaged"
-                )
-                self.found = f"{self.path} was {what}; it is now {aside}"
-                descriptor, raw = self.files.open(self.path, create=True), b""
+                raw = b""
+        except OSError as wrong:
+            self._fail(wrong)
+            self._close(descriptor)
+            return
+        self.read, self.trouble = True, ""
+        self.good = self._take_all(raw, take)
+        self._mend(raw)
+
+    def _is_ours(self, raw: bytes) -> bool:
+        head = header(self.magic, self.form)
+        return raw.startswith(head[: len(raw)])
+
+    def _set_aside(self, raw: bytes) -> None:
+        aside = f"{self.path}.unread"
+        self.files.rename(self.path, aside)
+        known = raw.startswith(self.magic) and len(raw) >= len(self.magic) + 2
+        form = struct.unpack_from("<H", raw, len(self.magic))[0] if known else 0
+        what = (
+            f"of format {form}, not {self.form}"
+            if known and form != self.form
+            else f"no {self.what}, or its head is damaged"
+        )
+        self.found = f"{self.path} was {what}; it is now {aside}"
+
+    def _take_all(self, raw: bytes, take: Callable[[bytes], bool]) -> int:
+        """Bytes up to the first record that is not whole, or not of this format's kinds."""
+        good = min(len(raw), len(header(self.magic, self.form)))
+        for body, after in bodies(raw, good):
+            if not take(body):
+                break
+            good = after
+        return good
+
+    def _mend(self, raw: bytes) -> None:
+        """Makes the file one that can be added to. Where that fails, the next record writes it anew."""
+        head = header(self.magic, self.form)
+        try:
+            if self.descriptor is None:
+                self.descriptor = self.files.open(self.path, create=True)
             if len(raw) < len(head):
-                self.files.truncate(descriptor, 0)
-                self._write(descriptor, head)
-                self.files.sync(descriptor)
+                self.files.truncate(self.descriptor, 0)
+                self._write(self.descriptor, head)
+                self.files.sync(self.descriptor)
                 self.files.sync_folder(os.path.dirname(os.path.abspath(self.path)))  # or the name may be lost
-                raw = head
-            self.good = len(head)
-            for body, after in bodies(raw, self.good):
-                if not take(body):
-                    break  # whole, but not of this format's kinds
-                self.good = after
-            if self.good < len(raw):
+                self.good = len(head)
+            elif self.good < len(raw):
                 self.found = (
                     f"{self.path}: {len(raw) - self.good} bytes at its end were not whole and are dropped"
                 )
-                self.files.truncate(descriptor, self.good)
-            self.descriptor = descriptor
-        except BaseException:
-            if self.descriptor is None:
-                try:
-                    self.files.close(descriptor)
-                except OSError:
-                    pass
-            raise
+                self.files.truncate(self.descriptor, self.good)
+        except OSError as wrong:
+            self._fail(wrong)
 
     def _read_all(self, descriptor: int) -> bytes:
         parts, at, size = [], 0, self.files.size(descriptor)
@@ -130,7 +149,9 @@
 
     def add(self, body: bytes, sync: bool = True) -> bool:
         """Whether it is on disk now. After trouble the file is written anew from `whole`, which has to hold what could
-        not be written."""
+        not be written. A file that could not be read is never replaced: `open` it again first."""
+        if not self.read:
+            return False
         try:
             if self.descriptor is None or self.trouble:
                 self._rewrite()  # the file may hold half a record, or none of the last ones
@@ -158,17 +179,20 @@
             self.files.rename(beside, self.path)
             self.files.sync_folder(os.path.dirname(os.path.abspath(self.path)))
         except BaseException:
-            try:
-                self.files.close(fresh)
-            except OSError:
-                pass
+            self._close(fresh)
             raise
         old, self.descriptor, self.good = self.descriptor, fresh, sum(map(len, parts))
         self.rewritten = self.good
         if old is not None:
-            self.files.close(old)
+            self._close(old)
+
+    def _close(self, descriptor: int) -> None:
+        try:
+            self.files.close(descriptor)
+        except OSError:  # it is closed all the same, and nothing on disk depends on it
+            pass
 
     def close(self) -> None:
         if self.descriptor is not None:
-            self.files.close(self.descriptor)
+            self._close(self.descriptor)
             self.descriptor = None
--- a/stackpitch/membership/store.py
+++ b/stackpitch/membership/store.py
@@ -110,9 +110,19 @@
     def add(self, record: Record, sync: bool = True) -> bool:
         """Whether it is on disk now. What could not be written is still remembered, and so is part of the next
         rewriting."""
+        if not self.log.read:
+            self._read_again()
         self._remember(record)
         return self.log.add(ENCODER.encode(record), sync)
 
+    def _read_again(self) -> None:
+        """Guards what the file holds against a fault of the disk at its opening: it comes before what was added since."""
+        since: list[Record] = [*self.noted, *self.kept, *([self.state] if self.state is not None else [])]
+        self.kept, self.noted = [], []
+        self.log.open(self._take)
+        for record in since:
+            self._remember(record)
+
     def close(self) -> None:
         self.log.close()
 
--- a/tests/test_weights_placing.py
+++ b/tests/test_weights_placing.py
@@ -205,3 +205,42 @@
 
     world.run(world.group(body))
     assert done == ["slow"]
+
+
+class FailingSync(MemoryDisk):
+    """One sync of a file fails; what it covered is lost to a crash, though the system's buffers still show it."""
+
+    fails = 0
+
+    def sync(self, descriptor):
+        if self.fails:
+            self.fails -= 1
+            raise OSError(errno.EIO, "")
+        super().sync(descriptor)
+
+
+def test_after_a_failed_sync_every_piece_is_fetched_again():
+    disk = FailingSync()
+    folder, copy = Folder(disk, "root", 2), None
+    disk.fails = 1
+    with pytest.raises(errors.DiskTrouble):
+        life(folder, [])
+    copy = Copy(folder, "m", "1", MANIFEST)
+    copy.open()
+    for _ in copy.recheck():
+        pass
+    assert not copy.have
+    copy.close()
+    life(folder, reports := [])
+    assert reports == ["placed", "released"] and disk.look("root/m/placed/1") == DATA
+
+
+class ShortReads(MemoryDisk):
+    def read(self, descriptor, at, most):
+        return super().read(descriptor, at, min(most, 9))
+
+
+def test_short_reads_are_no_ends():
+    folder = Folder(ShortReads(), "root", 2)
+    life(folder, [])
+    assert folder.released("m") == Released("1", Stamp(7, 1), 3)
