A configuration that can't be read at its signal is read again; a start waits out momentary faults

Seen, by a crossing test written first: a SIGHUP that met a half written file left the old discovery's address in force for good (no watch at the new one within 8 s). The same for EMFILE or EIO at the reading. Cause: platform/reloading.py tried once. Change: an unreadable file, or no whole JSON, is read again each 100 ms for 2 s; what is wrong with whole settings is told at once, as before. At the start the signals' pair and the listening socket are tried again for a second where the system is short of something.

--- a/stackpitch/loop/real/listener.py
+++ b/stackpitch/loop/real/listener.py
@@ -43,10 +43,16 @@
     def __init__(self, world: "RealWorld", address: Address, backlog: int) -> None:
         self.world, self.backlog = world, backlog
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(address)
-        self.sock.listen(backlog)
-        self.address: Address = self.sock.getsockname()
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.sock.bind(address)
+            self.sock.listen(backlog)
+            self.address: Address = self.sock.getsockname()
+            self.fd = self.sock.fileno()
+            self.interest = Interest(world, self.fd, select.EPOLLIN, self.on_event)
+        except OSError:
+            self.sock.close()
+            raise
         self.waiter: Task | None = None
         self.failed = 0  # calls of accept since the last that brought a connection
         self.choked, self.fillers = False, list[socket.socket]()
@@ -56,8 +62,6 @@
             world.now()
         )  # when the first in its queue came at the earliest; None: none is known
         self.marked, self.since_marked = world.now(), 0  # a time, and how many have been taken since
-        self.fd = self.sock.fileno()
-        self.interest = Interest(world, self.fd, select.EPOLLIN, self.on_event)
 
     def on_event(self, events: int) -> None:
         if self.since is None:
--- a/stackpitch/platform/config.py
+++ b/stackpitch/platform/config.py
@@ -20,6 +20,12 @@
     """A configuration that can't be used; its text names the field."""
 
 
+class Unreadable(BadConfig):
+    """The file can't be read now, or is no whole JSON: it may be in a moment."""
+
+    remedy = "look at the file's rights, the disk and the limit of descriptors; write it beside and rename it into place"
+
+
 class Config(msgspec.Struct, frozen=True):
     """What was read, whole."""
 
@@ -59,7 +65,7 @@
 
 
 def read(given: Mapping[str, str]) -> Config:
-    """`given`: the process's environment. Raises BadConfig."""
+    """`given`: the process's environment. Raises BadConfig, of which Unreadable where another try may help."""
     path = given.get("RELAY_CONFIG")
     if not path:
         raise BadConfig("RELAY_CONFIG: missing")
@@ -67,7 +73,7 @@
         with open(path, "rb") as file:  # pathlib would bring in urllib
             tree = msgspec.json.decode(file.read())
     except (OSError, msgspec.DecodeError, ValueError, RecursionError) as wrong:
-        raise BadConfig(f"RELAY_CONFIG: {wrong}") from None
+        raise Unreadable(f"RELAY_CONFIG: {wrong}") from None
     try:
         top = Tree(tree)
         limits = top.tree("limits")
--- a/stackpitch/platform/reloading.py
+++ b/stackpitch/platform/reloading.py
@@ -14,7 +14,7 @@
 
 from stackpitch.gateway.host import Host
 from stackpitch.gateway.pool import Budget
-from stackpitch.loop import World
+from stackpitch.loop import MS, Coro, World
 from stackpitch.platform import config, watching
 from stackpitch.platform.discovery import Discovery
 from stackpitch.platform.door import PlatformDoor
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from stackpitch.platform.lines import Lines
 
+TRIES, PAUSE = 20, 100 * MS  # what a new configuration has to tell counts four seconds after the signal
 RESTART = ("name", "listen")  # fields that can't change while the process runs
 
 
@@ -45,13 +46,23 @@
         self.world, self.log, self.given, self.plan = world, log, given, plan
         self.host, self.budget, self.door, self.discovery = host, budget, door, discovery
 
+    def reload_patiently(self) -> Coro[None]:
+        """Guards against a file that can't be read for a moment, or is still being written: nobody sends the signal again."""
+        for tried in range(TRIES):
+            try:
+                self.reload()
+                return
+            except config.Unreadable as wrong:
+                if not tried:
+                    self.log.error("reload_failed", why=str(wrong), remedy=wrong.remedy, again=TRIES - 1)
+            except config.BadConfig as wrong:
+                self.log.error("reload_failed", why=str(wrong))
+                return
+            yield from self.world.sleep(PAUSE)
+
     def reload(self) -> None:
-        """Reads the configuration anew and puts it in force; if it can't be used, its field is logged."""
-        try:
-            new = planned(self._with_kept_fields(config.read(self.given)), self.world.descriptors())
-        except config.BadConfig as wrong:
-            self.log.error("reload_failed", why=str(wrong))
-            return
+        """Reads the configuration anew and puts it in force. Raises BadConfig, and then nothing has changed."""
+        new = planned(self._with_kept_fields(config.read(self.given)), self.world.descriptors())
         old, self.plan = self.plan, new
         same = new.same_settings(old)
         if not same:
--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -1,9 +1,10 @@
 """Puts a gateway of the platform together from its configuration and runs it until it is told to stop."""
 
+import errno
 import gc
 import signal
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import Any, TypeVar
 
 from stackpitch.gateway.host import Host
 from stackpitch.gateway.pool import Budget
@@ -21,11 +22,14 @@
 from stackpitch.platform.reloading import Reloading
 from stackpitch.preferences import Preferences
 
+T = TypeVar("T")
 SAY = 30 * SECOND  # between two lines that tell what became of each product
 COUNT = 10 * SECOND  # between two that tell what each product met
 HEARTBEAT = (
     100 * MS
 )  # so exactly is known how long a request may have waited for the process; servers are told within 150
+MOMENTARY = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EINTR, errno.EAGAIN)
+START_TRIES, START_PAUSE = 20, 50 * MS
 STILL_COMING = 7 * SECOND // 10  # after SIGTERM connections still come
 
 
@@ -37,7 +41,7 @@
     SIGTERM: not ready any more; what comes within 0.7 s is taken, what is taken is answered. SIGHUP: the configuration
     is read anew (`reloading`). `ready` is told what was put together.
     """
-    caught = world.signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    caught = yield from _patiently(world, lambda: world.signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
     conf = config.read(given)
     log: Any = Lines(conf.name)
     counts: Any = NoCounts()
@@ -82,7 +86,7 @@
         )
         reloading = Reloading(world, log, given, plan, host, budget, door, discovery)
         host.begin()
-        listener = world.listen(conf.listen)
+        listener = yield from _patiently(world, lambda: world.listen(conf.listen))
         group.spawn(door.serve(group, listener), "door")
         group.spawn(discovery.run(), "discovery")
         group.spawn(_sweep(world, host), "sweep")
@@ -104,7 +108,7 @@
         # much as two readings of a list of 1,024 servers, and imports leave but some 200 objects to collect.
         gc.freeze()
         while (yield from caught()) == signal.SIGHUP:
-            reloading.reload()
+            group.spawn(reloading.reload_patiently(), "reload")
         group.spawn(_reloads(caught, reloading), "reloads")
         log.info("stopping", held=len(host.asks), connections=door.connections)
         door.close_idle()
@@ -121,6 +125,18 @@
     yield from world.group(body)
 
 
+def _patiently(world: World, make: Callable[[], T]) -> Coro[T]:
+    """Guards the start against a system that is short of something for a moment. Raises OSError."""
+    for left in reversed(range(START_TRIES)):
+        try:
+            return make()
+        except OSError as wrong:
+            if not left or wrong.errno not in MOMENTARY:
+                raise
+        yield from world.sleep(START_PAUSE)
+    raise AssertionError("the last try returns or raises")
+
+
 def _ready(world: World, door: PlatformDoor, discovery: Discovery) -> Coro[None]:
     """Ready with a fresh list; with the known one alone if discovery is silent."""
     with world.limit(SECOND // 2):
@@ -134,7 +150,7 @@
     before a SIGHUP that was sent first."""
     while True:
         if (yield from caught()) == signal.SIGHUP:
-            reloading.reload()
+            yield from reloading.reload_patiently()
 
 
 def _nothing() -> None:
--- a/tests/test_crossings_bad_input.py
+++ b/tests/test_crossings_bad_input.py
@@ -5,9 +5,13 @@
 all of it is put into its sockets, and one turn of its loop finds it.
 """
 
+import json
+import signal
+import time
 from pathlib import Path
 
 from crossing_clients import Client, chat_request, in_body
+from crossing_discovery import ListDiscovery
 from crossing_gateway import RunningGateway
 from crossing_sockets import fresh_id
 from crossing_workers import STREAM_HEAD, Attempt, attempt_anywhere, fleet
@@ -100,3 +104,18 @@
             )
             for client in (spoilt, good):
                 client.close()
+
+
+def test_a_configuration_that_is_still_being_written_at_its_signal(tmp_path: Path) -> None:
+    """Nobody sends the signal again: the address that the whole file names is asked in time."""
+    workers = fleet("r1", "w1")
+    with RunningGateway(tmp_path, workers) as gateway:
+        other = ListDiscovery(workers)
+        file = tmp_path / "c"
+        whole = json.dumps(json.loads(file.read_text()) | {"discovery": f"127.0.0.1:{other.port}"})
+        file.write_text(whole[: len(whole) // 2])
+        gateway.signal(signal.SIGHUP)
+        time.sleep(0.5)
+        file.write_text(whole)
+        other.taken()
+        gateway.served()
