A stream that is attended while its task waits elsewhere keeps no loop busy

Read: EngineLeg._relay attends the engine's stream while it waits for a slow client; watched by level, each wait would have ended at once. Epoll is asked about reading again only once what it told of has been taken. test_level_watch holds turns of the loop for bytes, ends and resets that nobody takes.

--- a/stackpitch/loop/real/stream.py
+++ b/stackpitch/loop/real/stream.py
@@ -46,6 +46,7 @@
         self.eof = self.closed = self.finishing = False
         self.broken = False  # with bytes still buffered here
         self.readable = True  # or may be
+        self.told = False  # epoll has told of something that has not been taken whole since
         self.reader: Task | None = None
         self.writer: Task | None = None
         self.out = bytearray()
@@ -71,10 +72,9 @@
 
     def _on_input(self, ended: bool) -> None:
         self.eof = self.eof or ended
-        untaken = self.readable and self.reader is None
-        if self.eof or untaken:
+        if self.eof or self.told:
             self.interest.change(self.interest.events & ~WAIT_IN)
-        self.readable = True
+        self.readable = self.told = True
         if self.since is None:
             self.since = self.world.found
         if self.reader is not None:
@@ -92,7 +92,7 @@
 
     def _emptied(self) -> None:
         """There is nothing more to read, as far as is known: epoll tells if there is, or when it comes."""
-        self.readable, self.since = False, None
+        self.readable, self.told, self.since = False, False, None
         self.interest.change(self.interest.events | WAIT_IN)
 
     def attend(self, task: Task | None) -> None:
