One pure module permits attempts to be sent, started, cancelled and held for, and counts what it forbids

gateway/permission.py: asked at the instant of acting by the attempt's write, the start of a stream, the module's cancel and the call that holds a place. Two reasons can't come up unless the module has erred (an earlier attempt is out; one may have had its effect): forbidden, and logged as errors with the request's id.

--- a/stackpitch/gateway/host/asked.py
+++ b/stackpitch/gateway/host/asked.py
@@ -8,6 +8,7 @@
 from stackpitch.gateway.host.told import Told
 from stackpitch.gateway.host.words import NOBODY, Peers, Words
 from stackpitch.gateway.outcomes import End, Phase
+from stackpitch.gateway.permission import Act, Now, may_cancel
 from stackpitch.gateway.pool import Budget
 from stackpitch.gateway.roster import Roster
 from stackpitch.interface import Generation, Leg, Server, Time
@@ -115,7 +116,11 @@
 
     def cancel(self, leg: Leg) -> None:
         ask = self.asks.get(leg.gen)
-        if ask is not None and leg is not ask.serving and (task := ask.tasks.get(leg)) is not None:
+        if ask is None or (task := ask.tasks.get(leg)) is None:
+            return
+        if (reason := may_cancel(leg, Now(self.world.now(), serving=ask.serving))) is not None:
+            self.forbidden(Act.CANCEL, reason, leg)
+        else:
             task.cancel()
 
     def probe(self, server: Server) -> None:
--- a/stackpitch/gateway/host/told.py
+++ b/stackpitch/gateway/host/told.py
@@ -14,6 +14,7 @@
 from stackpitch.gateway.counters import Counters
 from stackpitch.gateway.host.front import Front
 from stackpitch.gateway.outcomes import End
+from stackpitch.gateway.permission import Act, Now, Reason, Refusals, may_start
 from stackpitch.gateway.pool import Budget, Pool
 from stackpitch.gateway.roster import Roster
 from stackpitch.interface import Generation, Leg, Report, Server, Time
@@ -61,7 +62,7 @@
         self.earlier: dict[
             Generation, ArrivalSettings
         ] = {}  # of those from before a reload; emptied as `asks`
-        self.doubts, self.counters = Doubts(), Counters()
+        self.doubts, self.counters, self.refusals = Doubts(), Counters(), Refusals()
         self.relayed = 0
         self.emptied: Callable[[], None] | None = None
 
@@ -186,11 +187,21 @@
 
     # What the legs tell.
 
+    def forbidden(self, act: Act, reason: Reason, leg: Leg) -> None:
+        """An act was not permitted. Where the module must not have asked for it, that is told with the request's id."""
+        if self.refusals.note(act, reason):
+            self.logger.error(
+                "invariant_broken", act=act, reason=reason, generation=leg.gen.name, server=leg.server.name
+            )
+
     def leg_started(self, ask: Ask, leg: Leg, fetched: bool) -> bool:
         """The first token is here; False if nobody wants it. `fetched`: the writer took the state that it was sent to."""
         task = ask.tasks.get(leg)
-        if ask.gen.over or ask.serving is not None or (task is not None and task.struck() is not None):
-            return False  # the last: cancelled in the very turn in which the token came
+        cancelled = task is not None and task.struck() is not None  # in the very turn in which the token came
+        now = Now(self.world.now(), cancelled=cancelled, serving=ask.serving)
+        if (reason := may_start(leg, now)) is not None:
+            self.forbidden(Act.START, reason, leg)
+            return False
         leg.streaming, ask.serving = True, leg
         ask.begin(self.world.now())
         self.front.started(ask, leg, fetched)
--- a/stackpitch/gateway/leg.py
+++ b/stackpitch/gateway/leg.py
@@ -7,6 +7,7 @@
 from stackpitch.gateway.bounds import Bounds as Bounds  # the platform's front takes both from here
 from stackpitch.gateway.outcomes import Break, Phase, broken
 from stackpitch.gateway.outcomes import End as End
+from stackpitch.gateway.permission import Act, Now, may_send
 from stackpitch.gateway.pool import NoneFree, Pool
 from stackpitch.gateway.repeats import latest
 from stackpitch.gateway.taking import taken
@@ -112,18 +113,15 @@
         Guards against attempts for clients that have gone, and against new work for a server that was listed as
         draining or gone while the attempt waited.
         """
-        ask = self.carried
-        if not self.leg.gen.over and ask.left():
+        ask, world = self.carried, self.host.world
+        left = not self.leg.gen.over and ask.left()
+        if left:
             self.host.departed(ask)
-        if self.leg.gen.over:
-            raise NotSent("its client has left")
-        if self.leg.server.state != "ready":
-            raise NotSent(f"its server is {self.leg.server.state}")
-        until, world = latest(self.leg), self.host.world
-        if self.time_left() <= 0 or world.current.struck() is not None:
-            raise NotSent("given up in the very turn in which its connection came about")
-        if until is not None and world.now() >= until:
-            raise NotSent("its servers may have forgotten an earlier leg")
+        now = Now(world.now(), left, world.current.struck() is not None, self.ends)
+        if (reason := may_send(self.leg, now)) is not None:
+            self.host.forbidden(Act.SEND, reason, self.leg)
+            raise NotSent(reason)
+        until = latest(self.leg)
         self.phase[0] = Phase.WRITING
         stream.write(request)
         if stream.buffered:
--- /dev/null
+++ b/stackpitch/gateway/permission.py
@@ -0,0 +1,115 @@
+"""Whether an attempt may be sent, started for the client, cancelled, or a place be held for it, now. Pure.
+
+Asked at the instant of acting, with the facts as they are then: what the decision module knew when it decided may be
+long past, as a connection may have been in the making meanwhile, or this process not have run. Callers don't repeat
+these conditions. What is forbidden is counted by act and reason (`Refusals`). Some reasons can't come up unless the
+module has erred (`INVARIANTS`): those are told as errors with the request's id.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+from enum import StrEnum
+
+from stackpitch.gateway.repeats import latest
+from stackpitch.interface import Leg, Time
+
+
+class Act(StrEnum):
+    SEND = "send"  # the attempt's first byte
+    START = "start"  # its stream, for the client
+    CANCEL = "cancel"
+    HOLD = "hold"  # a place for its next part
+
+
+class Reason(StrEnum):
+    """Why an act is forbidden."""
+
+    CLIENT_LEFT = "client-left"
+    ANSWERED = "answered"  # the request has its final answer
+    SERVER_DRAINING = "server-draining"
+    SERVER_GONE = "server-gone"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+    WINDOW = "window"  # servers may have forgotten an earlier attempt with this key
+    ANOTHER_OUT = "another-out"  # an earlier attempt has no outcome yet
+    MAY_HAVE_RUN = "may-have-run"  # an earlier attempt may have had its effect, which must not come twice
+    ANOTHER_SERVES = "another-serves"  # the client gets another attempt's stream
+    SERVES = "serves"  # the client gets this attempt's stream
+    ENDED = "ended"  # the attempt has its outcome
+
+
+INVARIANTS = frozenset({Reason.ANOTHER_OUT, Reason.MAY_HAVE_RUN})
+
+
+@dataclass(frozen=True, slots=True)
+class Now:
+    """What is known of an attempt at the instant of acting, beside what it says itself."""
+
+    time: Time
+    client_left: bool = False
+    cancelled: bool = False
+    deadline: Time | None = None  # of the attempt
+    serving: Leg | None = None  # the attempt whose stream the client gets
+
+
+def may_send(leg: Leg, now: Now) -> Reason | None:
+    """None: it may."""
+    request = leg.gen
+    if now.client_left:
+        return Reason.CLIENT_LEFT
+    if request.over:
+        return Reason.ANSWERED
+    if leg.server.state != "ready":
+        return Reason.SERVER_DRAINING if leg.server.state == "draining" else Reason.SERVER_GONE
+    if now.cancelled:
+        return Reason.CANCELLED
+    if now.deadline is not None and now.time >= now.deadline:
+        return Reason.DEADLINE
+    earlier = [one for one in request.legs if one is not leg]
+    if any(one.outcome is None for one in earlier):
+        return Reason.ANOTHER_OUT
+    if request.product.effect == "side-effecting" and any(one is not leg for one in request.ran()):
+        return Reason.MAY_HAVE_RUN
+    until = latest(leg)
+    if until is not None and now.time >= until:
+        return Reason.WINDOW
+    return None
+
+
+def may_start(leg: Leg, now: Now) -> Reason | None:
+    """None: the client may get this attempt's stream."""
+    if leg.gen.over:
+        return Reason.ANSWERED
+    if now.serving is not None:
+        return Reason.ANOTHER_SERVES
+    return Reason.CANCELLED if now.cancelled else None
+
+
+def may_cancel(leg: Leg, now: Now) -> Reason | None:
+    """None: its task may be ended."""
+    if leg is now.serving:
+        return Reason.SERVES
+    return Reason.ENDED if leg.outcome is not None else None
+
+
+def may_hold(leg: Leg) -> Reason | None:
+    """None: a place may be asked for."""
+    return Reason.ANSWERED if leg.gen.over else None
+
+
+class Refusals:
+    """What was forbidden since it was last told. As many entries as there are acts and reasons."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[tuple[Act, Reason]] = Counter()
+
+    def note(self, act: Act, reason: Reason) -> bool:
+        """Whether an invariant is broken: the module has decided what it must not."""
+        self.counts[act, reason] += 1
+        return reason in INVARIANTS
+
+    def take(self) -> dict[str, int]:
+        """By `act reason`; counts anew from now on."""
+        found = {f"{act} {reason}": count for (act, reason), count in sorted(self.counts.items())}
+        self.counts.clear()
+        return found
--- a/stackpitch/loop/world.py
+++ b/stackpitch/loop/world.py
@@ -116,7 +116,7 @@
         self.unseen: Time = 0  # at most how long what it found had waited for it
         self.on_hog: Callable[[str, Time], None] | None = None  # name and time of a step over `hog_limit`
         self.hog_limit: Time = 500
-        self.faults: Counter[tuple[str, str]] = Counter()  # by call and cause; emptied by who tells of them
+        self.faults: Counter[tuple[str, str]] = Counter()  # by call and cause; emptied by `take_faults`
 
     @property
     def current(self) -> Task:
@@ -181,6 +181,12 @@
         """A call of the system failed for a reason of this machine's own."""
         self.faults[call, cause] += 1
 
+    def take_faults(self) -> dict[str, int]:
+        """By `call: cause`; counts anew from now on."""
+        found = {f"{call}: {cause}": count for (call, cause), count in sorted(self.faults.items())}
+        self.faults.clear()
+        return found
+
     def chance(self, name: str) -> Random:
         """A source of its own for each name, from the world's seed."""
         return Random(crc32(f"{self.seed} {name}".encode()))
--- a/stackpitch/platform/leases.py
+++ b/stackpitch/platform/leases.py
@@ -3,6 +3,7 @@
 from stackpitch.gateway.ask import Ask
 from stackpitch.gateway.bounds import Bounds
 from stackpitch.gateway.host import Host
+from stackpitch.gateway.permission import Act, may_hold
 from stackpitch.interface import Generation, Leg, Report, Server, Time
 from stackpitch.loop import MS, Coro
 from stackpitch.platform.ask import PlatformAsk
@@ -26,7 +27,8 @@
             if leg.outcome is not None:
                 return False
             yield from self.host.world.sleep(MS)
-        if ask.gen.over:  # its client has left: nothing more is to be held
+        if (reason := may_hold(leg)) is not None:
+            self.host.forbidden(Act.HOLD, reason, leg)
             return False
         answer = yield from self.host.call(server, "POST", platform.LEASES + ask.gen.name, b"")
         if answer is None or answer.status in (200, 204):  # unknown is perhaps held
--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -10,7 +10,7 @@
 from stackpitch.gateway.pool import Budget
 from stackpitch.gateway.roster import Roster
 from stackpitch.interface import Time
-from stackpitch.loop import MS, SECOND, Coro, Group, World
+from stackpitch.loop import MS, SECOND, Coro, Group, LocalFault, World
 from stackpitch.platform import config, watching
 from stackpitch.platform.discovery import Discovery
 from stackpitch.platform.door import PlatformDoor
@@ -91,7 +91,7 @@
         group.spawn(discovery.run(), "discovery")
         group.spawn(_sweep(world, host), "sweep")
         group.spawn(_each(world, SAY, log.classes), "classes")
-        group.spawn(_each(world, COUNT, lambda: log.counters(host.counters)), "counters")
+        group.spawn(_each(world, COUNT, lambda: _tell_counts(world, host, log)), "counters")
         group.spawn(_each(world, HEARTBEAT, _nothing), "heartbeat")
         group.spawn(_ready(world, door, discovery), "ready")
         log.info(
@@ -118,7 +118,7 @@
             door.close_idle()
             yield from world.sleep(20 * MS)
         log.classes()
-        log.counters(host.counters)
+        _tell_counts(world, host, log)
         log.info("stopped")
         group.cancel()
 
@@ -153,6 +153,15 @@
             yield from reloading.reload_patiently()
 
 
+def _tell_counts(world: World, host: Host, log: Lines) -> None:
+    """What came of each class, what was not permitted, and which calls of the system failed, each since the last time."""
+    log.counters(host.counters)
+    if refused := host.refusals.take():
+        log.info("not_permitted", **refused)
+    if faults := world.take_faults():
+        log.warning("system_faults", **faults, remedy=LocalFault.remedy)
+
+
 def _nothing() -> None:
     """A timer that is due often lets the loop see for how long it was not run (`World.unseen`)."""
 
