A soak of real gateway processes on loopback, judged from outside

python -m soak: 10 to 14 gateways of the users' platform with stand-in workers, discovery and clients; signals, faults of the network, of system calls and of the wall clock overlap by two and three, drawn from the seed. The oracle reads only what workers and clients saw.

--- /dev/null
+++ b/soak/clients.py
@@ -0,0 +1,194 @@
+"""Clients of the soak: good ones, and such that leave, stop in the middle, read slowly or send on."""
+
+import asyncio
+import json
+import socket
+import struct
+import time
+from contextlib import suppress
+from random import Random
+
+from soak.records import Record, Request
+from stackpitch.wire import http
+
+LIMITS = {"chat": 4.0, "pay": 4.0, "order": 9.0}  # seconds, as the settings have them
+KINDS = ["good"] * 14 + ["leaves", "resets", "stops", "slow", "half-closes"]
+EVENT_BOUND = 0.3  # seconds after its worker wrote it by which an event is here
+PATIENCE = 4.0  # seconds over its limit for which a client waits: what comes later is as if it never came
+MOST_OF_STOPPED = (
+    4.0  # seconds in which one that stops in the middle of a request is owed an error or a close
+)
+
+
+class Client:
+    """Asks one gateway again and again, on one connection as long as it lasts."""
+
+    def __init__(self, number: int, gateway: str, record: Record, random: Random, host: str) -> None:
+        self.number, self.gateway, self.record, self.random, self.host = number, gateway, record, random, host
+        self.port = 0
+        self.count = 0
+        self.session = f"{number:08x}"
+        self.over = False
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+
+    def _name(self) -> str:
+        self.count += 1
+        return f"{self.number:06x}{self.count:010x}"
+
+    async def run(self, pause: float) -> None:
+        """Until `over`; `pause`: the mean between two requests."""
+        while not self.over:
+            await asyncio.sleep(self.random.expovariate(1 / pause))
+            if not self.over:
+                await self._ask_once()
+        self._close()
+
+    async def _ask_once(self) -> None:
+        kind = self.random.choice(KINDS)
+        product = self.random.choices(list(LIMITS), [6, 3, 2])[0]
+        limit = LIMITS[product] * self.random.uniform(0.15, 1)
+        for _ in range(
+            3
+        ):  # a kept connection may end as a request is written to it; a restarted gateway refuses
+            request = Request(self._name(), product, self.gateway, limit, kind=kind)
+            kept = self.writer is not None
+            if not await self._connect():
+                await asyncio.sleep(0.1)
+                continue
+            self.record.requests.append(request)
+            await self._ask(request)
+            unanswered = request.status == 0 and request.left is None and kind != "stops"
+            if not (unanswered and kept and request.ended is not None):
+                return
+            request.resent = "again"
+
+    async def _connect(self) -> bool:
+        if self.writer is not None and not self.writer.is_closing():
+            return True
+        try:
+            self.reader, self.writer = await asyncio.open_connection(self.host, self.port, limit=1 << 20)
+        except OSError:
+            self.writer = None
+            return False
+        self.writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return True
+
+    def _close(self, reset: bool = False) -> None:
+        if self.writer is not None:
+            if reset:
+                with suppress(OSError):
+                    self.writer.get_extra_info("socket").setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                    )
+            self.writer.close()
+        self.reader = self.writer = None
+
+    def _bytes(self, request: Request) -> bytes:
+        body = b'{"stream":true,"pad":"' + b"x" * self.random.randint(0, 3000) + b'"}'
+        return http.request(
+            "POST",
+            "/v1/chat/completions",
+            "soak",
+            body,
+            [
+                ("req-id", request.name),
+                ("req-kind", request.product),
+                ("req-deadline-ms", str(int(request.limit * 1000))),
+                ("req-extra", f"prompt_len={self.random.randint(50, 2000)},max_out=50"),
+                ("req-key", self.session),
+                ("soak-gateway", self.gateway),
+            ],
+        )
+
+    async def _ask(self, request: Request) -> None:
+        assert self.writer is not None
+        data, kind = self._bytes(request), request.kind
+        try:
+            if kind == "stops":
+                await self._stop(request, data)
+                return
+            cut = self.random.randint(1, len(data) - 1)
+            if self.random.random() < 0.1:
+                self.writer.write(data[:cut])
+                await asyncio.sleep(self.random.uniform(0, 0.2))
+                data = data[cut:]
+            self.writer.write(data)
+            request.sent = time.monotonic()
+            answer = asyncio.ensure_future(self._answer(request))
+            if kind in ("leaves", "resets", "half-closes"):
+                await asyncio.wait({answer}, timeout=self.random.uniform(0, 0.25))
+                if not answer.done():
+                    await self._leave(request, kind)
+                    answer.cancel()
+            await answer
+        except (OSError, http.BadMessage, asyncio.CancelledError):
+            request.ended = request.ended or time.monotonic()
+            self._close()
+
+    async def _leave(self, request: Request, kind: str) -> None:
+        assert self.writer is not None
+        if kind == "half-closes":
+            with suppress(OSError):
+                self.writer.write_eof()
+            await asyncio.sleep(0.3)
+        request.left = time.monotonic() - (0.3 if kind == "half-closes" else 0)
+        self._close(kind == "resets")
+
+    async def _stop(self, request: Request, data: bytes) -> None:
+        """Sends a part and stays: an error or a close is owed."""
+        assert self.writer is not None and self.reader is not None
+        self.writer.write(data[: self.random.randint(1, len(data) - 1)])
+        begun = time.monotonic()
+        try:
+            async with asyncio.timeout(3 * MOST_OF_STOPPED):
+                while await self.reader.read(65536):
+                    pass
+        except TimeoutError:
+            pass
+        except OSError:
+            pass
+        request.ended = time.monotonic()
+        request.whole = request.ended - begun <= MOST_OF_STOPPED
+        self._close()
+
+    async def _answer(self, request: Request) -> None:
+        assert self.reader is not None and request.sent is not None
+        reader = http.ResponseReader(1 << 14, 1 << 20)
+        until = request.sent + request.limit + PATIENCE
+        texts = b""
+        while not reader.complete:
+            if request.kind == "slow":
+                await asyncio.sleep(0.02)
+            try:
+                async with asyncio.timeout(
+                    max(0.01, until + 30 * (request.status == 200) - time.monotonic())
+                ):
+                    data = await self.reader.read(256 if request.kind == "slow" else 65536)
+            except TimeoutError:
+                request.ended = time.monotonic()
+                self._close()
+                return
+            now = time.monotonic()
+            if not data:
+                request.ended = now
+                self._close()
+                return
+            reader.feed(data)
+            if reader.head_done and not request.status:
+                request.status, request.began = reader.status, now
+            texts = self._note_events(request, texts + b"".join(reader.pieces), now)
+        request.ended, request.whole, request.surplus = time.monotonic(), True, bytes(reader.extra)
+        if not reader.keep_alive or reader.extra:
+            self._close()
+
+    @staticmethod
+    def _note_events(request: Request, texts: bytes, now: float) -> bytes:
+        """What is left of a part of the stream once its whole events have been looked at."""
+        *whole, rest = texts.split(b"\n\n")
+        for one in whole if request.status == 200 else ():
+            if one.startswith(b"data: {") and b'"content"' in one:
+                written = float(json.loads(one[6:])["choices"][0]["delta"]["content"])
+                if now - written > EVENT_BOUND:
+                    request.late_events.append(now - written)
+        return rest
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,88 @@
+"""What happens in a run, drawn from its seed: troubles that overlap by two and three, some after a long quiet time."""
+
+from dataclasses import dataclass
+from random import Random
+
+WORKER_MODES = ("hang", "hang-midway", "fail", "decline", "break", "slow", "stray")
+WORKER_NETWORK = ("silent", "delay", "pieces", "cut", "half-close", "garbage", "reset", "close-idle")
+WORKER_LIFE = ("die", "drain", "join")
+GATEWAY_SIGNALS = ("stop-short", "stop-long", "kill", "roll", "hup", "hup-settings")
+GATEWAY_SYSTEM = ("short-io", "local", "clock", "broken-io")
+DISCOVERY = ("discovery-down", "discovery-silent", "discovery-late", "discovery-reset", "discovery-pieces")
+CLIENTS = ("burst", "crowd")
+GROUPS = (WORKER_MODES, WORKER_NETWORK, WORKER_LIFE, GATEWAY_SIGNALS, GATEWAY_SYSTEM, DISCOVERY, CLIENTS)
+QUIET, LONG_QUIET = 1.5, 13.0  # seconds; the latter is over the time for which resting connections are kept
+LONG_QUIET_PART = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    kind: str
+    at: float  # seconds from the start
+    length: float
+    targets: tuple[int, ...]  # numbers of gateways or workers
+    amount: float  # from 0 to 1; what it means is the kind's
+
+    def __str__(self) -> str:
+        return f"{self.at:6.2f} s  {self.kind} for {self.length:.2f} s at {list(self.targets)}, {self.amount:.2f}"
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    gateways: int
+    readers: int
+    writers: int
+    clients: int
+    pause: float  # mean seconds between a client's requests
+    second_copies: bool
+    release_ms: int
+    seconds: float
+    troubles: tuple[Trouble, ...]
+
+
+def drawn(seed: int, seconds: float, gateways: int) -> Plan:
+    """The same for the same arguments. `gateways`: 0 for a number of its own."""
+    random = Random(seed)
+    count = gateways or random.randint(10, 14)
+    readers, writers = random.randint(4, 8), random.randint(4, 8)
+    troubles: list[Trouble] = []
+    at = 2.0
+    while at < seconds - 6:
+        at += LONG_QUIET if random.random() < LONG_QUIET_PART else random.expovariate(1 / QUIET)
+        for group in random.sample(GROUPS, random.choice((2, 2, 3))):
+            kind = random.choice(group)
+            length = random.uniform(0.3, 4)
+            troubles.append(
+                Trouble(
+                    kind,
+                    at + random.uniform(0, 0.8),
+                    length,
+                    _targets(random, kind, count, readers, writers),
+                    random.random(),
+                )
+            )
+        at += 3.0
+    return Plan(
+        count,
+        readers,
+        writers,
+        clients=4 * count,
+        pause=0.4,
+        second_copies=random.random() < 0.5,
+        release_ms=random.choice((400, 500, 800)),
+        seconds=seconds,
+        troubles=tuple(sorted((one for one in troubles if one.at < seconds - 4), key=lambda one: one.at)),
+    )
+
+
+def _targets(random: Random, kind: str, gateways: int, readers: int, writers: int) -> tuple[int, ...]:
+    """A part of the workers, seldom all of a role; some of the gateways, of those that are killed one or two."""
+    if kind in WORKER_MODES + WORKER_NETWORK + WORKER_LIFE:
+        workers = readers + writers
+        most = max(1, workers // 3)
+        found = random.sample(range(workers), random.randint(1, most))
+        if kind in WORKER_MODES + WORKER_NETWORK and random.random() < 0.1:
+            found = list(range(readers)) if random.random() < 0.5 else list(range(readers, workers))
+        return tuple(sorted(found))
+    most = {"kill": 2, "roll": 3, "stop-long": 3}.get(kind, gateways)
+    return tuple(sorted(random.sample(range(gateways), random.randint(1, most))))
--- /dev/null
+++ b/soak/records.py
@@ -0,0 +1,94 @@
+"""What clients, stand-in workers and discovery saw: the only things that the oracle judges by. Times are monotonic
+seconds of this machine."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Attempt:
+    """A request that came in at a worker, as its socket showed it."""
+
+    worker: str
+    role: str
+    began: float  # its first byte
+    whole: float | None = None  # its last byte
+    request: str = ""
+    gateway: str = ""
+    told_ms: int = 0  # the deadline that the worker was told
+    ended: float | None = None  # its answer was handed over whole, or its connection ended
+    outcome: str = ""  # read, streamed, declined, spoilt, gone
+    events: int = 0
+
+
+@dataclass(slots=True)
+class Request:
+    """One request of a client."""
+
+    name: str
+    product: str
+    gateway: str
+    limit: float
+    sent: float | None = None  # its last byte was handed over
+    left: float | None = None  # its client closed or reset
+    status: int = 0
+    began: float | None = None  # the answer's head came
+    ended: float | None = None  # the answer was whole, or its connection ended
+    whole: bool = False
+    surplus: bytes = b""  # after the answer
+    resent: str = ""  # the name under which it was sent again, its connection having ended unanswered
+    late_events: list[float] = field(default_factory=list)  # seconds over those allowed
+    kind: str = "good"  # what its client does: good, leaves, stops, reads slowly
+
+
+@dataclass(slots=True)
+class Release:
+    """A call that lets go of what is held for a request."""
+
+    request: str
+    worker: str
+    at: float
+
+
+@dataclass(slots=True)
+class Pause:
+    """A time in which a gateway process did not run, or did not exist."""
+
+    gateway: str
+    begin: float
+    end: float
+    killed: bool = False
+
+
+@dataclass(slots=True)
+class Told:
+    """A worker was listed as draining or gone, in an answer that discovery handed over to a gateway."""
+
+    gateway: str
+    worker: str
+    at: float
+
+
+@dataclass(slots=True)
+class Start:
+    """A worker started cold."""
+
+    worker: str
+    role: str
+    at: float
+
+
+@dataclass(slots=True)
+class Record:
+    """All of one run."""
+
+    settings: dict[str, object]
+    attempts: list[Attempt] = field(default_factory=list)
+    requests: list[Request] = field(default_factory=list)
+    releases: list[Release] = field(default_factory=list)
+    pauses: list[Pause] = field(default_factory=list)
+    told: list[Told] = field(default_factory=list)
+    starts: list[Start] = field(default_factory=list)
+    broken_io: set[str] = field(default_factory=set)  # gateways whose connections were made to break
+    wrong: list[str] = field(default_factory=list)  # crashes, log lines and what else the run itself found
+    troubles: list[str] = field(default_factory=list)  # the story, for people
+    lag: float = 0.0  # the longest time in which this harness did not run
