--- a/stackpitch/gateway/host/told.py
+++ b/stackpitch/gateway/host/told.py
@@ -142,7 +142,7 @@
         gen = ask.gen
         self.asks[gen] = ask
         self.metrics.held.set(len(self.asks))
-        ask.watch = self.world.at(gen.gives_up + self.bounds.watch, lambda: self._overdue(ask))
+        ask.watch = self.world.at(gen.gives_up + self.bounds.watch, lambda: self._watched(ask))
         brain = self.brain
         self._tell(ask, lambda now: brain.arrived(now, gen))
         if not gen.over and not gen.out() and not brain.keeps(gen):
@@ -166,6 +166,11 @@
         self._tell(ask, lambda now: brain.departed(now, ask.gen))
         self._settle(ask)
 
+    def _watched(self, ask: Ask) -> None:
+        """A process that did not run finds an attempt's time-out and this watch due in one turn: the time-out goes first,
+        so that the module, which may be able to promise more, has its say."""
+        ask.watch = self.world.at(self.world.now() + 1, lambda: self._overdue(ask))
+
     def _overdue(self, ask: Ask) -> None:
         """Guards rule 1 against the module or the loop being late."""
         if not ask.gen.over and not ask.begun:
--- a/tests/test_crossings_deadlines.py
+++ b/tests/test_crossings_deadlines.py
@@ -138,3 +138,16 @@
             clients: list[Client] = [gateway.ask(limit_ms=800), kept.ask(limit_ms=800)]
         for client in clients:
             check(workers[0].next(client.name), client.asked, 800)
+
+
+def test_a_process_that_did_not_run_while_its_last_attempt_timed_out(tmp_path: Path) -> None:
+    """It finds the attempt's time-out and its own watch on the request due in one turn. The module answers: a chat may
+    be asked for again."""
+    workers = fleet("r1*", "w1")
+    with RunningGateway(tmp_path, workers) as gateway:
+        client = gateway.ask("chat", 500)
+        workers[0].next(client.name)
+        gateway.looked()
+        with gateway.stopped(0.7):
+            pass
+        assert client.answer().status == 429
