Logs that answer: each request's steps, why it was given up, and why connections ended

The module says why it gives a request up (overload, no server, attempts ended). Ids made by the OpenAI-style listener no longer hold the wall clock.

--- a/stackpitch/brain/__init__.py
+++ b/stackpitch/brain/__init__.py
@@ -81,7 +81,7 @@
             self.fleet.strike(seat, now, leg)
         any(stage.back(now, leg, kept_tok, no_state) for stage in reversed(self.chain))  # until one keeps it
         if not gen.out():
-            self.guard.answer(gen)
+            self.guard.answer(gen, "attempts")
             self.writer.plan.pop(gen, seat).drop(gen)
 
     def keeps(self, gen: Generation) -> bool:
--- a/stackpitch/brain/admission.py
+++ b/stackpitch/brain/admission.py
@@ -32,5 +32,5 @@
                 f"wait={wait / MS:.0f}ms late={late / MS:.0f}ms held={held:.2f}"
             )
         if shed:
-            self.guard.answer(gen)
+            self.guard.answer(gen, "overload")
         return shed
--- a/stackpitch/brain/guard.py
+++ b/stackpitch/brain/guard.py
@@ -2,7 +2,7 @@
 
 from stackpitch.brain.fleet import Fleet
 from stackpitch.brain.seats import Seat
-from stackpitch.interface import MS, Generation, Leg, Product, Role, Server, Time
+from stackpitch.interface import MS, Generation, GivenUp, Leg, Product, Role, Server, Time
 
 
 def remembered_until(first: Time, product: Product) -> Time:  # a tenth is for the way there and clocks
@@ -46,11 +46,12 @@
     def send(self, now: Time, gen: Generation, seat: Seat, limit: Time) -> None:
         seat.waiting[self.gateway.send(gen, seat.server, max(MS, min(limit, gen.gives_up - now)))] = now
 
-    def answer(self, gen: Generation) -> None:
+    def answer(self, gen: Generation, why: GivenUp) -> None:
         """Gives up: throttled where the client may try again without harm, else terminated."""
         effect, scope = gen.product.effect, gen.product.scope
         safe = effect == "idempotent" or (effect, scope) == ("deduplicated", "all") or not self.ran(gen)
         if not gen.over:
+            gen.given_up = why
             self.gateway.throttle(gen, self.max_retry_after // 2) if safe else self.gateway.terminate(gen)
         self.let_go(gen)
 
--- a/stackpitch/brain/reader.py
+++ b/stackpitch/brain/reader.py
@@ -29,7 +29,7 @@
         cell = None if whole else self.fleet.writer_cell(seat.server.cell)
         goal = seat if seat and whole else self.writer.pick(now, gen, cell)
         if goal is None or seat is None and goal.server.role == "writer" and not self.local_reads:
-            self.guard.answer(gen)
+            self.guard.answer(gen, "no-server")
         elif whole:
             self.writer.send(now, gen, goal)
         else:
--- a/stackpitch/gateway/ask.py
+++ b/stackpitch/gateway/ask.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from stackpitch.gateway.pool import Pool
+from stackpitch.gateway.trace import Steps
 from stackpitch.interface import Generation, Leg, Server, Time
 from stackpitch.loop import Lost, Stream, Task, Timer
 from stackpitch.wire import http, sse
@@ -53,6 +54,7 @@
         self.patience: Time | None = (
             None  # for its client to take what is left of a whole answer; None: as for a small one
         )
+        self.steps: Steps = []  # what happened to it, for the log
         self.end = ""  # how it ended, for counts and logs
         self.waiter: Task | None = None  # the door's task
         self.watch: Timer | None = None
--- a/stackpitch/gateway/carrier.py
+++ b/stackpitch/gateway/carrier.py
@@ -24,6 +24,7 @@
 
     def pool(self, server: "Server") -> "Pool": ...
     def forbidden(self, act: "Act", reason: "Reason", leg: "Leg") -> None: ...  # counts it
+    def written(self, ask: "Ask", leg: "Leg") -> None: ...  # its last byte has been handed over
     def departed(self, ask: "Ask") -> None: ...  # its client has left
     def leg_started(self, ask: "Ask", leg: "Leg", fetched: bool) -> bool: ...  # False if nobody wants it
     def leg_ended(self, ask: "Ask", leg: "Leg", end: "End") -> None: ...
--- a/stackpitch/gateway/door.py
+++ b/stackpitch/gateway/door.py
@@ -3,6 +3,7 @@
 What can't be taken is refused at once with a clear answer; what is taken is the host's until its final answer.
 """
 
+from collections import Counter
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -11,6 +12,7 @@
 from stackpitch.gateway.endings import Endings, Resting
 from stackpitch.gateway.facts import BadRequest, Facts, Reading
 from stackpitch.gateway.host import Host
+from stackpitch.gateway.trace import Closing
 from stackpitch.interface import Generation, Time
 from stackpitch.loop import Coro, Group, Listener, Lost, Stream, World
 from stackpitch.wire import http
@@ -59,8 +61,12 @@
         self.margin = margin
         self.fresh = idle if fresh is None else fresh  # for a connection's first byte
         self.connections = self.bodies = self.count = 0
+        self.closings: Counter[Closing] = Counter()  # since they were last told; as many as there are reasons
+        self._why_after: dict[
+            Stream, Closing
+        ] = {}  # of connections that end behind their answer; emptied as they do
         self.accepting = True  # until the listener is closed
-        self.mark = f"{host.name}.{world.wall_ms() % 0x100000000:x}"
+        self.mark = f"{host.name}.{world.fresh():x}"  # no other start's, whatever the wall clock says
 
     def serve(self, group: Group, listener: Listener) -> Coro[None]:
         while True:
@@ -71,6 +77,7 @@
                 return  # the listener is closed: the gateway stops
             if self.connections - len(self.lingering) >= self.max_connections and not self._make_room():
                 self.metrics.refused.labels("connections").inc()
+                self.closings[Closing.OVERFULL] += 1
                 if self.turned < self.told_why:
                     self.turned += 1
                     group.spawn(self._turn_away(stream), "turn away")
@@ -83,6 +90,12 @@
             self.metrics.connections.labels("clients").set(self.connections)
             group.spawn(self._connection(stream), "client")
 
+    def take_closings(self) -> dict[str, int]:
+        """By reason; counts anew from now on."""
+        found = {str(reason): count for reason, count in sorted(self.closings.items())}
+        self.closings.clear()
+        return found
+
     def _connection(self, stream: Stream) -> Coro[None]:
         kept = False
         try:
@@ -90,13 +103,15 @@
                 kept = True
             self.lingering[stream] = None
             yield from self._farewell(stream)
-        except Lost:
-            pass  # the client broke it; what it had asked for was told as departed
+        except Lost:  # the client broke it; what it had asked for was told as departed
+            self.closings[Closing.BROKEN] += 1
         except Exception as wrong:  # one connection's fault ends that connection alone
+            self.closings[Closing.RAISED] += 1
             self.log.exception("door_raised", why=str(wrong))
         finally:
             stream.close()
             self.lingering.pop(stream, None)
+            self._why_after.pop(stream, None)
             self.connections -= 1
             self.metrics.connections.labels("clients").set(self.connections)
 
@@ -110,6 +125,7 @@
         try:
             first = yield from self._first(stream, kept)
             if not first:
+                self.closings[self._why_without_request(stream)] += 1
                 if not (kept or stream.eof or stream in self.lingering):
                     self._answer_unasked(stream)
                 return False
@@ -117,9 +133,14 @@
             reader.feed(first)
             held = yield from self._rest(stream, reader, 0)
             if not reader.complete:
-                return False  # the client left before its request was whole
-            return (yield from self._answer(stream, reader, began))
+                self.closings[Closing.CLIENT_ENDED] += 1
+                return False
+            if (yield from self._answer(stream, reader, began)):
+                return True
+            self.closings[self._why_after.pop(stream, Closing.LAST_ANSWER)] += 1
+            return False
         except http.BadMessage as wrong:
+            self.closings[Closing.BAD_REQUEST] += 1
             self.metrics.refused.labels(f"status {wrong.status}").inc()
             yield from self._error(
                 stream, wrong.status, "bad_message", str(wrong), again=wrong.status in (408, 503)
@@ -128,6 +149,11 @@
         finally:
             self.bodies -= held
 
+    def _why_without_request(self, stream: Stream) -> Closing:
+        if stream in self.lingering:
+            return Closing.MADE_ROOM
+        return Closing.CLIENT_ENDED if stream.eof else Closing.IDLE
+
     def _first(self, stream: Stream, kept: bool) -> Coro[bytes]:
         with self.world.limit(self.idle if kept else self.fresh) as scope:
             rest = self.waiting[stream] = Resting(kept, scope)
@@ -268,6 +294,7 @@
                 yield from self._flooded(stream)
             elif ask.sending_ended:
                 ask.answer_ended_sending()
+            self._why_after[stream] = Closing.CLIENT_LEFT
             return False
         ask.closing = self.stopping or not reader.keep_alive
         self.host.arrived(ask)
@@ -277,14 +304,18 @@
             if not ask.answered:
                 self.host.departed(ask)
         if ask.end == DEPARTED:
+            self._why_after[stream] = Closing.CLIENT_LEFT
             if ask.flooded:
                 yield from self._flooded(stream)
             return False
         if ask.cut:
+            self._why_after[stream] = Closing.STREAM_CUT
             return False
         if not (yield from self._taken(stream, ask.patience)):
+            self._why_after[stream] = Closing.NOT_TAKEN
             return False
         if ask.surplus or reader.extra:
+            self._why_after[stream] = Closing.PIPELINED
             yield from self._error(
                 stream, 400, "pipelining_refused", "ask again once the answer is whole", again=True
             )
--- a/stackpitch/gateway/host/asked.py
+++ b/stackpitch/gateway/host/asked.py
@@ -11,6 +11,7 @@
 from stackpitch.gateway.permission import Act, Now, may_cancel
 from stackpitch.gateway.pool import Budget
 from stackpitch.gateway.roster import Roster
+from stackpitch.gateway.trace import Step
 from stackpitch.interface import Generation, Leg, Server, Time
 from stackpitch.loop import Coro, Group, World
 from stackpitch.preferences import Preferences, RuledBrain
@@ -80,6 +81,7 @@
         leg = Leg(gen, len(gen.legs), server, self.world.now())
         gen.legs.append(leg)
         ask.unsent.add(leg)
+        self.note(ask, Step.SEND, server.name)
         ask.tasks[leg] = self.group.spawn(self.front.leg(ask, leg, limit), f"leg {gen.name}#{leg.number}")
         return leg
 
@@ -95,6 +97,7 @@
     def release(self, gen: Generation) -> None:
         ask = self.asks.get(gen)
         if ask is not None:
+            self.note(ask, Step.LET_GO)
             self.front.let_go(ask)
 
     def throttle(self, gen: Generation, retry_after: Time) -> None:
--- a/stackpitch/gateway/host/told.py
+++ b/stackpitch/gateway/host/told.py
@@ -17,6 +17,7 @@
 from stackpitch.gateway.permission import Act, Now, Reason, Refusals, may_start
 from stackpitch.gateway.pool import Budget, Pool
 from stackpitch.gateway.roster import Roster
+from stackpitch.gateway.trace import Step, Telling, lines
 from stackpitch.interface import Generation, Leg, Report, Server, Time
 from stackpitch.loop import Group, World
 from stackpitch.membership.entries import Entry
@@ -63,6 +64,7 @@
             Generation, ArrivalSettings
         ] = {}  # of those from before a reload; emptied as `asks`
         self.doubts, self.counters, self.refusals = Doubts(), Counters(), Refusals()
+        self.telling = Telling()
         self.relayed = 0
         self.emptied: Callable[[], None] | None = None
 
@@ -141,6 +143,7 @@
     def arrived(self, ask: Ask) -> None:
         gen = ask.gen
         self.asks[gen] = ask
+        self.note(ask, Step.ARRIVED)
         self.metrics.held.set(len(self.asks))
         ask.watch = self.world.at(gen.gives_up + self.bounds.watch, lambda: self._watched(ask))
         brain = self.brain
@@ -157,6 +160,7 @@
             return
         if ask.sending_ended and not ask.streaming:
             ask.answer_ended_sending()
+        self.note(ask, Step.CLIENT_LEFT)
         ask.gen.over = True
         ask.leave()
         for leg, task in list(ask.tasks.items()):
@@ -194,11 +198,17 @@
 
     def forbidden(self, act: Act, reason: Reason, leg: Leg) -> None:
         """An act was not permitted. Where the module must not have asked for it, that is told with the request's id."""
+        if (ask := self.asks.get(leg.gen)) is not None:
+            self.note(ask, Step.FORBIDDEN, f"{act} {reason} {leg.server.name}")
         if self.refusals.note(act, reason):
             self.logger.error(
                 "invariant_broken", act=act, reason=reason, generation=leg.gen.name, server=leg.server.name
             )
 
+    def written(self, ask: Ask, leg: Leg) -> None:
+        ask.unsent.discard(leg)
+        self.note(ask, Step.WRITTEN, leg.server.name)
+
     def leg_started(self, ask: Ask, leg: Leg, fetched: bool) -> bool:
         """The first token is here; False if nobody wants it. `fetched`: the writer took the state that it was sent to."""
         task = ask.tasks.get(leg)
@@ -208,6 +218,7 @@
             self.forbidden(Act.START, reason, leg)
             return False
         leg.streaming, ask.serving = True, leg
+        self.note(ask, Step.STARTED, leg.server.name)
         ask.begin(self.world.now())
         self.front.started(ask, leg, fetched)
         self.counters.started(self.world.now(), leg)
@@ -221,6 +232,7 @@
     def leg_ended(self, ask: Ask, leg: Leg, end: End) -> None:
         gen = ask.gen
         leg.outcome = end.outcome
+        self.note(ask, Step.ENDED, f"{leg.server.name} {end.outcome} {end.why}")
         ask.tasks.pop(leg, None)
         ask.unsent.discard(leg)
         self.metrics.legs.labels(leg.server.role, end.outcome).inc()
@@ -248,6 +260,23 @@
         if leg.server.state == "gone":
             self._forget_servers()
 
+    def note(self, ask: Ask, step: Step, what: str = "") -> None:
+        ask.steps.append((self.world.now(), step, what))
+
+    def _tell_steps(self, ask: Ask) -> None:
+        now = self.world.now()
+        if not self.telling.tells(now, ask.end):
+            return
+        ask.steps.append((now, Step.ANSWERED, f"{ask.end} {ask.gen.given_up or ''}"))
+        self.logger.info(
+            "request",
+            id=ask.gen.name,
+            product=ask.gen.product.name,
+            session=ask.gen.session,
+            left_out=self.telling.take_left_out(),
+            steps=lines(ask.gen, ask.steps),
+        )
+
     def _report(self, end: End) -> Report | None:
         if end.report is None:
             return None
@@ -277,6 +306,7 @@
             self.counters.over(ask.gen, ask.end, ask.first_token)
             self.metrics.held.set(len(self.asks))
             gen = ask.gen
+            self._tell_steps(ask)
             self.logger.log(
                 self.bounds.request_level,
                 "generation",
--- a/stackpitch/gateway/leg.py
+++ b/stackpitch/gateway/leg.py
@@ -133,7 +133,7 @@
                 if stream.buffered:
                     raise Lost("its servers may have forgotten an earlier leg before this one is whole")
         self.phase[0] = Phase.SENT
-        ask.unsent.discard(self.leg)
+        self.host.written(ask, self.leg)
 
     def _more(self, stream: Stream, most: int = 65536) -> Coro[bytes]:
         data = yield from stream.recv(most)
--- a/stackpitch/interface.py
+++ b/stackpitch/interface.py
@@ -18,6 +18,9 @@
 Outcome = Literal[
     "streamed", "read", "error", "full", "time-out", "unreachable", "reset", "cancelled", "not-sent"
 ]
+GivenUp = Literal[
+    "overload", "no-server", "attempts"
+]  # too long a wait; none may be sent to; none of them served
 NEVER_RAN: frozenset[Outcome] = frozenset({"read", "full", "unreachable", "not-sent"})
 
 
@@ -111,6 +114,7 @@
     repeat: bool  # the client says that it asks again
     resumed: bool  # comes back after a broken or moved stream
     over: bool = False  # has its final answer, or its client has left
+    given_up: GivenUp | None = None  # why the module gave it up
     legs: list[Leg] = field(default_factory=list)
 
     def slo(self) -> Time:
--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -9,6 +9,7 @@
 from stackpitch.gateway.host import Host
 from stackpitch.gateway.pool import Budget
 from stackpitch.gateway.roster import Roster
+from stackpitch.gateway.trace import TRACE_ALL
 from stackpitch.interface import Time
 from stackpitch.loop import MS, SECOND, Coro, Group, LocalFault, World
 from stackpitch.platform import config, watching
@@ -85,13 +86,14 @@
             world, host, log, conf.discovery, conf.known, watching.times(watching.share(conf.name, conf.seed))
         )
         reloading = Reloading(world, log, given, plan, host, budget, door, discovery)
+        host.telling.everything = given.get(TRACE_ALL) == "all"
         host.begin()
         listener = yield from _patiently(world, lambda: world.listen(conf.listen))
         group.spawn(door.serve(group, listener), "door")
         group.spawn(discovery.run(), "discovery")
         group.spawn(_sweep(world, host), "sweep")
         group.spawn(_each(world, SAY, log.classes), "classes")
-        group.spawn(_each(world, COUNT, lambda: _tell_counts(world, host, log)), "counters")
+        group.spawn(_each(world, COUNT, lambda: _tell_counts(world, host, door, log)), "counters")
         group.spawn(_each(world, HEARTBEAT, _nothing), "heartbeat")
         group.spawn(_ready(world, door, discovery), "ready")
         log.info(
@@ -118,7 +120,7 @@
             door.close_idle()
             yield from world.sleep(20 * MS)
         log.classes()
-        _tell_counts(world, host, log)
+        _tell_counts(world, host, door, log)
         log.info("stopped")
         group.cancel()
 
@@ -153,9 +155,12 @@
             yield from reloading.reload_patiently()
 
 
-def _tell_counts(world: World, host: Host, log: Lines) -> None:
-    """What came of each class, what was not permitted, and which calls of the system failed, each since the last time."""
+def _tell_counts(world: World, host: Host, door: PlatformDoor, log: Lines) -> None:
+    """What came of each class, why connections ended, what was not permitted, and which calls of the system failed, each
+    since the last time."""
     log.counters(host.counters)
+    if closed := door.take_closings():
+        log.info("connections_ended", **closed)
     if refused := host.refusals.take():
         log.info("not_permitted", **refused)
     if faults := world.take_faults():
--- a/tests/test_attempt_writes.py
+++ b/tests/test_attempt_writes.py
@@ -55,6 +55,7 @@
         bounds=SimpleNamespace(max_head=1000, max_answer=1000),
         leg_ended=lambda ask, leg, end: ends.append(end),
         forbidden=lambda act, reason, leg: None,
+        written=lambda ask, leg: ask.unsent.discard(leg),
         logger=SimpleNamespace(exception=lambda event, **fields: None),
     )
     ask: Any = SimpleNamespace(left=lambda: False, unsent=set())
