--- a/soak/discovery.py
+++ b/soak/discovery.py
@@ -110,4 +110,6 @@
         if whole:
             ever = {str(one["id"]) for _, one in self.news}
             gone += sorted(ever - {str(one["id"]) for one in members})
+        up = [str(one["id"]) for one in members if one["phase"] == "up" and one["up_since_ms"]]
+        self.record.told_up += [Told(gateway, name, now) for name in up]
         self.record.told += [Told(gateway, name, now) for name in gone]
--- a/soak/records.py
+++ b/soak/records.py
@@ -87,6 +87,7 @@
     releases: list[Release] = field(default_factory=list)
     pauses: list[Pause] = field(default_factory=list)
     told: list[Told] = field(default_factory=list)
+    told_up: list[Told] = field(default_factory=list)  # workers listed as up with a start, as `told`
     starts: list[Start] = field(default_factory=list)
     broken_io: set[str] = field(default_factory=set)  # gateways whose connections were made to break
     wrong: list[str] = field(default_factory=list)  # crashes, log lines and what else the run itself found
