Indented lists of 3,200 workers are taken; heads are bounded at once; bad times and classes are told

A head of 16 to 64 KiB that arrived in one read was not refused: fields are counted as they come. A negative time, or a class named twice, ends the start or keeps the old settings, with the field's path. Read, not seen: a small call that raised what nobody thought of would have ended the process (connections.counted).

--- a/stackpitch/benchlink/settings.py
+++ b/stackpitch/benchlink/settings.py
@@ -51,7 +51,11 @@
         return float(value)
 
     def ticks(self, key: str, default: float | None = None) -> int:
-        return int(self.number(key, default) * 10 + 1e-6)
+        """A span of time, in tenths of a millisecond; none is negative."""
+        found = self.number(key, default)
+        if found < 0:
+            raise Missing(f"{self.path}.{key}")
+        return int(found * 10 + 1e-6)
 
     def tree(self, key: str) -> "Tree":
         return Tree(self.values.get(key), f"{self.path}.{key}")
@@ -69,6 +73,8 @@
         if effect is None:
             raise Missing(f"{one.path}.effect")
         name = one.get("name", str)
+        if name in found:  # which of the two a request is of could not be told
+            raise Missing(f"{one.path}.name")
         found[name] = Product(
             name=name,
             effect=effect,
--- a/stackpitch/gateway/connections.py
+++ b/stackpitch/gateway/connections.py
@@ -74,6 +74,10 @@
             yield from call
         except (Lost, ConnectFailed) as wrong:
             self.log.warning("call_failed", why=str(wrong))
+        except (
+            Exception
+        ) as wrong:  # guards the gateway against an answer that nobody thought of: it costs its call
+            self.log.exception("call_raised", why=str(wrong))
         finally:
             self.calls -= 1
 
--- a/stackpitch/wire/http.py
+++ b/stackpitch/wire/http.py
@@ -69,7 +69,7 @@
         self.trailers: dict[str, str] = {}
         self.pieces: list[bytes] = []  # of the body, from the last feed (responses) or from all (requests)
         self.head_done = self.complete = self.extra = self.keep_alive = False
-        self.seen = self.body_size = self.fields = 0
+        self.seen = self.body_size = self.fields = self.field_bytes = 0
         self.beside = 0  # bytes since some of the body, or a whole chunk, came
         self.begun = False
 
@@ -84,6 +84,9 @@
         self.fields += 1
         if self.fields > MAX_FIELDS:
             raise BadMessage(431, f"over {MAX_FIELDS} fields")
+        self.field_bytes += len(name) + len(value)
+        if self.field_bytes > self.max_head and not self.head_done:  # also where all of it came at once
+            raise BadMessage(431, f"head is over {self.max_head} bytes")
         into = self.trailers if self.head_done else self.headers
         key, text = name.decode("latin-1").lower(), value.decode("latin-1").strip()
         into[key] = f"{into[key]}, {text}" if key in into else text
--- a/tests/test_crossings_told.py
+++ b/tests/test_crossings_told.py
@@ -6,6 +6,7 @@
 vanishes notes when attempts begin.
 """
 
+import json
 import socket
 import threading
 import time
@@ -16,7 +17,9 @@
 from crossing_discovery import Call, ListDiscovery
 from crossing_gateway import RunningGateway
 from crossing_sockets import PATIENCE, reset, wait_for
-from crossing_workers import Worker
+from crossing_workers import Worker, fleet
+
+from stackpitch.wire import http
 
 BOUND = 6.0  # seconds after which nothing new goes to a worker that drains or is gone
 OUTAGE = 8.0  # seconds for which discovery refuses connections
@@ -249,3 +252,34 @@
         for case in cases:
             case.gateway.__exit__()
     assert not any(case.found for case in cases), [line for case in cases for line in case.found]
+
+
+class Indented(ListDiscovery):
+    """Its whole lists are large, and written for people to read."""
+
+    def answer(self, call: Call) -> bytes:
+        whole = http.ResponseReader(1 << 14, 1 << 30)
+        whole.feed(super().answer(call))
+        told = json.loads(b"".join(whole.pieces))
+        return http.response(200, json.dumps(told, indent=8).encode())
+
+
+def test_an_indented_list_of_3200_workers_is_taken(tmp_path: Path) -> None:
+    """More than a megabyte: the list that the process starts with, then the change that comes with it."""
+    workers = fleet("r1", "w1")
+    discovery = Indented(workers)
+    for number in range(3198):
+        discovery.members.append(
+            workers[0].member
+            | {
+                "id": f"s-{number:08x}",
+                "phase": "draining",
+                "locality": "hall-east",
+                "up_since_ms": 1_764_669_135_000,
+            }
+        )
+    with RunningGateway(tmp_path, workers, discovery=discovery) as gateway:
+        discovery.tell("w1", phase="draining")
+        discovery.behave = lambda found, call: False
+        discovery.taken()
+        gateway.looked()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -259,3 +259,10 @@
         with pytest.raises(http.BadMessage, match="over 128 fields") as caught:
             reader.feed(text)
         assert caught.value.status == 431
+
+
+def test_a_large_head_that_arrives_at_once_is_refused_for_its_size() -> None:
+    reader = http.RequestReader(1 << 14, 1 << 16)
+    with pytest.raises(http.BadMessage) as caught:
+        reader.feed(b"GET / HTTP/1.1\r\na: " + b"b" * 20_000 + b"\r\n\r\n")
+    assert caught.value.status == 431
