The bound on lists is 2 MiB; stand-ins that answer without end pass it

Four tries at once may each hold as much, so 8 MiB were too many for a small machine. The stand-in's endless answer sent 1.1 MB, just over the old bound; it sends 2.1 MB.

--- a/tests/platform_discovery.py
+++ b/tests/platform_discovery.py
@@ -82,7 +82,7 @@
                     "text": http.response(200, b"no list"),
                     "status": http.response(500, b"{}"),
                     "endless": http.head(200, [("transfer-encoding", "chunked")])
-                    + http.chunk(b"x" * 65536) * 17,
+                    + http.chunk(b"x" * 65536) * 33,
                     "large": http.head(200, [("content-length", "20000000")]),
                 }.get(spoil, good)
             )
