--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -88,3 +88,20 @@
     )
     wrong = {case: found for case in cases if (found := too_warm_or_cold(*case))}
     assert not wrong, "\n".join(f"{case}: {found}" for case, found in wrong.items())
+
+
+def test_a_member_that_comes_back_unchanged_has_not_restarted() -> None:
+    """Within the minute for which it is remembered; later it counts as new."""
+    for away, warmth in ((30, 1.0), (200, COLD_FROM)):
+        stage = Stage(0)
+        stage.tell(entry("old", None), entry("one", 1_600_000_000_000))
+        stage.world.later(20 * SECOND)
+        assert stage.warmth("one") == 1.0
+        one = stage.entries.pop("one")
+        stage.tell()
+        stage.roster.forget(stage.roster.servers["one"])
+        stage.world.later(away * SECOND)
+        stage.tell()  # any list empties the table of who left long ago
+        stage.tell(one)
+        assert stage.warmth("one") == warmth
+        assert len(stage.roster.starts.by_name) == 1
