--- a/soak/discovery.py
+++ b/soak/discovery.py
@@ -25,12 +25,10 @@
         self.slow = 0.0  # seconds before each answer
         self.servers: dict[str, tuple[asyncio.Server | None, int]] = {}
 
-    async def open_for(self, gateway: str) -> int:
-        """A port at which this gateway asks."""
-        server = await asyncio.start_server(partial(self._connection, gateway), self.host, 0)
-        port = int(server.sockets[0].getsockname()[1])
+    async def open_for(self, gateway: str, port: int) -> None:
+        """From now on this gateway asks at that port."""
+        server = await asyncio.start_server(partial(self._connection, gateway), self.host, port)
         self.servers[gateway] = server, port
-        return port
 
     def close_for(self, gateway: str) -> None:
         """The old address after a new configuration."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,9 +20,9 @@
 
 HOST = "127.0.0.1"
 FIRST_PORT, BLOCKS, BLOCK = (
-    12_000,
-    190,
-    100,
+    2_000,
+    64,
+    200,
 )  # below those that the system gives to connections; a block for each run
 LONGEST_DEADLINE = 9.0
 SETTLE = 1.5  # seconds without troubles at the end
@@ -155,7 +155,8 @@
                 self.discovery.members[worker.name] = member(worker)
             for number, gateway in enumerate(self.gateways):
                 gateway.port = await self._free_port()
-                port = await self.discovery.open_for(gateway.name)
+                port = await self._free_port()
+                await self.discovery.open_for(gateway.name, port)
                 gateway.configure(number, self.plan.gateways, port, self.discovery.known())
                 gateway.start()
         except OSError as wrong:
@@ -326,7 +327,8 @@
         """Discovery moves to another port."""
         for gateway in self._of_gateways(trouble):
             old, _ = self.discovery.servers[gateway.name]
-            port = await self.discovery.open_for(gateway.name)
+            port = await self._free_port()
+            await self.discovery.open_for(gateway.name, port)
             gateway.configure(self.gateways.index(gateway), self.plan.gateways, port, self.discovery.known())
             gateway.signal(signal.SIGHUP)
             if old is not None:
