--- a/stackpitch/loop/real/connecting.py
+++ b/stackpitch/loop/real/connecting.py
@@ -6,6 +6,7 @@
 import socket
 from typing import TYPE_CHECKING
 
+from stackpitch.loop.real.closing import close_socket
 from stackpitch.loop.real.interest import Interest
 from stackpitch.loop.real.stream import RealStream
 from stackpitch.loop.task import Coro
@@ -49,10 +50,10 @@
             raise (ConnectFailed if code in ANSWERS else LocalFault)(os.strerror(code))
         return RealStream(world, sock, address)
     except OSError as wrong:
-        sock.close()
+        close_socket(sock)
         raise LocalFault(reason(wrong)) from None
     except BaseException:
-        sock.close()
+        close_socket(sock)
         raise
 
 
--- a/stackpitch/loop/real/listener.py
+++ b/stackpitch/loop/real/listener.py
@@ -5,6 +5,7 @@
 import socket
 from typing import TYPE_CHECKING
 
+from stackpitch.loop.real.closing import close_socket
 from stackpitch.loop.real.connecting import reason
 from stackpitch.loop.real.interest import Interest
 from stackpitch.loop.real.stream import RealStream
@@ -51,7 +52,7 @@
             self.fd = self.sock.fileno()
             self.interest = Interest(world, self.fd, select.EPOLLIN, self.on_event)
         except OSError:
-            self.sock.close()
+            close_socket(self.sock)
             raise
         self.waiter: Task | None = None
         self.failed = 0  # calls of accept since the last that brought a connection
@@ -113,7 +114,7 @@
             return RealStream(self.world, sock, peer, self._came())
         except OSError as wrong:
             self.world.note_fault("accept", reason(wrong))
-            sock.close()
+            close_socket(sock)
             return None
 
     def _came(self) -> Time:
@@ -165,6 +166,6 @@
     def close(self) -> None:
         if self.sock.fileno() >= 0:
             self.interest.end()
-            self.sock.close()
+            close_socket(self.sock)
             if self.waiter is not None:
                 self.waiter.throw(Lost("closed here"))
--- a/stackpitch/loop/real/stream.py
+++ b/stackpitch/loop/real/stream.py
@@ -9,6 +9,7 @@
 from termios import TIOCOUTQ
 from typing import TYPE_CHECKING
 
+from stackpitch.loop.real.closing import close_socket
 from stackpitch.loop.real.interest import Interest
 from stackpitch.loop.task import Coro, Task
 from stackpitch.loop.timers import Time
@@ -200,7 +201,7 @@
             self.closed = True
             self.out.clear()
             self.interest.end()
-            self.sock.close()
+            close_socket(self.sock)
             for task in (self.reader, self.writer):
                 if task is not None:
                     task.wake(True)
--- a/stackpitch/platform/discovery.py
+++ b/stackpitch/platform/discovery.py
@@ -20,7 +20,9 @@
 if TYPE_CHECKING:
     from stackpitch.gateway.logs import Log
 
-MAX_LIST = 2 << 20  # bytes; 3,200 indented members take 1.3 MB. Against an answer without end, four tries of it at once
+MAX_LIST = (
+    2 << 20
+)  # bytes; 3,200 indented members take 1.3 MB. Against an answer without end, four tries of it at once
 PART = "a part of the list where all of it was asked for"
 MOST_SAID = 16  # causes that are told of one outage
 
