--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -113,7 +113,7 @@
         self._look_at_log()
         self.start()
         await self.ready()
-        self.record.pauses.append(Pause(self.name, begin, time.monotonic(), killed=True))
+        self.record.pauses.append(Pause(self.name, begin, time.monotonic(), killed=True, replaced=True))
 
     async def roll(self, patience: float) -> None:
         """SIGTERM, SIGKILL once the longest deadline is over, and another process."""
@@ -129,7 +129,9 @@
         self._look_at_log()
         self.start()
         await self.ready()
-        self.record.pauses.append(Pause(self.name, begin + 0.2, time.monotonic(), killed=code is None))
+        self.record.pauses.append(
+            Pause(self.name, begin + 0.2, time.monotonic(), killed=code is None, replaced=True)
+        )
 
     async def _gone(self, limit: float = 10.0) -> None:
         until = time.monotonic() + limit
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -61,6 +61,13 @@
             if one.killed or one.end - one.begin > 0.5
         )
 
+    def _replaced(self, gateway: str, begin: float, end: float) -> bool:
+        """Whether another process took its place between."""
+        return any(
+            one.gateway == gateway and one.replaced and one.begin <= end and one.end >= begin
+            for one in self.record.pauses
+        )
+
     def _excused(self, request: Request) -> bool:
         """Its gateway was killed under it, or its own connection was made to break."""
         end = request.ended or float("inf")
@@ -140,17 +147,23 @@
     def _drained(self) -> Iterator[str]:
         """Rule 3: nothing new to a server after the grace once it is known to drain or be gone."""
         grace = float(self.record.settings["guarantees"]["drainGraceMs"]) / 1000  # type: ignore[index]
-        told: dict[tuple[str, str], float] = {}
+        told: dict[tuple[str, str], list[float]] = defaultdict(list)
         for one in self.record.told:
-            key = one.gateway, one.worker
-            told[key] = min(told.get(key, one.at), one.at)
+            told[one.gateway, one.worker].append(one.at)
         ups: dict[tuple[str, str], list[float]] = defaultdict(list)
         for one in self.record.told_up:
             ups[one.gateway, one.worker].append(one.at)
         for attempt in self.record.attempts:
-            at = told.get((attempt.gateway, attempt.worker))
-            if at is None or any(at < up <= attempt.began for up in ups[attempt.gateway, attempt.worker]):
+            known = [
+                at
+                for at in told[attempt.gateway, attempt.worker]
+                if at < attempt.began and not self._replaced(attempt.gateway, at, attempt.began)
+            ]
+            again = [up for up in ups[attempt.gateway, attempt.worker] if up <= attempt.began]
+            known = [at for at in known if at > max(again, default=0.0)]
+            if not known:
                 continue
+            at = min(known)
             allowed = grace + self.slack + self._paused(attempt.gateway, at, attempt.began)
             if attempt.began > at + allowed:
                 yield (
--- a/soak/records.py
+++ b/soak/records.py
@@ -57,6 +57,7 @@
     begin: float
     end: float
     killed: bool = False
+    replaced: bool = False  # another process from then on, that was told nothing yet
 
 
 @dataclass(slots=True)
