--- a/soak/faults.c
+++ b/soak/faults.c
@@ -12,7 +12,9 @@
 #include <stdarg.h>
 #include <stdatomic.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
@@ -31,6 +33,7 @@
 };
 
 static struct control *control;
+static const char *files; /* of the disk, only paths that hold this text fail; all where it is not given */
 static _Atomic uint64_t state;
 
 static const int ACCEPT_ERRORS[] = {ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO, EPERM,
@@ -64,6 +67,7 @@
 
 __attribute__((constructor)) static void begin(void) {
     const char *path = getenv("FAULTS_CONTROL");
+    files = getenv("FAULTS_FILES");
     int descriptor = path == NULL ? -1 : (int)openat(AT_FDCWD, path, O_RDWR | O_CLOEXEC);
     if (descriptor < 0)
         return;
@@ -158,7 +162,7 @@
 
 static int opened(const char *name, int folder, const char *path, int flags, mode_t mode) {
     int (*next)(int, const char *, int, ...) = (int (*)(int, const char *, int, ...))dlsym(RTLD_NEXT, name);
-    if (opens_to_write(flags) && strikes(OPEN)) {
+    if (opens_to_write(flags) && (files == NULL || strstr(path, files) != NULL) && strikes(OPEN)) {
         errno = ONE_OF(OPEN_ERRORS);
         return -1;
     }
@@ -184,10 +188,23 @@
     return opened("openat64", AT_FDCWD, path, flags, mode);
 }
 
+static int is_named(int descriptor) {
+    char link[64], path[4096];
+    if (files == NULL)
+        return 1;
+    snprintf(link, sizeof(link), "/proc/self/fd/%d", descriptor);
+    ssize_t length = readlink(link, path, sizeof(path) - 1);
+    if (length < 0)
+        return 0;
+    path[length] = 0;
+    return strstr(path, files) != NULL;
+}
+
 static int written_file(int descriptor) {
     int flags = fcntl(descriptor, F_GETFL);
     struct stat found;
-    return flags >= 0 && opens_to_write(flags) && fstat(descriptor, &found) == 0 && S_ISREG(found.st_mode);
+    return flags >= 0 && opens_to_write(flags) && fstat(descriptor, &found) == 0 && S_ISREG(found.st_mode) &&
+           is_named(descriptor);
 }
 
 static int disk_fault(int descriptor, enum kind kind) {
@@ -247,7 +264,7 @@
 /* A failed sync has dropped what was to be written: a second one says nothing of it. */
 int fdatasync(int descriptor) {
     NEXT(fdatasync);
-    if (strikes(SYNC)) {
+    if (is_named(descriptor) && strikes(SYNC)) {
         errno = EIO;
         return -1;
     }
@@ -256,7 +273,7 @@
 
 int fsync(int descriptor) {
     NEXT(fsync);
-    if (strikes(SYNC)) {
+    if (is_named(descriptor) && strikes(SYNC)) {
         errno = EIO;
         return -1;
     }
