--- a/stackpitch/gateway/keeper/inforce.py
+++ b/stackpitch/gateway/keeper/inforce.py
@@ -75,7 +75,7 @@
     def take(
         self, verdict: Verdict, version: int, told: str, kept: bool = True, changed: Change | None = None
     ) -> None:
-        """Applies what is in force now."""
+        """Applies what is in force now. `kept`: it is to be kept; one that was kept before a restart may be old."""
         if verdict.entries is None:
             return
         changed = changed if changed is not None else self.changed(verdict)
@@ -90,7 +90,7 @@
             changed=changed.text(),
             why="; ".join(verdict.reasons),
         )
-        self.host.take(version, verdict.entries)
+        self.host.take(version, verdict.entries, current=kept)
         if kept and told:
             entries = tuple(self.registrar.sources["file"].entries.values())
             self.history.keep(version, told, entries, verdict, changed.text())
@@ -105,6 +105,7 @@
 
     def unchanged(self, verdict: Verdict, version: int) -> None:
         """Nothing differs but perhaps the version."""
+        self.host.roster.starts.confirm()  # also where a list from before a restart was in force so far
         self.last = verdict.word, ()
         self.version = self.host.roster.version = max(self.version, version)
 
