--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -55,6 +56,7 @@
     words.add_argument("--broken", default="", help="a fault of soak/broken.py, which has to be found")
     words.add_argument("--keep", action="store_true", help="keep the logs")
     given = words.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the processes are ended then, too
     try:
         library = build(Path(tempfile.mkdtemp(prefix="soak-shim-")))
     except NoCompiler as wrong:
