Claimed starts are held to when they were told, within a part of the warm-up

Cause: the first mend counted each start from when it was told of, and news of it comes 0.5 to 2.5 s late.

--- a/stackpitch/brain/slow_start.py
+++ b/stackpitch/brain/slow_start.py
@@ -1,16 +1,30 @@
 """What a cold server, one that started lately, may be sent, by what a warm one is known to get done."""
 
+from math import sqrt
+
 from stackpitch.brain.seats import Seat, Seats, mix
-from stackpitch.interface import Generation, Time
+from stackpitch.interface import Generation, Server, Time
 
 
 class SlowStart(Seats):
+    # Of the span over which a start doubles its first part of the work: so much older than it may be is a cold server
+    # taken for at most, and then sent 1.5 times what its age allows. `cold_load` leaves 1.6 times.
+    LATE_NEWS = 0.4
+
+    def started(self, server: Server) -> Time | None:
+        """When it started at the latest that claim and news allow: news of it may be late, and its clock be wrong."""
+        if server.started is None or server.told is None:
+            return server.started
+        late = self.LATE_NEWS * self.warm_up * sqrt(self.cold_from / max(1e-9, 1 - self.cold_from))
+        return max(server.started, server.told - int(min(late, self.warm_up)))
+
     def cold(self, seat: Seat, now: Time) -> bool:
-        return seat.server.started is not None and now - seat.server.started < self.warm_up
+        started = self.started(seat.server)
+        return started is not None and now - started < self.warm_up
 
     def warmth(self, seat: Seat, now: Time) -> float:
         """The part of its work that a server is taken to do, on the low side."""
-        age = max(0, now - (seat.server.started or 0)) / self.warm_up  # squared: none is below 0
+        age = max(0, now - (self.started(seat.server) or 0)) / self.warm_up  # squared: none is below 0
         return self.cold_from + (1 - self.cold_from) * age * age if self.cold(seat, now) else 1.0
 
     def draw(self, seat: Seat, now: Time, gen: Generation) -> bool:
--- a/stackpitch/gateway/roster.py
+++ b/stackpitch/gateway/roster.py
@@ -60,7 +60,8 @@
             if one.vocabulary:
                 self.vocabularies[server] = one.vocabulary
         server.state, server.weight = one.state, one.weight
-        server.started = self.starts.take(one.name, one.started_unix_ms)
+        start = self.starts.take(one.name, one.started_unix_ms)
+        server.started, server.told = (None, None) if start is None else (start.claimed, start.told)
         self.addresses[server] = one.address
         return server
 
--- a/stackpitch/gateway/starts.py
+++ b/stackpitch/gateway/starts.py
@@ -10,19 +10,22 @@
 
 @dataclass(slots=True)
 class Start:
-    """A member's latest start: as the list claims it, and when this process takes it to have been."""
+    """A member's latest start by this process's clock: as the list claims it, no later than now, and when it was told of;
+    None: it was there when this process came."""
 
     claimed_unix_ms: int
-    taken: Time
+    claimed: Time
+    told: Time | None
     left: Time | None = None  # since when no list has named it
 
 
 class Starts:
     """When members started, by this process's monotonic clock.
 
-    Lists tell starts in wall time, and any machine's wall clock may be wrong or be stepped. So a member, or a
-    restart, that is told of after a current list had been taken started when it was told of: there was none
-    before. Only what was there when this process came is taken at its word, as no later than now.
+    Lists tell starts in wall time, and any machine's wall clock may be wrong or be stepped. Of a member, or a
+    restart, that is told of after a current list had been taken, one more thing is known: there was none before
+    that, but for the time that news takes. The module weighs the claim against it (`brain.slow_start`). What was
+    there when this process came is taken at its word.
 
     Emptied of a member `REMEMBERED` after the last list that named it.
     """
@@ -33,17 +36,17 @@
         self.current = False  # a list has been taken that was current then
         self.by_name: dict[str, Start] = {}
 
-    def take(self, name: str, claimed_unix_ms: int | None) -> Time | None:
+    def take(self, name: str, claimed_unix_ms: int | None) -> Start | None:
         """None: long ago."""
         if claimed_unix_ms is None:
             self.by_name.pop(name, None)
             return None
         known, now = self.by_name.get(name), self.world.now()
         if known is not None and known.claimed_unix_ms == claimed_unix_ms:
-            return known.taken
-        taken = now if self.current else min(now, claimed_unix_ms * 10 - self.epoch)
-        self.by_name[name] = Start(claimed_unix_ms, taken)
-        return taken
+            return known
+        claimed = min(now, claimed_unix_ms * 10 - self.epoch)
+        found = self.by_name[name] = Start(claimed_unix_ms, claimed, now if self.current else None)
+        return found
 
     def confirm(self) -> None:
         """The list in force is current: whoever is told of from now on is new."""
--- a/stackpitch/interface.py
+++ b/stackpitch/interface.py
@@ -81,7 +81,10 @@
     memory_tok: int
     state: State = "ready"
     weight: float = 1.0
-    started: Time | None = None  # None: long ago
+    started: Time | None = None  # as it is claimed, by a clock that may be wrong; None: long ago
+    told: Time | None = (
+        None  # when this gateway was first told of that start; None: it was there before it came
+    )
 
 
 @dataclass(slots=True, eq=False)
