--- a/stackpitch/gateway/door.py
+++ b/stackpitch/gateway/door.py
@@ -66,7 +66,7 @@
             Stream, Closing
         ] = {}  # of connections that end behind their answer; emptied as they do
         self.accepting = True  # until the listener is closed
-        self.mark = f"{host.name}.{world.fresh():x}"  # no other start's, whatever the wall clock says
+        self.mark = f"{host.name}.{world.fresh('ids'):x}"  # no other start's, whatever the wall clock says
 
     def serve(self, group: Group, listener: Listener) -> Coro[None]:
         while True:
--- a/stackpitch/loop/real/world.py
+++ b/stackpitch/loop/real/world.py
@@ -37,7 +37,7 @@
     def wall_ms(self) -> int:
         return time.time_ns() // 1_000_000
 
-    def fresh(self) -> int:
+    def fresh(self, what: str = "start") -> int:
         return int.from_bytes(os.urandom(6), "big")
 
     def descriptors(self) -> int:
--- a/stackpitch/loop/virtual/world.py
+++ b/stackpitch/loop/virtual/world.py
@@ -1,6 +1,7 @@
 """The made-up world itself: its clock, its timers and tasks by process, what listens where."""
 
 import signal as signals
+from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Any, TypeVar
 
@@ -36,7 +37,8 @@
         self.left: list[Task] = []  # of killed processes; bounded by what they had under way
         self.acting: Process | None = None  # whose timer comes up now
         self.disk = Disk(self.chance("disk"))
-        self.next_port, self.next_pid, self.starts = 40_000, 100, 0
+        self.next_port, self.next_pid = 40_000, 100
+        self.starts: Counter[str] = Counter()  # by what a fresh number is for: as many as the program has
 
     def bury(self) -> None:
         """Lets go of what killed processes left, once nobody looks any more: unwinding it does harm to nobody now."""
@@ -63,9 +65,9 @@
     def wall_ms(self) -> int:
         return EPOCH_MS + self.time // 10
 
-    def fresh(self) -> int:
-        self.starts += 1
-        return self.chance(f"start {self.starts}").getrandbits(48)
+    def fresh(self, what: str = "start") -> int:
+        self.starts[what] += 1
+        return self.chance(f"{what} {self.starts[what]}").getrandbits(48)
 
     def poll(self, until: Time | None) -> None:
         if until is None:
--- a/stackpitch/loop/world.py
+++ b/stackpitch/loop/world.py
@@ -165,8 +165,9 @@
         return RealVolume()
 
     @abstractmethod
-    def fresh(self) -> int:
-        """48 bits that no other start of a process has: tells one start from another, decides nothing."""
+    def fresh(self, what: str = "start") -> int:
+        """48 bits that no other start of a process has: tells one start from another, decides nothing. `what` it is for;
+        a made-up world draws for each by itself."""
 
     def descriptors(self) -> int:
         """How many this process may hold."""
--- a/tests/test_expect.py
+++ b/tests/test_expect.py
@@ -412,7 +412,7 @@
 
 
 class Mute(Guard):
-    def answer(self, gen):
+    def answer(self, gen, why):
         pass
 
 
