--- a/tests/test_short_io.py
+++ b/tests/test_short_io.py
@@ -6,7 +6,6 @@
 import pytest
 from crossing_gateway import RunningGateway, side_by_side
 from crossing_workers import fleet
-from platform_process import FAULTS
 
 from soak.shim import Kind, NoCompiler, Shim, build
 
@@ -25,7 +24,6 @@
     assert shim.injected()[Kind.SHORT_IO] > REQUESTS
 
 
-@pytest.mark.skipif(bool(FAULTS), reason="the option --faults preloads the library already")
 def test_requests_are_served_with_short_reads_and_writes(tmp_path: Path) -> None:
     """Also where each call is short."""
     try:
