--- a/stackpitch/brain/slow_start.py
+++ b/stackpitch/brain/slow_start.py
@@ -7,12 +7,12 @@
 
 
 class SlowStart(Seats):
-    # Of the span over which a start doubles its first part of the work: so much older than it may be is a cold server
-    # taken for at most, and then sent 1.5 times what its age allows. `cold_load` leaves 1.6 times.
+    # Part of warm_up * sqrt(cold_from / (1 - cold_from)): a cold server is taken for so much older than it is at
+    # most, and then sent 1.5 times what its age allows. `cold_load` leaves 1.6 times.
     LATE_NEWS = 0.4
 
     def started(self, server: Server) -> Time | None:
-        """When it started at the latest that claim and news allow: news of it may be late, and its clock be wrong."""
+        """When it started, by its claim and by its news: the one may be of a wrong clock, the other late."""
         if server.started is None or server.told is None:
             return server.started
         late = self.LATE_NEWS * self.warm_up * sqrt(self.cold_from / max(1e-9, 1 - self.cold_from))
