--- a/tests/crossing_workers.py
+++ b/tests/crossing_workers.py
@@ -91,6 +91,9 @@
         self.script: Script = script if script is not None else read if name[0] == "r" else stream
         self.begun: list[Attempt] = []
         self.released: list[str] = []
+        self.released_at: dict[str, float] = {}  # when the first release of each name came
+        self.running = threading.Event()  # while it is not set, what reaches its socket is not taken
+        self.running.set()
         self.came = threading.Condition()
         self.connections = 0
         self.fillers: list[socket.socket] = []
@@ -149,6 +152,7 @@
                 head, told = b"", False
                 while not reader.complete:
                     data = stream.recv(65536)
+                    self.running.wait(4 * PATIENCE)
                     now = time.monotonic()
                     if not data:
                         return
@@ -165,6 +169,7 @@
                 attempt.name = reader.headers.get("req-id") or reader.path.rpartition("/")[2]
                 if attempt.method == "DELETE":
                     self.released.append(attempt.name)
+                    self.released_at.setdefault(attempt.name, time.monotonic())
                     attempt.send(http.response(204, b""))
                     continue
                 attempt.deadline_ms = int(reader.headers["req-deadline-ms"])
--- /dev/null
+++ b/tests/test_crossings_held.py
@@ -0,0 +1,99 @@
+"""What a request holds at workers is let go of in time, though its next attempt goes to a worker that takes nothing:
+a send that has not arrived stops no clock."""
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from crossing_clients import Client
+from crossing_gateway import RunningGateway, side_by_side
+from crossing_sockets import wait_for
+from crossing_workers import Attempt, Worker, fleet, read
+from platform_script import SETTINGS
+
+HELD = SETTINGS["extra"]["releaseMs"] / 1000 + 0.3  # seconds; the page grants 0.3 beyond the settings
+PRODUCTS = ["chat", "pay", "order"]
+
+
+def released_in_time(workers: list[Worker], name: str, since: dict[str, float]) -> None:
+    """`since`: when what is held came to be, by request."""
+    wait_for(lambda: any(name in one.released_at for one in workers), f"{name} is not released")
+    lay = min(one.released_at[name] for one in workers if name in one.released_at) - since[name]
+    assert 0 <= lay <= HELD, f"what {name} held lay for {lay:.2f} s"
+
+
+def unarrived_decode(folder: Path, product: str, leaves: bool) -> None:
+    """All decode workers fall silent as the reads end; the requests then arrive late, at workers without a state."""
+    workers = fleet("r1", "r2", "w1", "w2")
+    writers, ended = workers[2:], dict[str, float]()
+    with RunningGateway(folder, workers) as gateway:
+        gateway.served()  # connections are kept
+
+        def read_and_silence(attempt: Attempt) -> None:
+            for one in writers:
+                one.running.clear()
+            ended[attempt.name] = time.monotonic()
+            read(attempt)
+
+        for one in workers[:2]:
+            one.script = read_and_silence
+        clients = [gateway.ask(product, 6000) for _ in range(3)]
+        wait_for(lambda: len(ended) == len(clients), "nothing is read")
+        time.sleep(0.1)
+        if leaves:
+            for client in clients:
+                client.close()
+        for client in clients:
+            released_in_time(workers, client.name, ended)
+        for one in writers:
+            one.running.set()
+        if not leaves:
+            answered(clients)
+
+
+def client_stays(folder: Path, product: str) -> None:
+    unarrived_decode(folder, product, leaves=False)
+
+
+def client_leaves(folder: Path, product: str) -> None:
+    unarrived_decode(folder, product, leaves=True)
+
+
+def broken_read(folder: Path, product: str) -> None:
+    """The prefill worker's connection breaks with its answer, and the other prefill worker takes nothing."""
+    workers = fleet("r1", "r2", "w1", "w2")
+    broken: dict[str, float] = {}
+    with RunningGateway(folder, workers) as gateway:
+        gateway.served()
+
+        def break_and_silence(attempt: Attempt) -> None:
+            for one in workers[:2]:
+                if one is not attempt.worker:
+                    one.running.clear()
+            broken.setdefault(attempt.name, time.monotonic())
+            attempt.reset()
+
+        for one in workers[:2]:
+            one.script = break_and_silence
+        client = gateway.ask(product, 6000)
+        released_in_time(workers, client.name, broken)
+        for one in workers[:2]:
+            one.script = read
+            one.running.set()
+        answered([client])
+
+
+def answered(clients: list[Client]) -> None:
+    for client in clients:
+        answer = client.answer()
+        assert answer.whole and answer.status in (200, 429, 502), f"{answer}"
+
+
+Case = tuple[Callable[[Path, str], None], str]
+CASES: list[Case] = [
+    (story, product) for story in (client_stays, client_leaves, broken_read) for product in PRODUCTS
+]
+
+
+def test_what_is_held_is_released_though_the_next_send_has_not_arrived(tmp_path: Path) -> None:
+    side_by_side(lambda folder, case: case[0](folder, case[1]), tmp_path, CASES)
