A gateway that stops refuses what arrives later than 0.7 s after SIGTERM

Cause: platform/door.py had takes_to_the_end = True, so door.py:_generation took every request that an open connection brought until SIGKILL, with its whole deadline, and endings.py:close_idle left new connections open for 1.2 s.

Change: permission.may_take decides, asked anew for each request that is complete. The window counts from the last moment at which no signal can have been there (World.deliver, called by the signal handler before any task runs), as a process that did not run finds signal and requests in one turn, requests first. A refusal is counted by reason (not_permitted, closing 'stopping') and told with its request's id; 'stopping' says for how long requests are taken.

--- a/stackpitch/gateway/door.py
+++ b/stackpitch/gateway/door.py
@@ -12,6 +12,7 @@
 from stackpitch.gateway.endings import Endings, Resting
 from stackpitch.gateway.facts import BadRequest, Facts, Reading
 from stackpitch.gateway.host import Host
+from stackpitch.gateway.permission import Act, Reason
 from stackpitch.gateway.trace import Closing
 from stackpitch.interface import Generation, Time
 from stackpitch.loop import Coro, Group, Listener, Lost, Stream, World
@@ -23,6 +24,9 @@
     from stackpitch.gateway.metrics import Metrics
 
 
+REQUEST_ID_FIELDS = ("req-id", "x-request-id")  # of a request's head, for the log
+
+
 class Speaks(Protocol):
     """What becomes of token ids on servers of each vocabulary; None: there are none. Raises BadRequest."""
 
@@ -32,7 +36,7 @@
 class Door(Endings):
     """Accepts clients. Tables: none beyond the connections that are open."""
 
-    takes_to_the_end = False  # whether what still comes while the gateway stops is served
+    retry_after: Time = 0  # told to clients that are refused as the gateway stops; 0: nothing is told
 
     def __init__(
         self,
@@ -238,8 +242,11 @@
         )
 
     def _generation(self, stream: Stream, reader: http.RequestReader, began: Time) -> Coro[bool]:
-        if self.stopping and not self.takes_to_the_end:
-            yield from self._error(stream, 503, "stopping", "the gateway stops; try another", again=True)
+        if (reason := self._untaken()) is not None:
+            self._note_untaken(stream, reader, reason)
+            yield from self._error(
+                stream, 503, "stopping", "the gateway stops; try another", True, self.retry_after
+            )
             return False
         try:
             ask = self._ask(stream, reader, began)
@@ -261,6 +268,13 @@
         reader.pieces = []
         return (yield from self._carry(stream, reader, ask))
 
+    def _note_untaken(self, stream: Stream, reader: http.RequestReader, reason: Reason) -> None:
+        self.host.refusals.note(Act.TAKE, reason)
+        self._why_after[stream] = Closing.STOPPING
+        if self.host.telling.tells(self.world.now(), reason):
+            named = next((reader.headers[one] for one in REQUEST_ID_FIELDS if one in reader.headers), "")
+            self.log.info("untaken", id=named, why=reason, left_out=self.host.telling.take_left_out())
+
     def _ask(self, stream: Stream, reader: http.RequestReader, began: Time) -> Ask:
         """What a whole request asks for. Raises BadRequest, or BadMessage which ends the connection as well."""
         self.count += 1
--- a/stackpitch/gateway/endings.py
+++ b/stackpitch/gateway/endings.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING
 
 from stackpitch.gateway.host import Host
+from stackpitch.gateway.permission import Reason, may_take
 from stackpitch.gateway.taking import taken
-from stackpitch.interface import Time
-from stackpitch.loop import SECOND, Coro, Lost, Scope, Stream, World
+from stackpitch.interface import SECOND, Time
+from stackpitch.loop import Coro, Lost, Scope, Stream, World
 from stackpitch.wire import http
 from stackpitch.wire.engine import error_body
 
@@ -73,16 +74,23 @@
         return not rest.first
 
     def close_idle(self) -> None:
-        """On stopping: kept connections with no request end, and answers whose head is still to come say that they are
-        their connection's last."""
+        """On stopping: connections with no request end, and answers whose head is still to come say that they are their
+        connection's last. New connections may have a request on its way, and end once it would not be taken."""
         self.stopping = True
         for ask in self.host.asks.values():
             ask.closing = True
-        for stream in [
-            one for one, rest in self.waiting.items() if rest.kept
-        ]:  # others may have a request on its way
+        takes = self._untaken() is None
+        for stream in [one for one, rest in self.waiting.items() if rest.kept or not takes]:
             self._end(stream)
 
+    def _untaken(self) -> Reason | None:
+        """Why a request that is complete now may not be taken."""
+        return may_take(self.world.now(), self._takes_until())
+
+    def _takes_until(self) -> Time | None:
+        """When the last request may be taken; None while the gateway doesn't stop."""
+        return 0 if self.stopping else None
+
     def _answer_unasked(self, stream: Stream) -> None:
         """On a new connection that ends before its request came. Guards against a request that crosses the end: it is read
         and dropped, and its client would be left without an answer; on a kept connection it is sent anew."""
@@ -102,10 +110,14 @@
             self.turned -= 1
             stream.close()
 
-    def _error(self, stream: Stream, status: int, code: str, text: str, again: bool) -> Coro[None]:
+    def _error(
+        self, stream: Stream, status: int, code: str, text: str, again: bool, retry_after: Time = 0
+    ) -> Coro[None]:
         """Answers what is not taken, then closes so that the answer is not lost to a reset."""
         kind = "invalid_request_error" if 400 <= status < 500 else "server_error"
         headers = [("x-should-retry", "true" if again else "false"), ("connection", "close")]
+        if retry_after:
+            headers.append(("retry-after", f"{retry_after / SECOND:.3f}"))
         try:
             stream.write(http.response(status, error_body(text, code, kind), headers))
             yield from self._farewell(stream)
--- a/stackpitch/gateway/permission.py
+++ b/stackpitch/gateway/permission.py
@@ -1,4 +1,5 @@
-"""Whether an attempt may be sent, started for the client, cancelled, or a place be held for it, now. Pure.
+"""Whether a request may be taken from a client, and whether an attempt for it may be sent, started for the client,
+cancelled, or a place be held for it, now. Pure.
 
 Asked at the instant of acting, with the facts as they are then: what the decision module knew when it decided may be
 long past, as a connection may have been in the making meanwhile, or this process not have run. Callers don't repeat
@@ -11,10 +12,16 @@
 from enum import StrEnum
 
 from stackpitch.gateway.repeats import latest
-from stackpitch.interface import Leg, Time
+from stackpitch.interface import SECOND, Leg, Time
+
+# After SIGTERM, what arrives within this time may be taken. The protocol page excuses just these if SIGKILL, which comes
+# with the longest deadline after that, finds them unanswered. Whatever arrives later on an open connection and is still
+# under way then is lost, so it is refused.
+TAKE_WINDOW: Time = 7 * SECOND // 10
 
 
 class Act(StrEnum):
+    TAKE = "take"  # a client's request
     SEND = "send"  # the attempt's first byte
     START = "start"  # its stream, for the client
     CANCEL = "cancel"
@@ -24,6 +31,7 @@
 class Reason(StrEnum):
     """Why an act is forbidden."""
 
+    STOPPING = "stopping"  # the process ends, and may be killed before the request could have its answer
     CLIENT_LEFT = "client-left"
     ANSWERED = "answered"  # the request has its final answer
     SERVER_DRAINING = "server-draining"
@@ -52,6 +60,16 @@
     serving: Leg | None = None  # the attempt whose stream the client gets
 
 
+def takes_until(told_to_stop: Time) -> Time:
+    """`told_to_stop`: the earliest time at which the signal may have been sent."""
+    return told_to_stop + TAKE_WINDOW
+
+
+def may_take(now: Time, until: Time | None) -> Reason | None:
+    """None: a request that is complete now may be taken. `until`: when the last may be; None: the gateway doesn't stop."""
+    return Reason.STOPPING if until is not None and now >= until else None
+
+
 def may_send(leg: Leg, now: Now) -> Reason | None:
     """None: it may."""
     request = leg.gen
--- a/stackpitch/gateway/trace.py
+++ b/stackpitch/gateway/trace.py
@@ -33,6 +33,7 @@
     IDLE = "idle"  # no request in time
     MADE_ROOM = "made-room"  # it rested, and others were to be let in, or the process stops
     OVERFULL = "overfull"  # turned away as it came
+    STOPPING = "stopping"  # its request came too late in a shutdown to be taken
     BAD_REQUEST = "bad-request"
     PIPELINED = "pipelined"  # more came before the answer was whole
     STREAM_CUT = "stream-cut"  # the worker's stream broke
--- a/stackpitch/loop/real/world.py
+++ b/stackpitch/loop/real/world.py
@@ -116,7 +116,7 @@
             one.setblocking(False)
         signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
         for number in numbers:
-            signal.signal(number, lambda *_: None)
+            signal.signal(number, lambda number, _: self.deliver(number))
         stream = RealStream(self, ours, ("signals", 0))
 
         def next_one() -> Coro[int]:
--- a/stackpitch/loop/virtual/process.py
+++ b/stackpitch/loop/virtual/process.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from stackpitch.loop.task import Coro, Task
+from stackpitch.loop.timers import Time
 from stackpitch.loop.virtual.disk import VirtualFiles
 
 if TYPE_CHECKING:
@@ -27,6 +28,7 @@
         self.tasks: dict[Task, None] = {}  # that have not ended
         self.caught: set[int] = set()
         self.arrived: deque[int] = deque()
+        self.delivered: dict[int, Time] = {}  # when each caught signal was sent first; as many as are caught
         self.waiter: Task | None = None  # in `signals`
         self.waiting: list[Task] = []  # in `wait`
         self.files: list[VirtualFiles] = []
@@ -94,7 +96,9 @@
                     self.signal(one)
         elif process.stopped and number != signals.SIGKILL:
             process.pending.append(number)
+            process.delivered.setdefault(number, process.world.now())
         elif number in process.caught:
+            process.delivered.setdefault(number, process.world.now())
             process.arrived.append(number)
             if process.waiter is not None:
                 process.waiter.wake()
--- a/stackpitch/loop/virtual/world.py
+++ b/stackpitch/loop/virtual/world.py
@@ -186,6 +186,10 @@
     def watch(self) -> Watch | None:
         return None
 
+    def first_of(self, numbers: Sequence[int]) -> Time | None:
+        delivered = self.process.delivered if self.process is not None else {}
+        return min((delivered[one] for one in numbers if one in delivered), default=None)
+
     def signals(self, *numbers: int) -> Callable[[], Coro[int]]:
         process = self.process
         if process is not None:
--- a/stackpitch/loop/world.py
+++ b/stackpitch/loop/world.py
@@ -113,6 +113,7 @@
         self.over = False  # all that is still done is clearing away
         self.turn = 0  # polls so far
         self.polled: Time = 0  # end of the last poll
+        self.delivered: dict[int, Time] = {}  # signals that are caught, by number: `first_of`
         self.unseen: Time = 0  # at most how long what it found had waited for it
         self.on_hog: Callable[[str, Time], None] | None = None  # name and time of a step over `hog_limit`
         self.hog_limit: Time = 500
@@ -156,6 +157,14 @@
     def signals(self, *numbers: int) -> Callable[[], Coro[int]]:
         """Catches these from now on; what is returned waits for the next one and gives its number."""
 
+    def deliver(self, number: int) -> None:
+        """Notes that a signal has come, before any task runs that finds what came with it."""
+        self.delivered.setdefault(number, self.polled)  # the process may not have run since
+
+    def first_of(self, numbers: Sequence[int]) -> Time | None:
+        """The earliest time at which the first of these signals may have been sent; None: none of them has come."""
+        return min((self.delivered[one] for one in numbers if one in self.delivered), default=None)
+
     def files(self) -> Files:
         """Those of this machine, or made-up ones that lose what was not synced."""
         return RealFiles()
--- a/stackpitch/platform/door.py
+++ b/stackpitch/platform/door.py
@@ -1,10 +1,11 @@
 """Where the platform's clients come in: facts from heads alone, the body passed on as it came."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from stackpitch.gateway.ask import Ask
 from stackpitch.gateway.door import Door
+from stackpitch.gateway.permission import takes_until
 from stackpitch.interface import Customer, Generation, Product, Time
 from stackpitch.loop import Coro, Stream
 from stackpitch.platform.ask import PlatformAsk
@@ -16,7 +17,6 @@
     """`products` and `customers` by name. `ready` tells the front that clients may come."""
 
     told_why = 8  # each holds a descriptor of the reserve
-    takes_to_the_end = True
 
     def __init__(self, *given: Any, **bounds: Any) -> None:
         """As `Door`."""
@@ -24,6 +24,9 @@
         self.products: Mapping[str, Product] = {}
         self.customers: Mapping[str, Customer] = {}
         self.ready = False
+        self.told_to_stop: Callable[[], Time | None] = lambda: (
+            None
+        )  # the earliest time at which that may have been
         self.shrinking = False  # more are open than a bound that has fallen allows
 
     def take_bounds(self, max_connections: int, max_bodies: int) -> None:
@@ -35,6 +38,12 @@
         self._trim()
         self.shrinking = self._beyond() > 0
 
+    def _takes_until(self) -> Time | None:
+        """Asks anew for each request: one may be found in the very turn in which the signal is, before anybody has acted
+        on that."""
+        told = self.told_to_stop()
+        return None if told is None else takes_until(told)
+
     def _beyond(self) -> int:
         return self.connections - len(self.lingering) - self.max_connections
 
--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -7,6 +7,7 @@
 from typing import Any, TypeVar
 
 from stackpitch.gateway.host import Host
+from stackpitch.gateway.permission import takes_until
 from stackpitch.gateway.pool import Budget
 from stackpitch.gateway.roster import Roster
 from stackpitch.gateway.trace import TRACE_ALL
@@ -24,6 +25,7 @@
 from stackpitch.preferences import Preferences
 
 T = TypeVar("T")
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 SAY = 30 * SECOND  # between two lines that tell what became of each product
 COUNT = 10 * SECOND  # between two that tell what each product met
 HEARTBEAT = (
@@ -31,7 +33,9 @@
 )  # so exactly is known how long a request may have waited for the process; servers are told within 150
 MOMENTARY = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EINTR, errno.EAGAIN)
 START_TRIES, START_PAUSE = 20, 50 * MS
-STILL_COMING = 7 * SECOND // 10  # after SIGTERM connections still come
+TRY_ELSEWHERE = (
+    100 * MS
+)  # told to clients that are refused as the gateway stops: the front sends them to another
 
 
 def serve(
@@ -39,10 +43,11 @@
 ) -> Coro[None]:
     """Runs a gateway. Raises BadConfig, and OSError on an address that is taken.
 
-    SIGTERM: not ready any more; what comes within 0.7 s is taken, what is taken is answered. SIGHUP: the configuration
-    is read anew (`reloading`). `ready` is told what was put together.
+    SIGTERM: not ready any more; what comes within 0.7 s is taken, what is taken is answered, and what comes later on
+    connections that are still open is refused. SIGHUP: the configuration is read anew (`reloading`). `ready` is told what
+    was put together.
     """
-    caught = yield from _patiently(world, lambda: world.signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+    caught = yield from _patiently(world, lambda: world.signals(*STOP_SIGNALS, signal.SIGHUP))
     conf = config.read(given)
     log: Any = Lines(conf.name)
     counts: Any = NoCounts()
@@ -82,6 +87,7 @@
             fresh=SECOND * 12 // 10,
         )
         door.products, door.customers = plan.products, plan.customers
+        door.told_to_stop = lambda: world.first_of(STOP_SIGNALS)
         discovery = Discovery(
             world, host, log, conf.discovery, conf.known, watching.times(watching.share(conf.name, conf.seed))
         )
@@ -111,10 +117,18 @@
         gc.freeze()
         while (yield from caught()) == signal.SIGHUP:
             group.spawn(reloading.reload_patiently(), "reload")
-        group.spawn(_reloads(caught, reloading), "reloads")
-        log.info("stopping", held=len(host.asks), connections=door.connections)
+        told = world.first_of(STOP_SIGNALS) or world.now()
+        door.retry_after = min(TRY_ELSEWHERE, reloading.plan.arguments["max_retry_after"])
         door.close_idle()
-        yield from world.sleep(STILL_COMING)
+        group.spawn(_reloads(caught, reloading), "reloads")
+        log.info(
+            "stopping",
+            held=len(host.asks),
+            connections=door.connections,
+            unseen_ms=(world.now() - told) / MS,
+            takes_for_ms=max(0, takes_until(told) - world.now()) / MS,
+        )
+        yield from world.sleep(takes_until(told) - world.now())
         listener.finish()
         while door.accepting or host.asks or host.calls or door.connections:
             door.close_idle()
