--- a/stackpitch/gateway/host/told.py
+++ b/stackpitch/gateway/host/told.py
@@ -207,6 +207,7 @@
 
     def written(self, ask: Ask, leg: Leg) -> None:
         ask.unsent.discard(leg)
+        leg.written = self.world.now()
         self.note(ask, Step.WRITTEN, leg.server.name)
 
     def leg_started(self, ask: Ask, leg: Leg, fetched: bool) -> bool:
