--- a/stackpitch/platform/leases.py
+++ b/stackpitch/platform/leases.py
@@ -65,12 +65,12 @@
             self.host.group.spawn(self.host.counted(release), f"release {ask.gen.name}")
 
     def _release(self, gen: Generation, bounds: Bounds) -> Coro[None]:
-        """Short tries, each at another server: first those whose connections were last good, and none that this
-        generation has found without an answer, or waits for. `bounds`: those that it arrived under."""
+        """Short tries, each at another server: first those that no attempt waits for and whose connections were last good,
+        and none that this generation has just found without an answer. `bounds`: those that it arrived under."""
         host, name = self.host, gen.name
-        asked = {leg.server for leg in gen.legs if leg.outcome in (None, "reset", "time-out", "unreachable")}
+        asked = {leg.server for leg in gen.legs if leg.outcome in ("reset", "time-out", "unreachable")}
         for _ in range(bounds.release_tries):
-            server = self._next(asked)
+            server = self._next(asked, {leg.server for leg in gen.legs if leg.outcome is None})
             if server is None:
                 asked.clear()
                 yield from host.world.sleep(bounds.call // 4)
@@ -83,12 +83,12 @@
         host.metrics.releases.labels("failed").inc()
         host.logger.warning("release_failed", generation=name)
 
-    def _next(self, asked: set[Server]) -> Server | None:
+    def _next(self, asked: set[Server], awaited: set[Server]) -> Server | None:
         host = self.host
         open_to = [one for one in host.roster.addresses if one.state != "gone" and one not in asked]
 
-        def last_good(one: Server) -> Time:
+        def rank(one: Server) -> tuple[bool, Time]:
             pool = host.pools.get(one)
-            return pool.idle[-1][1] if pool is not None and pool.idle else -1
+            return one not in awaited, pool.idle[-1][1] if pool is not None and pool.idle else -1
 
-        return max(open_to, default=None, key=last_good)
+        return max(open_to, default=None, key=rank)
