--- a/soak/broken.py
+++ b/soak/broken.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from stackpitch.brain.holds import Holds
 from stackpitch.gateway import leg as attempts
 from stackpitch.gateway.ask import Ask
 from stackpitch.gateway.host.told import Told
@@ -14,7 +15,9 @@
 from stackpitch.loop import MS, RealWorld
 from stackpitch.platform import leases
 from stackpitch.platform.ask import PlatformAsk
+from stackpitch.platform.door import PlatformDoor
 from stackpitch.platform.leg import PlatformLeg
+from stackpitch.platform.reloading import Reloading
 from stackpitch.platform.serve import serve
 from stackpitch.wire import http, platform
 
@@ -120,7 +123,36 @@
     PlatformAsk.finish = more  # type: ignore[method-assign]
 
 
+def late_requests() -> None:
+    """A gateway that stops takes requests for as long as a connection is open."""
+    PlatformDoor._takes_until = lambda self: None  # type: ignore[method-assign]
+
+
+def late_requests_after_reload() -> None:
+    """The same, but only where a configuration was read anew before."""
+    reload, takes_until = Reloading.reload, PlatformDoor._takes_until
+    reloaded: set[PlatformDoor] = set()
+
+    def note(self: Any) -> None:
+        reload(self)
+        reloaded.add(self.door)
+
+    def until(self: Any) -> Any:
+        return None if self in reloaded else takes_until(self)
+
+    Reloading.reload = note  # type: ignore[method-assign]
+    PlatformDoor._takes_until = until  # type: ignore[method-assign]
+
+
+def unarrived_send() -> None:
+    """An attempt counts as arrived once it is written here."""
+    Holds.arrived = lambda self, leg: True  # type: ignore
+
+
 FAULTS: dict[str, Callable[[], None]] = {
+    "late-requests": late_requests,
+    "late-requests-after-reload": late_requests_after_reload,
+    "unarrived-send": unarrived_send,
     "second-copy": second_copy,
     "held-events": held_events,
     "forgotten-release": forgotten_release,
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -11,7 +11,6 @@
 from soak.records import Record, Request
 from stackpitch.wire import http
 
-LIMITS = {"chat": 4.0, "pay": 4.0, "order": 9.0}  # seconds, as the settings have them
 KINDS = ["good"] * 14 + ["leaves", "resets", "stops", "slow", "half-closes"]
 EVENT_BOUND = 0.3  # seconds after its worker wrote it by which an event is here
 PATIENCE = 4.0  # seconds over its limit for which a client waits: what comes later is as if it never came
@@ -23,7 +22,17 @@
 class Client:
     """Asks one gateway again and again, on one connection as long as it lasts."""
 
-    def __init__(self, number: int, gateway: str, record: Record, random: Random, host: str) -> None:
+    def __init__(
+        self,
+        number: int,
+        gateway: str,
+        record: Record,
+        random: Random,
+        host: str,
+        limits: dict[str, float],
+    ) -> None:
+        """`limits`: the longest deadline of each class, in seconds."""
+        self.limits = limits
         self.number, self.gateway, self.record, self.random, self.host = number, gateway, record, random, host
         self.port = 0
         self.count = 0
@@ -45,9 +54,7 @@
         self._close()
 
     async def _ask_once(self) -> None:
-        kind = self.random.choice(KINDS)
-        product = self.random.choices(list(LIMITS), [6, 3, 2])[0]
-        limit = LIMITS[product] * self.random.uniform(0.15, 1)
+        kind, product, limit = self._drawn()
         for _ in range(
             3
         ):  # a kept connection may end as a request is written to it; a restarted gateway refuses
@@ -63,6 +70,19 @@
                 return
             request.resent = "again"
 
+    def _drawn(self) -> tuple[str, str, float]:
+        """What this client does, the class and the deadline of its next request."""
+        product = self.random.choices(list(self.limits), [6, 3, 2])[0]
+        return self.random.choice(KINDS), product, self.limits[product] * self.random.uniform(0.15, 1)
+
+    async def _ask_on_open_connection(self) -> None:
+        """One request, whatever becomes of it; it is not sent again."""
+        _, product, limit = self._drawn()
+        request = Request(self._name(), product, self.gateway, limit)
+        self.record.requests.append(request)
+        await self._ask(request)
+        request.resent = "no"
+
     async def _connect(self) -> bool:
         if self.writer is not None and not self.writer.is_closing():
             return True
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -8,9 +8,10 @@
 import subprocess
 import sys
 import time
+from collections.abc import Sequence
 from pathlib import Path
 
-from soak.records import Pause, Record
+from soak.records import Pause, Record, Stop
 from soak.shim import Shim
 
 READY = 10.0  # seconds until a process is ready
@@ -115,12 +116,17 @@
         await self.ready()
         self.record.pauses.append(Pause(self.name, begin, time.monotonic(), killed=True, replaced=True))
 
-    async def roll(self, patience: float) -> None:
-        """SIGTERM, SIGKILL once the longest deadline is over, and another process."""
-        begin = time.monotonic()
-        self.signal(signal.SIGTERM)
-        await self._gone(patience)
+    async def roll(self, patience: float, series: Sequence[int]) -> None:
+        """Signals in a series with SIGTERM among them, SIGKILL `patience` seconds after that, and another process."""
+        for number in series[: series.index(signal.SIGTERM)]:
+            self.signal(number)
+        told = time.monotonic()
+        for number in series[series.index(signal.SIGTERM) :]:
+            self.signal(number)
+        await self._gone(told + patience - time.monotonic())
         code = self.process.poll() if self.process is not None else 0
+        ended = time.monotonic()
+        self.record.stops.append(Stop(self.name, told, ended, killed=code is None))
         if code is None:
             self.signal(signal.SIGKILL)
             await self._gone()
@@ -130,7 +136,7 @@
         self.start()
         await self.ready()
         self.record.pauses.append(
-            Pause(self.name, begin + 0.2, time.monotonic(), killed=code is None, replaced=True)
+            Pause(self.name, ended, time.monotonic(), killed=code is None, replaced=True)
         )
 
     async def _gone(self, limit: float = 10.0) -> None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -13,6 +13,11 @@
 GROUPS = (WORKER_MODES, WORKER_NETWORK, WORKER_LIFE, GATEWAY_SIGNALS, GATEWAY_SYSTEM, DISCOVERY, CLIENTS)
 QUIET, LONG_QUIET = 1.5, 13.0  # seconds; the latter is over the time for which resting connections are kept
 LONG_QUIET_PART = 0.15
+DEADLINE_PARTS = (1.0, 1.0, 0.4, 0.15)
+CROWDED_PART = 0.3  # of the runs
+SURE_ROLLS = 3  # in each run, beside those that are drawn
+THROUGH_A_ROLL = ("hang", "silent", "slow")  # what workers do then
+ROLL = 4.0  # seconds that a gateway may have from SIGTERM to SIGKILL, and some
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +42,8 @@
     second_copies: bool
     release_ms: int
     seconds: float
+    deadline_part: float  # of the classes' usual deadlines; SIGKILL comes the sooner after SIGTERM
+    crowded: tuple[int, ...]  # gateways whose places for clients idle connections fill all the time
     troubles: tuple[Trouble, ...]
 
 
@@ -62,6 +69,16 @@
                 )
             )
         at += 3.0
+    more = Random(f"{seed} stops")  # by itself, so that earlier seeds keep their other troubles
+    for _ in range(SURE_ROLLS):
+        when = more.uniform(2.0, max(2.5, seconds - 8))
+        targets = _targets(more, "roll", count, readers, writers)
+        troubles.append(Trouble("roll", when, 1.0, targets, more.random()))
+        role = range(readers) if more.random() < 0.5 else range(readers, readers + writers)
+        some = tuple(sorted(more.sample(role, more.randint(len(role) // 2, len(role)))))
+        began = when + more.uniform(-0.5, 1.0)
+        troubles.append(Trouble(more.choice(THROUGH_A_ROLL), began, ROLL, some, more.random()))
+    crowded = more.random() < CROWDED_PART
     return Plan(
         count,
         readers,
@@ -71,6 +88,8 @@
         second_copies=random.random() < 0.5,
         release_ms=random.choice((400, 500, 800)),
         seconds=seconds,
+        deadline_part=more.choice(DEADLINE_PARTS),
+        crowded=tuple(more.sample(range(count), max(1, count // 4))) if crowded else (),
         troubles=tuple(sorted((one for one in troubles if one.at < seconds - 4), key=lambda one: one.at)),
     )
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -11,7 +11,8 @@
     worker: str
     role: str
     began: float  # its first byte
-    whole: float | None = None  # its last byte
+    whole: float | None = None  # its last byte was in the worker's socket
+    taken: float | None = None  # the worker took it: later, if it was silent or did not run
     request: str = ""
     gateway: str = ""
     told_ms: int = 0  # the deadline that the worker was told
@@ -46,7 +47,7 @@
 
     request: str
     worker: str
-    at: float
+    at: float  # the worker took it
 
 
 @dataclass(slots=True)
@@ -60,6 +61,16 @@
     replaced: bool = False  # another process from then on, that was told nothing yet
 
 
+@dataclass(slots=True)
+class Stop:
+    """A gateway was told to stop."""
+
+    gateway: str
+    told: float  # just before SIGTERM was sent
+    ended: float  # its process had ended by itself, or SIGKILL was about to be sent
+    killed: bool
+
+
 @dataclass(slots=True)
 class Told:
     """A worker was listed as draining or gone, in an answer that discovery handed over to a gateway."""
@@ -87,6 +98,8 @@
     requests: list[Request] = field(default_factory=list)
     releases: list[Release] = field(default_factory=list)
     pauses: list[Pause] = field(default_factory=list)
+    stops: list[Stop] = field(default_factory=list)
+    crowded: set[str] = field(default_factory=set)  # gateways whose places for clients idle connections fill
     told: list[Told] = field(default_factory=list)
     told_up: list[Told] = field(default_factory=list)  # workers listed as up with a start, as `told`
     starts: list[Start] = field(default_factory=list)
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,9 +13,11 @@
 from soak.clients import Client
 from soak.discovery import Discovery
 from soak.gateways import Gateway
+from soak.late import connected
 from soak.plan import Plan, Trouble
 from soak.records import Record
 from soak.shim import Kind, Shim
+from soak.stops import earliest_kill
 from soak.workers import Worker, member
 
 HOST = "127.0.0.1"
@@ -24,17 +26,32 @@
     64,
     200,
 )  # below those that the system gives to connections; a block for each run
-LONGEST_DEADLINE = 9.0
+LIMITS = {"chat": 4.0, "pay": 4.0, "order": 9.0}  # seconds, before the plan's part of them
+LONGEST_DEADLINE = max(LIMITS.values())
+CROWD, CROWD_RENEWED = 110, 0.5  # idle connections at a crowded gateway; seconds between two looks at them
+SERIES = (
+    (signal.SIGTERM,),
+    (signal.SIGHUP, signal.SIGTERM),
+    (signal.SIGTERM, signal.SIGTERM, signal.SIGHUP),
+    (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM),
+)
 SETTLE = 1.5  # seconds without troubles at the end
 WALL_STEPS = (-3_600_000, -30_000, -2_000, 2_000, 30_000, 3_600_000)  # milliseconds
 FLAVORS = ("r", "w")
+CONNECTING = 0.05  # seconds for clients to connect before their gateway is told to stop
 
 
 class CannotStart(Exception):
     """A part of the soak could not be started; its text says which."""
 
 
+def limits(plan: Plan) -> dict[str, float]:
+    """The longest deadline of each class, in seconds."""
+    return {name: limit * plan.deadline_part for name, limit in LIMITS.items()}
+
+
 def settings(plan: Plan) -> dict[str, object]:
+    deadlines = {name: round(limit * 1000) for name, limit in limits(plan).items()}
     return {
         "balancers": plan.gateways,
         "me": 0,
@@ -50,17 +67,23 @@
             "cancel": True,
         },
         "classes": [
-            {"name": "chat", "effect": "free", "aimMs": 1000, "deadlineMs": 4000, "worth": 1},
+            {"name": "chat", "effect": "free", "aimMs": 1000, "deadlineMs": deadlines["chat"], "worth": 1},
             {
                 "name": "pay",
                 "effect": "guarded",
                 "dedupScope": "all",
                 "keyTtlMs": 800,
                 "aimMs": 1000,
-                "deadlineMs": 4000,
+                "deadlineMs": deadlines["pay"],
                 "worth": 2,
             },
-            {"name": "order", "effect": "single_shot", "aimMs": 2500, "deadlineMs": 9000, "worth": 3},
+            {
+                "name": "order",
+                "effect": "single_shot",
+                "aimMs": 2500,
+                "deadlineMs": deadlines["order"],
+                "worth": 3,
+            },
         ],
         "guarantees": {
             "coldFrom": 0.1,
@@ -119,9 +142,12 @@
                 self.record,
                 Random(f"{seed} {number}"),
                 HOST,
+                limits(plan),
             )
             for number in range(plan.clients)
         ]
+        self.record.crowded = {f"g{number}" for number in plan.crowded}
+        self.late: set[asyncio.Task[None]] = set()  # clients of gateways that stop; emptied as they end
         first = FIRST_PORT + os.getpid() % BLOCKS * BLOCK
         self.ports = iter(range(first, first + BLOCK))
         self.busy: set[str] = set()  # gateways that are being signalled
@@ -132,15 +158,19 @@
         self.began = time.monotonic()
         tasks = [asyncio.ensure_future(one.run(self.plan.pause)) for one in self.clients]
         watch = asyncio.ensure_future(self._watch())
+        crowds = [asyncio.ensure_future(self._keep_crowd(self.gateways[one])) for one in self.plan.crowded]
         troubles = [asyncio.ensure_future(self._trouble(one)) for one in self.plan.troubles]
         await asyncio.sleep(self.plan.seconds - SETTLE)
         await asyncio.wait(troubles, timeout=LONGEST_DEADLINE + 12) if troubles else None
         await asyncio.sleep(SETTLE)
         for client in self.clients:
             client.over = True
-        await asyncio.wait(tasks, timeout=LONGEST_DEADLINE + 6)
+        await asyncio.wait([*tasks, *self.late], timeout=LONGEST_DEADLINE + 6)
+        for task in crowds:
+            task.cancel()
+        await asyncio.wait(crowds) if crowds else None
         await asyncio.sleep(1.0)
-        for task in (*tasks, *troubles, watch):
+        for task in (*tasks, *self.late, *troubles, watch):
             task.cancel()
         self._look_at_rest()
         for worker in self.workers:
@@ -321,7 +351,22 @@
         await self._each(trouble, lambda one: one.kill_and_replace())
 
     async def _roll(self, trouble: Trouble) -> None:
-        await self._each(trouble, lambda one: one.roll(LONGEST_DEADLINE + 1.0))
+        """Clients that have connected before go on sending until SIGKILL, which comes as early as the page has it."""
+        patience = earliest_kill(max(limits(self.plan).values()))
+        series = SERIES[int(trouble.amount * len(SERIES))]
+
+        async def stop(gateway: Gateway) -> None:
+            random = Random(f"{trouble} {gateway.name}")
+            late = connected(
+                gateway.name, gateway.port, self.record, random, HOST, limits(self.plan), patience
+            )
+            self.late.update(late)
+            for task in late:
+                task.add_done_callback(self.late.discard)
+            await asyncio.sleep(CONNECTING)
+            await gateway.roll(patience, series)
+
+        await self._each(trouble, stop)
 
     async def _hup(self, trouble: Trouble) -> None:
         """Discovery moves to another port."""
@@ -412,6 +457,7 @@
                 self.record,
                 Random(f"{trouble} {number}"),
                 HOST,
+                limits(self.plan),
             )
             for number, gateway in enumerate(self._of_gateways(trouble))
         ]
@@ -423,6 +469,22 @@
             client.over = True
         await asyncio.wait(tasks, timeout=LONGEST_DEADLINE + 6) if tasks else None
 
+    async def _keep_crowd(self, gateway: Gateway) -> None:
+        """Idle connections that fill the gateway's places for clients, and come anew as it ends them."""
+        held: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+        try:
+            while True:
+                for one in [one for one in held if one[0].at_eof() or one[0].exception() is not None]:
+                    held.remove(one)
+                    one[1].close()
+                with suppress(OSError):  # it is being replaced
+                    while len(held) < CROWD:
+                        held.append(await asyncio.open_connection(HOST, gateway.port))
+                await asyncio.sleep(CROWD_RENEWED)
+        finally:
+            for _, writer in held:
+                writer.close()
+
     async def _crowd(self, trouble: Trouble) -> None:
         """Idle connections."""
         held = []
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -84,9 +84,9 @@
             assert attempt is not None
             if reader.method == "DELETE":
                 name = reader.path.rpartition("/")[2]
-                self.record.releases.append(Release(name, self.name, link.came))
+                self.record.releases.append(Release(name, self.name, time.monotonic()))
                 return await link.write(http.response(204, b""))
-            attempt.whole = link.came
+            attempt.whole, attempt.taken = link.came, time.monotonic()
             attempt.told_ms = int(reader.headers["req-deadline-ms"])
             return await self._watched(link, attempt)
         finally:
