--- a/stackpitch/brain/holds.py
+++ b/stackpitch/brain/holds.py
@@ -30,7 +30,7 @@
         elif leg.outcome == "read" or gen in self.since and self.arrived(leg):
             self.since[gen] = now
             self.gateway.wake(int(self.allowed * self.RELEASE_PART), lambda _: self._due(gen, now))
-        elif leg.server.role == "reader" and leg.outcome in ("reset", "error"):
+        elif leg.server.role == "reader" and leg.outcome not in NEVER_RAN:
             self.gateway.release(gen)  # it may have ended well unseen; the prompt is read again in any case
 
     def _due(self, gen: Generation, since: Time) -> None:
