--- a/stackpitch/gateway/door.py
+++ b/stackpitch/gateway/door.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from stackpitch.gateway.ask import DEPARTED, Ask, OpenAsk
-from stackpitch.gateway.endings import Endings, Resting
 from stackpitch.gateway.facts import BadRequest, Facts, Reading
 from stackpitch.gateway.host import Host
+from stackpitch.gateway.intake import Intake
 from stackpitch.gateway.permission import Act, Reason
 from stackpitch.gateway.trace import Closing
 from stackpitch.interface import Generation, Time
@@ -33,7 +33,7 @@
     def spoken(self, facts: Facts) -> dict[str, dict[str, msgspec.Raw]] | None: ...
 
 
-class Door(Endings):
+class Door(Intake):
     """Accepts clients. Tables: none beyond the connections that are open."""
 
     retry_after: Time = 0  # told to clients that are refused as the gateway stops; 0: nothing is told
@@ -57,14 +57,11 @@
         margin: Time,
         fresh: Time | None = None,
     ) -> None:
-        super().__init__(world, host, metrics, max_body, stall)
+        super().__init__(world, host, metrics, stall, max_bodies, max_body, max_head, head, body, idle, fresh)
         self.log, self.reading = log, reading
         self.speaking: Speaks | None = None  # set where vocabularies matter
-        self.max_connections, self.max_bodies = max_connections, max_bodies
-        self.max_head, self.head, self.body, self.idle = max_head, head, body, idle
-        self.margin = margin
-        self.fresh = idle if fresh is None else fresh  # for a connection's first byte
-        self.connections = self.bodies = self.count = 0
+        self.max_connections, self.margin = max_connections, margin
+        self.connections = self.count = 0
         self.closings: Counter[Closing] = Counter()  # since they were last told; as many as there are reasons
         self._why_after: dict[
             Stream, Closing
@@ -153,55 +150,6 @@
         finally:
             self.bodies -= held
 
-    def _why_without_request(self, stream: Stream) -> Closing:
-        if stream in self.lingering:
-            return Closing.MADE_ROOM
-        return Closing.CLIENT_ENDED if stream.eof else Closing.IDLE
-
-    def _first(self, stream: Stream, kept: bool) -> Coro[bytes]:
-        with self.world.limit(self.idle if kept else self.fresh) as scope:
-            rest = self.waiting[stream] = Resting(kept, scope)
-            try:
-                rest.first += yield from stream.recv()  # to what was seen as it was to end
-            finally:
-                self.waiting.pop(stream, None)
-        if stream in self.lingering:
-            return b""  # half-closed in the same turn: nothing can be answered any more
-        if scope.expired and not scope.told and not rest.first:
-            rest.first = stream.recv_now(look=True) or b""  # it may have come in the very moment
-        return rest.first
-
-    def _rest(self, stream: Stream, reader: http.RequestReader, held: int) -> Coro[int]:
-        """Reads until the request is whole or the client has left; bytes of body that now count as held."""
-        continued = False
-        try:
-            for limit, what in ((self.head, "head"), (self.body, "body")):
-                with self.world.limit(limit) as scope:
-                    while not (reader.complete or (what == "head" and reader.head_done)):
-                        if (
-                            reader.head_done
-                            and not continued
-                            and "100-continue" in reader.headers.get("expect", "")
-                        ):
-                            stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-                            continued = True
-                        data = yield from stream.recv()
-                        if not data:
-                            return held
-                        reader.feed(data)
-                        self.bodies += reader.body_size - held
-                        held = reader.body_size
-                        if self.bodies > self.max_bodies:
-                            raise http.BadMessage(503, "too much is held here; try again")
-                if scope.expired and not (reader.complete or (what == "head" and reader.head_done)):
-                    raise http.BadMessage(408, f"{what} was not whole after {limit // 10} ms")
-                self.bodies += reader.body_size - held
-                held = reader.body_size
-        except BaseException:
-            self.bodies -= held
-            raise
-        return held
-
     def _last(self, reader: http.RequestReader) -> list[tuple[str, str]]:
         """What an answer says if it is its connection's last."""
         return (
