--- a/soak/broken.py
+++ b/soak/broken.py
@@ -55,7 +55,7 @@
 
 
 def forgotten_release() -> None:
-    leases.Servers.let_go = lambda self, ask: None  # type: ignore[method-assign]
+    leases.Servers._let_go = lambda self, ask: None  # type: ignore[method-assign]
 
 
 def unanswered() -> None:
