--- a/soak/plan.py
+++ b/soak/plan.py
@@ -18,6 +18,9 @@
 SURE_ROLLS = 3  # in each run, beside those that are drawn
 THROUGH_A_ROLL = ("hang", "silent", "slow")  # what workers do then
 ROLL = 4.0  # seconds that a gateway may have from SIGTERM to SIGKILL, and some
+SURE_SILENCE = (
+    2.5  # seconds in each run in which no decode worker takes anything, so that states wait for a release
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +81,10 @@
         some = tuple(sorted(more.sample(role, more.randint(len(role) // 2, len(role)))))
         began = when + more.uniform(-0.5, 1.0)
         troubles.append(Trouble(more.choice(THROUGH_A_ROLL), began, ROLL, some, more.random()))
+    alone = Random(f"{seed} silence")
+    decode = tuple(range(readers, readers + writers))
+    when = alone.uniform(2.0, max(2.5, seconds - 8))
+    troubles.append(Trouble("silent", when, SURE_SILENCE, decode, alone.random()))
     crowded = more.random() < CROWDED_PART
     return Plan(
         count,
--- a/tests/test_crossings_soak.py
+++ b/tests/test_crossings_soak.py
@@ -1,4 +1,4 @@
-"""A bounded soak: one seed kept by the program, and three of the programs that are broken on purpose found."""
+"""A bounded soak: one seed kept by the program, and some of the programs that are broken on purpose found."""
 
 from pathlib import Path
 
@@ -20,7 +20,7 @@
     assert not play(104, 20, 10, library, PROGRAM, False)
 
 
-@pytest.mark.parametrize("fault", ["second-copy", "forgotten-release", "long-deadline"])
+@pytest.mark.parametrize("fault", ["second-copy", "forgotten-release", "unarrived-send", "long-deadline"])
 def test_what_is_broken_on_purpose_is_found(library: Path, fault: str) -> None:
     assert play(104, 9, 4, library, ["-m", "soak.broken", fault], False)
 
