Failing test: a release that meets four silent workers before one that runs

Held state, again, from reading the release's path for the same mistake: its tries follow each other, each with 125 ms (a quarter of the time that the settings allow). Test: six workers, of which all but one fall silent as the read ends; the one that runs was not good last.

--- a/tests/test_crossings_held.py
+++ b/tests/test_crossings_held.py
@@ -11,6 +11,9 @@
 from crossing_workers import Attempt, Worker, attempt_anywhere, fleet, read
 from platform_script import READ, SETTINGS
 
+from stackpitch.wire import http
+
+READ_AND_CLOSE = http.response(202, b'{"cached_tokens":4}', [("connection", "close")])
 HELD = SETTINGS["extra"]["releaseMs"] / 1000 + 0.3  # seconds; the page grants 0.3 beyond the settings
 PRODUCTS = ["chat", "pay", "order"]
 
@@ -96,6 +99,35 @@
         answered([client])
 
 
+def most_fall_silent(folder: Path, product: str) -> None:
+    """All that were good last fall silent as the read ends; the one that runs has no connection that was kept."""
+    workers = fleet("r1", "r2", "w1", "w2", "w3", "w4")
+    last, runs = workers[0], workers[1]
+    read_at: dict[str, float] = {}
+    with RunningGateway(folder, workers) as gateway:
+
+        def read_and_silence(attempt: Attempt) -> None:
+            for one in workers:
+                if one is not runs:
+                    one.running.clear()
+            read_at[attempt.name] = time.monotonic()
+            read(attempt)
+
+        runs.script = lambda attempt: attempt.answer(READ_AND_CLOSE)
+        while not all(one.connections for one in workers):
+            gateway.served()
+        last.script = read_and_silence
+        while not read_at:
+            client = gateway.ask(product, 6000)
+            attempt_anywhere(workers[:2], client.name)
+            if not read_at:
+                assert client.answer().whole
+        released_in_time(workers, client.name, read_at)
+        for one in workers:
+            one.running.set()
+        answered([client])
+
+
 def answered(clients: list[Client]) -> None:
     for client in clients:
         answer = client.answer()
@@ -112,3 +144,7 @@
 
 def test_what_is_held_is_released_though_the_next_send_has_not_arrived(tmp_path: Path) -> None:
     side_by_side(lambda folder, case: case[0](folder, case[1]), tmp_path, CASES)
+
+
+def test_a_release_comes_through_where_one_worker_of_six_runs(tmp_path: Path) -> None:
+    side_by_side(most_fall_silent, tmp_path, PRODUCTS)
