Tries of a release overlap: nine workers can be told in the time of three

Change: platform/releasing.py, split off leases.py; a further worker is told every third of a try's limit (pacing.release_gap) until one has answered, nine times, then one after the other as before, for the same time altogether. A first try that answers within 42 ms, as they do where nothing is wrong, is still the only one. Tries that are out run to their end, so no connection is broken off by another's answer. Ruled out: that the rank of workers is at fault; those whose connections were good last are the best guess, but only a guess.

--- a/stackpitch/gateway/pacing.py
+++ b/stackpitch/gateway/pacing.py
@@ -1,4 +1,5 @@
-"""How much may wait for a client, how slowly it may take it, and how long an answer may go on. Pure."""
+"""How much may wait for a client, how slowly it may take it, how long an answer may go on, and when a release is tried
+again. Pure."""
 
 from stackpitch.interface import Time
 
@@ -9,6 +10,11 @@
     64,
 )  # one event a token is usual; beside them usage, load, end and signs of life
 
+QUICK_RELEASES = (
+    9  # tries of a release that overlap, in the time of three: so many fit into what the page grants
+)
+OVERLAPPING = 3  # of them at once
+
 
 def buffer(memory: int, clients: int, most: int) -> int:
     """Bytes that may wait for each of so many clients, for all to fit in `memory`."""
@@ -26,3 +32,9 @@
 def most_events(tokens: int) -> int | None:
     """Of an answer that was to have so many tokens at most; None: it was not said."""
     return EVENTS_A_TOKEN * tokens + EVENTS_BESIDE if tokens else None
+
+
+def release_gap(number: int, limit: Time) -> Time:
+    """From the start of a release's try, counted from 0, to that of the next. `limit`: that each try has. Early tries overlap,
+    as several workers in a row may be silent; later ones don't, as then hardly any can be reached."""
+    return limit // OVERLAPPING if number < QUICK_RELEASES else limit
--- a/stackpitch/platform/leases.py
+++ b/stackpitch/platform/leases.py
@@ -1,13 +1,13 @@
 """The front towards model servers: legs, places held ahead, and letting go of whatever may be held."""
 
 from stackpitch.gateway.ask import Ask
-from stackpitch.gateway.bounds import Bounds
 from stackpitch.gateway.host import Host
 from stackpitch.gateway.permission import Act, may_hold
-from stackpitch.interface import Generation, Leg, Report, Server, Time
+from stackpitch.interface import Leg, Report, Server, Time
 from stackpitch.loop import MS, Coro
 from stackpitch.platform.ask import PlatformAsk
 from stackpitch.platform.leg import PlatformLeg
+from stackpitch.platform.releasing import Release
 from stackpitch.wire import platform
 
 
@@ -61,34 +61,5 @@
     def _let_go(self, ask: Ask) -> None:
         assert isinstance(ask, PlatformAsk)
         if ask.held or ask.doubt:
-            release = self._release(ask.gen, self.host.arrival_settings(ask.gen).bounds)
-            self.host.group.spawn(self.host.counted(release), f"release {ask.gen.name}")
-
-    def _release(self, gen: Generation, bounds: Bounds) -> Coro[None]:
-        """Short tries, each at another server: first those that no attempt waits for and whose connections were last good,
-        and none that this generation has just found without an answer. `bounds`: those that it arrived under."""
-        host, name = self.host, gen.name
-        asked = {leg.server for leg in gen.legs if leg.outcome in ("reset", "time-out", "unreachable")}
-        for _ in range(bounds.release_tries):
-            server = self._next(asked, {leg.server for leg in gen.legs if leg.outcome is None})
-            if server is None:
-                asked.clear()
-                yield from host.world.sleep(bounds.call // 4)
-                continue
-            asked.add(server)
-            answer = yield from host.call(server, "DELETE", platform.LEASES + name, b"", bounds.call)
-            if answer is not None and answer.status == 204:
-                host.metrics.releases.labels("done").inc()
-                return
-        host.metrics.releases.labels("failed").inc()
-        host.logger.warning("release_failed", generation=name)
-
-    def _next(self, asked: set[Server], awaited: set[Server]) -> Server | None:
-        host = self.host
-        open_to = [one for one in host.roster.addresses if one.state != "gone" and one not in asked]
-
-        def rank(one: Server) -> tuple[bool, Time]:
-            pool = host.pools.get(one)
-            return one not in awaited, pool.idle[-1][1] if pool is not None and pool.idle else -1
-
-        return max(open_to, default=None, key=rank)
+            release = Release(self.host, ask.gen, self.host.arrival_settings(ask.gen).bounds)
+            self.host.group.spawn(self.host.counted(release.run()), f"release {ask.gen.name}")
--- a/stackpitch/platform/plan.py
+++ b/stackpitch/platform/plan.py
@@ -22,6 +22,7 @@
 RESERVE = OWN + PASSING + UNSEEN + TRIES + PlatformDoor.told_why
 CLIENTS = 0.42  # of the rest: the platform's clients hold a third at most for requests
 MAX_BODY, MAX_HEAD = 256 << 10, 16 << 10  # bytes; the protocol's bound, and what no head of it reaches
+RELEASE_TRIES = 18  # of one release; with their gaps they go on for twelve times the limit of one
 GAP = (
     SECOND * 35 // 10
 )  # a client is kept waiting 5 s at most after a server's last event; seen a quarter later
@@ -63,7 +64,7 @@
         idle=allowed.ticks("connIdleMs", 30_000) * 7 // 10,
         gap=GAP,
         call=min(connect, extra.ticks("releaseMs", 500) // 4),
-        release_tries=12,
+        release_tries=RELEASE_TRIES,
         max_head=MAX_HEAD,
         max_answer=4 << 20,
         buffer=buffer,
--- /dev/null
+++ b/stackpitch/platform/releasing.py
@@ -0,0 +1,63 @@
+"""Releases what workers hold for a request: any running worker may be told, and does it for all of them.
+
+Which workers run is not known when a release is due, as many may have hung or been cut off together. So tries overlap: the
+next worker is told soon after the last, whose answer may still come.
+"""
+
+from stackpitch.gateway.bounds import Bounds
+from stackpitch.gateway.host import Host
+from stackpitch.gateway.pacing import release_gap
+from stackpitch.interface import Generation, Server, Time
+from stackpitch.loop import Coro, Group, Scope
+from stackpitch.wire import platform
+
+RELEASED = 204
+
+
+class Release:
+    """One request's. `bounds`: those that it arrived under."""
+
+    def __init__(self, host: Host, request: Generation, bounds: Bounds) -> None:
+        self.host, self.request, self.bounds = host, request, bounds
+        # Workers that are not told again before all others were; none that this request has just found without an answer.
+        self.told = {
+            leg.server for leg in request.legs if leg.outcome in ("reset", "time-out", "unreachable")
+        }
+        self.done = False
+
+    def run(self) -> Coro[None]:
+        """Until a worker has released it and all tries have ended, or the tries are used up."""
+        yield from self.host.world.group(self._tries)
+        self.host.metrics.releases.labels("done" if self.done else "failed").inc()
+        if not self.done:
+            self.host.logger.warning("release_failed", generation=self.request.name)
+
+    def _tries(self, group: Group) -> Coro[None]:
+        with self.host.world.scope() as starts:
+            for number in range(self.bounds.release_tries):
+                worker = self._next()
+                if worker is not None:
+                    self.told.add(worker)
+                    group.spawn(self._try(worker, starts), f"release at {worker.name}")
+                else:
+                    self.told.clear()
+                yield from self.host.world.sleep(release_gap(number, self.bounds.call))
+
+    def _try(self, worker: Server, starts: Scope) -> Coro[None]:
+        target = platform.LEASES + self.request.name
+        answer = yield from self.host.call(worker, "DELETE", target, b"", self.bounds.call)
+        if answer is not None and answer.status == RELEASED:
+            self.done = True
+            starts.cancel()
+
+    def _next(self) -> Server | None:
+        """First those that no attempt waits for and whose connections were last good."""
+        host = self.host
+        awaited = {leg.server for leg in self.request.legs if leg.outcome is None}
+        left = [one for one in host.roster.addresses if one.state != "gone" and one not in self.told]
+
+        def rank(one: Server) -> tuple[bool, Time]:
+            pool = host.pools.get(one)
+            return one not in awaited, pool.idle[-1][1] if pool is not None and pool.idle else -1
+
+        return max(left, default=None, key=rank)
