Soak: run.py split into fleet, settings and one module for each kind of trouble

Now: fleet.py (processes, stand-ins, ports), settings.py, troubles/ (workers, gateways, system, discovery, clients), run.py (the play alone). The kinds of trouble are named in tables, where getattr found them by their spelling before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,9 +9,10 @@
 import time
 from pathlib import Path
 
+from soak.fleet import CannotStart, Fleet
 from soak.oracle import Judge, served
 from soak.plan import drawn
-from soak.run import CannotStart, Run, counts
+from soak.run import Run
 from soak.shim import NoCompiler, build
 
 MOST_SHOWN = 12  # breaks of one run
@@ -24,21 +25,21 @@
     """The breaks that were found; prints the run's story if there are any. Raises CannotStart."""
     plan = drawn(seed, seconds, gateways)
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    run = Run(plan, seed, folder, library, program, print)
+    fleet = Fleet(plan, seed, folder, library, program)
     begun = time.monotonic()
     try:
-        asyncio.run(run.play())
+        asyncio.run(Run(fleet, print).play())
     finally:
-        run.end()
-    breaks = list(Judge(run.record).breaks())
+        fleet.end()
+    breaks = list(Judge(fleet.record).breaks())
     print(
         f"seed {seed}: {'kept' if not breaks else f'{len(breaks)} breaks'}; {plan.gateways} gateways, "
-        f"{len(plan.troubles)} troubles, {time.monotonic() - begun:.0f} s; {served(run.record)}; "
-        f"lag {run.record.lag:.2f} s; injected {counts(run)}",
+        f"{len(plan.troubles)} troubles, {time.monotonic() - begun:.0f} s; {served(fleet.record)}; "
+        f"lag {fleet.record.lag:.2f} s; injected {fleet.injected()}",
         flush=True,
     )
     if breaks:
-        print("\n".join(f"    {one}" for one in run.record.troubles))
+        print("\n".join(f"    {one}" for one in fleet.record.troubles))
         print("\n".join(f"  {one}" for one in breaks[:MOST_SHOWN]), flush=True)
     if breaks or keep:
         print(f"  logs: {folder}", flush=True)
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,117 @@
+"""The processes and stand-ins of a run, all on a loopback address of its own."""
+
+import asyncio
+import json
+import os
+from contextlib import suppress
+from pathlib import Path
+from random import Random
+
+from soak.clients import Client
+from soak.discovery import Discovery
+from soak.gateways import Gateway
+from soak.plan import Plan
+from soak.records import Record
+from soak.settings import limits, settings
+from soak.shim import Shim
+from soak.workers import Worker, member
+
+HOST = "127.0.0.1"
+FIRST_PORT, BLOCKS, BLOCK = (
+    2_000,
+    64,
+    200,
+)  # below those that the system gives to connections; a block for each run
+
+
+class CannotStart(Exception):
+    """A part of the soak could not be started; its text says which."""
+
+
+class Fleet:
+    """`record` is what was seen of it. Raises CannotStart where a part can't be had."""
+
+    def __init__(self, plan: Plan, seed: int, folder: Path, library: Path | None, program: list[str]) -> None:
+        self.plan, self.random = plan, Random(f"run {seed}")
+        self.record = Record(settings(plan))
+        self.workers = [
+            Worker(
+                f"{'r' if number < plan.readers else 'w'}{number}",
+                "reader" if number < plan.readers else "writer",
+                self.record,
+                Random(f"{seed} worker {number}"),
+                HOST,
+            )
+            for number in range(plan.readers + plan.writers)
+        ]
+        self.discovery = Discovery(self.record, Random(f"{seed} discovery"), HOST)
+        self.gateways: list[Gateway] = []
+        for number in range(plan.gateways):
+            own = folder / f"g{number}"
+            own.mkdir(parents=True)
+            shim = Shim(own, library, seed * 100 + number) if library is not None else None
+            self.gateways.append(Gateway(f"g{number}", HOST, own, self.record, shim, program))
+        self.clients = [
+            Client(
+                number,
+                self.gateways[number % plan.gateways].name,
+                self.record,
+                Random(f"{seed} {number}"),
+                HOST,
+                limits(plan),
+            )
+            for number in range(plan.clients)
+        ]
+        self.record.crowded = {f"g{number}" for number in plan.crowded}
+        self.late: set[asyncio.Task[None]] = set()  # clients of gateways that stop; emptied as they end
+        first = FIRST_PORT + os.getpid() % BLOCKS * BLOCK
+        self.ports = iter(range(first, first + BLOCK))
+        self.busy: set[str] = set()  # gateways that are being signalled
+
+    async def start(self) -> None:
+        try:
+            for worker in self.workers:
+                worker.port = await self.free_port()
+                await worker.start()
+                self.discovery.members[worker.name] = member(worker)
+            for number, gateway in enumerate(self.gateways):
+                gateway.port = await self.free_port()
+                port = await self.free_port()
+                await self.discovery.open_for(gateway.name, port)
+                gateway.configure(number, self.plan.gateways, port, self.discovery.known())
+                gateway.start()
+        except OSError as wrong:
+            raise CannotStart(f"stand-ins or processes: {wrong}") from None
+        ready = await asyncio.gather(*(one.ready() for one in self.gateways))
+        if not all(ready):
+            raise CannotStart(f"gateways: {self.record.wrong}")
+        for client in self.clients:
+            client.port = next(one.port for one in self.gateways if one.name == client.gateway)
+
+    async def free_port(self) -> int:
+        for port in self.ports:
+            with suppress(OSError):
+                server = await asyncio.start_server(lambda reader, writer: None, HOST, port)
+                server.close()
+                await server.wait_closed()
+                return port
+        raise CannotStart("no port is free")
+
+    def not_busy(self, numbers: tuple[int, ...]) -> list[Gateway]:
+        """Those of these gateways that are not being signalled."""
+        return [one for number in numbers if (one := self.gateways[number]).name not in self.busy]
+
+    def end(self) -> None:
+        """Leaves no process behind."""
+        for gateway in self.gateways:
+            gateway.end()
+        self.record.wrong = list(dict.fromkeys(self.record.wrong))
+
+    def injected(self) -> str:
+        """Faults that the preloaded library injected, by kind."""
+        found: dict[str, int] = {}
+        for gateway in self.gateways:
+            if gateway.shim is not None:
+                for kind, count in gateway.shim.injected().items():
+                    found[kind.name.lower()] = found.get(kind.name.lower(), 0) + count
+        return json.dumps({kind: count for kind, count in found.items() if count})
--- /dev/null
+++ b/soak/troubles/discovery.py
@@ -0,0 +1,47 @@
+"""Discovery that is down, silent, late or cut into pieces."""
+
+import asyncio
+
+from soak.fleet import Fleet
+from soak.plan import Trouble
+from soak.troubles.acts import Act
+
+
+class DiscoveryTroubles:
+    """At the one discovery of all gateways."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+
+    def acts(self) -> dict[str, Act]:
+        """By kind of trouble."""
+        return {
+            "discovery-down": self._discovery_down,
+            "discovery-silent": self._discovery_silent,
+            "discovery-late": self._discovery_late,
+            "discovery-reset": self._discovery_reset,
+            "discovery-pieces": self._discovery_pieces,
+        }
+
+    async def _discovery_down(self, trouble: Trouble) -> None:
+        await self.fleet.discovery.down()
+        await asyncio.sleep(trouble.length * 2)
+        await self.fleet.discovery.up()
+
+    async def _discovery_silent(self, trouble: Trouble) -> None:
+        self.fleet.discovery.network.silent = True
+        await asyncio.sleep(trouble.length * 2)
+        self.fleet.discovery.network.calm()
+
+    async def _discovery_pieces(self, trouble: Trouble) -> None:
+        self.fleet.discovery.network.pieces = True
+        await asyncio.sleep(trouble.length * 2)
+        self.fleet.discovery.network.calm()
+
+    async def _discovery_reset(self, trouble: Trouble) -> None:
+        self.fleet.discovery.network.reset_all()
+
+    async def _discovery_late(self, trouble: Trouble) -> None:
+        self.fleet.discovery.slow = trouble.amount
+        await asyncio.sleep(trouble.length)
+        self.fleet.discovery.slow = 0.0
--- /dev/null
+++ b/soak/troubles/gateways.py
@@ -0,0 +1,107 @@
+"""Signals to gateway processes, and configurations read anew."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from soak.fleet import HOST, Fleet
+from soak.gateways import Gateway
+from soak.late import connected
+from soak.plan import Trouble
+from soak.settings import limits
+from soak.stops import earliest_kill
+from soak.troubles.acts import Act
+
+SERIES = (
+    (signal.SIGTERM,),
+    (signal.SIGHUP, signal.SIGTERM),
+    (signal.SIGTERM, signal.SIGTERM, signal.SIGHUP),
+    (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM),
+)
+CONNECTING = 0.05  # seconds for clients to connect before their gateway is told to stop
+SHORT_STOP, LONG_STOP = 0.15, 3.0  # seconds
+
+
+class GatewayTroubles:
+    """At the gateways that a trouble names, but for those that are being signalled already."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+
+    def acts(self) -> dict[str, Act]:
+        """By kind of trouble."""
+        return {
+            "stop-short": self._stop_short,
+            "stop-long": self._stop_long,
+            "kill": self._kill,
+            "roll": self._roll,
+            "hup": self._hup,
+            "hup-settings": self._hup_settings,
+        }
+
+    async def _each(self, trouble: Trouble, act: Callable[[Gateway], Awaitable[None]]) -> None:
+        gateways = self.fleet.not_busy(trouble.targets)
+        self.fleet.busy |= {one.name for one in gateways}
+        await asyncio.gather(*(act(one) for one in gateways))
+        self.fleet.busy -= {one.name for one in gateways}
+
+    async def _stop_short(self, trouble: Trouble) -> None:
+        await self._each(trouble, lambda one: one.stop_for(SHORT_STOP))
+
+    async def _stop_long(self, trouble: Trouble) -> None:
+        await self._each(trouble, lambda one: one.stop_for(LONG_STOP))
+
+    async def _kill(self, trouble: Trouble) -> None:
+        await self._each(trouble, lambda one: one.kill_and_replace())
+
+    async def _roll(self, trouble: Trouble) -> None:
+        """Clients that have connected before go on sending until SIGKILL, which comes as early as the page has it."""
+        patience = earliest_kill(max(limits(self.fleet.plan).values()))
+        series = SERIES[int(trouble.amount * len(SERIES))]
+
+        async def stop(gateway: Gateway) -> None:
+            random = Random(f"{trouble} {gateway.name}")
+            late = connected(
+                gateway.name, gateway.port, self.fleet.record, random, HOST, limits(self.fleet.plan), patience
+            )
+            self.fleet.late.update(late)
+            for task in late:
+                task.add_done_callback(self.fleet.late.discard)
+            await asyncio.sleep(CONNECTING)
+            await gateway.roll(patience, series)
+
+        await self._each(trouble, stop)
+
+    async def _hup(self, trouble: Trouble) -> None:
+        """Discovery moves to another port."""
+        for gateway in self.fleet.not_busy(trouble.targets):
+            old, _ = self.fleet.discovery.servers[gateway.name]
+            port = await self.fleet.free_port()
+            await self.fleet.discovery.open_for(gateway.name, port)
+            gateway.configure(
+                self.fleet.gateways.index(gateway),
+                self.fleet.plan.gateways,
+                port,
+                self.fleet.discovery.known(),
+            )
+            gateway.signal(signal.SIGHUP)
+            if old is not None:
+                old.close()
+
+    async def _hup_settings(self, trouble: Trouble) -> None:
+        """Settings that change what is learnt, and no rule; twice in quick succession."""
+        for ready in (1100, 1000):
+            bounds = self.fleet.record.settings["bounds"]
+            assert isinstance(bounds, dict)
+            bounds["maxRetryAfterMs"] = ready
+            for gateway in self.fleet.not_busy(trouble.targets):
+                _, port = self.fleet.discovery.servers[gateway.name]
+                gateway.configure(
+                    self.fleet.gateways.index(gateway),
+                    self.fleet.plan.gateways,
+                    port,
+                    self.fleet.discovery.known(),
+                )
+                gateway.signal(signal.SIGHUP)
+            await asyncio.sleep(0.3 * trouble.amount)
