Failing test: a release waits in line behind attempts that have every connection

Held state once more, found by asking of each step of a release what it may wait for: a connection needs a place in the budget that attempts share, attempts that hang keep theirs until their time-out, and what comes free goes to whoever has waited longest. With 32 descriptors (five connections to workers), four attempts out for clients that have left and one in the line, a state lies for 1.6 s where 0.8 are allowed (classes of all effects); the trace shows 'no connection free' and let-go tries in vain.

--- a/tests/test_crossings_held.py
+++ b/tests/test_crossings_held.py
@@ -9,6 +9,7 @@
 from crossing_gateway import RunningGateway, side_by_side
 from crossing_sockets import wait_for
 from crossing_workers import Attempt, Worker, attempt_anywhere, fleet, read
+from platform_process import waited
 from platform_script import READ, SETTINGS
 
 from stackpitch.wire import http
@@ -128,6 +129,23 @@
         answered([client])
 
 
+def no_place_is_free(folder: Path, product: str) -> None:
+    """Attempts that hang have all the connections to workers that there may be; others wait for the next place."""
+    workers = fleet("r1*", "w1")
+    with RunningGateway(folder, workers, sockets=32) as gateway:
+        first = gateway.ask(product, 6000)
+        read = workers[0].next(first.name)
+        late = gateway.ask("order", 6000)
+        while waited(lambda: bool(workers[0].attempts(late.name)), 0.1):
+            late.close()
+            gateway.looked()
+            late = gateway.ask("order", 6000)
+        ended = time.monotonic()
+        read.answer(READ_AND_CLOSE)
+        workers[0].next(late.name)
+        released_in_time(workers, first.name, {first.name: ended})
+
+
 def answered(clients: list[Client]) -> None:
     for client in clients:
         answer = client.answer()
@@ -148,3 +166,7 @@
 
 def test_a_release_comes_through_where_one_worker_of_six_runs(tmp_path: Path) -> None:
     side_by_side(most_fall_silent, tmp_path, PRODUCTS)
+
+
+def test_a_release_has_a_place_where_attempts_have_all_others(tmp_path: Path) -> None:
+    side_by_side(no_place_is_free, tmp_path, PRODUCTS)
