--- a/tests/test_crossings_held.py
+++ b/tests/test_crossings_held.py
@@ -129,6 +129,10 @@
         answered([client])
 
 
+def is_sent(client: Client, worker: Worker) -> bool:
+    return waited(lambda: bool(worker.attempts(client.name)), 0.1)
+
+
 def no_place_is_free(folder: Path, product: str) -> None:
     """Attempts that hang have all the connections to workers that there may be; others wait for the next place."""
     workers = fleet("r1*", "w1")
@@ -136,7 +140,7 @@
         first = gateway.ask(product, 6000)
         read = workers[0].next(first.name)
         late = gateway.ask("order", 6000)
-        while waited(lambda: bool(workers[0].attempts(late.name)), 0.1):
+        while is_sent(late, workers[0]):
             late.close()
             gateway.looked()
             late = gateway.ask("order", 6000)
