A crossing test waits for its sockets by poll, whatever their numbers

Seen: test_requests_on_resting_connections_race_sigterm failed once here (ValueError, filedescriptor out of range in select), when the crossing files were named in an order of their own: 1,024 descriptors of earlier tests' stand-ins were open in the test process. In the order of make test it comes among the first. The wait is the same, by poll.

--- a/tests/crossing_sockets.py
+++ b/tests/crossing_sockets.py
@@ -4,6 +4,7 @@
 import fcntl
 import itertools
 import os
+import select
 import socket
 import struct
 import sys
@@ -43,6 +44,13 @@
     assert waited(what, limit), f"{failure} within {limit} s"
 
 
+def readable(stream: socket.socket, limit: float = PATIENCE) -> bool:
+    """Whether bytes or an end come within that time. By `poll`, as `select` takes no descriptor over 1,023."""
+    waiting = select.poll()
+    waiting.register(stream, select.POLLIN)
+    return bool(waiting.poll(limit * 1000))
+
+
 def reset(stream: socket.socket) -> None:
     with suppress(OSError):
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT)
--- a/tests/test_crossings_answered.py
+++ b/tests/test_crossings_answered.py
@@ -5,7 +5,6 @@
 While it is stopped, signals and bytes are put into its sockets, and one turn of its loop finds all of them.
 """
 
-import select
 import signal
 import socket
 import time
@@ -16,7 +15,7 @@
 import pytest
 from crossing_clients import Answer, Client, chat_request, in_body
 from crossing_gateway import RunningGateway, side_by_side
-from crossing_sockets import PATIENCE, fresh_id, wait_for
+from crossing_sockets import PATIENCE, fresh_id, readable, wait_for
 from crossing_workers import STREAM_END, STREAM_HEAD, Attempt, Worker, break_off, decline, fleet, stream
 from platform_script import READ, STREAM, event
 
@@ -153,7 +152,7 @@
             if at > 20:
                 time.sleep(0.0005)
             if at >= 70:
-                assert select.select([client.socket], [], [], PATIENCE)[0], f"client {at} hears of no end"
+                assert readable(client.socket), f"client {at} hears of no end"
             client.ask("order")
         for at, client in enumerate(clients):
             answer = client.answer()
