A part of the connections to workers is for releases and other small calls alone

Change: one connection in sixteen, and one at least, is taken by small calls alone (Budget.reserve, plan.CALLS_PART); what they open over the attempts' bound is closed as it comes back. What was for_calls, for bounds that fall, is before_fall. Ruled out: handing places to calls first. Where all attempts hang none comes free at all.

--- a/stackpitch/gateway/pool.py
+++ b/stackpitch/gateway/pool.py
@@ -22,35 +22,36 @@
     """What all pools of a gateway may have open together. At the bound the connection idle longest is closed; what comes
     free goes to the leg or call that has waited longest, at whatever pool.
 
-    `for_calls`: what may be open where a call wants one. It is over `most` only once that has fallen, until a place is
-    free: legs that are under way may keep all of them, and what was read is to be let go of in time nevertheless.
+    Attempts that hang may keep all of `most`, and what was read is to be released in time nevertheless: `reserve` more are
+    for calls alone. `before_fall`: what was open as `most` fell, which calls may use until a place is free.
     """
 
-    def __init__(self, most: int) -> None:
-        self.most, self.open = most, 0
-        self.for_calls = most
+    def __init__(self, most: int, reserve: int = 0) -> None:
+        self.most, self.reserve, self.open = most, reserve, 0
+        self.before_fall = most
         self.idle: dict[Stream, Pool] = {}  # of all pools, longest first; emptied as theirs
         self.line: Line[Place] = Line()
 
-    def resize(self, most: int) -> None:
-        """Another bound. What is open beyond it closes at once where it is idle, else as it comes back."""
-        self.most = most
+    def resize(self, most: int, reserve: int = 0) -> None:
+        """Other bounds. What is open beyond `most` closes at once where it is idle, else as it comes back."""
+        self.most, self.reserve = most, reserve
         while self.open > most and self.idle:
             stream, pool = next(iter(self.idle.items()))
             pool.forget(stream)
             pool.shut(stream)
-        self.for_calls = max(most, self.open)
+        self.before_fall = max(most, self.open)
         self.line.call()  # there may be more room than before
 
     def left(self) -> None:
         """One was closed, and its place is free."""
         self.open -= 1
         if self.open < self.most:
-            self.for_calls = self.most
+            self.before_fall = self.most
         self.line.call()
 
     def room(self, call: bool) -> bool:
-        while self.open >= (self.for_calls if call else self.most):
+        bound = max(self.most + self.reserve, self.before_fall) if call else self.most
+        while self.open >= bound:
             if not self.idle:
                 return False
             stream, pool = next(iter(self.idle.items()))
--- a/stackpitch/platform/plan.py
+++ b/stackpitch/platform/plan.py
@@ -22,6 +22,7 @@
 RESERVE = OWN + PASSING + UNSEEN + TRIES + PlatformDoor.told_why
 CLIENTS = 0.42  # of the rest: the platform's clients hold a third at most for requests
 MAX_BODY, MAX_HEAD = 256 << 10, 16 << 10  # bytes; the protocol's bound, and what no head of it reaches
+CALLS_PART = 16  # one connection to servers in so many, and one at least, is for small calls alone
 RELEASE_TRIES = 18  # of one release; with their gaps they go on for twelve times the limit of one
 GAP = (
     SECOND * 35 // 10
@@ -40,7 +41,8 @@
     conf: config.Config
     sockets: int  # descriptors that are shared out
     clients: int  # connections of clients
-    engines: int  # connections to servers
+    engines: int  # connections to servers, those for calls among them
+    calls: int  # of them, those for small calls alone
     bodies: int  # bytes of what clients send, and again of what waits for them
     arguments: Mapping[str, Any]  # of the module
     products: Mapping[str, Product]
@@ -91,6 +93,7 @@
         sockets=sockets,
         clients=clients,
         engines=engines,
+        calls=max(1, engines // CALLS_PART),
         bodies=part,
         arguments={**config.parts(conf.settings, reading.arguments), **NOT_CARRIED},
         products=config.parts(conf.settings, reading.products),
--- a/stackpitch/platform/reloading.py
+++ b/stackpitch/platform/reloading.py
@@ -97,7 +97,7 @@
     def _take_shares(self, new: Plan) -> None:
         """Bounds of connections, descriptors and memory. Where they are the same nothing changes."""
         self.host.take_bounds(new.bounds)
-        self.budget.resize(new.engines)
+        self.budget.resize(new.engines - new.calls, new.calls)
         self.door.take_bounds(new.clients, new.bodies)
 
     def _take_discovery(self, new: Plan, old: Plan) -> None:
--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -54,7 +54,7 @@
     plan = planned(conf, world.descriptors())
 
     def body(group: Group) -> Coro[None]:
-        budget = Budget(plan.engines)
+        budget = Budget(plan.engines - plan.calls, plan.calls)
         host = Host(
             world,
             group,
