The pause told to clients of a stopping gateway stands with the other decisions

platform/serve.py held a tuned value (TRY_ELSEWHERE); it is permission.retry_elsewhere_after now, beside the window in which requests are taken.

--- a/stackpitch/brain/holds.py
+++ b/stackpitch/brain/holds.py
@@ -1,25 +1,26 @@
 """Releases in time what requests may hold at workers while no attempt is known to use it.
 
-A state waits at its prefill worker until a decode worker takes it. An attempt that was sent there is no sign that it has
-been: it may lie unread in a socket of a worker that has hung or was cut off, and then stops no clock. An attempt counts as
-arrived once its worker shows that it ran after that was written. Else the state is released, as late as is safe: a release
-also tears it from an attempt that waits unseen in its worker's queue, which has to read the whole prompt again then.
+A state waits at its prefill worker until a decode worker takes it. An attempt that was sent there is no
+sign that it has been: it may lie unread in a socket of a worker that has hung or was cut off, and then
+stops no clock. An attempt counts as arrived once its worker shows that it ran after that was written.
+Else the state is released, as late as is safe: a release also tears it from an attempt that waits unseen
+in its worker's queue, which has to read the whole prompt again then.
 """
 
 from stackpitch.interface import MS, NEVER_RAN, Gateway, Generation, Leg, Time
 
 
 class Holds:
-    RELEASE_PART = 0.95  # of the time allowed, then a release is sent: the rest, and what the page grants, is for its way
+    # Of the time allowed, then a release is sent: the rest, and what the page grants, is for its way.
+    RELEASE_PART = 0.95
     VAIN_PART = 0.6  # of it, after which no further connection is tried in vain
-    ARRIVAL = (
-        100 * MS
-    )  # over the time of any way, so that what came after it was not on its way before the attempt
+    # Over the time of any way, so that what came after it was not on its way before the attempt.
+    ARRIVAL = 100 * MS
 
     def __init__(self, gateway: Gateway, allowed: Time) -> None:
         self.gateway, self.allowed = gateway, allowed
-        # Since when a state is held, or is again; emptied by a stream's start, by a worker that finds no state, and by the
-        # request's end.
+        # Since when a state is held, or is again; emptied by a stream's start, by a worker that finds no
+        # state, and by the request's end.
         self.since: dict[Generation, Time] = {}
 
     def ended(self, now: Time, leg: Leg, no_state: bool) -> None:
--- a/stackpitch/brain/slow_start.py
+++ b/stackpitch/brain/slow_start.py
@@ -7,8 +7,8 @@
 
 
 class SlowStart(Seats):
-    # Part of warm_up * sqrt(cold_from / (1 - cold_from)): a cold server is taken for so much older than it is at
-    # most, and then sent 1.5 times what its age allows. `cold_load` leaves 1.6 times.
+    # Part of warm_up * sqrt(cold_from / (1 - cold_from)): a cold server is taken for so much older than it is
+    # at most, and then sent 1.5 times what its age allows. `cold_load` leaves 1.6 times.
     LATE_NEWS = 0.4
 
     def started(self, server: Server) -> Time | None:
--- a/stackpitch/gateway/permission.py
+++ b/stackpitch/gateway/permission.py
@@ -12,12 +12,15 @@
 from enum import StrEnum
 
 from stackpitch.gateway.repeats import latest
-from stackpitch.interface import SECOND, Leg, Time
+from stackpitch.interface import MS, SECOND, Leg, Time
 
 # After SIGTERM, what arrives within this time may be taken. The protocol page excuses just these if SIGKILL, which comes
 # with the longest deadline after that, finds them unanswered. Whatever arrives later on an open connection and is still
 # under way then is lost, so it is refused.
 TAKE_WINDOW: Time = 7 * SECOND // 10
+RETRY_ELSEWHERE: Time = (
+    100 * MS
+)  # told to clients that are refused then: the front sends them to another gateway
 
 
 class Act(StrEnum):
@@ -70,6 +73,11 @@
     return Reason.STOPPING if until is not None and now >= until else None
 
 
+def retry_elsewhere_after(most: Time) -> Time:
+    """When a client that is refused as the gateway stops may come again. `most`: that the settings allow, 0 for none."""
+    return min(RETRY_ELSEWHERE, most)
+
+
 def may_send(leg: Leg, now: Now) -> Reason | None:
     """None: it may."""
     request = leg.gen
--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -7,7 +7,7 @@
 from typing import Any, TypeVar
 
 from stackpitch.gateway.host import Host
-from stackpitch.gateway.permission import takes_until
+from stackpitch.gateway.permission import retry_elsewhere_after, takes_until
 from stackpitch.gateway.pool import Budget
 from stackpitch.gateway.roster import Roster
 from stackpitch.gateway.trace import TRACE_ALL
@@ -33,9 +33,6 @@
 )  # so exactly is known how long a request may have waited for the process; servers are told within 150
 MOMENTARY = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EINTR, errno.EAGAIN)
 START_TRIES, START_PAUSE = 20, 50 * MS
-TRY_ELSEWHERE = (
-    100 * MS
-)  # told to clients that are refused as the gateway stops: the front sends them to another
 
 
 def serve(
@@ -118,7 +115,7 @@
         while (yield from caught()) == signal.SIGHUP:
             group.spawn(reloading.reload_patiently(), "reload")
         told = world.first_of(STOP_SIGNALS) or world.now()
-        door.retry_after = min(TRY_ELSEWHERE, reloading.plan.arguments["max_retry_after"])
+        door.retry_after = retry_elsewhere_after(reloading.plan.arguments["max_retry_after"])
         door.close_idle()
         group.spawn(_reloads(caught, reloading), "reloads")
         log.info(
