--- a/tests/crossing_faults.py
+++ b/tests/crossing_faults.py
@@ -25,3 +25,4 @@
         pytest.exit(f"not run: {wrong}", 2)
     shim.set(FAULTS[named])
     platform_process.FAULTS.update(shim.environment())
+    platform_process.FAILING.update(kind.name for kind in FAULTS[named])
--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -20,6 +20,7 @@
 
 MOST = 64  # descriptors that the process may hold
 FAULTS: dict[str, str] = {}  # what the option --faults has each gateway process started with
+FAILING: set[str] = set()  # the kinds of calls that fail there
 
 
 class Agent:
