--- a/stackpitch/gateway/trace.py
+++ b/stackpitch/gateway/trace.py
@@ -22,6 +22,7 @@
     FORBIDDEN = "forbidden"  # with act and reason
     CLIENT_LEFT = "client-left"
     LET_GO = "let-go"  # of whatever may be held
+    RELEASED = "released"  # by this worker
     ANSWERED = "answered"  # with how
 
 
--- a/stackpitch/platform/releasing.py
+++ b/stackpitch/platform/releasing.py
@@ -7,7 +7,8 @@
 from stackpitch.gateway.bounds import Bounds
 from stackpitch.gateway.host import Host
 from stackpitch.gateway.pacing import release_gap
-from stackpitch.interface import Generation, Server, Time
+from stackpitch.gateway.trace import Step
+from stackpitch.interface import MS, Generation, Server, Time
 from stackpitch.loop import Coro, Group, Scope
 from stackpitch.wire import platform
 
@@ -23,21 +24,24 @@
         self.told = {
             leg.server for leg in request.legs if leg.outcome in ("reset", "time-out", "unreachable")
         }
-        self.done = False
+        self.began, self.tries = host.world.now(), 0
+        self.done_by: Server | None = None
 
     def run(self) -> Coro[None]:
         """Until a worker has released it and all tries have ended, or the tries are used up."""
-        yield from self.host.world.group(self._tries)
-        self.host.metrics.releases.labels("done" if self.done else "failed").inc()
-        if not self.done:
-            self.host.logger.warning("release_failed", generation=self.request.name)
+        yield from self.host.world.group(self._begin_tries)
+        done = self.done_by is not None
+        self.host.metrics.releases.labels("done" if done else "failed").inc()
+        if not done:
+            self.host.logger.warning("release_failed", generation=self.request.name, tries=self.tries)
 
-    def _tries(self, group: Group) -> Coro[None]:
+    def _begin_tries(self, group: Group) -> Coro[None]:
         with self.host.world.scope() as starts:
             for number in range(self.bounds.release_tries):
                 worker = self._next()
                 if worker is not None:
                     self.told.add(worker)
+                    self.tries += 1
                     group.spawn(self._try(worker, starts), f"release at {worker.name}")
                 else:
                     self.told.clear()
@@ -46,9 +50,25 @@
     def _try(self, worker: Server, starts: Scope) -> Coro[None]:
         target = platform.LEASES + self.request.name
         answer = yield from self.host.call(worker, "DELETE", target, b"", self.bounds.call)
-        if answer is not None and answer.status == RELEASED:
-            self.done = True
+        if answer is not None and answer.status == RELEASED and self.done_by is None:
+            self.done_by = worker
             starts.cancel()
+            self._note_done(worker)
+
+    def _note_done(self, worker: Server) -> None:
+        """In the request's trace, if that is still kept; and with a line where the first worker told did not do it."""
+        host, now = self.host, self.host.world.now()
+        if (ask := host.asks.get(self.request)) is not None:
+            host.note(ask, Step.RELEASED, worker.name)
+        if self.tries > 1 and host.telling.tells(now, Step.RELEASED):
+            host.logger.info(
+                "release_repeated",
+                id=self.request.name,
+                tries=self.tries,
+                ms=(now - self.began) / MS,
+                server=worker.name,
+                left_out=host.telling.take_left_out(),
+            )
 
     def _next(self) -> Server | None:
         """First those that no attempt waits for and whose connections were last good."""
