Failing test: a release is written after the attempt that its request begins next

Cause, by reading: the first try is begun by a task that the release's task begins. What the request does next, a read in place of a broken one or another attempt, is written one turn earlier, and the release that follows tears its state. Before, the release was written first.

--- /dev/null
+++ b/tests/test_releasing.py
@@ -0,0 +1,70 @@
+"""A release is on its way before whatever its request does next: it would take the state of a read that it follows."""
+
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from stackpitch.gateway.trace import Telling
+from stackpitch.interface import MS, Server
+from stackpitch.loop import Coro, Group
+from stackpitch.loop.virtual import VirtualWorld
+from stackpitch.platform.releasing import Release
+
+LIMIT = 120 * MS
+
+
+class Request:
+    name, legs = "x", list[Any]()
+
+
+class Workers:
+    """What a release uses of its host. `silent`: workers that take nothing; `told`: name and time, as each is told."""
+
+    def __init__(self, names: str, silent: str) -> None:
+        self.world, self.silent, self.told = VirtualWorld(1), silent, list[tuple[str, int]]()
+        servers = [Server(name, "a", "w", 1, "writer", 1000) for name in names]
+        self.roster, self.pools, self.asks = SimpleNamespace(addresses=dict.fromkeys(servers)), {}, {}
+        self.telling, self.began = Telling(), self.world.now()
+        self.metrics: Any = SimpleNamespace(
+            releases=SimpleNamespace(labels=lambda _: SimpleNamespace(inc=int))
+        )
+        self.logger: Any = SimpleNamespace(info=lambda *_, **__: None, warning=lambda *_, **__: None)
+
+    def call(self, server: Server, method: str, target: str, body: bytes, limit: int) -> Coro[Any]:
+        self.told.append((server.name, (self.world.now() - self.began) // MS))
+        yield from self.world.sleep(limit if server.name in self.silent else MS)
+        return None if server.name in self.silent else SimpleNamespace(status=204)
+
+    def release(self) -> Release:
+        return Release(self, Request(), SimpleNamespace(release_tries=18, call=LIMIT))  # type: ignore[arg-type]
+
+
+def test_the_first_worker_is_told_before_what_is_begun_after_the_release() -> None:
+    workers = Workers("abc", "")
+
+    def read_again() -> Coro[None]:
+        workers.told.append(("read", 0))
+        yield from ()
+
+    def body(group: Group) -> Coro[None]:
+        group.spawn(workers.release().run(), "release")
+        group.spawn(read_again(), "read")
+        yield from ()
+
+    workers.world.run(workers.world.group(body))
+    assert [name for name, _ in workers.told] == ["a", "read"]
+
+
+@pytest.mark.parametrize(
+    "silent, told",
+    [
+        ("", [("a", 0)]),
+        ("a", [("a", 0), ("b", 40)]),
+        ("abcd", [("a", 0), ("b", 40), ("c", 80), ("d", 120), ("e", 160)]),
+    ],
+)
+def test_tries_overlap_until_one_is_answered(silent: str, told: list[tuple[str, int]]) -> None:
+    workers = Workers("abcde", silent)
+    workers.world.run(workers.release().run())
+    assert workers.told == told
