A release is written before what its request does next

Change: the first worker is told in the release's own first step; each try begins the next one after its gap, unless one has answered.

--- a/stackpitch/platform/releasing.py
+++ b/stackpitch/platform/releasing.py
@@ -9,7 +9,7 @@
 from stackpitch.gateway.pacing import release_gap
 from stackpitch.gateway.trace import Step
 from stackpitch.interface import MS, Generation, Server, Time
-from stackpitch.loop import Coro, Group, Scope
+from stackpitch.loop import Coro, Group
 from stackpitch.wire import platform
 
 RELEASED = 204
@@ -26,34 +26,40 @@
         }
         self.began, self.tries = host.world.now(), 0
         self.done_by: Server | None = None
+        self.pause = host.world.scope()  # before the next try
 
     def run(self) -> Coro[None]:
         """Until a worker has released it and all tries have ended, or the tries are used up."""
-        yield from self.host.world.group(self._begin_tries)
+        yield from self.host.world.group(lambda group: self._try(group, 0))
         done = self.done_by is not None
         self.host.metrics.releases.labels("done" if done else "failed").inc()
         if not done:
             self.host.logger.warning("release_failed", generation=self.request.name, tries=self.tries)
 
-    def _begin_tries(self, group: Group) -> Coro[None]:
-        with self.host.world.scope() as starts:
-            for number in range(self.bounds.release_tries):
-                worker = self._next()
-                if worker is not None:
-                    self.told.add(worker)
-                    self.tries += 1
-                    group.spawn(self._try(worker, starts), f"release at {worker.name}")
-                else:
-                    self.told.clear()
-                yield from self.host.world.sleep(release_gap(number, self.bounds.call))
-
-    def _try(self, worker: Server, starts: Scope) -> Coro[None]:
+    def _try(self, group: Group, number: int) -> Coro[None]:
+        """Tells one worker, at once: what the request begins after this release must not be on its way before it. The next
+        one is told a while later."""
+        if number + 1 < self.bounds.release_tries:
+            group.spawn(self._try_later(group, number + 1), f"release {self.request.name} again")
+        worker = self._next()
+        if worker is None:
+            self.told.clear()
+            return
+        self.told.add(worker)
+        self.tries += 1
         target = platform.LEASES + self.request.name
         answer = yield from self.host.call(worker, "DELETE", target, b"", self.bounds.call)
         if answer is not None and answer.status == RELEASED and self.done_by is None:
             self.done_by = worker
-            starts.cancel()
             self._note_done(worker)
+            self.pause.cancel()
+
+    def _try_later(self, group: Group, number: int) -> Coro[None]:
+        """Unless one has answered by then."""
+        with self.host.world.scope() as self.pause:
+            yield from self.host.world.sleep(release_gap(number - 1, self.bounds.call))
+        if self.done_by is None:
+            yield from self._try(group, number)
 
     def _note_done(self, worker: Server) -> None:
         """In the request's trace, if that is still kept; and with a line where the first worker told did not do it."""
