--- /dev/null
+++ b/tests/test_attempt_ends.py
@@ -0,0 +1,24 @@
+"""An attempt's own time is up no later than its request's, whatever held the process between the decision and its begin."""
+
+from types import SimpleNamespace
+from typing import Any
+
+from stackpitch.gateway.leg import LegRun
+from stackpitch.interface import MS
+
+
+class Run(LegRun):
+    def _load(self) -> str | None:
+        return None
+
+
+def test_a_process_held_up_as_it_sends_gives_an_attempt_no_more_than_is_left() -> None:
+    """Decided with 100 ms left, begun 40 ms later: else the host answers by itself, 20 ms after the request's time."""
+    decided, left, held_up = 1000 * MS, 100 * MS, 40 * MS
+    host: Any = SimpleNamespace(
+        world=SimpleNamespace(now=lambda: decided + held_up),
+        bounds=SimpleNamespace(max_head=1 << 10, max_answer=1 << 10),
+    )
+    leg: Any = SimpleNamespace(gen=SimpleNamespace(gives_up=decided + left))
+    attempt = Run(host, SimpleNamespace(), leg, left)  # type: ignore[arg-type]
+    assert attempt.ends <= decided + left
