Duties: the one-way cut's test waits for the announcement it compares with

An owner logs its record, then begins to announce itself (carrier/owning.py:_tenure); the test took the log's line as a sign that the network had recorded an announcement already. Where the older owner had stepped down before, nothing else was waited for between the two. Ruled out: a late or missing announcement (the owner had its record, the rest of the test's conditions held).

Change: the test waits, two seconds at most, for the newer owner's first announcement of that term, then compares. It is stricter by two things: an owner that announces itself to nobody fails it, and only announcements of the newer term count as the newer's.

--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -368,7 +368,7 @@
         number, term = fleet.new_owner(limit=12)
         begun = time.monotonic()
         fleet.fault("one way", [pair for pair in fleet.paths if pair[1 if deaf else 0] == number])
-        later, _ = fleet.new_owner(term)
+        later, later_term = fleet.new_owner(term)
         assert later != number and time.monotonic() - begun < LEASE_MS / 1000 + 1
         down = fleet.wait(
             lambda: [
@@ -377,10 +377,12 @@
             2,
         )
         assert down[0]["why"] == "its lease ran out"
-        late = [
-            one
-            for one in fleet.seen("call", kind="owner", sender=number)
-            if one["stamp"][0] == number_of(term)
-            and one["at"] > fleet.seen("call", kind="owner", sender=later)[0]["at"]
-        ]
+
+        def announced(sender, its_term):
+            """Its announcements in this term, as they passed the network; the log tells of a term before the first is sent."""
+            calls = fleet.seen("call", kind="owner", sender=sender)
+            return [one for one in calls if one["stamp"][0] == number_of(its_term)]
+
+        first = fleet.wait(lambda: announced(later, later_term), 2, "the newer owner announced itself to nobody")[0]
+        late = [one for one in announced(number, term) if one["at"] > first["at"]]
         assert not late, "the older acted after the newer"
