--- a/tests/test_attempt_writes.py
+++ b/tests/test_attempt_writes.py
@@ -46,7 +46,8 @@
     listener = socket.create_server(("127.0.0.1", 0))
     address = listener.getsockname()
     server = Server("w1", "a", "w", 1, "writer", 1000)
-    request = Generation("a", CHAT, None, None, None, 0, 10, 10, None, 0, SECOND, False, False)
+    gives_up = world.now() + SECOND
+    request = Generation("a", CHAT, None, None, None, 0, 10, 10, None, 0, gives_up, False, False)
     pool = Pool(world, address, 4, SECOND, SECOND)
     host: Any = SimpleNamespace(
         world=world,
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -383,6 +383,8 @@
             calls = fleet.seen("call", kind="owner", sender=sender)
             return [one for one in calls if one["stamp"][0] == number_of(its_term)]
 
-        first = fleet.wait(lambda: announced(later, later_term), 2, "the newer owner announced itself to nobody")[0]
+        first = fleet.wait(
+            lambda: announced(later, later_term), 2, "the newer owner announced itself to nobody"
+        )[0]
         late = [one for one in announced(number, term) if one["at"] > first["at"]]
         assert not late, "the older acted after the newer"
