--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+from soak.mutants.acting import ACTED
 from soak.records import Pause, Record, Stop
 from soak.shim import Shim
 
@@ -71,7 +72,12 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env={**os.environ, **faults, "RELAY_CONFIG": str(self.config)},
+                env={
+                    **os.environ,
+                    **faults,
+                    "RELAY_CONFIG": str(self.config),
+                    ACTED: str(self.folder.parent / ACTED),
+                },
                 preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS)),
             )
 
--- /dev/null
+++ b/soak/mutants/answers.py
@@ -0,0 +1,222 @@
+"""Mutants of rule 1: an answer that is missing, late, doubled, cut off, held back, or promises too much."""
+
+from collections.abc import Callable
+from contextlib import suppress
+from functools import partial
+from typing import Any
+
+from soak.mutants.acting import Mutant, acted, every, patch
+from stackpitch.gateway import leg as attempts
+from stackpitch.loop import MS, SECOND, Lost, Time
+from stackpitch.platform.ask import PlatformAsk
+from stackpitch.platform.leg import PlatformLeg
+from stackpitch.wire import http
+
+OWN_ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+AFTER_TIME = 900 * MS  # over a request's time, at which a late refusal comes; half a second is granted
+LATE_END = 1400 * MS  # one second is granted
+HELD_BACK = 800 * MS  # 0.3 s are granted
+CUT_PIECE, RARE = 20, 9  # one in so many
+
+
+def _write_later(client: Any, at: Time, data: bytes) -> bool:
+    def write() -> None:
+        with suppress(Lost):
+            client.write(data)
+
+    client.world.at(at, write)
+    return True
+
+
+def _close_instead(due: Callable[[], bool]) -> None:
+    refuse = PlatformAsk.refuse
+
+    def close(self: Any, *args: Any, **fields: Any) -> None:
+        if self.answered or not due():
+            refuse(self, *args, **fields)
+            return
+        acted()
+        self.cut = True
+        self._final("refused")
+        if self.client is not None:
+            self.client.close()
+
+    patch(PlatformAsk, "refuse", close)
+
+
+def unanswered() -> None:
+    """What is refused is closed with no answer."""
+    _close_instead(lambda: True)
+
+
+def unanswered_in_nine() -> None:
+    """One refusal in nine is a close with no answer."""
+    _close_instead(every(RARE))
+
+
+def late_refusals() -> None:
+    """Refusals come 0.9 s after the request's time."""
+    refuse = PlatformAsk.refuse
+
+    def late(self: Any, *args: Any, **fields: Any) -> None:
+        client = self.client
+        if client is not None and not self.answered:
+            acted()
+            at = self.gen.gives_up + AFTER_TIME
+            self._put = partial(_write_later, client, at)
+        refuse(self, *args, **fields)
+
+    patch(PlatformAsk, "refuse", late)
+
+
+def second_answer() -> None:
+    """An answer of its own follows a whole stream."""
+    finish = PlatformAsk.finish
+
+    def more(self: Any) -> None:
+        finish(self)
+        if self.client is not None:
+            acted()
+            self.client.write(OWN_ANSWER)
+
+    patch(PlatformAsk, "finish", more)
+
+
+def second_refusal() -> None:
+    """Another answer follows one refusal in nine."""
+    refuse, due = PlatformAsk.refuse, every(RARE)
+
+    def more(self: Any, *args: Any, **fields: Any) -> None:
+        answered = self.answered
+        refuse(self, *args, **fields)
+        if not answered and self.client is not None and due():
+            acted()
+            self._put(OWN_ANSWER)
+
+    patch(PlatformAsk, "refuse", more)
+
+
+def whole_though_broken() -> None:
+    """A stream that broke ends for the client as if it were whole."""
+
+    def end(self: Any, code: str, message: str) -> None:
+        if not self.answered:
+            acted()
+        self.finish()
+
+    patch(PlatformAsk, "break_off", end)
+
+
+def cut_stream() -> None:
+    """A stream is cut off at one piece in twenty, while its worker writes."""
+    pass_on, due = PlatformAsk.pass_on, every(CUT_PIECE)
+
+    def cut(self: Any, pieces: Any) -> bool:
+        if not due():
+            return pass_on(self, pieces)
+        acted()
+        self.break_off("cut", "")
+        return False
+
+    patch(PlatformAsk, "pass_on", cut)
+
+
+def late_end() -> None:
+    """The end of a stream is passed on 1.4 s late."""
+
+    def late(self: Any) -> None:
+        if self.answered:
+            return
+        self._final("streamed")
+        if self.client is not None:
+            acted()
+            _write_later(self.client, self.client.world.now() + LATE_END, http.LAST_CHUNK)
+
+    patch(PlatformAsk, "finish", late)
+
+
+def _hold_back(held: Callable[[Any], bool]) -> None:
+    more = attempts.LegRun._more
+
+    def late(self: Any, stream: Any, most: int = 65536) -> Any:
+        if self.leg.streaming and held(self):
+            acted()
+            yield from self.host.world.sleep(HELD_BACK)
+        yield from more(self, stream, most)
+
+    patch(attempts.LegRun, "_more", late)
+
+
+def held_events() -> None:
+    """What a stream brings is passed on 0.8 s later."""
+    _hold_back(lambda run: True)
+
+
+def held_events_in_three() -> None:
+    """One piece in three is passed on 0.8 s later."""
+    due = every(3)
+    _hold_back(lambda run: due())
+
+
+def silent_stream() -> None:
+    """A stream whose worker has fallen silent is waited for without end."""
+
+    def watch(self: Any, stream: Any) -> None:
+        acted()
+
+    patch(PlatformLeg, "_watch_gap", watch)
+
+
+def _retry_after(changed: Callable[[Time], Time]) -> None:
+    refuse = PlatformAsk.refuse
+
+    def refuse_else(
+        self: Any, status: int, code: str, message: str, again: bool, retry_after: Time = 0
+    ) -> None:
+        if again and changed(retry_after) != retry_after and not self.answered:
+            acted()
+        refuse(self, status, code, message, again, changed(retry_after))
+
+    patch(PlatformAsk, "refuse", refuse_else)
+
+
+def long_retry_after() -> None:
+    """Who is refused is told to come back two seconds later than the settings allow."""
+    _retry_after(lambda after: after + 2 * SECOND)
+
+
+def unasked_retry_after() -> None:
+    """Who is refused is told when to come back where the settings don't allow that."""
+    _retry_after(lambda after: after or 100 * MS)
+
+
+def changed_body() -> None:
+    """A byte of the request's body is another one in one attempt in nine."""
+    request, due = PlatformLeg._request, every(RARE)
+
+    def change(self: Any) -> bytes:
+        data = request(self)
+        if not due():
+            return data
+        acted()
+        return data[:-1] + b" "
+
+    patch(PlatformLeg, "_request", change)
+
+
+MUTANTS = {
+    "unanswered": Mutant("answer", unanswered),
+    "unanswered-in-nine": Mutant("answer", unanswered_in_nine),
+    "late-refusals": Mutant("answer-time", late_refusals),
+    "second-answer": Mutant("nothing-after", second_answer),
+    "second-refusal": Mutant("nothing-after", second_refusal),
+    "whole-though-broken": Mutant("stream-end", whole_though_broken),
+    "cut-stream": Mutant("stream-cut", cut_stream),
+    "late-end": Mutant("stream-end-time", late_end),
+    "held-events": Mutant("events-time", held_events),
+    "held-events-in-three": Mutant("events-time", held_events_in_three),
+    "silent-stream": Mutant("stream-silent", silent_stream),
+    "long-retry-after": Mutant("retry-after", long_retry_after),
+    "unasked-retry-after": Mutant("retry-after", unasked_retry_after),
+    "changed-body": Mutant("request-unchanged", changed_body),
+}
--- /dev/null
+++ b/soak/mutants/effects.py
@@ -0,0 +1,171 @@
+"""Mutants of rule 2: attempts that must not be made, and refusals of what may have run."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from soak.mutants.acting import Mutant, acted, every, patch
+from stackpitch.benchlink import settings as reading
+from stackpitch.brain import guard
+from stackpitch.gateway import leg as attempts
+from stackpitch.gateway import permission, repeats
+from stackpitch.gateway.outcomes import Phase
+from stackpitch.interface import Product, Scope
+from stackpitch.loop import SECOND
+from stackpitch.platform.leg import PlatformLeg
+from stackpitch.wire import http, platform
+
+COPY_LIVES = 3000  # tenths of a millisecond that a second copy stays out
+CONNECT = 2500
+WINDOW_MORE = 5 * SECOND
+ATTEMPTS_MORE = 2
+
+
+def _copy(due: Callable[[Any], bool]) -> None:
+    exchange = PlatformLeg._exchange
+
+    def twice(self: Any, stream: Any, scope: Any) -> Any:
+        address = self.host.roster.addresses[self.leg.server]
+
+        def copy() -> Any:
+            other = yield from self.host.world.connect(address, CONNECT)
+            other.write(self._request())
+            yield from self.host.world.sleep(COPY_LIVES)
+            other.close()
+
+        if due(self):
+            acted()
+            self.host.group.spawn(self.host.counted(copy()), "copy")
+        return (yield from exchange(self, stream, scope))
+
+    patch(PlatformLeg, "_exchange", twice)
+
+
+def second_copy() -> None:
+    """Each attempt at a decode worker is written once more, on a connection of its own."""
+    _copy(lambda run: run.leg.server.role == "writer")
+
+
+def second_copy_of_reads() -> None:
+    """One read in four is written once more."""
+    due = every(4)
+    _copy(lambda run: run.leg.server.role == "reader" and due())
+
+
+def _again(after: Callable[[Any, Any], bool]) -> None:
+    run = attempts.LegRun._run
+
+    def again(self: Any) -> Any:
+        end = yield from run(self)
+        if after(self, end):
+            acted()
+            self.reader = http.ResponseReader(self.host.bounds.max_head, self.host.bounds.max_answer)
+            self.phase, self.events = [Phase.QUEUED], platform.Events()
+            end = yield from run(self)
+        return end
+
+    patch(attempts.LegRun, "_run", again)
+
+
+def repeated_effect() -> None:
+    """What may have run is sent again, whatever its effect."""
+    _again(lambda run, end: end.outcome in ("reset", "error", "time-out"))
+
+
+def repeated_effect_after_reset() -> None:
+    """What has an effect is sent again, but only after a reset."""
+    _again(lambda run, end: end.outcome == "reset" and run.leg.gen.product.effect == "side-effecting")
+
+
+def _note_sends(notes: Callable[[Any, Any], bool]) -> None:
+    may_send = permission.may_send
+
+    def look(leg: Any, now: Any) -> Any:
+        reason = may_send(leg, now)
+        if reason is None and notes(leg, now):
+            acted()
+        return reason
+
+    patch(attempts, "may_send", look)
+
+
+def late_repeats() -> None:
+    """Keyed work is repeated for five seconds more than its window."""
+    until = guard.remembered_until
+
+    def later(sent: Any, product: Any) -> Any:
+        return until(sent, product) + WINDOW_MORE
+
+    patch(guard, "remembered_until", later)
+    patch(repeats, "remembered_until", later)
+
+    def beyond(leg: Any, now: Any) -> bool:
+        latest = repeats.latest(leg)
+        return latest is not None and now.time >= latest - WINDOW_MORE
+
+    _note_sends(beyond)
+
+
+def repeats_out_of_scope() -> None:
+    """Keyed work is repeated at any worker, whatever group of them drops repeats."""
+    products = reading.products
+    scopes: dict[str, Scope] = {}
+
+    def all_over(config: Any) -> dict[str, Product]:
+        found = products(config)
+        scopes.update({name: one.scope for name, one in found.items()})
+        return {name: replace(one, scope="all") for name, one in found.items()}
+
+    patch(reading, "products", all_over)
+
+    def outside(leg: Any, now: Any) -> bool:
+        scope = scopes[leg.gen.product.name]
+        others = [one.server for one in leg.gen.ran() if one is not leg]
+        if leg.gen.product.effect != "deduplicated" or scope == "all":
+            return False
+        return any(
+            one.zone != leg.server.zone or (scope == "cell" and one.cell != leg.server.cell) for one in others
+        )
+
+    _note_sends(outside)
+
+
+def refused_though_run() -> None:
+    """What has an effect and may have run is answered with 429."""
+    answer = guard.Guard.answer
+
+    def refuse(self: Any, gen: Any, why: Any) -> None:
+        if gen.over or gen.product.effect != "side-effecting" or not self.ran(gen):
+            answer(self, gen, why)
+            return
+        acted()
+        gen.given_up = why
+        self.gateway.throttle(gen, 0)
+        self.holds.let_go(gen)
+
+    patch(guard.Guard, "answer", refuse)
+
+
+def too_many_attempts() -> None:
+    """A request gets two attempts more than the settings allow."""
+    begin = guard.Guard.__init__
+    most: list[int] = []
+
+    def more(self: Any, fleet: Any, max_legs: int, *others: Any) -> None:
+        most[:] = [max_legs]
+        begin(self, fleet, max_legs + ATTEMPTS_MORE, *others)
+
+    patch(guard.Guard, "__init__", more)
+    _note_sends(lambda leg, now: leg.number >= most[0])
+
+
+MUTANTS = {
+    "second-copy": Mutant("second-copies", second_copy),
+    "second-copy-of-reads": Mutant("second-copies", second_copy_of_reads),
+    "repeated-effect": Mutant("effects", repeated_effect),
+    "repeated-effect-after-reset": Mutant("effects", repeated_effect_after_reset),
+    "late-repeats": Mutant("window", late_repeats),
+    "repeats-out-of-scope": Mutant("scope", repeats_out_of_scope),
+    "refused-though-run": Mutant("refusals", refused_though_run),
+    "too-many-attempts": Mutant("attempts", too_many_attempts),
+}
--- /dev/null
+++ b/soak/mutants/held.py
@@ -0,0 +1,105 @@
+"""Mutants of rule 5: what workers hold is released late, seldom or never."""
+
+from collections.abc import Callable
+from typing import Any
+
+from soak.mutants.acting import Mutant, acted, every, patch
+from stackpitch.brain.holds import Holds
+from stackpitch.gateway.ask import DEPARTED
+from stackpitch.loop import MS, Coro
+from stackpitch.platform.leases import Servers
+from stackpitch.platform.releasing import Release
+
+LATE = 900 * MS
+
+
+def _forget(forgotten: Callable[[Any], bool]) -> None:
+    """`forgotten`: asked of each request that may hold something."""
+    let_go = Servers._let_go
+
+    def forget(self: Any, ask: Any) -> None:
+        if (ask.held or ask.doubt) and forgotten(ask):
+            acted()
+        else:
+            let_go(self, ask)
+
+    patch(Servers, "_let_go", forget)
+
+
+def forgotten_release() -> None:
+    """Nothing is released."""
+    _forget(lambda ask: True)
+
+
+def forgotten_release_in_three() -> None:
+    """One release in three is forgotten."""
+    due = every(3)
+    _forget(lambda ask: due())
+
+
+def forgotten_after_leaving() -> None:
+    """Nothing is released for a client that has left."""
+    _forget(lambda ask: ask.end == DEPARTED)
+
+
+def forgotten_doubt() -> None:
+    """What a read may have left unseen is not released."""
+    _forget(lambda ask: not ask.held)
+
+
+def late_release() -> None:
+    """Each release begins 0.9 s late."""
+    let_go = Servers._let_go
+
+    def later(self: Any, ask: Any) -> None:
+        if not (ask.held or ask.doubt):
+            return
+        acted()
+        held, doubt = ask.held, ask.doubt
+
+        def now() -> None:
+            ask.held, ask.doubt = held, doubt
+            let_go(self, ask)
+
+        self.host.world.at(self.host.world.now() + LATE, now)
+
+    patch(Servers, "_let_go", later)
+
+
+def single_try() -> None:
+    """A release that fails is not tried again."""
+    run = Release.run
+
+    def never(self: Any, group: Any, number: int) -> Coro[None]:
+        yield from ()
+
+    def once(self: Any) -> Coro[None]:
+        yield from run(self)
+        if self.done_by is None:
+            acted()
+
+    patch(Release, "_try_later", never)
+    patch(Release, "run", once)
+
+
+def unarrived_send() -> None:
+    """An attempt counts as arrived once it is written here."""
+    arrived = Holds.arrived
+
+    def always(self: Any, leg: Any) -> bool:
+        if not arrived(self, leg):
+            acted()
+        return True
+
+    patch(Holds, "arrived", always)
+
+
+MUTANTS = {
+    "forgotten-release": Mutant("held", forgotten_release),
+    "forgotten-release-in-three": Mutant("held", forgotten_release_in_three),
+    "forgotten-after-leaving": Mutant("held", forgotten_after_leaving),
+    "forgotten-doubt": Mutant("held", forgotten_doubt),
+    "late-release": Mutant("held-time", late_release),
+    "single-try": Mutant("held-time", single_try),
+    "unarrived-send": Mutant("arrival", unarrived_send),
+}
--- /dev/null
+++ b/soak/mutants/process.py
@@ -0,0 +1,151 @@
+"""Mutants of a process's own life: its start, its end, its limits, and the signals it gets."""
+
+import os
+from pathlib import Path
+from typing import Any
+
+from soak.mutants.acting import Mutant, acted, patch
+from stackpitch.loop import MS, SECOND, Coro
+from stackpitch.platform import serve as serving
+from stackpitch.platform.ask import PlatformAsk
+from stackpitch.platform.door import PlatformDoor
+from stackpitch.platform.reloading import Reloading
+
+EARLY_END = 900 * MS  # after SIGTERM
+SLOW_READY = 11 * SECOND
+KEPT_BYTES = 400_000  # of each answered request
+LAST_RELOAD = 3
+
+
+def late_requests() -> None:
+    """A gateway that stops takes requests for as long as a connection is open."""
+    takes_until = PlatformDoor._takes_until
+
+    def always(self: Any) -> None:
+        if takes_until(self) is not None:
+            acted()
+
+    patch(PlatformDoor, "_takes_until", always)
+
+
+def late_requests_after_reload() -> None:
+    """The same, but only where a configuration was read anew before."""
+    reload, takes_until = Reloading.reload, PlatformDoor._takes_until
+    reloaded: set[PlatformDoor] = set()
+
+    def note(self: Any) -> None:
+        reload(self)
+        reloaded.add(self.door)
+
+    def until(self: Any) -> Any:
+        found = takes_until(self)
+        if found is None or self not in reloaded:
+            return found
+        acted()
+        return None
+
+    patch(Reloading, "reload", note)
+    patch(PlatformDoor, "_takes_until", until)
+
+
+def early_end() -> None:
+    """The process ends itself 0.9 s after SIGTERM, whatever it has taken."""
+    close_idle = PlatformDoor.close_idle
+
+    def end(door: Any) -> None:
+        if door.host.asks:
+            acted()
+        os._exit(0)
+
+    def close(self: Any) -> None:
+        if not self.stopping:
+            self.world.at(self.world.now() + EARLY_END, lambda: end(self))
+        close_idle(self)
+
+    patch(PlatformDoor, "close_idle", close)
+
+
+def slow_ready() -> None:
+    """A gateway that is started again is ready after eleven seconds."""
+    folder, ready = Path(os.environ["RELAY_CONFIG"]).parent, serving._ready
+    started = folder / "started"
+    again = started.exists()
+    started.touch()
+
+    def slow(world: Any, *others: Any) -> Coro[None]:
+        if again:
+            acted()
+            yield from world.sleep(SLOW_READY)
+        yield from ready(world, *others)
+
+    patch(serving, "_ready", slow)
+
+
+def crash_at_third_reload() -> None:
+    """The process ends at its third SIGHUP."""
+    reload = Reloading.reload
+    reloads = 0
+
+    def end(self: Any) -> None:
+        nonlocal reloads
+        reloads += 1
+        if reloads == LAST_RELOAD:
+            acted()
+            os._exit(1)
+        reload(self)
+
+    patch(Reloading, "reload", end)
+
+
+def leaked_descriptor() -> None:
+    """A descriptor stays open after each refusal."""
+    refuse = PlatformAsk.refuse
+
+    def leak(self: Any, *args: Any, **fields: Any) -> None:
+        if not self.answered:
+            acted()
+            os.dup(2)
+        refuse(self, *args, **fields)
+
+    patch(PlatformAsk, "refuse", leak)
+
+
+def kept_memory() -> None:
+    """0.4 MB stay with each answered request."""
+    finish = PlatformAsk.finish
+    kept: list[bytes] = []
+
+    def keep(self: Any) -> None:
+        acted()
+        kept.append(os.urandom(1) * KEPT_BYTES)
+        finish(self)
+
+    patch(PlatformAsk, "finish", keep)
+
+
+def raised() -> None:
+    """Each twentieth request meets an error that nobody thought of."""
+    answer = PlatformDoor._ask
+    asked = 0
+
+    def fail(self: Any, *args: Any) -> Any:
+        nonlocal asked
+        asked += 1
+        if asked % 20 == 0:
+            acted()
+            raise KeyError("unthought of")
+        return answer(self, *args)
+
+    patch(PlatformDoor, "_ask", fail)
+
+
+MUTANTS = {
+    "late-requests": Mutant("late-requests", late_requests),
+    "late-requests-after-reload": Mutant("late-requests", late_requests_after_reload),
+    "early-end": Mutant("taken-at-stop", early_end),
+    "slow-ready": Mutant("ready", slow_ready),
+    "crash-at-third-reload": Mutant("crash", crash_at_third_reload),
+    "leaked-descriptor": Mutant("limits", leaked_descriptor),
+    "kept-memory": Mutant("limits", kept_memory),
+    "raised": Mutant("crash", raised),
+}
--- a/tests/test_crossings_soak.py
+++ b/tests/test_crossings_soak.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from soak.__main__ import PROGRAM, play
+from soak.playing import Setup, play
 from soak.shim import NoCompiler, build
 
 
@@ -17,15 +17,17 @@
 
 
 def test_a_seed_is_kept(library: Path) -> None:
-    assert not play(104, 20, 10, library, PROGRAM, False)
+    outcome = play(104, Setup(library, 20, 10))
+    assert not outcome.breaks, outcome.text
 
 
 @pytest.mark.parametrize("fault", ["second-copy", "forgotten-release", "unarrived-send", "long-deadline"])
 def test_what_is_broken_on_purpose_is_found(library: Path, fault: str) -> None:
-    assert play(104, 9, 4, library, ["-m", "soak.broken", fault], False)
+    outcome = play(104, Setup(library, 9, 4, ("-m", "soak.broken", fault)))
+    assert outcome.breaks and outcome.acted, outcome.text
 
 
 def test_requests_taken_too_late_in_a_shutdown_are_found(library: Path) -> None:
     """On one of two seeds: whether a late request meets a worker that hangs is a matter of milliseconds."""
-    broken = ["-m", "soak.broken", "late-requests"]
-    assert any(play(seed, 12, 6, library, broken, False) for seed in (105, 107))
+    setup = Setup(library, 12, 6, ("-m", "soak.broken", "late-requests"))
+    assert any(play(seed, setup).breaks for seed in (105, 107))
