Soak: every event checked, every term judged, excuses narrow and counted, runs under pressure

Change: soak/content.py marks each event with request, attempt, number and a check over all before it, in random sizes and chunks; the client reads them. soak/oracle/ is a package, a module for each rule: streams cut, ended late or whole though broken, Retry-After, maxAttempts, dedupScope, changes that count as told 6 s later whether or not they arrived, requests passed on unchanged. Excuses name the sentence that grants them and are counted where used: a kill is one that met the request, broken reads and writes count while they were injected, a stop of the process adds its time to each bound.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -1,22 +1,23 @@
 """Clients of the soak: good ones, and such that leave, stop in the middle, read slowly or send on."""
 
 import asyncio
-import json
 import socket
 import struct
 import time
 from contextlib import suppress
 from random import Random
+from zlib import crc32
 
+from soak.content import Checker
 from soak.records import Record, Request
+from soak.workers import target
 from stackpitch.wire import http
 
 KINDS = ["good"] * 14 + ["leaves", "resets", "stops", "slow", "half-closes"]
 EVENT_BOUND = 0.3  # seconds after its worker wrote it by which an event is here
 PATIENCE = 4.0  # seconds over its limit for which a client waits: what comes later is as if it never came
-MOST_OF_STOPPED = (
-    4.0  # seconds in which one that stops in the middle of a request is owed an error or a close
-)
+STOPPED_FOR = 12.0  # seconds that one which stops in the middle of a request waits for an error or a close
+TENANTS = ("acme", "zeta")
 
 
 class Client:
@@ -30,13 +31,15 @@
         random: Random,
         host: str,
         limits: dict[str, float],
+        new_session: float = 0.05,
     ) -> None:
-        """`limits`: the longest deadline of each class, in seconds."""
-        self.limits = limits
+        """`limits`: the longest deadline of each class, in seconds. `new_session`: the part of its requests that begin another
+        conversation."""
+        self.limits, self.new_session = limits, new_session
         self.number, self.gateway, self.record, self.random, self.host = number, gateway, record, random, host
         self.port = 0
         self.count = 0
-        self.session = f"{number:08x}"
+        self.sessions, self.turns = 0, 0
         self.over = False
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
@@ -63,12 +66,13 @@
             if not await self._connect():
                 await asyncio.sleep(0.1)
                 continue
+            request.fresh = not kept
             self.record.requests.append(request)
             await self._ask(request)
             unanswered = request.status == 0 and request.left is None and kind != "stops"
             if not (unanswered and kept and request.ended is not None):
                 return
-            request.resent = "again"
+            request.resent = True
 
     def _drawn(self) -> tuple[str, str, float]:
         """What this client does, the class and the deadline of its next request."""
@@ -81,7 +85,6 @@
         request = Request(self._name(), product, self.gateway, limit)
         self.record.requests.append(request)
         await self._ask(request)
-        request.resent = "no"
 
     async def _connect(self) -> bool:
         if self.writer is not None and not self.writer.is_closing():
@@ -106,18 +109,23 @@
 
     def _bytes(self, request: Request) -> bytes:
         body = b'{"stream":true,"pad":"' + b"x" * self.random.randint(0, 3000) + b'"}'
+        if self.random.random() < self.new_session:
+            self.sessions, self.turns = self.sessions + 1, 0
+        self.turns += 1
         return http.request(
             "POST",
-            "/v1/chat/completions",
+            target(request.name),
             "soak",
             body,
             [
                 ("req-id", request.name),
                 ("req-kind", request.product),
+                ("req-owner", TENANTS[self.number % len(TENANTS)]),
                 ("req-deadline-ms", str(int(request.limit * 1000))),
-                ("req-extra", f"prompt_len={self.random.randint(50, 2000)},max_out=50"),
-                ("req-key", self.session),
+                ("req-extra", f"prompt_len={200 * self.turns + self.random.randint(50, 250)},max_out=50"),
+                ("req-key", f"{self.number:08x}{self.sessions:08x}"),
                 ("soak-gateway", self.gateway),
+                ("soak-body", f"{crc32(body):08x}"),
             ],
         )
 
@@ -159,56 +167,59 @@
         """Sends a part and stays: an error or a close is owed."""
         assert self.writer is not None and self.reader is not None
         self.writer.write(data[: self.random.randint(1, len(data) - 1)])
-        begun = time.monotonic()
-        try:
-            async with asyncio.timeout(3 * MOST_OF_STOPPED):
+        request.stopped = time.monotonic()
+        with suppress(TimeoutError, OSError):
+            async with asyncio.timeout(STOPPED_FOR):
                 while await self.reader.read(65536):
                     pass
-        except TimeoutError:
-            pass
-        except OSError:
-            pass
         request.ended = time.monotonic()
-        request.whole = request.ended - begun <= MOST_OF_STOPPED
         self._close()
 
     async def _answer(self, request: Request) -> None:
         assert self.reader is not None and request.sent is not None
         reader = http.ResponseReader(1 << 14, 1 << 20)
         until = request.sent + request.limit + PATIENCE
-        texts = b""
+        checker = Checker(request.name)
         while not reader.complete:
-            if request.kind == "slow":
-                await asyncio.sleep(0.02)
             try:
                 async with asyncio.timeout(
                     max(0.01, until + 30 * (request.status == 200) - time.monotonic())
                 ):
                     data = await self.reader.read(256 if request.kind == "slow" else 65536)
             except TimeoutError:
-                request.ended = time.monotonic()
-                self._close()
-                return
+                data = b""
             now = time.monotonic()
             if not data:
                 request.ended = now
                 self._close()
-                return
+                break
             reader.feed(data)
             if reader.head_done and not request.status:
-                request.status, request.began = reader.status, now
-            texts = self._note_events(request, texts + b"".join(reader.pieces), now)
-        request.ended, request.whole, request.surplus = time.monotonic(), True, bytes(reader.extra)
-        if not reader.keep_alive or reader.extra:
-            self._close()
+                self._note_head(request, reader, now)
+            if request.status == 200:
+                self._note_events(request, checker, b"".join(reader.pieces), now)
+        else:
+            request.ended, request.whole, request.surplus = time.monotonic(), True, bytes(reader.extra)
+            if not reader.keep_alive or reader.extra:
+                self._close()
+        if request.status == 200:
+            checker.end(request.whole)
+        request.content, request.served_by = checker.wrong, checker.attempt
+
+    @staticmethod
+    def _note_head(request: Request, reader: http.ResponseReader, now: float) -> None:
+        request.status, request.began = reader.status, now
+        told = reader.headers.get("retry-after")
+        if told is not None:
+            try:
+                request.retry_after = float(told)
+            except ValueError:
+                request.retry_after = float("inf")
 
     @staticmethod
-    def _note_events(request: Request, texts: bytes, now: float) -> bytes:
-        """What is left of a part of the stream once its whole events have been looked at."""
-        *whole, rest = texts.split(b"\n\n")
-        for one in whole if request.status == 200 else ():
-            if one.startswith(b"data: {") and b'"content"' in one:
-                written = float(json.loads(one[6:])["choices"][0]["delta"]["content"])
-                if now - written > EVENT_BOUND:
-                    request.late_events.append(now - written)
-        return rest
+    def _note_events(request: Request, checker: Checker, data: bytes, now: float) -> None:
+        """A part of the stream's body."""
+        for written in checker.feed(data):
+            request.last_event = now
+            if now - written > EVENT_BOUND:
+                request.late_events.append(now - written)
--- a/soak/discovery.py
+++ b/soak/discovery.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from soak.link import Link, Network
-from soak.records import Record, Told
+from soak.records import Change, Record, Told, Watch
 from stackpitch.wire import http
 
 
@@ -54,6 +54,7 @@
         """A new or changed member; `phase` removed takes it off the list."""
         async with self.changed:
             self.revision += 1
+            self.record.changes.append(Change(str(member["id"]), member["phase"] == "up", time.monotonic()))
             self.news.append((self.revision, member))
             if member["phase"] == "removed":
                 self.members.pop(str(member["id"]), None)
@@ -87,6 +88,7 @@
         query = dict(part.partition("=")[::2] for part in reader.query.split("&"))
         since, wait = int(query.get("since", -1)), int(query.get("timeout_ms", 0)) / 1000
         if since >= 0:
+            self.record.watches.append(Watch(gateway, time.monotonic(), wait))
             with suppress(TimeoutError):
                 async with asyncio.timeout(wait), self.changed:
                     await self.changed.wait_for(lambda: since != self.revision)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -12,7 +12,7 @@
 from soak.gateways import Gateway
 from soak.plan import Plan
 from soak.records import Record
-from soak.settings import limits, settings
+from soak.settings import RETRY_AFTERS, limits, settings
 from soak.shim import Shim
 from soak.workers import Worker, member
 
@@ -24,6 +24,11 @@
 )  # below those that the system gives to connections; a block for each run
 
 
+def place(number: int) -> tuple[str, int]:
+    """Zone and cell of a worker: two cells in each of two zones."""
+    return "ab"[number % 2], number % 4
+
+
 class CannotStart(Exception):
     """A part of the soak could not be started; its text says which."""
 
@@ -33,7 +38,7 @@
 
     def __init__(self, plan: Plan, seed: int, folder: Path, library: Path | None, program: list[str]) -> None:
         self.plan, self.random = plan, Random(f"run {seed}")
-        self.record = Record(settings(plan))
+        self.record = Record(settings(plan), most_retry_after=max(RETRY_AFTERS) / 1000)
         self.workers = [
             Worker(
                 f"{'r' if number < plan.readers else 'w'}{number}",
@@ -41,16 +46,21 @@
                 self.record,
                 Random(f"{seed} worker {number}"),
                 HOST,
+                plan.pressure.prefill if number < plan.readers else plan.pressure.decode,
             )
             for number in range(plan.readers + plan.writers)
         ]
+        for number, worker in enumerate(self.workers):
+            self.record.places[worker.name] = place(number)
         self.discovery = Discovery(self.record, Random(f"{seed} discovery"), HOST)
         self.gateways: list[Gateway] = []
         for number in range(plan.gateways):
             own = folder / f"g{number}"
             own.mkdir(parents=True)
             shim = Shim(own, library, seed * 100 + number) if library is not None else None
-            self.gateways.append(Gateway(f"g{number}", HOST, own, self.record, shim, program))
+            self.gateways.append(
+                Gateway(f"g{number}", HOST, own, self.record, shim, program, plan.pressure.sockets)
+            )
         self.clients = [
             Client(
                 number,
@@ -59,6 +69,7 @@
                 Random(f"{seed} {number}"),
                 HOST,
                 limits(plan),
+                plan.pressure.new_session,
             )
             for number in range(plan.clients)
         ]
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -16,7 +16,7 @@
 from soak.shim import Shim
 
 READY = 10.0  # seconds until a process is ready
-SOCKETS, MEMORY_MB = 256, 96
+MEMORY_MB = 96
 FAULTY_LINES = (
     "door_raised",
     "attempt_raised",
@@ -34,10 +34,18 @@
     """One place of the fleet, with one process after another."""
 
     def __init__(
-        self, name: str, host: str, folder: Path, record: Record, shim: Shim | None, program: list[str]
+        self,
+        name: str,
+        host: str,
+        folder: Path,
+        record: Record,
+        shim: Shim | None,
+        program: list[str],
+        sockets: int = 256,
     ) -> None:
+        """`sockets`: descriptors that a process may hold."""
         self.name, self.host, self.folder, self.record, self.shim = name, host, folder, record, shim
-        self.program = program
+        self.program, self.sockets = program, sockets
         self.port = 0
         self.process: subprocess.Popen[bytes] | None = None
         self.config = folder / f"{name}.json"
@@ -56,7 +64,7 @@
                     "listen": f"{self.host}:{self.port}",
                     "discovery": f"{self.host}:{discovery}",
                     "seed": "1f",
-                    "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB},
+                    "limits": {"sockets": self.sockets, "memory_mb": MEMORY_MB},
                     "settings": settings,
                     "known": known,
                 }
@@ -65,6 +73,7 @@
         beside.rename(self.config)
 
     def start(self) -> None:
+        self.record.restarts += bool(self.process)
         faults = self.shim.environment() if self.shim is not None else {}
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
@@ -78,7 +87,7 @@
                     "RELAY_CONFIG": str(self.config),
                     ACTED: str(self.folder.parent / ACTED),
                 },
-                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS)),
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (self.sockets, self.sockets)),
             )
 
     async def ready(self) -> bool:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -3,7 +3,9 @@
 from dataclasses import dataclass
 from random import Random
 
-WORKER_MODES = ("hang", "hang-midway", "fail", "decline", "break", "slow", "stray")
+from soak.pressure import Pressure, pressed
+
+WORKER_MODES = ("hang", "hang-midway", "fail", "decline", "break", "slow", "stray", "forget")
 WORKER_NETWORK = ("silent", "delay", "pieces", "cut", "half-close", "garbage", "reset", "close-idle")
 WORKER_LIFE = ("die", "drain", "join")
 GATEWAY_SIGNALS = ("stop-short", "stop-long", "kill", "roll", "hup", "hup-settings")
@@ -41,7 +43,7 @@
     readers: int
     writers: int
     clients: int
-    pause: float  # mean seconds between a client's requests
+    pressure: Pressure
     second_copies: bool
     release_ms: int
     seconds: float
@@ -91,7 +93,7 @@
         readers,
         writers,
         clients=4 * count,
-        pause=0.4,
+        pressure=pressed(seed),
         second_copies=random.random() < 0.5,
         release_ms=random.choice((400, 500, 800)),
         seconds=seconds,
--- a/soak/playing.py
+++ b/soak/playing.py
@@ -10,7 +10,9 @@
 
 from soak.fleet import Fleet
 from soak.mutants.acting import ACTED, acts
-from soak.oracle import Judge, served
+from soak.oracle import breaks as breaks_of
+from soak.oracle.seen import Seen
+from soak.oracle.summary import excuses, served
 from soak.plan import drawn
 from soak.run import Run
 
@@ -49,11 +51,12 @@
     finally:
         fleet.end()
     took, own = time.monotonic() - begun, time.process_time() - used
-    breaks = list(Judge(fleet.record).breaks())
+    seen = Seen(fleet.record)
+    breaks = list(breaks_of(seen))
     acted = acts(folder / ACTED)
     lines = [
         f"seed {seed}: {'kept' if not breaks else f'{len(breaks)} breaks'}; {plan.gateways} gateways, "
-        f"{len(plan.troubles)} troubles, {took:.0f} s; {served(fleet.record)}; "
+        f"{plan.pressure.name}, {len(plan.troubles)} troubles, {took:.0f} s; {served(fleet.record)}; {excuses(seen)}; "
         f"lag {fleet.record.lag:.2f} s, {own / took / (os.cpu_count() or 1):.2f} of the machine; "
         f"injected {fleet.injected()}"
     ]
--- a/soak/records.py
+++ b/soak/records.py
@@ -18,7 +18,9 @@
     told_ms: int = 0  # the deadline that the worker was told
     ended: float | None = None  # its answer was handed over whole, or its connection ended
     outcome: str = ""  # read, streamed, declined, spoilt, gone
-    events: int = 0
+    name: str = ""  # of this attempt, in the marks of its events
+    last_event: float | None = None  # when it wrote one last
+    unchanged: bool = True  # the request came as its client had sent it
 
 
 @dataclass(slots=True)
@@ -36,8 +38,14 @@
     ended: float | None = None  # the answer was whole, or its connection ended
     whole: bool = False
     surplus: bytes = b""  # after the answer
-    resent: str = ""  # the name under which it was sent again, its connection having ended unanswered
+    resent: bool = False  # on a new connection, the kept one having ended unanswered
+    stopped: float | None = None  # when it had sent a part, and stopped
     late_events: list[float] = field(default_factory=list)  # seconds over those allowed
+    content: list[str] = field(default_factory=list)  # what was wrong with the stream's content
+    served_by: str = ""  # the attempt whose events came
+    last_event: float | None = None  # when one came last
+    retry_after: float | None = None  # seconds, as the answer told them
+    fresh: bool = False  # on a connection of its own
     kind: str = "good"  # what its client does: good, leaves, stops, reads slowly
 
 
@@ -71,6 +79,41 @@
     killed: bool
 
 
+@dataclass(slots=True)
+class BrokenIo:
+    """A time in which a gateway's connections were made to break at reads and writes."""
+
+    gateway: str
+    begin: float
+    end: float
+
+
+@dataclass(slots=True)
+class Change:
+    """Discovery had it that a worker is up again, or drains or is gone."""
+
+    worker: str
+    up: bool
+    at: float
+
+
+@dataclass(slots=True)
+class Outage:
+    """A time in which discovery could not be reached, or was silent."""
+
+    begin: float
+    end: float
+
+
+@dataclass(slots=True)
+class Watch:
+    """A call that may wait, as discovery took it."""
+
+    gateway: str
+    began: float
+    wait: float  # seconds
+
+
 @dataclass(slots=True)
 class Told:
     """A worker was listed as draining or gone, in an answer that discovery handed over to a gateway."""
@@ -103,7 +146,13 @@
     told: list[Told] = field(default_factory=list)
     told_up: list[Told] = field(default_factory=list)  # workers listed as up with a start, as `told`
     starts: list[Start] = field(default_factory=list)
-    broken_io: set[str] = field(default_factory=set)  # gateways whose connections were made to break
+    broken_io: list[BrokenIo] = field(default_factory=list)
+    changes: list[Change] = field(default_factory=list)
+    outages: list[Outage] = field(default_factory=list)
+    watches: list[Watch] = field(default_factory=list)
+    places: dict[str, tuple[str, int]] = field(default_factory=dict)  # zone and cell of each worker
+    restarts: int = 0  # of gateway processes
+    most_retry_after: float = 0.0  # seconds, the most that the settings have allowed
     wrong: list[str] = field(default_factory=list)  # crashes, log lines and what else the run itself found
     troubles: list[str] = field(default_factory=list)  # the story, for people
     lag: float = 0.0  # the longest time in which this harness did not run
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,7 +24,7 @@
     async def play(self) -> Record:
         await self.fleet.start()
         self.began = time.monotonic()
-        tasks = [asyncio.ensure_future(one.run(self.fleet.plan.pause)) for one in self.fleet.clients]
+        tasks = [asyncio.ensure_future(one.run(self.fleet.plan.pressure.pause)) for one in self.fleet.clients]
         watch = asyncio.ensure_future(self._watch())
         crowds = [
             asyncio.ensure_future(self.crowds.keep_crowd(self.fleet.gateways[one]))
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -1,9 +1,12 @@
 """The settings that the gateways of a run get, drawn from its plan. Times in seconds unless a name says otherwise."""
 
+from soak.clients import TENANTS
 from soak.plan import Plan
 
+QUOTA_PER_S = 1000.0  # of each tenant
 LIMITS = {"chat": 4.0, "pay": 4.0, "order": 9.0}  # seconds, before the plan's part of them
 LONGEST_DEADLINE = max(LIMITS.values())
+RETRY_AFTERS = (1100, 1000)  # milliseconds; the latter is in force but for moments
 FLAVORS = ("r", "w")
 
 
@@ -14,7 +17,11 @@
 
 def settings(plan: Plan) -> dict[str, object]:
     deadlines = {name: round(limit * 1000) for name, limit in limits(plan).items()}
+    pressure = plan.pressure
+    keyed = {"dedupScope": pressure.scope, "keyTtlMs": pressure.window_ms}
+    names = zip(TENANTS, pressure.tenants, strict=False)
     return {
+        "tenants": [{"name": name, "share": share, "quotaPerS": QUOTA_PER_S} for name, share in names],
         "balancers": plan.gateways,
         "me": 0,
         "zone": "a",
@@ -22,19 +29,25 @@
         "bounds": {
             "connIdleMs": 6000,
             "connectTimeoutMs": 250,
-            "maxAttempts": 4,
-            "retryAfter": True,
-            "maxRetryAfterMs": 1000,
+            "maxAttempts": pressure.max_attempts,
+            "retryAfter": pressure.retry_after,
+            "maxRetryAfterMs": RETRY_AFTERS[-1],
             "secondCopies": plan.second_copies,
             "cancel": True,
         },
         "classes": [
-            {"name": "chat", "effect": "free", "aimMs": 1000, "deadlineMs": deadlines["chat"], "worth": 1},
+            {
+                "name": "chat",
+                "effect": pressure.chat_effect,
+                **keyed,
+                "aimMs": 1000,
+                "deadlineMs": deadlines["chat"],
+                "worth": 1,
+            },
             {
                 "name": "pay",
                 "effect": "guarded",
-                "dedupScope": "all",
-                "keyTtlMs": 800,
+                **keyed,
                 "aimMs": 1000,
                 "deadlineMs": deadlines["pay"],
                 "worth": 2,
--- a/soak/troubles/clients.py
+++ b/soak/troubles/clients.py
@@ -42,7 +42,7 @@
         ]
         for client in more:
             client.port = next(one.port for one in self.fleet.gateways if one.name == client.gateway)
-        tasks = [asyncio.ensure_future(one.run(self.fleet.plan.pause / 10)) for one in more]
+        tasks = [asyncio.ensure_future(one.run(self.fleet.plan.pressure.pause / 10)) for one in more]
         await asyncio.sleep(trouble.length)
         for client in more:
             client.over = True
--- a/soak/troubles/discovery.py
+++ b/soak/troubles/discovery.py
@@ -1,9 +1,11 @@
 """Discovery that is down, silent, late or cut into pieces."""
 
 import asyncio
+import time
 
 from soak.fleet import Fleet
 from soak.plan import Trouble
+from soak.records import Outage
 from soak.troubles.acts import Act
 
 
@@ -24,14 +26,18 @@
         }
 
     async def _discovery_down(self, trouble: Trouble) -> None:
+        begin = time.monotonic()
         await self.fleet.discovery.down()
         await asyncio.sleep(trouble.length * 2)
         await self.fleet.discovery.up()
+        self.fleet.record.outages.append(Outage(begin, time.monotonic()))
 
     async def _discovery_silent(self, trouble: Trouble) -> None:
+        begin = time.monotonic()
         self.fleet.discovery.network.silent = True
         await asyncio.sleep(trouble.length * 2)
         self.fleet.discovery.network.calm()
+        self.fleet.record.outages.append(Outage(begin, time.monotonic()))
 
     async def _discovery_pieces(self, trouble: Trouble) -> None:
         self.fleet.discovery.network.pieces = True
--- a/soak/troubles/gateways.py
+++ b/soak/troubles/gateways.py
@@ -9,7 +9,7 @@
 from soak.gateways import Gateway
 from soak.late import connected
 from soak.plan import Trouble
-from soak.settings import limits
+from soak.settings import RETRY_AFTERS, limits
 from soak.stops import earliest_kill
 from soak.troubles.acts import Act
 
@@ -91,10 +91,10 @@
 
     async def _hup_settings(self, trouble: Trouble) -> None:
         """Settings that change what is learnt, and no rule; twice in quick succession."""
-        for ready in (1100, 1000):
+        for most in RETRY_AFTERS:
             bounds = self.fleet.record.settings["bounds"]
             assert isinstance(bounds, dict)
-            bounds["maxRetryAfterMs"] = ready
+            bounds["maxRetryAfterMs"] = most
             for gateway in self.fleet.not_busy(trouble.targets):
                 _, port = self.fleet.discovery.servers[gateway.name]
                 gateway.configure(
--- a/soak/troubles/system.py
+++ b/soak/troubles/system.py
@@ -1,9 +1,11 @@
 """Calls of the system that fail in gateway processes, and their wall clocks."""
 
 import asyncio
+import time
 
 from soak.fleet import Fleet
 from soak.plan import Trouble
+from soak.records import BrokenIo
 from soak.shim import Kind
 from soak.troubles.acts import Act
 
@@ -48,7 +50,9 @@
                 gateway.shim.step_wall_clock(self.fleet.random.choice(WALL_STEPS))
 
     async def _broken_io(self, trouble: Trouble) -> None:
-        """Connections break at reads and writes, those of clients as well: these gateways are excused from then on."""
-        self.fleet.record.broken_io |= {one.name for one in self.fleet.not_busy(trouble.targets)[:2]}
+        """Connections break at reads and writes, those of clients as well."""
         few = Trouble(trouble.kind, trouble.at, trouble.length, trouble.targets[:2], trouble.amount)
+        named = [one.name for one in self.fleet.not_busy(few.targets)]
+        begin = time.monotonic()
         await self._shimmed(few, {Kind.BROKEN_IO: 1 + int(20 * trouble.amount)})
+        self.fleet.record.broken_io += [BrokenIo(name, begin, time.monotonic()) for name in named]
--- a/soak/troubles/workers.py
+++ b/soak/troubles/workers.py
@@ -3,7 +3,7 @@
 import asyncio
 from random import Random
 
-from soak.fleet import HOST, Fleet
+from soak.fleet import HOST, Fleet, place
 from soak.plan import WORKER_MODES, Trouble
 from soak.troubles.acts import Act
 from soak.workers import Worker, member
@@ -111,7 +111,11 @@
         for _ in trouble.targets[:3]:
             number = len(self.fleet.workers)
             role = "reader" if self.fleet.random.random() < 0.5 else "writer"
-            worker = Worker(f"{role[0]}{number}", role, self.fleet.record, Random(f"joined {number}"), HOST)
+            pressure = self.fleet.plan.pressure
+            capacity = pressure.prefill if role == "reader" else pressure.decode
+            name = f"{role[0]}{number}"
+            self.fleet.record.places[name] = place(number)
+            worker = Worker(name, role, self.fleet.record, Random(f"joined {number}"), HOST, capacity)
             self.fleet.workers.append(worker)
             worker.port = await self.fleet.free_port()
             await worker.start(cold=True)
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -1,34 +1,52 @@
 """Stand-in prefill and decode workers that note what their sockets show."""
 
 import asyncio
-import json
+import itertools
 import time
 from contextlib import suppress
 from random import Random
+from zlib import crc32
 
+from soak.content import Marks
 from soak.link import Link, Network
+from soak.pressure import UNBOUNDED, USUAL_SLOTS, Capacity
 from soak.records import Attempt, Record, Release, Start
-from stackpitch.wire import http, sse
+from stackpitch.wire import http
 
 READ = http.response(202, b'{"cached_tokens":4}')
 DECLINED = http.response(503, b"", [("srv-declined", "1")])
+STATE_GONE = http.response(410, b"", [("srv-declined", "1")])
 STREAM_HEAD = http.head(200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked")])
-USAGE = b'{"choices":[],"usage":{"prompt_tokens":9,"prompt_tokens_details":{"cached_tokens":7}}}'
-LAST = (
-    http.chunk(sse.event(USAGE))
-    + http.chunk(sse.DONE)
-    + http.chunk(b": Srv-Load: queue=1,util=0.5,x0=0.3\n\n")
-    + http.LAST_CHUNK
-)
 READ_TIME, FIRST_TIME, GAP = 0.03, 0.03, 0.02  # seconds in the mean
 MOST_EVENTS = 12
+SPLIT_PART = 0.3  # of the events come in chunks of their own parts
+TARGET = "/v1/chat/completions"
+
+
+def target(request: str) -> str:
+    """Where a client sends the request of that name."""
+    return f"{TARGET}?of={request}"
+
+
+def chunked(data: bytes, random: Random) -> bytes:
+    """In one chunk, or in some that are cut anywhere."""
+    if len(data) < 2 or random.random() > SPLIT_PART:
+        return http.chunk(data)
+    cuts = sorted({0, len(data), *(random.randint(1, len(data) - 1) for _ in range(random.randint(1, 4)))})
+    return b"".join(http.chunk(data[begin:end]) for begin, end in itertools.pairwise(cuts))
 
 
 class Worker:
-    """`modes`: what the story makes it do now: hang, hang-midway, fail, decline, break, slow, stray."""
+    """`modes`: what the story makes it do now: hang, hang-midway, fail, decline, break, slow, stray, forget."""
 
-    def __init__(self, name: str, role: str, record: Record, random: Random, host: str) -> None:
+    def __init__(
+        self, name: str, role: str, record: Record, random: Random, host: str, capacity: Capacity = UNBOUNDED
+    ) -> None:
         self.name, self.role, self.record, self.random, self.host = name, role, record, random, host
+        self.capacity, self.inside = capacity, 0  # attempts that run or wait
+        self.slots = asyncio.Semaphore(capacity.slots)
+        self.marking = Random(f"{name} marks")  # by itself, so that what is drawn else stays as it is
+        self.streams = 0
         self.network = Network(random)
         self.modes: set[str] = set()
         self.port = 0
@@ -87,6 +105,8 @@
                 self.record.releases.append(Release(name, self.name, time.monotonic()))
                 return await link.write(http.response(204, b""))
             attempt.whole, attempt.taken = link.came, time.monotonic()
+            attempt.request = reader.headers.get("req-id", "")
+            attempt.unchanged = self._unchanged(reader)
             attempt.told_ms = int(reader.headers["req-deadline-ms"])
             return await self._watched(link, attempt)
         finally:
@@ -96,6 +116,14 @@
                 self.record.attempts.append(attempt)
                 attempt.ended = attempt.ended or link.ended or time.monotonic()
 
+    @staticmethod
+    def _unchanged(reader: http.RequestReader) -> bool:
+        """Whether it is what its client sent."""
+        headers = reader.headers
+        wanted = target(headers.get("req-id", "")).encode()
+        good = f"{crc32(reader.body()):08x}" == headers.get("soak-body", "")
+        return good and reader.method == "POST" and reader.url == wanted
+
     async def _watched(self, link: Link, attempt: Attempt) -> bool:
         """Answers while it looks whether the gateway ends the connection."""
         answer = asyncio.ensure_future(self._answer(link, attempt))
@@ -123,6 +151,18 @@
             return await self._end(link, attempt, http.response(500, b"{}"), "spoilt")
         if "decline" in self.modes and self.random.random() < 0.7:
             return await self._end(link, attempt, DECLINED, "declined")
+        if "forget" in self.modes and self.role == "writer" and self.random.random() < 0.5:
+            return await self._end(link, attempt, STATE_GONE, "declined")
+        if self.inside >= self.capacity.slots + self.capacity.queue:
+            return await self._end(link, attempt, DECLINED, "declined")
+        self.inside += 1
+        try:
+            async with self.slots:
+                return await self._work(link, attempt, slow)
+        finally:
+            self.inside -= 1
+
+    async def _work(self, link: Link, attempt: Attempt, slow: int) -> bool:
         if self.role == "reader":
             await asyncio.sleep(self.random.uniform(0.3, 2) * READ_TIME * slow)
             attempt.outcome = "read"  # the state is held from here on, whether or not the answer arrives
@@ -130,6 +170,11 @@
         await asyncio.sleep(self.random.uniform(0.3, 2) * FIRST_TIME * slow)
         return await self._stream(link, attempt, slow)
 
+    def _report(self) -> str:
+        waiting = max(0, self.inside - self.capacity.slots)
+        busy = min(1.0, self.inside / min(self.capacity.slots, USUAL_SLOTS))
+        return f"queue={waiting},util={busy:.2f},x0=0.3"
+
     async def _end(self, link: Link, attempt: Attempt, data: bytes, outcome: str) -> bool:
         attempt.outcome = outcome if outcome != "streamed" else attempt.outcome
         good = await link.write(data)
@@ -152,19 +197,22 @@
         attempt.outcome = "spoilt"
         events = self.random.randint(1, MOST_EVENTS)
         head = STREAM_HEAD
-        for number in range(events):
+        self.streams += 1
+        attempt.name = f"{self.name}-{self.streams}"
+        marks = Marks(attempt.request, attempt.name, self.marking)
+        for _ in range(events):
             if "break" in self.modes and self.random.random() < 0.1:
                 link.abort()
                 return False
             if "hang-midway" in self.modes and self.random.random() < 0.2:
                 await asyncio.sleep(60)
-            delta = {"content": f"{time.monotonic():.4f}"}
-            body = {"choices": [{"index": 0, "delta": delta, "finish_reason": None}]}
-            if not await link.write(head + http.chunk(sse.event(json.dumps(body).encode()))):
+            event = marks.event(time.monotonic())
+            if not await link.write(head + chunked(event, self.marking)):
                 return False
-            attempt.events, head = number + 1, b""
+            attempt.last_event, head = time.monotonic(), b""
             await asyncio.sleep(self.random.uniform(0.2, 2) * GAP * min(slow, 4))
-        return await self._end(link, attempt, LAST, "streamed")
+        last = chunked(marks.last(self._report()), self.marking) + http.LAST_CHUNK
+        return await self._end(link, attempt, last, "streamed")
 
 
 def member(worker: Worker, phase: str = "up") -> dict[str, object]:
@@ -172,9 +220,9 @@
     return {
         "id": worker.name,
         "host_port": f"{worker.host}:{worker.port}",
-        "locality": "a",
+        "locality": worker.record.places[worker.name][0],
         "flavor": worker.role[0],
-        "cell": 1,
+        "cell": worker.record.places[worker.name][1],
         "phase": phase,
         "size": 1.0,
         "up_since_ms": worker.started_unix_ms,
