Ends of clients' connections and releases are asked of permission.py

Change: may_end and may_release. A resting connection on which bytes have come stays, as before, and is counted (end request-came); behind a request that was taken the door looks once more before its connection ends, and one without an answer whose client is still there is an invariant that is broken. test_permission names the third invariant; test_door's stand-in host has the counts that the door now notes. Seen: test_permission, test_connection_ends, test_door and test_gateway passed, 120.

--- a/stackpitch/gateway/door.py
+++ b/stackpitch/gateway/door.py
@@ -12,7 +12,7 @@
 from stackpitch.gateway.facts import BadRequest, Facts, Reading
 from stackpitch.gateway.host import Host
 from stackpitch.gateway.intake import Intake
-from stackpitch.gateway.permission import Act, Reason
+from stackpitch.gateway.permission import Act, Connection, Reason, may_end
 from stackpitch.gateway.trace import Closing
 from stackpitch.interface import Generation, Time
 from stackpitch.loop import Coro, Group, Listener, Lost, Stream, World
@@ -214,7 +214,17 @@
             self.log.exception("request_raised", why=str(wrong))
             raise http.BadMessage(500, "this request could not be worked with") from None
         reader.pieces = []
-        return (yield from self._carry(stream, reader, ask))
+        if (yield from self._carry(stream, reader, ask)):
+            return True
+        self._look_at_end(ask)
+        return False
+
+    def _look_at_end(self, ask: Ask) -> None:
+        """The connection ends now. Guards against a request that was taken and is given up without its answer."""
+        left = not ask.answered and ask.left()
+        ending = Connection(taken=True, answered=ask.answered, client_left=left)
+        if (reason := may_end(ending)) is not None and self.host.refusals.note(Act.END, reason):
+            self.log.error("invariant_broken", act=Act.END, reason=reason, generation=ask.gen.name)
 
     def _note_untaken(self, stream: Stream, reader: http.RequestReader, reason: Reason) -> None:
         self.host.refusals.note(Act.TAKE, reason)
--- a/stackpitch/gateway/endings.py
+++ b/stackpitch/gateway/endings.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from stackpitch.gateway.host import Host
-from stackpitch.gateway.permission import Reason, may_take
+from stackpitch.gateway.permission import Act, Connection, Reason, may_end, may_take
 from stackpitch.gateway.taking import taken
 from stackpitch.interface import SECOND, Time
 from stackpitch.loop import Coro, Lost, Scope, Stream, World
@@ -65,13 +65,16 @@
             rest.first = stream.recv_now(look=True) or b""
         except Lost:
             pass
-        if not rest.first:
+        reason = may_end(Connection(unread=bool(rest.first)))
+        if reason is None:
             self.lingering[stream] = None
             if not rest.kept:
                 self._answer_unasked(stream)
             stream.finish()
+        else:
+            self.host.refusals.note(Act.END, reason)
         rest.scope.cancel()
-        return not rest.first
+        return reason is None
 
     def close_idle(self) -> None:
         """On stopping: connections with no request end, and answers whose head is still to come say that they are their
--- a/stackpitch/gateway/permission.py
+++ b/stackpitch/gateway/permission.py
@@ -1,5 +1,5 @@
-"""Whether a request may be taken from a client, and whether an attempt for it may be sent, started for the client,
-cancelled, or a place be held for it, now. Pure.
+"""Whether a request may be taken from a client and its connection ended, and whether an attempt for it may be sent, started
+for the client, cancelled, or a place be held or released for it, now. Pure.
 
 Asked at the instant of acting, with the facts as they are then: what the decision module knew when it decided may be
 long past, as a connection may have been in the making meanwhile, or this process not have run. Callers don't repeat
@@ -29,6 +29,8 @@
     START = "start"  # its stream, for the client
     CANCEL = "cancel"
     HOLD = "hold"  # a place for its next part
+    RELEASE = "release"  # what workers hold for the request
+    END = "end"  # the client's connection
 
 
 class Reason(StrEnum):
@@ -47,9 +49,12 @@
     ANOTHER_SERVES = "another-serves"  # the client gets another attempt's stream
     SERVES = "serves"  # the client gets this attempt's stream
     ENDED = "ended"  # the attempt has its outcome
+    NOTHING_HELD = "nothing-held"
+    REQUEST_CAME = "request-came"  # on the connection, and nobody has read it
+    UNANSWERED = "unanswered"  # the connection's request was taken and has no final answer
 
 
-INVARIANTS = frozenset({Reason.ANOTHER_OUT, Reason.MAY_HAVE_RUN})
+INVARIANTS = frozenset({Reason.ANOTHER_OUT, Reason.MAY_HAVE_RUN, Reason.UNANSWERED})
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +68,16 @@
     serving: Leg | None = None  # the attempt whose stream the client gets
 
 
+@dataclass(frozen=True, slots=True)
+class Connection:
+    """What is known of a client's connection at the instant at which it would end."""
+
+    unread: bool = False  # bytes have come that nobody has read
+    taken: bool = False  # its last request was taken
+    answered: bool = False  # and has its final answer
+    client_left: bool = False
+
+
 def takes_until(told_to_stop: Time) -> Time:
     """`told_to_stop`: the earliest time at which the signal may have been sent."""
     return told_to_stop + TAKE_WINDOW
@@ -123,6 +138,19 @@
     return Reason.ANSWERED if leg.gen.over else None
 
 
+def may_release(held: bool) -> Reason | None:
+    """None: workers may be told to release what they hold for a request. `held`: that may be something."""
+    return None if held else Reason.NOTHING_HELD
+
+
+def may_end(connection: Connection) -> Reason | None:
+    """None: this side may end it."""
+    if connection.unread:
+        return Reason.REQUEST_CAME
+    owed = connection.taken and not connection.answered and not connection.client_left
+    return Reason.UNANSWERED if owed else None
+
+
 class Refusals:
     """What was forbidden since it was last told. As many entries as there are acts and reasons."""
 
--- a/stackpitch/platform/leases.py
+++ b/stackpitch/platform/leases.py
@@ -2,7 +2,7 @@
 
 from stackpitch.gateway.ask import Ask
 from stackpitch.gateway.host import Host
-from stackpitch.gateway.permission import Act, may_hold
+from stackpitch.gateway.permission import Act, may_hold, may_release
 from stackpitch.interface import Leg, Report, Server, Time
 from stackpitch.loop import MS, Coro
 from stackpitch.platform.ask import PlatformAsk
@@ -60,6 +60,6 @@
 
     def _let_go(self, ask: Ask) -> None:
         assert isinstance(ask, PlatformAsk)
-        if ask.held or ask.doubt:
+        if may_release(ask.held or ask.doubt) is None:
             release = Release(self.host, ask.gen, self.host.arrival_settings(ask.gen).bounds)
             self.host.group.spawn(self.host.counted(release.run()), f"release {ask.gen.name}")
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+from stackpitch.gateway.permission import Refusals
 from stackpitch.interface import Product
 from stackpitch.loop import MS, SECOND, ConnectFailed, Coro, Group, Lost, Stream, World
 from stackpitch.loop.real import RealWorld
@@ -19,6 +20,7 @@
 
     def __init__(self) -> None:
         self.name, self.asks, self.taken = "h", dict[Any, Any](), list[str]()
+        self.refusals = Refusals()
 
     def arrived(self, ask: Any) -> None:
         self.taken.append(ask.gen.name)
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -6,11 +6,14 @@
 
 from stackpitch.gateway.permission import (
     Act,
+    Connection,
     Now,
     Reason,
     Refusals,
     may_cancel,
+    may_end,
     may_hold,
+    may_release,
     may_send,
     may_start,
 )
@@ -50,6 +53,16 @@
     assert may_send(over, NOW) is may_start(over, NOW) is may_hold(over) is Reason.ANSWERED
 
 
+def test_connections_and_releases() -> None:
+    """No connection ends under a request that came or was taken, unless that is answered or its client has left."""
+    assert may_end(Connection()) is may_end(Connection(taken=True, answered=True)) is None
+    assert may_end(Connection(taken=True, client_left=True)) is None
+    assert may_end(Connection(unread=True)) is Reason.REQUEST_CAME
+    assert may_end(Connection(taken=True)) is Reason.UNANSWERED
+    assert Refusals().note(Act.END, Reason.UNANSWERED) and not Refusals().note(Act.END, Reason.REQUEST_CAME)
+    assert may_release(True) is None and may_release(False) is Reason.NOTHING_HELD
+
+
 def test_streams_and_cancels() -> None:
     leg = attempt()
     assert may_start(leg, NOW) is may_cancel(leg, NOW) is may_hold(leg) is None
@@ -63,7 +76,7 @@
 def test_counts_begin_anew_once_told(reason: Reason) -> None:
     refusals = Refusals()
     broken = [refusals.note(Act.SEND, reason) for _ in range(2)]
-    assert broken == [reason in (Reason.ANOTHER_OUT, Reason.MAY_HAVE_RUN)] * 2
+    assert broken == [reason in (Reason.ANOTHER_OUT, Reason.MAY_HAVE_RUN, Reason.UNANSWERED)] * 2
     assert refusals.take() == {f"send {reason}": 2} and not refusals.take()
 
 
