Soak: rare troubles in each run, connections that come up late, deadlines' mutants that change only what is told

Cause: mutants of the first search acted seldom (one broken stream in 84 s, no reset under an effect), as streams seldom broke; those of the deadline also let attempts run longer and were found by the host's own line, not by what workers were told.

Change: each run has one of each of nine troubles that are seldom drawn, half of the decode workers breaking, failing or cutting answers, and a worker that drains while discovery is silent. Workers' queues for connections may be full for a time, so that connect comes up late or never.

--- a/soak/mutants/clients.py
+++ b/soak/mutants/clients.py
@@ -5,11 +5,11 @@
 from typing import Any
 
 from soak.mutants.acting import Mutant, acted, patch
-from stackpitch.gateway import leg as attempts
 from stackpitch.gateway.ask import Ask
 from stackpitch.gateway.host.told import Told
 from stackpitch.gateway.intake import Intake
 from stackpitch.loop import MS, Time
+from stackpitch.platform.leg import PlatformLeg
 
 NOTICED_LATE = 500 * MS
 STOPPED_FOR = 4200 * MS  # for each part of a request; an end is owed within three seconds
@@ -51,14 +51,18 @@
 
 
 def _told_more(more: Callable[[Any], Time]) -> None:
-    left = attempts.LegRun.time_left
+    request = PlatformLeg._request
 
-    def longer(self: Any) -> Time:
-        if more(self):
+    def longer(self: Any) -> bytes:
+        said = more(self)
+        if said:
             acted()
-        return left(self) + more(self)
+        self.ends += said
+        data = request(self)
+        self.ends -= said
+        return data
 
-    patch(attempts.LegRun, "time_left", longer)
+    patch(PlatformLeg, "_request", longer)
 
 
 def long_deadline() -> None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -6,7 +6,17 @@
 from soak.pressure import Pressure, pressed
 
 WORKER_MODES = ("hang", "hang-midway", "fail", "decline", "break", "slow", "stray", "forget")
-WORKER_NETWORK = ("silent", "delay", "pieces", "cut", "half-close", "garbage", "reset", "close-idle")
+WORKER_NETWORK = (
+    "silent",
+    "delay",
+    "pieces",
+    "cut",
+    "half-close",
+    "garbage",
+    "reset",
+    "close-idle",
+    "late-connect",
+)
 WORKER_LIFE = ("die", "drain", "join")
 GATEWAY_SIGNALS = ("stop-short", "stop-long", "kill", "roll", "hup", "hup-settings")
 GATEWAY_SYSTEM = ("short-io", "local", "clock", "broken-io")
@@ -23,6 +33,8 @@
 SURE_SILENCE = (
     2.5  # seconds in each run in which no decode worker takes anything, so that states wait for a release
 )
+SURE = ("break", "hang-midway", "fail", "join", "drain", "hup", "hup-settings", "discovery-silent", "cut")
+SURE_LENGTH = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +99,7 @@
     decode = tuple(range(readers, readers + writers))
     when = alone.uniform(2.0, max(2.5, seconds - 8))
     troubles.append(Trouble("silent", when, SURE_SILENCE, decode, alone.random()))
+    troubles += _sure(Random(f"{seed} sure"), seconds, count, readers, writers)
     crowded = more.random() < CROWDED_PART
     return Plan(
         count,
@@ -103,6 +116,22 @@
     )
 
 
+def _sure(random: Random, seconds: float, gateways: int, readers: int, writers: int) -> list[Trouble]:
+    """One of each kind that is seldom drawn: at half of the decode workers what breaks answers, and a worker that drains while
+    discovery is silent."""
+    found = []
+    for kind in SURE:
+        at = random.uniform(1.5, max(2.0, seconds - 7))
+        targets = _targets(random, kind, gateways, readers, writers)
+        if kind in WORKER_MODES + WORKER_NETWORK:
+            targets = tuple(sorted(random.sample(range(readers, readers + writers), (writers + 1) // 2)))
+        found.append(Trouble(kind, at, SURE_LENGTH, targets, random.random()))
+        if kind in DISCOVERY:
+            one = (random.randrange(readers + writers),)
+            found.append(Trouble("drain", at + random.uniform(0.1, 1), SURE_LENGTH, one, 0.5))
+    return found
+
+
 def _targets(random: Random, kind: str, gateways: int, readers: int, writers: int) -> tuple[int, ...]:
     """A part of the workers, seldom all of a role; some of the gateways, of those that are killed one or two."""
     if kind in WORKER_MODES + WORKER_NETWORK + WORKER_LIFE:
--- a/soak/troubles/workers.py
+++ b/soak/troubles/workers.py
@@ -27,6 +27,7 @@
             "garbage": self._garbage,
             "reset": self._reset,
             "close-idle": self._close_idle,
+            "late-connect": self._late_connect,
             "die": self._die,
             "drain": self._drain,
             "join": self._join,
@@ -79,6 +80,9 @@
         for worker in self._of_workers(trouble):
             worker.network.close_idle()
 
+    async def _late_connect(self, trouble: Trouble) -> None:
+        await asyncio.gather(*(one.connect_late(trouble.length) for one in self._of_workers(trouble)))
+
     async def _die(self, trouble: Trouble) -> None:
         """Its processes die, are listed as removed a while later, and come back cold."""
         workers = [one for one in self._of_workers(trouble) if one.server is not None]
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import socket
 import time
 from contextlib import suppress
 from random import Random
@@ -19,6 +20,7 @@
 STREAM_HEAD = http.head(200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked")])
 READ_TIME, FIRST_TIME, GAP = 0.03, 0.03, 0.02  # seconds in the mean
 MOST_EVENTS = 12
+FILLERS = 2  # connections that fill a queue for one
 SPLIT_PART = 0.3  # of the events come in chunks of their own parts
 TARGET = "/v1/chat/completions"
 
@@ -52,11 +54,13 @@
         self.port = 0
         self.started_unix_ms = 0
         self.server: asyncio.Server | None = None
+        self.full: socket.socket | None = None  # listens in its place while connections come up late
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, cold: bool = False) -> None:
         if self.server is not None:  # another trouble has brought it back
             return
+        self._empty()
         self.server = await asyncio.start_server(self._connection, self.host, self.port, backlog=256)
         self.port = self.server.sockets[0].getsockname()[1]
         if cold:
@@ -68,10 +72,36 @@
         if self.server is not None:
             self.server.close()
             self.server = None
+        self._empty()
         self.network.reset_all()
         for task in list(self.tasks):
             task.cancel()
 
+    def _empty(self) -> None:
+        if self.full is not None:
+            self.full.close()
+            self.full = None
+
+    async def connect_late(self, seconds: float) -> None:
+        """For so long new connections come up late or never, as its queue for them is full. Open ones go on."""
+        if self.server is None:
+            return
+        self.server.close()
+        self.server = None
+        full = self.full = socket.socket()
+        full.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        full.bind((self.host, self.port))
+        full.listen(0)
+        fillers = [socket.socket() for _ in range(FILLERS)]
+        for one in fillers:
+            one.setblocking(False)
+            one.connect_ex((self.host, self.port))
+        await asyncio.sleep(seconds)
+        for one in fillers:
+            one.close()
+        if self.full is full:  # no other trouble has ended or restarted it meanwhile
+            await self.start()
+
     async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
