Soak: events timed on the wire, lists that are hard to get before drains that last

Change: an event's time is when it got onto its way. A moved discovery ends the old address with its connections; watches may fall silent for good; in each run two workers drain up to its end, after one of these.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -14,7 +14,6 @@
 from stackpitch.wire import http
 
 KINDS = ["good"] * 14 + ["leaves", "resets", "stops", "slow", "half-closes"]
-EVENT_BOUND = 0.3  # seconds after its worker wrote it by which an event is here
 PATIENCE = 4.0  # seconds over its limit for which a client waits: what comes later is as if it never came
 STOPPED_FOR = 12.0  # seconds that one which stops in the middle of a request waits for an error or a close
 TENANTS = ("acme", "zeta")
@@ -180,6 +179,7 @@
         reader = http.ResponseReader(1 << 14, 1 << 20)
         until = request.sent + request.limit + PATIENCE
         checker = Checker(request.name)
+        request.content = checker.wrong
         while not reader.complete:
             try:
                 async with asyncio.timeout(
@@ -204,7 +204,6 @@
                 self._close()
         if request.status == 200:
             checker.end(request.whole)
-        request.content, request.served_by = checker.wrong, checker.attempt
 
     @staticmethod
     def _note_head(request: Request, reader: http.ResponseReader, now: float) -> None:
@@ -219,7 +218,5 @@
     @staticmethod
     def _note_events(request: Request, checker: Checker, data: bytes, now: float) -> None:
         """A part of the stream's body."""
-        for written in checker.feed(data):
-            request.last_event = now
-            if now - written > EVENT_BOUND:
-                request.late_events.append(now - written)
+        request.events += [now] * checker.feed(data)
+        request.served_by = checker.attempt
--- a/soak/content.py
+++ b/soak/content.py
@@ -1,11 +1,10 @@
 """Marks in the events of a stream, by which a client can tell whose they are and that none is missing, doubled or changed.
 
-A worker writes `Marks.text` into each event. It names the request, the attempt, the event's number and when it was written, and
+A worker writes `Marks.text` into each event. It names the request, the attempt and the event's number, and
 has a check over these, the padding and all earlier events of the stream. `Checker` reads what a client got.
 """
 
 import json
-from collections.abc import Iterator
 from dataclasses import dataclass
 from random import Random
 from zlib import crc32
@@ -28,10 +27,10 @@
     number: int = 0
     check: int = 0
 
-    def event(self, written: float) -> bytes:
-        """The next event as it goes into the stream's body. `written`: monotonic seconds."""
+    def event(self) -> bytes:
+        """The next event as it goes into the stream's body."""
         padding = "".join(self.random.choices(LETTERS, k=self.random.randint(0, self.random.choice(SIZES))))
-        text = f"{self.request} {self.attempt} {self.number} {written:.4f} {padding}"
+        text = f"{self.request} {self.attempt} {self.number} {padding}"
         self.check = crc32(text.encode(), self.check)
         self.number += 1
         delta = {"content": f"{text} {self.check:08x}"}
@@ -56,7 +55,6 @@
     request: str
     attempt: str
     number: int
-    written: float
     check: int
     said: int  # the check that the event has
 
@@ -64,8 +62,8 @@
 def parsed(text: str, before: int) -> Mark:
     """`before`: the check of the event before. Raises ValueError."""
     body, _, said = text.rpartition(" ")
-    request, attempt, number, written, _ = body.split(" ")
-    return Mark(request, attempt, int(number), float(written), crc32(body.encode(), before), int(said, 16))
+    request, attempt, number, _ = body.split(" ")
+    return Mark(request, attempt, int(number), crc32(body.encode(), before), int(said, 16))
 
 
 class Checker:
@@ -79,15 +77,14 @@
         self.rest = b""
         self.wrong: list[str] = []
 
-    def feed(self, data: bytes) -> Iterator[float]:
-        """Takes a piece of the body; when each marked event in it was written."""
+    def feed(self, data: bytes) -> int:
+        """Takes a piece of the body; how many marked events were in it."""
         *whole, self.rest = (self.rest + data).split(b"\n\n")
+        before = self.events
         for one in whole:
-            if one.startswith(b":"):
-                continue  # a comment
-            written = self._event(one)
-            if written is not None:
-                yield written
+            if not one.startswith(b":"):  # a comment
+                self._event(one)
+        return max(0, self.events - before)
 
     def end(self, whole: bool) -> None:
         """The answer has ended; `whole`: with its last chunk."""
@@ -100,37 +97,35 @@
         if len(self.wrong) < MOST_TOLD:
             self.wrong.append(fault)
 
-    def _event(self, event: bytes) -> float | None:
+    def _event(self, event: bytes) -> None:
         data = event.removeprefix(b"data:").strip()
         if self.done:
             self._note(f"{event[:60]!r} follows the end")
         elif data == b"[DONE]":
             self.done = True
         else:
-            return self._body(data)
-        return None
+            self._body(data)
 
-    def _body(self, data: bytes) -> float | None:
+    def _body(self, data: bytes) -> None:
         try:
             body = json.loads(data)
             if "usage" in body:
                 self._usage(body["usage"]["completion_tokens"])
-                return None
+                return
             choice = body["choices"][0]
             if choice["finish_reason"] == "stop":
                 self.stopped = True
-                return None
-            return self._mark(choice["delta"]["content"])
+            else:
+                self._mark(choice["delta"]["content"])
         except (ValueError, LookupError, TypeError):
             self._note(f"{data[:60]!r} is no event that a worker wrote")
-            return None
 
     def _usage(self, events: int) -> None:
         if self.usage or not self.stopped or events != self.events:
             self._note(f"its worker wrote {events} events, and {self.events} came")
         self.usage = True
 
-    def _mark(self, text: str) -> float:
+    def _mark(self, text: str) -> None:
         mark = parsed(text, self.check)
         if mark.request != self.request:
             self._note(f"event {mark.number} of {mark.request} is in it")
@@ -142,4 +137,3 @@
             self._note(f"event {mark.number} was changed")
         self.attempt, self.check = self.attempt or mark.attempt, mark.said
         self.events = mark.number + 1
-        return mark.written
--- a/soak/discovery.py
+++ b/soak/discovery.py
@@ -24,17 +24,19 @@
         self.changed = asyncio.Condition()
         self.slow = 0.0  # seconds before each answer
         self.servers: dict[str, tuple[asyncio.Server | None, int]] = {}
+        self.links: dict[str, set[Link]] = {}  # of each gateway at its present address; emptied as they end
 
     async def open_for(self, gateway: str, port: int) -> None:
         """From now on this gateway asks at that port."""
         server = await asyncio.start_server(partial(self._connection, gateway), self.host, port)
         self.servers[gateway] = server, port
 
-    def close_for(self, gateway: str) -> None:
-        """The old address after a new configuration."""
-        server, _ = self.servers[gateway]
+    def leave(self, server: asyncio.Server | None, gateway: str) -> None:
+        """The old address of a gateway is gone after a new configuration, with the connections there."""
         if server is not None:
             server.close()
+        for link in self.links.pop(gateway, set()):
+            link.abort()
 
     async def down(self) -> None:
         """Refuses, and resets what is connected."""
@@ -69,12 +71,15 @@
         self, gateway: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         link = Link(reader, writer, self.network)
+        links = self.links.setdefault(gateway, set())
+        links.add(link)
         try:
             while await self._call(gateway, link):
                 pass
         except (OSError, http.BadMessage, asyncio.CancelledError):
             pass
         finally:
+            links.discard(link)
             with suppress(RuntimeError):
                 link.close()
 
--- a/soak/link.py
+++ b/soak/link.py
@@ -29,6 +29,11 @@
         for link in list(self.links):
             link.abort()
 
+    def mute_all(self) -> None:
+        """Those open now fall silent for good; nothing tells."""
+        for link in self.links:
+            link.mute = True
+
     def close_idle(self) -> None:
         for link in list(self.links):
             if link.idle:
@@ -43,6 +48,8 @@
         self.reader, self.writer, self.network = reader, writer, network
         self.came = 0.0
         self.ended: float | None = None
+        self.passed = 0.0  # when the last write got onto its way
+        self.mute = False  # nothing passes any more
         self.idle = True
         self.on_abort: Callable[[], None] = lambda: None
         self.arrived: deque[tuple[float, bytes]] = deque()
@@ -64,10 +71,11 @@
             self.news.set()
 
     async def _passes(self) -> None:
-        while self.network.silent and self.ended is None:
+        while (self.network.silent or self.mute) and self.ended is None:
             await asyncio.sleep(0.02)
         if self.network.delay:
             await asyncio.sleep(self.network.delay)
+        self.passed = time.monotonic()
 
     async def read(self) -> bytes:
         """b"" at the end. Bytes that come in a silence are kept back until it is over."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -20,7 +20,14 @@
 WORKER_LIFE = ("die", "drain", "join")
 GATEWAY_SIGNALS = ("stop-short", "stop-long", "kill", "roll", "hup", "hup-settings")
 GATEWAY_SYSTEM = ("short-io", "local", "clock", "broken-io")
-DISCOVERY = ("discovery-down", "discovery-silent", "discovery-late", "discovery-reset", "discovery-pieces")
+DISCOVERY = (
+    "discovery-down",
+    "discovery-silent",
+    "discovery-late",
+    "discovery-reset",
+    "discovery-pieces",
+    "discovery-mute",
+)
 CLIENTS = ("burst", "crowd")
 GROUPS = (WORKER_MODES, WORKER_NETWORK, WORKER_LIFE, GATEWAY_SIGNALS, GATEWAY_SYSTEM, DISCOVERY, CLIENTS)
 QUIET, LONG_QUIET = 1.5, 13.0  # seconds; the latter is over the time for which resting connections are kept
@@ -33,7 +40,8 @@
 SURE_SILENCE = (
     2.5  # seconds in each run in which no decode worker takes anything, so that states wait for a release
 )
-SURE = ("break", "hang-midway", "fail", "join", "drain", "hup", "hup-settings", "discovery-silent", "cut")
+SURE = ("break", "hang-midway", "fail", "join", "hup", "hup-settings", "drain", "cut")
+SURE_OF_LISTS = ("hup", "discovery-silent", "discovery-mute")  # one of them before a drain that lasts
 SURE_LENGTH = 2.5
 
 
@@ -117,8 +125,8 @@
 
 
 def _sure(random: Random, seconds: float, gateways: int, readers: int, writers: int) -> list[Trouble]:
-    """One of each kind that is seldom drawn: at half of the decode workers what breaks answers, and a worker that drains while
-    discovery is silent."""
+    """One of each kind that is seldom drawn: at half of the decode workers what breaks answers, and workers that drain for
+    good after lists were hard to get."""
     found = []
     for kind in SURE:
         at = random.uniform(1.5, max(2.0, seconds - 7))
@@ -126,9 +134,10 @@
         if kind in WORKER_MODES + WORKER_NETWORK:
             targets = tuple(sorted(random.sample(range(readers, readers + writers), (writers + 1) // 2)))
         found.append(Trouble(kind, at, SURE_LENGTH, targets, random.random()))
-        if kind in DISCOVERY:
-            one = (random.randrange(readers + writers),)
-            found.append(Trouble("drain", at + random.uniform(0.1, 1), SURE_LENGTH, one, 0.5))
+    at, kind = random.uniform(1.0, 2.0), random.choice(SURE_OF_LISTS)
+    found.append(Trouble(kind, at, SURE_LENGTH, tuple(range(gateways)), random.random()))
+    some = (random.randrange(readers), readers + random.randrange(writers))
+    found.append(Trouble("drain-long", at + random.uniform(0.2, 1), SURE_LENGTH, some, random.random()))
     return found
 
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -19,7 +19,7 @@
     ended: float | None = None  # its answer was handed over whole, or its connection ended
     outcome: str = ""  # read, streamed, declined, spoilt, gone
     name: str = ""  # of this attempt, in the marks of its events
-    last_event: float | None = None  # when it wrote one last
+    events: list[float] = field(default_factory=list)  # when each got onto its way
     unchanged: bool = True  # the request came as its client had sent it
 
 
@@ -40,10 +40,9 @@
     surplus: bytes = b""  # after the answer
     resent: bool = False  # on a new connection, the kept one having ended unanswered
     stopped: float | None = None  # when it had sent a part, and stopped
-    late_events: list[float] = field(default_factory=list)  # seconds over those allowed
+    events: list[float] = field(default_factory=list)  # when each came
     content: list[str] = field(default_factory=list)  # what was wrong with the stream's content
     served_by: str = ""  # the attempt whose events came
-    last_event: float | None = None  # when one came last
     retry_after: float | None = None  # seconds, as the answer told them
     fresh: bool = False  # on a connection of its own
     kind: str = "good"  # what its client does: good, leaves, stops, reads slowly
--- a/soak/stops.py
+++ b/soak/stops.py
@@ -10,6 +10,9 @@
 
 EXCUSED = 0.7  # seconds after SIGTERM; what arrived by then may be cut off by SIGKILL
 LONGEST_COUNTED = 3.0  # seconds of the longest deadline
+# Seconds by which each time limit is longer on sockets. What arrives within them of SIGKILL, on a connection whose last
+# answer has just ended, may cross the end of that connection.
+LONGER = 0.05
 
 
 def earliest_kill(longest_deadline: float) -> float:
@@ -23,7 +26,7 @@
     if sent is None:
         return None
     stops = (one for one in record.stops if one.gateway == request.gateway)
-    return next((one for one in stops if one.told + EXCUSED < sent < one.ended), None)
+    return next((one for one in stops if one.told + EXCUSED < sent < one.ended - LONGER), None)
 
 
 def lost(record: Record, request: Request, attempts: list[Attempt]) -> Iterator[str]:
--- a/soak/troubles/discovery.py
+++ b/soak/troubles/discovery.py
@@ -23,6 +23,7 @@
             "discovery-late": self._discovery_late,
             "discovery-reset": self._discovery_reset,
             "discovery-pieces": self._discovery_pieces,
+            "discovery-mute": self._discovery_mute,
         }
 
     async def _discovery_down(self, trouble: Trouble) -> None:
@@ -47,6 +48,10 @@
     async def _discovery_reset(self, trouble: Trouble) -> None:
         self.fleet.discovery.network.reset_all()
 
+    async def _discovery_mute(self, trouble: Trouble) -> None:
+        """All watches that are open fall silent for good; new ones are answered."""
+        self.fleet.discovery.network.mute_all()
+
     async def _discovery_late(self, trouble: Trouble) -> None:
         self.fleet.discovery.slow = trouble.amount
         await asyncio.sleep(trouble.length)
--- a/soak/troubles/gateways.py
+++ b/soak/troubles/gateways.py
@@ -78,16 +78,15 @@
         for gateway in self.fleet.not_busy(trouble.targets):
             old, _ = self.fleet.discovery.servers[gateway.name]
             port = await self.fleet.free_port()
-            await self.fleet.discovery.open_for(gateway.name, port)
             gateway.configure(
                 self.fleet.gateways.index(gateway),
                 self.fleet.plan.gateways,
                 port,
                 self.fleet.discovery.known(),
             )
+            self.fleet.discovery.leave(old, gateway.name)
+            await self.fleet.discovery.open_for(gateway.name, port)
             gateway.signal(signal.SIGHUP)
-            if old is not None:
-                old.close()
 
     async def _hup_settings(self, trouble: Trouble) -> None:
         """Settings that change what is learnt, and no rule; twice in quick succession."""
--- a/soak/troubles/workers.py
+++ b/soak/troubles/workers.py
@@ -30,6 +30,7 @@
             "late-connect": self._late_connect,
             "die": self._die,
             "drain": self._drain,
+            "drain-long": self._drain_long,
             "join": self._join,
         }
 
@@ -85,7 +86,9 @@
 
     async def _die(self, trouble: Trouble) -> None:
         """Its processes die, are listed as removed a while later, and come back cold."""
-        workers = [one for one in self._of_workers(trouble) if one.server is not None]
+        workers = [
+            one for one in self._of_workers(trouble) if one.server is not None and "drains" not in one.modes
+        ]
         for worker in workers:
             worker.die()
         await asyncio.sleep(0.5 * trouble.amount)
@@ -100,7 +103,9 @@
 
     async def _drain(self, trouble: Trouble) -> None:
         """Listed as draining; some come back later, as cold processes."""
-        workers = [one for one in self._of_workers(trouble) if one.server is not None]
+        workers = [
+            one for one in self._of_workers(trouble) if one.server is not None and "drains" not in one.modes
+        ]
         for worker in workers:
             await self.fleet.discovery.tell(member(worker, "draining"))
         await asyncio.sleep(trouble.length + 2)
@@ -110,6 +115,13 @@
             await worker.start(cold=True)
             await self.fleet.discovery.tell(member(worker))
 
+    async def _drain_long(self, trouble: Trouble) -> None:
+        """Listed as draining, and up to the run's end."""
+        for worker in self._of_workers(trouble):
+            if worker.server is not None and "drains" not in worker.modes:
+                worker.modes.add("drains")
+                await self.fleet.discovery.tell(member(worker, "draining"))
+
     async def _join(self, trouble: Trouble) -> None:
         """New and cold ones."""
         for _ in trouble.targets[:3]:
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -236,10 +236,11 @@
                 return False
             if "hang-midway" in self.modes and self.random.random() < 0.2:
                 await asyncio.sleep(60)
-            event = marks.event(time.monotonic())
+            event = marks.event()
             if not await link.write(head + chunked(event, self.marking)):
                 return False
-            attempt.last_event, head = time.monotonic(), b""
+            attempt.events.append(link.passed)
+            head = b""
             await asyncio.sleep(self.random.uniform(0.2, 2) * GAP * min(slow, 4))
         last = chunked(marks.last(self._report()), self.marking) + http.LAST_CHUNK
         return await self._end(link, attempt, last, "streamed")
