--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,6 +6,7 @@
 import tempfile
 from pathlib import Path
 
+from soak.crossings import written
 from soak.fleet import CannotStart
 from soak.playing import PROGRAM, Setup, play
 from soak.shim import NoCompiler, build
@@ -19,6 +20,7 @@
     words.add_argument("--gateways", type=int, default=0, help="0: drawn from the seed, 10 to 14")
     words.add_argument("--broken", default="", help="a mutant of soak/mutants, which has to be found")
     words.add_argument("--keep", action="store_true", help="keep the logs")
+    words.add_argument("--crossings", type=Path, help="a file to which each seed adds what met")
     given = words.parse_args()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the processes are ended then, too
     try:
@@ -36,6 +38,9 @@
             print(f"not run: {wrong}")
             return 2
         print(outcome.text, flush=True)
+        if given.crossings is not None:
+            with given.crossings.open("a") as file:
+                file.write(f"{written(outcome.crossings)}\n")
         found += bool(outcome.breaks)
     return 1 if found else 0
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -10,7 +10,7 @@
 from soak.clients import Client
 from soak.discovery import Discovery
 from soak.gateways import Gateway
-from soak.plan import Plan
+from soak.plan import DISCOVERY, LASTING, WORKER_LIFE, WORKER_MODES, WORKER_NETWORK, Plan, Trouble
 from soak.records import Record
 from soak.settings import RETRY_AFTERS, limits, settings
 from soak.shim import Shim
@@ -112,6 +112,14 @@
         """Those of these gateways that are not being signalled."""
         return [one for number in numbers if (one := self.gateways[number]).name not in self.busy]
 
+    def names(self, trouble: Trouble) -> list[str]:
+        """Of the gateways or workers that a trouble is at; none: it is everywhere."""
+        if trouble.kind in DISCOVERY or trouble.kind == "join":
+            return []
+        if trouble.kind in WORKER_MODES + WORKER_NETWORK + WORKER_LIFE + LASTING:
+            return [self.workers[number].name for number in trouble.targets]
+        return [self.gateways[number].name for number in trouble.targets]
+
     def end(self) -> None:
         """Leaves no process behind."""
         for gateway in self.gateways:
--- a/soak/mutants/answers.py
+++ b/soak/mutants/answers.py
@@ -77,7 +77,7 @@
         finish(self)
         if self.client is not None:
             acted()
-            self.client.write(OWN_ANSWER)
+            self._put(OWN_ANSWER)
 
     patch(PlatformAsk, "finish", more)
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -18,6 +18,7 @@
     "late-connect",
 )
 WORKER_LIFE = ("die", "drain", "join")
+LASTING = ("drain-long",)  # to the run's end
 GATEWAY_SIGNALS = ("stop-short", "stop-long", "kill", "roll", "hup", "hup-settings")
 GATEWAY_SYSTEM = ("short-io", "local", "clock", "broken-io")
 DISCOVERY = (
@@ -137,7 +138,7 @@
     at, kind = random.uniform(1.0, 2.0), random.choice(SURE_OF_LISTS)
     found.append(Trouble(kind, at, SURE_LENGTH, tuple(range(gateways)), random.random()))
     some = (random.randrange(readers), readers + random.randrange(writers))
-    found.append(Trouble("drain-long", at + random.uniform(0.2, 1), SURE_LENGTH, some, random.random()))
+    found.append(Trouble(LASTING[0], at + random.uniform(0.2, 1), SURE_LENGTH, some, random.random()))
     return found
 
 
--- a/soak/playing.py
+++ b/soak/playing.py
@@ -5,9 +5,11 @@
 import shutil
 import tempfile
 import time
+from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
 
+from soak.crossings import Crossing, met
 from soak.fleet import Fleet
 from soak.mutants.acting import ACTED, acts
 from soak.oracle import breaks as breaks_of
@@ -37,6 +39,7 @@
 
     breaks: list[str]
     acted: int
+    crossings: Counter[Crossing]
     text: str  # the run's line, and its story where something broke
 
 
@@ -46,8 +49,9 @@
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     fleet = Fleet(plan, seed, folder, setup.library, list(setup.program))
     begun, used = time.monotonic(), time.process_time()
+    run = Run(fleet, print)
     try:
-        asyncio.run(Run(fleet, print).play())
+        asyncio.run(run.play())
     finally:
         fleet.end()
     took, own = time.monotonic() - begun, time.process_time() - used
@@ -67,4 +71,4 @@
         lines.append(f"  logs: {folder}")
     else:
         shutil.rmtree(folder)
-    return Outcome(breaks, acted, "\n".join(lines))
+    return Outcome(breaks, acted, met(fleet.record, run.events), "\n".join(lines))
--- a/soak/run.py
+++ b/soak/run.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 
+from soak.crossings import EVENT_OF, Event
 from soak.fleet import Fleet
 from soak.plan import Trouble
 from soak.records import Record
@@ -20,6 +21,7 @@
         self.fleet, self.say = fleet, say
         self.acts, self.crowds = acts_of(fleet), ClientTroubles(fleet)
         self.began = 0.0
+        self.events: list[Event] = []  # as many as the plan has troubles
 
     async def play(self) -> Record:
         await self.fleet.start()
@@ -71,7 +73,10 @@
     async def _trouble(self, trouble: Trouble) -> None:
         await asyncio.sleep(max(0.0, self.began + trouble.at - time.monotonic()))
         self.fleet.record.troubles.append(str(trouble))
+        begin = time.monotonic()
         try:
             await self.acts[trouble.kind](trouble)
         except OSError as wrong:
             self.say(f"trouble {trouble.kind}: {wrong}")
+        where = frozenset(self.fleet.names(trouble))
+        self.events.append(Event(EVENT_OF[trouble.kind], begin, time.monotonic(), where))
