--- a/soak/crossings.py
+++ b/soak/crossings.py
@@ -34,6 +34,7 @@
         "reset",
         "close-idle",
         "pieces",
+        "late-reset",
     ),
     "worker declines": ("decline", "forget"),
     "late connect": ("late-connect", "delay"),
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,7 +5,7 @@
 
 from soak.pressure import Pressure, pressed
 
-WORKER_MODES = ("hang", "hang-midway", "fail", "decline", "break", "slow", "stray", "forget")
+WORKER_MODES = ("hang", "hang-midway", "fail", "decline", "break", "slow", "stray", "forget", "late-reset")
 WORKER_NETWORK = (
     "silent",
     "delay",
@@ -41,7 +41,7 @@
 SURE_SILENCE = (
     2.5  # seconds in each run in which no decode worker takes anything, so that states wait for a release
 )
-SURE = ("break", "hang-midway", "fail", "join", "hup", "hup-settings", "drain", "cut")
+SURE = ("break", "late-reset", "hang-midway", "fail", "join", "hup", "hup-settings", "drain", "cut")
 SURE_OF_LISTS = ("hup", "discovery-silent", "discovery-mute")  # one of them before a drain that lasts
 SURE_LENGTH = 2.5
 
--- a/soak/pressure.py
+++ b/soak/pressure.py
@@ -60,6 +60,6 @@
         chat_effect=random.choice(("free", "free", "guarded", "single_shot")),
         tenants=random.choice(((), (0.7, 0.3))),
         retry_after=random.random() < 0.7,
-        max_attempts=random.choice((2, 4, 4, 6)),
+        max_attempts=random.choice((3, 4, 4, 6)),
         new_session=random.choice((0.05, 0.3)),
     )
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -20,6 +20,7 @@
 STREAM_HEAD = http.head(200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked")])
 READ_TIME, FIRST_TIME, GAP = 0.03, 0.03, 0.02  # seconds in the mean
 MOST_EVENTS = 12
+LATE_RESET = 1.5  # seconds after which a request is reset at most
 FILLERS = 2  # connections that fill a queue for one
 SPLIT_PART = 0.3  # of the events come in chunks of their own parts
 TARGET = "/v1/chat/completions"
@@ -39,7 +40,7 @@
 
 
 class Worker:
-    """`modes`: what the story makes it do now: hang, hang-midway, fail, decline, break, slow, stray, forget."""
+    """`modes`: what the story makes it do now: hang, hang-midway, fail, decline, break, slow, stray, forget, late-reset."""
 
     def __init__(
         self, name: str, role: str, record: Record, random: Random, host: str, capacity: Capacity = UNBOUNDED
@@ -177,6 +178,10 @@
         slow = 20 if "slow" in self.modes else 1
         if "hang" in self.modes:
             await asyncio.sleep(60)
+        if "late-reset" in self.modes and self.random.random() < 0.5:
+            await asyncio.sleep(self.random.uniform(0, LATE_RESET))
+            link.abort()
+            return False
         if "fail" in self.modes and self.random.random() < 0.7:
             return await self._end(link, attempt, http.response(500, b"{}"), "spoilt")
         if "decline" in self.modes and self.random.random() < 0.7:
