--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import socket
 from contextlib import suppress
 from pathlib import Path
 from random import Random
@@ -17,11 +18,7 @@
 from soak.workers import Worker, member
 
 HOST = "127.0.0.1"
-FIRST_PORT, BLOCKS, BLOCK = (
-    2_000,
-    64,
-    200,
-)  # below those that the system gives to connections; a block for each run
+FIRST_PORT, BLOCKS, BLOCK = 2_000, 40, 200  # a block for each run, below all other ports that are used here
 
 
 def place(number: int) -> tuple[str, int]:
@@ -29,6 +26,21 @@
     return "ab"[number % 2], number % 4
 
 
+def claimed_block() -> tuple[socket.socket, int]:
+    """The first port of a block that no other run has, and a socket there that says so until it is closed. Raises
+    CannotStart."""
+    for step in range(BLOCKS):
+        first = FIRST_PORT + (os.getpid() + step) % BLOCKS * BLOCK
+        claim = socket.socket()
+        try:
+            claim.bind((HOST, first))
+        except OSError:
+            claim.close()
+        else:
+            return claim, first
+    raise CannotStart(f"{BLOCKS} runs at once: no block of ports is free")
+
+
 class CannotStart(Exception):
     """A part of the soak could not be started; its text says which."""
 
@@ -75,8 +87,8 @@
         ]
         self.record.crowded = {f"g{number}" for number in plan.crowded}
         self.late: set[asyncio.Task[None]] = set()  # clients of gateways that stop; emptied as they end
-        first = FIRST_PORT + os.getpid() % BLOCKS * BLOCK
-        self.ports = iter(range(first, first + BLOCK))
+        self.block, first = claimed_block()
+        self.ports = iter(range(first + 1, first + BLOCK))
         self.busy: set[str] = set()  # gateways that are being signalled
 
     async def start(self) -> None:
@@ -124,6 +136,7 @@
         """Leaves no process behind."""
         for gateway in self.gateways:
             gateway.end()
+        self.block.close()
         self.record.wrong = list(dict.fromkeys(self.record.wrong))
 
     def injected(self) -> str:
--- a/soak/late.py
+++ b/soak/late.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from contextlib import suppress
 from random import Random
 
 from soak.clients import Client
@@ -19,13 +20,17 @@
         if not await self._connect():
             return
         assert self.reader is not None
-        try:
-            async with asyncio.timeout(delay):
-                await self.reader.read(1)  # the gateway tells that it ends the connection, or does so
-        except TimeoutError:
+        told = asyncio.ensure_future(self.reader.read(1))  # the gateway ends the connection, or says so
+        await asyncio.wait({told}, timeout=delay)
+        await asyncio.sleep(0)  # what came while this harness did not run is seen before anything is sent
+        await asyncio.sleep(0)
+        if not told.done():
+            told.cancel()
+            with suppress(asyncio.CancelledError):
+                await told
             await self._ask_on_open_connection()
-        except OSError:
-            pass
+        elif not told.cancelled():
+            told.exception()
         self._close()
 
 
--- a/soak/mutants/effects.py
+++ b/soak/mutants/effects.py
@@ -128,6 +128,14 @@
         )
 
     _note_sends(outside)
+    answer = guard.Guard.answer
+
+    def note(self: Any, gen: Any, why: Any) -> None:
+        if self.ran(gen) and gen.product.effect == "deduplicated" and scopes[gen.product.name] != "all":
+            acted()  # it may be refused, as if any worker dropped its repeat
+        answer(self, gen, why)
+
+    patch(guard.Guard, "answer", note)
 
 
 def refused_though_run() -> None:
@@ -152,8 +160,9 @@
     most: list[int] = []
 
     def more(self: Any, fleet: Any, max_legs: int, *others: Any) -> None:
-        most[:] = [max_legs]
-        begin(self, fleet, max_legs + ATTEMPTS_MORE, *others)
+        if not most:  # a guard is made anew from the one before
+            most.append(max_legs)
+        begin(self, fleet, most[0] + ATTEMPTS_MORE, *others)
 
     patch(guard.Guard, "__init__", more)
     _note_sends(lambda leg, now: leg.number >= most[0])
--- a/soak/mutants/process.py
+++ b/soak/mutants/process.py
@@ -13,7 +13,7 @@
 
 EARLY_END = 900 * MS  # after SIGTERM
 SLOW_READY = 11 * SECOND
-KEPT_BYTES = 400_000  # of each answered request
+KEPT_BYTES = 2_000_000  # of each answered request
 LAST_RELOAD = 3
 
 
@@ -111,7 +111,7 @@
 
 
 def kept_memory() -> None:
-    """0.4 MB stay with each answered request."""
+    """Two megabytes stay with each answered request."""
     finish = PlatformAsk.finish
     kept: list[bytes] = []
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -38,9 +38,8 @@
 SURE_ROLLS = 3  # in each run, beside those that are drawn
 THROUGH_A_ROLL = ("hang", "silent", "slow")  # what workers do then
 ROLL = 4.0  # seconds that a gateway may have from SIGTERM to SIGKILL, and some
-SURE_SILENCE = (
-    2.5  # seconds in each run in which no decode worker takes anything, so that states wait for a release
-)
+# Seconds in each run in which no decode worker takes anything, and then four in five of all: states wait for releases.
+SURE_SILENCE = 2.5
 SURE = ("break", "late-reset", "hang-midway", "fail", "join", "hup", "hup-settings", "drain", "cut")
 SURE_OF_LISTS = ("hup", "discovery-silent", "discovery-mute")  # one of them before a drain that lasts
 SURE_LENGTH = 2.5
@@ -109,6 +108,9 @@
     when = alone.uniform(2.0, max(2.5, seconds - 8))
     troubles.append(Trouble("silent", when, SURE_SILENCE, decode, alone.random()))
     troubles += _sure(Random(f"{seed} sure"), seconds, count, readers, writers)
+    when = alone.uniform(2.0, max(2.5, seconds - 8))
+    most = alone.sample(range(readers + writers), (readers + writers) * 4 // 5)
+    troubles.append(Trouble("silent", when, SURE_SILENCE, tuple(sorted(most)), alone.random()))
     crowded = more.random() < CROWDED_PART
     return Plan(
         count,
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -132,6 +132,9 @@
                 reader.feed(data)
             assert attempt is not None
             if reader.method == "DELETE":
+                if self.modes & {"break", "late-reset"} and self.marking.random() < 0.5:
+                    link.abort()  # before it was taken
+                    return False
                 name = reader.path.rpartition("/")[2]
                 self.record.releases.append(Release(name, self.name, time.monotonic()))
                 return await link.write(http.response(204, b""))
--- a/stackpitch/rehearse/director/troubles/voters.py
+++ b/stackpitch/rehearse/director/troubles/voters.py
@@ -9,6 +9,8 @@
 from stackpitch.rehearse.director.troubles.gateways import Gateways
 from stackpitch.rehearse.director.troubles.struck import gateways
 
+COPY_TRIES = 20
+
 
 class Voters:
     """Brings one trouble. Files are the world's: on this machine's disk or in memory."""
@@ -63,12 +65,28 @@
 
 
 def copy(files: Files, path: str, beside: str) -> None:
+    """Guards the day against faults of the disk that are meant for the voters: a copy that fails is made again. Raises
+    OSError where none succeeds."""
+    for left in reversed(range(COPY_TRIES)):
+        try:
+            _copy_once(files, path, beside)
+            return
+        except OSError:
+            if not left:
+                raise
+
+
+def _copy_once(files: Files, path: str, beside: str) -> None:
     source = files.open(path, create=True)
-    data = files.read(source, 0, files.size(source))
-    files.close(source)
+    try:
+        data = files.read(source, 0, files.size(source))
+    finally:
+        files.close(source)
     sink = files.open(beside, create=True, empty=True)
-    while data:
-        data = data[files.write(sink, data) :]
-    files.sync(sink)
-    files.close(sink)
+    try:
+        while data:
+            data = data[files.write(sink, data) :]
+        files.sync(sink)
+    finally:
+        files.close(sink)
     files.sync_folder(os.path.dirname(beside))
