Soak: a run that is told to end ends

Cause: after SIGTERM seven runs were still there (seen: ended by hand with SIGKILL). A client took the cancelling of its own task for that of the answer it had given up on, and went on asking; asyncio waits for all tasks then.

Change: Client._ask passes its own cancelling on. Seen: told to end after 6 s a run was gone at once, with its gateways.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -14,6 +14,7 @@
 from stackpitch.wire import http
 
 KINDS = ["good"] * 14 + ["leaves", "resets", "stops", "slow", "half-closes"]
+LEAVING = ("leaves", "resets", "half-closes")
 PATIENCE = 4.0  # seconds over its limit for which a client waits: what comes later is as if it never came
 STOPPED_FOR = 12.0  # seconds that one which stops in the middle of a request waits for an error or a close
 TENANTS = ("acme", "zeta")
@@ -129,29 +130,46 @@
         )
 
     async def _ask(self, request: Request) -> None:
-        assert self.writer is not None
-        data, kind = self._bytes(request), request.kind
+        answer: asyncio.Future[None] | None = None
         try:
-            if kind == "stops":
-                await self._stop(request, data)
+            if request.kind == "stops":
+                await self._stop(request, self._bytes(request))
                 return
-            cut = self.random.randint(1, len(data) - 1)
-            if self.random.random() < 0.1:
-                self.writer.write(data[:cut])
-                await asyncio.sleep(self.random.uniform(0, 0.2))
-                data = data[cut:]
-            self.writer.write(data)
-            request.sent = time.monotonic()
+            await self._send(request)
             answer = asyncio.ensure_future(self._answer(request))
-            if kind in ("leaves", "resets", "half-closes"):
+            if request.kind in LEAVING:
                 await asyncio.wait({answer}, timeout=self.random.uniform(0, 0.25))
                 if not answer.done():
-                    await self._leave(request, kind)
+                    await self._leave(request, request.kind)
                     answer.cancel()
-            await answer
-        except (OSError, http.BadMessage, asyncio.CancelledError):
-            request.ended = request.ended or time.monotonic()
-            self._close()
+            await asyncio.wait({answer})
+            if answer.cancelled():
+                self._give_up(request)
+            else:
+                answer.result()
+        except (OSError, http.BadMessage):
+            self._give_up(request)
+        except asyncio.CancelledError:  # the run ends
+            if answer is not None:
+                answer.cancel()
+            self._give_up(request)
+            raise
+
+    async def _send(self, request: Request) -> None:
+        """All of it, now and then with a pause in the middle."""
+        assert self.writer is not None
+        data = self._bytes(request)
+        cut = self.random.randint(1, len(data) - 1)
+        if self.random.random() < 0.1:
+            self.writer.write(data[:cut])
+            await asyncio.sleep(self.random.uniform(0, 0.2))
+            data = data[cut:]
+        self.writer.write(data)
+        request.sent = time.monotonic()
+
+    def _give_up(self, request: Request) -> None:
+        request.ended = request.ended or time.monotonic()
+        self._close()
 
     async def _leave(self, request: Request, kind: str) -> None:
         assert self.writer is not None
