--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,10 @@
 soak: .venv/ready
 	.venv/bin/python -m soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
 
+# Gateways broken on purpose, each played on up to 20 seeds until the oracle finds it; some ten minutes.
+mutants: .venv/ready
+	.venv/bin/python -m soak.mutants
+
 # The crossings' tests with failing system calls.
 crossings-faults: .venv/ready
 	.venv/bin/python -m pytest -q -p no:cacheprovider -m alone --faults short-io
@@ -59,4 +63,4 @@
 	.venv/bin/python -m stackpitch.rehearse.exploring --restarts 0 --acts 0
 	.venv/bin/python -m stackpitch.rehearse.exploring --restarts 1 --acts 0
 
-.PHONY: checks crossings-faults demo explore measure soak test tests-alone tests-others tests-waiting
+.PHONY: checks crossings-faults demo explore measure mutants soak test tests-alone tests-others tests-waiting
