Soak: what came while the harness did not run counts for its clients

Change: a client that waits looks once more for what has come before it gives up, or before it sends on a connection that it has just made. A break without an answer tells when it was sent, on what connection, and what its attempts did.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -14,6 +14,8 @@
 from stackpitch.wire import http
 
 KINDS = ["good"] * 14 + ["leaves", "resets", "stops", "slow", "half-closes"]
+WHOLE_STREAM = 30.0  # seconds more that a client waits for a stream that has begun
+TURNS = 3  # of the event loop, in which it sees all that has come
 LEAVING = ("leaves", "resets", "half-closes")
 PATIENCE = 4.0  # seconds over its limit for which a client waits: what comes later is as if it never came
 STOPPED_FOR = 12.0  # seconds that one which stops in the middle of a request waits for an error or a close
@@ -63,7 +65,8 @@
         ):  # a kept connection may end as a request is written to it; a restarted gateway refuses
             request = Request(self._name(), product, self.gateway, limit, kind=kind)
             kept = self.writer is not None
-            if not await self._connect():
+            if not await self._connect() or (not kept and await self._ends_within(0)):
+                self._close()
                 await asyncio.sleep(0.1)
                 continue
             request.fresh = not kept
@@ -97,6 +100,32 @@
         self.writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return True
 
+    async def _read(self, most: int, seconds: float) -> bytes:
+        """b"" at the end of the connection, or where nothing comes in so long. What came while this harness did not run counts,
+        whatever the time. Raises OSError where the connection breaks."""
+        data = await self._waited(most, seconds)
+        return data if data is not None else b""
+
+    async def _ends_within(self, seconds: float) -> bool:
+        """Whether the gateway ends the connection, or says something unasked, before `seconds` are over."""
+        try:
+            return await self._waited(1, seconds) is not None
+        except OSError:
+            return True
+
+    async def _waited(self, most: int, seconds: float) -> bytes | None:
+        """None: nothing came."""
+        assert self.reader is not None
+        coming = asyncio.ensure_future(self.reader.read(most))
+        try:
+            await asyncio.wait({coming}, timeout=max(0.0, seconds))
+            for _ in range(TURNS):
+                await asyncio.sleep(0)
+        finally:
+            coming.cancel()  # nothing, if it is there
+        await asyncio.wait({coming})
+        return None if coming.cancelled() else coming.result()
+
     def _close(self, reset: bool = False) -> None:
         if self.writer is not None:
             if reset:
@@ -199,13 +228,8 @@
         checker = Checker(request.name)
         request.content = checker.wrong
         while not reader.complete:
-            try:
-                async with asyncio.timeout(
-                    max(0.01, until + 30 * (request.status == 200) - time.monotonic())
-                ):
-                    data = await self.reader.read(256 if request.kind == "slow" else 65536)
-            except TimeoutError:
-                data = b""
+            left = until + WHOLE_STREAM * (request.status == 200) - time.monotonic()
+            data = await self._read(256 if request.kind == "slow" else 65536, left)
             now = time.monotonic()
             if not data:
                 request.ended = now
--- a/soak/late.py
+++ b/soak/late.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-from contextlib import suppress
 from random import Random
 
 from soak.clients import Client
@@ -19,18 +18,8 @@
     async def ask_late(self, delay: float) -> None:
         if not await self._connect():
             return
-        assert self.reader is not None
-        told = asyncio.ensure_future(self.reader.read(1))  # the gateway ends the connection, or says so
-        await asyncio.wait({told}, timeout=delay)
-        await asyncio.sleep(0)  # what came while this harness did not run is seen before anything is sent
-        await asyncio.sleep(0)
-        if not told.done():
-            told.cancel()
-            with suppress(asyncio.CancelledError):
-                await told
+        if not await self._ends_within(delay):
             await self._ask_on_open_connection()
-        elif not told.cancelled():
-            told.exception()
         self._close()
 
 
--- a/soak/oracle/answers.py
+++ b/soak/oracle/answers.py
@@ -4,7 +4,7 @@
 
 from soak.oracle.excuses import Excuse
 from soak.oracle.seen import Seen
-from soak.records import Request
+from soak.records import Request, Stop
 from soak.stops import stop_before
 
 ANSWER_LATE = 0.5  # over a request's time: earns nothing, and is no break
@@ -42,12 +42,28 @@
         return None
     due = seen.due(request.gateway, request.sent, request.limit + ANSWER_LATE)
     if request.began is None:
-        return "got no answer"
+        return f"got no answer{_circumstances(seen, request)}"
     if request.began > due:
         return f"got its answer {request.began - request.sent - request.limit:.2f} s after its time"
     return None
 
 
+def _circumstances(seen: Seen, request: Request) -> str:
+    """What helps to trace it."""
+    sent = request.sent or 0.0
+    facts = ["on a new connection" if request.fresh else "on a kept connection"]
+    facts += [f"{sent - one.told:.3f} s after SIGTERM" for one in _stops(seen, request, sent)]
+    if request.ended is not None:
+        facts.append(f"ended {request.ended - sent:.3f} s later")
+    attempts = ", ".join(f"{one.worker} {one.outcome}" for one in seen.attempts_of(request))
+    return f" ({', '.join(facts)}; attempts: {attempts or 'none'})"
+
+
+def _stops(seen: Seen, request: Request, around: float) -> list[Stop]:
+    mine = [one for one in seen.record.stops if one.gateway == request.gateway]
+    return [one for one in mine if one.told <= around <= one.ended + request.limit]
+
+
 def _excuse(seen: Seen, request: Request) -> Excuse | None:
     begin = request.sent or request.stopped or 0.0
     end = request.ended if request.ended is not None else seen.end
