Soak: pairs of events that seldom met are drawn in turn

Change: of the 45 pairs of ten such kinds each seed has three, each pair at one time. A drain that lasts counts as there to the run's end.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -1,6 +1,7 @@
 """What happens in a run, drawn from its seed: troubles that overlap by two and three, some after a long quiet time."""
 
 from dataclasses import dataclass
+from itertools import combinations
 from random import Random
 
 from soak.pressure import Pressure, pressed
@@ -43,6 +44,11 @@
 SURE = ("break", "late-reset", "hang-midway", "fail", "join", "hup", "hup-settings", "drain", "cut")
 SURE_OF_LISTS = ("hup", "discovery-silent", "discovery-mute")  # one of them before a drain that lasts
 SURE_LENGTH = 2.5
+# Kinds whose crossings with others are seldom drawn: of all pairs each seed has some, one seed after the other.
+RARE = ("kill", "die", "clock", "decline", "late-connect", "stop-long", "hup", "drain", "crowd", "local")
+RARE_PAIRS = tuple(combinations(RARE, 2))
+PAIRS_A_SEED = 3
+PAIR_LENGTH = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +117,7 @@
     when = alone.uniform(2.0, max(2.5, seconds - 8))
     most = alone.sample(range(readers + writers), (readers + writers) * 4 // 5)
     troubles.append(Trouble("silent", when, SURE_SILENCE, tuple(sorted(most)), alone.random()))
+    troubles += _paired(seed, seconds, count, readers, writers)
     crowded = more.random() < CROWDED_PART
     return Plan(
         count,
@@ -144,6 +151,19 @@
     return found
 
 
+def _paired(seed: int, seconds: float, gateways: int, readers: int, writers: int) -> list[Trouble]:
+    """Two troubles at the same time, at half of all workers or gateways. A kill takes two gateways, as elsewhere."""
+    random, found = Random(f"{seed} pairs"), []
+    for place in range(PAIRS_A_SEED):
+        at = random.uniform(1.5, max(2.0, seconds - 7))
+        for kind in RARE_PAIRS[(seed * PAIRS_A_SEED + place) % len(RARE_PAIRS)]:
+            size = readers + writers if kind in WORKER_MODES + WORKER_NETWORK + WORKER_LIFE else gateways
+            most = 2 if kind == "kill" else max(1, size // (3 if kind in WORKER_LIFE else 2))
+            targets = tuple(sorted(random.sample(range(size), min(size, most))))
+            found.append(Trouble(kind, at + random.uniform(0, 0.2), PAIR_LENGTH, targets, random.random()))
+    return found
+
+
 def _targets(random: Random, kind: str, gateways: int, readers: int, writers: int) -> tuple[int, ...]:
     """A part of the workers, seldom all of a role; some of the gateways, of those that are killed one or two."""
     if kind in WORKER_MODES + WORKER_NETWORK + WORKER_LIFE:
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,7 +6,7 @@
 
 from soak.crossings import EVENT_OF, Event
 from soak.fleet import Fleet
-from soak.plan import Trouble
+from soak.plan import LASTING, Trouble
 from soak.records import Record
 from soak.settings import LONGEST_DEADLINE
 from soak.troubles import ClientTroubles, acts_of
@@ -79,4 +79,5 @@
         except OSError as wrong:
             self.say(f"trouble {trouble.kind}: {wrong}")
         where = frozenset(self.fleet.names(trouble))
-        self.events.append(Event(EVENT_OF[trouble.kind], begin, time.monotonic(), where))
+        end = float("inf") if trouble.kind in LASTING else time.monotonic()
+        self.events.append(Event(EVENT_OF[trouble.kind], begin, end, where))
