--- a/soak/clients.py
+++ b/soak/clients.py
@@ -17,7 +17,8 @@
 WHOLE_STREAM = 30.0  # seconds more that a client waits for a stream that has begun
 TURNS = 3  # of the event loop, in which it sees all that has come
 LEAVING = ("leaves", "resets", "half-closes")
-PATIENCE = 4.0  # seconds over its limit for which a client waits: what comes later is as if it never came
+# Seconds over its limit for which a client waits, through two long stops of its gateway.
+PATIENCE = 7.0
 STOPPED_FOR = 12.0  # seconds that one which stops in the middle of a request waits for an error or a close
 TENANTS = ("acme", "zeta")
 
@@ -100,10 +101,11 @@
         self.writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return True
 
-    async def _read(self, most: int, seconds: float) -> bytes:
+    async def _read(self, request: Request, most: int, seconds: float) -> bytes:
         """b"" at the end of the connection, or where nothing comes in so long. What came while this harness did not run counts,
         whatever the time. Raises OSError where the connection breaks."""
         data = await self._waited(most, seconds)
+        request.gave_up = data is None
         return data if data is not None else b""
 
     async def _ends_within(self, seconds: float) -> bool:
@@ -229,7 +231,7 @@
         request.content = checker.wrong
         while not reader.complete:
             left = until + WHOLE_STREAM * (request.status == 200) - time.monotonic()
-            data = await self._read(256 if request.kind == "slow" else 65536, left)
+            data = await self._read(request, 256 if request.kind == "slow" else 65536, left)
             now = time.monotonic()
             if not data:
                 request.ended = now
--- a/soak/oracle/answers.py
+++ b/soak/oracle/answers.py
@@ -41,6 +41,8 @@
     if request.sent is None or request.left is not None:
         return None
     due = seen.due(request.gateway, request.sent, request.limit + ANSWER_LATE)
+    if request.began is None and request.gave_up and (request.ended or 0.0) < due:
+        return None  # the answer may have come in time still
     if request.began is None:
         return f"got no answer{_circumstances(seen, request)}"
     if request.began > due:
--- a/soak/records.py
+++ b/soak/records.py
@@ -37,6 +37,7 @@
     began: float | None = None  # the answer's head came
     ended: float | None = None  # the answer was whole, or its connection ended
     whole: bool = False
+    gave_up: bool = False  # its client waited no longer
     surplus: bytes = b""  # after the answer
     resent: bool = False  # on a new connection, the kept one having ended unanswered
     stopped: float | None = None  # when it had sent a part, and stopped
