--- a/tests/days/weights.jsonnet
+++ b/tests/days/weights.jsonnet
@@ -27,7 +27,7 @@
     },
     troubles: [
       { kind: 'gateway-stop', at_s: 1, for_s: 0.4, names: ['owner.weights'] },
-      { kind: 'origin-corrupt', at_s: 0, for_s: 1.5, names: ['g0', 'g1'], strength: 0.6 },
+      { kind: 'origin-corrupt', at_s: 0, for_s: 4, names: ['g0', 'g1'], strength: 0.6 },
       { kind: 'gateway-stop', at_s: 4, for_s: 2, names: ['owner.weights'] },
       { kind: 'gateway-kill', at_s: 6.5, for_s: 0.5, names: ['receiver.north'] },
     ],
