Releases say why, and for how long a state was held

The operators' logs could not tell whether a release was due, why it was or was not asked for, nor how long a state lay: let-go had no reason, and a release that came after its request had no line at all. Now the step let-go names its reason (attempt-unread, read-in-doubt, request-over), released tells how long the state was held since its read's end, released_late warns when that is over releaseMs, and two metrics count all of them (releases asked by reason, time held). interface.Gateway.release takes the reason; decisions are unchanged. Test: test_releasing (a state held for too long is told; it can't pass without the line).

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -33,6 +33,7 @@
     Leg,
     Outcome,
     Product,
+    ReleaseReason,
     Report,
     Role,
     Server,
@@ -140,7 +141,7 @@
     def hold(self, gen: Generation, server: Server) -> None:
         self.note(f"hold {gen.name} {server.name}")
 
-    def release(self, gen: Generation) -> None:
+    def release(self, gen: Generation, why: ReleaseReason) -> None:
         self.note(f"release {gen.name}")
 
     def throttle(self, gen: Generation, retry_after: Time) -> None:
--- a/stackpitch/benchlink/host.py
+++ b/stackpitch/benchlink/host.py
@@ -14,6 +14,7 @@
     Leg,
     Outcome,
     Product,
+    ReleaseReason,
     Report,
     Role,
     Server,
@@ -66,7 +67,7 @@
     def hold(self, gen: Generation, server: Server) -> None:
         self.lines.append(f"SET_ASIDE {gen.name} {server.name}")
 
-    def release(self, gen: Generation) -> None:
+    def release(self, gen: Generation, why: ReleaseReason) -> None:
         self.lines.append(f"DISCARD {gen.name}")
 
     def throttle(self, gen: Generation, retry_after: Time) -> None:
--- a/stackpitch/brain/holds.py
+++ b/stackpitch/brain/holds.py
@@ -32,13 +32,14 @@
             self.since[gen] = now
             self.gateway.wake(int(self.allowed * self.RELEASE_PART), lambda _: self._due(gen, now))
         elif leg.server.role == "reader" and leg.outcome not in NEVER_RAN:
-            self.gateway.release(gen)  # it may have ended well unseen; the prompt is read again in any case
+            # It may have ended well unseen; the prompt is read again in any case.
+            self.gateway.release(gen, "read-in-doubt")
 
     def _due(self, gen: Generation, since: Time) -> None:
         if self.since.get(gen) == since and not any(
             leg.outcome is None and self.arrived(leg) for leg in gen.legs
         ):
-            self.gateway.release(gen)
+            self.gateway.release(gen, "attempt-unread")
 
     def arrived(self, leg: Leg) -> bool:
         """Whether its worker answered it, or ran after it was written."""
@@ -60,4 +61,4 @@
     def let_go(self, gen: Generation) -> None:
         """The request is over, with no attempt out."""
         if self.since.pop(gen, None) is not None:
-            self.gateway.release(gen)
+            self.gateway.release(gen, "request-over")
--- a/stackpitch/expect/dry.py
+++ b/stackpitch/expect/dry.py
@@ -22,6 +22,7 @@
     Leg,
     Outcome,
     Product,
+    ReleaseReason,
     Report,
     Server,
     State,
@@ -338,7 +339,7 @@
         self._step(story, f"a place is held at {server.name}")
         self.at(self.now + 2 * MS, lambda: self.brain.held(self.now, gen, server, True))
 
-    def release(self, gen: Generation) -> None:
+    def release(self, gen: Generation, why: ReleaseReason) -> None:
         story = self.stories.get(gen)
         if story is not None:  # not that of a leg from before
             story.holds.clear()
--- a/stackpitch/gateway/bounds.py
+++ b/stackpitch/gateway/bounds.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from stackpitch.interface import Time
+from stackpitch.interface import SECOND, Time
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,4 +21,5 @@
     stall: Time
     watch: Time  # after a client's time is up for the module: then the host answers by itself
     request_level: int
+    release: Time = SECOND // 2  # within which what is held is used or released
     rest: Time = 0  # a connection rests so long before it serves another leg
--- a/stackpitch/gateway/host/asked.py
+++ b/stackpitch/gateway/host/asked.py
@@ -12,7 +12,7 @@
 from stackpitch.gateway.pool import Budget
 from stackpitch.gateway.roster import Roster
 from stackpitch.gateway.trace import Step
-from stackpitch.interface import Generation, Leg, Server, Time
+from stackpitch.interface import Generation, Leg, ReleaseReason, Server, Time
 from stackpitch.loop import Coro, Group, World
 from stackpitch.preferences import Preferences, RuledBrain
 
@@ -94,11 +94,12 @@
 
         self.group.spawn(self.counted(call()), f"hold {gen.name}")
 
-    def release(self, gen: Generation) -> None:
+    def release(self, gen: Generation, why: ReleaseReason) -> None:
         ask = self.asks.get(gen)
         if ask is None:
             return
-        self.note(ask, Step.LET_GO)
+        self.note(ask, Step.LET_GO, why)
+        self.metrics.releases_asked.labels(why).inc()
         if gen.out():
             self.front.let_go_unused(ask)
         else:
--- a/stackpitch/gateway/metrics.py
+++ b/stackpitch/gateway/metrics.py
@@ -5,6 +5,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+STATE_HELD_S = (0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0, 1.5, 2.0)
 FIRST_TOKEN_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 
 
@@ -34,6 +35,15 @@
             "stackpitch_refused", "What was not taken at the door", ["why"], registry=registry
         )
         self.releases = Counter("stackpitch_releases", "States and places let go", ["end"], registry=registry)
+        self.releases_asked = Counter(
+            "stackpitch_releases_asked", "Releases that the module asked for", ["why"], registry=registry
+        )
+        self.state_held = Histogram(
+            "stackpitch_state_held_seconds",
+            "From the end of a request's read to the answer of the worker that released its state",
+            buckets=STATE_HELD_S,
+            registry=registry,
+        )
         self.modes = Counter(
             "stackpitch_log_lines", "Mode changes that the module logged", ["mode"], registry=registry
         )
--- a/stackpitch/gateway/trace.py
+++ b/stackpitch/gateway/trace.py
@@ -21,8 +21,8 @@
     ENDED = "ended"  # with the attempt's outcome and why
     FORBIDDEN = "forbidden"  # with act and reason
     CLIENT_LEFT = "client-left"
-    LET_GO = "let-go"  # of whatever may be held
-    RELEASED = "released"  # by this worker
+    LET_GO = "let-go"  # of whatever may be held, with the reason
+    RELEASED = "released"  # by this worker, with how long it was held
     ANSWERED = "answered"  # with how
 
 
--- a/stackpitch/platform/leases.py
+++ b/stackpitch/platform/leases.py
@@ -47,7 +47,7 @@
 
     def started(self, ask: Ask, leg: Leg, fetched: bool) -> None:
         assert isinstance(ask, PlatformAsk)
-        ask.held = False
+        ask.held, ask.held_since = False, None
 
     def let_go_unused(self, ask: Ask) -> None:
         """A worker spares what an attempt waits for that has arrived, so that may be held still once it ends."""
@@ -61,5 +61,6 @@
     def _let_go(self, ask: Ask) -> None:
         assert isinstance(ask, PlatformAsk)
         if may_release(ask.held or ask.doubt) is None:
-            release = Release(self.host, ask.gen, self.host.arrival_settings(ask.gen).bounds)
+            bounds = self.host.arrival_settings(ask.gen).bounds
+            release = Release(self.host, ask.gen, bounds, ask.held_since)
             self.host.group.spawn(self.host.counted(release.run()), f"release {ask.gen.name}")
--- a/stackpitch/platform/leg.py
+++ b/stackpitch/platform/leg.py
@@ -31,7 +31,7 @@
         """Notes what the leg may have left behind: a read that was seen to end, or may have ended unseen."""
         if self.leg.server.role != "writer" and self.phase[0] >= Phase.SENT:
             if end is not None and end.outcome == "read":
-                self.ask.held = True
+                self.ask.held, self.ask.held_since = True, self.host.world.now()
             elif end is None or end.outcome not in ("streamed", "full"):
                 self.ask.doubt = True
         super()._leave(pool, stream, end)
--- a/stackpitch/platform/plan.py
+++ b/stackpitch/platform/plan.py
@@ -59,13 +59,13 @@
 def bounds(settings: reading.Tree, engines: int, buffer: int) -> Bounds:
     """`engines`: connections to servers. `buffer`: bytes that may wait for a client."""
     allowed, extra = settings.tree("bounds"), settings.tree("extra")
-    connect = allowed.ticks("connectTimeoutMs", 250)
+    connect, release = allowed.ticks("connectTimeoutMs", 250), extra.ticks("releaseMs", 500)
     return Bounds(
         pool=engines,
         connect=connect,
         idle=allowed.ticks("connIdleMs", 30_000) * 7 // 10,
         gap=GAP,
-        call=min(connect, extra.ticks("releaseMs", 500) // 4),
+        call=min(connect, release // 4),
         release_tries=RELEASE_TRIES,
         max_head=MAX_HEAD,
         max_answer=4 << 20,
@@ -73,6 +73,7 @@
         stall=GAP,
         watch=20 * MS,
         request_level=0,
+        release=release,
         rest=10 * MS,
     )
 
--- a/stackpitch/platform/releasing.py
+++ b/stackpitch/platform/releasing.py
@@ -8,18 +8,19 @@
 from stackpitch.gateway.host import Host
 from stackpitch.gateway.pacing import release_gap
 from stackpitch.gateway.trace import Step
-from stackpitch.interface import MS, Generation, Server, Time
+from stackpitch.interface import MS, SECOND, Generation, Server, Time
 from stackpitch.loop import Coro, Group
+from stackpitch.platform.ask import PlatformAsk
 from stackpitch.wire import platform
 
 RELEASED = 204
 
 
 class Release:
-    """One request's. `bounds`: those that it arrived under."""
+    """One request's. `bounds`: those that it arrived under; `since`: when its last read ended, None: not seen to."""
 
-    def __init__(self, host: Host, request: Generation, bounds: Bounds) -> None:
-        self.host, self.request, self.bounds = host, request, bounds
+    def __init__(self, host: Host, request: Generation, bounds: Bounds, since: Time | None = None) -> None:
+        self.host, self.request, self.bounds, self.since = host, request, bounds, since
         # Workers that are not told again before all others were; none that this request has just found without an answer.
         self.told = {
             leg.server for leg in request.legs if leg.outcome in ("reset", "time-out", "unreachable")
@@ -64,8 +65,11 @@
     def _note_done(self, worker: Server) -> None:
         """In the request's trace, if that is still kept; and with a line where the first worker told did not do it."""
         host, now = self.host, self.host.world.now()
+        held = self._note_held(worker)
         if (ask := host.asks.get(self.request)) is not None:
-            host.note(ask, Step.RELEASED, worker.name)
+            host.note(ask, Step.RELEASED, f"{worker.name}{held}")
+            if isinstance(ask, PlatformAsk) and ask.held_since == self.since:
+                ask.held_since = None
         if self.tries > 1 and host.telling.tells(now, Step.RELEASED):
             host.logger.info(
                 "release_repeated",
@@ -76,6 +80,25 @@
                 left_out=host.telling.take_left_out(),
             )
 
+    def _note_held(self, worker: Server) -> str:
+        """For how long, where that is known, also as a metric; with a line where that was too long."""
+        host = self.host
+        if self.since is None:
+            return ""
+        held = host.world.now() - self.since
+        host.metrics.state_held.observe(held / SECOND)
+        text = f" held for {held / MS:.1f} ms"
+        if held > self.bounds.release:
+            host.logger.warning(
+                "released_late",
+                id=self.request.name,
+                ms=held / MS,
+                allowed_ms=self.bounds.release / MS,
+                tries=self.tries,
+                server=worker.name,
+            )
+        return text
+
     def _next(self) -> Server | None:
         """First those that no attempt waits for and whose connections were last good."""
         host = self.host
--- a/tests/play.py
+++ b/tests/play.py
@@ -81,7 +81,7 @@
     def hold(self, gen, server):
         self.asked.append(f"hold {gen.name} {server.name}")
 
-    def release(self, gen):
+    def release(self, gen, why):
         self.asked.append(f"release {gen.name}")
 
     def cancel(self, leg):
--- a/tests/test_releasing.py
+++ b/tests/test_releasing.py
@@ -11,7 +11,7 @@
 from stackpitch.loop.virtual import VirtualWorld
 from stackpitch.platform.releasing import Release
 
-LIMIT = 120 * MS
+LIMIT, ALLOWED = 120 * MS, 500 * MS
 
 
 class Request:
@@ -26,18 +26,23 @@
         servers = [Server(name, "a", "w", 1, "writer", 1000) for name in names]
         self.roster, self.pools, self.asks = SimpleNamespace(addresses=dict.fromkeys(servers)), {}, {}
         self.telling, self.began = Telling(), self.world.now()
+        self.held, self.warnings = list[float](), list[dict[str, Any]]()
         self.metrics: Any = SimpleNamespace(
-            releases=SimpleNamespace(labels=lambda _: SimpleNamespace(inc=int))
+            releases=SimpleNamespace(labels=lambda _: SimpleNamespace(inc=int)),
+            state_held=SimpleNamespace(observe=self.held.append),
+        )
+        self.logger: Any = SimpleNamespace(
+            info=lambda *_, **__: None, warning=lambda event, **fields: self.warnings.append({event: fields})
         )
-        self.logger: Any = SimpleNamespace(info=lambda *_, **__: None, warning=lambda *_, **__: None)
 
     def call(self, server: Server, method: str, target: str, body: bytes, limit: int) -> Coro[Any]:
         self.told.append((server.name, (self.world.now() - self.began) // MS))
         yield from self.world.sleep(limit if server.name in self.silent else MS)
         return None if server.name in self.silent else SimpleNamespace(status=204)
 
-    def release(self) -> Release:
-        return Release(self, Request(), SimpleNamespace(release_tries=18, call=LIMIT))  # type: ignore[arg-type]
+    def release(self, since: int | None = None) -> Release:
+        bounds = SimpleNamespace(release_tries=18, call=LIMIT, release=ALLOWED)
+        return Release(self, Request(), bounds, since)  # type: ignore[arg-type]
 
 
 def test_the_first_worker_is_told_before_what_is_begun_after_the_release() -> None:
@@ -68,3 +73,15 @@
     workers = Workers("abcde", silent)
     workers.world.run(workers.release().run())
     assert workers.told == told
+
+
+@pytest.mark.parametrize("held_ms, late", [(400, False), (600, True)])
+def test_a_state_that_was_held_for_too_long_is_told(held_ms: int, late: bool) -> None:
+    workers = Workers("abc", "a")
+    workers.world.run(workers.release(workers.began - held_ms * MS).run())
+    assert workers.held == [(held_ms + 41) / 1000]
+    assert workers.warnings == (
+        [{"released_late": {"id": "x", "ms": held_ms + 41, "allowed_ms": 500, "tries": 2, "server": "b"}}]
+        if late
+        else []
+    )
