Failing test: a state held for an unread attempt while its worker is heard elsewhere

Two reproductions with the real process on loopback: a decode worker that takes nothing new and goes on with a stream that it has begun, and one dead connection to a worker that serves others.

--- a/tests/crossing_workers.py
+++ b/tests/crossing_workers.py
@@ -94,6 +94,9 @@
         self.released_at: dict[str, float] = {}  # when the first release of each name came
         self.running = threading.Event()  # while it is not set, what reaches its socket is not taken
         self.running.set()
+        self.dead: set[int] = (
+            set()
+        )  # numbers of connections on which nothing is taken; nobody tells their other side
         self.came = threading.Condition()
         self.connections = 0
         self.fillers: list[socket.socket] = []
@@ -153,6 +156,9 @@
                 while not reader.complete:
                     data = stream.recv(65536)
                     self.running.wait(4 * PATIENCE)
+                    if number in self.dead:
+                        time.sleep(4 * PATIENCE)
+                        return
                     now = time.monotonic()
                     if not data:
                         return
--- a/tests/test_crossings_held.py
+++ b/tests/test_crossings_held.py
@@ -5,17 +5,20 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import pytest
 from crossing_clients import Client
 from crossing_gateway import RunningGateway, side_by_side
 from crossing_sockets import wait_for
 from crossing_workers import Attempt, Worker, attempt_anywhere, fleet, read
+from crossing_workers import stream as answer_stream
 from platform_process import waited
-from platform_script import READ, SETTINGS
+from platform_script import HEAD, LAST, READ, SETTINGS, event
 
 from stackpitch.wire import http
 
 READ_AND_CLOSE = http.response(202, b'{"cached_tokens":4}', [("connection", "close")])
 HELD = SETTINGS["extra"]["releaseMs"] / 1000 + 0.3  # seconds; the page grants 0.3 beyond the settings
+EVENT_GAP = 0.05  # seconds
 PRODUCTS = ["chat", "pay", "order"]
 
 
@@ -63,6 +66,44 @@
     unarrived_decode(folder, product, leaves=True)
 
 
+def worker_only_streams(folder: Path, product: str) -> None:
+    """The decode worker takes nothing new, and goes on with a stream that it has begun."""
+    workers = fleet("r1", "r2", "w1*")
+    decode = workers[2]
+    with RunningGateway(folder, workers) as gateway:
+        other = gateway.ask("chat")
+        stream = decode.next(other.name)
+        stream.send(HEAD)
+        decode.running.clear()
+        client = gateway.ask(product, 6000)
+        read_at = attempt_anywhere(workers[:2], client.name).whole
+        while time.monotonic() < read_at + HELD:
+            stream.send(event("w"))
+            time.sleep(EVENT_GAP)
+        released_in_time(workers, client.name, {client.name: read_at})
+        decode.script = answer_stream
+        decode.running.set()
+        stream.answer(LAST)
+        answered([client])
+
+
+def connection_is_dead(folder: Path, product: str) -> None:
+    """One connection to the decode worker has died without a sign; the worker serves others."""
+    workers = fleet("r1", "r2", "w1")
+    decode = workers[2]
+    with RunningGateway(folder, workers) as gateway:
+        gateway.served()  # its connection is kept
+        time.sleep(EVENT_GAP)  # and has rested
+        decode.dead.add(decode.connections + (product == "order"))  # what has an effect gets a new one
+        client = gateway.ask(product, 6000)
+        read_at = attempt_anywhere(workers[:2], client.name).whole
+        while time.monotonic() < read_at + HELD:
+            gateway.served()
+            time.sleep(EVENT_GAP)
+        released_in_time(workers, client.name, {client.name: read_at})
+        answered([client])
+
+
 def broken_read(folder: Path, product: str) -> None:
     """The prefill worker's connection breaks with its answer, and the other prefill worker takes nothing."""
     workers = fleet("r1", "r2", "w1", "w2")
@@ -168,6 +209,13 @@
     side_by_side(lambda folder, case: case[0](folder, case[1]), tmp_path, CASES)
 
 
+@pytest.mark.parametrize("story", [worker_only_streams, connection_is_dead])
+def test_what_is_held_is_released_though_its_next_worker_is_heard_on_other_connections(
+    tmp_path: Path, story: Callable[[Path, str], None]
+) -> None:
+    side_by_side(story, tmp_path, PRODUCTS)
+
+
 def test_a_release_comes_through_where_one_worker_of_six_runs(tmp_path: Path) -> None:
     side_by_side(most_fall_silent, tmp_path, PRODUCTS)
 
