A state is released in time though its next worker is heard on other connections

Callers' workers saw states lie for as long as an attempt's time-out (2.3 to 3.4 s of the 0.8 allowed) behind attempts that were written and never taken. Cause: brain/holds.py, arrived(): an attempt counted as arrived if anything came from its worker 100 ms after it was written, on whatever connection (LegRun._more noted it per worker). A worker that takes nothing new goes on with streams that it has begun, and one dead connection says nothing of others. So Holds._due did not release. Evidence: no let-go step between written and the time-out in the operators' lines. Ruled out there: failed releases, unseen reads, signals. Change: only what comes on the attempt's own connection counts, which for a decode attempt is its stream (the state is taken then) or its answer (full, error). Server.heard and Leg.written go. An attempt that is reset or given up on starts the time no more.

--- a/soak/mutants/held.py
+++ b/soak/mutants/held.py
@@ -6,11 +6,12 @@
 from soak.mutants.acting import Mutant, acted, every, patch
 from stackpitch.brain.holds import Holds
 from stackpitch.gateway.ask import DEPARTED
+from stackpitch.gateway.leg import LegRun
 from stackpitch.loop import MS, Coro
 from stackpitch.platform.leases import Servers
 from stackpitch.platform.releasing import Release
 
-LATE = 900 * MS
+LATE, WAY = 900 * MS, 100 * MS
 
 
 def _forget(forgotten: Callable[[Any], bool]) -> None:
@@ -82,16 +83,37 @@
     patch(Release, "run", once)
 
 
+def _rest(rests: Callable[[Any], bool]) -> None:
+    """`rests`: asked of each attempt that is out as a state's time is over; the state is not released then."""
+    due = Holds._due
+
+    def look(self: Any, request: Any, since: int) -> None:
+        out = [one for one in request.legs if one.outcome is None]
+        if self.since.get(request) == since and any(map(rests, out)):
+            acted()
+        else:
+            due(self, request, since)
+
+    patch(Holds, "_due", look)
+
+
 def unarrived_send() -> None:
     """An attempt counts as arrived once it is written here."""
-    arrived = Holds.arrived
+    _rest(lambda attempt: True)
 
-    def always(self: Any, leg: Any) -> bool:
-        if not arrived(self, leg):
-            acted()
-        return True
 
-    patch(Holds, "arrived", always)
+def heard_elsewhere() -> None:
+    """An attempt counts as arrived if anything came from its worker afterwards, on whatever connection."""
+    heard: dict[str, int] = {}
+    more = LegRun._more
+
+    def noted(self: Any, stream: Any, most: int = 65536) -> Coro[bytes]:
+        data = yield from more(self, stream, most)
+        heard[self.leg.server.name] = stream.came
+        return data
+
+    patch(LegRun, "_more", noted)
+    _rest(lambda attempt: heard.get(attempt.server.name, -1) >= attempt.sent + WAY)
 
 
 MUTANTS = {
@@ -102,4 +124,5 @@
     "late-release": Mutant("held-time", late_release),
     "single-try": Mutant("held-time", single_try),
     "unarrived-send": Mutant("arrival", unarrived_send),
+    "heard-elsewhere": Mutant("arrival", heard_elsewhere),
 }
--- a/stackpitch/benchlink/host.py
+++ b/stackpitch/benchlink/host.py
@@ -59,7 +59,7 @@
     # What the module asks for.
 
     def send(self, gen: Generation, server: Server, limit: Time) -> Leg:
-        leg = Leg(gen, len(gen.legs), server, self.now, written=self.now)
+        leg = Leg(gen, len(gen.legs), server, self.now)
         gen.legs.append(leg)
         self.lines.append(f"ASSIGN {gen.name} {server.name} {limit / 10}")
         return leg
@@ -214,7 +214,6 @@
             if detail and leg.outcome in ("read", "streamed")
             else 0
         )
-        leg.server.heard = self.now
         self.brain.ended(self.now, leg, kept, no_state, report)
         self._doubted()
         self._forget(leg.gen)
@@ -223,7 +222,6 @@
         leg = self._leg(name, number)
         if leg is not None and leg.outcome is None:
             leg.streaming = True
-            leg.server.heard = self.now
             self.brain.started(self.now, leg)
 
     def on_left(self, name: str) -> None:
--- a/stackpitch/brain/holds.py
+++ b/stackpitch/brain/holds.py
@@ -2,20 +2,20 @@
 
 A state waits at its prefill worker until a decode worker takes it. An attempt that was sent there is no
 sign that it has been: it may lie unread in a socket of a worker that has hung or was cut off, and then
-stops no clock. An attempt counts as arrived once its worker shows that it ran after that was written.
-Else the state is released, as late as is safe: a release also tears it from an attempt that waits unseen
-in its worker's queue, which has to read the whole prompt again then.
+stops no clock. Only an answer on the attempt's own connection shows that it arrived: what its worker does
+on others, such as a stream that goes on, says nothing of it. Until then the state's time runs, and it is
+released as late as is safe: a release also tears it from an attempt that waits in its worker's queue,
+which has to read the whole prompt again then.
 """
 
-from stackpitch.interface import MS, NEVER_RAN, Gateway, Generation, Leg, Time
+from stackpitch.interface import NEVER_RAN, Gateway, Generation, Leg, Time
 
 
 class Holds:
     # Of the time allowed, then a release is sent: the rest, and what the page grants, is for its way.
     RELEASE_PART = 0.95
     VAIN_PART = 0.6  # of it, after which no further connection is tried in vain
-    # Over the time of any way, so that what came after it was not on its way before the attempt.
-    ARRIVAL = 100 * MS
+    ANSWERED = ("full", "error")  # outcomes that its worker wrote, so that the attempt had arrived
 
     def __init__(self, gateway: Gateway, allowed: Time) -> None:
         self.gateway, self.allowed = gateway, allowed
@@ -24,11 +24,11 @@
         self.since: dict[Generation, Time] = {}
 
     def ended(self, now: Time, leg: Leg, no_state: bool) -> None:
-        """An attempt's outcome starts the time anew if it shows that the attempt had arrived."""
+        """An attempt's outcome starts the time anew if its worker answered it."""
         gen = leg.gen
         if no_state:
             self.since.pop(gen, None)
-        elif leg.outcome == "read" or gen in self.since and self.arrived(leg):
+        elif leg.outcome == "read" or gen in self.since and leg.outcome in self.ANSWERED:
             self.since[gen] = now
             self.gateway.wake(int(self.allowed * self.RELEASE_PART), lambda _: self._due(gen, now))
         elif leg.server.role == "reader" and leg.outcome not in NEVER_RAN:
@@ -36,19 +36,9 @@
             self.gateway.release(gen, "read-in-doubt")
 
     def _due(self, gen: Generation, since: Time) -> None:
-        if self.since.get(gen) == since and not any(
-            leg.outcome is None and self.arrived(leg) for leg in gen.legs
-        ):
+        if self.since.get(gen) == since:
             self.gateway.release(gen, "attempt-unread")
 
-    def arrived(self, leg: Leg) -> bool:
-        """Whether its worker answered it, or ran after it was written."""
-        if leg.outcome in ("full", "error"):
-            return True
-        if leg.outcome in NEVER_RAN or leg.written is None:
-            return False
-        return leg.server.heard >= leg.written + self.ARRIVAL
-
     def overdue(self, now: Time, leg: Leg) -> bool:
         """Whether one more connection in vain would come after the release."""
         held = now - self.since.get(leg.gen, now) if leg.outcome in ("unreachable", "not-sent") else 0
--- a/stackpitch/gateway/host/told.py
+++ b/stackpitch/gateway/host/told.py
@@ -207,7 +207,6 @@
 
     def written(self, ask: Ask, leg: Leg) -> None:
         ask.unsent.discard(leg)
-        leg.written = self.world.now()
         self.note(ask, Step.WRITTEN, leg.server.name)
 
     def leg_started(self, ask: Ask, leg: Leg, fetched: bool) -> bool:
--- a/stackpitch/gateway/leg.py
+++ b/stackpitch/gateway/leg.py
@@ -141,7 +141,6 @@
         data = yield from stream.recv(most)
         if not data:
             raise Lost("closed by the engine")
-        self.leg.server.heard = max(self.leg.server.heard, stream.came)
         self.reader.feed(data)
         return data
 
--- a/stackpitch/interface.py
+++ b/stackpitch/interface.py
@@ -88,7 +88,6 @@
     told: Time | None = (
         None  # when this gateway was first told of that start; None: it was there before it came
     )
-    heard: Time = -1  # when something last came from it, at the earliest; it ran then
 
 
 @dataclass(slots=True, eq=False)
@@ -101,7 +100,6 @@
     sent: Time
     streaming: bool = False
     outcome: Outcome | None = None  # None: still out
-    written: Time | None = None  # when its last byte was handed over; whether it has arrived is not known
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/play.py
+++ b/tests/play.py
@@ -8,7 +8,6 @@
 gen a chat session=s shared=p prompt=2000 limit=200 gives_up=4000      chat, book or order, see PRODUCTS
 heard 1 knows a w2 tok=900 age=50      a peer's word on a's session, with its means; or asks, tells, unknown, junk
 probed w1 held=0.9 | probed w1          the answer to a probe, with a report or without
-written a | heard-from w1              its newest attempt is handed over; w1 shows that it runs
 start a | end a full no_state=1 | end a#0 read | end a streamed kept=9 | depart a | fail | wait
 > send a r1                           the next thing asked for; a scenario ends with nothing left
 read a chat r1 w1 prompt=2000         gen, read by r1, sent to w1
@@ -218,12 +217,6 @@
         self.leg(name).streaming = True
         self.brain.started(self.now, self.leg(name))
 
-    def do_written(self, name):
-        self.leg(name).written = self.now
-
-    def do_heard_from(self, server):
-        self.servers[server].heard = self.now
-
     def do_end(self, name, outcome, kept="0", no_state="0", held=None, over=None):
         leg = self.leg(name)
         leg.outcome = outcome
