Soak: workers that take nothing new, connections that die unnoticed, and no take after the end

The soak could not have found the fault: its silences stop both directions of all connections of a worker. New in each run: two times half of the decode workers are deaf (they take nothing and go on with what they have begun), and two times their resting connections die. Its oracle was also too kind: what lay in a silent worker's socket as the gateway closed counted as taken, and a release as done, at that close. Now neither is; it is unread.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,7 +11,16 @@
 from soak.clients import Client
 from soak.discovery import Discovery
 from soak.gateways import Gateway
-from soak.plan import DISCOVERY, LASTING, WORKER_LIFE, WORKER_MODES, WORKER_NETWORK, Plan, Trouble
+from soak.plan import (
+    DISCOVERY,
+    LASTING,
+    WORKER_DEAF,
+    WORKER_LIFE,
+    WORKER_MODES,
+    WORKER_NETWORK,
+    Plan,
+    Trouble,
+)
 from soak.records import Record
 from soak.settings import RETRY_AFTERS, limits, settings
 from soak.shim import Shim
@@ -128,7 +137,7 @@
         """Of the gateways or workers that a trouble is at; none: it is everywhere."""
         if trouble.kind in DISCOVERY or trouble.kind == "join":
             return []
-        if trouble.kind in WORKER_MODES + WORKER_NETWORK + WORKER_LIFE + LASTING:
+        if trouble.kind in WORKER_MODES + WORKER_NETWORK + WORKER_DEAF + WORKER_LIFE + LASTING:
             return [self.workers[number].name for number in trouble.targets]
         return [self.gateways[number].name for number in trouble.targets]
 
--- a/soak/link.py
+++ b/soak/link.py
@@ -16,13 +16,14 @@
     delay: float = 0.0  # seconds, each way
     pieces: bool = False  # what is written goes out a few bytes at a time
     silent: bool = False  # nothing passes, nothing ends
+    deaf: bool = False  # what comes is not taken, what is written passes
     cut: float = 0.0  # chance that a write resets the connection instead
     half_close: float = 0.0  # chance that a write ends its side in the middle
     garbage: float = 0.0  # chance that a write is spoilt
     links: "set[Link]" = field(default_factory=set)  # those open now
 
     def calm(self) -> None:
-        self.delay, self.pieces, self.silent = 0.0, False, False
+        self.delay, self.pieces, self.silent, self.deaf = 0.0, False, False, False
         self.cut = self.half_close = self.garbage = 0.0
 
     def reset_all(self) -> None:
@@ -34,6 +35,11 @@
         for link in self.links:
             link.mute = True
 
+    def mute_idle(self) -> None:
+        """Resting ones fall silent for good; others, and new ones, are well."""
+        for link in self.links:
+            link.mute = link.mute or link.idle
+
     def close_idle(self) -> None:
         for link in list(self.links):
             if link.idle:
@@ -51,6 +57,7 @@
         self.passed = 0.0  # when the last write got onto its way
         self.mute = False  # nothing passes any more
         self.idle = True
+        self.unread = False  # it ended before what had come was taken
         self.on_abort: Callable[[], None] = lambda: None
         self.arrived: deque[tuple[float, bytes]] = deque()
         self.news = asyncio.Event()
@@ -70,21 +77,25 @@
             self.arrived.append((now, data))
             self.news.set()
 
-    async def _passes(self) -> None:
-        while (self.network.silent or self.mute) and self.ended is None:
+    async def _passes(self, inward: bool = False) -> None:
+        while self.network.silent or self.mute or (inward and self.network.deaf):
+            if self.ended is not None:
+                self.unread = True
+                break
             await asyncio.sleep(0.02)
         if self.network.delay:
             await asyncio.sleep(self.network.delay)
         self.passed = time.monotonic()
 
     async def read(self) -> bytes:
-        """b"" at the end. Bytes that come in a silence are kept back until it is over."""
+        """b"" at the end. Bytes that come in a silence are kept back until it is over, or are `unread` if the other side
+        ends before."""
         while not self.arrived:
             self.news.clear()
             await self.news.wait()
         self.came, data = self.arrived.popleft()
         if data:
-            await self._passes()
+            await self._passes(inward=True)
         return data
 
     async def write(self, data: bytes) -> bool:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -18,6 +18,8 @@
     "close-idle",
     "late-connect",
 )
+# Nothing new is taken, on all connections or on those that rest, while all else goes on.
+WORKER_DEAF = ("deaf", "mute-idle")
 WORKER_LIFE = ("die", "drain", "join")
 LASTING = ("drain-long",)  # to the run's end
 GATEWAY_SIGNALS = ("stop-short", "stop-long", "kill", "roll", "hup", "hup-settings")
@@ -44,6 +46,7 @@
 SURE = ("break", "late-reset", "hang-midway", "fail", "join", "hup", "hup-settings", "drain", "cut")
 SURE_OF_LISTS = ("hup", "discovery-silent", "discovery-mute")  # one of them before a drain that lasts
 SURE_LENGTH = 2.5
+DEAF_TIMES = 2  # in each run, of each kind
 # Kinds whose crossings with others are seldom drawn: of all pairs each seed has some, one seed after the other.
 RARE = ("kill", "die", "clock", "decline", "late-connect", "stop-long", "hup", "drain", "crowd", "local")
 RARE_PAIRS = tuple(combinations(RARE, 2))
@@ -117,6 +120,7 @@
     when = alone.uniform(2.0, max(2.5, seconds - 8))
     most = alone.sample(range(readers + writers), (readers + writers) * 4 // 5)
     troubles.append(Trouble("silent", when, SURE_SILENCE, tuple(sorted(most)), alone.random()))
+    troubles += _deaf(Random(f"{seed} deaf"), seconds, readers, writers)
     troubles += _paired(seed, seconds, count, readers, writers)
     crowded = more.random() < CROWDED_PART
     return Plan(
@@ -151,6 +155,17 @@
     return found
 
 
+def _deaf(random: Random, seconds: float, readers: int, writers: int) -> list[Trouble]:
+    """At half of the decode workers, some of the prefill workers with them."""
+    found = []
+    for kind in WORKER_DEAF * DEAF_TIMES:
+        at = random.uniform(1.5, max(2.0, seconds - 7))
+        some = random.sample(range(readers, readers + writers), (writers + 1) // 2)
+        some += random.sample(range(readers), readers // 4)
+        found.append(Trouble(kind, at, SURE_LENGTH, tuple(sorted(some)), random.random()))
+    return found
+
+
 def _paired(seed: int, seconds: float, gateways: int, readers: int, writers: int) -> list[Trouble]:
     """Two troubles at the same time, at half of all workers or gateways. A kill takes two gateways, as elsewhere."""
     random, found = Random(f"{seed} pairs"), []
--- a/soak/records.py
+++ b/soak/records.py
@@ -12,7 +12,9 @@
     role: str
     began: float  # its first byte
     whole: float | None = None  # its last byte was in the worker's socket
-    taken: float | None = None  # the worker took it: later, if it was silent or did not run
+    taken: float | None = (
+        None  # the worker took it: later, if it was silent or did not run; None: its connection ended before
+    )
     request: str = ""
     gateway: str = ""
     told_ms: int = 0  # the deadline that the worker was told
--- a/soak/troubles/workers.py
+++ b/soak/troubles/workers.py
@@ -20,6 +20,8 @@
         modes: dict[str, Act] = dict.fromkeys(WORKER_MODES, self._mode)
         return modes | {
             "silent": self._silent,
+            "deaf": self._deaf,
+            "mute-idle": self._mute_idle,
             "delay": self._delay,
             "pieces": self._pieces,
             "cut": self._cut,
@@ -58,6 +60,15 @@
     async def _silent(self, trouble: Trouble) -> None:
         await self._network(trouble, silent=True)
 
+    async def _deaf(self, trouble: Trouble) -> None:
+        """They take nothing, and go on with what they have begun."""
+        await self._network(trouble, deaf=True)
+
+    async def _mute_idle(self, trouble: Trouble) -> None:
+        """Their resting connections die without a sign."""
+        for worker in self._of_workers(trouble):
+            worker.network.mute_idle()
+
     async def _delay(self, trouble: Trouble) -> None:
         await self._network(trouble, delay=0.2 * trouble.amount)
 
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -132,16 +132,22 @@
                 reader.feed(data)
             assert attempt is not None
             if reader.method == "DELETE":
+                if link.unread:
+                    return False
                 if self.modes & {"break", "late-reset"} and self.marking.random() < 0.5:
                     link.abort()  # before it was taken
                     return False
                 name = reader.path.rpartition("/")[2]
                 self.record.releases.append(Release(name, self.name, time.monotonic()))
                 return await link.write(http.response(204, b""))
-            attempt.whole, attempt.taken = link.came, time.monotonic()
+            attempt.whole = link.came
             attempt.request = reader.headers.get("req-id", "")
             attempt.unchanged = self._unchanged(reader)
             attempt.told_ms = int(reader.headers["req-deadline-ms"])
+            if link.unread:
+                attempt.outcome = "gone"
+                return False
+            attempt.taken = time.monotonic()
             return await self._watched(link, attempt)
         finally:
             if attempt is not None and reader.head_done and reader.method != "DELETE":
