--- a/tests/test_releasing.py
+++ b/tests/test_releasing.py
@@ -6,9 +6,10 @@
 import pytest
 
 from stackpitch.gateway.trace import Telling
-from stackpitch.interface import MS, Server
+from stackpitch.interface import MS, SECOND, Server
 from stackpitch.loop import Coro, Group
 from stackpitch.loop.virtual import VirtualWorld
+from stackpitch.platform.plan import RELEASE_TRIES
 from stackpitch.platform.releasing import Release
 
 LIMIT, ALLOWED = 120 * MS, 500 * MS
@@ -19,9 +20,10 @@
 
 
 class Workers:
-    """What a release uses of its host. `silent`: workers that take nothing; `told`: name and time, as each is told."""
+    """What a release uses of its host. `silent`: workers that take nothing until then; `told`: name and time, as each is told."""
 
-    def __init__(self, names: str, silent: str) -> None:
+    def __init__(self, names: str, silent: str, until: int = 1 << 30) -> None:
+        self.until = until
         self.world, self.silent, self.told = VirtualWorld(1), silent, list[tuple[str, int]]()
         servers = [Server(name, "a", "w", 1, "writer", 1000) for name in names]
         self.roster, self.pools, self.asks = SimpleNamespace(addresses=dict.fromkeys(servers)), {}, {}
@@ -37,11 +39,12 @@
 
     def call(self, server: Server, method: str, target: str, body: bytes, limit: int) -> Coro[Any]:
         self.told.append((server.name, (self.world.now() - self.began) // MS))
-        yield from self.world.sleep(limit if server.name in self.silent else MS)
-        return None if server.name in self.silent else SimpleNamespace(status=204)
+        silent = server.name in self.silent and self.world.now() - self.began < self.until
+        yield from self.world.sleep(limit if silent else MS)
+        return None if silent else SimpleNamespace(status=204)
 
     def release(self, since: int | None = None) -> Release:
-        bounds = SimpleNamespace(release_tries=18, call=LIMIT, release=ALLOWED)
+        bounds = SimpleNamespace(release_tries=RELEASE_TRIES, call=LIMIT, release=ALLOWED)
         return Release(self, Request(), bounds, since)  # type: ignore[arg-type]
 
 
@@ -85,3 +88,11 @@
         if late
         else []
     )
+
+
+def test_a_release_is_tried_until_a_worker_runs_again() -> None:
+    """All take nothing for eight seconds."""
+    workers = Workers("abc", "abc", until=8 * SECOND)
+    release = workers.release()
+    workers.world.run(release.run())
+    assert release.done_by is not None and workers.world.now() - workers.began < 8 * SECOND + 2 * LIMIT
