Soak: long streams, deafness of all decode workers, states that nobody could release

Now 15 in 100 streams last some two seconds, a deaf worker goes on with what it has begun, and one deafness of each run takes all decode workers.

--- a/soak/oracle/excuses.py
+++ b/soak/oracle/excuses.py
@@ -15,6 +15,7 @@
     CROWDED = "crowded"
     WORKER_BROKE = "worker-broke"
     SLOW_CLIENT = "slow-client"
+    NOBODY_RAN = "nobody-ran"
     RUN_ENDED = "run-ended"
 
 
@@ -26,5 +27,6 @@
     Excuse.CROWDED: "idle clients fill the descriptors (new connections may be shut unread then)",
     Excuse.WORKER_BROKE: "should the stream break, the gateway ends the client's connection without the last chunk",
     Excuse.SLOW_CLIENT: "the time of an answer is the time of its last byte, which a client may be slow to take",
+    Excuse.NOBODY_RAN: "a call counts once its last byte has reached a running model server: there was none that took anything",
     Excuse.RUN_ENDED: "the run ended before the time was up: nothing is known",
 }
--- a/soak/oracle/seen.py
+++ b/soak/oracle/seen.py
@@ -1,5 +1,6 @@
 """A run's record with the indexes that the rules share."""
 
+from bisect import bisect_left
 from collections import Counter, defaultdict
 from collections.abc import Mapping
 from typing import Any, cast
@@ -27,6 +28,13 @@
         self.requests = {one.name: one for one in record.requests}
         self.end = max((one.sent or 0.0 for one in record.requests), default=0.0)
         self.excused: Counter[Excuse] = Counter()
+        taken = [one.taken for one in record.attempts if one.taken is not None]
+        self.takes = sorted([*taken, *(one.at for one in record.releases)])
+
+    def first_take(self, since: float) -> float:
+        """When any worker took anything from any gateway; never, as a time."""
+        at = bisect_left(self.takes, since)
+        return self.takes[at] if at < len(self.takes) else float("inf")
 
     def attempts_of(self, request: Request) -> list[Attempt]:
         """In the order in which they began."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -46,7 +46,7 @@
 SURE = ("break", "late-reset", "hang-midway", "fail", "join", "hup", "hup-settings", "drain", "cut")
 SURE_OF_LISTS = ("hup", "discovery-silent", "discovery-mute")  # one of them before a drain that lasts
 SURE_LENGTH = 2.5
-DEAF_TIMES = 2  # in each run, of each kind
+DEAF_TIMES, DEAF_LENGTH = 2, 3.0  # in each run, of each kind; seconds
 # Kinds whose crossings with others are seldom drawn: of all pairs each seed has some, one seed after the other.
 RARE = ("kill", "die", "clock", "decline", "late-connect", "stop-long", "hup", "drain", "crowd", "local")
 RARE_PAIRS = tuple(combinations(RARE, 2))
@@ -156,13 +156,15 @@
 
 
 def _deaf(random: Random, seconds: float, readers: int, writers: int) -> list[Trouble]:
-    """At half of the decode workers, some of the prefill workers with them."""
+    """At all decode workers, so that states wait for them, and at half of them with some of the prefill workers."""
     found = []
-    for kind in WORKER_DEAF * DEAF_TIMES:
+    decode = range(readers, readers + writers)
+    for number, kind in enumerate(WORKER_DEAF * DEAF_TIMES):
         at = random.uniform(1.5, max(2.0, seconds - 7))
-        some = random.sample(range(readers, readers + writers), (writers + 1) // 2)
-        some += random.sample(range(readers), readers // 4)
-        found.append(Trouble(kind, at, SURE_LENGTH, tuple(sorted(some)), random.random()))
+        some = list(decode)
+        if number >= len(WORKER_DEAF):
+            some = random.sample(decode, (writers + 1) // 2) + random.sample(range(readers), readers // 4)
+        found.append(Trouble(kind, at, DEAF_LENGTH, tuple(sorted(some)), random.random()))
     return found
 
 
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -20,6 +20,8 @@
 STREAM_HEAD = http.head(200, [("content-type", "text/event-stream"), ("transfer-encoding", "chunked")])
 READ_TIME, FIRST_TIME, GAP = 0.03, 0.03, 0.02  # seconds in the mean
 MOST_EVENTS = 12
+LONG_PART, LONG_EVENTS = 0.15, (60, 100)  # of the streams; some two seconds
+MOST_DEAF_EVENTS = 80  # of a stream that goes on while its worker takes nothing new
 LATE_RESET = 1.5  # seconds after which a request is reset at most
 FILLERS = 2  # connections that fill a queue for one
 SPLIT_PART = 0.3  # of the events come in chunks of their own parts
@@ -240,11 +242,15 @@
     async def _stream(self, link: Link, attempt: Attempt, slow: int) -> bool:
         attempt.outcome = "spoilt"
         events = self.random.randint(1, MOST_EVENTS)
+        if self.marking.random() < LONG_PART:
+            events = self.marking.randint(*LONG_EVENTS)
         head = STREAM_HEAD
         self.streams += 1
         attempt.name = f"{self.name}-{self.streams}"
         marks = Marks(attempt.request, attempt.name, self.marking)
-        for _ in range(events):
+        for number in itertools.count():
+            if number >= (MOST_DEAF_EVENTS if self.network.deaf else events):
+                break
             if "break" in self.modes and self.random.random() < 0.1:
                 link.abort()
                 return False
