A read that may have ended unseen is released again once its worker has seen its end

A read that is given up on or breaks was released once, at once. The DELETE may reach a worker before the read's own worker has seen the close of its connection; a read that ends well between leaves a state after its release, and nothing released that: the request's end finds no doubt any more. Change: platform/leases.py releases again after 0.9 of releaseMs. While a later read's state waits for its attempt it waits too, since it would tear that.

--- a/stackpitch/gateway/pacing.py
+++ b/stackpitch/gateway/pacing.py
@@ -14,6 +14,7 @@
     9  # tries of a release that overlap, in the time of three: so many fit into what the page grants
 )
 OVERLAPPING = 3  # of them at once
+AGAIN_PART = 90  # percent of the time allowed
 
 
 def buffer(memory: int, clients: int, most: int) -> int:
@@ -34,6 +35,12 @@
     return EVENTS_A_TOKEN * tokens + EVENTS_BESIDE if tokens else None
 
 
+def release_again(allowed: Time) -> Time:
+    """From a release of what a read may have left unseen to another one: the read may end well until its worker has seen
+    that its connection was closed, and its state is held from then on. `allowed`: for which it may be held."""
+    return allowed * AGAIN_PART // 100
+
+
 def release_gap(number: int, limit: Time) -> Time:
     """From the start of a release's try, counted from 0, to that of the next. `limit`: that each try has. Early tries overlap,
     as several workers in a row may be silent; later ones don't, as then hardly any can be reached."""
--- a/stackpitch/platform/leases.py
+++ b/stackpitch/platform/leases.py
@@ -1,7 +1,9 @@
 """The front towards model servers: legs, places held ahead, and letting go of whatever may be held."""
 
 from stackpitch.gateway.ask import Ask
+from stackpitch.gateway.bounds import Bounds
 from stackpitch.gateway.host import Host
+from stackpitch.gateway.pacing import release_again
 from stackpitch.gateway.permission import Act, may_hold, may_release
 from stackpitch.interface import Leg, Report, Server, Time
 from stackpitch.loop import MS, Coro
@@ -56,7 +58,7 @@
     def let_go(self, ask: Ask) -> None:
         assert isinstance(ask, PlatformAsk)
         self._let_go(ask)
-        ask.held = ask.doubt = False
+        ask.held = False
 
     def _let_go(self, ask: Ask) -> None:
         assert isinstance(ask, PlatformAsk)
@@ -64,3 +66,16 @@
             bounds = self.host.arrival_settings(ask.gen).bounds
             release = Release(self.host, ask.gen, bounds, ask.held_since)
             self.host.group.spawn(self.host.counted(release.run()), f"release {ask.gen.name}")
+            if ask.doubt:
+                again = self._let_go_again(ask, bounds)
+                self.host.group.spawn(self.host.counted(again), f"release {ask.gen.name} again")
+                ask.doubt = False
+
+    def _let_go_again(self, ask: PlatformAsk, bounds: Bounds) -> Coro[None]:
+        """What a read may have left after its release. While a later read's state waits for its attempt, which this would
+        tear, it is put off: the time rests while that attempt is out, and the later state's own release does this one's."""
+        begun, pause = self.host.world.now(), release_again(bounds.release)
+        yield from self.host.world.sleep(pause)
+        while ask.held and ask.held_since is not None and ask.held_since > begun:
+            yield from self.host.world.sleep(pause)
+        yield from Release(self.host, ask.gen, bounds).run()
--- a/tests/crossing_workers.py
+++ b/tests/crossing_workers.py
@@ -91,6 +91,7 @@
         self.script: Script = script if script is not None else read if name[0] == "r" else stream
         self.begun: list[Attempt] = []
         self.released: list[str] = []
+        self.releases: list[tuple[str, float]] = []  # names and times
         self.released_at: dict[str, float] = {}  # when the first release of each name came
         self.running = threading.Event()  # while it is not set, what reaches its socket is not taken
         self.running.set()
@@ -175,6 +176,7 @@
                 attempt.name = reader.headers.get("req-id") or reader.path.rpartition("/")[2]
                 if attempt.method == "DELETE":
                     self.released.append(attempt.name)
+                    self.releases.append((attempt.name, time.monotonic()))
                     self.released_at.setdefault(attempt.name, time.monotonic())
                     attempt.send(http.response(204, b""))
                     continue
--- a/tests/platform_expect.py
+++ b/tests/platform_expect.py
@@ -105,7 +105,8 @@
         assert self.called("HOLD", name) == [server], f"asked of {self.called('HOLD', name)}"
 
     def expect_released(self, name: str, *servers: str) -> Coro[None]:
-        """By one server, of these if any are named; `twice`: also while an attempt was out that may have arrived."""
+        """By one server, of these if any are named; `twice`: also while an attempt was out that may have arrived, or
+        again for a read that may have ended after it."""
         times = 1 + ("twice" in servers)
         allowed = [one for one in servers if one != "twice"]
         yield from self.until(800, lambda: len(self.called("DELETE", name)) >= times, "not released")
--- a/tests/test_crossings_held.py
+++ b/tests/test_crossings_held.py
@@ -19,6 +19,7 @@
 READ_AND_CLOSE = http.response(202, b'{"cached_tokens":4}', [("connection", "close")])
 HELD = SETTINGS["extra"]["releaseMs"] / 1000 + 0.3  # seconds; the page grants 0.3 beyond the settings
 EVENT_GAP = 0.05  # seconds
+CLOSE_ON_ITS_WAY = 0.05  # seconds
 PRODUCTS = ["chat", "pay", "order"]
 
 
@@ -141,6 +142,26 @@
         answered([client])
 
 
+def read_ends_after_its_release(folder: Path, product: str) -> None:
+    """A read ends well just as it is given up on: its worker has not seen yet that its connection was closed, and the
+    release has reached another one already."""
+    workers = fleet("r1*", "w1")
+    with RunningGateway(folder, workers) as gateway:
+        client = gateway.ask(product, 1000)
+        workers[0].next(client.name)
+        wait_for(
+            lambda: bool(releases(workers, client.name)), "the read that was given up on is not released"
+        )
+        read_at = max(releases(workers, client.name)) + CLOSE_ON_ITS_WAY
+        answered([client])
+        wait_for(lambda: any(at >= read_at for at in releases(workers, client.name)), "nothing follows", HELD)
+
+
+def releases(workers: list[Worker], name: str) -> list[float]:
+    """When workers were told to release what they hold for that request."""
+    return [at for one in workers for told, at in list(one.releases) if told == name]
+
+
 def most_fall_silent(folder: Path, product: str) -> None:
     """All that were good last fall silent as the read ends; the one that runs has no connection that was kept."""
     workers = fleet("r1", "r2", "w1", "w2", "w3", "w4")
@@ -216,6 +237,10 @@
     side_by_side(story, tmp_path, PRODUCTS)
 
 
+def test_a_read_that_ends_as_it_is_given_up_on_is_released_again(tmp_path: Path) -> None:
+    side_by_side(read_ends_after_its_release, tmp_path, PRODUCTS)
+
+
 def test_a_release_comes_through_where_one_worker_of_six_runs(tmp_path: Path) -> None:
     side_by_side(most_fall_silent, tmp_path, PRODUCTS)
 
--- a/tests/test_releasing.py
+++ b/tests/test_releasing.py
@@ -20,7 +20,7 @@
 
 
 class Workers:
-    """What a release uses of its host. `silent`: workers that take nothing until then; `told`: name and time, as each is told."""
+    """What a release uses of its host. `silent`: workers that take nothing until then; `told`: names and times."""
 
     def __init__(self, names: str, silent: str, until: int = 1 << 30) -> None:
         self.until = until
