Late tries of a release, and second releases, wait while a newer attempt is out

Cause: platform/leases.py waited only for a later state to be used, not for a read that is under way; platform/releasing.py tried on whatever had begun. Tests: two of test_releasing fail without it.

--- a/stackpitch/interface.py
+++ b/stackpitch/interface.py
@@ -129,6 +129,10 @@
     def out(self) -> bool:
         return any(leg.outcome is None for leg in self.legs)
 
+    def streamed(self) -> bool:
+        """Whether a stream has begun, which lets go of all that is held."""
+        return any(leg.streaming for leg in self.legs)
+
     def ran(self) -> list[Leg]:
         """Legs that may have had, or may yet have, their effect; at readers only those still out."""
         return [
--- a/stackpitch/platform/leases.py
+++ b/stackpitch/platform/leases.py
@@ -72,10 +72,11 @@
                 ask.doubt = False
 
     def _let_go_again(self, ask: PlatformAsk, bounds: Bounds) -> Coro[None]:
-        """What a read may have left after its release. While a later read's state waits for its attempt, which this would
-        tear, it is put off: the time rests while that attempt is out, and the later state's own release does this one's."""
-        begun, pause = self.host.world.now(), release_again(bounds.release)
+        """What a read may have left after its release, unless a stream has begun since, which lets go of it. The time rests
+        while an attempt is out, whose state this would tear."""
+        pause = release_again(bounds.release)
         yield from self.host.world.sleep(pause)
-        while ask.held and ask.held_since is not None and ask.held_since > begun:
+        while ask.gen.out():
             yield from self.host.world.sleep(pause)
-        yield from Release(self.host, ask.gen, bounds).run()
+        if not ask.gen.streamed():
+            yield from Release(self.host, ask.gen, bounds).run()
--- a/stackpitch/platform/releasing.py
+++ b/stackpitch/platform/releasing.py
@@ -6,7 +6,7 @@
 
 from stackpitch.gateway.bounds import Bounds
 from stackpitch.gateway.host import Host
-from stackpitch.gateway.pacing import release_gap
+from stackpitch.gateway.pacing import QUICK_RELEASES, release_gap
 from stackpitch.gateway.trace import Step
 from stackpitch.interface import MS, SECOND, Generation, Server, Time
 from stackpitch.loop import Coro, Group
@@ -28,11 +28,12 @@
         self.began, self.tries = host.world.now(), 0
         self.done_by: Server | None = None
         self.pause = host.world.scope()  # before the next try
+        self.alone = not request.out()  # what is out later has a state of its own
 
     def run(self) -> Coro[None]:
-        """Until a worker has released it and all tries have ended, or the tries are used up."""
+        """Until a worker has released it and all tries have ended, a stream has let go of it, or the tries are used up."""
         yield from self.host.world.group(lambda group: self._try(group, 0))
-        done = self.done_by is not None
+        done = self.done_by is not None or self.request.streamed()
         self.host.metrics.releases.labels("done" if done else "failed").inc()
         if not done:
             self.host.logger.warning("release_failed", generation=self.request.name, tries=self.tries)
@@ -56,10 +57,14 @@
             self.pause.cancel()
 
     def _try_later(self, group: Group, number: int) -> Coro[None]:
-        """Unless one has answered by then."""
+        """Unless one has answered by then. A late one waits while an attempt is out that began after the release: the time
+        rests then, and the newer state would be torn. After a stream's start there is nothing left."""
+        late = number >= QUICK_RELEASES
         with self.host.world.scope() as self.pause:
             yield from self.host.world.sleep(release_gap(number - 1, self.bounds.call))
-        if self.done_by is None:
+            while late and self.alone and self.request.out() and not self.request.streamed():
+                yield from self.host.world.sleep(self.bounds.call)
+        if self.done_by is None and not (late and self.request.streamed()):
             yield from self._try(group, number)
 
     def _note_done(self, worker: Server) -> None:
--- a/tests/test_releasing.py
+++ b/tests/test_releasing.py
@@ -16,14 +16,22 @@
 
 
 class Request:
-    name, legs = "x", list[Any]()
+    """`attempts_out` and `streams` are set by the test."""
+
+    name, legs, attempts_out, streams = "x", list[Any](), False, False
+
+    def out(self) -> bool:
+        return self.attempts_out
+
+    def streamed(self) -> bool:
+        return self.streams
 
 
 class Workers:
     """What a release uses of its host. `silent`: workers that take nothing until then; `told`: names and times."""
 
     def __init__(self, names: str, silent: str, until: int = 1 << 30) -> None:
-        self.until = until
+        self.until, self.request = until, Request()
         self.world, self.silent, self.told = VirtualWorld(1), silent, list[tuple[str, int]]()
         servers = [Server(name, "a", "w", 1, "writer", 1000) for name in names]
         self.roster, self.pools, self.asks = SimpleNamespace(addresses=dict.fromkeys(servers)), {}, {}
@@ -45,7 +53,7 @@
 
     def release(self, since: int | None = None) -> Release:
         bounds = SimpleNamespace(release_tries=RELEASE_TRIES, call=LIMIT, release=ALLOWED)
-        return Release(self, Request(), bounds, since)  # type: ignore[arg-type]
+        return Release(self, self.request, bounds, since)  # type: ignore[arg-type]
 
 
 def test_the_first_worker_is_told_before_what_is_begun_after_the_release() -> None:
@@ -96,3 +104,25 @@
     release = workers.release()
     workers.world.run(release.run())
     assert release.done_by is not None and workers.world.now() - workers.began < 8 * SECOND + 2 * LIMIT
+
+
+@pytest.mark.parametrize("out_before", [False, True])
+def test_a_late_try_does_not_tear_the_state_of_a_newer_attempt(out_before: bool) -> None:
+    """All workers are silent for 0.6 s. An attempt that begins after the release holds its late tries back until it ends,
+    one that was out before, and may never have arrived, does not."""
+    workers = Workers("abc", "abc", until=600 * MS)
+    workers.request.attempts_out = out_before
+    release = workers.release()
+    workers.request.attempts_out = True
+    workers.world.at(workers.began + 3 * SECOND, lambda: setattr(workers.request, "attempts_out", False))
+    workers.world.run(release.run())
+    late = [at for _, at in workers.told if 400 < at < 3000]
+    assert release.done_by is not None and bool(late) is out_before
+
+
+def test_nothing_is_released_once_a_stream_has_begun() -> None:
+    workers = Workers("abc", "abc")
+    release = workers.release()
+    workers.world.at(workers.began + SECOND, lambda: setattr(workers.request, "streams", True))
+    workers.world.run(release.run())
+    assert max(at for _, at in workers.told) < 1100 and not workers.warnings
