--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -16,6 +16,7 @@
 from soak.shim import Shim
 
 READY = 10.0  # seconds until a process is ready
+SHORT_STOP = 0.15  # seconds for which the page has a gateway held up
 MEMORY_MB = 96
 FAULTY_LINES = (
     "door_raised",
@@ -131,13 +132,19 @@
         await self.ready()
         self.record.pauses.append(Pause(self.name, begin, time.monotonic(), killed=True, replaced=True))
 
-    async def roll(self, patience: float, series: Sequence[int]) -> None:
-        """Signals in a series with SIGTERM among them, SIGKILL `patience` seconds after that, and another process."""
+    async def roll(self, patience: float, series: Sequence[int], gap: float, stop: float | None) -> None:
+        """Signals in a series with SIGTERM among them, `gap` seconds apart, SIGKILL `patience` seconds after that, and another
+        process. `stop`: so long after the last of the series the process does not run for a moment; None: it always does."""
         for number in series[: series.index(signal.SIGTERM)]:
             self.signal(number)
+            await asyncio.sleep(gap)
         told = time.monotonic()
         for number in series[series.index(signal.SIGTERM) :]:
             self.signal(number)
+            await asyncio.sleep(gap)
+        if stop is not None:
+            await asyncio.sleep(stop)
+            await self.stop_for(SHORT_STOP)
         await self._gone(told + patience - time.monotonic())
         code = self.process.poll() if self.process is not None else 0
         ended = time.monotonic()
--- a/soak/troubles/gateways.py
+++ b/soak/troubles/gateways.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from soak.fleet import HOST, Fleet
-from soak.gateways import Gateway
+from soak.gateways import SHORT_STOP, Gateway
 from soak.late import connected
 from soak.plan import Trouble
 from soak.settings import RETRY_AFTERS, limits
@@ -20,7 +20,9 @@
     (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM),
 )
 CONNECTING = 0.05  # seconds for clients to connect before their gateway is told to stop
-SHORT_STOP, LONG_STOP = 0.15, 3.0  # seconds
+LONG_STOP = 3.0  # seconds
+SERIES_GAP = 0.3  # seconds between two signals of a series at most; half of them come at once
+STOP_AFTER = 0.8  # seconds after a series in which its process is stopped, in half of them
 
 
 class GatewayTroubles:
@@ -69,7 +71,10 @@
             for task in late:
                 task.add_done_callback(self.fleet.late.discard)
             await asyncio.sleep(CONNECTING)
-            await gateway.roll(patience, series)
+            signals = Random(f"{trouble} {gateway.name} signals")
+            gap = signals.choice((0.0, signals.uniform(0, SERIES_GAP)))
+            held_up = signals.choice((None, signals.uniform(0, STOP_AFTER)))
+            await gateway.roll(patience, series, gap, held_up)
 
         await self._each(trouble, stop)
 
