The time of a held state that is told restarts with a worker's answer, as the module's does

released_late counted from the read's end also where a worker's 503 or 500 had started the time anew (brain/holds.py). Both now go by interface.ANSWERED.

--- a/stackpitch/brain/holds.py
+++ b/stackpitch/brain/holds.py
@@ -8,14 +8,13 @@
 which has to read the whole prompt again then.
 """
 
-from stackpitch.interface import NEVER_RAN, Gateway, Generation, Leg, Time
+from stackpitch.interface import ANSWERED, NEVER_RAN, Gateway, Generation, Leg, Time
 
 
 class Holds:
     # Of the time allowed, then a release is sent: the rest, and what the page grants, is for its way.
     RELEASE_PART = 0.95
     VAIN_PART = 0.6  # of it, after which no further connection is tried in vain
-    ANSWERED = ("full", "error")  # outcomes that its worker wrote, so that the attempt had arrived
 
     def __init__(self, gateway: Gateway, allowed: Time) -> None:
         self.gateway, self.allowed = gateway, allowed
@@ -28,7 +27,7 @@
         gen = leg.gen
         if no_state:
             self.since.pop(gen, None)
-        elif leg.outcome == "read" or gen in self.since and leg.outcome in self.ANSWERED:
+        elif leg.outcome == "read" or gen in self.since and leg.outcome in ANSWERED:
             self.since[gen] = now
             self.gateway.wake(int(self.allowed * self.RELEASE_PART), lambda _: self._due(gen, now))
         elif leg.server.role == "reader" and leg.outcome not in NEVER_RAN:
--- a/stackpitch/interface.py
+++ b/stackpitch/interface.py
@@ -25,6 +25,9 @@
 # request is over.
 ReleaseReason = Literal["attempt-unread", "read-in-doubt", "request-over"]
 NEVER_RAN: frozenset[Outcome] = frozenset({"read", "full", "unreachable", "not-sent"})
+ANSWERED: frozenset[Outcome] = frozenset(
+    {"full", "error"}
+)  # outcomes that a worker wrote: the attempt had arrived
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/stackpitch/platform/ask.py
+++ b/stackpitch/platform/ask.py
@@ -23,7 +23,9 @@
         super().__init__(gen, client, target)
         self.method, self.headers, self.body = method, headers, body
         self.written: Leg | None = None  # the newest leg whose request has been handed over whole
-        self.held_since: Time | None = None  # the end of its last read; None: a stream has taken the state
+        self.held_since: Time | None = (
+            None  # its last read or a later answer ended then; None: a stream has taken the state
+        )
         self.held = False  # a state or place may be held; a started stream lets go of it
         self.doubt = False  # a read may have ended well unseen: what it left is held, whatever started since
 
--- a/stackpitch/platform/leg.py
+++ b/stackpitch/platform/leg.py
@@ -6,7 +6,7 @@
 from stackpitch.gateway.leg import End, LegRun
 from stackpitch.gateway.outcomes import Phase
 from stackpitch.gateway.pool import Pool
-from stackpitch.interface import Leg, Time
+from stackpitch.interface import ANSWERED, Leg, Time
 from stackpitch.loop import MS, Coro, Scope, Stream
 from stackpitch.platform.ask import PlatformAsk
 from stackpitch.wire import engine, http, platform
@@ -34,6 +34,8 @@
                 self.ask.held, self.ask.held_since = True, self.host.world.now()
             elif end is None or end.outcome not in ("streamed", "full"):
                 self.ask.doubt = True
+        elif end is not None and end.outcome in ANSWERED and self.ask.held_since is not None:
+            self.ask.held_since = self.host.world.now()
         super()._leave(pool, stream, end)
 
     def _request(self) -> bytes:
