A release tells more workers at each step, first any that has answered since

Change: steps of 1, 1, 1, 2, 2, 4, 4, 8, 8, then 4 each 125 ms; a worker that has answered any call since it was told is told again at once; workers without a kept connection in another order for each request.

--- a/stackpitch/gateway/pacing.py
+++ b/stackpitch/gateway/pacing.py
@@ -11,9 +11,12 @@
 )  # one event a token is usual; beside them usage, load, end and signs of life
 
 QUICK_RELEASES = (
-    9  # tries of a release that overlap, in the time of three: so many fit into what the page grants
+    9  # steps of a release that overlap, in the time of three: so many fit into what the page grants
 )
 OVERLAPPING = 3  # of them at once
+# Workers that a release tells at its quick steps, as most of them may be silent together; and at each later one.
+QUICK_WIDTHS = (1, 1, 1, 2, 2, 4, 4, 8, 8)
+LATE_WIDTH = 4
 AGAIN_PART = 90  # percent of the time allowed
 
 
@@ -41,7 +44,12 @@
     return allowed * AGAIN_PART // 100
 
 
+def release_width(number: int) -> int:
+    """How many workers a release tells at once at a step, counted from 0."""
+    return QUICK_WIDTHS[number] if number < QUICK_RELEASES else LATE_WIDTH
+
+
 def release_gap(number: int, limit: Time) -> Time:
-    """From the start of a release's try, counted from 0, to that of the next. `limit`: that each try has. Early tries overlap,
-    as several workers in a row may be silent; later ones don't, as then hardly any can be reached."""
+    """From a release's step, counted from 0, to the next. `limit`: that each worker has to answer. Early steps overlap, as
+    several workers in a row may be silent; later ones don't, as then hardly any can be reached."""
     return limit // OVERLAPPING if number < QUICK_RELEASES else limit
--- a/stackpitch/platform/plan.py
+++ b/stackpitch/platform/plan.py
@@ -23,7 +23,9 @@
 CLIENTS = 0.42  # of the rest: the platform's clients hold a third at most for requests
 MAX_BODY, MAX_HEAD = 256 << 10, 16 << 10  # bytes; the protocol's bound, and what no head of it reaches
 CALLS_PART = 16  # one connection to servers in so many, and one at least, is for small calls alone
-RELEASE_TRIES = 84  # of one release; with their gaps they go on for seventy-eight times the limit of one, some ten seconds
+RELEASE_TRIES = (
+    84  # steps of one; with their gaps they go on for 78 times the limit of a call, some ten seconds
+)
 GAP = (
     SECOND * 35 // 10
 )  # a client is kept waiting 5 s at most after a server's last event; seen a quarter later
--- a/stackpitch/platform/releasing.py
+++ b/stackpitch/platform/releasing.py
@@ -1,12 +1,16 @@
 """Releases what workers hold for a request: any running worker may be told, and does it for all of them.
 
 Which workers run is not known when a release is due, as many may have hung or been cut off together. So tries overlap: the
-next worker is told soon after the last, whose answer may still come.
+next workers are told soon after the last, whose answer may still come, and more of them at each step. A worker that has
+answered any call since counts as running, and is told next.
 """
 
+from heapq import nlargest
+from zlib import crc32
+
 from stackpitch.gateway.bounds import Bounds
 from stackpitch.gateway.host import Host
-from stackpitch.gateway.pacing import QUICK_RELEASES, release_gap
+from stackpitch.gateway.pacing import QUICK_RELEASES, release_gap, release_width
 from stackpitch.gateway.trace import Step
 from stackpitch.interface import MS, SECOND, Generation, Server, Time
 from stackpitch.loop import Coro, Group
@@ -14,6 +18,8 @@
 from stackpitch.wire import platform
 
 RELEASED = 204
+NEVER_TOLD: Time = -2
+NO_CONNECTION: Time = -1
 
 
 class Release:
@@ -21,9 +27,11 @@
 
     def __init__(self, host: Host, request: Generation, bounds: Bounds, since: Time | None = None) -> None:
         self.host, self.request, self.bounds, self.since = host, request, bounds, since
-        # Workers that are not told again before all others were; none that this request has just found without an answer.
+        # When each worker was told, or found without an answer by this request. Emptied once all were told.
         self.told = {
-            leg.server for leg in request.legs if leg.outcome in ("reset", "time-out", "unreachable")
+            leg.server: host.world.now()
+            for leg in request.legs
+            if leg.outcome in ("reset", "time-out", "unreachable")
         }
         self.began, self.tries = host.world.now(), 0
         self.done_by: Server | None = None
@@ -39,15 +47,18 @@
             self.host.logger.warning("release_failed", generation=self.request.name, tries=self.tries)
 
     def _try(self, group: Group, number: int) -> Coro[None]:
-        """Tells one worker, at once: what the request begins after this release must not be on its way before it. The next
-        one is told a while later."""
+        """Tells the first of a step's workers at once: what the request begins after this release must not be on its way
+        before it. The next step comes a while later."""
         if number + 1 < self.bounds.release_tries:
             group.spawn(self._try_later(group, number + 1), f"release {self.request.name} again")
-        worker = self._next()
-        if worker is None:
-            self.told.clear()
-            return
-        self.told.add(worker)
+        workers = self._next(release_width(number))
+        for worker in workers[1:]:
+            group.spawn(self._tell(worker), f"release {self.request.name} at {worker.name}")
+        if workers:
+            yield from self._tell(workers[0])
+
+    def _tell(self, worker: Server) -> Coro[None]:
+        self.told[worker] = self.host.world.now()
         self.tries += 1
         target = platform.LEASES + self.request.name
         answer = yield from self.host.call(worker, "DELETE", target, b"", self.bounds.call)
@@ -104,14 +115,23 @@
             )
         return text
 
-    def _next(self) -> Server | None:
-        """First those that no attempt waits for and whose connections were last good."""
-        host = self.host
+    def _next(self, count: int) -> list[Server]:
+        """First those that no attempt waits for and whose connections were last good; of others, such that other releases
+        don't tell as well. None is told again before it has been good since, or all others were told."""
         awaited = {leg.server for leg in self.request.legs if leg.outcome is None}
-        left = [one for one in host.roster.addresses if one.state != "gone" and one not in self.told]
+        running = [one for one in self.host.roster.addresses if one.state != "gone"]
+        left = [one for one in running if self._good_at(one) > self.told.get(one, NEVER_TOLD)]
+        if not left:
+            self.told.clear()
+            left = running
+
+        def rank(one: Server) -> tuple[bool, Time, int]:
+            spread = crc32(f"{self.request.name} {one.name}".encode()) if self.tries else 0
+            return one not in awaited, self._good_at(one), spread
 
-        def rank(one: Server) -> tuple[bool, Time]:
-            pool = host.pools.get(one)
-            return one not in awaited, pool.idle[-1][1] if pool is not None and pool.idle else -1
+        return nlargest(count, left, key=rank)
 
-        return max(left, default=None, key=rank)
+    def _good_at(self, worker: Server) -> Time:
+        """When a connection to it last came back good; before all times if none rests."""
+        pool = self.host.pools.get(worker)
+        return pool.idle[-1][1] if pool is not None and pool.idle else NO_CONNECTION
