--- a/stackpitch/interface.py
+++ b/stackpitch/interface.py
@@ -25,6 +25,9 @@
 # request is over.
 ReleaseReason = Literal["attempt-unread", "read-in-doubt", "request-over"]
 NEVER_RAN: frozenset[Outcome] = frozenset({"read", "full", "unreachable", "not-sent"})
+ANSWERED: frozenset[Outcome] = frozenset(
+    {"full", "error"}
+)  # outcomes that a worker wrote: the attempt had arrived
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -129,6 +132,10 @@
     def out(self) -> bool:
         return any(leg.outcome is None for leg in self.legs)
 
+    def streamed(self) -> bool:
+        """Whether a stream has begun, which lets go of all that is held."""
+        return any(leg.streaming for leg in self.legs)
+
     def ran(self) -> list[Leg]:
         """Legs that may have had, or may yet have, their effect; at readers only those still out."""
         return [
