Known red traced: the crowd fills 31 descriptors, the test waited for 32

Measured on 2026-12-04 by its own set-up, six plays of 5 s (three each with 64 and 256 configured): 245 samples each, 31 descriptors in 231 to 238 of them, 32 or more in 5 to 9, as something passes. The crowd is let in at once and the gateway holds its bound; whether a sample of 20 ms met 32 within 3 s was chance. Lines at fault: the test's MOST // 2, a figure that follows from nothing.

--- a/tests/test_platform_descriptors.py
+++ b/tests/test_platform_descriptors.py
@@ -16,8 +16,11 @@
 from stackpitch.platform.config import LEAST
 from stackpitch.platform.door import PlatformDoor
 from stackpitch.platform.lines import NoCounts
+from stackpitch.platform.plan import CLIENTS, RESERVE
 from stackpitch.wire import http
 
+CLIENT_PLACES = int((MOST - RESERVE) * CLIENTS)  # for clients, of all descriptors
+
 
 @pytest.mark.parametrize("sockets", [MOST, 4 * MOST], ids=["as many as configured", "fewer than configured"])
 def test_discovery_is_taken_up_while_idle_clients_fill_the_descriptors(tmp_path: Path, sockets: int) -> None:
@@ -53,11 +56,12 @@
     agent.members = [one.member for one in servers]
     with Gateway(tmp_path, agent, sockets) as gateway:
         watch = agent.told(10)
+        own = gateway.held() - 1  # less its watch, which is about to end
         gateway.starve(0.3, 0.1)
         crowd = gateway.crowd(4 * MOST, 0.05)
         agent.listener.close()
         watch.close()
-        assert waited(lambda: gateway.held() >= MOST // 2, 3), "the crowd is not let in"
+        assert waited(lambda: gateway.held() >= own + CLIENT_PLACES, 3), "the crowd is not let in"
         waited(lambda: gateway.held() >= MOST, 2)
         agent.revision = 2
         agent.up()
