--- a/soak/mutants/effects.py
+++ b/soak/mutants/effects.py
@@ -149,7 +149,7 @@
         acted()
         gen.given_up = why
         self.gateway.throttle(gen, 0)
-        self.holds.let_go(gen)
+        self.holds.release(gen)
 
     patch(guard.Guard, "answer", refuse)
 
--- a/soak/mutants/held.py
+++ b/soak/mutants/held.py
@@ -16,15 +16,15 @@
 
 def _forget(forgotten: Callable[[Any], bool]) -> None:
     """`forgotten`: asked of each request that may hold something."""
-    let_go = Servers._let_go
+    release = Servers._release
 
     def forget(self: Any, ask: Any) -> None:
         if (ask.held or ask.doubt) and forgotten(ask):
             acted()
         else:
-            let_go(self, ask)
+            release(self, ask)
 
-    patch(Servers, "_let_go", forget)
+    patch(Servers, "_release", forget)
 
 
 def forgotten_release() -> None:
@@ -50,7 +50,7 @@
 
 def late_release() -> None:
     """Each release begins 0.9 s late."""
-    let_go = Servers._let_go
+    release = Servers._release
 
     def later(self: Any, ask: Any) -> None:
         if not (ask.held or ask.doubt):
@@ -60,11 +60,11 @@
 
         def now() -> None:
             ask.held, ask.doubt = held, doubt
-            let_go(self, ask)
+            release(self, ask)
 
         self.host.world.at(self.host.world.now() + LATE, now)
 
-    patch(Servers, "_let_go", later)
+    patch(Servers, "_release", later)
 
 
 def single_try() -> None:
--- a/soak/oracle/held.py
+++ b/soak/oracle/held.py
@@ -19,10 +19,10 @@
     for name, attempts in seen.attempts.items():
         for read in attempts:
             if read.outcome == "read" and read.ended is not None:
-                yield from _let_go(seen, read, attempts, released[name], allowed)
+                yield from _judged(seen, read, attempts, released[name], allowed)
 
 
-def _let_go(
+def _judged(
     seen: Seen, read: Attempt, attempts: list[Attempt], released: list[float], allowed: float
 ) -> Iterator[str]:
     begin = read.ended or 0.0
--- a/stackpitch/brain/__init__.py
+++ b/stackpitch/brain/__init__.py
@@ -91,4 +91,4 @@
 
     def departed(self, now: Time, gen: Generation) -> None:
         if not gen.out():
-            self.holds.let_go(gen)
+            self.holds.release(gen)
--- a/stackpitch/brain/guard.py
+++ b/stackpitch/brain/guard.py
@@ -53,4 +53,4 @@
         if not gen.over:
             gen.given_up = why
             self.gateway.throttle(gen, self.max_retry_after // 2) if safe else self.gateway.terminate(gen)
-        self.holds.let_go(gen)
+        self.holds.release(gen)
--- a/stackpitch/brain/holds.py
+++ b/stackpitch/brain/holds.py
@@ -47,7 +47,7 @@
         """A stream lets go of all else by itself."""
         self.since.pop(gen, None)
 
-    def let_go(self, gen: Generation) -> None:
+    def release(self, gen: Generation) -> None:
         """The request is over, with no attempt out."""
         if self.since.pop(gen, None) is not None:
             self.gateway.release(gen, "request-over")
--- a/stackpitch/duties/weights/receiving/lanes.py
+++ b/stackpitch/duties/weights/receiving/lanes.py
@@ -148,7 +148,7 @@
         finally:
             use.ended = self.world.now()
             if entry is not None:
-                entry.pieces.let_go(grant.lane)
+                entry.pieces.release(grant.lane)
             if self.owner.shelf.held.get(grant.lane) is held:
                 self.owner.shelf.done(grant.lane, grant.serial)
             owner.changed = True
--- a/stackpitch/duties/weights/receiving/pieces.py
+++ b/stackpitch/duties/weights/receiving/pieces.py
@@ -36,7 +36,7 @@
                     return piece, begun
         return None
 
-    def let_go(self, lane: object) -> None:
+    def release(self, lane: object) -> None:
         for begun in self.begun.values():
             if begun.lane == lane:
                 begun.lane = None
--- a/stackpitch/gateway/engines.py
+++ b/stackpitch/gateway/engines.py
@@ -217,7 +217,7 @@
         assert isinstance(ask, OpenAsk)
         if leg.server is ask.place:
             ask.place = None
-        self.let_go(ask, taken=self.source(ask) if fetched else None)
+        self.release(ask, taken=self.source(ask) if fetched else None)
 
     def state_id(self, leg: Leg) -> str:
         return f"{leg.gen.name}-{leg.number}"
@@ -226,11 +226,11 @@
         """The read whose state a writer is to fetch: the newest that waits."""
         return next(reversed(ask.states), None)
 
-    def let_go_unused(self, ask: Ask) -> None:
+    def release_unused(self, ask: Ask) -> None:
         """Nothing: an engine's release tears a state from an attempt that waits there as well. One that is never taken ends
         with the connection that read it, at the attempt's end."""
 
-    def let_go(self, ask: Ask, taken: Leg | None = None) -> None:
+    def release(self, ask: Ask, taken: Leg | None = None) -> None:
         assert isinstance(ask, OpenAsk)
         for leg, waiting in list(ask.states.items()):
             del ask.states[leg]
--- a/stackpitch/gateway/host/asked.py
+++ b/stackpitch/gateway/host/asked.py
@@ -101,9 +101,9 @@
         self.note(ask, Step.LET_GO, why)
         self.metrics.releases_asked.labels(why).inc()
         if gen.out():
-            self.front.let_go_unused(ask)
+            self.front.release_unused(ask)
         else:
-            self.front.let_go(ask)
+            self.front.release(ask)
 
     def throttle(self, gen: Generation, retry_after: Time) -> None:
         gen.over = True
--- a/stackpitch/gateway/host/front.py
+++ b/stackpitch/gateway/host/front.py
@@ -17,8 +17,8 @@
     ) -> "Coro[None]": ...  # tells the host its start and its end
     def hold(self, ask: "Ask", leg: "Leg", server: "Server") -> "Coro[bool]": ...  # whether the place is held
     def started(self, ask: "Ask", leg: "Leg", fetched: bool) -> None: ...  # what else is held is let go
-    def let_go(self, ask: "Ask") -> None: ...  # whatever is or may be held
-    def let_go_unused(self, ask: "Ask") -> None: ...  # the same, but for what an attempt uses that is out
+    def release(self, ask: "Ask") -> None: ...  # whatever is or may be held
+    def release_unused(self, ask: "Ask") -> None: ...  # the same, but for what an attempt uses that is out
     def probe(
         self, server: "Server"
     ) -> "Coro[tuple[bool, str | None]]": ...  # whether it is well; its report
--- a/stackpitch/gateway/host/told.py
+++ b/stackpitch/gateway/host/told.py
@@ -192,7 +192,7 @@
                     ask.refuse(503, "stopping", "the gateway stops", again=False)
             for task in list(ask.tasks.values()):
                 task.cancel()
-            self.front.let_go(ask)
+            self.front.release(ask)
 
     # What the legs tell.
 
@@ -298,7 +298,7 @@
     def _settle(self, ask: Ask) -> None:
         """Forgets a generation that is over with no leg out. Rule 5's last net: what still waits is let go."""
         if ask.gen.over and not ask.gen.out() and self.asks.pop(ask.gen, None) is not None:
-            self.front.let_go(ask)
+            self.front.release(ask)
             self.earlier.pop(ask.gen, None)
             if ask.watch is not None:
                 ask.watch.cancel()
--- a/stackpitch/platform/leases.py
+++ b/stackpitch/platform/leases.py
@@ -36,7 +36,7 @@
         if answer is None or answer.status in (200, 204):  # unknown is perhaps held
             ask.held = True
             if ask.gen.over and not ask.gen.out():
-                self.let_go(ask)
+                self.release(ask)
         return answer is not None and answer.status == 200
 
     def probe(self, server: Server) -> Coro[tuple[bool, str | None]]:
@@ -51,27 +51,27 @@
         assert isinstance(ask, PlatformAsk)
         ask.held, ask.held_since = False, None
 
-    def let_go_unused(self, ask: Ask) -> None:
+    def release_unused(self, ask: Ask) -> None:
         """A worker spares what an attempt waits for that has arrived, so that may be held still once it ends."""
-        self._let_go(ask)
+        self._release(ask)
 
-    def let_go(self, ask: Ask) -> None:
+    def release(self, ask: Ask) -> None:
         assert isinstance(ask, PlatformAsk)
-        self._let_go(ask)
+        self._release(ask)
         ask.held = False
 
-    def _let_go(self, ask: Ask) -> None:
+    def _release(self, ask: Ask) -> None:
         assert isinstance(ask, PlatformAsk)
         if may_release(ask.held or ask.doubt) is None:
             bounds = self.host.arrival_settings(ask.gen).bounds
             release = Release(self.host, ask.gen, bounds, ask.held_since)
             self.host.group.spawn(self.host.counted(release.run()), f"release {ask.gen.name}")
             if ask.doubt:
-                again = self._let_go_again(ask, bounds)
+                again = self._release_again(ask, bounds)
                 self.host.group.spawn(self.host.counted(again), f"release {ask.gen.name} again")
                 ask.doubt = False
 
-    def _let_go_again(self, ask: PlatformAsk, bounds: Bounds) -> Coro[None]:
+    def _release_again(self, ask: PlatformAsk, bounds: Bounds) -> Coro[None]:
         """What a read may have left after its release, unless a stream has begun since, which lets go of it. The time rests
         while an attempt is out, whose state this would tear."""
         pause = release_again(bounds.release)
--- a/stackpitch/rehearse/broken/gateways.py
+++ b/stackpitch/rehearse/broken/gateways.py
@@ -63,7 +63,7 @@
         assert isinstance(ask, OpenAsk)
         KEPT.extend(ask.states.pop(leg) for leg in list(ask.states) if leg is not taken)
 
-    Engines.let_go = keep  # type: ignore[method-assign]
+    Engines.release = keep  # type: ignore[method-assign]
 
 
 KEPT: list[object] = []
--- a/stackpitch/rehearse/judging/holds.py
+++ b/stackpitch/rehearse/judging/holds.py
@@ -104,9 +104,9 @@
                 hold.end, hold.sure = max(hold.end, end), max(hold.sure, sure)
         if hold is None:
             continue
-        let_go = min((one.came for one in ours if one.kind == "release"), default=FOREVER)
-        hold.released = let_go < hold.end
-        hold.end = min(hold.end, let_go, lives.death_after(owner, hold.begin))
+        released_at = min((one.came for one in ours if one.kind == "release"), default=FOREVER)
+        hold.released = released_at < hold.end
+        hold.end = min(hold.end, released_at, lives.death_after(owner, hold.begin))
         hold.sure = min(hold.sure, hold.end)
         holds.append(hold)
     return sorted(holds, key=lambda one: (one.begin, one.stamp))
--- a/tests/test_expect.py
+++ b/tests/test_expect.py
@@ -425,7 +425,7 @@
             for stage in (brain.admission, brain.owner, brain.reader, brain.writer):
                 stage.guard = brain.guard
         if keeps:
-            brain.holds.let_go = brain.holds._due = lambda *_: None
+            brain.holds.release = brain.holds._due = lambda *_: None
         if eager:
             brain.fleet.draw = lambda seat, now, gen: setattr(seat, "drawn", gen) or True
             brain.fleet.held_share = lambda seat, now, usual: 0.0 if brain.fleet.cold(seat, now) else 0.5
