--- a/stackpitch/gateway/pacing.py
+++ b/stackpitch/gateway/pacing.py
@@ -15,7 +15,7 @@
 )
 OVERLAPPING = 3  # of them at once
 # Workers that a release tells at its quick steps, as most of them may be silent together; and at each later one.
-QUICK_WIDTHS = (1, 1, 1, 2, 2, 4, 4, 8, 8)
+QUICK_WIDTHS = (1, 1, 1, 1, 2, 2, 4, 4, 8)
 LATE_WIDTH = 4
 AGAIN_PART = 90  # percent of the time allowed
 
@@ -44,8 +44,10 @@
     return allowed * AGAIN_PART // 100
 
 
-def release_width(number: int) -> int:
-    """How many workers a release tells at once at a step, counted from 0."""
+def release_width(number: int, urgent: bool) -> int:
+    """How many workers a release tells at once at a step, counted from 0. `urgent`: whether its time is running out."""
+    if not urgent:
+        return 1
     return QUICK_WIDTHS[number] if number < QUICK_RELEASES else LATE_WIDTH
 
 
--- a/stackpitch/platform/leases.py
+++ b/stackpitch/platform/leases.py
@@ -79,4 +79,4 @@
         while ask.gen.out():
             yield from self.host.world.sleep(pause)
         if not ask.gen.streamed():
-            yield from Release(self.host, ask.gen, bounds).run()
+            yield from Release(self.host, ask.gen, bounds, urgent=False).run()
--- a/stackpitch/platform/releasing.py
+++ b/stackpitch/platform/releasing.py
@@ -23,10 +23,19 @@
 
 
 class Release:
-    """One request's. `bounds`: those that it arrived under; `since`: when its last read ended, None: not seen to."""
-
-    def __init__(self, host: Host, request: Generation, bounds: Bounds, since: Time | None = None) -> None:
+    """One request's. `bounds`: those that it arrived under; `since`: when its last read ended, None: not seen to;
+    `urgent`: whether the time of what is held is running out."""
+
+    def __init__(
+        self,
+        host: Host,
+        request: Generation,
+        bounds: Bounds,
+        since: Time | None = None,
+        urgent: bool = True,
+    ) -> None:
         self.host, self.request, self.bounds, self.since = host, request, bounds, since
+        self.urgent = urgent
         # When each worker was told, or found without an answer by this request. Emptied once all were told.
         self.told = {
             leg.server: host.world.now()
@@ -51,7 +60,7 @@
         before it. The next step comes a while later."""
         if number + 1 < self.bounds.release_tries:
             group.spawn(self._try_later(group, number + 1), f"release {self.request.name} again")
-        workers = self._next(release_width(number))
+        workers = self._next(release_width(number, self.urgent))
         for worker in workers[1:]:
             group.spawn(self._tell(worker), f"release {self.request.name} at {worker.name}")
         if workers:
