--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins"))
 from sites import ARENAL, ARENAL_CLASSES, ARENAL_RATE, ARENAL_TENANTS, add_fleet  # noqa: E402
-from standin import PYTHON, Bench, now, play  # noqa: E402
+from standin import PYTHON, STARTED, Bench, now, play  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MEMORY_MB, SOCKETS = 192, 1024  # of the deploy page, the most on scored days
@@ -51,6 +51,7 @@
             record("bad-clients", gateway=victim.name, clients=BAD_CLIENTS, chunk=CHUNK, body=BODY)
             bad = subprocess.Popen([str(PYTHON), str(HERE / "bad_clients.py"), victim.host, str(victim.port), str(BAD_CLIENTS),
                                     str(CHUNK), str(BODY)], stdout=subprocess.PIPE, text=True)
+            STARTED.append(bad)
         await traffic
         await asyncio.sleep(5)
         watch.cancel()
--- a/review/standins/standin.py
+++ b/review/standins/standin.py
@@ -75,16 +75,15 @@
     """Discovery's agent on one gateway's machine.
 
     It answers at once with what it has, and holds a watch until there is news or its time is over. While
-    discovery is down it is silent; calls that were open, or came, while it was silent stay without an answer.
+    discovery is down it is silent, and as it is back it resets the connections that the silence caught.
     """
 
     def __init__(self, fleet, gateway, host):
         self.fleet, self.gateway, self.host = fleet, gateway, host
         self.epoch, self.silent = 0, False
-        self.calls = self.broken_calls = 0
         self.news = asyncio.Condition()
         self.members, self.changes, self.revision = {}, [], 1
-        self.writers = set()
+        self.caught = set()  # connections with a call that stays without an answer
 
     async def start(self):
         self.server = await asyncio.start_server(self.connection, self.host, 0)
@@ -108,23 +107,22 @@
 
     def speak(self):
         self.silent = False
-        self.epoch += 1
+        for writer in self.caught:
+            writer.transport.abort()
+        self.caught.clear()
 
     def as_list(self, members, complete):
         found = [self.fleet.address_for(member, self.gateway) for member in members]
         return json.dumps({"revision": self.revision, "complete": complete, "members": found}).encode()
 
     async def connection(self, reader, writer):
-        self.writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while (message := await read_message(reader)) is not None:
-                self.calls += 1
                 self.fleet.record("discovery-call", gateway=self.gateway.name, target=message[0][1], silent=self.silent)
                 (_, target, _), epoch = message[0], self.epoch
                 query = dict(part.partition("=")[::2] for part in target.partition("?")[2].split("&"))
                 if self.silent:
-                    self.broken_calls += 1
-                    await reader.read()  # until the gateway gives up
+                    await self.stay_silent(reader, writer)
                     break
                 if "since" in query:
                     since, wait = int(query["since"]), int(query.get("timeout_ms", 0)) / 1000
@@ -133,18 +131,22 @@
                             await asyncio.wait_for(
                                 self.news.wait_for(lambda: self.revision > since or self.epoch != epoch), wait
                             )
-                    if self.epoch != epoch or self.silent:
-                        self.broken_calls += 1
-                        await reader.read()
+                    if self.epoch != epoch:
+                        await self.stay_silent(reader, writer)
                         break
                     found = [member for revision, member in self.changes if revision > since]
                     body = self.as_list(found, False)
                 else:
                     body = self.as_list(self.members.values(), True)
                 writer.write(answer(200, body, content_type="application/json"))
-        self.writers.discard(writer)
+        self.caught.discard(writer)
         writer.close()
 
+    async def stay_silent(self, reader, writer):
+        """Until the gateway gives up, or discovery is back."""
+        self.caught.add(writer)
+        await reader.read()
+
 
 class Server:
     """A model server. Role `read`: it reads prompts; role `write`: it fetches a state, or reads, and answers."""
@@ -256,6 +258,9 @@
         return USAGE, DONE, f": Srv-Load: {server.load()}\n\n".encode()
 
 
+STARTED = []  # processes; those that are left are ended with the case
+
+
 class Gateway:
     """One gateway: a process started by the deploy file's `run`, with its agent."""
 
@@ -287,6 +292,7 @@
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", "exec .venv/bin/python -m stackpitch.platform"], cwd=ROOT, env=environ,
             stdin=subprocess.DEVNULL, stdout=self.log, stderr=self.log)
+        STARTED.append(self.process)
         self.record("gateway-started", gateway=self.name, pid=self.process.pid)
 
     async def ready(self):
@@ -507,13 +513,22 @@
     def stop(number, frame):
         raise KeyboardInterrupt
 
+    async def limited():
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)  # of tasks that end with the loop
+        return await asyncio.wait_for(main(folder), 115)
+
     signal.signal(signal.SIGTERM, stop)
     try:
-        breaks = asyncio.run(asyncio.wait_for(main(folder), 115))
+        breaks = asyncio.run(limited())
     except (Exception, KeyboardInterrupt) as error:  # nothing but a break may end with 1
         traceback.print_exc()
         print(f"could not run: {type(error).__name__} {error}", file=sys.stderr)
         return 2
+    finally:
+        for process in STARTED:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
     for line in breaks[:20]:
         print(line)
     print(f"{'broken' if breaks else 'held'}: {len(breaks)} breaks")
