--- a/review/standins/standin.py
+++ b/review/standins/standin.py
@@ -14,11 +14,13 @@
 import sys
 import tempfile
 import time
+import tomllib
 import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
 PYTHON = ROOT / ".venv" / "bin" / "python"
+RUN = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]  # starts one gateway
 TARGET = "/v1/chat/completions"
 
 
@@ -290,7 +292,7 @@
         environ = {**os.environ, "RELAY_NAME": self.name, "RELAY_CONFIG": str(self.config),
                    "RELAY_LISTEN": f"{self.host}:{self.port}", "RELAY_DISCOVERY": f"{self.agent.host}:{self.agent.port}"}
         self.process = subprocess.Popen(
-            ["/bin/sh", "-c", "exec .venv/bin/python -m stackpitch.platform"], cwd=ROOT, env=environ,
+            ["/bin/sh", "-c", RUN], cwd=ROOT, env=environ,
             stdin=subprocess.DEVNULL, stdout=self.log, stderr=self.log)
         STARTED.append(self.process)
         self.record("gateway-started", gateway=self.name, pid=self.process.pid)
