Log: what a stream brought, and for how long no event had come as it ended

The steps of a request that was not served now have `relayed SERVER events=N comments=N silent=Nms`.

--- a/stackpitch/platform/leg.py
+++ b/stackpitch/platform/leg.py
@@ -27,6 +27,7 @@
     def __init__(self, host: "Host", ask: PlatformRequest, leg: Leg, limit: Time) -> None:
         super().__init__(host, ask, leg, limit)
         self.ask, self.events = ask, platform.EventParser(parts=pacing.max_events(leg.gen.max_output_tok))
+        self.last_event_at: Time = 0  # when an event was read last, once the stream has started
 
     def _load_report(self) -> str | None:
         return self.events.load or self.reader.headers.get("srv-load")
@@ -113,6 +114,16 @@
             f"status {reader.status}",
         )
 
+    def _trace_stream(self) -> None:
+        """Records how much the stream brought, and for how long no event has come."""
+        silent_ms = (self.host.world.now() - self.last_event_at) // MS
+        events = self.events
+        self.host.trace_step(
+            self.ask,
+            Step.RELAYED,
+            f"{self.leg.server.name} events={events.events} comments={events.comments} silent={silent_ms}ms",
+        )
+
     def _relay(self, stream: Stream, unsent: bytes) -> Coro[LegEnd]:
         """Relays complete events as they arrive. Reading pauses for a slow client, so memory stays bounded.
 
@@ -120,6 +131,7 @@
         """
         reader, ask, host, events = self.reader, self.ask, self.host, self.events
         max_read = min(65536, host.bounds.buffer // 2)  # comes on top of what is buffered for the client
+        self.last_event_at, seen_events = host.world.now(), events.events
         self._watch_gap(stream)
         try:
             while True:
@@ -141,7 +153,10 @@
                 yield from self._read_more(stream, max_read)
                 unsent = events.feed(reader.pieces)
                 self.stream_bytes += len(unsent)  # an incomplete event is no progress for the client
+                if events.events != seen_events:
+                    self.last_event_at, seen_events = host.world.now(), events.events
         finally:
+            self._trace_stream()
             host.relayed_bytes += self.stream_bytes
             if self.gap_timer is not None:
                 self.gap_timer.cancel()
