A stream that comments or events without output keep open is ended in time

Cause: gateway/leg.py:_watch_gap took any growth of stream_bytes for progress, and platform/leg.py:_relay added all that EventParser.feed completes to it: comments, events without choice or usage, and whatever follows [DONE]. Change: EventParser.outputs counts events with a choice, the first usage and the first [DONE]; StreamWatch ends a stream without one for 3.5 s, by the time of the last output instead of four looks (3.5 to 4.4 s). Its reason is logged. The mutant silent-stream follows the class; it acts only where a stream is silent, as before.

--- a/soak/mutants/answers.py
+++ b/soak/mutants/answers.py
@@ -7,6 +7,7 @@
 
 from soak.mutants.acting import Mutant, acted, every, patch
 from stackpitch.gateway import leg as attempts
+from stackpitch.gateway.stream_watch import StreamWatch
 from stackpitch.loop import MS, SECOND, ConnectionLost, Time
 from stackpitch.platform.leg import PlatformLeg
 from stackpitch.platform.request import PlatformRequest
@@ -161,10 +162,14 @@
 def silent_stream() -> None:
     """A stream whose worker has fallen silent is waited for without end."""
 
-    def watch(self: Any, stream: Any) -> None:
-        acted()
+    def check(self: Any) -> None:
+        due = self._last_output + self._limit
+        if due > self._world.now():
+            self._schedule(due)
+        else:
+            acted()
 
-    patch(PlatformLeg, "_watch_gap", watch)
+    patch(StreamWatch, "_check", check)
 
 
 def _retry_after(changed: Callable[[Time], Time]) -> None:
--- a/stackpitch/gateway/engines.py
+++ b/stackpitch/gateway/engines.py
@@ -9,6 +9,7 @@
 from stackpitch.gateway.leg import LegRunner
 from stackpitch.gateway.outcomes import LegEnd, Phase, answer_outcome
 from stackpitch.gateway.pool import Pool
+from stackpitch.gateway.stream_watch import StreamWatch
 from stackpitch.interface import Leg, Report, Server, Time
 from stackpitch.loop import ConnectionLost, Coro, Scope, Stream
 from stackpitch.wire import engine, http, orca, sse
@@ -125,7 +126,7 @@
         feed, recv, buffer, reads = reader.feed, stream.recv_now, host.bounds.buffer, 0
         pieces, tail = reader.pieces, deque(reader.pieces, maxlen=self.TAIL)
         gone = not request.forward(pieces)  # the bytes read first include the head, so these are framed again
-        self._watch_gap(stream)
+        self.watch = watch = StreamWatch(host.world, stream, host.bounds.gap)
         stream.wake_on_input(host.world.current)
         try:
             while not (reader.complete or gone):
@@ -141,6 +142,7 @@
                 pieces = reader.pieces
                 tail.extend(pieces)
                 self.stream_bytes += len(raw)
+                watch.record_output()
                 client = request.client
                 if (
                     client is None
@@ -165,9 +167,8 @@
                     yield from host.world.pause()
         finally:
             stream.wake_on_input(None)
+            watch.cancel()
             host.relayed_bytes += self.stream_bytes
-            if self.gap_timer is not None:
-                self.gap_timer.cancel()
         if gone:
             host.client_departed(request)
             return self._failure_end("cancelled", "the client has left")
--- a/stackpitch/gateway/leg.py
+++ b/stackpitch/gateway/leg.py
@@ -13,19 +13,15 @@
 from stackpitch.gateway.permission import Act, AttemptState, send_denial
 from stackpitch.gateway.pool import Pool, PoolExhausted
 from stackpitch.gateway.resend_window import resend_deadline
+from stackpitch.gateway.stream_watch import StreamWatch
 from stackpitch.interface import MS, Leg, Time
-from stackpitch.loop import ConnectFailed, ConnectionLost, Coro, LocalFault, Scope, Stream, Timer
+from stackpitch.loop import ConnectFailed, ConnectionLost, Coro, LocalFault, Scope, Stream
 from stackpitch.wire import http
 
 if TYPE_CHECKING:
     from stackpitch.gateway.leg_host import LegHost
 
 
-GAP_CHECKS = 4  # of a stream within the time in which it has to bring something
-# After the last check: a process that was held up finds the time over before it has read what arrived meanwhile.
-LAST_READ: Time = 10 * MS
-
-
 class NotSent(Exception):
     """Nothing of the request has been written, and nothing will be."""
 
@@ -47,8 +43,7 @@
         self.phase = [Phase.QUEUED]  # of length 1: shared with the pool, which updates it
         self.reader = http.ResponseParser(host.bounds.max_head, host.bounds.max_answer)
         self.stream_bytes = 0  # of the stream so far
-        self.gap_timer: Timer | None = None
-        self.waiting_for_client = False  # the stream is paused because its client reads slowly
+        self.watch: StreamWatch | None = None  # while a stream is forwarded
 
     def run(self) -> Coro[None]:
         """Runs the leg to its end, and reports it even if the task is cancelled."""
@@ -99,7 +94,9 @@
             except ConnectFailed as error:
                 end = self._failure_end("lost", str(error))
             except ConnectionLost as error:
-                end = self._failure_end("lost", str(error))
+                silent = self.watch is not None and self.watch.expired
+                why = f"no output for {self.host.bounds.gap // MS} ms" if silent else str(error)
+                end = self._failure_end("lost", why)
             except http.BadMessage as error:
                 end = self._failure_end("garbled", str(error))
             except Exception as error:  # an unforeseen response must cost its attempt alone, not the gateway
@@ -179,26 +176,6 @@
                 raise http.BadMessage(502, f"answer is over {max_bytes} bytes")
         return bytes(body)
 
-    def _watch_gap(self, stream: Stream) -> None:
-        """Aborts a stream that has brought nothing for `gap`; checks four times within it."""
-        world, step = self.host.world, max(1, self.host.bounds.gap // GAP_CHECKS)
-        seen_bytes = idle_checks = 0
-
-        def check() -> None:
-            nonlocal seen_bytes, idle_checks
-            if self.stream_bytes != seen_bytes or self.waiting_for_client:
-                seen_bytes, idle_checks = self.stream_bytes, 0
-            elif idle_checks >= GAP_CHECKS:
-                stream.abort()
-                return
-            else:
-                idle_checks += 1
-            delay = LAST_READ if idle_checks >= GAP_CHECKS else step
-            self.gap_timer = world.at(world.now() + delay, check)
-
-        seen_bytes = self.stream_bytes
-        self.gap_timer = world.at(world.now() + step, check)
-
     def _time_to_drain(self, client: Stream, left: int, events: int) -> Time | None:
         """How long a client may take to read all but `left` bytes of what is buffered for it."""
         return pacing.drain_time_limit(
@@ -211,7 +188,8 @@
         `events`: of the response so far, 0 if they are not counted.
         """
         half, waits = self.host.bounds.buffer // 2, client.buffered
-        self.waiting_for_client = True
+        if self.watch is not None:
+            self.watch.pause()
         try:
             drained = yield from drain_client(
                 self.host.world,
@@ -223,7 +201,8 @@
         except ConnectionLost:  # the client's connection; the server's is not at fault
             return False
         finally:
-            self.waiting_for_client = False
+            if self.watch is not None:
+                self.watch.resume()
         if not drained:
             self.host.logger.info("slow_client_cut_off", generation=self.leg.gen.name, waits=waits)
         return drained
--- a/stackpitch/platform/leg.py
+++ b/stackpitch/platform/leg.py
@@ -6,6 +6,7 @@
 from stackpitch.gateway.leg import LegEnd, LegRunner
 from stackpitch.gateway.outcomes import Phase
 from stackpitch.gateway.pool import Pool
+from stackpitch.gateway.stream_watch import StreamWatch
 from stackpitch.gateway.trace import Step
 from stackpitch.interface import ANSWERED, Leg, Time
 from stackpitch.loop import MS, Coro, Scope, Stream
@@ -27,7 +28,6 @@
     def __init__(self, host: "Host", ask: PlatformRequest, leg: Leg, limit: Time) -> None:
         super().__init__(host, ask, leg, limit)
         self.ask, self.events = ask, platform.EventParser(parts=pacing.max_events(leg.gen.max_output_tok))
-        self.last_event_at: Time = 0  # when an event was read last, once the stream has started
 
     def _load_report(self) -> str | None:
         return self.events.load or self.reader.headers.get("srv-load")
@@ -114,10 +114,9 @@
             f"status {reader.status}",
         )
 
-    def _trace_stream(self) -> None:
-        """Records how much the stream brought, and for how long no event has come."""
-        silent_ms = (self.host.world.now() - self.last_event_at) // MS
-        events = self.events
+    def _trace_stream(self, watch: StreamWatch) -> None:
+        """Records how much the stream brought, and for how long it has brought no output."""
+        events, silent_ms = self.events, watch.silence() // MS
         self.host.trace_step(
             self.ask,
             Step.RELAYED,
@@ -131,8 +130,8 @@
         """
         reader, ask, host, events = self.reader, self.ask, self.host, self.events
         max_read = min(65536, host.bounds.buffer // 2)  # comes on top of what is buffered for the client
-        self.last_event_at, seen_events = host.world.now(), events.events
-        self._watch_gap(stream)
+        self.watch = watch = StreamWatch(host.world, stream, host.bounds.gap)
+        outputs = events.outputs
         try:
             while True:
                 if unsent and not ask.forward([unsent]):
@@ -152,14 +151,14 @@
                     break
                 yield from self._read_more(stream, max_read)
                 unsent = events.feed(reader.pieces)
-                self.stream_bytes += len(unsent)  # an incomplete event is no progress for the client
-                if events.events != seen_events:
-                    self.last_event_at, seen_events = host.world.now(), events.events
+                self.stream_bytes += len(unsent)
+                if events.outputs != outputs:
+                    outputs = events.outputs
+                    watch.record_output()
         finally:
-            self._trace_stream()
+            watch.cancel()
+            self._trace_stream(watch)
             host.relayed_bytes += self.stream_bytes
-            if self.gap_timer is not None:
-                self.gap_timer.cancel()
         if not events.done or events.rest:
             return self._failure_end("garbled", "the stream ended without [DONE]")
         if ask.client is not None:
--- a/stackpitch/wire/platform.py
+++ b/stackpitch/wire/platform.py
@@ -21,6 +21,7 @@
 NAME = re.compile(r"[!-~]{1,100}")
 MAX_MS, MAX_TOK = 3_600_000, 10_000_000
 LOAD_COMMENT, USAGE = b": Srv-Load:", b'"usage"'
+CHOICE = re.compile(rb'"choices"\s*:\s*\[\s*\{')  # in an event with part of the answer
 # Position in a load report by the field's name: the names in the settings and those in load lines.
 LOAD_FIELDS = {"x0": 0, "utilization": 1, "util": 1, "backlog": 2, "queue": 2}
 
@@ -147,11 +148,14 @@
 
     Bounds an event to `max_bytes`, and events and comments together to `parts` if the answer's length is
     limited.
+
+    `outputs`: events that bring part of the answer, its usage or its end, each of the last two once. Nothing
+    else shows that the server still writes it.
     """
 
     def __init__(self, max_bytes: int = 1 << 16, parts: int | None = None) -> None:
         self.max_bytes, self.rest, self.parts = max_bytes, b"", parts
-        self.events = self.comments = 0
+        self.events = self.comments = self.outputs = 0
         self.load: str | None = None
         self.usage = b""  # the latest event with usage
         self.done = False
@@ -183,9 +187,13 @@
                 self.load = event[len(LOAD_COMMENT) :].decode("latin-1").strip()
             return
         if event == b"data: [DONE]":
+            self.outputs += not self.done
             self.done = True
         elif event.startswith(b"data: {") and event.endswith(b"}"):
-            if USAGE in event:
+            has_usage = USAGE in event
+            if not self.done and (CHOICE.search(event) or (has_usage and not self.usage)):
+                self.outputs += 1
+            if has_usage:
                 self.usage = event
         else:
             raise BadMessage(502, f"not an event: {event[:30]!r}")
