A slow answer is no longer cut off for the comments between its events

Cause: wire/platform.py:EventParser counted comments towards the events that the answer may have. Change: events alone are counted; of comments 1,024 may come between two events (one each 5 ms for as long as a client waits), so that a flood of them ends as soon as before.

--- a/stackpitch/gateway/pacing.py
+++ b/stackpitch/gateway/pacing.py
@@ -4,7 +4,7 @@
 
 MIN_BUFFER = 1 << 14  # bytes; with less, a stream would wait for its client at every other read
 DRAIN_SLACK = 2  # the kernel takes buffered bytes in bursts
-# One event per token is usual. The extra ones are for usage, load, the end and keep-alives.
+# One event per token is usual. The extra ones are for usage and the end.
 EVENTS_PER_TOKEN, EXTRA_EVENTS = 4, 64
 
 # The quick steps of a release overlap, in the time of three calls: so many fit into the time that the
--- a/stackpitch/platform/leg.py
+++ b/stackpitch/platform/leg.py
@@ -27,7 +27,8 @@
 
     def __init__(self, host: "Host", ask: PlatformRequest, leg: Leg, limit: Time) -> None:
         super().__init__(host, ask, leg, limit)
-        self.ask, self.events = ask, platform.EventParser(parts=pacing.max_events(leg.gen.max_output_tok))
+        self.ask = ask
+        self.events = platform.EventParser(max_events=pacing.max_events(leg.gen.max_output_tok))
 
     def _load_report(self) -> str | None:
         return self.events.load or self.reader.headers.get("srv-load")
--- a/stackpitch/wire/platform.py
+++ b/stackpitch/wire/platform.py
@@ -21,6 +21,7 @@
 NAME = re.compile(r"[!-~]{1,100}")
 MAX_MS, MAX_TOK = 3_600_000, 10_000_000
 LOAD_COMMENT, USAGE = b": Srv-Load:", b'"usage"'
+MAX_COMMENTS_IN_A_ROW = 1024  # one each 5 ms while a client waits for an event
 CHOICE = re.compile(rb'"choices"\s*:\s*\[\s*\{')  # in an event with part of the answer
 # Position in a load report by the field's name: the names in the settings and those in load lines.
 LOAD_FIELDS = {"x0": 0, "utilization": 1, "util": 1, "backlog": 2, "queue": 2}
@@ -146,16 +147,16 @@
 class EventParser:
     """Splits a stream's body, fed piece by piece, into whole events, which are returned unchanged.
 
-    Bounds an event to `max_bytes`, and events and comments together to `parts` if the answer's length is
-    limited.
+    Bounds an event to `max_bytes`, and the number of events to `max_events` if the answer's length is limited.
+    Of comments only those in a row are bounded: a slow server may send many between two events.
 
     `outputs`: events that bring part of the answer, its usage or its end, each of the last two once. Nothing
     else shows that the server still writes it.
     """
 
-    def __init__(self, max_bytes: int = 1 << 16, parts: int | None = None) -> None:
-        self.max_bytes, self.rest, self.parts = max_bytes, b"", parts
-        self.events = self.comments = self.outputs = 0
+    def __init__(self, max_bytes: int = 1 << 16, max_events: int | None = None) -> None:
+        self.max_bytes, self.rest, self.max_events = max_bytes, b"", max_events
+        self.events = self.comments = self.comments_in_a_row = self.outputs = 0
         self.load: str | None = None
         self.usage = b""  # the latest event with usage
         self.done = False
@@ -179,13 +180,13 @@
         return complete
 
     def _track(self, event: bytes) -> None:
-        if self.parts is not None and self.events + self.comments >= self.parts:
-            raise BadMessage(502, f"over {self.parts} events, more than the answer may have")
         if event.startswith(b":"):
-            self.comments += 1
+            self._count_comment()
             if event.startswith(LOAD_COMMENT):
                 self.load = event[len(LOAD_COMMENT) :].decode("latin-1").strip()
             return
+        if self.max_events is not None and self.events >= self.max_events:
+            raise BadMessage(502, f"over {self.max_events} events, more than the answer may have")
         if event == b"data: [DONE]":
             self.outputs += not self.done
             self.done = True
@@ -198,6 +199,13 @@
         else:
             raise BadMessage(502, f"not an event: {event[:30]!r}")
         self.events += 1
+        self.comments_in_a_row = 0
+
+    def _count_comment(self) -> None:
+        self.comments += 1
+        self.comments_in_a_row += 1
+        if self.comments_in_a_row > MAX_COMMENTS_IN_A_ROW:
+            raise BadMessage(502, f"over {MAX_COMMENTS_IN_A_ROW} comments without an event")
 
 
 class Member(msgspec.Struct):
