Engines' comments neither begin a client's stream nor keep it open

Cause: gateway/engines.py:_exchange took any piece of the body for the first token, _relay any byte for progress. Change: a piece with more than comments and empty lines is output (wire/sse.py:has_data), and what follows [DONE] is none.

--- a/stackpitch/gateway/bounds.py
+++ b/stackpitch/gateway/bounds.py
@@ -12,7 +12,7 @@
     pool: int  # connections to one server
     connect: Time
     idle: Time  # after which an unused connection is closed
-    gap: Time  # without a byte of a stream, after which it is broken off
+    gap: Time  # without output of a stream, after which it is broken off
     call: Time  # for one call other than a leg
     release_tries: int
     max_head: int
--- a/stackpitch/gateway/engines.py
+++ b/stackpitch/gateway/engines.py
@@ -88,10 +88,13 @@
         if not reader.headers.get("content-type", "").startswith("text/event-stream"):
             content_type = reader.headers.get("content-type")
             raise http.BadMessage(502, f"content-type: found {content_type!r}; allowed: text/event-stream")
-        while not reader.pieces:
+        begun = list(reader.pieces)
+        while not sse.has_data(reader.pieces):
             if reader.complete:
                 return self._failure_end("garbled", "a stream without any event")
             yield from self._read_more(stream)
+            begun += reader.pieces
+        reader.pieces = begun
         fetched = reader.headers.get(engine.STATE_HEADER) == "fetched"
         scope.remove_limit()
         if not self.host.leg_started(self.openai_request, self.leg, fetched):
@@ -125,6 +128,7 @@
         reader, request, host = self.reader, self.openai_request, self.host
         feed, recv, buffer, reads = reader.feed, stream.recv_now, host.bounds.buffer, 0
         pieces, tail = reader.pieces, deque(reader.pieces, maxlen=self.TAIL)
+        done = bool(pieces) and pieces[-1].endswith(sse.DONE)
         gone = not request.forward(pieces)  # the bytes read first include the head, so these are framed again
         self.watch = watch = StreamWatch(host.world, stream, host.bounds.gap)
         stream.wake_on_input(host.world.current)
@@ -142,7 +146,9 @@
                 pieces = reader.pieces
                 tail.extend(pieces)
                 self.stream_bytes += len(raw)
-                watch.record_output()
+                if not done and sse.has_data(pieces):
+                    watch.record_output()
+                    done = pieces[-1].endswith(sse.DONE)
                 client = request.client
                 if (
                     client is None
--- a/stackpitch/settings/model/traffic.py
+++ b/stackpitch/settings/model/traffic.py
@@ -42,7 +42,7 @@
     connect_ms: PositiveFloat = 250
     pool: Count = 256  # connections to one engine; a leg that gets none within connect_ms is not sent
     idle_ms: PositiveFloat = 15000  # shorter than the engines' own, so that they seldom close first
-    gap_ms: PositiveFloat = 5000  # a stream without a byte for this long counts as broken
+    gap_ms: PositiveFloat = 5000  # a stream without an event for this long counts as broken
     call_ms: PositiveFloat = 400  # time limit of a release, hold, cancel or probe
     release_tries: Count = 3
     max_head: Count = 32 * 1024
--- a/stackpitch/wire/sse.py
+++ b/stackpitch/wire/sse.py
@@ -1,5 +1,7 @@
 """Server-sent events, as far as streamed answers use them: `data` lines; an empty line ends an event."""
 
+from collections.abc import Iterable
+
 DONE = b"data: [DONE]\n\n"
 
 
@@ -8,6 +10,17 @@
     return b"data: " + data + b"\n\n"
 
 
+def has_data(pieces: Iterable[bytes]) -> bool:
+    """Whether any piece of a stream's body has more than comments and empty lines."""
+    return any(_has_data(piece) for piece in pieces)
+
+
+def _has_data(piece: bytes) -> bool:
+    if piece[:1] not in (b":", b"\r", b"\n"):  # nearly always
+        return bool(piece)
+    return any(line and not line.startswith(b":") for line in piece.splitlines())
+
+
 class EventParser:
     """Splits a stream's body, fed piece by piece, into events.
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -185,7 +185,7 @@
             return False
         pad = "x" * 4000 if act == "flood" else ""
         for at in range(count):
-            if act in ("cut", "end-early", "stall", "garble") and at == number:
+            if act in ("cut", "end-early", "stall", "garble", "comments") and at == number:
                 break
             body = {
                 "id": "i",
@@ -203,6 +203,10 @@
             stream.write(b"zz\r\nnot a chunk\r\n")
         elif act == "stall":
             yield from stream.recv()
+        elif act == "comments":  # until the gateway ends the connection
+            while True:
+                stream.write(http.chunk(b": keep-alive\n\n"))
+                yield from self.stage.world.sleep(50 * MS)
         elif act == "end-early":
             stream.write(http.LAST_CHUNK)
             return True
