--- a/stackpitch/gateway/host/events.py
+++ b/stackpitch/gateway/host/events.py
@@ -17,6 +17,7 @@
 from stackpitch.gateway.outcomes import LegEnd
 from stackpitch.gateway.permission import Act, AttemptState, Denials, Reason, start_denial
 from stackpitch.gateway.pool import Budget, Pool
+from stackpitch.gateway.recently_run import RecentlyRun
 from stackpitch.gateway.roster import Roster
 from stackpitch.gateway.trace import RequestLogLimiter, Step, format_steps
 from stackpitch.interface import Generation, Leg, Report, Server, Time
@@ -70,6 +71,7 @@
         self.plausibility, self.counters, self.denials = PlausibilityFilter(), Counters(), Denials()
         self.trace_limiter = RequestLogLimiter()
         self.relayed_bytes = 0
+        self.recently_run: RecentlyRun | None = None  # set where clients choose the ids of their requests
         self.on_empty: Callable[[], None] | None = None  # called when the last request is over
 
     @property
@@ -349,6 +351,8 @@
         ):
             self.backend.release(request)
             self.earlier_settings.pop(request.gen, None)
+            if self.recently_run is not None:
+                self.recently_run.add(request.gen)
             if request.watchdog is not None:
                 request.watchdog.cancel()
             self.metrics.generations.labels(request.gen.product.name, request.end).inc()
--- a/stackpitch/platform/listener.py
+++ b/stackpitch/platform/listener.py
@@ -80,6 +80,8 @@
             )
         if any(gen.name == facts.name for gen in self.host.requests):
             raise http.BadMessage(409, "req-id: it is that of a request still open here")
+        if self.host.recently_run is not None and facts.name in self.host.recently_run:
+            raise http.BadMessage(409, "req-id: it is that of a request that may have run")
         if not reader.body_size:
             raise http.BadMessage(400, "a body is wanted")  # every server would reject it
         now = self.world.now()
--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -9,6 +9,7 @@
 from stackpitch.gateway.host import Host
 from stackpitch.gateway.permission import accepts_until, retry_elsewhere_after
 from stackpitch.gateway.pool import Budget
+from stackpitch.gateway.recently_run import RecentlyRun
 from stackpitch.gateway.roster import Roster
 from stackpitch.gateway.trace import TRACE_ALL
 from stackpitch.interface import Time
@@ -68,6 +69,7 @@
             plan.arguments,
             budget=budget,
         )
+        host.recently_run = RecentlyRun(world)
         client_listener = PlatformListener(
             world,
             host,
