--- a/stackpitch/gateway/connection_closing.py
+++ b/stackpitch/gateway/connection_closing.py
@@ -161,8 +161,8 @@
             with self.world.limit(LINGER_TIME) as scope:
                 yield from stream.drain()
                 stream.finish()
-                while left > 0 and (data := (yield from stream.recv())):
-                    left -= len(data)
+                while left > 0 and (received := len((yield from stream.recv()))):  # no byte is kept
+                    left -= received
             before, pending = pending, stream.unacknowledged()
             rounds = rounds - 1 if pending == before else rounds
             if not scope.expired or not pending or not rounds:
--- a/tests/test_small_chunks.py
+++ b/tests/test_small_chunks.py
@@ -112,3 +112,27 @@
     with PeakMemory():
         left = run_with_listener(body)
     assert left < refused * BODY / 4
+
+
+def test_a_refused_client_that_goes_on_sending_takes_no_memory() -> None:
+    """Guards against the last bytes read of each refused connection being kept while it waits for the client's end."""
+    refused = 20
+
+    def body(
+        world: RealWorld, group: Group, client_listener: PlatformListener, host: AnsweringHost, address: Any
+    ) -> Coro[int]:
+        streams = []
+        for _ in range(refused):
+            stream = yield from world.connect(address, SECOND)
+            stream.write(b"a\r\n" + b"x" * (128 * 1024))
+            streams.append(stream)
+        yield from world.sleep(SECOND // 5)
+        assert len([one for one in streams if not one.buffered]) == refused, "what was sent was not read"
+        left: int = tracemalloc.get_traced_memory()[0]
+        for stream in streams:
+            stream.close()
+        return left
+
+    with PeakMemory():
+        left = run_with_listener(body, max_connections=refused)
+    assert left < refused * 16 * 1024, f"{left / refused:.0f} bytes a connection"
