What was received of a request is freed with its refusal, not by the garbage collector

Cause: parser and callbacks refer to each other, and the refusal's traceback to the frames that hold the bytes (wire/http.py:_handle_parser_error, client_listener.py:_serve_one), so that 25 KB of each refused head stayed until the collection of each second; the first read of a request (16 KiB) stayed with its connection until the answer. Change: a parser is closed with its request, the refusal is answered outside the handler, the first bytes are handed on.

--- a/stackpitch/gateway/client_listener.py
+++ b/stackpitch/gateway/client_listener.py
@@ -136,34 +136,35 @@
         The request's time limit counts from when its first byte may have arrived: the bytes may have been
         in the socket buffer, unread, while this process was busy or not scheduled.
         """
-        reader = http.RequestParser(self.max_head, self.max_body)
-        incoming = IncomingRequest(reader)
+        incoming = IncomingRequest(http.RequestParser(self.max_head, self.max_body))
         try:
-            first = yield from self._read_first(stream, reused)
-            if not first:
-                self.close_reasons[self._reason_without_request(stream)] += 1
-                if not (reused or stream.eof or stream in self.lingering):
-                    self._answer_no_request(stream)
-                return False
-            began = stream.arrived_at
-            yield from self._read_rest(stream, incoming, first)
-            if not reader.complete:
-                self.close_reasons[Closing.CLIENT_ENDED] += 1
-                return False
-            if (yield from self._route(stream, reader, began)):
-                return True
-            self.close_reasons[self._close_reason.pop(stream, Closing.LAST_RESPONSE)] += 1
-            return False
+            return (yield from self._receive_and_route(stream, incoming, reused))
         except http.BadMessage as error:
-            self._discard(incoming)  # before the answer, which the client may take its time to read
-            self.close_reasons[Closing.BAD_REQUEST] += 1
-            self.metrics.refused.labels(f"status {error.status}").inc()
-            yield from self._send_error(
-                stream, error.status, "bad_message", str(error), again=error.status in (408, 503)
-            )
-            return False
+            status, text = error.status, str(error)
         finally:
             self._discard(incoming)
+        # Only now, with nothing received in memory: the client may take its time to read the answer.
+        self.close_reasons[Closing.BAD_REQUEST] += 1
+        self.metrics.refused.labels(f"status {status}").inc()
+        yield from self._send_error(stream, status, "bad_message", text, again=status in (408, 503))
+        return False
+
+    def _receive_and_route(self, stream: Stream, incoming: IncomingRequest, reused: bool) -> Coro[bool]:
+        """Raises http.BadMessage."""
+        if not (yield from self._read_first(stream, incoming, reused)):
+            self.close_reasons[self._reason_without_request(stream)] += 1
+            if not (reused or stream.eof or stream in self.lingering):
+                self._answer_no_request(stream)
+            return False
+        began = stream.arrived_at
+        yield from self._read_rest(stream, incoming)
+        if not incoming.reader.complete:
+            self.close_reasons[Closing.CLIENT_ENDED] += 1
+            return False
+        if (yield from self._route(stream, incoming.reader, began)):
+            return True
+        self.close_reasons[self._close_reason.pop(stream, Closing.LAST_RESPONSE)] += 1
+        return False
 
     def _close_header(self, reader: http.RequestParser) -> list[tuple[str, str]]:
         """The header that a response carries if it is the last on its connection."""
--- a/stackpitch/gateway/request_receiving.py
+++ b/stackpitch/gateway/request_receiving.py
@@ -23,10 +23,12 @@
 class IncomingRequest:
     """A request that is being received.
 
-    `received`: its bytes so far. `held`: those that count against the bound on all bodies.
+    `unparsed`: its first bytes, until they are parsed. `received`: its bytes so far. `held`: those that count
+    against the bound on all bodies.
     """
 
     reader: http.RequestParser
+    unparsed: bytes = b""
     received: int = 0
     held: int = 0
 
@@ -70,8 +72,8 @@
             return Closing.EVICTED
         return Closing.CLIENT_ENDED if stream.eof else Closing.IDLE
 
-    def _read_first(self, stream: Stream, reused: bool) -> Coro[bytes]:
-        """The first bytes of the next request; empty if none came in time or the connection ends."""
+    def _read_first(self, stream: Stream, incoming: IncomingRequest, reused: bool) -> Coro[bool]:
+        """Reads the first bytes of the next request; False if none came in time or the connection ends."""
         with self.world.limit(self.idle if reused else self.fresh) as scope:
             idle = self.idle_connections[stream] = IdleConnection(reused, scope)
             try:
@@ -79,17 +81,19 @@
             finally:
                 self.idle_connections.pop(stream, None)
         if stream in self.lingering:
-            return b""  # half-closed in the same turn of the loop: nothing can be answered any more
+            return False  # half-closed in the same turn of the loop: nothing can be answered any more
         if scope.expired and not scope.cancel_called and not idle.first:
             idle.first = stream.recv_now(force=True) or b""  # bytes may have arrived as the time ran out
-        return idle.first
+        incoming.unparsed = idle.first
+        return bool(idle.first)
 
-    def _read_rest(self, stream: Stream, incoming: IncomingRequest, first: bytes) -> Coro[None]:
+    def _read_rest(self, stream: Stream, incoming: IncomingRequest) -> Coro[None]:
         """Parses what has arrived first, then reads until the request is complete or the client has left.
 
         Raises http.BadMessage if it takes too long or too much is held.
         """
-        reader, data, continued = incoming.reader, first, False
+        reader, continued = incoming.reader, False
+        data, incoming.unparsed = incoming.unparsed, b""
         self._hold(incoming, len(data))
         for limit, part in ((self.head, "head"), (self.body, "body")):
             with self.world.limit(limit) as scope:
@@ -129,6 +133,6 @@
         incoming.held = size
 
     def _discard(self, incoming: IncomingRequest) -> None:
-        """Frees the request's body, which no longer counts as held."""
-        incoming.reader.discard_body()
+        """Frees what was received of the request, which no longer counts as held."""
+        incoming.reader.close()
         self._hold(incoming, 0)
--- a/stackpitch/wire/http.py
+++ b/stackpitch/wire/http.py
@@ -116,7 +116,8 @@
     def _handle_parser_error(self, error: Exception) -> None:
         cause = error.__context__ or error.__cause__
         if isinstance(cause, BadMessage):  # raised by one of the callbacks above
-            raise cause from None
+            # A new one: the traceback of the other would refer to this frame, and this frame to it.
+            raise BadMessage(cause.status, str(cause)) from None
         if not self.complete:
             raise BadMessage(400, f"not HTTP/1.1: {error}") from None
         self.extra_bytes = True  # the message was complete before the invalid bytes
@@ -184,10 +185,18 @@
         return bytes(self.body_buffer)
 
     def discard_body(self) -> None:
-        """Frees the body at once; the parser itself is freed only by the garbage collector."""
+        """Frees the body at once."""
         self.body_buffer.clear()
         self.pieces.clear()
 
+    def close(self) -> None:
+        """Frees what was received. Nothing may be fed any more.
+
+        The parser and its callbacks refer to each other, so that only the garbage collector would free them.
+        """
+        self.discard_body()
+        del self.parser
+
 
 class ResponseParser(_MessageParser):
     """Parses one response; after each `feed`, `pieces` holds the body data of that feed only.
--- a/tests/test_small_chunks.py
+++ b/tests/test_small_chunks.py
@@ -114,6 +114,34 @@
     assert left < refused * BODY / 4
 
 
+MAX_LEFT = 4096  # bytes of a refused head
+SHORT_FIELDS = b"a:b\r\n" * 3000
+LONG_FIELD = b"req-extra: " + b"x=1," * 4200 + b"\r\n"
+
+
+@pytest.mark.parametrize("fields, status", [(SHORT_FIELDS, 431), (LONG_FIELD, 431), (b"a\r\n", 400)])
+def test_a_refused_head_is_freed_at_once(fields: bytes, status: int) -> None:
+    """Guards against refused heads that stay in memory until the garbage collector runs, at full speed by the second."""
+    refused = 100
+    message = b"POST /v1/chat/completions HTTP/1.1\r\n" + fields
+
+    def body(
+        world: RealWorld, group: Group, client_listener: PlatformListener, host: AnsweringHost, address: Any
+    ) -> Coro[int]:
+        for _ in range(refused):
+            stream = yield from world.connect(address, SECOND)
+            stream.write(message)
+            response = yield from answer(stream)
+            assert response is not None and response.status == status
+            stream.close()
+        return tracemalloc.get_traced_memory()[0]
+
+    with PeakMemory():
+        left = run_with_listener(body)
+    print(f"{left / refused:.0f} bytes a refused head")
+    assert left < refused * MAX_LEFT
+
+
 def test_a_refused_client_that_goes_on_sending_takes_no_memory() -> None:
     """Guards against the last bytes read of each refused connection being kept while it waits for the client's end."""
     refused = 20
