--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -20,7 +20,7 @@
 
     def __init__(self) -> None:
         self.name, self.requests, self.accepted = "h", dict[Any, Any](), list[str]()
-        self.denials = Denials()
+        self.denials, self.recently_run = Denials(), None
 
     def request_arrived(self, client_request: Any) -> None:
         self.accepted.append(client_request.gen.name)
