Soak: streams that go on with comments or pause, ids that come again, and an oracle that sees a cut

Found on the way: oracle/streams.py asked for the outcome 'gone' of a stream that was cut off, and a stream's outcome is 'spoilt' from its first event on, so that no cut was ever seen.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import time
+from collections.abc import Collection
 from contextlib import suppress
 from random import Random
 from zlib import crc32
@@ -12,10 +13,14 @@
 from soak.records import Record, Request
 from soak.workers import target
 from stackpitch.wire import http
+from stackpitch.wire.http import Headers
 
 KINDS = ["good"] * 14 + ["leaves", "resets", "stops", "slow", "half-closes"]
 WHOLE_STREAM = 30.0  # seconds more that a client waits for a stream that has begun
 TURNS = 3  # of the event loop, in which it sees all that has come
+AGAIN_PART = 0.2  # of the requests that must not run twice and whose stream has begun come again
+AGAIN_WITHIN = 0.5  # seconds
+AGAIN_WAITS = 2.0  # seconds for the answer
 LEAVING = ("leaves", "resets", "half-closes")
 # Seconds over its limit for which a client waits, through two long stops of its gateway.
 PATIENCE = 7.0
@@ -35,9 +40,11 @@
         host: str,
         limits: dict[str, float],
         new_session: float = 0.05,
+        unrepeatable: Collection[str] = (),
     ) -> None:
         """`limits`: the longest deadline of each class, in seconds. `new_session`: the part of its requests that begin another
-        conversation."""
+        conversation. `unrepeatable`: classes of which it may send an id again, which must not run again."""
+        self.unrepeatable, self.again = unrepeatable, Random(f"{number} again")
         self.limits, self.new_session = limits, new_session
         self.number, self.gateway, self.record, self.random, self.host = number, gateway, record, random, host
         self.port = 0
@@ -73,11 +80,24 @@
             request.fresh = not kept
             self.record.requests.append(request)
             await self._ask(request)
+            if request.status == 200 and product in self.unrepeatable and self.again.random() < AGAIN_PART:
+                await self._come_again(request)
             unanswered = request.status == 0 and request.left is None and kind != "stops"
             if not (unanswered and kept and request.ended is not None):
                 return
             request.resent = True
 
+    async def _come_again(self, request: Request) -> None:
+        """With the same id, on a connection of its own; the answer is not judged, what runs is."""
+        await asyncio.sleep(self.again.uniform(0, AGAIN_WITHIN))
+        with suppress(OSError, TimeoutError):
+            reader, writer = await asyncio.open_connection(self.host, self.port)
+            try:
+                writer.write(self._bytes(request, [("soak-again", "1")]))
+                await asyncio.wait_for(reader.read(1), AGAIN_WAITS)
+            finally:
+                writer.close()
+
     def _drawn(self) -> tuple[str, str, float]:
         """What this client does, the class and the deadline of its next request."""
         product = self.random.choices(list(self.limits), [6, 3, 2])[0]
@@ -138,7 +158,7 @@
             self.writer.close()
         self.reader = self.writer = None
 
-    def _bytes(self, request: Request) -> bytes:
+    def _bytes(self, request: Request, more: Headers = ()) -> bytes:
         body = b'{"stream":true,"pad":"' + b"x" * self.random.randint(0, 3000) + b'"}'
         if self.random.random() < self.new_session:
             self.sessions, self.turns = self.sessions + 1, 0
@@ -157,6 +177,7 @@
                 ("req-key", f"{self.number:08x}{self.sessions:08x}"),
                 ("soak-gateway", self.gateway),
                 ("soak-body", f"{crc32(body):08x}"),
+                *more,
             ],
         )
 
--- a/soak/crossings.py
+++ b/soak/crossings.py
@@ -23,7 +23,7 @@
     "kill": ("kill",),
     "pause": ("stop-short", "stop-long"),
     "reload": ("hup", "hup-settings"),
-    "worker hangs": ("hang", "hang-midway", "slow", "silent", "deaf", "mute-idle"),
+    "worker hangs": ("hang", "hang-midway", "slow", "silent", "deaf", "mute-idle", "comments", "pauses"),
     "worker breaks": (
         "break",
         "fail",
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,6 +14,7 @@
 from soak.plan import (
     DISCOVERY,
     LASTING,
+    STREAM_MODES,
     WORKER_DEAF,
     WORKER_LIFE,
     WORKER_MODES,
@@ -22,7 +23,7 @@
     Trouble,
 )
 from soak.records import Record
-from soak.settings import RETRY_AFTERS, limits, settings
+from soak.settings import RETRY_AFTERS, UNREPEATABLE, limits, settings
 from soak.shim import Shim
 from soak.workers import Worker, member
 
@@ -92,6 +93,7 @@
                 HOST,
                 limits(plan),
                 plan.pressure.new_session,
+                UNREPEATABLE,
             )
             for number in range(plan.clients)
         ]
@@ -138,7 +140,7 @@
         """Of the gateways or workers that a trouble is at; none: it is everywhere."""
         if trouble.kind in DISCOVERY or trouble.kind == "join":
             return []
-        if trouble.kind in WORKER_MODES + WORKER_NETWORK + WORKER_DEAF + WORKER_LIFE + LASTING:
+        if trouble.kind in WORKER_MODES + STREAM_MODES + WORKER_NETWORK + WORKER_DEAF + WORKER_LIFE + LASTING:
             return [self.workers[number].name for number in trouble.targets]
         return [self.gateways[number].name for number in trouble.targets]
 
--- a/soak/link.py
+++ b/soak/link.py
@@ -54,6 +54,7 @@
         self.reader, self.writer, self.network = reader, writer, network
         self.came = 0.0
         self.ended: float | None = None
+        self.ended_there = False  # by the other side, not by `abort`
         self.passed = 0.0  # when the last write got onto its way
         self.mute = False  # nothing passes any more
         self.idle = True
@@ -73,6 +74,7 @@
                 data = b""
             now = time.monotonic()
             if not data:
+                self.ended_there = self.ended is None
                 self.ended = self.ended or now
             self.arrived.append((now, data))
             self.news.set()
--- a/soak/mutants/answers.py
+++ b/soak/mutants/answers.py
@@ -12,10 +12,12 @@
 from stackpitch.platform.leg import PlatformLeg
 from stackpitch.platform.request import PlatformRequest
 from stackpitch.wire import http
+from stackpitch.wire.platform import EventParser
 
 OWN_ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
 AFTER_TIME = 900 * MS  # over a request's time, at which a late refusal comes; half a second is granted
 LATE_END = 1400 * MS  # one second is granted
+IMPATIENCE = 1800 * MS
 HELD_BACK = 800 * MS  # 0.3 s are granted
 CUT_PIECE, RARE = 20, 9  # one in so many
 
@@ -172,6 +174,40 @@
     patch(StreamWatch, "_check", check)
 
 
+def comments_as_output() -> None:
+    """Whatever completes a part of a stream keeps it open, comments too: the program of incident 72."""
+    feed = EventParser.feed
+
+    def count(self: Any, pieces: Any) -> bytes:
+        before = self.outputs
+        complete: bytes = feed(self, pieces)
+        if complete and self.outputs == before:
+            acted()
+            self.outputs += 1
+        self.comments_in_a_row = 0
+        return complete
+
+    patch(EventParser, "feed", count)
+
+
+def impatient_stream() -> None:
+    """A stream is cut off once it has been silent for 1.8 s."""
+    begin = StreamWatch.__init__
+
+    def watch(self: Any, world: Any, stream: Any, limit: Time) -> None:
+        begin(self, world, stream, min(limit, IMPATIENCE))
+
+    check = StreamWatch._check
+
+    def cut(self: Any) -> None:
+        check(self)
+        if self.expired:
+            acted()
+
+    patch(StreamWatch, "__init__", watch)
+    patch(StreamWatch, "_check", cut)
+
+
 def _retry_after(changed: Callable[[Time], Time]) -> None:
     refuse = PlatformRequest.refuse
 
@@ -221,6 +257,8 @@
     "held-events": Mutant("events-time", held_events),
     "held-events-in-three": Mutant("events-time", held_events_in_three),
     "silent-stream": Mutant("stream-silent", silent_stream),
+    "comments-as-output": Mutant("stream-silent", comments_as_output),
+    "impatient-stream": Mutant("stream-cut", impatient_stream),
     "long-retry-after": Mutant("retry-after", long_retry_after),
     "unasked-retry-after": Mutant("retry-after", unasked_retry_after),
     "changed-body": Mutant("request-unchanged", changed_body),
--- a/soak/mutants/effects.py
+++ b/soak/mutants/effects.py
@@ -10,6 +10,7 @@
 from stackpitch.gateway import leg as attempts
 from stackpitch.gateway import permission, resend_window
 from stackpitch.gateway.outcomes import Phase
+from stackpitch.gateway.recently_run import RecentlyRun
 from stackpitch.interface import Product, Scope
 from stackpitch.loop import SECOND
 from stackpitch.platform.leg import PlatformLeg
@@ -172,7 +173,20 @@
     _note_sends(lambda leg, now: leg.number >= most[0])
 
 
+def forgotten_ids() -> None:
+    """An id whose request is over may run again."""
+    contains = RecentlyRun.__contains__
+
+    def forget(self: Any, name: str) -> bool:
+        if contains(self, name):
+            acted()
+        return False
+
+    patch(RecentlyRun, "__contains__", forget)
+
+
 MUTANTS = {
+    "forgotten-ids": Mutant("effects", forgotten_ids),
     "second-copy": Mutant("second-copies", second_copy),
     "second-copy-of-reads": Mutant("second-copies", second_copy_of_reads),
     "repeated-effect": Mutant("effects", repeated_effect),
--- a/soak/oracle/attempts.py
+++ b/soak/oracle/attempts.py
@@ -25,6 +25,7 @@
             yield from _refused(request, product, ran)
             yield from _out(seen, request, attempts)
             yield from _allowed(seen, request, attempts)
+    yield from _came_again(seen)
 
 
 def may_have_run(attempt: Attempt) -> bool:
@@ -46,6 +47,16 @@
         yield f"rule 2: {request.name} was sent again outside its {product['dedupScope']}: {sorted(groups)}"
 
 
+def _came_again(seen: Seen) -> Iterator[str]:
+    """An id whose stream had begun runs no second time, unless another process took the gateway's place."""
+    for attempt in seen.again:
+        request = seen.requests.get(attempt.request)
+        if request is None or not may_have_run(attempt):
+            continue
+        if not seen.replaced(request.gateway, request.began or 0.0, attempt.began):
+            yield f"rule 2: {request.name} came again and ran once more, at {attempt.worker}"
+
+
 def _group(seen: Seen, attempt: Attempt, scope: str) -> tuple[str, ...]:
     """Workers that drop each other's repeats have the same."""
     zone, cell = seen.record.places[attempt.worker]
--- a/soak/oracle/seen.py
+++ b/soak/oracle/seen.py
@@ -23,8 +23,12 @@
         self.settings = cast(Any, record.settings)
         self.classes: dict[str, Mapping[str, Any]] = {one["name"]: one for one in self.settings["classes"]}
         self.attempts: dict[str, list[Attempt]] = defaultdict(list)
+        self.again: list[Attempt] = []  # of requests whose clients came again with the same id
         for attempt in sorted(record.attempts, key=lambda one: one.began):
-            self.attempts[attempt.request].append(attempt)
+            if attempt.again:
+                self.again.append(attempt)
+            else:
+                self.attempts[attempt.request].append(attempt)
         self.by_name = {one.name: one for one in record.attempts if one.name}
         self.requests = {one.name: one for one in record.requests}
         self.end = max((one.sent or 0.0 for one in record.requests), default=0.0)
--- a/soak/oracle/streams.py
+++ b/soak/oracle/streams.py
@@ -10,6 +10,9 @@
 STILL_WRITES = 1.0  # seconds; a worker that has written within them was cut off while its events arrived
 END_LATE = 1.0  # seconds after its worker's end by which a stream's end is passed on
 SILENT = 5.0  # seconds for which a client may be kept waiting after the last event
+# Seconds for which a worker that pauses has to be waited for: what a client waits, less 0.3 s by which an event may
+# come late and less what a gateway may be held up.
+WORTH_WAITING = SILENT - 0.3 - 0.2
 EVENT_LATE = 0.3  # seconds
 LATE_PART, LATE_LEAST = 0.05, 5  # of all streams may have an event held back; and so many in a short run
 SLOW_KIND = "slow"  # clients that take their streams slowly
@@ -41,9 +44,9 @@
         return None
     if attempt.outcome == "streamed":
         return "its stream ended though its worker's did not"
-    if attempt.outcome == "gone" and attempt.events and attempt.ended is not None:
+    if attempt.cut_off and attempt.ended is not None:
         silent = attempt.ended - attempt.events[-1]
-        if silent < STILL_WRITES:
+        if silent < (WORTH_WAITING if attempt.pausing else STILL_WRITES):
             return f"its stream was cut off {silent:.2f} s after its worker's last event"
     return None
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -18,6 +18,8 @@
     "close-idle",
     "late-connect",
 )
+# What streams are like, beside the modes that are drawn: no event any more but comments, or long pauses with comments.
+STREAM_MODES = ("comments", "pauses")
 # Nothing new is taken, on all connections or on those that rest, while all else goes on.
 WORKER_DEAF = ("deaf", "mute-idle")
 WORKER_LIFE = ("die", "drain", "join")
@@ -46,6 +48,7 @@
 SURE = ("break", "late-reset", "hang-midway", "fail", "join", "hup", "hup-settings", "drain", "cut")
 SURE_OF_LISTS = ("hup", "discovery-silent", "discovery-mute")  # one of them before a drain that lasts
 SURE_LENGTH = 2.5
+STREAM_TIMES, STREAM_LENGTH = 2, 3.0  # in each run, of each kind; seconds
 DEAF_TIMES, DEAF_LENGTH = 2, 3.0  # in each run, of each kind; seconds
 # In each run, twice: half of the decode workers hang with what they have taken; before the attempts' time is over, the
 # workers of one role take nothing more.
@@ -128,6 +131,7 @@
     most = alone.sample(range(readers + writers), (readers + writers) * 4 // 5)
     troubles.append(Trouble("silent", when, SURE_SILENCE, tuple(sorted(most)), alone.random()))
     troubles += _deaf(Random(f"{seed} deaf"), seconds, readers, writers)
+    troubles += _odd_streams(Random(f"{seed} streams"), seconds, readers, writers)
     troubles += _failed(Random(f"{seed} failed"), seconds, readers, writers)
     troubles += _paired(seed, seconds, count, readers, writers)
     crowded = more.random() < CROWDED_PART
@@ -177,6 +181,16 @@
     return found
 
 
+def _odd_streams(random: Random, seconds: float, readers: int, writers: int) -> list[Trouble]:
+    """At half of the decode workers, early enough that a stream without events is seen to end."""
+    found = []
+    for kind in STREAM_MODES * STREAM_TIMES:
+        at = random.uniform(1.5, max(2.0, seconds - 9))
+        some = random.sample(range(readers, readers + writers), (writers + 1) // 2)
+        found.append(Trouble(kind, at, STREAM_LENGTH, tuple(sorted(some)), random.random()))
+    return found
+
+
 def _failed(random: Random, seconds: float, readers: int, writers: int) -> list[Trouble]:
     """Decode attempts that have arrived fail, and what follows them does not arrive: first a read, then a decode attempt."""
     found = []
--- a/soak/records.py
+++ b/soak/records.py
@@ -26,6 +26,9 @@
     fetched: float | None = None  # a decode worker had fetched the state and began its stream, or found none
     name: str = ""  # of this attempt, in the marks of its events
     events: list[float] = field(default_factory=list)  # when each got onto its way
+    cut_off: bool = False  # its connection was ended while its worker wrote its stream
+    pausing: bool = False  # its worker would have written the next event before a client gives up
+    again: bool = False  # of a request whose client came again with the id of one that had its answer begun
     unchanged: bool = True  # the request came as its client had sent it
 
 
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -7,6 +7,7 @@
 LIMITS = {"chat": 4.0, "pay": 4.0, "order": 9.0}  # seconds, before the plan's part of them
 LONGEST_DEADLINE = max(LIMITS.values())
 RETRY_AFTERS = (1100, 1000)  # milliseconds; the latter is in force but for moments
+UNREPEATABLE = frozenset({"order"})  # classes whose effect must not happen twice
 FLAVORS = ("r", "w")
 
 
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -28,6 +28,11 @@
 LATE_RESET = 1.5  # seconds after which a request is reset at most
 FILLERS = 2  # connections that fill a queue for one
 SPLIT_PART = 0.3  # of the events come in chunks of their own parts
+COMMENT = http.chunk(b": keep-alive\n\n")
+COMMENTED_PART, PAUSED_PART = 0.3, 0.1  # of the events are followed by comments alone, or by a pause
+COMMENTS_FOR = 60.0  # seconds, if nobody ends the stream
+COMMENT_GAPS = (0.02, 0.25, 1.0, 3.0)  # seconds between two comments, one of them for each stream
+PAUSES = (2.0, 3.9)  # seconds between two events, less than a client waits
 TARGET = "/v1/chat/completions"
 
 
@@ -45,7 +50,8 @@
 
 
 class Worker:
-    """`modes`: what the story makes it do now: hang, hang-midway, fail, decline, break, slow, stray, forget, late-reset."""
+    """`modes`: what the story makes it do now: hang, hang-midway, fail, decline, break, slow, stray, forget,
+    late-reset, comments, pauses."""
 
     def __init__(
         self,
@@ -63,6 +69,7 @@
         self.capacity, self.inside = capacity, 0  # attempts that run or wait
         self.slots = asyncio.Semaphore(capacity.slots)
         self.marking = Random(f"{name} marks")  # by itself, so that what is drawn else stays as it is
+        self.quirks = Random(f"{name} quirks")  # likewise
         self.streams = 0
         self.network = Network(random)
         self.modes: set[str] = set()
@@ -167,6 +174,7 @@
             if attempt is not None and reader.head_done and reader.method != "DELETE":
                 attempt.request = reader.headers.get("req-id", "")
                 attempt.gateway = reader.headers.get("soak-gateway", "")
+                attempt.again = "soak-again" in reader.headers
                 self.record.attempts.append(attempt)
                 attempt.ended = attempt.ended or link.ended or time.monotonic()
 
@@ -190,6 +198,7 @@
             return answer.result()
         answer.cancel()
         attempt.ended, attempt.outcome = link.ended, attempt.outcome or "gone"
+        attempt.cut_off = link.ended_there and bool(attempt.events) and attempt.outcome != "streamed"
         return False
 
     @staticmethod
@@ -277,10 +286,35 @@
                 return False
             attempt.events.append(link.passed)
             head = b""
+            if "comments" in self.modes and self.quirks.random() < COMMENTED_PART:
+                return await self._write_comments(link, marks)
+            if "pauses" in self.modes and self.quirks.random() < PAUSED_PART:
+                await self._pause(link, attempt)
             await asyncio.sleep(self.random.uniform(0.2, 2) * GAP * (MOST_SLOW_GAP if slow == SLOW else 1))
         last = chunked(marks.last(self._report()), self.marking) + http.LAST_CHUNK
         return await self._end(link, attempt, last, "streamed")
 
+    async def _write_comments(self, link: Link, marks: Marks) -> bool:
+        """Writes no event any more, and no last chunk; half of the streams have their `[DONE]` before."""
+        if self.quirks.random() < 0.5 and not await link.write(http.chunk(marks.last(self._report()))):
+            return False
+        gap = self.quirks.choice(COMMENT_GAPS)
+        until = time.monotonic() + COMMENTS_FOR
+        while time.monotonic() < until and await link.write(COMMENT):
+            await asyncio.sleep(gap)
+        return False
+
+    async def _pause(self, link: Link, attempt: Attempt) -> None:
+        """Writes comments until its next event is due."""
+        attempt.pausing = True
+        until = time.monotonic() + self.quirks.uniform(*PAUSES)
+        gap = self.quirks.choice(COMMENT_GAPS)
+        while (left := until - time.monotonic()) > 0:
+            if not await link.write(COMMENT):
+                return  # the next write finds the same
+            await asyncio.sleep(min(gap, left))
+        attempt.pausing = False
+
 
 def member(worker: Worker, phase: str = "up") -> dict[str, object]:
     """As discovery lists it."""
