Events without output begin no client's stream

Cause: platform/leg.py:_exchange took the first whole event, whatever it has, for the begin of the answer. Change: the stream begins with the first output, as it is kept open by output; what came before goes out with it. test_what_is_no_output_begins_no_stream: 2 of 4 cases failed before (no answer within 2 s of 1.5 and 0.5), none now.

--- a/stackpitch/platform/leg.py
+++ b/stackpitch/platform/leg.py
@@ -22,7 +22,7 @@
 class PlatformLeg(LegRunner):
     """Runs one leg to a model server.
 
-    The client's stream starts with the first complete event; until then an invalid answer only fails the leg.
+    The client's stream starts with the first output; until then an invalid answer only fails the leg.
     """
 
     def __init__(self, host: "Host", ask: PlatformRequest, leg: Leg, limit: Time) -> None:
@@ -86,7 +86,7 @@
         ):
             return (yield from self._read_response(stream))
         events = self.events.feed(reader.pieces)
-        while not self.events.events:
+        while not self.events.outputs:
             if reader.complete:
                 return self._failure_end("garbled", "a stream without any event")
             yield from self._read_more(stream)
--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -81,6 +81,32 @@
     side_by_side(brings_no_event, tmp_path, list(NO_EVENTS))
 
 
+NO_BEGINNINGS = ("comments", "load reports", "empty objects", "no choices")
+LIMIT_MS, ANSWER_LATE = 1500, 0.5
+
+
+def brings_no_first_event(folder: Path, name: str) -> None:
+    workers, what, over = fleet("r1", "w1*"), NO_EVENTS[name], threading.Event()
+    with RunningGateway(folder, workers) as gateway:
+        client = gateway.ask("order", LIMIT_MS)
+        attempt = workers[1].next(client.name)
+        attempt.send(STREAM_HEAD + what.part)
+        writing = threading.Thread(target=write_until, args=(over, attempt, what), daemon=True)
+        writing.start()
+        try:
+            answer = client.answer(LIMIT_MS / 1000 + ANSWER_LATE)
+            assert (answer.status, answer.whole) == (502, True)
+        finally:
+            over.set()
+            writing.join()
+            attempt.close()
+
+
+def test_what_is_no_output_begins_no_stream(tmp_path: Path) -> None:
+    """Guards against a request whose time limit is lifted though its answer has not begun."""
+    side_by_side(brings_no_first_event, tmp_path, NO_BEGINNINGS)
+
+
 SlowStream = Callable[[Attempt], None]
 
 
