--- a/tests/test_silent_streams.py
+++ b/tests/test_crossings_silent_streams.py
@@ -1,11 +1,13 @@
 """A stream that brings no event is ended in time, whatever else its worker writes; one whose events come is not cut."""
 
+import signal
 import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 
+from crossing_clients import in_body
 from crossing_gateway import RunningGateway, side_by_side
 from crossing_workers import STREAM_END, STREAM_HEAD, Attempt, fleet
 from platform_script import USAGE, event
@@ -81,6 +83,21 @@
     side_by_side(brings_no_event, tmp_path, list(NO_EVENTS))
 
 
+def test_a_process_that_stops_is_not_kept_by_a_stream_without_events(tmp_path: Path) -> None:
+    workers, over = fleet("r1", "w1*"), threading.Event()
+    with RunningGateway(tmp_path, workers) as gateway:
+        client = gateway.ask("order")
+        attempt = workers[1].next(client.name)
+        attempt.send(STREAM_HEAD + event("one"))
+        client.answer(until=in_body(b"one"))
+        writing = threading.Thread(target=write_until, args=(over, attempt, NoEvent(COMMENT)), daemon=True)
+        writing.start()
+        gateway.signal(signal.SIGTERM)
+        assert gateway.exit_code(KEPT_WAITING + SOON) == 0
+        over.set()
+        writing.join()
+
+
 NO_BEGINNINGS = ("comments", "load reports", "empty objects", "no choices")
 LIMIT_MS, ANSWER_LATE = 1500, 0.5
 
