What the OpenAI-style API needs of the listener stands in a module of its own

gateway/client_listener.py (349 lines) held what all listeners share, and one protocol's paths, models and token ids, with a parser that the platform's listener passed as None. gateway/openai_listener.py has the latter; ClientListener is abstract in these two steps, and the wait that stood three times in them is _may_continue. No behaviour changes.

--- a/stackpitch/gateway/client_listener.py
+++ b/stackpitch/gateway/client_listener.py
@@ -6,21 +6,20 @@
 host until its final response.
 """
 
+from abc import ABC, abstractmethod
 from collections import Counter
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
-import msgspec
-
-from stackpitch.gateway.client_request import DEPARTED, ClientRequest, OpenAIRequest
-from stackpitch.gateway.facts import BadRequest, Facts, RequestParser
+from stackpitch.gateway.client_request import DEPARTED, ClientRequest
+from stackpitch.gateway.facts import BadRequest
 from stackpitch.gateway.host import Host
 from stackpitch.gateway.permission import Act, ConnectionState, Reason, end_denial
 from stackpitch.gateway.request_receiving import IncomingRequest, RequestReceiver
 from stackpitch.gateway.trace import Closing
-from stackpitch.interface import Generation, Time
+from stackpitch.interface import Time
 from stackpitch.loop import ConnectionLost, Coro, Group, Listener, Stream, World
 from stackpitch.wire import http
-from stackpitch.wire.engine import GENERATE_PATHS, error_body
+from stackpitch.wire.engine import error_body
 
 if TYPE_CHECKING:
     from stackpitch.gateway.logs import Log
@@ -30,16 +29,11 @@
 REQUEST_ID_FIELDS = ("req-id", "x-request-id")  # headers that may hold a request's id, for the log
 
 
-class TokenTranslator(Protocol):
-    """Translates token ids in a request between the vocabularies of the servers."""
-
-    def spoken(self, facts: Facts) -> dict[str, dict[str, msgspec.Raw]] | None:
-        """By vocabulary, the body fields with token ids; None: the request has none. Raises BadRequest."""
-        ...
+class ClientListener(RequestReceiver, ABC):
+    """Accepts client connections. Its tables have an entry per open connection at most.
 
-
-class ClientListener(RequestReceiver):
-    """Accepts client connections. Its tables have an entry per open connection at most."""
+    Each protocol's listener adds its paths and how it reads a request.
+    """
 
     retry_after: Time = 0  # sent with refusals while the gateway stops; 0: none is sent
 
@@ -49,7 +43,6 @@
         host: Host,
         log: "Log",
         metrics: "Metrics",
-        parser: RequestParser | None,
         *,
         max_connections: int,
         max_bodies: int,
@@ -67,17 +60,14 @@
         The rest as for `RequestReceiver`.
         """
         super().__init__(world, host, metrics, stall, max_bodies, max_body, max_head, head, body, idle, fresh)
-        self.log, self.request_parser = log, parser
-        self.token_translator: TokenTranslator | None = None  # set if servers have several vocabularies
+        self.log = log
         self.max_connections, self.margin = max_connections, margin
-        self.connections = self.request_count = 0
+        self.connections = 0
         # Why connections ended, counted since the last `take_close_reasons`; one entry per reason.
         self.close_reasons: Counter[Closing] = Counter()
         # Why a connection will end after its response, where known; emptied as the connections end.
         self._close_reason: dict[Stream, Closing] = {}
         self.accepting = True  # until the listener is closed
-        # Different at each start, whatever the wall clock says.
-        self.id_prefix = f"{host.name}.{world.unique_id('ids'):x}"
 
     def serve(self, group: Group, listener: Listener) -> Coro[None]:
         """Accepts connections until the listener is closed."""
@@ -174,35 +164,22 @@
             else [("connection", "close")]
         )
 
+    @abstractmethod
     def _route(self, stream: Stream, reader: http.RequestParser, began: Time) -> Coro[bool]:
-        """Handles a complete request by its path. `began`: when its first byte arrived."""
-        path, method = reader.path, reader.method
-        if path in GENERATE_PATHS and method == "POST":
-            return (yield from self._handle_generation(stream, reader, began))
-        if path == "/v1/models" and method == "GET":
-            assert self.request_parser is not None
-            models = [
-                {"id": name, "object": "model", "created": 0, "owned_by": "stackpitch"}
-                for name in self.request_parser.models
-            ]
-            stream.write(
-                http.response(
-                    200, msgspec.json.encode({"object": "list", "data": models}), self._close_header(reader)
-                )
-            )
-        elif path == "/health" and method == "GET":
-            stream.write(http.response(503 if self.stopping else 200, b"{}", self._close_header(reader)))
-        elif path in (*GENERATE_PATHS, "/v1/models", "/health"):
-            yield from self._send_error(
-                stream, 405, "method_not_allowed", f"{method} is not allowed on {path}", again=False
-            )
-            return False
-        else:
-            allowed = ", ".join((*GENERATE_PATHS, "/v1/models"))
-            yield from self._send_error(
-                stream, 404, "not_found", f"found {path[:80]!r}; allowed: {allowed}", again=False
-            )
-            return False
+        """Handles a complete request by its path; True if the connection may carry another.
+
+        `began`: when its first byte arrived. Raises BadMessage, after which the connection ends.
+        """
+
+    @abstractmethod
+    def _parse_request(self, stream: Stream, reader: http.RequestParser, began: Time) -> ClientRequest:
+        """Builds the request from a complete message.
+
+        Raises BadRequest, or BadMessage, after which the connection ends as well.
+        """
+
+    def _may_continue(self, stream: Stream, reader: http.RequestParser) -> Coro[bool]:
+        """Waits until a small answer has been read; True if the connection may carry another request."""
         return (
             (yield from self._drain_answer(stream))
             and reader.keep_alive
@@ -223,12 +200,7 @@
             self.metrics.refused.labels("request").inc()
             body = error_body(str(error), "bad_request", "invalid_request_error")
             stream.write(http.response(400, body, [("x-should-retry", "false"), *self._close_header(reader)]))
-            return (
-                (yield from self._drain_answer(stream))
-                and reader.keep_alive
-                and not reader.extra_bytes
-                and not self.stopping
-            )
+            return (yield from self._may_continue(stream, reader))
         except http.BadMessage:
             raise
         except Exception as error:  # a request that was read is owed a response, whatever is unusual about it
@@ -258,37 +230,6 @@
                 "untaken", id=request_id, why=reason, left_out=self.host.trace_limiter.take_suppressed()
             )
 
-    def _parse_request(self, stream: Stream, reader: http.RequestParser, began: Time) -> ClientRequest:
-        """Builds the request from a complete message.
-
-        Raises BadRequest, or BadMessage, after which the connection ends as well.
-        """
-        self.request_count += 1
-        assert self.request_parser is not None
-        facts = self.request_parser.parse(
-            reader.path, reader.headers, reader.body(), f"{self.id_prefix}.{self.request_count}"
-        )
-        now = self.world.now()
-        gen = Generation(
-            f"{self.id_prefix}.{self.request_count}",
-            facts.product,
-            facts.customer,
-            facts.session,
-            facts.shared,
-            facts.shared_tok,
-            facts.prompt_tok,
-            facts.limit_tok,
-            None,
-            now,
-            now + max(1, facts.time_limit - self.margin),
-            facts.repeat,
-            False,
-        )
-        request = OpenAIRequest(gen, stream, reader.path, facts.fields, facts.request_id, facts.streamed)
-        if self.token_translator is not None:
-            request.token_fields = self.token_translator.spoken(facts)
-        return request
-
     def _serve_request(
         self, stream: Stream, reader: http.RequestParser, request: ClientRequest
     ) -> Coro[bool]:
--- a/stackpitch/gateway/duties.py
+++ b/stackpitch/gateway/duties.py
@@ -8,9 +8,9 @@
 
 from stackpitch.duties.carrier import Duties, DutiesConfig
 from stackpitch.gateway.admin import Admin, StreamHandler
-from stackpitch.gateway.client_listener import ClientListener
 from stackpitch.gateway.host import Host
 from stackpitch.gateway.logs import Log
+from stackpitch.gateway.openai_listener import OpenAIListener
 from stackpitch.loop import Coro, Stream, World
 from stackpitch.settings import Settings
 from stackpitch.settings.convert import ticks
@@ -40,7 +40,7 @@
 
 
 def build_duties(
-    world: World, settings: Settings, log: Log, host: Host, client_listener: ClientListener, admin: Admin
+    world: World, settings: Settings, log: Log, host: Host, client_listener: OpenAIListener, admin: Admin
 ) -> Duties:
     """The coordinated tasks, connected to the listener, the host and the admin port."""
     duties = Duties(world, log, build_figures(settings))
@@ -64,7 +64,7 @@
     log: Log,
     host: Host,
     duties: Duties,
-    client_listener: ClientListener,
+    client_listener: OpenAIListener,
     admin: Admin,
 ) -> Callable[[str], bool]:
     """Adds the vocabulary task.
--- a/stackpitch/gateway/serve.py
+++ b/stackpitch/gateway/serve.py
@@ -10,11 +10,11 @@
 from stackpitch.gateway import logs
 from stackpitch.gateway.admin import Admin, RouteHandler
 from stackpitch.gateway.bounds import Bounds
-from stackpitch.gateway.client_listener import ClientListener
 from stackpitch.gateway.engines import EngineBackend
 from stackpitch.gateway.facts import RequestParser
 from stackpitch.gateway.host import GossipSettings, Host
 from stackpitch.gateway.metrics import Metrics
+from stackpitch.gateway.openai_listener import OpenAIListener
 from stackpitch.gateway.roster import Roster
 from stackpitch.gateway.roster_manager import RosterManager
 from stackpitch.interface import Time
@@ -104,7 +104,7 @@
 
     def body(group: Group) -> Coro[None]:
         host = build_host(world, group, settings, log, metrics)
-        client_listener = ClientListener(
+        client_listener = OpenAIListener(
             world,
             host,
             log,
@@ -171,7 +171,7 @@
 
 
 def _build_duties(
-    world: World, settings: Settings, log: logs.Log, host: Host, client_listener: ClientListener, admin: Admin
+    world: World, settings: Settings, log: logs.Log, host: Host, client_listener: OpenAIListener, admin: Admin
 ) -> "Duties | None":
     """None, without importing them, unless the settings name voting replicas."""
     if not settings.duties.voters:
--- a/stackpitch/platform/listener.py
+++ b/stackpitch/platform/listener.py
@@ -63,12 +63,7 @@
         if reader.path in (platform.READY_PATH, platform.HEALTHY_PATH) and reader.method == "GET":
             passing = reader.path == platform.HEALTHY_PATH or (self.ready and not self.stopping)
             stream.write(http.response(200 if passing else 503, b"{}", self._close_header(reader)))
-            return (
-                (yield from self._drain_answer(stream))
-                and reader.keep_alive
-                and not reader.extra_bytes
-                and not self.stopping
-            )
+            return (yield from self._may_continue(stream, reader))
         raise http.BadMessage(404, f"found {reader.method} {reader.path[:80]!r}")
 
     def _parse_request(self, stream: Stream, reader: http.RequestParser, began: Time) -> ClientRequest:
--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -75,7 +75,6 @@
             host,
             log,
             metrics,
-            None,
             max_connections=plan.client_connections,
             max_bodies=plan.body_bytes,
             max_body=MAX_BODY,
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -39,8 +39,8 @@
 from stackpitch.brain import AffinityDirectory
 from stackpitch.gateway import logs
 from stackpitch.gateway.admin import Admin
-from stackpitch.gateway.client_listener import ClientListener
 from stackpitch.gateway.metrics import Metrics
+from stackpitch.gateway.openai_listener import OpenAIListener
 from stackpitch.gateway.roster_manager import RosterManager
 from stackpitch.gateway.serve import _admin_routes, build_host, build_reading, ticks
 from stackpitch.loop import MS, SECOND, ConnectFailed, ConnectionLost, Coro, Group, RealWorld, Stream
@@ -343,7 +343,7 @@
         self.settings = settings
         log, metrics, door = logs.make_logger("g0", "error", "json"), Metrics(), settings.door
         self.gateway = build_host(self.world, self.group, settings, log, metrics)
-        self.door = ClientListener(
+        self.door = OpenAIListener(
             self.world,
             self.gateway,
             log,
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -46,7 +46,7 @@
         "fresh": SECOND // 5,
     } | overrides
     log: Any = SimpleNamespace(exception=lambda event, **fields: print(event, fields))
-    client_listener = PlatformListener(world, host, log, NullMetrics(), None, **settings)  # type: ignore[arg-type]
+    client_listener = PlatformListener(world, host, log, NullMetrics(), **settings)  # type: ignore[arg-type]
     client_listener.products = {"chat": CHAT}
     return client_listener
 
--- a/tests/test_platform_descriptors.py
+++ b/tests/test_platform_descriptors.py
@@ -125,7 +125,6 @@
         host,
         None,
         NullMetrics(),
-        None,
         max_connections=20,
         max_bodies=1,
         max_body=1,
