--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -132,11 +132,10 @@
         begin = time.monotonic()
         self.signal(signal.SIGKILL)
         await self._gone()
-        gone = time.monotonic()
         self._look_at_log()
         self.start()
         await self.ready()
-        self.record.pauses.append(Pause(self.name, begin, time.monotonic(), True, True, gone))
+        self.record.pauses.append(Pause(self.name, begin, time.monotonic(), killed=True, replaced=True))
 
     async def roll(self, patience: float, series: Sequence[int], gap: float, stop: float | None) -> None:
         """Signals in a series with SIGTERM among them, `gap` seconds apart, SIGKILL `patience` seconds after that, and another
@@ -160,12 +159,11 @@
             await self._gone()
         elif code != 0:
             self.record.wrong.append(f"{self.name}: ended with {code} after SIGTERM")
-        gone = time.monotonic()
         self._look_at_log()
         self.start()
         await self.ready()
         self.record.pauses.append(
-            Pause(self.name, ended, time.monotonic(), killed=code is None, replaced=True, gone=gone)
+            Pause(self.name, ended, time.monotonic(), killed=code is None, replaced=True)
         )
 
     async def _gone(self, limit: float = 10.0) -> None:
--- a/soak/oracle/seen.py
+++ b/soak/oracle/seen.py
@@ -84,12 +84,9 @@
         return due
 
     def killed(self, gateway: str, begin: float, end: float) -> bool:
-        """Whether its process was killed between; until it has ended its sockets take what is sent to it."""
+        """Whether its process was killed between."""
         return any(
-            one.gateway == gateway
-            and one.killed
-            and one.begin <= end + KILL_NEAR
-            and max(one.begin, one.gone) >= begin - KILL_NEAR
+            one.gateway == gateway and one.killed and begin - KILL_NEAR <= one.begin <= end + KILL_NEAR
             for one in self.record.pauses
         )
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -76,7 +76,6 @@
     end: float
     killed: bool = False
     replaced: bool = False  # another process from then on, that was told nothing yet
-    gone: float = 0.0  # of one that was killed: its process had ended, which takes the system a while
 
 
 @dataclass(slots=True)
--- a/tests/test_soak_excuses.py
+++ b/tests/test_soak_excuses.py
@@ -73,12 +73,3 @@
 
     asyncio.run(join())
     assert record.joined == {fleet.workers[0].name}
-
-
-@pytest.mark.parametrize(
-    "sent, excused", [(3.95, True), (4.15, True), (4.25, True), (4.4, False), (3.8, False)]
-)
-def test_a_request_to_a_process_that_is_being_killed_is_excused(sent: float, excused: bool) -> None:
-    """The system took 0.2 s to end it, and its socket took connections until then."""
-    record = Record({"classes": []}, pauses=[Pause("g1", 4.0, 5.0, killed=True, replaced=True, gone=4.2)])
-    assert Seen(record).killed("g1", sent, sent + 0.01) is excused
