Soak: a request that is being sent as its process is killed counts as met by the kill

Cause: one client in ten pauses for up to 0.2 s between two parts of its request; the first part went to the process that was killed, the rest onto the reset connection, and oracle/answers.py counted from the last byte.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -211,6 +211,7 @@
         """All of it, now and then with a pause in the middle."""
         assert self.writer is not None
         data = self._bytes(request)
+        request.begun = time.monotonic()
         cut = self.random.randint(1, len(data) - 1)
         if self.random.random() < 0.1:
             self.writer.write(data[:cut])
--- a/soak/oracle/answers.py
+++ b/soak/oracle/answers.py
@@ -67,7 +67,7 @@
 
 
 def _excuse(seen: Seen, request: Request) -> Excuse | None:
-    begin = request.sent or request.stopped or 0.0
+    begin = request.begun or request.sent or request.stopped or 0.0
     end = request.ended if request.ended is not None else seen.end
     if seen.broke(request.gateway, begin, end):
         return Excuse.BROKEN_IO
--- a/soak/records.py
+++ b/soak/records.py
@@ -40,6 +40,7 @@
     product: str
     gateway: str
     limit: float
+    begun: float | None = None  # its first byte was handed over
     sent: float | None = None  # its last byte was handed over
     left: float | None = None  # its client closed or reset
     status: int = 0
--- a/tests/test_soak_excuses.py
+++ b/tests/test_soak_excuses.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from soak.oracle import held
+from soak.oracle import answers, held
 from soak.oracle.seen import Seen
 from soak.plan import Trouble
 from soak.pressure import UNBOUNDED
@@ -73,3 +73,14 @@
 
     asyncio.run(join())
     assert record.joined == {fleet.workers[0].name}
+
+
+@pytest.mark.parametrize("begun, excused", [(3.95, True), (4.15, False)])
+def test_a_request_that_was_being_sent_as_its_process_was_killed_is_excused(
+    begun: float, excused: bool
+) -> None:
+    """Its client sent a part, paused, and sent the rest on a connection that the kill had reset."""
+    request = Request("a", "order", "g1", 4.0, begun=begun, sent=4.2, ended=4.2, fresh=True)
+    record = Record({"classes": []}, requests=[request])
+    record.pauses = [Pause("g1", 4.0, 5.0, killed=True, replaced=True)]
+    assert bool(list(answers.breaks(Seen(record)))) is not excused
