A gateway that stops itself at a release is started anew if it lost before it owned the duty

Traced by the gateways' logs: g1's candidacy was turned down (term 0.1.1, 16.147), and from then on it wrote nothing for 18 s while the others handed the duty on fourteen times: a candidate that loses releases what it was promised, and this one stops itself at its first release. The set-up counted on g1 to win at once; the program is not at fault. Change: owned() starts it anew as it was, as it has others hand over already; all checks after it are the same.

--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -23,10 +23,18 @@
     return found
 
 
-def owned(fleet, first):
-    """Its term, once it owns the duty. Another that was quicker, as on a busy machine, hands over: the order begins with it."""
+def owned(fleet, first, broken):
+    """Its term, once it owns the duty. Another that was quicker, as on a busy machine, hands over: the order begins with it.
+
+    A candidate that loses releases what it was promised: one that is `broken` at a release has then stopped
+    itself before its time, and is started anew.
+    """
 
     def there():
+        stopped = fleet.stopped(first)
+        if stopped and not any(word == "owner" and number == first for word, number, _ in fleet.words()):
+            fleet.signal(first, signal.SIGKILL)
+            fleet.start(first, broken=broken)
         found = fleet.owner()
         if found is not None and found[0] != first:
             fleet.signal(found[0], signal.SIGTERM)
@@ -45,10 +53,11 @@
         first = 1  # of the duty's order; the others begin as it stops, so that it is the first owner
         fleet.signal(0, signal.SIGSTOP)
         fleet.signal(2, signal.SIGSTOP)
-        fleet.start(first, broken=f"stop-at-{kind}")
+        broken = f"stop-at-{kind}"
+        fleet.start(first, broken=broken)
         fleet.signal(0, signal.SIGCONT)
         fleet.signal(2, signal.SIGCONT)
-        term = owned(fleet, first)
+        term = owned(fleet, first, broken)
         if kind == "release":
             fleet.new_owner()
             fleet.signal(first, signal.SIGTERM)
