Soak: a stream that the network spoilt does not count as cut off by its gateway

The gateways' logs: the worker's side ended or sent garbage ("closed by the engine", "Invalid character in chunk size"): network faults that hit a comment in a pause, after which soak/workers.py:_pause went on, and garbage whose answer came before the harness looked. The gateways were right to end the streams. Change: Link.spoilt, Attempt.cut_off asks for it; a pause ends with its stream.

--- a/soak/link.py
+++ b/soak/link.py
@@ -55,6 +55,7 @@
         self.came = 0.0
         self.ended: float | None = None
         self.ended_there = False  # by the other side, not by `abort`
+        self.spoilt = False  # a write was cut, half-closed or garbage, so that the other side has to end it
         self.passed = 0.0  # when the last write got onto its way
         self.mute = False  # nothing passes any more
         self.idle = True
@@ -109,6 +110,7 @@
         if random.random() < network.cut:
             self.abort()
             return False
+        self.spoilt = True
         if random.random() < network.half_close:
             self.writer.write(data[: len(data) // 2])
             try:
@@ -119,6 +121,7 @@
         if random.random() < network.garbage:
             self.writer.write(random.randbytes(40))
             return False
+        self.spoilt = False
         if not network.pieces:
             self.writer.write(data)
             return True
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -195,12 +195,19 @@
             look.cancel()
             with suppress(asyncio.CancelledError):
                 await look
+            self._note_cut(link, attempt)
             return answer.result()
         answer.cancel()
         attempt.ended, attempt.outcome = link.ended, attempt.outcome or "gone"
-        attempt.cut_off = link.ended_there and bool(attempt.events) and attempt.outcome != "streamed"
+        self._note_cut(link, attempt)
         return False
 
+    @staticmethod
+    def _note_cut(link: Link, attempt: Attempt) -> None:
+        """Whether the other side ended the connection while a stream was written as it is."""
+        good = not link.spoilt and attempt.outcome != "streamed"
+        attempt.cut_off = link.ended_there and bool(attempt.events) and good
+
     @staticmethod
     async def _wait_for_end(link: Link) -> None:
         while link.ended is None:
@@ -289,7 +296,8 @@
             if "comments" in self.modes and self.quirks.random() < COMMENTED_PART:
                 return await self._write_comments(link, marks)
             if "pauses" in self.modes and self.quirks.random() < PAUSED_PART:
-                await self._pause(link, attempt)
+                if not await self._pause(link, attempt):
+                    return False
             await asyncio.sleep(self.random.uniform(0.2, 2) * GAP * (MOST_SLOW_GAP if slow == SLOW else 1))
         last = chunked(marks.last(self._report()), self.marking) + http.LAST_CHUNK
         return await self._end(link, attempt, last, "streamed")
@@ -304,16 +312,17 @@
             await asyncio.sleep(gap)
         return False
 
-    async def _pause(self, link: Link, attempt: Attempt) -> None:
-        """Writes comments until its next event is due."""
+    async def _pause(self, link: Link, attempt: Attempt) -> bool:
+        """Writes comments until its next event is due; False if one did not pass as it is."""
         attempt.pausing = True
         until = time.monotonic() + self.quirks.uniform(*PAUSES)
         gap = self.quirks.choice(COMMENT_GAPS)
         while (left := until - time.monotonic()) > 0:
             if not await link.write(COMMENT):
-                return  # the next write finds the same
+                return False
             await asyncio.sleep(min(gap, left))
         attempt.pausing = False
+        return True
 
 
 def member(worker: Worker, phase: str = "up") -> dict[str, object]:
