--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -12,7 +12,9 @@
 
 class Engine:
     """One engine. `runs`: the id of each request that it has run. `breaks`: for which ids it ends the connection in
-    place of an answer, after it has run them."""
+    place of an answer, after it has run them. `first_time`: seconds until a writer's first token."""
+
+    first_time = 0.02
 
     def __init__(self, record: Record, name: str, role: str, runs: list[tuple[str, str]]) -> None:
         self.record, self.name, self.role, self.runs = record, name, role, runs
@@ -47,7 +49,7 @@
                 else:
                     self.runs.append((name, self.name))
                     self.record.add(self.name, f"runs {name}, product {call.fields.get('x-product')}")
-                    await asyncio.sleep(0.02)
+                    await asyncio.sleep(self.first_time)
                     if name in self.breaks:
                         self.record.add(self.name, f"ends the connection of {name}, which has run")
                         return
