--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -431,6 +431,7 @@
         async with asyncio.timeout(115):
             return await play(stage)
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # what was started is ended then, too
     code = 2
     try:
         breaks = asyncio.run(limited())
@@ -440,7 +441,8 @@
         code = 1 if breaks else 0
         stage.record.add("verdict", "broken" if breaks else "held")
         print("broken" if breaks else "held", "with" if stage.trouble else "without", "the disruption")
-    except (CannotRun, TimeoutError, OSError) as error:
+    except BaseException as error:  # whatever keeps a case from running says nothing about the rule
+        code = 2
         stage.record.add("verdict", f"could not run: {error!r}")
         print(f"could not run: {error!r}")
     finally:
