Discovery: slow calls are waited for, silent ones are followed by others; one pure schedule

Cause: platform/discovery.py gave a watch 0.6 s beyond its wait (_watch), then asked for the whole list each 0.6 to 0.8 s and cancelled the oldest of four tries (_recover), so no try lived for over 2.4 to 3.2 s, and nothing was learnt from that: an answer that takes longer was never read, and discovery got 43 calls in 30 s where one that answers at once gets 17. After an outage the next try waited for its gap, also where the end of all caught connections had shown that discovery was back.

Change: platform/call_schedule.py, pure, decides when a call is made and which one is given up. No call has a time limit; while discovery answers, one is given up only once a later one was answered. How slow discovery is is measured by its answers and sets when it counts as silent and how often it is called: about two calls overlap. While it is silent, new calls share four places with the oldest one. Calls without a connection follow each other within half of drainGraceMs; a connection that ends after a long wait is followed by a call at once. Answers may come in any order: one that is older than what is in force changes nothing.

The stand-in of the scenes takes its revision with its list, not after a wait.

--- a/soak/discovery.py
+++ b/soak/discovery.py
@@ -24,7 +24,8 @@
         self.members: dict[str, dict[str, object]] = {}
         self.news: list[tuple[int, dict[str, object]]] = []  # as many as the story has changes
         self.changed = asyncio.Condition()
-        self.slow = 0.0  # seconds before each answer
+        self.slow = 0.0  # seconds before each answer at most
+        self.delay = 0.0  # seconds before each answer
         self.unsound = False  # half of the answers are
         self.forms = Random("discovery's forms")
         self.servers: dict[str, tuple[asyncio.Server | None, int]] = {}
@@ -101,8 +102,8 @@
             with suppress(TimeoutError):
                 async with asyncio.timeout(wait), self.changed:
                     await self.changed.wait_for(lambda: since != self.revision)
-        if self.slow:
-            await asyncio.sleep(self.slow * self.random.random())
+        if self.slow or self.delay:
+            await asyncio.sleep(max(self.delay, self.slow * self.random.random()))
         if self.unsound and self.forms.random() < 0.5:
             await write_departure(link, unsound_answer(self.forms))
             return False
--- a/soak/mutants/servers.py
+++ b/soak/mutants/servers.py
@@ -1,7 +1,6 @@
 """Mutants of rules 3 and 4: lists that are not heeded in time, and cold workers that get too much."""
 
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -11,8 +10,8 @@
 from stackpitch.gateway.host import Host
 from stackpitch.gateway.roster import Roster
 from stackpitch.gateway.start_times import StartTimes
-from stackpitch.loop import MS, SECOND, Coro
-from stackpitch.platform import watching
+from stackpitch.loop import MS, SECOND, ConnectionLost, Coro
+from stackpitch.platform.call_schedule import CallSchedule
 from stackpitch.platform.discovery import Discovery
 from stackpitch.platform.reloading import Reloader
 
@@ -62,22 +61,41 @@
 
 
 def deaf_to_silence() -> None:
-    """A watch that has fallen silent is never given up."""
-    times, call = watching.watch_times, Discovery._call
+    """A watch that has fallen silent is waited for, and nothing is asked beside it."""
+    next_start, request = CallSchedule.next_start, Discovery._request
 
-    def endless(spread: float) -> watching.WatchTimes:
-        return replace(times(spread), grace=NEVER)
+    def never(self: Any) -> int:
+        return int(self.answered_at + NEVER)
 
-    def note(self: Any, stream: Any, target: str) -> Any:
+    def only_after_answers(self: Any) -> int:
+        if self.recovering or not self.calls:
+            return int(next_start(self))
+        return never(self)
+
+    def note(self: Any, stream: Any, call: Any) -> Any:
         begun = self.world.now()
         try:
-            return (yield from call(self, stream, target))
+            return (yield from request(self, stream, call))
         finally:
-            if self.world.now() - begun > times(0).wait + times(0).grace:
+            if self.world.now() - begun > self.schedule.times.overlap:
                 acted()
 
-    patch(watching, "watch_times", endless)
-    patch(Discovery, "_call", note)
+    patch(CallSchedule, "_silent_at", never)
+    patch(CallSchedule, "next_start", only_after_answers)
+    patch(Discovery, "_request", note)
+
+
+def impatient_with_discovery() -> None:
+    """A call to discovery is given up after 2.4 s and made again, however slow discovery is."""
+    request = Discovery._request
+
+    def limited(self: Any, stream: Any, call: Any) -> Any:
+        with self.world.limit(self.schedule.times.overlap):
+            return (yield from request(self, stream, call))
+        acted()
+        raise ConnectionLost("given up")
+
+    patch(Discovery, "_request", limited)
 
 
 def deaf_after_reload() -> None:
@@ -158,6 +176,7 @@
     "drained-late": Mutant("drain", drained_late),
     "draining-unheeded": Mutant("drain", draining_unheeded),
     "deaf-to-silence": Mutant("told", deaf_to_silence),
+    "impatient-with-discovery": Mutant("told", impatient_with_discovery),
     "deaf-after-reload": Mutant("told", deaf_after_reload),
     "deaf-to-reload": Mutant("told", deaf_to_reload),
     "overloaded-cold": Mutant("cold", overloaded_cold),
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -37,6 +37,9 @@
     "discovery-pieces",
     "discovery-mute",
 )
+SLOW_DISCOVERY = "discovery-slow"
+# In three runs of four, for some seconds before workers begin to drain for good; longer than a change may take to count.
+SLOW_DISCOVERY_PART, SLOW_DISCOVERY_LENGTH = 0.75, 12.0
 DISCOVERY_FORMS = "discovery-unsound"  # beside the others, so that earlier seeds keep theirs
 CLIENTS = ("burst", "crowd")
 CLIENT_FORMS = "unsound-requests"
@@ -140,6 +143,7 @@
     troubles += _deaf(Random(f"{seed} deaf"), seconds, readers, writers)
     troubles += _odd_streams(Random(f"{seed} streams"), seconds, readers, writers)
     troubles += _formed(Random(f"{seed} forms"), seconds, count, readers, writers)
+    troubles += _slow_discovery(Random(f"{seed} slow discovery"), seconds, count, readers, writers)
     troubles += _failed(Random(f"{seed} failed"), seconds, readers, writers)
     troubles += _paired(seed, seconds, count, readers, writers)
     crowded = more.random() < CROWDED_PART
@@ -221,6 +225,19 @@
     return found
 
 
+def _slow_discovery(
+    random: Random, seconds: float, gateways: int, readers: int, writers: int
+) -> list[Trouble]:
+    """A worker of each role drains for good meanwhile."""
+    at = random.uniform(1.0, max(1.5, seconds - 16))
+    some = (random.randrange(readers), readers + random.randrange(writers))
+    slow = Trouble(
+        SLOW_DISCOVERY, at, SLOW_DISCOVERY_LENGTH, tuple(range(gateways)), random.uniform(0.2, 1.0)
+    )
+    drain = Trouble(LASTING[0], at + random.uniform(0.5, 3.0), SURE_LENGTH, some, random.random())
+    return [slow, drain] if random.random() < SLOW_DISCOVERY_PART else []
+
+
 def _failed(random: Random, seconds: float, readers: int, writers: int) -> list[Trouble]:
     """Decode attempts that have arrived fail, and what follows them does not arrive: first a read, then a decode attempt."""
     found = []
--- a/soak/troubles/discovery.py
+++ b/soak/troubles/discovery.py
@@ -4,10 +4,12 @@
 import time
 
 from soak.fleet import Fleet
-from soak.plan import DISCOVERY_FORMS, Trouble
+from soak.plan import DISCOVERY_FORMS, SLOW_DISCOVERY, Trouble
 from soak.records import Outage
 from soak.troubles.acts import Act
 
+LONGEST_DELAY = 3.5  # seconds; whoever waits for an answer hears of a change well within the page's time
+
 
 class DiscoveryTroubles:
     """At the one discovery of all gateways."""
@@ -24,6 +26,7 @@
             "discovery-reset": self._discovery_reset,
             "discovery-pieces": self._discovery_pieces,
             "discovery-mute": self._discovery_mute,
+            SLOW_DISCOVERY: self._discovery_slow,
             DISCOVERY_FORMS: self._discovery_unsound,
         }
 
@@ -63,3 +66,9 @@
         self.fleet.discovery.slow = trouble.amount
         await asyncio.sleep(trouble.length)
         self.fleet.discovery.slow = 0.0
+
+    async def _discovery_slow(self, trouble: Trouble) -> None:
+        """Every answer takes the same time, which may be longer than any that the gateway would like."""
+        self.fleet.discovery.delay = trouble.amount * LONGEST_DELAY
+        await asyncio.sleep(trouble.length)
+        self.fleet.discovery.delay = 0.0
--- a/stackpitch/platform/discovery.py
+++ b/stackpitch/platform/discovery.py
@@ -1,11 +1,10 @@
-"""Follows discovery's list of servers by one continuous watch (long polling) and applies each update.
+"""Follows discovery's list of servers by watches (long polling) and applies each update.
 
-After a failure the complete list is requested, as that is answered without waiting. Such attempts overlap;
-`watching` defines their timing and the bound that it keeps.
+After a failure the complete list is requested, as that is answered without waiting. `call_schedule` decides
+when calls are made and which are given up on; calls may overlap, so their answers may arrive in any order.
 """
 
-from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING
 
 from stackpitch.exchange import read_body
@@ -14,8 +13,9 @@
 from stackpitch.loop import MS, ConnectFailed, ConnectionLost, Coro, Group, Scope, Stream, Task, Time, World
 from stackpitch.loop.world import Address
 from stackpitch.membership.entries import Entry
+from stackpitch.platform.call_schedule import MAX_PATIENCE, Call, CallSchedule
 from stackpitch.platform.config import ConfigError, parse_address
-from stackpitch.platform.watching import MAX_CONNECTIONS, MAX_STALENESS, WatchTimes
+from stackpitch.platform.watching import WatchTimes
 from stackpitch.wire import http, platform
 
 if TYPE_CHECKING:
@@ -56,18 +56,26 @@
         known: platform.ServerList,
         times: WatchTimes,
     ) -> None:
-        self.world, self.host, self.log, self.target, self.times = world, host, log, target, times
+        self.world, self.host, self.log, self.target = world, host, log, target
+        self.schedule = CallSchedule(times, world.now())
         self.entries: dict[str, Entry] = {}
         self.unknown: dict[str, Entry] = {}  # members of kinds that the settings lack; emptied like `entries`
         self.revision: int | None = None  # None: the complete list has to be requested
         self.list_received = False  # from discovery, since the start
-        self.last_attempt_at: Time | None = None
+        self.applied_at: Time = 0  # when the last update arrived that was applied
         self.logged_causes: set[str] = set()
-        self.scope: Scope | None = None
+        self.scope: Scope | None = None  # of all calls to the present address
+        self.sleeping: Scope | None = None  # until the next call is due
+        self.tasks: dict[Call, Task] = {}  # of the calls under way; emptied as they end
+        self.idle: Stream | None = None  # a connection for the next call
         self.apply(known)
 
+    def set_times(self, times: WatchTimes) -> None:
+        """Changes the times of further calls."""
+        self.schedule.times = times
+
     def set_target(self, target: Address) -> None:
-        """Changes discovery's address; a call in progress is cancelled."""
+        """Changes discovery's address; calls in progress are cancelled."""
         if target != self.target:
             self.target = target
             if self.scope is not None:
@@ -140,15 +148,103 @@
 
     def run(self) -> Coro[None]:
         """Follows discovery until it is cancelled."""
+        try:
+            while True:
+                with self.world.scope() as self.scope:
+                    yield from self.world.group(self._follow)
+                self._keep(None)
+                self.tasks.clear()
+                self.schedule.reset(self.world.now())
+        finally:
+            self._keep(None)
+
+    def _follow(self, group: Group) -> Coro[None]:
+        """Makes each call when it is due."""
         while True:
-            with self.world.scope() as self.scope:
-                stream = yield from self._recover()
-                try:
-                    yield from self._watch(stream)
-                except (ConnectionLost, ConnectFailed, BadAnswer) as error:
-                    self._log_failure(error)
-                except Exception as error:  # an unforeseen answer costs only its call, not the gateway
-                    self.log.exception("discovery_raised", why=str(error))
+            now = self.world.now()
+            if self.schedule.is_silent(now):
+                self._log_failure(ConnectionLost("no answer within the usual time"))
+            if (due := self.schedule.next_start()) <= now:
+                self._start_call(group, now)
+                continue
+            with self.world.scope() as self.sleeping:
+                yield from self.world.sleep(due - now)
+
+    def _start_call(self, group: Group, now: Time) -> None:
+        schedule = self.schedule
+        if (unanswered := schedule.to_give_up(now)) is not None:
+            self._give_up([unanswered])
+            self._log_failure(ConnectionLost("no answer to the request for the complete list"))
+        call = schedule.start(now, None if schedule.recovering else self.revision)
+        self.tasks[call] = group.spawn(self._perform(call), "ask discovery")
+
+    def _give_up(self, calls: Iterable[Call]) -> None:
+        for call in calls:
+            self.schedule.given_up(call)
+            if (task := self.tasks.pop(call, None)) is not None:
+                task.cancel()
+
+    def _perform(self, call: Call) -> Coro[None]:
+        """Makes one call and passes its end on to the schedule."""
+        try:
+            stream = yield from self._connection(call)
+            try:
+                update, reusable = yield from self._request(stream, call)
+                self._accept(call, update, stream.arrived_at)
+            except BaseException:
+                stream.close()
+                raise
+            if reusable:
+                self._keep(stream)
+            else:
+                stream.close()
+        except (ConnectionLost, ConnectFailed, BadAnswer) as error:
+            self._log_failure(error)
+            self.schedule.failed(call, self.world.now(), connection_ended=not isinstance(error, BadAnswer))
+        except Exception as error:  # an unforeseen answer costs only its call, not the gateway
+            self.log.exception("discovery_raised", why=str(error))
+            self.schedule.failed(call, self.world.now(), connection_ended=False)
+        self.tasks.pop(call, None)
+        if self.sleeping is not None:
+            self.sleeping.cancel()
+
+    def _connection(self, call: Call) -> Coro[Stream]:
+        """The connection that the last call left, or a new one. Raises ConnectFailed."""
+        stream, self.idle = self.idle, None
+        if stream is None or stream.closed or stream.eof:
+            stream = yield from self.world.connect(self.target, MAX_PATIENCE)
+        self._give_up(self.schedule.sent(call))
+        return stream
+
+    def _keep(self, stream: Stream | None) -> None:
+        """Keeps this connection for the next call."""
+        if self.idle is not None:
+            self.idle.close()
+        self.idle = stream
+
+    def _accept(self, call: Call, update: platform.ServerList, arrived: Time) -> None:
+        """Applies an answer, whichever call it is for. Raises BadAnswer."""
+        if call.since is None and not update.complete:
+            self.apply(update)  # for the members that it has; the complete list is still to be requested
+            raise BadAnswer(INCOMPLETE)
+        if self.logged_causes:
+            self.logged_causes.clear()
+            self.log.info("discovery_back", revision=update.revision)
+        now = self.world.now()
+        if not self._is_outdated(call, update):
+            if update.complete or (call.since is not None and update.revision >= call.since):
+                self.applied_at = now
+                self._update(update)
+            else:
+                self.revision = None  # the revision went back: what changed since is unknown
+        news = update.revision != call.since
+        self._give_up(self.schedule.answered(call, now, arrived, news))
+
+    def _is_outdated(self, call: Call, update: platform.ServerList) -> bool:
+        """Whether the answer tells nothing new, as that of another call under way at the time came first."""
+        if self.revision is None:
+            return not update.complete
+        return call.started < self.applied_at and update.revision <= self.revision
 
     def _log_failure(self, error: Exception) -> None:
         """Logs each cause once until the next list, so that an outage of discovery can't fill the log."""
@@ -164,116 +260,20 @@
             else:
                 self.log.info("discovery_lost", why=cause)
 
-    def _recover(self) -> Coro[Stream]:
-        """Requests the complete list until it arrives, applies it and returns the connection that it came on.
-
-        A silent attempt is not waited for: the next starts in parallel, and the first complete list cancels
-        the others. A partial list is applied for the members that it has, but it doesn't end the recovery.
-        """
-        results: list[tuple[Stream, platform.ServerList]] = []
-
-        def attempt(group: Group) -> Coro[None]:
-            try:
-                stream, update = yield from self._request_list()
-                if not update.complete:
-                    stream.close()
-                    self.apply(update)
-                    raise BadAnswer(INCOMPLETE)
-                results.append((stream, update))
-            except (ConnectionLost, ConnectFailed, BadAnswer) as error:
-                self._log_failure(error)
-            except Exception as error:  # as in `run`
-                self.log.exception("discovery_raised", why=str(error))
-            else:
-                group.scope.cancel()
-
-        def attempts(group: Group) -> Coro[None]:
-            running: deque[Task] = deque()
-            number = 0
-            if self.last_attempt_at is not None:
-                yield from self.world.sleep(
-                    max(self.times.pause, self.last_attempt_at + self.times.gap(0) - self.world.now())
-                )
-            while True:
-                running = deque(task for task in running if not task.ended)
-                if len(running) >= MAX_CONNECTIONS:
-                    running.popleft().cancel()
-                    self._log_failure(ConnectionLost("no answer to the request for the complete list"))
-                self.last_attempt_at = self.world.now()
-                running.append(group.spawn(attempt(group), "ask discovery"))
-                yield from self.world.sleep(self.times.gap(number))
-                number += 1
-
-        used: Stream | None = None
-        try:
-            yield from self.world.group(attempts)
-            used, update = results[0]
-            self._update(update)
-        finally:
-            for stream, _ in results:
-                if stream is not used:
-                    stream.close()
-        return used
-
-    def _request_list(self) -> Coro[tuple[Stream, platform.ServerList]]:
-        stream = yield from self.world.connect(self.target, MAX_STALENESS)
-        try:
-            update, reusable = yield from self._call(stream, platform.TARGETS_PATH)
-        except BaseException:
-            stream.close()
-            raise
-        if not reusable:
-            stream.close()
-        return stream, update
-
     def _update(self, update: platform.ServerList) -> None:
-        if self.logged_causes:
-            self.logged_causes.clear()
-            self.log.info("discovery_back", revision=update.revision)
         self.apply(update, current=True)
         self.host.roster.starts.confirm_current()  # also if the update changes nothing
         self.revision, self.list_received = update.revision, True
 
-    def _watch(self, stream: Stream) -> Coro[None]:
-        """Watches for changes.
-
-        Each answer is followed by the next call, on a new connection if discovery closed the old one.
-        """
-        update: platform.ServerList | None
-        try:
-            while True:
-                since, update, reusable, began = self.revision, None, True, self.world.now()
-                query = "" if since is None else f"?since={since}&timeout_ms={self.times.wait // MS}"
-                with self.world.limit(self.times.wait + self.times.grace):
-                    if stream.closed:
-                        stream = yield from self.world.connect(self.target, self.times.grace)
-                    update, reusable = yield from self._call(stream, f"{platform.TARGETS_PATH}{query}")
-                if update is None:
-                    raise ConnectionLost(f"no answer within {(self.times.wait + self.times.grace) // MS} ms")
-                if since is None and not update.complete:
-                    raise BadAnswer(INCOMPLETE)
-                if update.complete or since is None or update.revision >= since:
-                    self._update(update)
-                else:
-                    self.revision = None  # the revision went back: what changed since is unknown
-                if not reusable:
-                    stream.close()
-                if (
-                    since is not None
-                    and update.revision <= since
-                    and self.world.now() - began < self.times.rest
-                ):
-                    # Keeps a discovery that always answers at once from being polled in a tight loop.
-                    yield from self.world.sleep(self.times.rest)
-        finally:
-            stream.close()
-
-    def _call(self, stream: Stream, target: str) -> Coro[tuple[platform.ServerList, bool]]:
+    def _request(self, stream: Stream, call: Call) -> Coro[tuple[platform.ServerList, bool]]:
         """Returns the answer and whether the connection can be used for another call.
 
-        Raises Lost, BadAnswer.
+        Raises ConnectionLost, BadAnswer.
         """
         host, port = self.target
+        target = platform.TARGETS_PATH
+        if call.since is not None:
+            target += f"?since={call.since}&timeout_ms={self.schedule.times.wait // MS}"
         reader = http.ResponseParser(1 << 14, MAX_LIST)
         stream.write(http.request("GET", target, f"{host}:{port}", b""))
         try:
--- a/stackpitch/platform/plan.py
+++ b/stackpitch/platform/plan.py
@@ -58,6 +58,7 @@
     customers: Mapping[str, Customer]
     kinds: Mapping[str, tuple[Role, int]]
     bounds: Bounds
+    drain_grace: Time  # for which a server that drains may still be sent to
 
     def same_settings(self, other: "Plan") -> bool:
         """Whether both would build the same decision module and accept requests alike."""
@@ -88,6 +89,11 @@
     )
 
 
+def drain_grace(settings: reading.SettingsSection) -> Time:
+    """For how long after a change a server that drains may still be sent to."""
+    return settings.section("guarantees").ticks("drainGraceMs", 1000)
+
+
 def make_plan(conf: config.Config, available: int) -> Plan:
     """`available`: descriptors that the system lets the process hold. Raises ConfigError."""
     # Shares of more descriptors than there are would let idle clients take all of them.
@@ -112,4 +118,5 @@
         customers=config.convert(conf.settings, reading.customers),
         kinds=config.convert(conf.settings, reading.kinds),
         bounds=config.convert(conf.settings, lambda tree: bounds(tree, server_connections, buffer)),
+        drain_grace=config.convert(conf.settings, drain_grace),
     )
--- a/stackpitch/platform/reloading.py
+++ b/stackpitch/platform/reloading.py
@@ -107,7 +107,8 @@
 
     def _apply_discovery(self, new: Plan, old: Plan) -> None:
         conf = new.conf
-        self.discovery.times = watching.watch_times(watching.gateway_spread(conf.name, conf.seed))
+        spread = watching.gateway_spread(conf.name, conf.seed)
+        self.discovery.set_times(watching.watch_times(spread, new.drain_grace))
         if not self.discovery.list_received and conf.known != old.conf.known:  # the known list is in force
             known = conf.known
             self.discovery.apply(ServerList(known.revision, True, known.members, known.bad))
--- a/stackpitch/platform/serve.py
+++ b/stackpitch/platform/serve.py
@@ -94,7 +94,7 @@
             log,
             conf.discovery,
             conf.known,
-            watching.watch_times(watching.gateway_spread(conf.name, conf.seed)),
+            watching.watch_times(watching.gateway_spread(conf.name, conf.seed), plan.drain_grace),
         )
         reloader = Reloader(world, log, environ, plan, host, budget, client_listener, discovery)
         host.trace_limiter.log_all = environ.get(TRACE_ALL) == "all"
--- a/stackpitch/platform/watching.py
+++ b/stackpitch/platform/watching.py
@@ -8,12 +8,13 @@
 from dataclasses import dataclass
 from zlib import crc32
 
-from stackpitch.loop import SECOND, Time
+from stackpitch.loop import MS, SECOND, Time
 
 MAX_STALENESS = 6 * SECOND
 # Attempts in a row that may be refused, time out or be answered badly while the next is still in time.
 MAX_FAILED_ATTEMPTS = 3
 MAX_CONNECTIONS = 4  # to discovery at once; each has a reserved descriptor
+MIN_CONNECTING_GAP = 50 * MS
 MIN_GAP_FACTOR = 0.75  # of a gap: the shortest that any gateway uses
 
 
@@ -26,18 +27,24 @@
     # Before the first attempt after a failure, so that gateways that lost their watches together spread out.
     pause: Time
     gaps: tuple[Time, ...]  # between the starts of successive attempts; the last one repeats
+    connecting_gap: Time  # the same, after an attempt whose connection was not established
     answer: Time  # for a successful attempt: connecting and the complete list
     # Before the next call after an immediate answer without news. Less than 200 ms, for which a watch goes on
     # between two calls.
     rest: Time
 
+    @property
+    def overlap(self) -> Time:
+        """From the start of a watch that is not answered to the start of the next call."""
+        return self.wait + self.grace
+
     def gap(self, attempt: int) -> Time:
         """From the start of attempt number `attempt`, counted from 0, to the start of the next."""
         return self.gaps[min(attempt, len(self.gaps) - 1)]
 
     def silent(self) -> Time:
         """Worst case from a watch that is silent from its first moment to the complete list."""
-        return self.wait + self.grace + self.recovered()
+        return self.overlap + self.recovered()
 
     def recovered(self) -> Time:
         """Worst case from a failure, or a change of address, to the complete list."""
@@ -60,18 +67,22 @@
     return crc32(f"{seed} {name}".encode()) / (1 << 32)
 
 
-def watch_times(spread: float) -> WatchTimes:
-    """`spread`: from 0 to 1, see `gateway_spread`.
+def watch_times(spread: float, drain_grace: Time = SECOND) -> WatchTimes:
+    """`spread`: from 0 to 1, see `gateway_spread`. It makes the attempts of different gateways drift apart.
 
-    It makes the attempts of different gateways drift apart.
+    `drain_grace`: for how long after a change a server that drains may still be sent to. What discovery has at
+    its return from an outage counts as told at once, so the next attempt has to begin within that time.
     """
     unit = MAX_STALENESS // 30
-    gaps = tuple(int(count * unit * (MIN_GAP_FACTOR + (1 - MIN_GAP_FACTOR) * spread)) for count in (1, 2, 4))
+    short = min(unit, drain_grace // 2)
+    factor = MIN_GAP_FACTOR + (1 - MIN_GAP_FACTOR) * spread
+    gaps = tuple(int(count * unit * factor) for count in (1, 2, 4))
     return WatchTimes(
         wait=9 * unit,
         grace=3 * unit,
-        pause=int(unit * spread / 2),
+        pause=int(short * spread / 2),
         gaps=gaps,
+        connecting_gap=max(MIN_CONNECTING_GAP, int(short * factor)),
         answer=5 * unit,
         rest=unit // 4,
     )
--- a/tests/platform_discovery.py
+++ b/tests/platform_discovery.py
@@ -58,7 +58,10 @@
                 )
                 if kind == "part":
                     members, whole = members[:1], False
-                yield from self.answer_as(stream, kind, json.dumps(self.listing(members, whole)).encode())
+                body = json.dumps(self.listing(members, whole)).encode()
+                if delay := 3 * SECOND if kind == "old" else self.delay:
+                    yield from self.world.sleep(delay)
+                yield from self.answer_as(stream, kind, body)
         except ConnectionLost:
             pass
         finally:
@@ -67,8 +70,8 @@
 
     def answer_as(self, stream: Stream, kind: str, body: bytes) -> Coro[None]:
         """Answers a call badly: `cut`: reset in the middle; `trickle`: a byte a second; `last`: a good
-        answer, then closed; `part`: only the first member, as a partial list; else bytes that are no valid
-        answer."""
+        answer, then closed; `part`: only the first member, as a partial list; `old`: 3 s later, the list as
+        it was at the call; else bytes that are no valid answer."""
         good = http.response(200, body, [("connection", "close")] if kind == "last" else [])
         if kind == "cut":
             stream.write(good[: len(good) // 2])
@@ -97,6 +100,11 @@
         self.silent = how == "silent"
         if how == "next":
             self.answer_kinds = list(answer_kinds)
+        elif how == "slow":
+            self.delay = int(answer_kinds[0]) * MS
+        elif how == "resets":
+            for stream in list(self.watching):
+                stream.abort()
         elif how == "forgets":
             self.epoch += 1
         elif how == "moves":
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -8,6 +8,8 @@
 list w1 draining | removed | up discovery has a change; `list whole`: it sends the complete list at a lower revision
 settings discovery=on_request   fields of the settings, before the fleet
 discovery silent | speaks | moves       stops answering, answers again, moves to another address and writes it to the file
+discovery slow 3500             answers, with the list as of the call or the news, come so many ms later
+discovery resets                its connections are reset
 discovery forgets               calls in progress are never answered, later ones are
 discovery down | up | cut-off | back    connections are refused and reset, or time out
 discovery next never cut ok     how its next calls are answered; see `answer_as`
@@ -110,6 +112,7 @@
         self.clients: dict[str, Client] = {}
         self.limits = {"sockets": 256, "memory_mb": 64}
         self.opened = self.count = self.asked_at = self.ready_after = 0
+        self.delay = 0  # of discovery's answers
         self.revision, self.news, self.silent = 10, list[tuple[int, dict[str, Any]]](), False
         self.port, self.epoch, self.answer_kinds, self.calls = DISCOVERY, 0, list[str](), 0
         self.listeners: dict[int, Any] = {}  # discovery's, by port
--- a/tests/test_crossings_told.py
+++ b/tests/test_crossings_told.py
@@ -23,6 +23,7 @@
 
 BOUND = 6.0  # seconds after which nothing new goes to a worker that drains or is gone
 OUTAGE = 8.0  # seconds for which discovery refuses connections
+SLOW = 3.5  # seconds, longer than a gateway once had for an answer
 EVERY = 0.1  # seconds between two requests
 
 
@@ -144,6 +145,19 @@
         return call.since >= 0 and self.bad == 0 and self.spoil(call, "reset")
 
 
+class Slow(Faulty):
+    """Takes up every call 3.5 s late, for good; all are answered well."""
+
+    def change(self) -> None:
+        self.watch()
+        self.changed_at = self.tell("w1", phase="draining")
+
+    def fail(self, call: Call) -> bool:
+        self.bad += 1
+        time.sleep(SLOW)
+        return False
+
+
 class BackAfterAnOutage(Faulty):
     """Refuses for 8 s, in which the change comes; then one connection hangs, one breaks off, and all others
     are well."""
@@ -173,6 +187,7 @@
     "half a list": spoilt("half a list"),
     "pieces of a byte": spoilt("pieces of a byte"),
     "lacks members": LacksMembers,
+    "slow": Slow,
     "back after an outage": BackAfterAnOutage,
 }
 
