--- a/stackpitch/duties/weights/errors.py
+++ b/stackpitch/duties/weights/errors.py
@@ -80,6 +80,12 @@
         self.source, self.address, self.why = source, address, why
 
 
+class SourceSilent(SourceFailed):
+    """A source sent nothing for as long as it was given. It is given longer the next time."""
+
+    word = "source_silent"
+
+
 class SourceChanged(SourceFailed):
     """The source's file has another length than the manifest's: it was changed under the same name."""
 
--- a/stackpitch/duties/weights/receiving/fetch.py
+++ b/stackpitch/duties/weights/receiving/fetch.py
@@ -1,11 +1,10 @@
 """Fetches parts of a file by HTTP `Range` over one reused connection. Requests no more than may arrive now."""
 
-from stackpitch.duties.weights.errors import SourceChanged, SourceFailed
+from stackpitch.duties.weights.errors import SourceChanged, SourceFailed, SourceSilent
 from stackpitch.loop import MS, SECOND, ConnectFailed, ConnectionLost, Coro, Stream, Time, World
 from stackpitch.wire import http
 
 CONNECT_TIMEOUT: Time = SECOND
-READ_TIMEOUT: Time = 2 * SECOND  # without a byte of the answer
 MAX_HEAD_BYTES = 16 * 1024
 
 
@@ -25,22 +24,25 @@
             self.stream.close()
             self.stream = None
 
-    def fetch(self, path: str, at: int, size: int, total: int) -> Coro[bytes]:
-        """The `size` bytes from `at` of a file of `total` bytes. Tries again once if a reused connection broke."""
+    def fetch(self, path: str, at: int, size: int, total: int, read_timeout: Time) -> Coro[bytes]:
+        """The `size` bytes from `at` of a file of `total` bytes. Tries again once if a reused connection broke.
+
+        `read_timeout`: without a byte of the answer.
+        """
         reused = self.stream is not None and self.used
         try:
-            return (yield from self._fetch(path, at, size, total))
+            return (yield from self._fetch(path, at, size, total, read_timeout))
         except ConnectionLost as error:
             self.close()
             if not reused:
                 raise SourceFailed(self.name, self.address, str(error)) from None
         try:
-            return (yield from self._fetch(path, at, size, total))
+            return (yield from self._fetch(path, at, size, total, read_timeout))
         except ConnectionLost as error:
             self.close()
             raise SourceFailed(self.name, self.address, str(error)) from None
 
-    def _fetch(self, path: str, at: int, size: int, total: int) -> Coro[bytes]:
+    def _fetch(self, path: str, at: int, size: int, total: int, read_timeout: Time) -> Coro[bytes]:
         if self.stream is None:
             host, _, port = self.address.rpartition(":")
             try:
@@ -59,10 +61,10 @@
             reader, parts = http.ResponseParser(MAX_HEAD_BYTES, size), list[bytes]()
             while not reader.complete:
                 data = b""
-                with self.world.limit(READ_TIMEOUT) as scope:
+                with self.world.limit(read_timeout) as scope:
                     data = yield from stream.recv()
                 if scope.expired:
-                    raise SourceFailed(self.name, self.address, f"no data for {READ_TIMEOUT // MS} ms")
+                    raise SourceSilent(self.name, self.address, f"no data for {read_timeout // MS} ms")
                 if not data:
                     raise ConnectionLost("it closed the connection")
                 reader.feed(data)
--- a/stackpitch/duties/weights/receiving/fetch_tasks.py
+++ b/stackpitch/duties/weights/receiving/fetch_tasks.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from stackpitch.duties.weights import errors
-from stackpitch.duties.weights.errors import DiskTrouble, Gone, SourceChanged, SourceFailed
+from stackpitch.duties.weights.errors import DiskTrouble, Gone, SourceChanged, SourceFailed, SourceSilent
 from stackpitch.duties.weights.forms import Ran
 from stackpitch.duties.weights.grants.grant import Held, Lane
 from stackpitch.duties.weights.grants.rate_limiter import RateLimiter
@@ -140,7 +140,8 @@
                     when = limiter.available_at(now, min(remaining, MAX_SLICE))
                     yield from self._wait(grant.lane, (held.ends if when is None else when) - now)
                     continue
-                data = yield from source.fetch(grant.path, at, size, entry.manifest.size)
+                read_timeout = receiver.sources.read_timeout(source.name)
+                data = yield from source.fetch(grant.path, at, size, entry.manifest.size, read_timeout)
                 progress.took += len(data)
                 if receiver.entries.get(entry.version) is not entry:
                     break  # the version was withdrawn or replaced meanwhile
@@ -185,5 +186,5 @@
             self.receiver.sources.bad_piece(error.source, model, version, now)
             self.receiver.sources.bad_piece(error.source, model, version, now)
         else:
-            self.receiver.sources.no_answer(error.source, now)
+            self.receiver.sources.no_answer(error.source, now, silent=isinstance(error, SourceSilent))
         self.receiver.log_error(error)
