--- a/stackpitch/platform/call_schedule.py
+++ b/stackpitch/platform/call_schedule.py
@@ -65,8 +65,8 @@
         self.latency, self.answered_at = 0, now
         self._recover(now)
 
-    def is_silent(self, now: Time) -> bool:
-        """Whether discovery has just become silent; a recovery begins then."""
+    def check_silence(self, now: Time) -> bool:
+        """Begins a recovery if discovery has become silent. Returns whether it has."""
         if self.recovering or now < self._silent_at():
             return False
         self._recover(now)
--- a/stackpitch/platform/discovery.py
+++ b/stackpitch/platform/discovery.py
@@ -162,7 +162,7 @@
         """Makes each call when it is due."""
         while True:
             now = self.world.now()
-            if self.schedule.is_silent(now):
+            if self.schedule.check_silence(now):
                 self._log_failure(ConnectionLost("no answer within the usual time"))
             if (due := self.schedule.next_start()) <= now:
                 self._start_call(group, now)
@@ -211,7 +211,10 @@
     def _connection(self, call: Call) -> Coro[Stream]:
         """The connection that the last call left, or a new one. Raises ConnectFailed."""
         stream, self.idle = self.idle, None
-        if stream is None or stream.closed or stream.eof:
+        if stream is not None and not _is_quiet(stream):
+            stream.close()
+            stream = None
+        if stream is None:
             stream = yield from self.world.connect(self.target, MAX_PATIENCE)
         self._give_up(self.schedule.sent(call))
         return stream
@@ -285,3 +288,11 @@
             return platform.parse_server_list(body), reader.keep_alive and not reader.extra_bytes
         except (http.BadMessage, ValueError) as error:
             raise BadAnswer(str(error)) from None
+
+
+def _is_quiet(stream: Stream) -> bool:
+    """Whether the connection is open and nothing came on it since its last answer."""
+    try:
+        return not stream.closed and stream.recv_now(force=True) is None
+    except ConnectionLost:
+        return False
--- a/tests/simulated_discovery.py
+++ b/tests/simulated_discovery.py
@@ -66,7 +66,7 @@
         for change in self.changes:
             self.at(change, self.wake_watches)
         while self.now < end:
-            self.schedule.is_silent(self.now)
+            self.schedule.check_silence(self.now)
             if (due := self.schedule.next_start()) <= self.now:
                 self.start_call()
             elif not self.events or due < self.events[0][0]:
--- a/tests/test_call_schedule.py
+++ b/tests/test_call_schedule.py
@@ -5,12 +5,13 @@
 """
 
 import itertools
+from collections import Counter
 
 import pytest
 from simulated_discovery import Phase, Silence, SimulatedDiscovery, seconds
 
 from stackpitch.loop import MS, SECOND, Time
-from stackpitch.platform.watching import watch_times
+from stackpitch.platform.watching import gateway_spread, watch_times
 
 SOCKETS = 50 * MS
 DRAIN_GRACE = 250 * MS  # the shortest of the sites
@@ -99,6 +100,19 @@
     assert rate(played, STEP, STEP + MINUTE) <= 120
 
 
+@pytest.mark.parametrize("kind", list(Silence))
+def test_gateways_call_one_after_another_as_a_silence_ends(kind: Silence) -> None:
+    """200 gateways lost their watch together and find discovery back together: 40 first calls in 10 ms at most."""
+    came: Counter[int] = Counter()
+    end = STEP + 8 * SECOND
+    for number in range(200):
+        times = watch_times(gateway_spread(f"n{number}", number))
+        phases = [Phase(0), Phase(STEP, silence=kind), Phase(end)]
+        played = SimulatedDiscovery(times, phases, []).play(end + SECOND)
+        came[(min(at for at in played.sent_at if at > end) - end) // (10 * MS)] += 1
+    assert max(came.values()) <= 40, came
+
+
 @pytest.mark.parametrize("spread", SPREADS)
 @pytest.mark.parametrize("work", [0.5, 1.0, 1.5, 2.0, 2.4])
 def test_a_discovery_that_works_on_one_call_at_a_time_is_heard_in_time(work: float, spread: float) -> None:
