--- a/soak/plan.py
+++ b/soak/plan.py
@@ -40,6 +40,7 @@
 SLOW_DISCOVERY = "discovery-slow"
 # In three runs of four, for some seconds before workers begin to drain for good; longer than a change may take to count.
 SLOW_DISCOVERY_PART, SLOW_DISCOVERY_LENGTH = 0.75, 12.0
+AFTER_SLOW_DISCOVERY = 4.0  # seconds of the run that are left then
 DISCOVERY_FORMS = "discovery-unsound"  # beside the others, so that earlier seeds keep theirs
 CLIENTS = ("burst", "crowd")
 CLIENT_FORMS = "unsound-requests"
@@ -228,8 +229,10 @@
 def _slow_discovery(
     random: Random, seconds: float, gateways: int, readers: int, writers: int
 ) -> list[Trouble]:
-    """A worker of each role drains for good meanwhile."""
-    at = random.uniform(1.0, max(1.5, seconds - 16))
+    """A worker of each role drains for good meanwhile. Not in a run that is too short for it."""
+    if seconds < SLOW_DISCOVERY_LENGTH + AFTER_SLOW_DISCOVERY:
+        return []
+    at = random.uniform(1.0, max(1.5, seconds - SLOW_DISCOVERY_LENGTH - AFTER_SLOW_DISCOVERY))
     some = (random.randrange(readers), readers + random.randrange(writers))
     slow = Trouble(
         SLOW_DISCOVERY, at, SLOW_DISCOVERY_LENGTH, tuple(range(gateways)), random.uniform(0.2, 1.0)
--- a/tests/test_soak_content.py
+++ b/tests/test_soak_content.py
@@ -10,6 +10,7 @@
 from soak.content import Checker, Marks
 from soak.mutants import MUTANTS
 from soak.oracle.excuses import GRANTED_BY, Excuse
+from soak.plan import SLOW_DISCOVERY, drawn
 
 PROMISES = Path(__file__).parent.parent / "docs" / "promises.md"
 Pieces = list[bytes]
@@ -69,3 +70,12 @@
     rows = {row.split("|")[1].strip(): row.split("|")[5] for row in table.splitlines() if row.count("|") == 6}
     named = {name: term for term, row in rows.items() for name in re.findall(r"`([a-z-]+)`", row)}
     assert named == {name: mutant.term for name, mutant in MUTANTS.items()}
+
+
+@pytest.mark.parametrize("seconds", [9, 12, 18, 30])
+def test_a_slow_discovery_makes_no_run_longer(seconds: int) -> None:
+    """It made runs of 9 s last for 18 s, in which a gateway that is broken on purpose was found no more."""
+    troubles = [one for seed in range(40) for one in drawn(seed, seconds, 4).troubles]
+    slow = [one for one in troubles if one.kind == SLOW_DISCOVERY]
+    assert bool(slow) == (seconds >= 18)
+    assert all(one.at + one.length <= seconds for one in slow)
